Thin whole path: daemon, command-line tool, stand-ins, demo

Cause: there was nothing; the first need is one request from a caller through a real daemon to an engine process and back, configured through the platform's key-value service.

Change: small libraries (base, http, settings, log, metrics, kv, oplang, config, cache, routing, admission, dispatch, membership, frontend, daemon), the programs ridgeholdd and ridgehold, stand-ins of platform, engine and plain service, and scripts/demo, which checks each answer.

--- /dev/null
+++ b/libs/base/include/base/result.h
@@ -0,0 +1,67 @@
+// Results: a value or a Failure, carried by Boost.LEAF.
+
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "base/result_code.h"
+
+namespace ridgehold {
+
+/// Why an operation failed: a numbered code and a sentence for people.
+struct Failure {
+  ResultCode code = ResultCode::kInternal;
+  std::string detail;
+};
+
+template <class T>
+using Result = boost::leaf::result<T>;
+
+/// Starts a failed result: `return Fail(ResultCode::kSyntax, "line 3: ...");`
+inline boost::leaf::error_id Fail(ResultCode code, std::string detail) {
+  return boost::leaf::new_error(Failure{code, std::move(detail)});
+}
+
+/// Passes an existing failure on as a failed result.
+inline boost::leaf::error_id Fail(Failure failure) {
+  return boost::leaf::new_error(std::move(failure));
+}
+
+/// Runs `operation`, which returns a Result; on failure returns what
+/// `on_failure(const Failure&)` makes of it.
+///
+///     int port = ValueOr([&] { return ParsePort(text); },
+///                        [](const Failure&) { return 0; });
+template <class Operation, class OnFailure>
+auto ValueOr(Operation&& operation, OnFailure&& on_failure) {
+  return boost::leaf::try_handle_all(
+      std::forward<Operation>(operation),
+      [&](const Failure& failure) { return on_failure(failure); },
+      [&] { return on_failure(Failure{ResultCode::kInternal, "no detail"}); });
+}
+
+/// Runs `operation`, which returns a Result; a failure is replaced by the one
+/// that `change(const Failure&)` returns.
+template <class Operation, class Change>
+auto MapFailure(Operation&& operation, Change&& change) {
+  using R = decltype(operation());
+  return boost::leaf::try_handle_some(
+      std::forward<Operation>(operation),
+      [&](const Failure& failure) -> R { return Fail(change(failure)); });
+}
+
+/// Runs `operation`, which returns a Result, and returns its failure, if any.
+template <class Operation>
+std::optional<Failure> FailureOf(Operation&& operation) {
+  return ValueOr(
+      [&]() -> Result<std::optional<Failure>> {
+        BOOST_LEAF_CHECK(operation());
+        return std::optional<Failure>();
+      },
+      [](const Failure& failure) { return std::optional(failure); });
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/base/include/base/result_code.h
@@ -0,0 +1,91 @@
+// Numbered result codes: what every refusal or failure is called, and whether the request ran.
+
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace ridgehold {
+
+/// What is known of the execution of a request that ended with a code.
+enum class Execution : std::uint8_t {
+  kNotRun,   ///< no backend server has executed it
+  kRan,      ///< a backend server executed it
+  kUnknown,  ///< a backend server may have executed it
+};
+
+/// What the caller may do next.
+enum class RetryAdvice : std::uint8_t {
+  kNever,         ///< the same request will fail again
+  kLater,         ///< retry after the time in `Retry-After`
+  kOnlyIfIdempotent,  ///< retry only where running twice is harmless
+};
+
+/// Numbered result codes. The numbers are stable; docs/RESULT-CODES.md lists them.
+enum class ResultCode : std::uint16_t {
+  kOk = 0,
+  // 1xxx: the request itself is at fault.
+  kMalformedRequest = 1001,
+  kUnauthorized = 1002,
+  kUnknownModel = 1003,
+  kNoRoute = 1004,
+  kBodyTooLarge = 1005,
+  kIdempotencyMismatch = 1006,
+  kIdempotencyInProgress = 1007,
+  kNotFound = 1008,
+  // 2xxx: refused by admission; nothing was sent to a backend server.
+  kOverloaded = 2001,
+  kWorkspaceLimit = 2002,
+  kDeadlineUnreachable = 2003,
+  kShuttingDown = 2004,
+  // 3xxx: backend servers.
+  kNoBackend = 3001,
+  kBackendRefused = 3002,
+  kBackendUnreachable = 3003,
+  kBackendBroken = 3004,
+  kBackendTimeout = 3005,
+  kStreamLost = 3006,
+  kForeignAnswer = 3007,
+  kCallerGone = 3008,
+  // 4xxx: the platform's key-value service.
+  kPlatformUnavailable = 4001,
+  kPlatformAnswerLost = 4002,
+  kPlatformMalformed = 4003,
+  kOutcomeUnknown = 4004,
+  // 5xxx: configuration and operators.
+  kSyntax = 5001,
+  kInvalidCommand = 5002,
+  kRevisionConflict = 5003,
+  kUnresolvedChange = 5004,
+  kStaleStore = 5005,
+  kInvalidSettings = 5006,
+  // 6xxx: between daemons.
+  kMalformedPeerMessage = 6001,
+  // 9xxx: faults of our own.
+  kInternal = 9001,
+};
+
+/// One row of the table of result codes.
+struct ResultCodeInfo {
+  ResultCode code;
+  std::string_view name;        ///< stable name, as in the JSON error's `code`
+  int http_status;              ///< status sent to callers
+  Execution execution;          ///< what is known of the request's execution
+  RetryAdvice retry;            ///< what the caller may do
+  std::string_view explanation; ///< one sentence for the docs
+};
+
+/// Returns the row for `code`; unknown values give the row of kInternal.
+const ResultCodeInfo& Describe(ResultCode code);
+
+/// Returns every row, in the order of the numbers.
+std::span<const ResultCodeInfo> AllResultCodes();
+
+/// Returns `not run`, `ran` or `unknown`.
+std::string_view ToString(Execution execution);
+
+/// Returns `never`, `later` or `only if idempotent`.
+std::string_view ToString(RetryAdvice advice);
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/http/src/client.cc
@@ -0,0 +1,351 @@
+#include "http/client.h"
+
+#include <curl/curl.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace ridgehold {
+namespace {
+
+constexpr int kPollMs = 1'000;
+constexpr long kMaxKeptConnections = 512;
+constexpr long kAnyByte = 1;
+
+// libcurl adds these to large bodies and then waits for a `100 Continue`.
+constexpr char kNoExpect[] = "Expect:";
+
+class CurlTransfer;
+
+/// What other threads ask of the loop.
+struct LoopRequest {
+  enum class Kind { kAdd, kCancel, kResume } kind;
+  std::shared_ptr<CurlTransfer> transfer;
+};
+
+/// Requests on their way to the loop; outlives the client for late calls.
+struct Mailbox {
+  std::mutex mutex;
+  std::vector<LoopRequest> requests;
+  CURLM* multi = nullptr;  // null once the loop has stopped
+
+  bool Post(LoopRequest request) {
+    const std::lock_guard lock(mutex);
+    if (multi == nullptr) return false;
+    requests.push_back(std::move(request));
+    curl_multi_wakeup(multi);
+    return true;
+  }
+};
+
+class CurlTransfer final : public Transfer, public std::enable_shared_from_this<CurlTransfer> {
+ public:
+  CurlTransfer(HttpCall call, TransferCallbacks callbacks, std::shared_ptr<Mailbox> mailbox)
+      : call_(std::move(call)),
+        callbacks_(std::move(callbacks)),
+        mailbox_(std::move(mailbox)),
+        easy_(curl_easy_init()) {}
+
+  ~CurlTransfer() override {
+    curl_slist_free_all(header_list_);
+    curl_easy_cleanup(easy_);
+  }
+
+  CurlTransfer(const CurlTransfer&) = delete;
+  CurlTransfer& operator=(const CurlTransfer&) = delete;
+
+  void Cancel() override {
+    mailbox_->Post({LoopRequest::Kind::kCancel, shared_from_this()});
+  }
+
+  void Resume() override {
+    mailbox_->Post({LoopRequest::Kind::kResume, shared_from_this()});
+  }
+
+  CURL* easy() const { return easy_; }
+
+  void Prepare() {
+    SetTarget();
+    SetHeaders();
+    SetTimeouts();
+    SetCallbacks();
+  }
+
+  /// Tells the owner the end, once.
+  void Finish(const TransferEnd& end) {
+    if (std::exchange(finished_, true)) return;
+    callbacks_.on_end(end);
+    callbacks_ = {};  // breaks ownership cycles between session and transfer
+  }
+
+  /// Judges libcurl's code by whether the request can have been sent.
+  TransferEnd Judge(CURLcode code) const {
+    if (code == CURLE_OK) return {TransferOutcome::kComplete, ""};
+    const std::string detail = curl_easy_strerror(code);
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+      return {Connected() ? TransferOutcome::kTimedOut : TransferOutcome::kNotSent, detail};
+    }
+    const bool never_connected = code == CURLE_COULDNT_CONNECT ||
+                                 code == CURLE_COULDNT_RESOLVE_HOST ||
+                                 code == CURLE_URL_MALFORMAT ||
+                                 code == CURLE_UNSUPPORTED_PROTOCOL;
+    return {never_connected ? TransferOutcome::kNotSent : TransferOutcome::kBroken, detail};
+  }
+
+ private:
+  bool Connected() const {
+    curl_off_t sent = 0;
+    curl_off_t connect_us = 0;
+    long request_bytes = 0;
+    curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent);
+    curl_easy_getinfo(easy_, CURLINFO_PRETRANSFER_TIME_T, &connect_us);
+    curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &request_bytes);
+    return sent > 0 || connect_us > 0 || request_bytes > 0;
+  }
+
+  void SetTarget() {
+    curl_easy_setopt(easy_, CURLOPT_URL, call_.url.c_str());
+    curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
+    if (call_.method == "HEAD") {
+      curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+    } else {
+      if (!call_.body.empty() || call_.method == "POST" || call_.method == "PUT") {
+        curl_easy_setopt(easy_, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, call_.body.data());
+        curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(call_.body.size()));
+      }
+      curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, call_.method.c_str());
+    }
+    if (call_.fresh_connection) {
+      curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
+    }
+  }
+
+  void SetHeaders() {
+    header_list_ = curl_slist_append(header_list_, kNoExpect);
+    for (const HeaderField& field : call_.headers.fields()) {
+      header_list_ = curl_slist_append(header_list_, (field.name + ": " + field.value).c_str());
+    }
+    curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_list_);
+  }
+
+  void SetTimeouts() {
+    curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(call_.connect_timeout.count()));
+    curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, static_cast<long>(call_.total_timeout.count()));
+    if (call_.idle_timeout.count() > 0) {
+      curl_easy_setopt(easy_, CURLOPT_LOW_SPEED_LIMIT, kAnyByte);
+      curl_easy_setopt(easy_, CURLOPT_LOW_SPEED_TIME,
+                       static_cast<long>(call_.idle_timeout.count()));
+    }
+  }
+
+  void SetCallbacks() {
+    curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &CurlTransfer::OnHeader);
+    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &CurlTransfer::OnBody);
+    curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
+  }
+
+  static std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* self) {
+    static_cast<CurlTransfer*>(self)->TakeHeaderLine({data, size * count});
+    return size * count;
+  }
+
+  static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* self) {
+    const auto* transfer = static_cast<CurlTransfer*>(self);
+    const std::string_view bytes(data, size * count);
+    if (!transfer->callbacks_.on_body || transfer->callbacks_.on_body(bytes)) return bytes.size();
+    return CURL_WRITEFUNC_PAUSE;
+  }
+
+  void TakeHeaderLine(std::string_view line) {
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
+    if (line.starts_with("HTTP/")) {
+      headers_ = {};
+      return;
+    }
+    if (line.empty()) {
+      ReportHead();
+      return;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) return;
+    std::string_view value = line.substr(colon + 1);
+    while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
+    headers_.Add(std::string(line.substr(0, colon)), std::string(value));
+  }
+
+  void ReportHead() {
+    constexpr long kFirstFinalStatus = 200;
+    long status = 0;
+    curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+    if (status < kFirstFinalStatus || !callbacks_.on_head) return;
+    callbacks_.on_head(static_cast<int>(status), headers_);
+  }
+
+  HttpCall call_;
+  TransferCallbacks callbacks_;
+  std::shared_ptr<Mailbox> mailbox_;
+  CURL* easy_;
+  curl_slist* header_list_ = nullptr;
+  Headers headers_;
+  bool finished_ = false;
+};
+
+}  // namespace
+
+struct HttpClient::Impl {
+  CURLM* multi = nullptr;
+  std::shared_ptr<Mailbox> mailbox = std::make_shared<Mailbox>();
+  std::unordered_map<CURL*, std::shared_ptr<CurlTransfer>> running;
+  std::atomic<bool> stopping{false};
+  std::thread loop;
+
+  void Run() {
+    while (!stopping.load()) {
+      TakeRequests();
+      int still_running = 0;
+      curl_multi_perform(multi, &still_running);
+      CollectEnded();
+      curl_multi_poll(multi, nullptr, 0, kPollMs, nullptr);
+    }
+    CancelAll();
+  }
+
+  void TakeRequests() {
+    std::vector<LoopRequest> requests;
+    {
+      const std::lock_guard lock(mailbox->mutex);
+      requests.swap(mailbox->requests);
+    }
+    for (const LoopRequest& request : requests) Serve(request);
+  }
+
+  void Serve(const LoopRequest& request) {
+    CURL* easy = request.transfer->easy();
+    switch (request.kind) {
+      case LoopRequest::Kind::kAdd:
+        request.transfer->Prepare();
+        running.emplace(easy, request.transfer);
+        curl_multi_add_handle(multi, easy);
+        break;
+      case LoopRequest::Kind::kCancel:
+        if (Remove(easy)) request.transfer->Finish({TransferOutcome::kCancelled, "cancelled"});
+        break;
+      case LoopRequest::Kind::kResume:
+        if (running.contains(easy)) curl_easy_pause(easy, CURLPAUSE_CONT);
+        break;
+    }
+  }
+
+  bool Remove(CURL* easy) {
+    if (running.erase(easy) == 0) return false;
+    curl_multi_remove_handle(multi, easy);
+    return true;
+  }
+
+  void CollectEnded() {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      const CURLcode code = message->data.result;
+      const auto found = running.find(message->easy_handle);
+      if (found == running.end()) continue;
+      const std::shared_ptr<CurlTransfer> transfer = found->second;
+      const TransferEnd end = transfer->Judge(code);
+      Remove(transfer->easy());
+      transfer->Finish(end);
+    }
+  }
+
+  void CancelAll() {
+    {
+      const std::lock_guard lock(mailbox->mutex);
+      mailbox->multi = nullptr;
+    }
+    TakeRequests();
+    const auto left = std::exchange(running, {});
+    for (const auto& [easy, transfer] : left) {
+      curl_multi_remove_handle(multi, easy);
+      transfer->Finish({TransferOutcome::kCancelled, "client stopped"});
+    }
+  }
+};
+
+HttpClient::HttpClient(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+Result<std::unique_ptr<HttpClient>> HttpClient::Create() {
+  static const CURLcode ready = curl_global_init(CURL_GLOBAL_ALL);
+  auto impl = std::make_unique<Impl>();
+  impl->multi = curl_multi_init();
+  if (ready != CURLE_OK || impl->multi == nullptr) {
+    return Fail(ResultCode::kInternal, "libcurl does not start");
+  }
+  curl_multi_setopt(impl->multi, CURLMOPT_MAXCONNECTS, kMaxKeptConnections);
+  impl->mailbox->multi = impl->multi;
+  impl->loop = std::thread([raw = impl.get()] { raw->Run(); });
+  return std::unique_ptr<HttpClient>(new HttpClient(std::move(impl)));
+}
+
+HttpClient::~HttpClient() {
+  impl_->stopping.store(true);
+  curl_multi_wakeup(impl_->multi);
+  impl_->loop.join();
+  curl_multi_cleanup(impl_->multi);
+}
+
+std::shared_ptr<Transfer> HttpClient::Start(HttpCall call, TransferCallbacks callbacks) {
+  auto transfer =
+      std::make_shared<CurlTransfer>(std::move(call), std::move(callbacks), impl_->mailbox);
+  if (!impl_->mailbox->Post({LoopRequest::Kind::kAdd, transfer})) {
+    transfer->Finish({TransferOutcome::kNotSent, "client stopped"});
+  }
+  return transfer;
+}
+
+Result<HttpAnswer> HttpClient::Fetch(HttpCall call) {
+  auto answer = std::make_shared<HttpAnswer>();
+  auto ended = std::make_shared<std::promise<TransferEnd>>();
+  std::future<TransferEnd> future = ended->get_future();
+  const std::string target = call.method + " " + call.url;
+  Start(std::move(call), {.on_head =
+                              [answer](int status, const Headers& headers) {
+                                answer->status = status;
+                                answer->headers = headers;
+                              },
+                          .on_body =
+                              [answer](std::string_view bytes) {
+                                answer->body += bytes;
+                                return true;
+                              },
+                          .on_end = [ended](const TransferEnd& end) { ended->set_value(end); }});
+  const TransferEnd end = future.get();
+  const std::string detail = target + ": " + end.detail;
+  switch (end.outcome) {
+    case TransferOutcome::kComplete:
+      return std::move(*answer);
+    case TransferOutcome::kNotSent:
+      return Fail(ResultCode::kBackendUnreachable, detail);
+    case TransferOutcome::kTimedOut:
+      return Fail(ResultCode::kBackendTimeout, detail);
+    case TransferOutcome::kBroken:
+    case TransferOutcome::kCancelled:
+      break;
+  }
+  return Fail(ResultCode::kBackendBroken, detail);
+}
+
+}  // namespace ridgehold
