--- a/libs/admission/src/admission.cc
+++ b/libs/admission/src/admission.cc
@@ -15,8 +15,8 @@
 
 }  // namespace
 
-std::optional<Refusal> Admission::Enter(const WorkspaceId& workspace,
-                                        const WorkspaceLimits& limits, TimePoint now) {
+std::optional<Refusal> Admission::Enter(const WorkspaceId& workspace, const WorkspaceLimits& limits,
+                                        TimePoint now) {
   Usage& usage = usage_[workspace];
   usage.share = limits.share;
   usage.last_seen = now;
@@ -24,8 +24,7 @@
   if (usage.in_flight >= limits.max_streams) {
     return Refusal{ResultCode::kWorkspaceLimit, RetryAfter()};
   }
-  const bool scarce =
-      in_flight_ * kFairFromDenominator >= max_in_flight_ * kFairFromNumerator;
+  const bool scarce = in_flight_ * kFairFromDenominator >= max_in_flight_ * kFairFromNumerator;
   if (scarce && usage.in_flight >= FairPart(workspace, now)) {
     return Refusal{ResultCode::kWorkspaceLimit, RetryAfter()};
   }
@@ -53,7 +52,8 @@
     if (active) all_shares += usage.share;
   }
   const std::uint64_t share = usage_.at(workspace).share;
-  const std::uint64_t part = std::uint64_t{max_in_flight_} * share / std::max<std::uint64_t>(all_shares, 1);
+  const std::uint64_t part =
+      std::uint64_t{max_in_flight_} * share / std::max<std::uint64_t>(all_shares, 1);
   return static_cast<std::uint32_t>(std::max<std::uint64_t>(part, 1));
 }
 
--- a/libs/base/include/base/result.h
+++ b/libs/base/include/base/result.h
@@ -5,6 +5,7 @@
 #include <boost/leaf.hpp>
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <utility>
 
 #include "base/result_code.h"
@@ -40,17 +41,31 @@
   return boost::leaf::try_handle_all(
       std::forward<Operation>(operation),
       [&](const Failure& failure) { return on_failure(failure); },
-      [&] { return on_failure(Failure{ResultCode::kInternal, "no detail"}); });
+      [&] {
+        return on_failure(Failure{ResultCode::kInternal, "no detail"});
+      });
 }
 
 /// Runs `operation`, which returns a Result; a failure is replaced by the one
 /// that `change(const Failure&)` returns.
+///
+/// The new failure is made outside of LEAF's handler: a handler's own error
+/// would be overwritten when the old one is propagated.
 template <class Operation, class Change>
-auto MapFailure(Operation&& operation, Change&& change) {
-  using R = decltype(operation());
-  return boost::leaf::try_handle_some(
-      std::forward<Operation>(operation),
-      [&](const Failure& failure) -> R { return Fail(change(failure)); });
+auto MapFailure(Operation&& operation, Change&& change) -> decltype(operation()) {
+  using Value = std::decay_t<decltype(operation().value())>;
+  std::optional<Failure> changed;
+  std::optional<Value> value = ValueOr(
+      [&]() -> Result<std::optional<Value>> {
+        BOOST_LEAF_AUTO(taken, operation());
+        return std::optional<Value>(std::move(taken));
+      },
+      [&](const Failure& failure) {
+        changed = change(failure);
+        return std::optional<Value>();
+      });
+  if (changed) return Fail(std::move(*changed));
+  return std::move(*value);
 }
 
 /// Runs `operation`, which returns a Result, and returns its failure, if any.
--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -17,8 +17,8 @@
 
 /// What the caller may do next.
 enum class RetryAdvice : std::uint8_t {
-  kNever,         ///< the same request will fail again
-  kLater,         ///< retry after the time in `Retry-After`
+  kNever,             ///< the same request will fail again
+  kLater,             ///< retry after the time in `Retry-After`
   kOnlyIfIdempotent,  ///< retry only where running twice is harmless
 };
 
@@ -69,11 +69,11 @@
 /// One row of the table of result codes.
 struct ResultCodeInfo {
   ResultCode code;
-  std::string_view name;        ///< stable name, as in the JSON error's `code`
-  int http_status;              ///< status sent to callers
-  Execution execution;          ///< what is known of the request's execution
-  RetryAdvice retry;            ///< what the caller may do
-  std::string_view explanation; ///< one sentence for the docs
+  std::string_view name;         ///< stable name, as in the JSON error's `code`
+  int http_status;               ///< status sent to callers
+  Execution execution;           ///< what is known of the request's execution
+  RetryAdvice retry;             ///< what the caller may do
+  std::string_view explanation;  ///< one sentence for the docs
 };
 
 /// Returns the row for `code`; unknown values give the row of kInternal.
--- a/libs/cache/include/cache/prompt.h
+++ b/libs/cache/include/cache/prompt.h
@@ -14,7 +14,7 @@
 struct Prompt {
   ModelId model;
   bool stream = false;
-  std::string text;       ///< all messages' text in order, or the prompt
+  std::string text;            ///< all messages' text in order, or the prompt
   std::size_t max_tokens = 0;  ///< 0: not said
 };
 
--- a/libs/cache/src/cache_picture.cc
+++ b/libs/cache/src/cache_picture.cc
@@ -98,9 +98,8 @@
   auto limit = static_cast<Tick>(kMaxAge / kTick);
   while (blocks_.size() > target) {
     boost::unordered::erase_if(blocks_, [&](auto& entry) {
-      DropIf(entry.second, [&](Holder holder) {
-        return static_cast<Tick>(now - holder.seen) > limit;
-      });
+      DropIf(entry.second,
+             [&](Holder holder) { return static_cast<Tick>(now - holder.seen) > limit; });
       return entry.second.empty();
     });
     if (limit == 0) break;
--- a/libs/config/include/config/config_keeper.h
+++ b/libs/config/include/config/config_keeper.h
@@ -5,10 +5,10 @@
 #include <chrono>
 #include <condition_variable>
 #include <functional>
-#include <set>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -155,8 +155,8 @@
 
   /// Tells the loser of a race what changed. Needs `mutex_`.
   std::string DescribeSince(Revision expected) const {
-    std::string text = "expected revision " + std::to_string(expected.value()) +
-                       ", in force is " + std::to_string(log_.revision().value());
+    std::string text = "expected revision " + std::to_string(expected.value()) + ", in force is " +
+                       std::to_string(log_.revision().value());
     const auto records = log_.ChangesAfter(expected);
     if (!records) return text;
     for (const auto& record : *records) {
@@ -189,8 +189,7 @@
           return answer.succeeded ? Landed::kYes : JudgeRefusal(base, record, answer);
         },
         [](const Failure& failure) {
-          return failure.code == ResultCode::kPlatformUnavailable ? Landed::kNo
-                                                                  : Landed::kUnknown;
+          return failure.code == ResultCode::kPlatformUnavailable ? Landed::kNo : Landed::kUnknown;
         });
     if (landed == Landed::kYes) Publish(record);
     if (landed == Landed::kRaceLost || landed == Landed::kStale) {
@@ -332,9 +331,8 @@
 
   Result<void> CommitSnapshotHead(const wire::Snapshot& snapshot) {
     KvTransaction transaction;
-    transaction.puts.push_back({SnapshotHeadKey(),
-                                FormatHead({snapshot.revision(), snapshot.digest()}),
-                                std::nullopt});
+    transaction.puts.push_back(
+        {SnapshotHeadKey(), FormatHead({snapshot.revision(), snapshot.digest()}), std::nullopt});
     // Changes below the snapshot before this one are needed by nobody.
     const std::uint64_t every = options_.snapshot_every;
     if (snapshot.revision() > 2 * every) {
@@ -351,9 +349,9 @@
   Result<StoreView> Repair(const StoredHead& store_head) {
     const wire::Changes lost = ChangesAfter(Revision(store_head.revision));
     KvTransaction transaction;
-    transaction.compares.push_back(
-        {HeadKey(), store_head.revision == 0 ? std::nullopt
-                                             : std::optional(FormatHead(store_head))});
+    transaction.compares.push_back({HeadKey(), store_head.revision == 0
+                                                   ? std::nullopt
+                                                   : std::optional(FormatHead(store_head))});
     StoredHead next = store_head;
     if (lost.has_snapshot()) {
       BOOST_LEAF_CHECK(StoreSnapshot());
--- a/libs/config/src/binding.cc
+++ b/libs/config/src/binding.cc
@@ -165,10 +165,10 @@
                        .Choice("draining", backend.draining, kYesNo)
                        .Choice("fencing", backend.checks_fencing, kYesNo)
                        .Done());
-  BOOST_LEAF_CHECK(Require(statement, backend.url.starts_with("http"),
-                           "a backend server needs url http://..."));
-  BOOST_LEAF_CHECK(Require(statement, !backend.zone.value().empty(),
-                           "a backend server needs zone NAME"));
+  BOOST_LEAF_CHECK(
+      Require(statement, backend.url.starts_with("http"), "a backend server needs url http://..."));
+  BOOST_LEAF_CHECK(
+      Require(statement, !backend.zone.value().empty(), "a backend server needs zone NAME"));
   return Require(statement, backend.model.value().empty() != backend.service.value().empty(),
                  "a backend server needs either engine MODEL or service NAME");
 }
--- a/libs/config/src/binding.h
+++ b/libs/config/src/binding.h
@@ -14,8 +14,8 @@
 
 /// A failure at a place in the script.
 inline boost::leaf::error_id Invalid(int line, int column, const std::string& fault) {
-  return Fail(ResultCode::kInvalidCommand, "line " + std::to_string(line) + ", column " +
-                                               std::to_string(column) + ": " + fault);
+  return Fail(ResultCode::kInvalidCommand,
+              "line " + std::to_string(line) + ", column " + std::to_string(column) + ": " + fault);
 }
 
 /// Sets the fields that the statement's attributes name; the others stay.
--- a/libs/config/src/stored_config.cc
+++ b/libs/config/src/stored_config.cc
@@ -53,7 +53,8 @@
   KvTransaction transaction;
   transaction.compares.push_back({HeadKey(), ToValue(base)});
   transaction.puts.push_back({HeadKey(), FormatHead(next), std::nullopt});
-  transaction.puts.push_back({ChangeKey(record.revision()), record.SerializeAsString(), std::nullopt});
+  transaction.puts.push_back(
+      {ChangeKey(record.revision()), record.SerializeAsString(), std::nullopt});
   transaction.reads_on_failure = {HeadKey(), ChangeKey(record.revision())};
   return transaction;
 }
--- a/libs/daemon/include/daemon/engine_monitor.h
+++ b/libs/daemon/include/daemon/engine_monitor.h
@@ -61,9 +61,14 @@
     TimePoint next_sync{};
   };
 
+  struct PollAnswer {
+    int status = 0;  ///< 0: no whole answer came
+    std::string body;
+  };
+
   void StartPoll(const BackendId& engine, Follow& follow);
   void StartSync(const BackendId& engine, Follow& follow, TimePoint now);
-  void Get(const std::string& url, std::function<void(const std::string* body)> on_answer);
+  void Get(const std::string& url, std::function<void(PollAnswer)> on_answer);
   void CountMalformed(const BackendId& engine, const std::string& what);
 
   Router& router_;
--- a/libs/daemon/src/config_sync.cc
+++ b/libs/daemon/src/config_sync.cc
@@ -32,7 +32,10 @@
       metrics_(metrics),
       callbacks_(std::move(callbacks)),
       store_(client, metrics, options_.platform_url, options_.platform_timeout),
-      keeper_(store_, {}, [this](const wire::Changes& changes, ChangeOrigin origin) { OnApplied(changes, origin); }),
+      keeper_(store_, {},
+              [this](const wire::Changes& changes, ChangeOrigin origin) {
+                OnApplied(changes, origin);
+              }),
       members_(identity_.id, identity_.zone, options_.heartbeat) {
   members_.AddSeeds(options_.seeds);
 }
@@ -218,7 +221,7 @@
   const StoreView before = store_view_.exchange(view);
   if (view == StoreView::kInStep) loaded_.store(true);
   if (view != before) {
-    const char* text = view == StoreView::kInStep       ? "in step"
+    const char* text = view == StoreView::kInStep        ? "in step"
                        : view == StoreView::kUnreachable ? "unreachable"
                                                          : "diverged";
     Log(view == StoreView::kDiverged ? LogLevel::kError : LogLevel::kInfo, "platform store",
@@ -252,6 +255,7 @@
         // Joining: one read finds the daemons of all zones.
         BOOST_LEAF_AUTO(pairs, store_.List(kDaemonsRoot, PrefixEnd(kDaemonsRoot)));
         std::vector<std::string> addresses;
+        addresses.reserve(pairs.size());
         for (const KvPair& pair : pairs) addresses.push_back(pair.value);
         const std::lock_guard lock(mutex_);
         members_.AddSeeds(addresses);
--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -73,8 +73,8 @@
 }
 
 DispatchLimits Limits(const Settings& settings) {
-  return {settings.first_token_deadline, settings.stall_timeout,  settings.service_timeout,
-          settings.stream_buffer_bytes,  settings.max_tries,      settings.retry_budget_percent};
+  return {settings.first_token_deadline, settings.stall_timeout, settings.service_timeout,
+          settings.stream_buffer_bytes,  settings.max_tries,     settings.retry_budget_percent};
 }
 
 ConfigSync::Options SyncOptions(const Settings& settings) {
@@ -97,8 +97,7 @@
   explicit Impl(const Settings& daemon_settings)
       : settings(daemon_settings),
         identity{settings.daemon, settings.zone, MakeIncarnation()},
-        router(settings.zone, kOtherZoneDistance,
-               settings.picture_bytes / kPictureBytesPerBlock),
+        router(settings.zone, kOtherZoneDistance, settings.picture_bytes / kPictureBytesPerBlock),
         in_flight(settings.max_in_flight) {}
 
   Settings settings;
@@ -131,14 +130,13 @@
     BOOST_LEAF_ASSIGN(control_client, HttpClient::Create());
     BOOST_LEAF_ASSIGN(data_client, HttpClient::Create());
     OpenSync();
-    monitor = std::make_unique<EngineMonitor>(router, *control_client, metrics,
-                                              MonitorOptions(settings));
-    BOOST_LEAF_ASSIGN(mesh, PeerMesh::Create(Mesh(settings), metrics,
-                                             [this](const wire::PeerMessage& message) {
-                                               sync->TakePeerMessage(message);
-                                             }));
-    dispatcher =
-        std::make_unique<Dispatcher>(router, *data_client, metrics, Limits(settings));
+    monitor =
+        std::make_unique<EngineMonitor>(router, *control_client, metrics, MonitorOptions(settings));
+    BOOST_LEAF_ASSIGN(
+        mesh, PeerMesh::Create(Mesh(settings), metrics, [this](const wire::PeerMessage& message) {
+          sync->TakePeerMessage(message);
+        }));
+    dispatcher = std::make_unique<Dispatcher>(router, *data_client, metrics, Limits(settings));
     OpenClaims();
     BOOST_LEAF_CHECK(OpenCallerSide());
     BOOST_LEAF_CHECK(OpenOperatorSide());
@@ -198,18 +196,18 @@
         .zones = [this] { return sync->Zones(Clock::now()); },
         .peers = [this] { return sync->Peers(Clock::now()); },
         .change_status = [this](const ChangeId& id) { return sync->StatusOf(id); },
-        .submit =
-            [this](const std::string& script, std::optional<Revision> expected,
-                   const std::string& author) { return sync->Submit(script, expected, author); },
+        .submit = [this](
+                      const std::string& script, std::optional<Revision> expected,
+                      const std::string& author) { return sync->Submit(script, expected, author); },
     });
     operator_listener = std::make_unique<OperatorListener>(
         *operator_service, metrics, settings.operator_key_sha256, [this] { return Dump(); });
-    BOOST_LEAF_ASSIGN(operator_server,
-                      HttpServer::Create(OperatorServer(settings),
-                                         [this](const HttpRequest& request,
-                                                const Responder& responder) {
-                                           operator_listener->Handle(request, responder);
-                                         }));
+    BOOST_LEAF_ASSIGN(
+        operator_server,
+        HttpServer::Create(OperatorServer(settings),
+                           [this](const HttpRequest& request, const Responder& responder) {
+                             operator_listener->Handle(request, responder);
+                           }));
     return {};
   }
 
@@ -249,8 +247,7 @@
   /// Runs on the claim pool; may wait for the platform.
   void RunClaimed(ClaimedCall claimed) {
     const ServiceCall& call = claimed.call;
-    const std::string fingerprint =
-        Sha256Hex(call.method + "\n" + call.target + "\n" + call.body);
+    const std::string fingerprint = Sha256Hex(call.method + "\n" + call.target + "\n" + call.body);
     std::optional<Failure> failure;
     ClaimOutcome outcome;
     ValueOr(
@@ -263,11 +260,13 @@
     if (!failure) failure = FailureOfVerdict(outcome.verdict);
     if (failure) return AnswerFailure(claimed, std::move(*failure));
     if (outcome.verdict == ClaimVerdict::kAnswered) {
-      return claimed.on_answer({std::nullopt, Execution::kRan, outcome.stored.status,
-                                {{"Content-Type", outcome.stored.content_type},
-                                 {"X-Ridgehold-Replayed", "1"}},
-                                outcome.stored.body,
-                                {}});
+      return claimed.on_answer(
+          {std::nullopt,
+           Execution::kRan,
+           outcome.stored.status,
+           {{"Content-Type", outcome.stored.content_type}, {"X-Ridgehold-Replayed", "1"}},
+           outcome.stored.body,
+           {}});
     }
     SendClaimed(std::move(claimed), std::move(outcome.stored));
   }
@@ -301,8 +300,8 @@
       // The store is told on the pool: this is the HTTP client's thread.
       asio::post(*claim_pool, [this, workspace, claim, key, answered, answer] {
         if (answer.execution == Execution::kRan) {
-          claims->Complete(workspace, key, claim, answer.status,
-                           answer.headers.Get("Content-Type"), answer.body);
+          claims->Complete(workspace, key, claim, answer.status, answer.headers.Get("Content-Type"),
+                           answer.body);
         } else if (answer.execution == Execution::kNotRun) {
           claims->Release(workspace, key, claim);
         }
@@ -412,8 +411,7 @@
   impl_->sync->SetLeaving();
   const TimePoint from = Clock::now() + impl_->settings.lame_duck;
   impl_->refuse_from.store(from.time_since_epoch().count());
-  Log(LogLevel::kInfo, "shutting down",
-      {{"in_flight", std::to_string(impl_->in_flight.size())}});
+  Log(LogLevel::kInfo, "shutting down", {{"in_flight", std::to_string(impl_->in_flight.size())}});
 }
 
 bool Daemon::Drained() const {
--- a/libs/daemon/src/engine_monitor.cc
+++ b/libs/daemon/src/engine_monitor.cc
@@ -44,8 +44,7 @@
 
 }  // namespace
 
-EngineMonitor::EngineMonitor(Router& router, HttpClient& client, Metrics& metrics,
-                             Options options)
+EngineMonitor::EngineMonitor(Router& router, HttpClient& client, Metrics& metrics, Options options)
     : router_(router),
       client_(client),
       metrics_(metrics),
@@ -80,25 +79,25 @@
 bool EngineMonitor::FirstSyncDone() const {
   const std::lock_guard lock(mutex_);
   if (!options_.events) return true;
-  return std::ranges::all_of(follows_,
-                             [](const auto& entry) { return entry.second.synced_once; });
+  return std::ranges::all_of(follows_, [](const auto& entry) { return entry.second.synced_once; });
 }
 
 void EngineMonitor::StartPoll(const BackendId& engine, Follow& follow) {
   follow.polling = true;
-  const std::string path = options_.events ? "/ridgehold/events?after=" +
-                                                 std::to_string(follow.last_sequence)
-                                           : "/ridgehold/load";
-  Get(follow.url + path, [this, engine](const std::string* body) {
+  const std::string path = options_.events
+                               ? "/ridgehold/events?after=" + std::to_string(follow.last_sequence)
+                               : "/ridgehold/load";
+  Get(follow.url + path, [this, engine](PollAnswer answer) {
     {
       const std::lock_guard lock(mutex_);
       const auto found = follows_.find(engine);
       if (found == follows_.end()) return;
       found->second.polling = false;
-      // Nothing to read from an engine that is away.
-      if (body == nullptr) found->second.synced_once = true;
+      // Nothing to read from an engine that is away or tells nothing.
+      if (answer.status != kHttpOk) found->second.synced_once = true;
     }
-    if (body != nullptr) TakeEvents(engine, *body, Clock::now());
+    if (answer.status == kHttpOk) TakeEvents(engine, answer.body, Clock::now());
+    if (answer.status == 0) router_.TakeUnreachable(engine, Clock::now());
   });
 }
 
@@ -110,8 +109,8 @@
   metrics_.GetCounter("ridgehold_cache_resyncs").Add();
   const std::string url =
       follow.url + "/ridgehold/blocks?most=" + std::to_string(options_.resync_blocks);
-  Get(url, [this, engine](const std::string* body) {
-    if (body != nullptr) TakeBlocks(engine, *body, Clock::now());
+  Get(url, [this, engine](PollAnswer answer) {
+    if (answer.status == kHttpOk) TakeBlocks(engine, answer.body, Clock::now());
     const std::lock_guard lock(mutex_);
     --syncs_running_;
     const auto found = follows_.find(engine);
@@ -121,13 +120,8 @@
   });
 }
 
-void EngineMonitor::Get(const std::string& url,
-                        std::function<void(const std::string*)> on_answer) {
-  struct Answer {
-    int status = 0;
-    std::string body;
-  };
-  auto answer = std::make_shared<Answer>();
+void EngineMonitor::Get(const std::string& url, std::function<void(PollAnswer)> on_answer) {
+  auto answer = std::make_shared<PollAnswer>();
   HttpCall call;
   call.url = url;
   call.total_timeout = kPollTimeout;
@@ -140,9 +134,8 @@
                      },
                  .on_end =
                      [answer, on_answer = std::move(on_answer)](const TransferEnd& end) {
-                       const bool whole = end.outcome == TransferOutcome::kComplete &&
-                                          answer->status == kHttpOk;
-                       on_answer(whole ? &answer->body : nullptr);
+                       if (end.outcome != TransferOutcome::kComplete) answer->status = 0;
+                       on_answer(std::move(*answer));
                      }});
 }
 
--- a/libs/dispatch/include/dispatch/attempt_state.h
+++ b/libs/dispatch/include/dispatch/attempt_state.h
@@ -56,9 +56,7 @@
   }
 
   /// Whether the request may be sent once more.
-  bool MayRepeat(bool repeatable) const {
-    return execution() == Execution::kNotRun || repeatable;
-  }
+  bool MayRepeat(bool repeatable) const { return execution() == Execution::kNotRun || repeatable; }
 
  private:
   void Advance(Phase phase) {
--- a/libs/dispatch/include/dispatch/claim_store.h
+++ b/libs/dispatch/include/dispatch/claim_store.h
@@ -106,9 +106,10 @@
           [](const Failure&) { return std::optional<KvTransactionAnswer>(); });
       if (answer) return *answer;
     }
-    return MapFailure([&] { return store_.Commit(transaction); }, [](const Failure& failure) {
-      return Failure{ResultCode::kPlatformUnavailable, failure.detail};
-    });
+    return MapFailure([&] { return store_.Commit(transaction); },
+                      [](const Failure& failure) {
+                        return Failure{ResultCode::kPlatformUnavailable, failure.detail};
+                      });
   }
 
   bool Replace(const std::string& key, const std::string& before,
@@ -139,11 +140,11 @@
     if (lease_ && now < lease_until_) return *lease_;
     const auto ttl = std::chrono::duration_cast<std::chrono::seconds>(options_.keep) +
                      std::chrono::seconds(kLeaseReuse);
-    BOOST_LEAF_AUTO(lease, MapFailure([&] { return store_.GrantLease(ttl); },
-                                      [](const Failure& failure) {
-                                        return Failure{ResultCode::kPlatformUnavailable,
-                                                       failure.detail};
-                                      }));
+    BOOST_LEAF_AUTO(lease,
+                    MapFailure([&] { return store_.GrantLease(ttl); },
+                               [](const Failure& failure) {
+                                 return Failure{ResultCode::kPlatformUnavailable, failure.detail};
+                               }));
     lease_ = lease;
     lease_until_ = now + kLeaseReuse;
     return lease;
--- a/libs/dispatch/include/dispatch/model_session.h
+++ b/libs/dispatch/include/dispatch/model_session.h
@@ -117,7 +117,7 @@
   std::set<BackendId> excluded_;
   StreamSequencer sequencer_;
   std::vector<std::string> passed_frames_;
-  bool begun_ = false;        // the caller's streamed answer has begun
+  bool begun_ = false;         // the caller's streamed answer has begun
   bool possibly_ran_ = false;  // some attempt may have been executed
   bool caller_gone_ = false;
   bool finished_ = false;
--- a/libs/dispatch/src/error_answer.cc
+++ b/libs/dispatch/src/error_answer.cc
@@ -28,16 +28,15 @@
     // OpenAI's client libraries follow this header.
     answer.headers.Add("X-Should-Retry", "false");
   }
-  const std::string message = failure.detail.empty() ? std::string(info.explanation)
-                                                     : failure.detail;
-  const nlohmann::json body = {
-      {"error",
-       {{"message", message},
-        {"type", TypeOf(info.http_status)},
-        {"param", nullptr},
-        {"code", info.name},
-        {"ridgehold_code", static_cast<int>(failure.code)},
-        {"execution", ToString(info.execution)}}}};
+  const std::string message =
+      failure.detail.empty() ? std::string(info.explanation) : failure.detail;
+  const nlohmann::json body = {{"error",
+                                {{"message", message},
+                                 {"type", TypeOf(info.http_status)},
+                                 {"param", nullptr},
+                                 {"code", info.name},
+                                 {"ridgehold_code", static_cast<int>(failure.code)},
+                                 {"execution", ToString(info.execution)}}}};
   answer.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return answer;
 }
--- a/libs/dispatch/src/idempotency_claim.cc
+++ b/libs/dispatch/src/idempotency_claim.cc
@@ -15,13 +15,10 @@
 }  // namespace
 
 std::string IdempotencyClaim::Serialize() const {
-  return json{{"attempt", attempt.value()},
-              {"fingerprint", fingerprint},
-              {"done", state == State::kDone},
-              {"started", started_unix_ms},
-              {"status", status},
-              {"content_type", content_type},
-              {"body", Base64Encode(body)}}
+  return json{
+      {"attempt", attempt.value()}, {"fingerprint", fingerprint}, {"done", state == State::kDone},
+      {"started", started_unix_ms}, {"status", status},           {"content_type", content_type},
+      {"body", Base64Encode(body)}}
       .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
--- a/libs/dispatch/src/model_session.cc
+++ b/libs/dispatch/src/model_session.cc
@@ -151,8 +151,8 @@
   if (headers.Find(header::kLeaving)) dispatcher_.router().NoteLeaving(attempt_.route.backend);
   if (refused || status != kHttpOk) return;
   if (!HeadMatches(headers)) return Break(ResultCode::kForeignAnswer);
-  sequencer_.StartAttempt({attempt_.id, Incarnation(headers.Get(header::kIncarnation)),
-                           request_.weights});
+  sequencer_.StartAttempt(
+      {attempt_.id, Incarnation(headers.Get(header::kIncarnation)), request_.weights});
 }
 
 bool ModelSession::HeadMatches(const Headers& headers) const {
@@ -234,9 +234,8 @@
   std::string chunk = FormatSse(event.data);
   const std::size_t bytes = chunk.size();
   unsent_bytes_ += bytes;
-  responder_.Write(std::move(chunk), [self = shared_from_this(), bytes](bool ok) {
-    self->OnWritten(bytes, ok);
-  });
+  responder_.Write(std::move(chunk),
+                   [self = shared_from_this(), bytes](bool ok) { self->OnWritten(bytes, ok); });
 }
 
 void ModelSession::OnWritten(std::size_t bytes, bool ok) {
@@ -357,8 +356,6 @@
   };
 }
 
-void ModelSession::Report(ResultCode code) {
-  on_finished_({code, tries_, attempt_.route.backend});
-}
+void ModelSession::Report(ResultCode code) { on_finished_({code, tries_, attempt_.route.backend}); }
 
 }  // namespace ridgehold
--- a/libs/dispatch/src/service_session.cc
+++ b/libs/dispatch/src/service_session.cc
@@ -20,9 +20,8 @@
      "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Authorization", "Expect"});
 
 bool IsPassedOn(std::string_view name) {
-  return std::ranges::none_of(kNotPassedOn, [&](std::string_view other) {
-    return SameHeaderName(name, other);
-  });
+  return std::ranges::none_of(kNotPassedOn,
+                              [&](std::string_view other) { return SameHeaderName(name, other); });
 }
 
 }  // namespace
@@ -53,19 +52,19 @@
   attempt_.state.Start();
   auto self = shared_from_this();
   dispatcher_.client().Start(
-      MakeCall(), {.on_head =
-                       [self](int status, const Headers& headers) {
-                         self->attempt_.status = status;
-                         self->attempt_.headers = headers;
-                         self->attempt_.state.TakeHead(
-                             headers.Find(backend_header::kNotRun).has_value());
-                       },
-                   .on_body =
-                       [self](std::string_view bytes) {
-                         self->attempt_.body += bytes;
-                         return true;
-                       },
-                   .on_end = [self](const TransferEnd& end) { self->OnEnd(end); }});
+      MakeCall(),
+      {.on_head =
+           [self](int status, const Headers& headers) {
+             self->attempt_.status = status;
+             self->attempt_.headers = headers;
+             self->attempt_.state.TakeHead(headers.Find(backend_header::kNotRun).has_value());
+           },
+       .on_body =
+           [self](std::string_view bytes) {
+             self->attempt_.body += bytes;
+             return true;
+           },
+       .on_end = [self](const TransferEnd& end) { self->OnEnd(end); }});
 }
 
 HttpCall ServiceSession::MakeCall() const {
@@ -94,7 +93,10 @@
     for (const HeaderField& field : attempt_.headers.fields()) {
       if (IsPassedOn(field.name)) headers.Add(field.name, field.value);
     }
-    return on_answer_({std::nullopt, Execution::kRan, attempt_.status, std::move(headers),
+    return on_answer_({std::nullopt,
+                       Execution::kRan,
+                       attempt_.status,
+                       std::move(headers),
                        std::move(attempt_.body),
                        {ResultCode::kOk, tries_, attempt_.route.backend}});
   }
--- a/libs/dispatch/src/sse.cc
+++ b/libs/dispatch/src/sse.cc
@@ -37,7 +37,8 @@
     return std::nullopt;
   }
   SseEvent event;
-  std::string_view lines = std::string_view(buffer_).substr(position_, end - position_);
+  std::string_view lines = buffer_;
+  lines = lines.substr(position_, end - position_);
   position_ = end + kEventEnd.size();
   while (!lines.empty()) {
     const std::size_t newline = lines.find('\n');
--- a/libs/frontend/include/frontend/in_flight_table.h
+++ b/libs/frontend/include/frontend/in_flight_table.h
@@ -31,8 +31,8 @@
   /// Admits a request, or says why not.
   std::optional<Refusal> Enter(const Workspace& workspace, const InFlightRequest& request) {
     const std::lock_guard lock(mutex_);
-    const auto refusal = admission_.Enter(
-        workspace.id, {workspace.share, workspace.max_streams}, request.since);
+    const auto refusal =
+        admission_.Enter(workspace.id, {workspace.share, workspace.max_streams}, request.since);
     if (!refusal) requests_[request.id] = request;
     return refusal;
   }
--- a/libs/frontend/include/frontend/operator_listener.h
+++ b/libs/frontend/include/frontend/operator_listener.h
@@ -19,8 +19,8 @@
  public:
   /// With `key_sha256` empty, no key is asked for. Everything referred to
   /// outlives the listener.
-  OperatorListener(const OperatorService& service, const Metrics& metrics,
-                   std::string key_sha256, std::function<std::string()> dump)
+  OperatorListener(const OperatorService& service, const Metrics& metrics, std::string key_sha256,
+                   std::function<std::string()> dump)
       : service_(service),
         metrics_(metrics),
         key_sha256_(std::move(key_sha256)),
--- a/libs/frontend/src/caller_listener.cc
+++ b/libs/frontend/src/caller_listener.cc
@@ -30,17 +30,15 @@
 }
 
 bool IsModelCall(const HttpRequest& request) {
-  return request.method == "POST" && (request.path == "/v1/chat/completions" ||
-                                      request.path == "/v1/completions");
+  return request.method == "POST" &&
+         (request.path == "/v1/chat/completions" || request.path == "/v1/completions");
 }
 
 std::string ListModels(const Config& config) {
   json data = json::array();
   for (const auto& [id, model] : config.models()) {
-    data.push_back({{"id", id.value()},
-                    {"object", "model"},
-                    {"created", 0},
-                    {"owned_by", "ridgehold"}});
+    data.push_back(
+        {{"id", id.value()}, {"object", "model"}, {"created", 0}, {"owned_by", "ridgehold"}});
   }
   return json{{"object", "list"}, {"data", data}}.dump();
 }
@@ -155,8 +153,8 @@
     responder.Send(error.status, error.headers, error.body, written);
   };
   const std::string key = call.headers.Get("Idempotency-Key");
-  const bool needs_claim = !key.empty() && !rule.repeatable &&
-                           rule.deduplication == Deduplication::kPlatform;
+  const bool needs_claim =
+      !key.empty() && !rule.repeatable && rule.deduplication == Deduplication::kPlatform;
   if (!needs_claim) {
     return ServiceSession::Start(parts_.dispatcher, std::move(call), std::move(on_answer));
   }
@@ -165,8 +163,7 @@
 
 bool CallerListener::Admit(const Workspace& workspace, const RequestId& id,
                            const std::string& target, const Responder& responder) {
-  const auto refusal =
-      parts_.in_flight.Enter(workspace, {id, workspace.id, target, Clock::now()});
+  const auto refusal = parts_.in_flight.Enter(workspace, {id, workspace.id, target, Clock::now()});
   if (!refusal) return true;
   Refuse(responder, {refusal->code, ""}, refusal->retry_after);
   return false;
@@ -180,8 +177,8 @@
   responder.Send(answer.status, answer.headers, answer.body);
 }
 
-std::function<void(const SessionReport&)> CallerListener::OnFinished(
-    const RequestId& id, const WorkspaceId& workspace) {
+std::function<void(const SessionReport&)> CallerListener::OnFinished(const RequestId& id,
+                                                                     const WorkspaceId& workspace) {
   return [this, id, workspace](const SessionReport& report) {
     parts_.in_flight.Leave(id, Clock::now());
     const std::string name(Describe(report.code).name);
--- a/libs/frontend/src/operator_service.cc
+++ b/libs/frontend/src/operator_service.cc
@@ -117,9 +117,8 @@
   Table table{{"zone", "daemons", "lowest", "highest", "behind", "age"}, {}};
   for (const ZoneView& zone : parts_.zones()) {
     table.rows.push_back({zone.zone.value(), std::to_string(zone.daemons),
-                          std::to_string(zone.lowest.value()),
-                          std::to_string(zone.highest.value()), Join(zone.behind),
-                          Ms(zone.age)});
+                          std::to_string(zone.lowest.value()), std::to_string(zone.highest.value()),
+                          Join(zone.behind), Ms(zone.age)});
   }
   return table;
 }
@@ -129,9 +128,8 @@
   table.rows.push_back({parts_.daemon.value(), parts_.zone.value(),
                         std::to_string(parts_.revision().value()), "", "", "(this one)"});
   for (const Peer& peer : parts_.peers()) {
-    table.rows.push_back({peer.id.value(), peer.zone.value(),
-                          std::to_string(peer.revision.value()), YesNo(peer.relay),
-                          YesNo(peer.leaving), peer.address});
+    table.rows.push_back({peer.id.value(), peer.zone.value(), std::to_string(peer.revision.value()),
+                          YesNo(peer.relay), YesNo(peer.leaving), peer.address});
   }
   return table;
 }
@@ -194,8 +192,7 @@
   if (model == config->models().end()) {
     return Fail(ResultCode::kUnknownModel, "no model " + model_name);
   }
-  const std::string salt =
-      CacheSalt({WorkspaceId(workspace), model->first, model->second.weights});
+  const std::string salt = CacheSalt({WorkspaceId(workspace), model->first, model->second.weights});
   const std::vector<BlockHash> chain = HashBlocks(prompt, salt);
   ModelQuery query;
   query.selection = {model->first, {}, model->second.weights, {}};
--- a/libs/http/include/http/responder.h
+++ b/libs/http/include/http/responder.h
@@ -10,8 +10,9 @@
 
 namespace ridgehold {
 
-/// Sends the answer. Copies share one answer. All calls may come from any
-/// thread, but not two at a time. The first call decides: Send, or Begin.
+/// Sends the answer. Copies share one answer; calls may come from any thread.
+/// The first call decides: Send, or Begin. Once the server is closed all calls
+/// do nothing.
 class Responder {
  public:
   struct Impl;
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -60,13 +60,9 @@
   CurlTransfer(const CurlTransfer&) = delete;
   CurlTransfer& operator=(const CurlTransfer&) = delete;
 
-  void Cancel() override {
-    mailbox_->Post({LoopRequest::Kind::kCancel, shared_from_this()});
-  }
+  void Cancel() override { mailbox_->Post({LoopRequest::Kind::kCancel, shared_from_this()}); }
 
-  void Resume() override {
-    mailbox_->Post({LoopRequest::Kind::kResume, shared_from_this()});
-  }
+  void Resume() override { mailbox_->Post({LoopRequest::Kind::kResume, shared_from_this()}); }
 
   CURL* easy() const { return easy_; }
 
@@ -93,8 +89,7 @@
     }
     const bool never_connected = code == CURLE_COULDNT_CONNECT ||
                                  code == CURLE_COULDNT_RESOLVE_HOST ||
-                                 code == CURLE_URL_MALFORMAT ||
-                                 code == CURLE_UNSUPPORTED_PROTOCOL;
+                                 code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL;
     return {never_connected ? TransferOutcome::kNotSent : TransferOutcome::kBroken, detail};
   }
 
--- a/libs/http/src/headers.cc
+++ b/libs/http/src/headers.cc
@@ -7,9 +7,8 @@
 namespace ridgehold {
 
 bool SameHeaderName(std::string_view a, std::string_view b) {
-  return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) {
-    return std::tolower(x) == std::tolower(y);
-  });
+  return std::ranges::equal(
+      a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
 void Headers::Add(std::string name, std::string value) {
--- a/libs/kv/src/etcd_gateway.cc
+++ b/libs/kv/src/etcd_gateway.cc
@@ -82,8 +82,8 @@
                          std::chrono::milliseconds timeout)
     : client_(client), metrics_(metrics), url_(std::move(url)), timeout_(timeout) {}
 
-Result<std::string> EtcdGateway::Call(const char* kind, const std::string& path,
-                                      std::string body, bool writes) {
+Result<std::string> EtcdGateway::Call(const char* kind, const std::string& path, std::string body,
+                                      bool writes) {
   metrics_.GetCounter("ridgehold_platform_calls", std::string("kind=\"") + kind + "\"").Add();
   HttpCall call{.method = "POST",
                 .url = url_ + path,
@@ -94,9 +94,9 @@
   const auto judge = [&](const Failure& failure) {
     const bool may_have_landed = writes && failure.code != ResultCode::kBackendUnreachable;
     metrics_.GetCounter("ridgehold_platform_failures").Add();
-    return Failure{may_have_landed ? ResultCode::kPlatformAnswerLost
-                                   : ResultCode::kPlatformUnavailable,
-                   failure.detail};
+    return Failure{
+        may_have_landed ? ResultCode::kPlatformAnswerLost : ResultCode::kPlatformUnavailable,
+        failure.detail};
   };
   return MapFailure(
       [&]() -> Result<std::string> {
@@ -117,8 +117,7 @@
   });
 }
 
-Result<std::vector<KvPair>> EtcdGateway::List(const std::string& first,
-                                              const std::string& end) {
+Result<std::vector<KvPair>> EtcdGateway::List(const std::string& first, const std::string& end) {
   const json body = {{"key", Base64Encode(first)}, {"range_end", Base64Encode(end)}};
   BOOST_LEAF_AUTO(text, Call("list", "/v3/kv/range", body.dump(), false));
   return ReadAnswer(text, [](const json& answer) { return ToPairs(answer); });
--- a/libs/membership/include/membership/peer_mesh.h
+++ b/libs/membership/include/membership/peer_mesh.h
@@ -31,8 +31,8 @@
 class PeerMesh {
  public:
   /// `metrics` outlives the mesh.
-  static Result<std::unique_ptr<PeerMesh>> Create(const PeerMeshOptions& options,
-                                                  Metrics& metrics, PeerHandler handler);
+  static Result<std::unique_ptr<PeerMesh>> Create(const PeerMeshOptions& options, Metrics& metrics,
+                                                  PeerHandler handler);
   ~PeerMesh();
 
   /// The `address:port` that peers send to.
--- a/libs/membership/src/membership_table.cc
+++ b/libs/membership/src/membership_table.cc
@@ -151,8 +151,8 @@
   };
   std::vector<ZoneView> zones = {to_view(OwnZone(now, own_revision), Duration{0})};
   for (const auto& [zone, remote] : remote_zones_) {
-    zones.push_back(to_view(remote.summary,
-                            std::chrono::duration_cast<Duration>(now - remote.heard)));
+    zones.push_back(
+        to_view(remote.summary, std::chrono::duration_cast<Duration>(now - remote.heard)));
   }
   return zones;
 }
--- a/libs/membership/src/peer_mesh.cc
+++ b/libs/membership/src/peer_mesh.cc
@@ -106,9 +106,8 @@
       received.Add();
       received_bytes.Add(bytes.size());
       wire::PeerMessage message;
-      const bool readable =
-          message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) &&
-          message.body_case() != wire::PeerMessage::BODY_NOT_SET;
+      const bool readable = message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) &&
+                            message.body_case() != wire::PeerMessage::BODY_NOT_SET;
       if (readable) {
         handler(message);
       } else {
@@ -129,9 +128,8 @@
     }
     const TimePoint now = Clock::now();
     for (const Outgoing& message : batch) SendOne(message, now);
-    std::erase_if(links, [&](const auto& link) {
-      return now - link.second.last_used > kIdleLinkLife;
-    });
+    std::erase_if(links,
+                  [&](const auto& link) { return now - link.second.last_used > kIdleLinkLife; });
   }
 
   void SendOne(const Outgoing& message, TimePoint now) {
@@ -141,9 +139,9 @@
         found = links.emplace(message.address, Link{Connect(message.address), now}).first;
       }
       found->second.last_used = now;
-      const bool taken = found->second.socket
-                             .send(zmq::buffer(message.bytes), zmq::send_flags::dontwait)
-                             .has_value();
+      const bool taken =
+          found->second.socket.send(zmq::buffer(message.bytes), zmq::send_flags::dontwait)
+              .has_value();
       if (!taken) return dropped.Add();
       sent.Add();
       sent_bytes.Add(message.bytes.size());
@@ -199,8 +197,7 @@
 
   void Reply(const std::vector<std::string>& frames) {
     for (std::size_t i = 0; i < frames.size(); ++i) {
-      const auto flags =
-          i + 1 < frames.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
+      const auto flags = i + 1 < frames.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
       zap.send(zmq::buffer(frames[i]), flags);
     }
   }
@@ -208,15 +205,15 @@
 
 PeerMesh::PeerMesh(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
-Result<std::unique_ptr<PeerMesh>> PeerMesh::Create(const PeerMeshOptions& options,
-                                                   Metrics& metrics, PeerHandler handler) {
+Result<std::unique_ptr<PeerMesh>> PeerMesh::Create(const PeerMeshOptions& options, Metrics& metrics,
+                                                   PeerHandler handler) {
   auto impl = std::make_unique<Impl>(options, metrics, std::move(handler));
   try {
     impl->Open();
   } catch (const zmq::error_t& error) {
-    return Fail(ResultCode::kInvalidSettings,
-                "cannot listen for peers on " + options.address + ":" +
-                    std::to_string(options.port) + ": " + error.what());
+    return Fail(ResultCode::kInvalidSettings, "cannot listen for peers on " + options.address +
+                                                  ":" + std::to_string(options.port) + ": " +
+                                                  error.what());
   }
   impl->thread = std::thread([raw = impl.get()] { raw->Run(); });
   return std::unique_ptr<PeerMesh>(new PeerMesh(std::move(impl)));
--- a/libs/metrics/src/metrics.cc
+++ b/libs/metrics/src/metrics.cc
@@ -1,7 +1,9 @@
 #include "metrics/metrics.h"
 
-#include <array>
+// Boost.Accumulators 1.81 uses it without including it.
 #include <sstream>
+
+#include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
@@ -16,9 +18,8 @@
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
 
-using Accumulator =
-    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
-                                            acc::tag::extended_p_square_quantile>>;
+using Accumulator = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square_quantile>>;
 
 std::string WithLabels(const std::string& name, const std::string& labels) {
   return labels.empty() ? name : name + "{" + labels + "}";
@@ -54,8 +55,7 @@
   impl_->accumulator(value);
 }
 
-void Summary::Print(const std::string& name, const std::string& labels,
-                    std::string& out) const {
+void Summary::Print(const std::string& name, const std::string& labels, std::string& out) const {
   const std::lock_guard lock(impl_->mutex);
   const auto count = acc::count(impl_->accumulator);
   for (const double quantile : kQuantiles) {
@@ -65,8 +65,8 @@
     const std::string label = "quantile=\"" + std::to_string(quantile).substr(0, 4) + "\"";
     out += WithLabels(name, Joined(labels, label)) + " " + std::to_string(value) + "\n";
   }
-  out += WithLabels(name + "_sum", labels) + " " +
-         std::to_string(acc::sum(impl_->accumulator)) + "\n";
+  out +=
+      WithLabels(name + "_sum", labels) + " " + std::to_string(acc::sum(impl_->accumulator)) + "\n";
   out += WithLabels(name + "_count", labels) + " " + std::to_string(count) + "\n";
 }
 
--- a/libs/oplang/src/parser.cc
+++ b/libs/oplang/src/parser.cc
@@ -66,8 +66,8 @@
     };
     const auto known_verb = x3::no_case[verb_symbols] >> kWordEnd;
     const auto known_subject = x3::no_case[subject_symbols] >> kWordEnd;
-    const auto revision = x3::lit("at") >> kGap > x3::lit("revision") > kGap >
-                          x3::uint64[set_revision] > kGap;
+    const auto revision =
+        x3::lit("at") >> kGap > x3::lit("revision") > kGap > x3::uint64[set_revision] > kGap;
     const auto head = -revision > x3::expect[known_verb[set_verb]] > kGap >
                       x3::expect[known_subject[set_subject]];
     Expect(at, head);
--- a/libs/routing/include/routing/backend_table.h
+++ b/libs/routing/include/routing/backend_table.h
@@ -33,8 +33,8 @@
   bool present = true;  ///< still in the configuration
   bool leaving = false;
   double prefill_tokens_per_s = 0;
-  double own_tokens = 0;       ///< uncached prompt tokens sent and not yet prefilled
-  double others_tokens = 0;    ///< waiting tokens of others, at `reported`
+  double own_tokens = 0;     ///< uncached prompt tokens sent and not yet prefilled
+  double others_tokens = 0;  ///< waiting tokens of others, at `reported`
   TimePoint reported{};
   std::uint32_t own_running = 0;
   std::uint32_t failures = 0;  ///< in a row
@@ -60,8 +60,9 @@
   BackendTable(ZoneId own_zone, Duration other_zone_distance);
 
   /// Takes over what the configuration says. Removed rows are kept for
-  /// requests that still run there.
-  void Update(const Config& config);
+  /// requests that still run there. Returns the rows whose address changed:
+  /// what was cached there before is void.
+  std::vector<std::uint32_t> Update(const Config& config);
 
   /// Backend servers the platform lists as leaving.
   void SetLeaving(const std::set<BackendId>& leaving);
--- a/libs/routing/include/routing/candidate.h
+++ b/libs/routing/include/routing/candidate.h
@@ -17,9 +17,9 @@
   std::uint64_t identity = 0;  ///< hash of the backend server's id, equal on all daemons
   Duration distance{0};        ///< extra time to its availability zone
   double prefill_tokens_per_s = 1;
-  double queued_tokens = 0;        ///< prompt tokens expected to be prefilled before
-  std::uint32_t running = 0;       ///< streams this daemon has there
-  std::uint32_t cached_blocks = 0; ///< predicted hit, from the chain's start
+  double queued_tokens = 0;         ///< prompt tokens expected to be prefilled before
+  std::uint32_t running = 0;        ///< streams this daemon has there
+  std::uint32_t cached_blocks = 0;  ///< predicted hit, from the chain's start
 };
 
 /// The request as a routing decision sees it.
--- a/libs/routing/include/routing/router.h
+++ b/libs/routing/include/routing/router.h
@@ -72,6 +72,8 @@
 
   /// What engines and peers report.
   void TakeReport(const BackendId& backend, const LoadReport& report, TimePoint now);
+  /// A poll found no connection: not chosen for a while.
+  void TakeUnreachable(const BackendId& backend, TimePoint now);
   void TakeStored(const BackendId& backend, const Incarnation& incarnation,
                   std::span<const BlockHash> blocks, TimePoint now);
   void TakeRemoved(const BackendId& backend, const Incarnation& incarnation,
--- a/libs/routing/src/backend_table.cc
+++ b/libs/routing/src/backend_table.cc
@@ -10,7 +10,8 @@
 BackendTable::BackendTable(ZoneId own_zone, Duration other_zone_distance)
     : own_zone_(std::move(own_zone)), other_zone_distance_(other_zone_distance) {}
 
-void BackendTable::Update(const Config& config) {
+std::vector<std::uint32_t> BackendTable::Update(const Config& config) {
+  std::vector<std::uint32_t> moved_rows;
   for (BackendState& row : rows_) row.present = config.backends().contains(row.server.id);
   for (const auto& [id, server] : config.backends()) {
     const auto found = index_.find(id);
@@ -22,6 +23,7 @@
       if (moved) {
         row.incarnation = {};
         row.leaving = false;
+        moved_rows.push_back(found->second);
       }
       continue;
     }
@@ -32,6 +34,7 @@
     index_[id] = static_cast<std::uint32_t>(rows_.size());
     rows_.push_back(std::move(row));
   }
+  return moved_rows;
 }
 
 void BackendTable::SetLeaving(const std::set<BackendId>& leaving) { platform_leaving_ = leaving; }
@@ -40,8 +43,7 @@
   const auto found = index_.find(id);
   if (found == index_.end()) return false;
   BackendState& row = rows_[found->second];
-  const bool void_cache =
-      row.incarnation != report.incarnation || row.weights != report.weights;
+  const bool void_cache = row.incarnation != report.incarnation || row.weights != report.weights;
   row.incarnation = report.incarnation;
   row.weights = report.weights;
   row.leaving = report.leaving;
--- a/libs/routing/src/policy.cc
+++ b/libs/routing/src/policy.cc
@@ -73,8 +73,7 @@
                                std::span<const Candidate> candidates) const {
   const auto price = [&](const Candidate& candidate) {
     const Expectation expected = Expect(query, candidate);
-    return expected.total() +
-           Micros(waste_weight * static_cast<double>(expected.prefill.count()));
+    return expected.total() + Micros(waste_weight * static_cast<double>(expected.prefill.count()));
   };
   Duration least = Duration::max();
   for (const Candidate& candidate : candidates) least = std::min(least, price(candidate));
--- a/libs/routing/src/router.cc
+++ b/libs/routing/src/router.cc
@@ -9,7 +9,7 @@
 
 void Router::Update(const Config& config) {
   const std::lock_guard lock(mutex_);
-  table_.Update(config);
+  for (const std::uint32_t index : table_.Update(config)) picture_.Forget(SlotAt(index));
 }
 
 void Router::SetLeaving(const std::set<BackendId>& leaving) {
@@ -37,9 +37,8 @@
   const RouteQuery query{{}, 0, sequence_++};
   const auto nearest = std::ranges::min_element(candidates, {}, &Candidate::distance)->distance;
   std::vector<Candidate> near;
-  std::ranges::copy_if(candidates, std::back_inserter(near), [&](const Candidate& candidate) {
-    return candidate.distance == nearest;
-  });
+  std::ranges::copy_if(candidates, std::back_inserter(near),
+                       [&](const Candidate& candidate) { return candidate.distance == nearest; });
   return Commit(near[LeastLoaded().Choose(query, near)], query);
 }
 
@@ -92,6 +91,11 @@
   if (table_.TakeReport(backend, report, now)) picture_.Forget(SlotAt(*index));
 }
 
+void Router::TakeUnreachable(const BackendId& backend, TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  if (const auto index = table_.Find(backend)) table_.NoteFailure(*index, now);
+}
+
 void Router::TakeStored(const BackendId& backend, const Incarnation& incarnation,
                         std::span<const BlockHash> blocks, TimePoint now) {
   const std::lock_guard lock(mutex_);
--- a/libs/settings/src/ini_document.cc
+++ b/libs/settings/src/ini_document.cc
@@ -22,8 +22,7 @@
   if (cursor->rest.empty()) return nullptr;
   ++cursor->line;
   const std::size_t newline = cursor->rest.find('\n');
-  const std::size_t whole =
-      newline == std::string_view::npos ? cursor->rest.size() : newline + 1;
+  const std::size_t whole = newline == std::string_view::npos ? cursor->rest.size() : newline + 1;
   const std::size_t fits = std::min(whole, static_cast<std::size_t>(size - 1));
   if (fits < whole && cursor->overlong_line == 0) cursor->overlong_line = cursor->line;
   std::memcpy(buffer, cursor->rest.data(), fits);
@@ -35,8 +34,7 @@
 int TakeEntry(void* user, const char* section, const char* name, const char* value) {
   constexpr int kHandled = 1;
   auto* cursor = static_cast<Cursor*>(user);
-  cursor->document.entries.push_back(
-      {section, name, value != nullptr ? value : "", cursor->line});
+  cursor->document.entries.push_back({section, name, value != nullptr ? value : "", cursor->line});
   return kHandled;
 }
 
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -64,7 +64,7 @@
 
   template <class Time>
   void Period(const char* section, const char* key, Time& field, milliseconds least,
-             milliseconds most) {
+              milliseconds most) {
     const IniEntry* entry = Take(section, key);
     if (entry == nullptr) return;
     const auto value = ParseDuration(entry->value);
@@ -147,8 +147,8 @@
 
   void AddRangeFault(const IniEntry& entry, std::uint64_t least, std::uint64_t most,
                      const std::string& unit) {
-    AddFault(entry.line, Says(entry) + " is not within " + std::to_string(least) + unit +
-                             " and " + std::to_string(most) + unit);
+    AddFault(entry.line, Says(entry) + " is not within " + std::to_string(least) + unit + " and " +
+                             std::to_string(most) + unit);
   }
 
   const IniDocument& document_;
@@ -194,7 +194,7 @@
 void ReadLimits(Reader& reader, Settings& s) {
   reader.Count("limits", "max_in_flight", s.max_in_flight, 1, 1'000'000);
   reader.Period("limits", "first_token_deadline", s.first_token_deadline, milliseconds(10),
-               seconds(600));
+                seconds(600));
   reader.Period("limits", "stall_timeout", s.stall_timeout, seconds(1), seconds(600));
   reader.Period("limits", "service_timeout", s.service_timeout, milliseconds(10), seconds(600));
   reader.Bytes("limits", "stream_buffer", s.stream_buffer_bytes, 4 << 10, 64 << 20);
--- a/programs/ridgehold.cc
+++ b/programs/ridgehold.cc
@@ -98,8 +98,7 @@
   }
   const json& error = body["error"];
   const int code = error.value("ridgehold_code", 0);
-  std::cerr << code << " " << error.value("code", "") << ": " << error.value("message", "")
-            << "\n";
+  std::cerr << code << " " << error.value("code", "") << ": " << error.value("message", "") << "\n";
   return ExitCodeOf(code);
 }
 
--- a/standins/block_cache.cc
+++ b/standins/block_cache.cc
@@ -5,8 +5,8 @@
 namespace ridgehold::standin {
 
 std::size_t BlockCache::Match(std::span<const BlockHash> chain) const {
-  const auto missing = std::ranges::find_if_not(
-      chain, [&](BlockHash block) { return index_.contains(block); });
+  const auto missing =
+      std::ranges::find_if_not(chain, [&](BlockHash block) { return index_.contains(block); });
   return static_cast<std::size_t>(missing - chain.begin());
 }
 
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -109,7 +109,7 @@
   std::deque<Event> events;
   std::uint64_t last_sequence = 0;
   std::uint64_t highest_fencing = 0;
-  std::string load_report = "{}";
+  std::string load_report;  // lags; empty before the first
   EngineCounts counts;
   std::mt19937 random{1};
   std::unique_ptr<HttpServer> server;
@@ -164,8 +164,18 @@
         ValueOr([&]() -> Result<std::optional<Prompt>> { return ParsePrompt(request.body); },
                 [](const Failure&) { return std::optional<Prompt>(); });
     if (!prompt) return Refuse(responder, id, 400, "the body cannot be read");
-    auto job = std::make_shared<Job>(Job{responder, id, request.headers.Get(header::kCacheSalt),
-                                         *prompt, {}, chat, 0, 0, 0, 0, "", false});
+    auto job = std::make_shared<Job>(Job{responder,
+                                         id,
+                                         request.headers.Get(header::kCacheSalt),
+                                         *prompt,
+                                         {},
+                                         chat,
+                                         0,
+                                         0,
+                                         0,
+                                         0,
+                                         "",
+                                         false});
     job->chain = HashBlocks(prompt->text, job->salt);
     job->tokens = prompt->max_tokens != 0 ? prompt->max_tokens : kDefaultMaxTokens;
     job->next = ResumeOffset(request.body);
@@ -189,13 +199,12 @@
 
   void StartPrefill() {
     if (prefilling || waiting.empty() || frozen) return;
-    const auto first = std::ranges::max_element(
-        waiting, {}, [](const auto& job) { return job->priority; });
+    const auto first =
+        std::ranges::max_element(waiting, {}, [](const auto& job) { return job->priority; });
     prefilling = *first;
     waiting.erase(first);
     const std::size_t total = CountTokens(prefilling->prompt.text);
-    const std::size_t cached =
-        std::min(total, cache.Match(prefilling->chain) * kBlockTokens);
+    const std::size_t cached = std::min(total, cache.Match(prefilling->chain) * kBlockTokens);
     prefilling->cached_tokens = cached;
     counts.prompt_tokens += total;
     counts.cached_tokens += cached;
@@ -235,8 +244,8 @@
     decoding = !running.empty() && !frozen;
     if (!decoding) return;
     const double slower = 1 + options.decode_slowdown * static_cast<double>(running.size() - 1);
-    const auto step = std::chrono::microseconds(static_cast<std::int64_t>(
-        static_cast<double>(options.decode_step.count()) * slower));
+    const auto step = std::chrono::microseconds(
+        static_cast<std::int64_t>(static_cast<double>(options.decode_step.count()) * slower));
     decode_timer.expires_after(step);
     decode_timer.async_wait([this](const asio::error_code& error) {
       if (!error) DecodeStep();
@@ -312,8 +321,8 @@
   }
 
   void WriteFrame(const std::shared_ptr<Job>& job, const std::string& data) {
-    const std::string id = job->request_id + " " + incarnation + " " + weights + " " +
-                           std::to_string(job->next++);
+    const std::string id =
+        job->request_id + " " + incarnation + " " + weights + " " + std::to_string(job->next++);
     WriteEvent(job, "id: " + id + "\n", data);
   }
 
@@ -331,13 +340,14 @@
     std::size_t waiting_tokens = 0;
     for (const auto& job : waiting) waiting_tokens += Uncached(*job);
     if (prefilling) waiting_tokens += Uncached(*prefilling);
-    const std::string report = json{{"incarnation", incarnation},
-                                    {"weights", weights},
-                                    {"waiting_tokens", waiting_tokens},
-                                    {"running", running.size()},
-                                    {"prefill_tokens_per_s", options.prefill_tokens_per_s},
-                                    {"leaving", leaving}}
-                                   .dump();
+    const std::string report = json{
+        {"incarnation", incarnation},
+        {"weights", weights},
+        {"waiting_tokens", waiting_tokens},
+        {"running", running.size()},
+        {"prefill_tokens_per_s", options.prefill_tokens_per_s},
+        {"leaving", leaving}}.dump();
+    if (load_report.empty()) load_report = report;
     load_timer.expires_after(options.load_lag);
     load_timer.async_wait([this, report](const asio::error_code& error) {
       if (error) return;
@@ -357,14 +367,13 @@
     const TimePoint now = Clock::now();
     for (const Event& event : events) {
       if (event.sequence <= after || event.visible > now) continue;
-      list.push_back({{"seq", event.sequence},
-                      {"kind", event.kind},
-                      {"blocks", HexList(event.blocks)}});
+      list.push_back(
+          {{"seq", event.sequence}, {"kind", event.kind}, {"blocks", HexList(event.blocks)}});
     }
-    SendJson(responder, json{{"incarnation", incarnation},
-                             {"load", json::parse(load_report)},
-                             {"events", list}}
-                            .dump());
+    SendJson(
+        responder,
+        json{{"incarnation", incarnation}, {"load", json::parse(load_report)}, {"events", list}}
+            .dump());
   }
 
   void SendBlocks(const std::string& query, const Responder& responder) {
@@ -466,7 +475,7 @@
     });
   };
   BOOST_LEAF_ASSIGN(impl->server, HttpServer::Create(server_options, std::move(handler)));
-  asio::post(impl->io, [raw = impl.get()] { raw->ReportLoad(); });
+  impl->ReportLoad();
   impl->thread = std::thread([raw = impl.get()] { raw->io.run(); });
   return std::unique_ptr<Engine>(new Engine(std::move(impl)));
 }
--- a/standins/kv_table.cc
+++ b/standins/kv_table.cc
@@ -11,8 +11,7 @@
   return KvPair{key, found->second.value, found->second.mod_revision};
 }
 
-std::vector<KvPair> KvTable::List(const std::string& first, const std::string& end,
-                                  TimePoint now) {
+std::vector<KvPair> KvTable::List(const std::string& first, const std::string& end, TimePoint now) {
   Expire(now);
   std::vector<KvPair> pairs;
   for (auto at = entries_.lower_bound(first); at != entries_.end() && at->first < end; ++at) {
@@ -24,8 +23,8 @@
 KvTransactionAnswer KvTable::Commit(const KvTransaction& transaction, TimePoint now) {
   Expire(now);
   KvTransactionAnswer answer;
-  answer.succeeded = std::ranges::all_of(
-      transaction.compares, [&](const KvCompare& compare) { return Holds(compare); });
+  answer.succeeded = std::ranges::all_of(transaction.compares,
+                                         [&](const KvCompare& compare) { return Holds(compare); });
   if (!answer.succeeded) {
     for (const std::string& key : transaction.reads_on_failure) {
       if (auto pair = Get(key, now)) answer.reads.push_back(std::move(*pair));
--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -187,18 +187,17 @@
 
 Platform::~Platform() { impl_->server.reset(); }
 
-Result<std::unique_ptr<Platform>> Platform::Create(const std::string& address,
-                                                   std::uint16_t port) {
+Result<std::unique_ptr<Platform>> Platform::Create(const std::string& address, std::uint16_t port) {
   auto impl = std::make_unique<Impl>();
   HttpServerOptions options;
   options.address = address;
   options.port = port;
   options.threads = 4;
-  BOOST_LEAF_ASSIGN(impl->server,
-                    HttpServer::Create(options, [raw = impl.get()](HttpRequest request,
-                                                                   Responder responder) {
-                      raw->Serve(request, responder);
-                    }));
+  BOOST_LEAF_ASSIGN(
+      impl->server,
+      HttpServer::Create(options, [raw = impl.get()](HttpRequest request, Responder responder) {
+        raw->Serve(request, responder);
+      }));
   return std::unique_ptr<Platform>(new Platform(std::move(impl)));
 }
 
--- a/standins/wait_for_signal.h
+++ b/standins/wait_for_signal.h
@@ -27,7 +27,7 @@
         sigwait(&signals, &signal);
         return 0;
       },
-      [](const Failure& failure) {
+      [&](const Failure& failure) {
         std::cerr << failure.detail << "\n";
         return kCannotStart;
       });
