Price of recomputing rises with scarcity; first-token deadline 2 s

Cause: at 1.07 times the engines' ideal capacity (300 requests/s) prefix-cost lost to plain prefix hashing: with seconds of work queued everywhere, small differences between queues outweighed a cached prefix, each spill recomputed up to 540 ms of prefill, and the lost capacity kept the queues full. A deadline of 10 s let those queues build at all.

Change: the price of a microsecond of prefill grows with the work that even the least busy engine has ahead. The deadline's default is 2 s.

--- a/libs/dispatch/include/dispatch/dispatcher.h
+++ b/libs/dispatch/include/dispatch/dispatcher.h
@@ -17,7 +17,7 @@
 
 /// Limits for sessions, out of the settings.
 struct DispatchLimits {
-  std::chrono::milliseconds first_token_deadline{10'000};
+  std::chrono::milliseconds first_token_deadline{2'000};
   std::chrono::seconds stall_timeout{20};
   std::chrono::milliseconds service_timeout{30'000};
   std::uint64_t stream_buffer_bytes = std::uint64_t{256} << 10;
--- a/libs/routing/include/routing/policy.h
+++ b/libs/routing/include/routing/policy.h
@@ -37,10 +37,14 @@
 };
 
 /// The least expected time to first token, plus a price for the prefill work
-/// itself: recomputing delays later requests and evicts what others use.
+/// itself: recomputing delays later requests and evicts what others use. The
+/// price rises with the work that even the least busy engine has ahead, for
+/// then a recomputed prefix takes the place of requests that wait.
 struct PrefixCost {
-  /// Price of a microsecond of prefill beyond the time it takes.
+  /// Price of a microsecond of prefill, beyond the time it takes, on idle engines.
   double waste_weight = 1.0;
+  /// The price grows by one for each such stretch of work ahead everywhere.
+  Duration scarcity_step{50'000};
   /// Expected times closer than this count as equal; the rendezvous order of
   /// the prompt's first blocks then decides, alike on all daemons.
   Duration indifference{3'000};
--- a/libs/routing/src/policy.cc
+++ b/libs/routing/src/policy.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <vector>
 
 namespace ridgehold {
 namespace {
@@ -71,17 +72,26 @@
 
 std::size_t PrefixCost::Choose(const RouteQuery& query,
                                std::span<const Candidate> candidates) const {
-  const auto price = [&](const Candidate& candidate) {
-    const Expectation expected = Expect(query, candidate);
-    return expected.total() + Micros(waste_weight * static_cast<double>(expected.prefill.count()));
+  std::vector<Expectation> expected;
+  expected.reserve(candidates.size());
+  Duration least_wait = Duration::max();
+  for (const Candidate& candidate : candidates) {
+    expected.push_back(Expect(query, candidate));
+    least_wait = std::min(least_wait, expected.back().wait);
+  }
+  const double scarcity =
+      static_cast<double>(least_wait.count()) / static_cast<double>(scarcity_step.count());
+  const double weight = waste_weight + scarcity;
+  const auto price = [&](const Expectation& time) {
+    return time.total() + Micros(weight * static_cast<double>(time.prefill.count()));
   };
   Duration least = Duration::max();
-  for (const Candidate& candidate : candidates) least = std::min(least, price(candidate));
+  for (const Expectation& time : expected) least = std::min(least, price(time));
   const BlockHash key = PlacementKey(query.chain, PrefixHash::kDepth);
   std::size_t best = candidates.size();
   std::uint64_t best_score = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    if (price(candidates[i]) > least + indifference) continue;
+    if (price(expected[i]) > least + indifference) continue;
     const std::uint64_t score = Score(key, candidates[i]);
     if (best != candidates.size() && score <= best_score) continue;
     best = i;
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -49,7 +49,7 @@
 
   // [limits]
   std::uint32_t max_in_flight = 512;
-  std::chrono::milliseconds first_token_deadline{10'000};
+  std::chrono::milliseconds first_token_deadline{2'000};
   std::chrono::seconds stall_timeout{20};
   std::chrono::milliseconds service_timeout{30'000};
   std::uint64_t stream_buffer_bytes = std::uint64_t{256} << 10;
