--- a/libs/config/test/change_log-test.cc
+++ b/libs/config/test/change_log-test.cc
@@ -83,6 +83,22 @@
   RC_ASSERT(log.Take(snapshot) == Offer::kInvalid);
 }
 
+RC_BOOST_PROP(changes_of_any_bytes_survive_the_way_through_store_and_peers, ()) {
+  const auto name = *rc::gen::nonEmpty(rc::gen::string<std::string>());
+  Statement statement;
+  statement.verb = Verb::kCreate;
+  statement.subject = Subject::kWorkspace;
+  statement.name = name;
+  ChangeLog log;
+  const auto record = ValueOr(
+      [&] { return log.Propose(Format(statement), ChangeId("id"), name); },
+      [](const Failure&) { return wire::ChangeRecord(); });
+  wire::ChangeRecord read;
+  RC_ASSERT(read.ParseFromString(record.SerializeAsString()));
+  RC_ASSERT(log.Take(read) == Offer::kApplied);
+  RC_ASSERT(log.config()->workspaces().contains(WorkspaceId(name)));
+}
+
 BOOST_AUTO_TEST_CASE(a_gap_is_named_and_changes_after_it_wait) {
   const auto history = MakeHistory("a", 3);
   ChangeLog log;
