--- a/libs/config/include/config/config_keeper.h
+++ b/libs/config/include/config/config_keeper.h
@@ -74,7 +74,12 @@
           SetPending(record);
           return Fail(ResultCode::kUnresolvedChange, id.value());
         case Landed::kRaceLost:
-          break;  // propose again on top of the winner's change
+          // Propose again on top of the winner's change, if it could be read.
+          if (revision().value() >= record.revision()) break;
+          if (Clock::now() >= deadline) {
+            return Fail(ResultCode::kPlatformUnavailable, "the store's changes cannot be read");
+          }
+          Pause();
       }
     }
   }
--- a/libs/config/include/config/entities.h
+++ b/libs/config/include/config/entities.h
@@ -30,6 +30,7 @@
 struct Model {
   ModelId id;
   WeightsVersion weights;
+  bool reloads = false;  ///< daemons order engines with other weights to load these
 
   bool operator==(const Model&) const = default;
 };
--- a/libs/config/src/binding.cc
+++ b/libs/config/src/binding.cc
@@ -25,6 +25,7 @@
 constexpr NamedValue<Deduplication> kDeduplications[] = {{"none", Deduplication::kNone},
                                                          {"platform", Deduplication::kPlatform},
                                                          {"service", Deduplication::kService}};
+constexpr NamedValue<bool> kReloads[] = {{"auto", true}, {"manual", false}};
 constexpr NamedValue<bool> kYesNo[] = {{"yes", true}, {"no", false}};
 
 template <class Value, std::size_t N>
@@ -152,7 +153,10 @@
 }
 
 Result<void> Bind(const Statement& statement, Model& model) {
-  BOOST_LEAF_CHECK(Binder(statement).Id("weights", model.weights).Done());
+  BOOST_LEAF_CHECK(Binder(statement)
+                       .Id("weights", model.weights)
+                       .Choice("reload", model.reloads, kReloads)
+                       .Done());
   return Require(statement, !model.weights.value().empty(), "a model needs weights VERSION");
 }
 
@@ -201,7 +205,9 @@
 }
 
 Statement ToCreate(const Model& model) {
-  return Creating(Subject::kModel, model.id.value(), {Named("weights", model.weights.value())});
+  return Creating(
+      Subject::kModel, model.id.value(),
+      {Named("weights", model.weights.value()), Named("reload", NameOf(kReloads, model.reloads))});
 }
 
 Statement ToCreate(const BackendServer& backend) {
--- a/libs/daemon/include/daemon/config_sync.h
+++ b/libs/daemon/include/daemon/config_sync.h
@@ -100,6 +100,7 @@
   void WatchHead();
   void Register();
   void ReadInstances();
+  void ForgetInstances();
   void OnApplied(const wire::Changes& changes, ChangeOrigin origin);
   void SendChanges(const std::string& address, Revision after);
   void AskForChanges(const std::string& address, TimePoint now);
--- a/libs/daemon/src/config_sync.cc
+++ b/libs/daemon/src/config_sync.cc
@@ -213,6 +213,7 @@
     if (relay && !watching_.load()) WatchHead();
     if (now >= next_register_) Register();
     if (relay && now >= next_instances_) ReadInstances();
+    if (!relay) ForgetInstances();
   }
 }
 
@@ -258,12 +259,18 @@
         addresses.reserve(pairs.size());
         for (const KvPair& pair : pairs) addresses.push_back(pair.value);
         const std::lock_guard lock(mutex_);
-        members_.AddSeeds(addresses);
+        members_.AddLearned(addresses, Clock::now());
         return {};
       },
       [this](const Failure&) { next_register_ = Clock::now() + kInstancesPause; });
 }
 
+void ConfigSync::ForgetInstances() {
+  // The zone's relay reads the list now; an old copy must not be passed on.
+  const std::lock_guard lock(mutex_);
+  platform_leaving_.clear();
+}
+
 void ConfigSync::ReadInstances() {
   next_instances_ = Clock::now() + kInstancesPause;
   ValueOr(
--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -2,17 +2,17 @@
 
 #include <algorithm>
 #include <array>
-#include <asio.hpp>
 #include <atomic>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <thread>
 
 #include "base/random_id.h"
+#include "daemon/claimed_calls.h"
 #include "daemon/config_sync.h"
 #include "daemon/engine_monitor.h"
-#include "dispatch/claim_store.h"
 #include "dispatch/dispatcher.h"
+#include "dump.h"
 #include "frontend/caller_listener.h"
 #include "frontend/operator_listener.h"
 #include "frontend/operator_service.h"
@@ -21,6 +21,7 @@
 #include "log/log.h"
 #include "membership/peer_mesh.h"
 #include "metrics/metrics.h"
+#include "reload/weight_reloader.h"
 
 namespace ridgehold {
 namespace {
@@ -28,8 +29,11 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kControlTick{20};
+// Looking through all backend servers costs too much for every tick.
+constexpr std::chrono::milliseconds kScanPause{50};
+constexpr std::chrono::milliseconds kReloadTick{500};
+constexpr std::chrono::milliseconds kOrderTimeout{5'000};
 constexpr std::size_t kOperatorThreads = 2;
-constexpr std::size_t kClaimThreads = 8;
 // What a block costs in the picture; measured by bench/decision-bench.
 constexpr std::size_t kPictureBytesPerBlock = 64;
 // A request to another zone is worth it only if it saves more than this.
@@ -52,7 +56,9 @@
   options.address = settings.caller_address;
   options.port = settings.caller_port;
   options.threads = settings.worker_threads;
-  options.max_body_bytes = settings.max_body_bytes;
+  // The server just closes the connection beyond its limit; up to there the
+  // listener answers with the code for it.
+  options.max_body_bytes = 2 * settings.max_body_bytes;
   options.max_header_bytes = settings.max_header_bytes;
   options.max_connections = settings.max_connections;
   options.write_timeout = settings.write_timeout;
@@ -111,8 +117,7 @@
   std::unique_ptr<EngineMonitor> monitor;
   std::unique_ptr<PeerMesh> mesh;
   std::unique_ptr<Dispatcher> dispatcher;
-  std::unique_ptr<ClaimStore<EtcdGateway>> claims;
-  std::unique_ptr<asio::thread_pool> claim_pool;
+  std::unique_ptr<ClaimedCalls> claimed_calls;
   std::unique_ptr<CallerListener> caller_listener;
   std::unique_ptr<OperatorService> operator_service;
   std::unique_ptr<OperatorListener> operator_listener;
@@ -125,6 +130,7 @@
   std::atomic<Clock::rep> refuse_from{0};
   std::atomic<bool> stopping{false};
   std::thread control_thread;
+  std::thread reload_thread;
 
   Result<void> Open() {
     BOOST_LEAF_ASSIGN(control_client, HttpClient::Create());
@@ -137,11 +143,13 @@
           sync->TakePeerMessage(message);
         }));
     dispatcher = std::make_unique<Dispatcher>(router, *data_client, metrics, Limits(settings));
-    OpenClaims();
+    claimed_calls =
+        std::make_unique<ClaimedCalls>(sync->store(), *dispatcher, settings.service_timeout);
     BOOST_LEAF_CHECK(OpenCallerSide());
     BOOST_LEAF_CHECK(OpenOperatorSide());
     sync->Start(*mesh);
     control_thread = std::thread([this] { RunControl(); });
+    reload_thread = std::thread([this] { RunReloads(); });
     return {};
   }
 
@@ -157,25 +165,16 @@
                                         std::move(callbacks));
   }
 
-  void OpenClaims() {
-    claims = std::make_unique<ClaimStore<EtcdGateway>>(
-        sync->store(), ClaimStore<EtcdGateway>::Options{.longest_call = settings.service_timeout});
-    claim_pool = std::make_unique<asio::thread_pool>(kClaimThreads);
-  }
-
   Result<void> OpenCallerSide() {
     caller_listener = std::make_unique<CallerListener>(CallerListenerParts{
         .dispatcher = *dispatcher,
         .metrics = metrics,
         .in_flight = in_flight,
+        .max_body_bytes = settings.max_body_bytes,
         .config = [this] { return sync->config(); },
+        .revision = [this] { return sync->revision(); },
         .ready = [this] { return ready.load() && !shutting_down.load(); },
-        .run_claimed =
-            [this](ClaimedCall claimed) {
-              asio::post(*claim_pool, [this, claimed = std::move(claimed)]() mutable {
-                RunClaimed(std::move(claimed));
-              });
-            },
+        .run_claimed = [this](ClaimedCall claimed) { claimed_calls->Run(std::move(claimed)); },
     });
     BOOST_LEAF_ASSIGN(caller_server,
                       HttpServer::Create(CallerServer(settings),
@@ -212,17 +211,65 @@
   }
 
   void RunControl() {
+    TimePoint next_scan{};
     while (!stopping.load()) {
       const TimePoint now = Clock::now();
       sync->Tick(now);
-      monitor->Poll(now);
-      MarkLeaving();
+      if (now >= next_scan) {
+        next_scan = now + kScanPause;
+        monitor->Poll(now);
+        MarkLeaving();
+      }
       UpdateReady(now);
       CheckLameDuck(now);
       std::this_thread::sleep_for(kControlTick);
     }
   }
 
+  /// Waits for the platform, so it has a thread of its own. Only the zone's
+  /// relay orders reloads.
+  void RunReloads() {
+    WeightReloader<EtcdGateway> reloader(ReloadRole<EtcdGateway>(sync->store(), identity.id, {}),
+                                         ReloadPlan(identity.zone),
+                                         [this](const ReloadOrder& order, std::uint64_t fencing) {
+                                           return SendOrder(order, fencing);
+                                         });
+    TimePoint next{};
+    while (!stopping.load()) {
+      std::this_thread::sleep_for(kControlTick);
+      const TimePoint now = Clock::now();
+      if (now < next) continue;
+      next = now + kReloadTick;
+      if (sync->IsRelay(now)) reloader.Step(*sync->config(), router.Rows(), now);
+    }
+  }
+
+  bool SendOrder(const ReloadOrder& order, std::uint64_t fencing) {
+    HttpCall call;
+    call.method = "POST";
+    call.url = order.url + "/ridgehold/orders";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = json{
+        {"weights", order.to.value()},
+        {"if_weights", order.from.value()},
+        {"fencing",
+         fencing}}.dump();
+    call.total_timeout = kOrderTimeout;
+    const int status = ValueOr(
+        [&]() -> Result<int> {
+          BOOST_LEAF_AUTO(answer, control_client->Fetch(std::move(call)));
+          return answer.status;
+        },
+        [](const Failure&) { return 0; });
+    Log(LogLevel::kInfo, "ordered a reload",
+        {{"backend", order.engine.value()},
+         {"weights", order.to.value()},
+         {"fencing", std::to_string(fencing)},
+         {"status", std::to_string(status)}});
+    constexpr int kOk = 200;
+    return status == kOk;
+  }
+
   void MarkLeaving() {
     std::set<BackendId> leaving;
     for (const BackendState& row : router.Rows()) {
@@ -244,129 +291,20 @@
     if (from != 0 && now.time_since_epoch().count() >= from) caller_listener->RefuseNew();
   }
 
-  /// Runs on the claim pool; may wait for the platform.
-  void RunClaimed(ClaimedCall claimed) {
-    const ServiceCall& call = claimed.call;
-    const std::string fingerprint = Sha256Hex(call.method + "\n" + call.target + "\n" + call.body);
-    std::optional<Failure> failure;
-    ClaimOutcome outcome;
-    ValueOr(
-        [&]() -> Result<void> {
-          BOOST_LEAF_ASSIGN(outcome,
-                            claims->Claim(call.workspace, claimed.key, call.id, fingerprint));
-          return {};
-        },
-        [&](const Failure& fault) { failure = fault; });
-    if (!failure) failure = FailureOfVerdict(outcome.verdict);
-    if (failure) return AnswerFailure(claimed, std::move(*failure));
-    if (outcome.verdict == ClaimVerdict::kAnswered) {
-      return claimed.on_answer(
-          {std::nullopt,
-           Execution::kRan,
-           outcome.stored.status,
-           {{"Content-Type", outcome.stored.content_type}, {"X-Ridgehold-Replayed", "1"}},
-           outcome.stored.body,
-           {}});
-    }
-    SendClaimed(std::move(claimed), std::move(outcome.stored));
-  }
-
-  static std::optional<Failure> FailureOfVerdict(ClaimVerdict verdict) {
-    switch (verdict) {
-      case ClaimVerdict::kInProgress:
-        return Failure{ResultCode::kIdempotencyInProgress, ""};
-      case ClaimVerdict::kUnknown:
-        return Failure{ResultCode::kOutcomeUnknown, ""};
-      case ClaimVerdict::kMismatch:
-        return Failure{ResultCode::kIdempotencyMismatch, ""};
-      case ClaimVerdict::kMine:
-      case ClaimVerdict::kAnswered:
-        break;
-    }
-    return std::nullopt;
-  }
-
-  static void AnswerFailure(const ClaimedCall& claimed, Failure failure) {
-    const Execution execution = Describe(failure.code).execution;
-    const SessionReport report{failure.code, 0, {}};
-    claimed.on_answer({std::move(failure), execution, 0, {}, "", report});
-  }
-
-  void SendClaimed(ClaimedCall claimed, IdempotencyClaim claim) {
-    ServiceCall call = std::move(claimed.call);
-    const WorkspaceId workspace = call.workspace;
-    auto on_answer = [this, workspace, claim = std::move(claim), key = claimed.key,
-                      answered = std::move(claimed.on_answer)](ServiceAnswer answer) {
-      // The store is told on the pool: this is the HTTP client's thread.
-      asio::post(*claim_pool, [this, workspace, claim, key, answered, answer] {
-        if (answer.execution == Execution::kRan) {
-          claims->Complete(workspace, key, claim, answer.status, answer.headers.Get("Content-Type"),
-                           answer.body);
-        } else if (answer.execution == Execution::kNotRun) {
-          claims->Release(workspace, key, claim);
-        }
-        answered(answer);
-      });
-    };
-    ServiceSession::Start(*dispatcher, std::move(call), std::move(on_answer));
-  }
-
   std::string Dump() const {
-    json backends = json::array();
-    for (const BackendState& row : router.Rows()) {
-      backends.push_back({{"id", row.server.id.value()},
-                          {"present", row.present},
-                          {"zone", row.server.zone.value()},
-                          {"url", row.server.url},
-                          {"draining", row.server.draining},
-                          {"leaving", row.leaving},
-                          {"incarnation", row.incarnation.value()},
-                          {"weights", row.weights.value()},
-                          {"own_tokens", row.own_tokens},
-                          {"others_tokens", row.others_tokens},
-                          {"running", row.own_running},
-                          {"failures", row.failures}});
-    }
-    json peers = json::array();
-    for (const Peer& peer : sync->Peers(Clock::now())) {
-      peers.push_back({{"id", peer.id.value()},
-                       {"zone", peer.zone.value()},
-                       {"address", peer.address},
-                       {"incarnation", peer.incarnation.value()},
-                       {"revision", peer.revision.value()},
-                       {"relay", peer.relay}});
-    }
-    json requests = json::array();
-    for (const InFlightRequest& request : in_flight.List()) {
-      requests.push_back({{"id", request.id.value()},
-                          {"workspace", request.workspace.value()},
-                          {"target", request.target}});
-    }
-    return json{{"daemon", identity.id.value()},
-                {"zone", identity.zone.value()},
-                {"incarnation", identity.incarnation.value()},
-                {"ready", ready.load()},
-                {"shutting_down", shutting_down.load()},
-                {"revision", sync->revision().value()},
-                {"digest", sync->digest()},
-                {"relay", sync->IsRelay(Clock::now())},
-                {"configuration", FormatScript(sync->config()->ToStatements())},
-                {"backends", backends},
-                {"peers", peers},
-                {"requests", requests},
-                {"cache_picture_blocks", router.picture_size()}}
-        .dump(2, ' ', false, json::error_handler_t::replace);
+    return MakeDump(identity, {ready.load(), shutting_down.load()}, *sync, router, in_flight);
   }
 
   void Close() {
     stopping.store(true);
     if (control_thread.joinable()) control_thread.join();
+    if (reload_thread.joinable()) reload_thread.join();
     if (sync) sync->Stop();
     // No new requests; then no new calls; then the running transfers end, and
     // their sessions answer through servers that are closed but still there.
     if (caller_server) caller_server->Close();
     if (operator_server) operator_server->Close();
-    if (claim_pool) claim_pool->join();
+    if (claimed_calls) claimed_calls->Stop();
     mesh.reset();
     data_client.reset();
     control_client.reset();
--- a/libs/frontend/include/frontend/caller_listener.h
+++ b/libs/frontend/include/frontend/caller_listener.h
@@ -33,7 +33,9 @@
   Dispatcher& dispatcher;
   Metrics& metrics;
   InFlightTable& in_flight;
+  std::uint64_t max_body_bytes;
   std::function<std::shared_ptr<const Config>()> config;
+  std::function<Revision()> revision;
   std::function<bool()> ready;
   /// Runs a call under the platform's at-most-once claim; must not block.
   std::function<void(ClaimedCall)> run_claimed;
--- a/libs/frontend/include/frontend/operator_listener.h
+++ b/libs/frontend/include/frontend/operator_listener.h
@@ -14,7 +14,8 @@
 class OperatorService;
 
 /// Thread-safe. `POST /v1/command` takes a script as its body; `?dry_run=1`
-/// only checks it. `GET /v1/dump` and `GET /metrics` are there too.
+/// only checks it. `GET /v1/revision` (a bare number), `GET /v1/dump` and
+/// `GET /metrics` are there too.
 class OperatorListener {
  public:
   /// With `key_sha256` empty, no key is asked for. Everything referred to
--- a/libs/frontend/include/frontend/operator_service.h
+++ b/libs/frontend/include/frontend/operator_service.h
@@ -50,6 +50,9 @@
   /// Runs a script: one query, or changes that take hold together.
   Result<Table> Run(const std::string& script, const std::string& author, bool dry_run) const;
 
+  /// The revision in force on this daemon.
+  Revision InForce() const { return parts_.revision(); }
+
  private:
   Result<Table> RunChange(const std::vector<Statement>& statements, const std::string& author,
                           bool dry_run) const;
--- a/libs/frontend/src/caller_listener.cc
+++ b/libs/frontend/src/caller_listener.cc
@@ -18,6 +18,7 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotReady = 503;
 constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kModelsPrefix = "/v1/models/";
 
 const Headers kPlainText = {{"Content-Type", "text/plain; version=0.0.4"}};
 const Headers kJson = {{"Content-Type", "application/json"}};
@@ -34,13 +35,15 @@
          (request.path == "/v1/chat/completions" || request.path == "/v1/completions");
 }
 
+json DescribeModel(const ModelId& id) {
+  return {{"id", id.value()}, {"object", "model"}, {"created", 0}, {"owned_by", "ridgehold"}};
+}
+
 std::string ListModels(const Config& config) {
   json data = json::array();
-  for (const auto& [id, model] : config.models()) {
-    data.push_back(
-        {{"id", id.value()}, {"object", "model"}, {"created", 0}, {"owned_by", "ridgehold"}});
-  }
-  return json{{"object", "list"}, {"data", data}}.dump();
+  for (const auto& [id, model] : config.models()) data.push_back(DescribeModel(id));
+  return json{{"object", "list"}, {"data", data}}.dump(-1, ' ', false,
+                                                       json::error_handler_t::replace);
 }
 
 int PriorityOf(const HttpRequest& request) {
@@ -55,6 +58,9 @@
   if (refusing_.load()) {
     return Refuse(responder, {ResultCode::kShuttingDown, ""}, kDefaultRetryAfter);
   }
+  if (request.body.size() > parts_.max_body_bytes) {
+    return Refuse(responder, {ResultCode::kBodyTooLarge, ""}, kDefaultRetryAfter);
+  }
   const std::shared_ptr<const Config> config = parts_.config();
   const Workspace* workspace = Authenticate(request, *config);
   if (workspace == nullptr) {
@@ -66,6 +72,13 @@
   if (request.method == "GET" && request.path == "/v1/models") {
     return responder.Send(kHttpOk, kJson, ListModels(*config));
   }
+  if (request.method == "GET" && request.path.starts_with(kModelsPrefix)) {
+    const ModelId model(request.path.substr(kModelsPrefix.size()));
+    if (config->models().contains(model)) {
+      return responder.Send(kHttpOk, kJson, DescribeModel(model).dump());
+    }
+    return Refuse(responder, {ResultCode::kUnknownModel, ""}, kDefaultRetryAfter);
+  }
   const RoutingRule* rule = config->FindByPath(request.path);
   if (rule == nullptr) {
     return Refuse(responder, {ResultCode::kNoRoute, "no rule for " + request.path},
@@ -187,6 +200,7 @@
     Log(LogLevel::kInfo, "request",
         {{"request", id.value()},
          {"workspace", workspace.value()},
+         {"revision", std::to_string(parts_.revision().value())},
          {"code", name},
          {"backend", report.backend.value()},
          {"tries", std::to_string(report.tries)}});
--- a/libs/frontend/src/operator_listener.cc
+++ b/libs/frontend/src/operator_listener.cc
@@ -33,6 +33,9 @@
   if (request.method == "POST" && request.path == "/v1/command") {
     return RunCommand(request, responder);
   }
+  if (request.path == "/v1/revision") {
+    return responder.Send(kHttpOk, kJson, std::to_string(service_.InForce().value()));
+  }
   if (request.path == "/v1/dump") return responder.Send(kHttpOk, kJson, dump_());
   if (request.path == "/metrics") {
     return responder.Send(kHttpOk, {{"Content-Type", "text/plain"}}, metrics_.Print());
--- /dev/null
+++ b/libs/reload/test/reload-test.cc
@@ -0,0 +1,200 @@
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+#include "config/change_log.h"
+#include "kv_table.h"
+#include "reload/weight_reloader.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+/// A store whose time the test sets, and whose answers may get lost.
+class TimedStore {
+ public:
+  standin::KvTable table;
+  TimePoint now = kStart;
+  bool down = false;
+
+  Result<std::optional<KvPair>> Get(const std::string& key) {
+    if (down) return Fail(ResultCode::kPlatformUnavailable, "down");
+    return table.Get(key, now);
+  }
+  Result<std::vector<KvPair>> List(const std::string& first, const std::string& end) {
+    return table.List(first, end, now);
+  }
+  Result<KvTransactionAnswer> Commit(const KvTransaction& transaction) {
+    if (down) return Fail(ResultCode::kPlatformUnavailable, "down");
+    return table.Commit(transaction, now);
+  }
+  Result<LeaseId> GrantLease(std::chrono::seconds ttl) {
+    if (down) return Fail(ResultCode::kPlatformUnavailable, "down");
+    return table.Grant(ttl, now);
+  }
+  Result<bool> KeepAlive(LeaseId lease) {
+    if (down) return Fail(ResultCode::kPlatformUnavailable, "down");
+    return table.KeepAlive(lease, now);
+  }
+};
+
+using Role = ReloadRole<TimedStore>;
+
+std::unique_ptr<Role> MakeRole(TimedStore& store, const std::string& daemon) {
+  return std::make_unique<Role>(store, DaemonId(daemon),
+                                Role::Options{.ttl = 10s, .now = [&store] { return store.now; }});
+}
+
+/// An engine that takes orders; `checks` says whether it heeds fencing numbers.
+struct OrderedEngine {
+  bool checks = true;
+  std::string weights = "w1";
+  std::uint64_t highest = 0;
+  std::vector<std::string> history = {"w1"};
+
+  bool Take(const ReloadOrder& order, std::uint64_t fencing) {
+    if (checks && fencing < highest) return false;
+    if (order.from.value() != weights) return false;
+    highest = std::max(highest, fencing);
+    weights = order.to.value();
+    history.push_back(weights);
+    return true;
+  }
+};
+
+/// An order a daemon has decided on and not sent yet.
+struct HeldOrder {
+  ReloadOrder order;
+  std::uint64_t fencing;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(reload)
+
+BOOST_AUTO_TEST_CASE(a_holder_stops_acting_before_its_lease_ends) {
+  LeaseClock clock;
+  clock.Renew(kStart, 10s);
+  BOOST_TEST(clock.MayAct(kStart + 7999ms));
+  BOOST_TEST(!clock.MayAct(kStart + 8s));
+  clock.Renew(kStart - 5s, 10s);  // an older call's answer arrives late
+  BOOST_TEST(clock.MayAct(kStart + 7999ms));
+}
+
+BOOST_AUTO_TEST_CASE(only_as_many_hold_a_place_as_there_are) {
+  TimedStore store;
+  auto a = MakeRole(store, "a");
+  auto b = MakeRole(store, "b");
+  auto c = MakeRole(store, "c");
+  BOOST_TEST(a->Acquire());
+  BOOST_TEST(b->Acquire());
+  BOOST_TEST(!c->Acquire());
+  a->Release();
+  BOOST_TEST(c->Acquire());
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_frozen_beyond_its_lease_gets_no_number_and_knows_it) {
+  TimedStore store;
+  auto frozen = MakeRole(store, "frozen");
+  auto other = MakeRole(store, "other");
+  auto successor = MakeRole(store, "successor");
+  BOOST_TEST(frozen->Acquire());
+  BOOST_TEST(other->Acquire());
+  const auto first = frozen->NextFencing();
+  store.now += 11s;
+  other->KeepAlive();
+  BOOST_TEST(successor->Acquire());
+  BOOST_TEST(!frozen->Held());
+  BOOST_TEST(!frozen->NextFencing().has_value());
+  BOOST_TEST(successor->NextFencing().value() > first.value());
+}
+
+RC_BOOST_PROP(at_most_two_hold_a_place_and_late_orders_never_revert_an_engine, ()) {
+  constexpr std::size_t kDaemons = 4;
+  TimedStore store;
+  std::vector<std::unique_ptr<Role>> roles;
+  std::vector<std::optional<HeldOrder>> decided(kDaemons);
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    roles.push_back(MakeRole(store, "d" + std::to_string(i)));
+  }
+  OrderedEngine engine;
+  engine.checks = *rc::gen::arbitrary<bool>();
+  int target = 2;
+  const int steps = *rc::gen::inRange(1, 80);
+  for (int step = 0; step < steps; ++step) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, kDaemons);
+    Role& role = *roles[at];
+    store.down = *rc::gen::weightedElement<bool>({{6, false}, {1, true}});
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        store.now += std::chrono::seconds(*rc::gen::inRange(1, 12));  // all others are paused
+        break;
+      case 1:
+        role.Held() ? role.KeepAlive() : role.Acquire();
+        break;
+      case 2:  // decides on an order, and may be frozen before sending it
+        if (role.Held() && engine.weights != "w" + std::to_string(target)) {
+          if (const auto fencing = role.NextFencing()) {
+            decided[at] = HeldOrder{{BackendId("e"), "", WeightsVersion(engine.weights),
+                                     WeightsVersion("w" + std::to_string(target))},
+                                    *fencing};
+          }
+        }
+        break;
+      case 3:  // sends it, however late: the check before sending can be outrun
+        if (decided[at]) engine.Take(decided[at]->order, decided[at]->fencing);
+        decided[at].reset();
+        break;
+      case 4:
+        ++target;  // operators move on to newer weights
+        break;
+      default:
+        role.Release();
+    }
+    const auto held = std::count_if(roles.begin(), roles.end(),
+                                    [](const auto& holder) { return holder->Held(); });
+    RC_ASSERT(held <= Role::kPlaces);
+  }
+  for (std::size_t i = 1; i < engine.history.size(); ++i) {
+    RC_ASSERT(std::stoi(engine.history[i].substr(1)) > std::stoi(engine.history[i - 1].substr(1)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(engines_are_brought_to_the_configured_weights_one_by_one) {
+  const auto config = ValueOr(
+      [] {
+        return ApplyScript(Config(),
+                           "create model m weights w2 reload auto\n"
+                           "create model n weights w2\n");
+      },
+      [](const Failure&) { return Config(); });
+  std::vector<BackendState> rows(3);
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    rows[i].server.id = BackendId("e" + std::to_string(i));
+    rows[i].server.zone = ZoneId("a");
+    rows[i].server.model = ModelId(i == 2 ? "n" : "m");
+    rows[i].weights = WeightsVersion("w1");
+  }
+  TimedStore store;
+  std::vector<std::string> ordered;
+  WeightReloader<TimedStore> reloader(
+      Role(store, DaemonId("d"), {.ttl = 10s, .now = [&store] { return store.now; }}),
+      ReloadPlan(ZoneId("a")), [&](const ReloadOrder& order, std::uint64_t) {
+        ordered.push_back(order.engine.value());
+        return true;
+      });
+  const auto step = [&] { reloader.Step(config, rows, store.now); };
+  step();
+  step();
+  BOOST_TEST(ordered == (std::vector<std::string>{"e0"}), boost::test_tools::per_element());
+  rows[0].weights = WeightsVersion("w2");
+  step();
+  BOOST_TEST(ordered.back() == "e1");
+  rows[1].weights = WeightsVersion("w2");
+  step();
+  BOOST_TEST(ordered.size() == 2U);  // model n is reloaded by hand
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/routing/include/routing/backend_table.h
+++ b/libs/routing/include/routing/backend_table.h
@@ -24,21 +24,26 @@
   bool leaving = false;
 };
 
-/// One row.
+/// One row. What each decision reads stands first and together, without text.
 struct BackendState {
-  BackendServer server;
-  std::uint64_t identity = 0;
-  Incarnation incarnation;  ///< empty: not known yet
-  WeightsVersion weights;
-  bool present = true;  ///< still in the configuration
-  bool leaving = false;
+  std::uint64_t identity = 0;      ///< hash of the id
+  std::uint64_t purpose = 0;       ///< hash of model and service
+  std::uint64_t weights_hash = 0;  ///< 0: weights not known, or a plain service
   double prefill_tokens_per_s = 0;
   double own_tokens = 0;     ///< uncached prompt tokens sent and not yet prefilled
   double others_tokens = 0;  ///< waiting tokens of others, at `reported`
   TimePoint reported{};
+  TimePoint retry_at{};  ///< after failures: not chosen before
+  Duration distance{0};
   std::uint32_t own_running = 0;
-  std::uint32_t failures = 0;  ///< in a row
-  TimePoint retry_at{};        ///< after failures: not chosen before
+  std::uint32_t failures = 0;   ///< in a row
+  bool present = true;          ///< still in the configuration
+  bool leaving = false;         ///< as the server itself says
+  bool listed_leaving = false;  ///< as the platform or a peer says
+
+  BackendServer server;
+  Incarnation incarnation;  ///< empty: not known yet
+  WeightsVersion weights;
 };
 
 /// What must hold for a row to be chosen.
@@ -92,8 +97,7 @@
   std::size_t size() const { return rows_.size(); }
 
  private:
-  bool MayTake(const BackendState& row, const Selection& selection, TimePoint now) const;
-  double QueuedTokens(const BackendState& row, TimePoint now) const;
+  void TakeServer(BackendState& row, const BackendServer& server) const;
 
   ZoneId own_zone_;
   Duration other_zone_distance_;
--- a/libs/routing/src/backend_table.cc
+++ b/libs/routing/src/backend_table.cc
@@ -6,6 +6,38 @@
 #include <algorithm>
 
 namespace ridgehold {
+namespace {
+
+std::uint64_t Hash(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
+std::uint64_t PurposeOf(const ModelId& model, const ServiceId& service) {
+  return Hash(model.value() + "\n" + service.value());
+}
+
+std::uint64_t WeightsHash(const WeightsVersion& weights) {
+  return weights.value().empty() ? 0 : Hash(weights.value());
+}
+
+/// A selection's texts as hashes, made once for all rows.
+struct SelectionHashes {
+  std::uint64_t purpose = 0;
+  std::uint64_t weights = 0;
+};
+
+bool MayTake(const BackendState& row, const SelectionHashes& selection, TimePoint now) {
+  if (row.purpose != selection.purpose || !row.present || row.retry_at > now) return false;
+  if (row.leaving || row.listed_leaving || row.server.draining) return false;
+  // An engine whose weights are known to be others would only refuse.
+  return row.weights_hash == 0 || row.weights_hash == selection.weights;
+}
+
+double QueuedTokens(const BackendState& row, TimePoint now) {
+  const std::chrono::duration<double> age = now - row.reported;
+  const double done_since = age.count() * row.prefill_tokens_per_s;
+  return row.own_tokens + std::max(0.0, row.others_tokens - done_since);
+}
+
+}  // namespace
 
 BackendTable::BackendTable(ZoneId own_zone, Duration other_zone_distance)
     : own_zone_(std::move(own_zone)), other_zone_distance_(other_zone_distance) {}
@@ -19,17 +51,20 @@
       BackendState& row = rows_[found->second];
       // Another address is another server; what was known of it is void.
       const bool moved = row.server.url != server.url;
-      row.server = server;
+      TakeServer(row, server);
       if (moved) {
         row.incarnation = {};
+        row.weights = {};
+        row.weights_hash = 0;
         row.leaving = false;
         moved_rows.push_back(found->second);
       }
       continue;
     }
     BackendState row;
-    row.server = server;
-    row.identity = XXH3_64bits(id.value().data(), id.value().size());
+    TakeServer(row, server);
+    row.identity = Hash(id.value());
+    row.listed_leaving = platform_leaving_.contains(id);
     row.prefill_tokens_per_s = kDefaultPrefillSpeed;
     index_[id] = static_cast<std::uint32_t>(rows_.size());
     rows_.push_back(std::move(row));
@@ -37,7 +72,17 @@
   return moved_rows;
 }
 
-void BackendTable::SetLeaving(const std::set<BackendId>& leaving) { platform_leaving_ = leaving; }
+void BackendTable::TakeServer(BackendState& row, const BackendServer& server) const {
+  row.server = server;
+  row.purpose = PurposeOf(server.model, server.service);
+  row.distance = server.zone == own_zone_ ? Duration{0} : other_zone_distance_;
+}
+
+void BackendTable::SetLeaving(const std::set<BackendId>& leaving) {
+  if (platform_leaving_ == leaving) return;
+  platform_leaving_ = leaving;
+  for (BackendState& row : rows_) row.listed_leaving = leaving.contains(row.server.id);
+}
 
 bool BackendTable::TakeReport(const BackendId& id, const LoadReport& report, TimePoint now) {
   const auto found = index_.find(id);
@@ -46,6 +91,7 @@
   const bool void_cache = row.incarnation != report.incarnation || row.weights != report.weights;
   row.incarnation = report.incarnation;
   row.weights = report.weights;
+  row.weights_hash = WeightsHash(report.weights);
   row.leaving = report.leaving;
   row.failures = 0;
   row.retry_at = {};
@@ -85,14 +131,18 @@
 }
 
 std::vector<Candidate> BackendTable::Candidates(const Selection& selection, TimePoint now) const {
+  const SelectionHashes hashes{PurposeOf(selection.model, selection.service),
+                               WeightsHash(selection.weights)};
   std::vector<Candidate> candidates;
+  candidates.reserve(rows_.size());
   for (std::uint32_t index = 0; index < rows_.size(); ++index) {
     const BackendState& row = rows_[index];
-    if (!MayTake(row, selection, now)) continue;
+    if (!MayTake(row, hashes, now)) continue;
+    if (!selection.excluded.empty() && selection.excluded.contains(row.server.id)) continue;
     Candidate candidate;
     candidate.index = index;
     candidate.identity = row.identity;
-    candidate.distance = row.server.zone == own_zone_ ? Duration{0} : other_zone_distance_;
+    candidate.distance = row.distance;
     candidate.prefill_tokens_per_s = row.prefill_tokens_per_s;
     candidate.queued_tokens = QueuedTokens(row, now);
     candidate.running = row.own_running;
@@ -107,21 +157,4 @@
   return found->second;
 }
 
-bool BackendTable::MayTake(const BackendState& row, const Selection& selection,
-                           TimePoint now) const {
-  const BackendServer& server = row.server;
-  if (!row.present || server.draining || row.leaving) return false;
-  if (platform_leaving_.contains(server.id) || selection.excluded.contains(server.id)) return false;
-  if (server.model != selection.model || server.service != selection.service) return false;
-  if (row.retry_at > now) return false;
-  // An engine whose weights are known to be others would only refuse.
-  return !server.is_engine() || row.weights.value().empty() || row.weights == selection.weights;
-}
-
-double BackendTable::QueuedTokens(const BackendState& row, TimePoint now) const {
-  const std::chrono::duration<double> age = now - row.reported;
-  const double done_since = age.count() * row.prefill_tokens_per_s;
-  return row.own_tokens + std::max(0.0, row.others_tokens - done_since);
-}
-
 }  // namespace ridgehold
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -5,12 +5,8 @@
 
 #include <algorithm>
 #include <asio.hpp>
-#include <deque>
 #include <future>
-#include <map>
 #include <nlohmann/json.hpp>
-#include <random>
-#include <set>
 #include <thread>
 
 #include "base/ids.h"
@@ -19,6 +15,7 @@
 #include "cache/backend_headers.h"
 #include "cache/block_chain.h"
 #include "cache/prompt.h"
+#include "event_log.h"
 #include "http/request.h"
 #include "http/responder.h"
 #include "http/server.h"
@@ -30,7 +27,6 @@
 namespace header = ridgehold::backend_header;
 
 constexpr std::size_t kDefaultMaxTokens = 16;
-constexpr std::size_t kKeptEvents = 20'000;
 constexpr int kBusyRetrySeconds = 1;
 
 /// One request from arrival to its last token.
@@ -49,25 +45,6 @@
   bool gone = false;
 };
 
-struct Event {
-  std::uint64_t sequence;
-  TimePoint visible;
-  std::string kind;
-  std::vector<BlockHash> blocks;
-};
-
-std::string Hex(BlockHash block) {
-  std::array<char, 17> text{};
-  std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(block));
-  return text.data();
-}
-
-json HexList(const std::vector<BlockHash>& blocks) {
-  json list = json::array();
-  for (const BlockHash block : blocks) list.push_back(Hex(block));
-  return list;
-}
-
 std::uint64_t QueryNumber(const std::string& query, const std::string& name) {
   const std::size_t at = query.find(name + "=");
   return at == std::string::npos ? 0 : std::stoull(query.substr(at + name.size() + 1));
@@ -86,6 +63,7 @@
         weights(engine_options.weights),
         incarnation(RandomId().substr(0, 16)),
         cache(engine_options.cache_blocks),
+        event_log(engine_options.event_delay, engine_options.event_loss),
         work(asio::make_work_guard(io)),
         prefill_timer(io),
         decode_timer(io),
@@ -95,6 +73,7 @@
   std::string weights;
   std::string incarnation;
   BlockCache cache;
+  EventLog event_log;
   asio::io_context io;
   asio::executor_work_guard<asio::io_context::executor_type> work;
   asio::steady_timer prefill_timer;
@@ -106,12 +85,9 @@
   bool decoding = false;
   bool frozen = false;
   bool leaving = false;
-  std::deque<Event> events;
-  std::uint64_t last_sequence = 0;
   std::uint64_t highest_fencing = 0;
   std::string load_report;  // lags; empty before the first
   EngineCounts counts;
-  std::mt19937 random{1};
   std::unique_ptr<HttpServer> server;
   std::thread thread;
 
@@ -221,8 +197,8 @@
     std::vector<BlockHash> added;
     std::vector<BlockHash> evicted;
     cache.Store(job->chain, added, evicted);
-    Publish("stored", std::move(added));
-    Publish("removed", std::move(evicted));
+    event_log.Publish("stored", std::move(added));
+    event_log.Publish("removed", std::move(evicted));
     if (job->prompt.stream) {
       WriteEvent(job, "event: ridgehold\n", json{{"cached_tokens", job->cached_tokens}}.dump());
     }
@@ -231,15 +207,6 @@
     StartPrefill();
   }
 
-  void Publish(const std::string& kind, std::vector<BlockHash> blocks) {
-    if (blocks.empty()) return;
-    ++last_sequence;
-    const bool lost = std::uniform_real_distribution<>(0, 1)(random) < options.event_loss;
-    if (lost) return;  // the sequence number tells the reader of the gap
-    events.push_back({last_sequence, Clock::now() + options.event_delay, kind, std::move(blocks)});
-    if (events.size() > kKeptEvents) events.pop_front();
-  }
-
   void ScheduleDecode() {
     decoding = !running.empty() && !frozen;
     if (!decoding) return;
@@ -363,24 +330,17 @@
 
   void SendEvents(const std::string& query, const Responder& responder) {
     const std::uint64_t after = QueryNumber(query, "after");
-    json list = json::array();
-    const TimePoint now = Clock::now();
-    for (const Event& event : events) {
-      if (event.sequence <= after || event.visible > now) continue;
-      list.push_back(
-          {{"seq", event.sequence}, {"kind", event.kind}, {"blocks", HexList(event.blocks)}});
-    }
-    SendJson(
-        responder,
-        json{{"incarnation", incarnation}, {"load", json::parse(load_report)}, {"events", list}}
-            .dump());
+    SendJson(responder, json{{"incarnation", incarnation},
+                             {"load", json::parse(load_report)},
+                             {"events", event_log.After(after)}}
+                            .dump());
   }
 
   void SendBlocks(const std::string& query, const Responder& responder) {
     constexpr std::uint64_t kDefaultMost = 10'000;
     const std::uint64_t most = QueryNumber(query, "most");
     SendJson(responder, json{{"incarnation", incarnation},
-                             {"seq", last_sequence},
+                             {"seq", event_log.last_sequence()},
                              {"blocks", HexList(cache.Recent(most != 0 ? most : kDefaultMost))}}
                             .dump());
   }
@@ -401,7 +361,7 @@
     if (version == weights) return;
     weights = version;
     cache.Clear();
-    Publish("cleared", {0});
+    event_log.Publish("cleared", {0});
   }
 
   void SendCounts(const Responder& responder) const {
@@ -436,8 +396,7 @@
     prefill_timer.cancel();
     incarnation = RandomId().substr(0, 16);
     cache.Clear();
-    events.clear();
-    last_sequence = 0;
+    event_log.Clear();
     std::vector<std::shared_ptr<Job>> lost = std::exchange(waiting, {});
     if (prefilling) lost.push_back(std::exchange(prefilling, nullptr));
     std::ranges::move(std::exchange(running, {}), std::back_inserter(lost));
@@ -501,6 +460,10 @@
   return RunOn(impl_->io, [this] { return impl_->incarnation; });
 }
 
+std::string Engine::weights() const {
+  return RunOn(impl_->io, [this] { return impl_->weights; });
+}
+
 EngineCounts Engine::counts() const {
   return RunOn(impl_->io, [this] { return impl_->counts; });
 }
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -42,6 +42,7 @@
   std::uint16_t port() const;
   std::string url() const;
   std::string incarnation() const;
+  std::string weights() const;
   EngineCounts counts() const;
 
   void SetLeaving(bool leaving);
--- a/test/engines-test.cc
+++ b/test/engines-test.cc
@@ -83,6 +83,27 @@
   BOOST_TEST(Eventually([&] { return cluster.Chat(0, kPrompt, false).status == 200; }));
 }
 
+BOOST_AUTO_TEST_CASE(engines_reload_by_themselves_when_the_model_says_so) {
+  ClusterOptions options;
+  options.engines = 3;
+  Cluster cluster(std::move(options));
+  cluster.Chat(0, kPrompt, false);
+  BOOST_TEST(cluster.Command(0, "change model m weights w2 reload auto").status == 200);
+  BOOST_TEST(Eventually([&] {
+    for (int i = 0; i < 3; ++i) {
+      if (cluster.engine(i).weights() != "w2") return false;
+    }
+    return true;
+  }));
+  HttpAnswer answer;
+  BOOST_TEST(Eventually([&] {
+    answer = cluster.Chat(0, kPrompt, false);
+    return answer.status == 200;
+  }));
+  // Nothing cached under the old weights is used with the new ones.
+  BOOST_TEST(CachedTokens(answer) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_drained_engine_gets_nothing_new_and_finishes_its_streams) {
   ClusterOptions options;
   options.engine.decode_step = 5ms;
--- a/test/services-test.cc
+++ b/test/services-test.cc
@@ -172,8 +172,11 @@
   BOOST_TEST(CodeOf(cluster.Call(0, "POST", "/v1/chat/completions",
                                  R"({"model":"none","messages":[]})")) == 1003);
   BOOST_TEST(CodeOf(cluster.Call(0, "GET", "/nowhere", "")) == 1004);
+  BOOST_TEST(CodeOf(cluster.Call(0, "POST", "/app/x", std::string((16 << 20) + 1, 'x'))) == 1005);
   const auto models = nlohmann::json::parse(cluster.Call(0, "GET", "/v1/models", "").body);
   BOOST_TEST(models["data"][0]["id"] == "m");
+  BOOST_TEST(cluster.Call(0, "GET", "/v1/models/m", "").status == 200);
+  BOOST_TEST(CodeOf(cluster.Call(0, "GET", "/v1/models/x", "")) == 1003);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
