--- a/bench/ridgehold-bench.cc
+++ b/bench/ridgehold-bench.cc
@@ -3,10 +3,14 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <condition_variable>
+#include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <thread>
 #include <unordered_set>
 
@@ -14,6 +18,7 @@
 #include "base/result.h"
 #include "cache/block_chain.h"
 #include "http/client.h"
+#include "simple_http.h"
 #include "workload.h"
 
 namespace {
@@ -36,6 +41,8 @@
   double seconds = 10;
   int max_tokens = 32;
   std::uint64_t seed = 1;
+  int concurrency = 0;  ///< so many callers one request after the other; 0: on schedule
+  std::string weights;  ///< set to call an engine directly, without a daemon
 };
 
 /// What the callers saw.
@@ -66,28 +73,12 @@
 
 double Ms(double seconds) { return std::round(seconds * 1e5) / 100; }
 
-std::string Get(HttpClient& client, const std::string& url, int& status) {
-  HttpCall call;
-  call.url = url;
-  call.total_timeout = milliseconds(1'000);
-  return ValueOr(
-      [&]() -> Result<std::string> {
-        BOOST_LEAF_AUTO(answer, client.Fetch(std::move(call)));
-        status = answer.status;
-        return answer.body;
-      },
-      [&](const Failure&) {
-        status = 0;
-        return std::string();
-      });
-}
-
 EngineCounts ReadCounts(HttpClient& client, const std::vector<std::string>& engines) {
   EngineCounts sum;
   for (const std::string& engine : engines) {
     int status = 0;
     const json counts =
-        json::parse(Get(client, engine + "/standin/counts", status), nullptr, false);
+        json::parse(Send(client, "GET", engine + "/standin/counts", "", status), nullptr, false);
     if (!counts.is_object()) continue;
     sum.requests += counts["requests"].get<std::int64_t>();
     sum.prompt_tokens += counts["prompt_tokens"].get<std::int64_t>();
@@ -124,7 +115,7 @@
     while (!stopping_.load()) {
       for (std::size_t i = 0; i < daemons_.size(); ++i) {
         int status = 0;
-        Get(client_, daemons_[i] + "/readyz", status);
+        Send(client_, "GET", daemons_[i] + "/readyz", "", status);
         ready_[i].store(status == 200);
       }
       std::this_thread::sleep_for(milliseconds(100));
@@ -165,6 +156,21 @@
     }
   }
 
+  /// Keeps `concurrency` requests out for `seconds`; each caller sends its next
+  /// request when the last one is answered. For comparing latencies only.
+  void SendClosed(double seconds, bool measured) {
+    const TimePoint end = Clock::now() + std::chrono::duration_cast<Clock::duration>(
+                                             std::chrono::duration<double>(seconds));
+    while (Clock::now() < end) {
+      {
+        std::unique_lock lock(mutex_);
+        one_in_.wait(lock,
+                     [this] { return out_ < static_cast<std::uint64_t>(options_.concurrency); });
+      }
+      SendOne(workload_.Next(0, false), Clock::now(), measured);
+    }
+  }
+
   /// Waits for the answers that are still out; false when some never came.
   bool WaitForAll() {
     std::unique_lock lock(mutex_);
@@ -203,6 +209,11 @@
                      {"max_tokens", options_.max_tokens},
                      {"prompt", prompt.text}}
                     .dump();
+    if (!options_.weights.empty()) {
+      call.headers.Add("X-Ridgehold-Weights", options_.weights);
+      call.headers.Add("X-Ridgehold-Request-Id", "bench");
+      call.headers.Add("X-Ridgehold-Cache-Salt", std::to_string(prompt.workspace));
+    }
     call.total_timeout = milliseconds(60'000);
     auto pending = std::make_shared<Pending>();
     pending->intended = intended;
@@ -262,6 +273,7 @@
         ++observations_.failed;
     }
     if (--out_ == 0) all_in_.notify_all();
+    one_in_.notify_all();
   }
 
   HttpClient& client_;
@@ -273,6 +285,7 @@
   std::unordered_set<BlockHash> seen_;
   std::mutex mutex_;  // guards what follows
   std::condition_variable all_in_;
+  std::condition_variable one_in_;
   std::uint64_t out_ = 0;
   Observations observations_;
 };
@@ -300,6 +313,7 @@
           {"first_token_p50_ms", Ms(Quantile(seen.first_token, 0.50))},
           {"first_token_p95_ms", Ms(Quantile(seen.first_token, 0.95))},
           {"first_token_p99_ms", Ms(Quantile(seen.first_token, 0.99))},
+          {"between_p50_ms", Ms(Quantile(seen.between, 0.50))},
           {"between_p95_ms", Ms(Quantile(seen.between, 0.95))},
           {"between_p99_ms", Ms(Quantile(seen.between, 0.99))}};
 }
@@ -309,9 +323,11 @@
   BOOST_LEAF_AUTO(side_client, HttpClient::Create());
   Balancer balancer(*side_client, options.daemons);
   Generator generator(*client, balancer, options);
-  generator.Send(0, options.warmup, false);
+  const bool closed = options.concurrency > 0;
+  closed ? generator.SendClosed(options.warmup, false) : generator.Send(0, options.warmup, false);
   const EngineCounts before = ReadCounts(*side_client, options.engines);
-  generator.Send(options.warmup, options.warmup + options.seconds, true);
+  closed ? generator.SendClosed(options.seconds, true)
+         : generator.Send(options.warmup, options.warmup + options.seconds, true);
   const bool all = generator.WaitForAll();
   const EngineCounts after = ReadCounts(*side_client, options.engines);
   json report = Report(options, generator.observations(), before, after);
@@ -322,7 +338,40 @@
 
 }  // namespace
 
+namespace {
+
+std::string Rounded(const json& run, const char* name, double factor, int digits) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(digits) << run.value(name, 0.0) * factor;
+  return text.str();
+}
+
+/// Prints runs as a table that compares policies side by side.
+int PrintReport(const std::string& path) {
+  std::ifstream file(path);
+  std::cout << "| Workload | Scenario | Policy | Hit % (bound) | First token p50 / p95 / p99 ms | "
+               "Wasted k tokens | Refused | Failed | Sent | Tries |\n"
+            << "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+  for (std::string line; std::getline(file, line);) {
+    const json run = json::parse(line, nullptr, false);
+    if (!run.is_object()) continue;
+    std::cout << "| " << run.value("workload", "") << " | " << run.value("scenario", "") << " | "
+              << run.value("label", "") << " | " << Rounded(run, "hit_rate", 100, 1) << " ("
+              << Rounded(run, "hit_bound", 100, 1) << ") | "
+              << Rounded(run, "first_token_p50_ms", 1, 0) << " / "
+              << Rounded(run, "first_token_p95_ms", 1, 0) << " / "
+              << Rounded(run, "first_token_p99_ms", 1, 0) << " | "
+              << Rounded(run, "wasted_tokens", 1e-3, 0) << " | " << run.value("refused", 0) << " | "
+              << run.value("failed", 0) << " | " << run.value("sent", 0) << " | "
+              << Rounded(run, "tries_per_request", 1, 2) << " |\n";
+  }
+  return 0;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
+  if (argc == 3 && std::string(argv[1]) == "--report") return PrintReport(argv[2]);
   Options options;
   CLI::App app("ridgehold-bench sends nested-prefix load on schedule and reports one JSON line");
   app.add_option("--daemon", options.daemons, "caller URL, once for each daemon")->required();
@@ -334,7 +383,12 @@
   app.add_option("--warmup", options.warmup, "seconds not measured");
   app.add_option("--seconds", options.seconds, "seconds measured");
   app.add_option("--max-tokens", options.max_tokens, "tokens of each answer");
+  app.add_option("--concurrency", options.concurrency,
+                 "so many callers, each one request after the other, instead of a rate");
+  app.add_option("--weights", options.weights,
+                 "call engine stand-ins of this weights version directly");
   app.add_option("--seed", options.seed, "of the workload");
+  app.footer("ridgehold-bench --report FILE prints the runs in FILE as a table.");
   CLI11_PARSE(app, argc, argv);
   return ValueOr([&] { return Run(options); },
                  [](const Failure& failure) {
--- a/libs/membership/include/membership/membership_table.h
+++ b/libs/membership/include/membership/membership_table.h
@@ -47,6 +47,9 @@
  public:
   /// A peer unheard for so many heartbeats counts as failed.
   static constexpr int kMissedHeartbeats = 4;
+  static constexpr std::chrono::seconds kLearnedLife{60};
+  /// A failed peer's incarnation is remembered so long, to know late messages.
+  static constexpr std::chrono::minutes kPeerLife{10};
 
   MembershipTable(DaemonId self, ZoneId zone, std::chrono::milliseconds heartbeat);
 
@@ -54,9 +57,13 @@
   /// sender, or from this daemon itself.
   bool Take(const wire::Heartbeat& heartbeat, TimePoint now);
 
-  /// Addresses from settings or the platform, to be spoken to until heard.
+  /// Addresses from settings: spoken to whenever they are not heard.
   void AddSeeds(const std::vector<std::string>& addresses);
 
+  /// Addresses from the platform or peers: spoken to until they are heard, or
+  /// nobody has named them for kLearnedLife.
+  void AddLearned(const std::vector<std::string>& addresses, TimePoint now);
+
   std::vector<Peer> LivePeers(TimePoint now) const;
   bool IsRelay(TimePoint now) const;
 
@@ -86,6 +93,7 @@
     TimePoint heard{};
   };
 
+  void DropOld(TimePoint now);
   void TakeZones(const wire::Heartbeat& heartbeat, const Peer& sender, TimePoint now);
   bool IsLive(const Peer& peer, TimePoint now) const;
   wire::ZoneSummary OwnZone(TimePoint now, Revision own_revision) const;
@@ -95,6 +103,7 @@
   std::chrono::milliseconds heartbeat_;
   std::map<DaemonId, Peer> peers_;
   std::set<std::string> seeds_;
+  std::map<std::string, TimePoint> learned_;  // when each was last named
   std::map<ZoneId, RemoteZone> remote_zones_;
   std::map<DaemonId, Marks> marks_;
 };
--- a/libs/membership/src/membership_table.cc
+++ b/libs/membership/src/membership_table.cc
@@ -31,7 +31,7 @@
   peer.relay = heartbeat.relay();
   peer.last_heard = now;
   if (peer.zone == zone_) {
-    for (const std::string& address : heartbeat.known_addresses()) seeds_.insert(address);
+    AddLearned({heartbeat.known_addresses().begin(), heartbeat.known_addresses().end()}, now);
   }
   TakeZones(heartbeat, peer, now);
   Marks marks{{}, now};
@@ -39,9 +39,17 @@
     marks.backends.insert(BackendId(mark.backend()));
   }
   marks_[id] = std::move(marks);
+  DropOld(now);
   return true;
 }
 
+void MembershipTable::DropOld(TimePoint now) {
+  std::erase_if(learned_, [&](const auto& entry) { return now - entry.second > kLearnedLife; });
+  std::erase_if(peers_,
+                [&](const auto& entry) { return now - entry.second.last_heard > kPeerLife; });
+  std::erase_if(marks_, [&](const auto& entry) { return now - entry.second.heard > kPeerLife; });
+}
+
 void MembershipTable::TakeZones(const wire::Heartbeat& heartbeat, const Peer& sender,
                                 TimePoint now) {
   // News of a zone counts from that zone's relay, or passed on by the own
@@ -58,6 +66,10 @@
   seeds_.insert(addresses.begin(), addresses.end());
 }
 
+void MembershipTable::AddLearned(const std::vector<std::string>& addresses, TimePoint now) {
+  for (const std::string& address : addresses) learned_[address] = now;
+}
+
 bool MembershipTable::IsLive(const Peer& peer, TimePoint now) const {
   return now - peer.last_heard <= kMissedHeartbeats * heartbeat_;
 }
@@ -87,7 +99,9 @@
     if (peer.zone == zone_ || (relay && peer.relay)) targets.insert(peer.address);
   }
   if (round % kSeedEveryRounds == 0) {
-    std::ranges::set_difference(seeds_, heard, std::inserter(targets, targets.end()));
+    std::set<std::string> known = seeds_;
+    for (const auto& [address, named] : learned_) known.insert(address);
+    std::ranges::set_difference(known, heard, std::inserter(targets, targets.end()));
   }
   return {targets.begin(), targets.end()};
 }
--- a/libs/membership/test/membership_table-test.cc
+++ b/libs/membership/test/membership_table-test.cc
@@ -107,6 +107,17 @@
   BOOST_TEST(table.HeartbeatTargets(kStart, 5).size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(addresses_of_replaced_daemons_are_forgotten) {
+  MembershipTable table = Table();
+  wire::Heartbeat heartbeat = Heartbeat("b", "a");
+  heartbeat.add_known_addresses("gone:1");
+  table.Take(heartbeat, kStart);
+  BOOST_TEST(table.HeartbeatTargets(kStart, 0).size() == 2U);
+  const TimePoint later = kStart + MembershipTable::kLearnedLife + 1s;
+  table.Take(Heartbeat("b", "a"), later);
+  BOOST_TEST(table.HeartbeatTargets(later, 0).size() == 1U);
+}
+
 RC_BOOST_PROP(arbitrary_bytes_are_no_heartbeat_or_a_harmless_one, (const std::string& bytes)) {
   MembershipTable table = Table();
   wire::PeerMessage message;
