--- a/libs/daemon/src/config_sync.cc
+++ b/libs/daemon/src/config_sync.cc
@@ -98,7 +98,7 @@
     heartbeat.set_address(mesh_->address());
     heartbeat.set_revision(in_force.value());
     heartbeat.set_leaving(leaving_);
-    members_.Describe(now, in_force, heartbeat);
+    members_.Describe(now, in_force, round_, heartbeat);
     for (const std::set<BackendId>* marks : {&platform_leaving_, &own_marks_}) {
       for (const BackendId& id : *marks) heartbeat.add_marks()->set_backend(id.value());
     }
--- a/libs/membership/include/membership/membership_table.h
+++ b/libs/membership/include/membership/membership_table.h
@@ -74,8 +74,10 @@
   /// Whom to pass a change on to: the own zone and the relays.
   std::vector<std::string> ChangeTargets(TimePoint now) const;
 
-  /// Fills in what this daemon says of zones and peers.
-  void Describe(TimePoint now, Revision own_revision, wire::Heartbeat& heartbeat) const;
+  /// Fills in what this daemon says of zones and peers; addresses of peers
+  /// only in some rounds.
+  void Describe(TimePoint now, Revision own_revision, std::uint64_t round,
+                wire::Heartbeat& heartbeat) const;
 
   /// One view a zone, the own one first.
   std::vector<ZoneView> Zones(TimePoint now, Revision own_revision) const;
@@ -94,6 +96,7 @@
   };
 
   void DropOld(TimePoint now);
+  void AddAddresses(TimePoint now, wire::Heartbeat& heartbeat) const;
   void TakeZones(const wire::Heartbeat& heartbeat, const Peer& sender, TimePoint now);
   bool IsLive(const Peer& peer, TimePoint now) const;
   wire::ZoneSummary OwnZone(TimePoint now, Revision own_revision) const;
--- a/libs/membership/src/membership_table.cc
+++ b/libs/membership/src/membership_table.cc
@@ -8,6 +8,8 @@
 constexpr int kKnownAddresses = 8;
 constexpr int kMostBehind = 16;
 constexpr std::uint64_t kSeedEveryRounds = 5;
+// Addresses are most of a heartbeat's bytes, and joining is rare.
+constexpr std::uint64_t kAddressesEveryRounds = 5;
 // A relay's news of other zones counts a little longer than a heartbeat.
 constexpr int kZoneNewsHeartbeats = 10;
 
@@ -137,14 +139,11 @@
   return summary;
 }
 
-void MembershipTable::Describe(TimePoint now, Revision own_revision,
+void MembershipTable::Describe(TimePoint now, Revision own_revision, std::uint64_t round,
                                wire::Heartbeat& heartbeat) const {
   const bool relay = IsRelay(now);
   heartbeat.set_relay(relay);
-  for (const Peer& peer : LivePeers(now)) {
-    if (peer.zone != zone_ || heartbeat.known_addresses_size() >= kKnownAddresses) continue;
-    heartbeat.add_known_addresses(peer.address);
-  }
+  if (round % kAddressesEveryRounds == 0) AddAddresses(now, heartbeat);
   if (!relay) return;
   *heartbeat.add_zones() = OwnZone(now, own_revision);
   for (const auto& [zone, remote] : remote_zones_) {
@@ -154,6 +153,13 @@
   }
 }
 
+void MembershipTable::AddAddresses(TimePoint now, wire::Heartbeat& heartbeat) const {
+  for (const Peer& peer : LivePeers(now)) {
+    if (heartbeat.known_addresses_size() == kKnownAddresses) return;
+    if (peer.zone == zone_) heartbeat.add_known_addresses(peer.address);
+  }
+}
+
 std::vector<ZoneView> MembershipTable::Zones(TimePoint now, Revision own_revision) const {
   const auto to_view = [](const wire::ZoneSummary& summary, Duration age) {
     return ZoneView{ZoneId(summary.zone()),
--- a/libs/membership/test/membership_table-test.cc
+++ b/libs/membership/test/membership_table-test.cc
@@ -91,10 +91,10 @@
   far.add_zones()->set_zone("c");
   table.Take(far, kStart);
   wire::Heartbeat fresh;
-  table.Describe(kStart + 1s, Revision(1), fresh);
+  table.Describe(kStart + 1s, Revision(1), 0, fresh);
   BOOST_TEST(fresh.zones_size() == 2);
   wire::Heartbeat stale;
-  table.Describe(kStart + 60s, Revision(1), stale);
+  table.Describe(kStart + 60s, Revision(1), 1, stale);
   BOOST_TEST(stale.zones_size() == 1);
 }
 
--- a/libs/routing/include/routing/backend_table.h
+++ b/libs/routing/include/routing/backend_table.h
@@ -39,6 +39,7 @@
   std::uint32_t failures = 0;   ///< in a row
   bool present = true;          ///< still in the configuration
   bool leaving = false;         ///< as the server itself says
+  bool draining = false;        ///< as the configuration says
   bool listed_leaving = false;  ///< as the platform or a peer says
 
   BackendServer server;
--- a/libs/routing/src/backend_table.cc
+++ b/libs/routing/src/backend_table.cc
@@ -26,7 +26,7 @@
 
 bool MayTake(const BackendState& row, const SelectionHashes& selection, TimePoint now) {
   if (row.purpose != selection.purpose || !row.present || row.retry_at > now) return false;
-  if (row.leaving || row.listed_leaving || row.server.draining) return false;
+  if (row.leaving || row.listed_leaving || row.draining) return false;
   // An engine whose weights are known to be others would only refuse.
   return row.weights_hash == 0 || row.weights_hash == selection.weights;
 }
@@ -74,6 +74,7 @@
 
 void BackendTable::TakeServer(BackendState& row, const BackendServer& server) const {
   row.server = server;
+  row.draining = server.draining;
   row.purpose = PurposeOf(server.model, server.service);
   row.distance = server.zone == own_zone_ ? Duration{0} : other_zone_distance_;
 }
