--- a/bench/ridgehold-bench.cc
+++ b/bench/ridgehold-bench.cc
@@ -249,6 +249,8 @@
   }
 
   void Take(Pending& pending, std::string_view bytes) {
+    // An engine called directly first tells how much it had cached.
+    if (!pending.any && bytes.starts_with("event:")) return;
     const TimePoint now = Clock::now();
     const std::chrono::duration<double> since =
         now - (pending.any ? pending.last : pending.intended);
--- a/libs/config/test/change_log-test.cc
+++ b/libs/config/test/change_log-test.cc
@@ -90,9 +90,8 @@
   statement.subject = Subject::kWorkspace;
   statement.name = name;
   ChangeLog log;
-  const auto record = ValueOr(
-      [&] { return log.Propose(Format(statement), ChangeId("id"), name); },
-      [](const Failure&) { return wire::ChangeRecord(); });
+  const auto record = ValueOr([&] { return log.Propose(Format(statement), ChangeId("id"), name); },
+                              [](const Failure&) { return wire::ChangeRecord(); });
   wire::ChangeRecord read;
   RC_ASSERT(read.ParseFromString(record.SerializeAsString()));
   RC_ASSERT(log.Take(read) == Offer::kApplied);
