--- a/bench/decision-bench.cc
+++ b/bench/decision-bench.cc
@@ -8,10 +8,9 @@
 #include "membership/membership_table.h"
 #include "routing/router.h"
 
+namespace ridgehold::bench {
 namespace {
 
-using namespace ridgehold;
-
 const TimePoint kNow{std::chrono::hours(1)};
 constexpr std::size_t kSharedBlocks = 16;
 
@@ -134,5 +133,6 @@
 BENCHMARK(TakeChange)->Arg(8)->Arg(860);
 
 }  // namespace
+}  // namespace ridgehold::bench
 
 BENCHMARK_MAIN();
--- a/bench/fleet-bench.cc
+++ b/bench/fleet-bench.cc
@@ -15,10 +15,9 @@
 #include "http/client.h"
 #include "simple_http.h"
 
+namespace ridgehold::bench {
 namespace {
 
-using namespace ridgehold;
-using bench::Send;
 using nlohmann::json;
 using std::chrono::milliseconds;
 
@@ -154,7 +153,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+int Main(int argc, char** argv) {
   Options options;
   CLI::App app("fleet-bench measures configuration spread and the cost of control");
   app.add_option("--operator", options.daemons, "operator URL, once for each daemon")->required();
@@ -170,3 +169,7 @@
                    return 2;
                  });
 }
+
+}  // namespace ridgehold::bench
+
+int main(int argc, char** argv) { return ridgehold::bench::Main(argc, argv); }
--- a/bench/ridgehold-bench.cc
+++ b/bench/ridgehold-bench.cc
@@ -21,10 +21,9 @@
 #include "simple_http.h"
 #include "workload.h"
 
+namespace ridgehold::bench {
 namespace {
 
-using namespace ridgehold;
-using namespace ridgehold::bench;
 using nlohmann::json;
 using std::chrono::milliseconds;
 
@@ -372,7 +371,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+int Main(int argc, char** argv) {
   if (argc == 3 && std::string(argv[1]) == "--report") return PrintReport(argv[2]);
   Options options;
   CLI::App app("ridgehold-bench sends nested-prefix load on schedule and reports one JSON line");
@@ -398,3 +397,7 @@
                    return 2;
                  });
 }
+
+}  // namespace ridgehold::bench
+
+int main(int argc, char** argv) { return ridgehold::bench::Main(argc, argv); }
--- a/libs/reload/include/reload/reload_role.h
+++ b/libs/reload/include/reload/reload_role.h
@@ -114,7 +114,8 @@
     constexpr int kTries = 4;
     for (int left = kTries; left > 0; --left) {
       BOOST_LEAF_AUTO(stored, store_.Get(FencingKey()));
-      const std::uint64_t next = (stored ? std::stoull(stored->value) : 0) + 1;
+      const std::uint64_t last = stored ? std::stoull(stored->value) : 0;
+      const std::uint64_t next = last + 1;
       KvTransaction transaction;
       transaction.compares.push_back({PlaceKey(ticket_->place), ticket_->holding});
       transaction.compares.push_back(
@@ -122,7 +123,7 @@
       transaction.puts.push_back({FencingKey(), std::to_string(next), std::nullopt});
       transaction.reads_on_failure = {PlaceKey(ticket_->place)};
       BOOST_LEAF_AUTO(answer, store_.Commit(transaction));
-      if (answer.succeeded) return std::optional(next);
+      if (answer.succeeded) return std::make_optional(next);
       const bool lost = answer.reads.empty() || answer.reads.front().value != ticket_->holding;
       if (lost) {
         Forget();
