--- a/libs/daemon/src/engine_monitor.cc
+++ b/libs/daemon/src/engine_monitor.cc
@@ -77,9 +77,16 @@
 }
 
 bool EngineMonitor::FirstSyncDone() const {
-  const std::lock_guard lock(mutex_);
   if (!options_.events) return true;
-  return std::ranges::all_of(follows_, [](const auto& entry) { return entry.second.synced_once; });
+  // Asked of the router's rows, not of those followed so far: before the first
+  // Poll nothing is followed yet.
+  const std::vector<BackendState> rows = router_.Rows();
+  const std::lock_guard lock(mutex_);
+  return std::ranges::all_of(rows, [&](const BackendState& row) {
+    if (!row.present || !row.server.is_engine()) return true;
+    const auto found = follows_.find(row.server.id);
+    return found != follows_.end() && found->second.synced_once;
+  });
 }
 
 void EngineMonitor::StartPoll(const BackendId& engine, Follow& follow) {
--- a/libs/daemon/test/engine_monitor-test.cc
+++ b/libs/daemon/test/engine_monitor-test.cc
@@ -67,6 +67,10 @@
   BOOST_TEST(router.picture_size() == 2U);
 }
 
+BOOST_FIXTURE_TEST_CASE(the_first_sync_is_not_done_before_the_first_poll, Fixture) {
+  BOOST_TEST(!monitor->FirstSyncDone());
+}
+
 BOOST_FIXTURE_TEST_CASE(late_events_and_lists_of_an_earlier_incarnation_are_ignored, Fixture) {
   Events("i1", json::array());
   Events("i1", json::array({Event(1, "stored", "a")}));
