--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -34,11 +34,16 @@
   kIdempotencyMismatch = 1006,
   kIdempotencyInProgress = 1007,
   kNotFound = 1008,
+  kHeaderTooLarge = 1009,
+  kRequestTooSlow = 1010,
   // 2xxx: refused by admission; nothing was sent to a backend server.
   kOverloaded = 2001,
   kWorkspaceLimit = 2002,
   kDeadlineUnreachable = 2003,
   kShuttingDown = 2004,
+  kNotReady = 2005,
+  kConfigStale = 2006,
+  kNotStartedInTime = 2007,
   // 3xxx: backend servers.
   kNoBackend = 3001,
   kBackendRefused = 3002,
--- a/libs/kv/src/base64.cc
+++ b/libs/base/src/base64.cc
@@ -1,4 +1,4 @@
-#include "kv/base64.h"
+#include "base/base64.h"
 
 #include <openssl/evp.h>
 
--- /dev/null
+++ b/libs/control/include/control/backend_control.h
@@ -0,0 +1,65 @@
+// The concept of giving an engine orders and asking for its state.
+
+#pragma once
+
+#include <boost/system/result.hpp>
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/ids.h"
+#include "gateway/backend_directory.h"
+#include "gateway/inbound_request.h"
+#include "net/beast.h"
+
+namespace ridgehold {
+
+/// What an engine says of itself; some hundred ms old.
+struct EngineReport {
+  std::map<ModelId, WeightsNumber> weights;
+  bool busy = false;              ///< an order is being carried out
+  std::uint64_t orders_taken = 0;  ///< number of orders accepted since its start
+  std::uint32_t waiting = 0;
+  std::uint32_t running = 0;
+};
+
+/// What happens to running requests when weights are loaded.
+enum class ReloadMode : std::uint8_t {
+  kFinishRuns,    ///< they end first
+  kBreakRuns,     ///< their streams are reset
+  kContinueRuns,  ///< they go on under the new weights
+};
+
+/// An order to load weights.
+struct WeightsLoad {
+  ModelId model;
+  WeightsNumber number;
+  ReloadMode mode = ReloadMode::kFinishRuns;
+  DaemonId holder;
+  std::uint64_t fencing = 0;
+  std::uint64_t expected_orders_taken = 0;  ///< the order is void after any other
+};
+
+/// How an order was received.
+enum class OrderOutcome : std::uint8_t {
+  kStarted,
+  kAlreadyHolds,
+  kConflict,         ///< another order runs, or was taken since the report
+  kFenced,           ///< a holder with a higher fencing token was there
+  kOtherBackend,     ///< the address belongs to another incarnation
+  kInvalid,
+  kUnknown,          ///< no answer: it may be carried out, now or later
+};
+
+/// A client of engines' control calls.
+template <class Control>
+concept BackendControl = requires(Control& control, const BackendEntry& entry,
+                                  const WeightsLoad& load) {
+  { control.Report(entry) } -> std::same_as<net::awaitable<std::optional<EngineReport>>>;
+  { control.Load(entry, load) } -> std::same_as<net::awaitable<OrderOutcome>>;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/control/include/control/fact_sink.h
@@ -0,0 +1,46 @@
+// Takes what the store tells into the gateway's tables.
+
+#pragma once
+
+#include <string>
+
+#include "base/result.h"
+#include "control/own_records.h"
+#include "control/store_contact.h"
+#include "control/stored_fact.h"
+#include "gateway/gateway_state.h"
+
+namespace ridgehold {
+
+/// One line in the log for each change of belief. Not thread-safe.
+class FactSink {
+ public:
+  FactSink(GatewayState& state, OwnRecords& records) : state_(state), records_(records) {}
+
+  /// Takes a decoded fact; `item` is where it came from.
+  void Take(const StoreItem& item, StoredFact fact, TimePoint now);
+
+  /// A key of the gateways' own.
+  void TakeOwn(const StoreItem& item);
+  void RemoveOwn(const std::string& key);
+
+  /// A registration is gone; see BackendDirectory::Remove for `grace`.
+  void RemoveBackend(const BackendId& id, Duration grace, TimePoint now);
+
+  /// All registrations of a full listing.
+  void ReplaceBackends(const std::vector<BackendEntry>& entries, Duration grace, TimePoint now);
+
+  /// A value that cannot be read; nothing else is touched.
+  void Reject(const StoreItem& item, const Failure& failure);
+
+ private:
+  void TakeConfig(const StoreItem& item, RoutingParts parts);
+  void TakeWeights(const WeightsOrder& order, TimePoint now);
+  void TakeBackend(const StoreItem& item, const BackendEntry& entry, TimePoint now);
+  void CountMembers();
+
+  GatewayState& state_;
+  OwnRecords& records_;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/control/include/control/state_follower.h
@@ -0,0 +1,197 @@
+// Keeps a gateway's tables equal to the store: one listing, then a watch.
+
+#pragma once
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "control/fact_sink.h"
+#include "control/state_store.h"
+#include "control/store_contact.h"
+#include "control/stored_fact.h"
+#include "log/log.h"
+
+namespace ridgehold {
+
+/// Runs until Stop on one executor. Any answer that proves what the newest
+/// configuration is also moves GatewayState::confirmed_at.
+template <StateStore Store, FactCodec Codec>
+class StateFollower {
+ public:
+  struct Options {
+    /// An empty watch ends after this long and confirms the configuration; a
+    /// third of the strictest trust in keys, 5 s, leaves room for a lost one.
+    std::chrono::milliseconds watch{1'000};
+    /// Between failed calls; doubled up to the longest.
+    std::chrono::milliseconds first_pause{50};
+    std::chrono::milliseconds longest_pause{400};
+  };
+
+  StateFollower(Store& store, GatewayState& state, OwnRecords& records, Options options)
+      : store_(store),
+        state_(state),
+        records_(records),
+        sink_(state, records),
+        options_(options),
+        timer_(state.executor()) {}
+
+  net::awaitable<void> Run() {
+    while (!stopped_) {
+      if (!listed_ && !co_await ListAll()) {
+        co_await Pause();
+        continue;
+      }
+      co_await WatchOnce();
+    }
+  }
+
+  void Stop() {
+    stopped_ = true;
+    timer_.cancel();
+  }
+
+  /// Whether the store has been read whole once.
+  bool ready() const { return read_once_; }
+  const StoreContact& contact() const { return contact_; }
+
+  /// Whether the tables are being kept current now.
+  bool connected() const { return listed_ && !contact_.failing(); }
+
+ private:
+  net::awaitable<bool> ListAll() {
+    const TimePoint begun = Clock::now();
+    std::vector<StoreItem> items;
+    std::string after;
+    std::optional<StoreRevision> first_revision;
+    for (bool more = true; more;) {
+      const StoreResult<StorePage> page = co_await store_.List("", after);
+      if (page.has_error()) {
+        NoteFault("list", page.error());
+        co_return false;
+      }
+      // Pages are no snapshot; the watch goes on from before the first.
+      if (!first_revision) first_revision = page->revision;
+      items.insert(items.end(), page->items.begin(), page->items.end());
+      more = page->has_more && !page->items.empty();
+      if (more) after = page->items.back().key;
+    }
+    NoteAnswer();
+    TakeListing(items);
+    revision_ = *first_revision;
+    state_.ConfirmSnapshot(begun);
+    listed_ = true;
+    read_once_ = true;
+    co_return true;
+  }
+
+  void TakeListing(const std::vector<StoreItem>& items) {
+    const TimePoint now = Clock::now();
+    std::vector<BackendEntry> backends;
+    records_.Clear();
+    for (const StoreItem& item : items) {
+      if (item.key.starts_with(kOwnPrefix)) {
+        sink_.TakeOwn(item);
+        continue;
+      }
+      Decode(item, [&](StoredFact fact) {
+        if (auto* entry = std::get_if<BackendEntry>(&fact)) backends.push_back(*entry);
+        sink_.Take(item, std::move(fact), now);
+      });
+    }
+    sink_.ReplaceBackends(backends, contact_.GraceForMissing(now), now);
+  }
+
+  net::awaitable<void> WatchOnce() {
+    const TimePoint begun = Clock::now();
+    const StoreResult<WatchAnswer> answer = co_await store_.Watch("", revision_, options_.watch);
+    if (answer.has_error()) {
+      NoteFault("watch", answer.error());
+      if (answer.error() == StoreFault::kHistoryGone) {
+        listed_ = false;
+        co_return;
+      }
+      co_await Pause();
+      co_return;
+    }
+    NoteAnswer();
+    const TimePoint now = Clock::now();
+    for (const StoreEvent& event : answer->events) TakeEvent(event, now);
+    revision_ = std::max(revision_, answer->revision);
+    // An empty watch that lasted its whole time saw nothing until its end.
+    const bool waited = answer->events.empty() && now - begun >= options_.watch;
+    state_.ConfirmSnapshot(waited ? begun + options_.watch : begun);
+  }
+
+  void TakeEvent(const StoreEvent& event, TimePoint now) {
+    if (event.item) {
+      if (event.key.starts_with(kOwnPrefix)) return sink_.TakeOwn(*event.item);
+      return Decode(*event.item,
+                    [&](StoredFact fact) { sink_.Take(*event.item, std::move(fact), now); });
+    }
+    if (event.key.starts_with(kOwnPrefix)) return sink_.RemoveOwn(event.key);
+    if (const auto id = Codec::BackendOf(event.key)) {
+      sink_.RemoveBackend(*id, contact_.GraceForMissing(now), now);
+    }
+  }
+
+  template <class Take>
+  void Decode(const StoreItem& item, Take&& take) {
+    ValueOr(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(fact, Codec::Decode(item));
+          take(std::move(fact));
+          return {};
+        },
+        [&](const Failure& failure) { sink_.Reject(item, failure); });
+  }
+
+  void NoteAnswer() {
+    const TimePoint now = Clock::now();
+    pause_ = options_.first_pause;
+    if (contact_.failing()) {
+      const auto away =
+          std::chrono::duration_cast<std::chrono::milliseconds>(now - contact_.last_answer());
+      Log(LogLevel::kInfo, "store regained", {{"away_ms", std::to_string(away.count())}});
+    }
+    contact_.NoteAnswer(now);
+  }
+
+  void NoteFault(const char* call, StoreFault fault) {
+    state_.metrics().GetCounter("ridgehold_platform_faults").Add();
+    // The store answered; only the history is gone.
+    if (fault == StoreFault::kHistoryGone) {
+      Log(LogLevel::kInfo, "store history gone, listing again",
+          {{"revision", std::to_string(revision_.value())}});
+      return;
+    }
+    if (!contact_.NoteFault()) return;
+    Log(LogLevel::kWarn, "store lost",
+        {{"call", call}, {"fault", std::string(NameOf(fault))}});
+  }
+
+  net::awaitable<void> Pause() {
+    ErrorCode ignored;
+    timer_.expires_after(pause_);
+    pause_ = std::min(pause_ * 2, options_.longest_pause);
+    co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
+  }
+
+  Store& store_;
+  GatewayState& state_;
+  OwnRecords& records_;
+  FactSink sink_;
+  Options options_;
+  net::steady_timer timer_;
+  StoreContact contact_;
+  StoreRevision revision_;
+  std::chrono::milliseconds pause_{50};
+  bool listed_ = false;
+  bool read_once_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/control/src/fact_sink.cc
@@ -0,0 +1,100 @@
+#include "control/fact_sink.h"
+
+#include "log/log.h"
+
+namespace ridgehold {
+namespace {
+
+std::string RevisionText(const StoreItem& item) { return std::to_string(item.revision.value()); }
+
+std::string Milliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+void FactSink::Take(const StoreItem& item, StoredFact fact, TimePoint now) {
+  if (auto* parts = std::get_if<RoutingParts>(&fact)) return TakeConfig(item, std::move(*parts));
+  if (const auto* order = std::get_if<WeightsOrder>(&fact)) return TakeWeights(*order, now);
+  if (const auto* entry = std::get_if<BackendEntry>(&fact)) TakeBackend(item, *entry, now);
+}
+
+void FactSink::TakeConfig(const StoreItem& item, RoutingParts parts) {
+  const std::string version = std::to_string(parts.version.value());
+  ValueOr(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(snapshot, RoutingSnapshot::Create(std::move(parts)));
+        const std::size_t routes = snapshot->routes().size();
+        const bool taken = state_.TakeSnapshot(std::move(snapshot));
+        Log(LogLevel::kInfo, taken ? "configuration taken" : "configuration not newer",
+            {{"config", version},
+             {"routes", std::to_string(routes)},
+             {"store_revision", RevisionText(item)}});
+        return {};
+      },
+      [&](const Failure& failure) { Reject(item, failure); });
+}
+
+void FactSink::TakeWeights(const WeightsOrder& order, TimePoint now) {
+  if (!state_.TakeNamedWeights(order.model, order.number, now)) return;
+  Log(LogLevel::kInfo, "weights named",
+      {{"model", order.model.value()}, {"weights", std::to_string(order.number.value())}});
+}
+
+void FactSink::TakeBackend(const StoreItem& item, const BackendEntry& entry, TimePoint now) {
+  const BackendPtr known = state_.directory().Find(entry.id);
+  const bool is_new = known == nullptr;
+  const bool drains = entry.draining && (is_new || !known->entry.draining);
+  const bool returned = !is_new && known->missing_until.has_value();
+  state_.directory().Put(entry, now);
+  if (!is_new && !drains && !returned) return;
+  Log(LogLevel::kInfo, drains ? "backend drains" : (is_new ? "backend added" : "backend returned"),
+      {{"backend", entry.id.value()},
+       {"service", entry.service.value()},
+       {"address", entry.address},
+       {"zone", entry.zone.value()},
+       {"store_revision", RevisionText(item)}});
+}
+
+void FactSink::TakeOwn(const StoreItem& item) {
+  records_.Put(item);
+  CountMembers();
+}
+
+void FactSink::RemoveOwn(const std::string& key) {
+  records_.Remove(key);
+  CountMembers();
+}
+
+void FactSink::CountMembers() {
+  const std::uint32_t members = std::max(records_.CountMembers(), 1U);
+  if (members == state_.gateways()) return;
+  state_.SetGateways(members);
+  Log(LogLevel::kInfo, "gateways alive", {{"count", std::to_string(members)}});
+}
+
+void FactSink::RemoveBackend(const BackendId& id, Duration grace, TimePoint now) {
+  const BackendPtr known = state_.directory().Find(id);
+  if (!known) return;
+  state_.directory().Remove(id, grace, now);
+  state_.pool().Forget(known->entry.address);
+  Log(LogLevel::kInfo, "backend missing",
+      {{"backend", id.value()},
+       {"address", known->entry.address},
+       {"used_on_for_ms", Milliseconds(grace)}});
+}
+
+void FactSink::ReplaceBackends(const std::vector<BackendEntry>& entries, Duration grace,
+                               TimePoint now) {
+  state_.directory().Replace(entries, grace, now);
+  Log(LogLevel::kInfo, "backends listed",
+      {{"count", std::to_string(entries.size())}, {"missing_used_on_for_ms", Milliseconds(grace)}});
+}
+
+void FactSink::Reject(const StoreItem& item, const Failure& failure) {
+  state_.metrics().GetCounter("ridgehold_malformed_facts").Add();
+  Log(LogLevel::kWarn, "malformed value in the store",
+      {{"key", item.key}, {"store_revision", RevisionText(item)}, {"detail", failure.detail}});
+}
+
+}  // namespace ridgehold
--- a/libs/dispatch/include/dispatch/model_session.h
+++ b/libs/dispatch/include/dispatch/model_session.h
@@ -17,7 +17,7 @@
 #include "config/entities.h"
 #include "dispatch/attempt_state.h"
 #include "dispatch/error_answer.h"
-#include "dispatch/sse.h"
+#include "sse/sse.h"
 #include "dispatch/stream_sequencer.h"
 #include "http/headers.h"
 #include "http/responder.h"
--- a/libs/dispatch/include/dispatch/stream_sequencer.h
+++ b/libs/dispatch/include/dispatch/stream_sequencer.h
@@ -8,7 +8,7 @@
 #include <string_view>
 
 #include "base/ids.h"
-#include "dispatch/sse.h"
+#include "sse/sse.h"
 
 namespace ridgehold {
 
--- a/libs/dispatch/src/idempotency_claim.cc
+++ b/libs/dispatch/src/idempotency_claim.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "kv/base64.h"
+#include "base/base64.h"
 
 namespace ridgehold {
 namespace {
--- a/libs/dispatch/test/stream-test.cc
+++ b/libs/dispatch/test/stream-test.cc
@@ -2,7 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "dispatch/sse.h"
+#include "sse/sse.h"
 #include "dispatch/stream_sequencer.h"
 
 using namespace ridgehold;
--- /dev/null
+++ b/libs/entry/include/entry/entry_instance.h
@@ -0,0 +1,298 @@
+// A whole entry instance: caller server, state from the store, duties, readiness, shutdown.
+
+#pragma once
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "control/held_key.h"
+#include "control/rollout.h"
+#include "control/state_follower.h"
+#include "entry/admin_server.h"
+#include "entry/entry_settings.h"
+#include "gateway/caller_server.h"
+#include "log/log.h"
+#include "metrics/metrics.h"
+
+namespace ridgehold {
+
+/// What an environment must bring: how it spells requests, its store, the
+/// meaning of the store's keys, and control of engines.
+template <class Env>
+concept Environment = WireFormat<typename Env::Wire> && StateStore<typename Env::Store> &&
+                      FactCodec<typename Env::Codec> && BackendControl<typename Env::Control>;
+
+/// Times of an entry instance's own.
+struct EntryTimes {
+  /// A call to the store takes 4 ms, and 0.4 s when the store is slow.
+  std::chrono::milliseconds store_call{1'000};
+  std::chrono::milliseconds control_call{800};
+  /// Part of the trust in keys that is not used, for messages on their way.
+  std::chrono::milliseconds key_margin{300};
+  /// Not ready without news of the configuration for this part of the trust in
+  /// keys: the balancer then takes others before requests must be refused.
+  double ready_part = 0.6;
+  std::chrono::milliseconds duty_ttl{2'000};
+  std::chrono::milliseconds member_ttl{10'000};
+  std::chrono::milliseconds housekeeping{500};
+  /// The balancer asks once a second and needs two misses.
+  std::chrono::milliseconds lame_duck{2'600};
+  /// Left before the process is killed.
+  std::chrono::milliseconds shutdown_margin{700};
+  /// Requests begin on older weights until so long before the limit.
+  std::chrono::milliseconds weights_margin{1'000};
+};
+
+/// Create, Start, then run the executor until `done` is called.
+template <Environment Env>
+class EntryInstance {
+ public:
+  /// Opens the listening sockets. Fails with kInvalidSettings.
+  static Result<std::unique_ptr<EntryInstance>> Create(net::any_io_executor executor,
+                                                       EntrySettings settings, EntryTimes times) {
+    BOOST_LEAF_AUTO(acceptor, Listen(executor, settings.caller_address));
+    std::unique_ptr<EntryInstance> entry(
+        new EntryInstance(executor, std::move(settings), times, std::move(acceptor)));
+    BOOST_LEAF_CHECK(entry->OpenAdmin());
+    return entry;
+  }
+
+  void Start() {
+    net::co_spawn(executor_, follower_.Run(), net::detached);
+    net::co_spawn(executor_, member_.Run(), net::detached);
+    net::co_spawn(executor_, duty_.Run(), net::detached);
+    net::co_spawn(executor_, rollout_.Run(), net::detached);
+    net::co_spawn(executor_, KeepHouse(), net::detached);
+    server_.Start();
+  }
+
+  /// Serves `/metrics` and `/state` on `address:port` too.
+  Result<void> OpenMetrics(const std::string& address) {
+    BOOST_LEAF_ASSIGN(metrics_server_, AdminServer::Create(executor_, address, MetricsPages()));
+    return {};
+  }
+
+  /// Not ready from now on; `done` is called when nothing is left to answer.
+  void BeginShutdown(std::function<void()> done) {
+    if (state_.shutting_down()) return;
+    state_.BeginShutdown();
+    Log(LogLevel::kInfo, "shutting down",
+        {{"in_flight", std::to_string(state_.in_flight())},
+         {"connections", std::to_string(server_.open_connections())}});
+    net::co_spawn(executor_, ShutDown(std::move(done)), net::detached);
+  }
+
+  bool Ready() const {
+    if (state_.shutting_down() || !follower_.ready() || !state_.snapshot()) return false;
+    if (!settings_.strict_revocation) return true;
+    const auto trust = settings_.revocation_limit * times_.ready_part;
+    return Clock::now() - state_.confirmed_at() < trust;
+  }
+
+  GatewayState& state() { return state_; }
+  std::uint16_t caller_port() const { return server_.port(); }
+  std::uint16_t ready_port() const { return admin_->port(); }
+
+ private:
+  EntryInstance(net::any_io_executor executor, EntrySettings settings, EntryTimes times,
+                tcp::acceptor acceptor)
+      : executor_(executor),
+        settings_(std::move(settings)),
+        times_(times),
+        state_(executor, settings_.zone, LimitsOf(settings_, times), metrics_),
+        store_(executor, metrics_, settings_.store_address, times.store_call),
+        follower_(store_, state_, records_, {}),
+        member_(store_, executor, MemberOptions(), [] { return true; }),
+        duty_(store_, executor, DutyOptions(), [this] { return DutyIsFree(); }),
+        control_(state_.pool(), times.control_call),
+        rollout_(control_, duty_, state_, RolloutOptions()),
+        server_(state_, std::move(acceptor), MostConnections(settings_)),
+        timer_(executor) {}
+
+  using Store = typename Env::Store;
+  using Duty = HeldKey<Store>;
+
+  static GatewayLimits LimitsOf(const EntrySettings& settings, const EntryTimes& times) {
+    GatewayLimits limits;
+    if (settings.strict_revocation) {
+      limits.key_trust = settings.revocation_limit - times.key_margin;
+    }
+    limits.older_weights = settings.weights_limit - times.weights_margin;
+    limits.retries = settings.retries;
+    return limits;
+  }
+
+  static std::size_t MostConnections(const EntrySettings& settings) {
+    // Half of the descriptors; the other half is for backend servers and files.
+    return settings.max_descriptors / 2;
+  }
+
+  typename Duty::Options MemberOptions() const {
+    typename Duty::Options options;
+    options.key = kMemberPrefix + settings_.daemon.value();
+    options.value = nlohmann::json{{"zone", settings_.zone.value()},
+                                   {"address", settings_.instance_address}}
+                        .dump();
+    options.ttl = std::max(times_.member_ttl, settings_.least_lease_ttl);
+    options.exclusive = false;
+    return options;
+  }
+
+  typename Duty::Options DutyOptions() const {
+    typename Duty::Options options;
+    options.key = kRolloutHolderKey;
+    options.value = settings_.daemon.value();
+    options.ttl = std::max(times_.duty_ttl, settings_.least_lease_ttl);
+    return options;
+  }
+
+  typename Rollout<typename Env::Control, Store>::Options RolloutOptions() const {
+    typename Rollout<typename Env::Control, Store>::Options options;
+    options.self = settings_.daemon;
+    options.separation = settings_.holder_separation;
+    return options;
+  }
+
+  /// Whether the duty may be applied for: nobody has it as far as is known now.
+  bool DutyIsFree() const {
+    return !state_.shutting_down() && follower_.connected() &&
+           records_.Find(kRolloutHolderKey) == nullptr;
+  }
+
+  Result<void> OpenAdmin() {
+    AdminServer::Pages pages;
+    pages[Env::kReadyPath] = [this] {
+      const bool ready = Ready();
+      return AdminPage{ready ? http::status::ok : http::status::service_unavailable, "text/plain",
+                       ready ? "ready\n" : "not ready\n"};
+    };
+    BOOST_LEAF_ASSIGN(admin_, AdminServer::Create(executor_, settings_.ready_address,
+                                                  std::move(pages)));
+    return {};
+  }
+
+  AdminServer::Pages MetricsPages() {
+    AdminServer::Pages pages;
+    pages["/metrics"] = [this] {
+      state_.metrics().SetGauge("ridgehold_in_flight", "", state_.in_flight());
+      return AdminPage{http::status::ok, "text/plain; version=0.0.4", metrics_.Print()};
+    };
+    pages["/state"] = [this] { return AdminPage{http::status::ok, "application/json", Dump()}; };
+    return pages;
+  }
+
+  std::string Dump() const {
+    nlohmann::json backends = nlohmann::json::array();
+    for (const auto& [id, backend] : state_.directory().all()) {
+      backends.push_back({{"id", id.value()},
+                          {"service", backend->entry.service.value()},
+                          {"address", backend->entry.address},
+                          {"zone", backend->entry.zone.value()},
+                          {"draining", backend->entry.draining},
+                          {"missing", backend->missing_until.has_value()},
+                          {"in_flight", backend->in_flight},
+                          {"failures", backend->failures},
+                          {"error_rate", backend->error_rate}});
+    }
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                                           state_.confirmed_at());
+    return nlohmann::json{
+        {"daemon", settings_.daemon.value()},
+        {"zone", settings_.zone.value()},
+        {"ready", Ready()},
+        {"shutting_down", state_.shutting_down()},
+        {"config", state_.snapshot() ? state_.snapshot()->version().value() : 0},
+        {"config_age_ms", age.count()},
+        {"gateways", state_.gateways()},
+        {"rollout_held", duty_.Held(Clock::now())},
+        {"in_flight", state_.in_flight()},
+        {"connections", server_.open_connections()},
+        {"backends", backends}}
+        .dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
+  }
+
+  net::awaitable<void> KeepHouse() {
+    bool was_ready = false;
+    while (!done_) {
+      const TimePoint now = Clock::now();
+      state_.pool().Sweep(now);
+      for (const BackendId& id : state_.directory().Expire(now)) {
+        Log(LogLevel::kInfo, "backend gone", {{"backend", id.value()}});
+      }
+      if (const bool ready = Ready(); ready != was_ready) {
+        was_ready = ready;
+        LogReadiness(ready, now);
+      }
+      co_await Wait(times_.housekeeping);
+    }
+  }
+
+  void LogReadiness(bool ready, TimePoint now) const {
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.confirmed_at());
+    Log(LogLevel::kInfo, ready ? "ready" : "not ready",
+        {{"config", state_.snapshot() ? std::to_string(state_.snapshot()->version().value()) : ""},
+         {"config_age_ms", std::to_string(age.count())}});
+  }
+
+  net::awaitable<void> ShutDown(std::function<void()> done) {
+    const TimePoint begun = Clock::now();
+    const TimePoint latest = begun + settings_.shutdown_limit - times_.shutdown_margin;
+    net::steady_timer timer(executor_);
+    rollout_.Stop();
+    co_await member_.Release();
+    while (!rollout_.idle() && Clock::now() < begun + times_.lame_duck) {
+      co_await WaitOn(timer, times_.housekeeping / 5);
+    }
+    // Not before the last order is settled.
+    co_await duty_.Release();
+    co_await WaitOn(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
+                               begun + times_.lame_duck - Clock::now()));
+    while (Clock::now() < latest) {
+      server_.CloseIdle();
+      if (state_.in_flight() == 0 && server_.open_connections() == 0) break;
+      co_await WaitOn(timer, times_.housekeeping / 5);
+    }
+    Log(LogLevel::kInfo, "stopped", {{"in_flight", std::to_string(state_.in_flight())}});
+    done_ = true;
+    follower_.Stop();
+    done();
+  }
+
+  net::awaitable<void> Wait(std::chrono::milliseconds time) { co_await WaitOn(timer_, time); }
+
+  static net::awaitable<void> WaitOn(net::steady_timer& timer, std::chrono::milliseconds time) {
+    ErrorCode ignored;
+    timer.expires_after(time);
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+  }
+
+  net::any_io_executor executor_;
+  EntrySettings settings_;
+  EntryTimes times_;
+  Metrics metrics_;
+  mutable GatewayState state_;
+  OwnRecords records_;
+  Store store_;
+  StateFollower<Store, typename Env::Codec> follower_;
+  Duty member_;
+  Duty duty_;
+  typename Env::Control control_;
+  Rollout<typename Env::Control, Store> rollout_;
+  CallerServer<typename Env::Wire> server_;
+  std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<AdminServer> metrics_server_;
+  net::steady_timer timer_;
+  bool done_ = false;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/entry/src/admin_server.cc
@@ -0,0 +1,78 @@
+#include "entry/admin_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "log/log.h"
+
+namespace ridgehold {
+
+Result<tcp::acceptor> Listen(net::any_io_executor executor, const std::string& address) {
+  const tcp::endpoint endpoint = ParseEndpoint(address);
+  tcp::acceptor acceptor(executor);
+  ErrorCode error;
+  acceptor.open(tcp::v4(), error);
+  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(endpoint, error);
+  if (!error) acceptor.listen(net::socket_base::max_listen_connections, error);
+  if (error) {
+    return Fail(ResultCode::kInvalidSettings,
+                "cannot listen on " + address + ": " + error.message());
+  }
+  return acceptor;
+}
+
+Result<std::unique_ptr<AdminServer>> AdminServer::Create(net::any_io_executor executor,
+                                                         const std::string& address, Pages pages) {
+  BOOST_LEAF_AUTO(acceptor, Listen(executor, address));
+  std::unique_ptr<AdminServer> server(new AdminServer(std::move(acceptor), std::move(pages)));
+  net::co_spawn(executor, server->Accept(), net::detached);
+  return server;
+}
+
+net::awaitable<void> AdminServer::Accept() {
+  while (acceptor_.is_open()) {
+    ErrorCode error;
+    tcp::socket socket =
+        co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
+    if (!error) {
+      net::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)), net::detached);
+    } else if (error == net::error::operation_aborted) {
+      co_return;
+    }
+  }
+}
+
+net::awaitable<void> AdminServer::Serve(tcp::socket socket) {
+  boost::beast::flat_buffer buffer;
+  ErrorCode error;
+  while (!error) {
+    RequestMessage request;
+    co_await http::async_read(socket, buffer, request,
+                              net::redirect_error(net::use_awaitable, error));
+    if (error) break;
+    ResponseMessage answer = Answer(request);
+    http::response_serializer<http::string_body> serializer(answer);
+    co_await http::async_write(socket, serializer,
+                               net::redirect_error(net::use_awaitable, error));
+    if (!answer.keep_alive()) break;
+  }
+}
+
+ResponseMessage AdminServer::Answer(const RequestMessage& request) const {
+  const std::string target(request.target());
+  const auto page = pages_.find(target.substr(0, target.find('?')));
+  AdminPage made{http::status::not_found, "text/plain", "not found\n"};
+  if (page != pages_.end()) made = page->second();
+  ResponseMessage answer(made.status, request.version());
+  answer.set(http::field::content_type, made.content_type);
+  answer.keep_alive(request.keep_alive());
+  answer.body() = std::move(made.body);
+  answer.prepare_payload();
+  return answer;
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -0,0 +1,92 @@
+// The backend servers a gateway knows: what they say of themselves and how they fare.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "gateway/inbound_request.h"
+
+namespace ridgehold {
+
+/// What a backend server has registered about itself. Its id is new with each
+/// start, so the id is the incarnation as well.
+struct BackendEntry {
+  BackendId id;
+  ServiceId service;
+  std::string address;
+  ZoneId zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  std::chrono::milliseconds warm_up_left{0};
+  std::map<ModelId, WeightsNumber> weights;
+};
+
+/// One backend server. Requests that run there share it with the directory.
+struct Backend {
+  BackendEntry entry;
+  std::map<ModelId, WeightsNumber> weights;  ///< newest news of any source
+  TimePoint weights_seen{};                  ///< when `weights` was last told by an answer
+  std::optional<TimePoint> missing_until;    ///< registration lapsed; gone from then on
+  bool removed = false;
+
+  std::uint32_t in_flight = 0;       ///< requests of this gateway
+  double unprefilled_tokens = 0;     ///< of requests that have no first event yet
+  TimePoint avoid_until{};           ///< after failures, or while it loads weights
+  std::uint32_t failures = 0;        ///< in a row
+  double error_rate = 0;             ///< moving mean of failed answers
+  std::unordered_map<std::uint64_t, TimePoint> cached_parts;  ///< chain hash, last use
+};
+
+using BackendPtr = std::shared_ptr<Backend>;
+
+/// Not thread-safe; time comes in as a value.
+class BackendDirectory {
+ public:
+  /// Backoff after the first failure; doubled with each further one.
+  static constexpr std::chrono::milliseconds kFirstBackoff{250};
+  static constexpr std::chrono::milliseconds kLongestBackoff{2'000};
+  /// Weight of the newest answer in `error_rate`.
+  static constexpr double kErrorRateStep = 0.15;
+
+  /// A backend server has registered or changed its entry.
+  void Put(const BackendEntry& entry, TimePoint now);
+
+  /// An entry is gone. With `grace` above zero the backend server is used on
+  /// until it has passed, in case the entry comes back.
+  void Remove(const BackendId& id, Duration grace, TimePoint now);
+
+  /// Takes a full list; entries that are not in it are removed with `grace`.
+  void Replace(const std::vector<BackendEntry>& entries, Duration grace, TimePoint now);
+
+  /// Drops what was missing for too long. Returns the ids that were dropped.
+  std::vector<BackendId> Expire(TimePoint now);
+
+  /// Those of `service` that may be given new requests at all.
+  std::vector<BackendPtr> Usable(const ServiceId& service, TimePoint now) const;
+
+  BackendPtr Find(const BackendId& id) const;
+  const std::map<BackendId, BackendPtr>& all() const { return backends_; }
+
+  static void NoteSuccess(Backend& backend);
+  /// The backend server could not be reached or broke off.
+  static void NoteFailure(Backend& backend, TimePoint now);
+  /// It answered, but with a failure of its own.
+  static void NoteErrorAnswer(Backend& backend);
+  /// News of the weights it runs, as of `now`.
+  static void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights,
+                          TimePoint now);
+
+ private:
+  std::map<BackendId, BackendPtr> backends_;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -0,0 +1,103 @@
+// Accepts callers' connections and serves their requests one after the other.
+
+#pragma once
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <set>
+
+#include "gateway/caller_connection.h"
+#include "gateway/exchange.h"
+#include "gateway/gateway_state.h"
+#include "gateway/refusal.h"
+#include "gateway/wire_format.h"
+#include "log/log.h"
+
+namespace ridgehold {
+
+/// Runs on one executor; outlives its connections there.
+template <WireFormat Wire>
+class CallerServer {
+ public:
+  /// Connections beyond `most_connections` are closed at once, so that
+  /// descriptors for backend servers are left.
+  CallerServer(GatewayState& state, tcp::acceptor acceptor, std::size_t most_connections)
+      : state_(state), acceptor_(std::move(acceptor)), most_connections_(most_connections) {}
+
+  void Start() { net::co_spawn(state_.executor(), Accept(), net::detached); }
+
+  /// Accepts no more.
+  void Stop() {
+    ErrorCode ignored;
+    acceptor_.close(ignored);
+  }
+
+  /// Closes connections that carry no request now.
+  void CloseIdle() {
+    const auto open = connections_;
+    for (const auto& connection : open) connection->CloseIfIdle();
+  }
+
+  std::size_t open_connections() const { return connections_.size(); }
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  using ConnectionPtr = std::shared_ptr<CallerConnection>;
+
+  net::awaitable<void> Accept() {
+    while (acceptor_.is_open()) {
+      ErrorCode error;
+      tcp::socket socket =
+          co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
+      if (!acceptor_.is_open()) co_return;
+      if (error) {
+        Log(LogLevel::kWarn, "accept failed", {{"detail", error.message()}});
+        continue;
+      }
+      if (connections_.size() >= most_connections_) {
+        state_.metrics().GetCounter("ridgehold_connections_refused").Add();
+        continue;
+      }
+      net::co_spawn(state_.executor(), Serve(CallerConnection::Create(std::move(socket))),
+                    net::detached);
+    }
+  }
+
+  net::awaitable<void> Serve(ConnectionPtr connection) {
+    connections_.insert(connection);
+    while (connection->KeepsOpen()) {
+      const CallerLimits limits = state_.snapshot() ? state_.snapshot()->limits() : CallerLimits{};
+      const ReadOutcome outcome = co_await connection->Read(limits);
+      if (outcome.kind == ReadOutcome::Kind::kClosed) break;
+      if (outcome.kind == ReadOutcome::Kind::kRefused) {
+        co_await RefuseUnread(connection, outcome.failure);
+        break;
+      }
+      const auto exchange = Exchange<Wire>::Create(state_, connection);
+      co_await exchange->Run();
+    }
+    connection->Abort();
+    connections_.erase(connection);
+  }
+
+  net::awaitable<void> RefuseUnread(ConnectionPtr connection, Failure failure) {
+    state_.metrics()
+        .GetCounter("ridgehold_requests",
+                    "code=\"" + std::string(Describe(failure.code).name) + "\"")
+        .Add();
+    Log(LogLevel::kWarn, "request not read",
+        {{"code", std::string(Describe(failure.code).name)}, {"detail", failure.detail}});
+    ResponseMessage answer = MakeRefusal(failure, RequestId());
+    co_await connection->Send(std::move(answer), true);
+  }
+
+  GatewayState& state_;
+  tcp::acceptor acceptor_;
+  std::size_t most_connections_;
+  std::set<ConnectionPtr> connections_;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/include/gateway/exchange.h
@@ -0,0 +1,330 @@
+// One caller's request from the first look at it to the end of its answer.
+
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "gateway/attempt_policy.h"
+#include "gateway/caller_connection.h"
+#include "gateway/event_relay.h"
+#include "gateway/exchange_plan.h"
+#include "gateway/gateway_state.h"
+#include "gateway/refusal.h"
+#include "gateway/request_log.h"
+#include "gateway/wire_format.h"
+
+namespace ridgehold {
+
+/// Sends the request to backend servers, one after the other, until it is
+/// answered. Keeps itself and the caller's connection alive. Never sends a
+/// request that may not run twice after an attempt that may have run.
+template <WireFormat Wire>
+class Exchange : public std::enable_shared_from_this<Exchange<Wire>> {
+ public:
+  static std::shared_ptr<Exchange> Create(GatewayState& state,
+                                          std::shared_ptr<CallerConnection> caller) {
+    return std::shared_ptr<Exchange>(new Exchange(state, std::move(caller)));
+  }
+
+  /// Answers the request that `caller` has read.
+  net::awaitable<void> Run() {
+    auto self = this->shared_from_this();
+    state_.RequestBegan();
+    co_await Answer();
+    state_.RequestEnded();
+    LogRequest(state_, record_);
+  }
+
+ private:
+  /// One attempt while it runs.
+  struct Attempt {
+    BackendPtr backend;
+    std::shared_ptr<OutboundConnection> connection;
+    AnswerHead head;
+    ResponseHead caller_head;
+    std::string body;
+    bool prefilled = false;
+  };
+
+  Exchange(GatewayState& state, std::shared_ptr<CallerConnection> caller)
+      : state_(state), caller_(std::move(caller)), relay_(std::nullopt) {}
+
+  net::awaitable<void> Answer() {
+    std::optional<Failure> failure = Decode();
+    if (!failure) failure = Plan();
+    if (failure) {
+      co_await Refuse(std::move(*failure), kDefaultRetryAfter);
+      co_return;
+    }
+    state_.retries().Earn(plan_.service);
+    caller_->WatchCaller([self = this->shared_from_this()] { self->OnCallerGone(); });
+    NextStep step = NextStep::kTryAgain;
+    while (step == NextStep::kTryAgain) step = co_await TryOnce();
+    co_await Finish(step);
+  }
+
+  std::optional<Failure> Decode() {
+    std::optional<Failure> failure;
+    ValueOr(
+        [&]() -> Result<void> {
+          BOOST_LEAF_ASSIGN(inbound_, Wire::ReadRequest(caller_->head(), Clock::now()));
+          return {};
+        },
+        [&](const Failure& fault) { failure = fault; });
+    record_.request = inbound_.id;
+    record_.received = inbound_.received;
+    return failure;
+  }
+
+  std::optional<Failure> Plan() {
+    std::optional<Failure> failure;
+    ValueOr(
+        [&]() -> Result<void> {
+          BOOST_LEAF_ASSIGN(plan_, PlanExchange(state_, inbound_, Clock::now()));
+          return {};
+        },
+        [&](const Failure& fault) { failure = fault; });
+    if (failure) return failure;
+    record_.route = plan_.route->id;
+    record_.service = plan_.service;
+    if (plan_.workspace != nullptr) record_.workspace = plan_.workspace->id;
+    relay_ = EventRelay(inbound_.resume_after);
+    facts_.may_repeat = plan_.route->MayRepeat();
+    facts_.max_runs = plan_.route->max_attempts;
+    return std::nullopt;
+  }
+
+  /// Makes one attempt and decides what follows.
+  net::awaitable<NextStep> TryOnce() {
+    attempt_ = Attempt{};
+    const auto choice = ChooseFor(state_, plan_, inbound_, tried_, Clock::now());
+    if (!choice) {
+      last_code_ = ResultCode::kNoBackend;
+      co_return StepWithoutRetry(facts_);
+    }
+    attempt_.backend = choice->backend;
+    ++facts_.sends;
+    record_.backend = attempt_.backend->entry.id;
+    ++record_.attempts;
+    BeginLoad(*attempt_.backend, *choice);
+    const AttemptEnd end = co_await RunAttempt(*choice);
+    EndLoad(*attempt_.backend, *choice);
+    co_return Judge(end);
+  }
+
+  net::awaitable<AttemptEnd> RunAttempt(const BackendChoice& choice) {
+    const std::string address = attempt_.backend->entry.address;
+    Checkout checkout = co_await state_.pool().Acquire(address, plan_.answer_by);
+    if (checkout.fault != ExchangeFault::kNone) co_return EndOf(checkout.fault);
+    attempt_.connection = checkout.connection;
+    if (caller_->caller_gone()) {
+      state_.pool().Release(address, attempt_.connection);
+      co_return AttemptEnd::kCallerGone;
+    }
+    AttemptDirectives directives = DirectivesFor(state_, plan_, choice, Clock::now());
+    directives.resume_after = relay_.last_event();
+    attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
+    AttemptEnd end = co_await ReadAnswer();
+    state_.pool().Release(address, std::move(attempt_.connection));
+    co_return end;
+  }
+
+  /// Reads heads until one belongs to this request; answers to others are skipped.
+  net::awaitable<AttemptEnd> ReadAnswer() {
+    relay_.StartAttempt();
+    for (int foreign = 0; foreign <= OutboundConnection::kMostForeignAnswers; ++foreign) {
+      const TimePoint limit = HeadLimit(state_, plan_, facts_, Clock::now());
+      ExchangeFault fault = co_await attempt_.connection->ReadHead(limit);
+      if (fault != ExchangeFault::kNone) co_return EndOf(fault);
+      attempt_.head = Wire::ReadAnswerHead(attempt_.connection->head());
+      if (attempt_.head.request == inbound_.id) co_return co_await ReadOwnAnswer();
+      if (!IsOlderAnswer(attempt_.head)) break;
+      std::string skipped;
+      fault = co_await attempt_.connection->ReadWholeBody(
+          skipped, state_.limits().max_answer_bytes, plan_.answer_by);
+      if (fault != ExchangeFault::kNone) co_return EndOf(fault);
+    }
+    last_code_ = ResultCode::kForeignAnswer;
+    attempt_.connection->Cancel();
+    co_return AttemptEnd::kBroken;
+  }
+
+  net::awaitable<AttemptEnd> ReadOwnAnswer() {
+    LearnFromHead(*attempt_.backend, inbound_, attempt_.head, Clock::now());
+    attempt_.caller_head = Wire::MakeCallerHead(attempt_.connection->head());
+    if (!IsAcceptable(attempt_.head)) {
+      last_code_ = ResultCode::kForeignAnswer;
+      attempt_.connection->Cancel();
+      co_return AttemptEnd::kBroken;
+    }
+    const bool streams = plan_.route->kind == RouteKind::kStream && attempt_.head.event_stream &&
+                         IsSuccess(attempt_.head.status);
+    if (streams) co_return co_await RelayStream();
+    const ExchangeFault fault = co_await attempt_.connection->ReadWholeBody(
+        attempt_.body, state_.limits().max_answer_bytes, plan_.answer_by);
+    co_return fault == ExchangeFault::kNone ? AttemptEnd::kAnswered : EndOf(fault);
+  }
+
+  net::awaitable<AttemptEnd> RelayStream() {
+    std::string bytes;
+    while (!attempt_.connection->BodyDone()) {
+      bytes.clear();
+      const TimePoint limit = EventLimit(plan_, facts_, relay_.passed_any(), Clock::now());
+      const ExchangeFault fault = co_await attempt_.connection->ReadBody(bytes, limit);
+      const std::string events = relay_.Take(bytes);
+      if (!events.empty() && !co_await PassOn(events)) co_return AttemptEnd::kCallerGone;
+      if (fault != ExchangeFault::kNone) co_return EndOf(fault);
+    }
+    if (relay_.incomplete()) co_return AttemptEnd::kBroken;
+    if (!begun_ && !co_await BeginAnswer()) co_return AttemptEnd::kCallerGone;
+    co_await caller_->EndStream();
+    co_return AttemptEnd::kStreamed;
+  }
+
+  net::awaitable<bool> PassOn(std::string events) {
+    NotePrefilled();
+    if (!begun_ && !co_await BeginAnswer()) co_return false;
+    co_return co_await caller_->WriteChunk(std::move(events));
+  }
+
+  net::awaitable<bool> BeginAnswer() {
+    begun_ = true;
+    facts_.stream_begun = true;
+    record_.status = attempt_.head.status;
+    record_.first_event = Clock::now();
+    co_return co_await caller_->BeginStream(attempt_.caller_head, state_.shutting_down());
+  }
+
+  /// The engine has made its first event, so the prompt is read.
+  void NotePrefilled() {
+    if (std::exchange(attempt_.prefilled, true)) return;
+    attempt_.backend->unprefilled_tokens -= load_.tokens;
+    load_.tokens = 0;
+  }
+
+  void BeginLoad(Backend& backend, const BackendChoice& choice) {
+    ++backend.in_flight;
+    load_.tokens = choice.tokens_to_read;
+    backend.unprefilled_tokens += load_.tokens;
+    if (plan_.chain) RememberParts(backend, *plan_.chain, Clock::now());
+  }
+
+  void EndLoad(Backend& backend, const BackendChoice& /*choice*/) {
+    --backend.in_flight;
+    backend.unprefilled_tokens -= load_.tokens;
+    load_.tokens = 0;
+  }
+
+  AttemptEnd EndOf(ExchangeFault fault) {
+    switch (fault) {
+      case ExchangeFault::kNotSent:
+        last_code_ = ResultCode::kBackendUnreachable;
+        return AttemptEnd::kNotSent;
+      case ExchangeFault::kTimedOut:
+        last_code_ = ResultCode::kBackendTimeout;
+        return AttemptEnd::kTimedOut;
+      case ExchangeFault::kCancelled:
+        if (caller_->caller_gone()) return AttemptEnd::kCallerGone;
+        break;
+      case ExchangeFault::kNone:
+      case ExchangeFault::kBroken:
+        break;
+    }
+    last_code_ = ResultCode::kBackendBroken;
+    return AttemptEnd::kBroken;
+  }
+
+  NextStep Judge(AttemptEnd end) {
+    facts_.end = end;
+    facts_.status = end == AttemptEnd::kAnswered ? attempt_.head.status : 0;
+    facts_.not_executed = end == AttemptEnd::kAnswered && attempt_.head.not_executed;
+    facts_.has_signature = attempt_.head.has_signature;
+    if (end == AttemptEnd::kAnswered) last_code_ = ResultCode::kBackendRefused;
+    if (!ProvesNotRun(facts_)) {
+      facts_.may_have_run = true;
+      ++facts_.runs;
+    }
+    const TimePoint now = Clock::now();
+    facts_.time_left = plan_.answer_by - now > state_.limits().least_time;
+    NoteOutcome(*attempt_.backend, facts_, now);
+    tried_.insert(attempt_.backend->entry.id);
+    NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(facts_);
+    const bool arrived = end != AttemptEnd::kNotSent;
+    if (step == NextStep::kTryAgain && arrived && !state_.retries().Spend(plan_.service)) {
+      record_.out_of_retries = true;
+      step = StepWithoutRetry(facts_);
+    }
+    if (step != NextStep::kDone && step != NextStep::kDeliver) {
+      LogAttempt(state_, record_, *attempt_.backend, facts_, last_code_, step);
+    }
+    return step;
+  }
+
+  net::awaitable<void> Finish(NextStep step) {
+    switch (step) {
+      case NextStep::kDone:
+      case NextStep::kTryAgain:
+        record_.code = caller_->caller_gone() ? ResultCode::kCallerGone : ResultCode::kOk;
+        break;
+      case NextStep::kDeliver:
+        co_await Deliver();
+        break;
+      case NextStep::kRefuse:
+        co_await Refuse({NotRunCode(last_code_, facts_), ""}, RetryAfterFor(state_, plan_));
+        break;
+      case NextStep::kFail:
+        co_await Refuse({FailedCode(last_code_), ""}, kDefaultRetryAfter);
+        break;
+      case NextStep::kBreakOff:
+        record_.code = ResultCode::kStreamLost;
+        caller_->Abort();
+        break;
+    }
+  }
+
+  net::awaitable<void> Deliver() {
+    record_.code = ResultCode::kOk;
+    record_.status = attempt_.head.status;
+    ResponseMessage answer(std::move(attempt_.caller_head), std::move(attempt_.body));
+    if (caller_->request().method() != http::verb::head) answer.prepare_payload();
+    co_await caller_->Send(std::move(answer), state_.shutting_down());
+  }
+
+  net::awaitable<void> Refuse(Failure failure, std::chrono::milliseconds retry_after) {
+    record_.code = failure.code;
+    ResponseMessage answer = MakeRefusal(failure, inbound_.id, retry_after);
+    record_.status = static_cast<int>(answer.result_int());
+    record_.detail = failure.detail;
+    co_await caller_->Send(std::move(answer), state_.shutting_down());
+  }
+
+  /// A call that may not run again is left to end by itself.
+  void OnCallerGone() {
+    const bool worth_ending = plan_.route->kind != RouteKind::kUnsafe;
+    if (worth_ending && attempt_.connection) attempt_.connection->Cancel();
+  }
+
+  struct Load {
+    double tokens = 0;  ///< counted as not yet read at the backend server
+  };
+
+  GatewayState& state_;
+  std::shared_ptr<CallerConnection> caller_;
+  InboundRequest inbound_;
+  ExchangePlan plan_;
+  EventRelay relay_;
+  AttemptFacts facts_;
+  Attempt attempt_;
+  Load load_;
+  std::set<BackendId> tried_;
+  ResultCode last_code_ = ResultCode::kNoBackend;
+  RequestRecord record_;
+  bool begun_ = false;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -0,0 +1,85 @@
+// The decisions of an exchange that need no connection: admission, choice, limits, what is learned.
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/result.h"
+#include "gateway/attempt_messages.h"
+#include "gateway/attempt_policy.h"
+#include "gateway/gateway_state.h"
+#include "gateway/inbound_request.h"
+#include "gateway/placement.h"
+
+namespace ridgehold {
+
+/// How a request will be handled, under one version of the configuration.
+struct ExchangePlan {
+  std::shared_ptr<const RoutingSnapshot> snapshot;  ///< keeps what follows alive
+  const RouteRule* route = nullptr;
+  const WorkspaceRule* workspace = nullptr;  ///< null on public routes
+  ServiceId service;
+  TimePoint received{};
+  TimePoint answer_by{};  ///< the caller's limit or the route's, whichever is first
+  std::optional<int> priority;
+  std::string cache_scope;  ///< who may share cache entries, without the weights
+  std::optional<PromptChain> chain;  ///< under the newest weights
+};
+
+/// The backend server an attempt goes to.
+struct BackendChoice {
+  BackendPtr backend;
+  double tokens_to_read = 0;  ///< prompt tokens expected not to be cached there
+  std::optional<WeightsNumber> weights;
+};
+
+/// Checks route, key and freshness. Fails with the code to answer.
+Result<ExchangePlan> PlanExchange(const GatewayState& state, const InboundRequest& request,
+                                  TimePoint now);
+
+/// Chooses a backend server; those in `tried` only when nothing else is left
+/// and none of them may have run the request. Nothing: none can take it.
+std::optional<BackendChoice> ChooseFor(GatewayState& state, const ExchangePlan& plan,
+                                       const InboundRequest& request,
+                                       const std::set<BackendId>& tried, TimePoint now);
+
+/// What the attempt tells the backend server.
+AttemptDirectives DirectivesFor(const GatewayState& state, const ExchangePlan& plan,
+                                const BackendChoice& choice, TimePoint now);
+
+/// Until when to wait for an answer's head.
+TimePoint HeadLimit(const GatewayState& state, const ExchangePlan& plan, const AttemptFacts& facts,
+                    TimePoint now);
+
+/// Until when to wait for the next bytes of a stream.
+TimePoint EventLimit(const ExchangePlan& plan, const AttemptFacts& facts, bool passed_any,
+                     TimePoint now);
+
+bool IsSuccess(int status);
+
+/// Whether the head can be of this request's true answer.
+bool IsAcceptable(const AnswerHead& head);
+
+/// Whether the head is of an answer to an earlier request on the connection.
+bool IsOlderAnswer(const AnswerHead& head);
+
+/// Takes what an answer's head tells of the backend server.
+void LearnFromHead(Backend& backend, const InboundRequest& request, const AnswerHead& head,
+                   TimePoint now);
+
+/// Takes what an attempt's outcome tells of the backend server.
+void NoteOutcome(Backend& backend, const AttemptFacts& facts, TimePoint now);
+
+/// The code of a request that has not run.
+ResultCode NotRunCode(ResultCode last, const AttemptFacts& facts);
+
+/// The code of a request that may have run.
+ResultCode FailedCode(ResultCode last);
+
+/// When a refused caller should come back.
+std::chrono::milliseconds RetryAfterFor(const GatewayState& state, const ExchangePlan& plan);
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -0,0 +1,135 @@
+// What the sessions of one gateway share: configuration, backend servers, budgets, freshness.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/ids.h"
+#include "gateway/backend_directory.h"
+#include "gateway/placement.h"
+#include "gateway/retry_allowance.h"
+#include "gateway/routing_snapshot.h"
+#include "metrics/metrics.h"
+#include "net/connection_pool.h"
+
+namespace ridgehold {
+
+/// The newest weights of a model and when this gateway learned of them.
+struct NamedWeights {
+  WeightsNumber number;
+  TimePoint named_at{};
+};
+
+/// Bounds a gateway keeps; from the platform's settings and its own.
+struct GatewayLimits {
+  /// A key may be trusted this long after the configuration was last known to
+  /// be the newest; none: for ever.
+  std::optional<std::chrono::milliseconds> key_trust;
+  /// Requests begin on older weights at most this long after newer were named.
+  std::chrono::milliseconds older_weights{10'000};
+  RetryBound retries;
+  /// Whole answers larger than this are not kept.
+  std::size_t max_answer_bytes = std::size_t{16} << 20;
+  /// A repeatable call without an answer's head for this many objectives is
+  /// tried elsewhere.
+  double patience_objectives = 3;
+  /// The same for resumable streams, which may wait in a queue.
+  double stream_patience_objectives = 5;
+  /// An attempt needs at least this much time to be worth making.
+  std::chrono::milliseconds least_time{30};
+};
+
+/// Lives on one executor; not thread-safe. Outlives all sessions.
+class GatewayState {
+ public:
+  GatewayState(net::any_io_executor executor, ZoneId zone, GatewayLimits limits, Metrics& metrics)
+      : executor_(executor),
+        zone_(std::move(zone)),
+        limits_(limits),
+        metrics_(metrics),
+        pool_(executor, ConnectionPool::Options{}),
+        retries_(limits.retries) {}
+
+  net::any_io_executor executor() const { return executor_; }
+  const ZoneId& zone() const { return zone_; }
+  const GatewayLimits& limits() const { return limits_; }
+  const PlacementWeights& weights() const { return placement_weights_; }
+  Metrics& metrics() { return metrics_; }
+  ConnectionPool& pool() { return pool_; }
+  BackendDirectory& directory() { return directory_; }
+  RetryAllowance& retries() { return retries_; }
+
+  const std::shared_ptr<const RoutingSnapshot>& snapshot() const { return snapshot_; }
+
+  /// Takes a newer configuration; returns false for one that is not newer.
+  bool TakeSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
+    if (snapshot_ && snapshot->version() <= snapshot_->version()) return false;
+    snapshot_ = std::move(snapshot);
+    return true;
+  }
+
+  /// The configuration was the newest one at `moment`.
+  void ConfirmSnapshot(TimePoint moment) { confirmed_at_ = std::max(confirmed_at_, moment); }
+  TimePoint confirmed_at() const { return confirmed_at_; }
+
+  /// Whether a key's holder is certain enough at `now`.
+  bool MayTrustKeys(TimePoint now) const {
+    return !limits_.key_trust || now - confirmed_at_ < *limits_.key_trust;
+  }
+
+  /// Weights named by the operator; older numbers than known are ignored.
+  /// Returns whether they are news.
+  bool TakeNamedWeights(const ModelId& model, WeightsNumber number, TimePoint now) {
+    NamedWeights& known = named_weights_[model];
+    if (number <= known.number) return false;
+    known = {number, now};
+    return true;
+  }
+  const std::map<ModelId, NamedWeights>& named_weights() const { return named_weights_; }
+  std::optional<NamedWeights> NewestWeights(const ModelId& model) const {
+    const auto found = named_weights_.find(model);
+    return found == named_weights_.end() ? std::nullopt : std::optional(found->second);
+  }
+
+  /// Gateways that are alive, this one included.
+  std::uint32_t gateways() const { return gateways_; }
+  void SetGateways(std::uint32_t gateways) {
+    gateways_ = std::max(gateways, 1U);
+    retries_.SetGateways(gateways_);
+  }
+
+  bool shutting_down() const { return shutting_down_; }
+  void BeginShutdown() { shutting_down_ = true; }
+
+  std::uint32_t in_flight() const { return in_flight_; }
+  void RequestBegan() { ++in_flight_; }
+  void RequestEnded() { --in_flight_; }
+
+  /// Where each backend server is picked from among equals.
+  std::uint64_t NextSequence() { return ++sequence_; }
+
+ private:
+  net::any_io_executor executor_;
+  ZoneId zone_;
+  GatewayLimits limits_;
+  PlacementWeights placement_weights_;
+  Metrics& metrics_;
+  ConnectionPool pool_;
+  BackendDirectory directory_;
+  RetryAllowance retries_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  TimePoint confirmed_at_{};
+  std::map<ModelId, NamedWeights> named_weights_;
+  std::uint32_t gateways_ = 1;
+  std::uint32_t in_flight_ = 0;
+  std::uint64_t sequence_ = 0;
+  bool shutting_down_ = false;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/include/gateway/placement.h
@@ -0,0 +1,73 @@
+// Chooses the backend server for a request: shared prompt parts, work ahead, distance.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "gateway/backend_directory.h"
+#include "gateway/inbound_request.h"
+
+namespace ridgehold {
+
+/// A prompt's shared parts as a chain: each hash stands for a part and all before it.
+struct PromptChain {
+  struct Link {
+    std::uint64_t hash = 0;
+    std::uint32_t tokens_up_to = 0;  ///< of this part and all before it
+  };
+  std::vector<Link> links;          ///< without the request's own last part
+  std::uint32_t prompt_tokens = 0;  ///< of the whole prompt
+
+  /// `scope` keeps chains apart that may not share cache entries.
+  static PromptChain Of(const GenerationRequest& request, std::string_view scope);
+};
+
+/// Figures the choice weighs; each in milliseconds unless it says otherwise.
+struct PlacementWeights {
+  /// Speed of an engine until a measured one is at hand.
+  double prefill_tokens_per_ms = 50;
+  /// What a request that runs already adds to the wait for a first event.
+  double per_running_request = 0.6;
+  /// A round trip to another zone, and the price of bytes between zones.
+  double other_zone = 6;
+  /// What a call to a plain service adds to the wait of the next one.
+  double per_running_call = 20;
+  /// How much a backend server whose answers all fail is worse than others.
+  double failing = 400;
+  /// How much older weights are worse than the newest, once those are old news.
+  double older_weights = 60;
+  /// Parts not used for this long are taken for evicted.
+  std::chrono::milliseconds cache_life{10'000};
+};
+
+/// What the choice is made for.
+struct PlacementQuery {
+  ZoneId own_zone;
+  const PromptChain* chain = nullptr;  ///< null for calls of plain services
+  std::optional<WeightsNumber> newest_weights;
+  ModelId model;
+  std::uint32_t gateways = 1;  ///< that send to the same backend servers
+  std::uint64_t tie_break = 0;
+  TimePoint now{};
+};
+
+/// The chosen one and why.
+struct Placement {
+  std::size_t index = 0;
+  double cost = 0;               ///< milliseconds it is expected to take, with prices
+  std::uint32_t cached_tokens = 0;  ///< expected to be found in its cache
+};
+
+/// Returns the cheapest of `candidates`, which are never none. Pure.
+Placement ChooseBackend(const PlacementQuery& query, std::span<const BackendPtr> candidates,
+                        const PlacementWeights& weights);
+
+/// Notes that `backend` will hold the chain's parts.
+void RememberParts(Backend& backend, const PromptChain& chain, TimePoint now);
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -0,0 +1,140 @@
+// What the operator's configuration says, as of one version: routes, services, workspaces, limits.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+
+namespace ridgehold {
+
+/// The operator's number of a configuration; rises, not always by one.
+using ConfigVersion = Strong<struct ConfigVersionTag, std::uint64_t>;
+
+/// What may be repeated on a route.
+enum class RouteKind : std::uint8_t {
+  kSafe,    ///< may run more than once
+  kUnsafe,  ///< may run at most once
+  kStream,  ///< answers with events; like kUnsafe unless resumable
+};
+
+/// One of the services that a route's requests are spread over.
+struct WeightedTarget {
+  ServiceId service;
+  std::uint32_t weight = 1;
+};
+
+/// How requests of a host and path prefix are handled.
+struct RouteRule {
+  RuleId id;
+  std::string host;         ///< lower case, without a port
+  std::string path_prefix;  ///< begins and ends with a slash
+  RouteKind kind = RouteKind::kSafe;
+  std::chrono::milliseconds timeout{0};          ///< the longest a request may wait for its answer
+  std::chrono::milliseconds latency_objective{0};  ///< streams: until the first event
+  std::chrono::milliseconds pause_objective{0};    ///< streams: between two events
+  int priority = 0;                                ///< 0 is the most urgent
+  std::uint32_t max_attempts = 1;  ///< backend servers that may run one request
+  bool is_public = false;          ///< needs no key
+  bool caches_prompts = false;     ///< requests name the parts of their prompts
+  bool resumable = false;
+  std::vector<WeightedTarget> targets;
+
+  /// Whether a request may run a second time.
+  bool MayRepeat() const {
+    return kind == RouteKind::kSafe || (kind == RouteKind::kStream && resumable);
+  }
+};
+
+/// What the configuration says of the engines of a service.
+struct EngineProfile {
+  std::uint32_t slots = 1;          ///< requests that run at once
+  std::uint64_t cache_tokens = 0;   ///< memory, in tokens
+  std::uint32_t max_event_polls = 0;  ///< waiting polls for cache events, from all callers
+};
+
+/// A store of kept KV cache.
+struct KvCacheStore {
+  std::string address;
+  ZoneId zone;
+};
+
+/// A service that routes name.
+struct ServiceRule {
+  ServiceId id;
+  std::string health_path;
+  std::uint32_t max_connections = 0;  ///< for each of its backend servers, from all callers
+  std::optional<EngineProfile> engine;
+  std::optional<KvCacheStore> kv_store;
+};
+
+/// A workspace and who may act for it.
+struct WorkspaceRule {
+  WorkspaceId id;
+  std::vector<std::string> keys;
+  std::optional<int> priority;  ///< goes before the route's
+  bool isolated = false;        ///< shares no cache entries with other workspaces
+};
+
+/// What a caller may send and how long it may take.
+struct CallerLimits {
+  std::uint32_t max_header_bytes = 16 << 10;
+  std::uint64_t max_body_bytes = 4 << 20;
+  std::chrono::milliseconds header_timeout{3'000};
+  std::chrono::milliseconds idle_timeout{15'000};
+};
+
+/// Everything a configuration holds, in no particular order.
+struct RoutingParts {
+  ConfigVersion version;
+  std::vector<RouteRule> routes;
+  std::vector<ServiceRule> services;
+  std::vector<WorkspaceRule> workspaces;
+  CallerLimits limits;
+};
+
+/// Immutable, so that a request is handled under one version from end to end.
+class RoutingSnapshot {
+ public:
+  /// Fails with kInvalidCommand when a route names a service that is not there
+  /// or two routes have the same host and prefix.
+  static Result<std::shared_ptr<const RoutingSnapshot>> Create(RoutingParts parts);
+
+  /// Returns the route of `host` with the longest prefix that begins `path`, or null.
+  const RouteRule* FindRoute(std::string_view host, std::string_view path) const;
+
+  /// Returns the workspace that holds `key`, or null.
+  const WorkspaceRule* FindWorkspace(const std::string& key) const;
+
+  const ServiceRule* FindService(const ServiceId& id) const;
+
+  ConfigVersion version() const { return parts_.version; }
+  const CallerLimits& limits() const { return parts_.limits; }
+  const std::vector<ServiceRule>& services() const { return parts_.services; }
+  const std::vector<RouteRule>& routes() const { return parts_.routes; }
+  bool has_workspaces() const { return !parts_.workspaces.empty(); }
+
+ private:
+  explicit RoutingSnapshot(RoutingParts parts) : parts_(std::move(parts)) {}
+
+  Result<void> Index();
+
+  RoutingParts parts_;
+  /// Keyed by host, a newline and prefix.
+  std::unordered_map<std::string, std::size_t> routes_;
+  std::unordered_map<std::string, std::size_t> keys_;
+  std::unordered_map<ServiceId, std::size_t> services_;
+};
+
+/// Picks one of a route's services by weight; equal requests get the same one.
+const ServiceId& PickTarget(const RouteRule& route, const RequestId& request);
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/attempt_policy.cc
@@ -0,0 +1,63 @@
+#include "gateway/attempt_policy.h"
+
+namespace ridgehold {
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr int kBadRequest = 400;
+constexpr int kTooManyRequests = 429;
+constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
+constexpr int kFirstError = 400;
+constexpr int kFirstServerError = 500;
+
+/// Statuses by which callers learn that the request did not run.
+bool PromisesNotRun(int status) {
+  return status == kTooManyRequests || status == kServiceUnavailable ||
+         status == kRequestTimeout || status == kMisdirected;
+}
+
+/// Whether another backend server may answer better.
+bool WorthRepeating(const AttemptFacts& facts) {
+  if (facts.end != AttemptEnd::kAnswered) return true;
+  return facts.status >= kFirstServerError || PromisesNotRun(facts.status);
+}
+
+/// Whether the answer may be passed on as it is. A status that promises "not
+/// run" is passed on only where that is proved for all attempts.
+bool Deliverable(const AttemptFacts& facts) {
+  if (facts.end != AttemptEnd::kAnswered || facts.stream_begun) return false;
+  if (facts.status < kFirstError) return facts.has_signature;
+  return !PromisesNotRun(facts.status);
+}
+
+}  // namespace
+
+bool ProvesNotRun(const AttemptFacts& facts) {
+  if (facts.end == AttemptEnd::kNotSent) return true;
+  return facts.end == AttemptEnd::kAnswered && (facts.not_executed || facts.status == kMisdirected);
+}
+
+NextStep DecideNext(const AttemptFacts& facts) {
+  if (facts.end == AttemptEnd::kStreamed || facts.end == AttemptEnd::kCallerGone) {
+    return NextStep::kDone;
+  }
+  const bool not_run = ProvesNotRun(facts);
+  const bool bad_request = not_run && facts.status == kBadRequest;
+  const bool final_answer = Deliverable(facts) && !WorthRepeating(facts);
+  if (final_answer && !not_run) return NextStep::kDeliver;
+  if (bad_request && Deliverable(facts)) return NextStep::kDeliver;
+  const bool runs_left = facts.runs < facts.max_runs && (facts.may_repeat || !facts.may_have_run);
+  const bool sends_left = facts.sends < facts.max_runs + kMostRefusedSends;
+  const bool may_try = facts.time_left && sends_left && runs_left;
+  if (may_try && (not_run || facts.may_repeat) && WorthRepeating(facts)) return NextStep::kTryAgain;
+  return StepWithoutRetry(facts);
+}
+
+NextStep StepWithoutRetry(const AttemptFacts& facts) {
+  if (facts.stream_begun) return NextStep::kBreakOff;
+  if (!facts.may_have_run) return NextStep::kRefuse;
+  return Deliverable(facts) ? NextStep::kDeliver : NextStep::kFail;
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/backend_directory.cc
@@ -0,0 +1,101 @@
+#include "gateway/backend_directory.h"
+
+#include <algorithm>
+
+namespace ridgehold {
+namespace {
+
+// Entries lag answers by a heartbeat of the backend server and its way through the store.
+constexpr std::chrono::milliseconds kEntryLag{2'500};
+
+}  // namespace
+
+void BackendDirectory::Put(const BackendEntry& entry, TimePoint now) {
+  BackendPtr& backend = backends_[entry.id];
+  if (!backend) backend = std::make_shared<Backend>();
+  backend->missing_until.reset();
+  backend->removed = false;
+  const bool answers_are_newer = now - backend->weights_seen < kEntryLag;
+  for (const auto& [model, weights] : entry.weights) {
+    WeightsNumber& known = backend->weights[model];
+    // Weights only move forward; an older number is late news.
+    if (!answers_are_newer || weights > known) known = std::max(known, weights);
+  }
+  backend->entry = entry;
+}
+
+void BackendDirectory::Remove(const BackendId& id, Duration grace, TimePoint now) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  Backend& backend = *found->second;
+  if (grace > Duration::zero()) {
+    if (!backend.missing_until) backend.missing_until = now + grace;
+    return;
+  }
+  backend.removed = true;
+  backends_.erase(found);
+}
+
+void BackendDirectory::Replace(const std::vector<BackendEntry>& entries, Duration grace,
+                               TimePoint now) {
+  std::set<BackendId> listed;
+  for (const BackendEntry& entry : entries) {
+    listed.insert(entry.id);
+    Put(entry, now);
+  }
+  std::vector<BackendId> missing;
+  for (const auto& [id, backend] : backends_) {
+    if (!listed.contains(id)) missing.push_back(id);
+  }
+  for (const BackendId& id : missing) Remove(id, grace, now);
+}
+
+std::vector<BackendId> BackendDirectory::Expire(TimePoint now) {
+  std::vector<BackendId> expired;
+  for (const auto& [id, backend] : backends_) {
+    if (backend->missing_until && now >= *backend->missing_until) expired.push_back(id);
+  }
+  for (const BackendId& id : expired) Remove(id, Duration::zero(), now);
+  return expired;
+}
+
+std::vector<BackendPtr> BackendDirectory::Usable(const ServiceId& service, TimePoint now) const {
+  std::vector<BackendPtr> usable;
+  for (const auto& [id, backend] : backends_) {
+    if (backend->entry.service != service || backend->entry.draining) continue;
+    if (backend->missing_until && now >= *backend->missing_until) continue;
+    usable.push_back(backend);
+  }
+  return usable;
+}
+
+BackendPtr BackendDirectory::Find(const BackendId& id) const {
+  const auto found = backends_.find(id);
+  return found == backends_.end() ? nullptr : found->second;
+}
+
+void BackendDirectory::NoteSuccess(Backend& backend) {
+  backend.failures = 0;
+  backend.error_rate *= 1 - kErrorRateStep;
+}
+
+void BackendDirectory::NoteFailure(Backend& backend, TimePoint now) {
+  const auto doubled = kFirstBackoff * (1U << std::min(backend.failures, 4U));
+  backend.avoid_until = std::max(backend.avoid_until,
+                                 now + std::min<std::chrono::milliseconds>(doubled, kLongestBackoff));
+  ++backend.failures;
+  NoteErrorAnswer(backend);
+}
+
+void BackendDirectory::NoteErrorAnswer(Backend& backend) {
+  backend.error_rate += kErrorRateStep * (1 - backend.error_rate);
+}
+
+void BackendDirectory::NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights,
+                                   TimePoint now) {
+  WeightsNumber& known = backend.weights[model];
+  known = std::max(known, weights);
+  backend.weights_seen = now;
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/caller_connection.cc
@@ -0,0 +1,218 @@
+#include "gateway/caller_connection.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <cerrno>
+
+namespace ridgehold {
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+
+ReadOutcome Refused(ResultCode code, std::string detail = "") {
+  return {ReadOutcome::Kind::kRefused, {code, std::move(detail)}};
+}
+
+ReadOutcome OutcomeOf(const ErrorCode& error) {
+  if (error == http::error::header_limit) return Refused(ResultCode::kHeaderTooLarge);
+  if (error == http::error::body_limit) return Refused(ResultCode::kBodyTooLarge);
+  const bool closed = error == http::error::end_of_stream || error == http::error::partial_message;
+  if (closed || error.category() != http::make_error_code(http::error::bad_method).category()) {
+    return {};
+  }
+  return Refused(ResultCode::kMalformedRequest, error.message());
+}
+
+bool ExpectsContinue(const RequestHead& head) {
+  const auto field = head.find(http::field::expect);
+  return field != head.end() && boost::beast::iequals(field->value(), "100-continue");
+}
+
+}  // namespace
+
+std::shared_ptr<CallerConnection> CallerConnection::Create(tcp::socket socket) {
+  ErrorCode ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  return std::shared_ptr<CallerConnection>(new CallerConnection(std::move(socket)));
+}
+
+CallerConnection::CallerConnection(tcp::socket socket)
+    : socket_(std::move(socket)), limit_timer_(socket_.get_executor()) {}
+
+net::awaitable<ReadOutcome> CallerConnection::Read(CallerLimits limits) {
+  auto self = shared_from_this();
+  idle_ = true;
+  const bool arrived = co_await WaitForRequest(limits.idle_timeout);
+  idle_ = false;
+  if (!arrived) co_return ReadOutcome{};
+  Parser parser;
+  parser.header_limit(limits.max_header_bytes);
+  parser.body_limit(limits.max_body_bytes);
+  const ErrorCode error = co_await ReadHeadAndBody(parser, limits);
+  DisarmLimit();
+  if (timed_out_) co_return Refused(ResultCode::kRequestTooSlow);
+  if (error) co_return OutcomeOf(error);
+  request_ = parser.release();
+  // Fields in a trailer are not fields of the request.
+  if (request_.chunked()) request_.base() = head_;
+  close_after_ = !request_.keep_alive();
+  co_return ReadOutcome{ReadOutcome::Kind::kRequest, {}};
+}
+
+net::awaitable<bool> CallerConnection::WaitForRequest(std::chrono::milliseconds idle_timeout) {
+  if (buffer_.size() > 0) co_return true;
+  ErrorCode error;
+  ArmLimit(idle_timeout);
+  co_await socket_.async_wait(tcp::socket::wait_read,
+                              net::redirect_error(net::use_awaitable, error));
+  DisarmLimit();
+  if (timed_out_) Close();
+  co_return !error && !timed_out_ && socket_.is_open();
+}
+
+net::awaitable<ErrorCode> CallerConnection::ReadHeadAndBody(Parser& parser, CallerLimits limits) {
+  ErrorCode error;
+  ArmLimit(limits.header_timeout);
+  co_await http::async_read_header(socket_, buffer_, parser,
+                                   net::redirect_error(net::use_awaitable, error));
+  if (error) co_return error;
+  head_ = parser.get().base();
+  if (ExpectsContinue(head_)) error = co_await SendContinue();
+  if (error || parser.is_done()) co_return error;
+  ArmLimit(limits.idle_timeout);
+  co_await http::async_read(socket_, buffer_, parser,
+                            net::redirect_error(net::use_awaitable, error));
+  co_return error;
+}
+
+net::awaitable<ErrorCode> CallerConnection::SendContinue() {
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  ErrorCode error;
+  co_await net::async_write(socket_, net::buffer(kContinue),
+                            net::redirect_error(net::use_awaitable, error));
+  co_return error;
+}
+
+void CallerConnection::ArmLimit(std::chrono::milliseconds limit) {
+  const std::uint64_t generation = ++limit_generation_;
+  timed_out_ = false;
+  limit_timer_.expires_after(limit);
+  limit_timer_.async_wait([self = shared_from_this(), generation](const ErrorCode& error) {
+    if (error || generation != self->limit_generation_) return;
+    self->timed_out_ = true;
+    // Pending reads end; the connection itself can still carry the refusal.
+    ErrorCode ignored;
+    self->socket_.cancel(ignored);
+  });
+}
+
+void CallerConnection::DisarmLimit() {
+  ++limit_generation_;
+  limit_timer_.cancel();
+}
+
+void CallerConnection::WatchCaller(std::function<void()> on_gone) {
+  on_gone_ = std::move(on_gone);
+  watching_ = true;
+  const std::uint64_t watch = ++watch_;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this(), watch](const ErrorCode& error) {
+                       self->OnReadable(error, watch);
+                     });
+}
+
+void CallerConnection::OnReadable(const ErrorCode& error, std::uint64_t watch) {
+  if (!watching_ || watch != watch_) return;
+  char byte = 0;
+  const auto read =
+      error ? 0 : ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // More bytes are the next request; it is read when this one is answered.
+  if (read > 0) return;
+  if (read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return WatchCaller(std::move(on_gone_));
+  watching_ = false;
+  caller_gone_ = true;
+  const auto on_gone = std::exchange(on_gone_, nullptr);
+  if (on_gone) on_gone();
+}
+
+void CallerConnection::StopWatching() {
+  if (!std::exchange(watching_, false)) return;
+  on_gone_ = nullptr;
+  ErrorCode ignored;
+  socket_.cancel(ignored);
+}
+
+net::awaitable<bool> CallerConnection::Send(ResponseMessage answer, bool close_after) {
+  auto self = shared_from_this();
+  StopWatching();
+  close_after_ = close_after_ || close_after;
+  answer.version(kHttp11);
+  answer.keep_alive(!close_after_);
+  ErrorCode error;
+  http::response_serializer<http::string_body> serializer(answer);
+  co_await http::async_write(socket_, serializer,
+                             net::redirect_error(net::use_awaitable, error));
+  if (error) Close();
+  co_return !error;
+}
+
+net::awaitable<bool> CallerConnection::BeginStream(ResponseHead head, bool close_after) {
+  auto self = shared_from_this();
+  close_after_ = close_after_ || close_after;
+  http::response<http::empty_body> answer(std::move(head));
+  answer.version(kHttp11);
+  answer.keep_alive(!close_after_);
+  answer.erase(http::field::content_length);
+  answer.chunked(true);
+  http::response_serializer<http::empty_body> serializer(answer);
+  ErrorCode error;
+  co_await http::async_write_header(socket_, serializer,
+                                    net::redirect_error(net::use_awaitable, error));
+  if (error) caller_gone_ = true;
+  co_return !error;
+}
+
+net::awaitable<bool> CallerConnection::WriteChunk(std::string bytes) {
+  auto self = shared_from_this();
+  ErrorCode error;
+  co_await net::async_write(socket_, http::make_chunk(net::const_buffer(bytes.data(), bytes.size())),
+                            net::redirect_error(net::use_awaitable, error));
+  if (error) caller_gone_ = true;
+  co_return !error;
+}
+
+net::awaitable<bool> CallerConnection::EndStream() {
+  auto self = shared_from_this();
+  StopWatching();
+  ErrorCode error;
+  co_await net::async_write(socket_, http::make_chunk_last(),
+                            net::redirect_error(net::use_awaitable, error));
+  if (error) Close();
+  co_return !error;
+}
+
+void CallerConnection::Abort() {
+  StopWatching();
+  Close();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (!idle_ || buffer_.size() > 0 || !socket_.is_open()) return;
+  char byte = 0;
+  const auto read = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // A request that has just arrived is still served.
+  if (read <= 0) Close();
+}
+
+void CallerConnection::Close() {
+  ErrorCode ignored;
+  socket_.shutdown(tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+  limit_timer_.cancel();
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/exchange_plan.cc
@@ -0,0 +1,214 @@
+#include "gateway/exchange_plan.h"
+
+#include <algorithm>
+
+namespace ridgehold {
+namespace {
+
+// A refusal by a full or reloading backend server keeps others from trying it at once.
+constexpr std::chrono::milliseconds kRefusalPause{120};
+// Silence within a stream that no sound engine shows; callers give up after 4 s or more.
+constexpr std::chrono::milliseconds kLongestStreamSilence{3'000};
+// Queue ranks that a request may be given; 0 is first.
+constexpr int kLastQueueRank = 9;
+constexpr int kMisdirected = 421;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kFirstServerError = 500;
+
+std::chrono::milliseconds TimeAllowed(const RouteRule& route, const InboundRequest& request) {
+  if (!request.time_limit) return route.timeout;
+  if (route.timeout.count() <= 0) return *request.time_limit;
+  return std::min(route.timeout, *request.time_limit);
+}
+
+Result<const WorkspaceRule*> Authorize(const GatewayState& state, const RoutingSnapshot& snapshot,
+                                       const RouteRule& route, const InboundRequest& request,
+                                       TimePoint now) {
+  if (route.is_public || !snapshot.has_workspaces()) return nullptr;
+  if (!state.MayTrustKeys(now)) return Fail(ResultCode::kConfigStale, "");
+  const WorkspaceRule* workspace = snapshot.FindWorkspace(request.key);
+  if (workspace == nullptr) return Fail(ResultCode::kUnauthorized, "");
+  return workspace;
+}
+
+std::string ScopeOf(const WorkspaceRule* workspace) {
+  const bool isolated = workspace != nullptr && workspace->isolated;
+  return isolated ? "w:" + workspace->id.value() : "shared";
+}
+
+std::string SaltOf(const ExchangePlan& plan, const ModelId& model, WeightsNumber weights) {
+  return plan.cache_scope + ":" + model.value() + ":" + std::to_string(weights.value());
+}
+
+std::optional<WeightsNumber> WeightsOf(const Backend& backend, const ModelId& model) {
+  const auto found = backend.weights.find(model);
+  return found == backend.weights.end() ? std::nullopt : std::optional(found->second);
+}
+
+/// Whether a request may still begin on the weights the backend server has.
+bool WeightsAllowed(const GatewayState& state, const Backend& backend, const ModelId& model,
+                    TimePoint now) {
+  const auto newest = state.NewestWeights(model);
+  const auto own = WeightsOf(backend, model);
+  if (!newest || !own || *own >= newest->number) return true;
+  return now - newest->named_at < state.limits().older_weights;
+}
+
+std::vector<BackendPtr> Candidates(const GatewayState& state, const ExchangePlan& plan,
+                                   const InboundRequest& request,
+                                   const std::set<BackendId>& tried, TimePoint now,
+                                   BackendDirectory& directory) {
+  std::vector<BackendPtr> candidates = directory.Usable(plan.service, now);
+  std::erase_if(candidates, [&](const BackendPtr& backend) {
+    if (tried.contains(backend->entry.id)) return true;
+    if (!request.generation) return false;
+    return !WeightsAllowed(state, *backend, request.generation->model, now);
+  });
+  return candidates;
+}
+
+}  // namespace
+
+Result<ExchangePlan> PlanExchange(const GatewayState& state, const InboundRequest& request,
+                                  TimePoint now) {
+  ExchangePlan plan;
+  plan.snapshot = state.snapshot();
+  if (!plan.snapshot) return Fail(ResultCode::kNotReady, "");
+  plan.route = plan.snapshot->FindRoute(request.host, request.path);
+  if (plan.route == nullptr) return Fail(ResultCode::kNoRoute, "");
+  BOOST_LEAF_ASSIGN(plan.workspace,
+                    Authorize(state, *plan.snapshot, *plan.route, request, now));
+  plan.service = PickTarget(*plan.route, request.id);
+  plan.received = request.received;
+  plan.answer_by = request.received + TimeAllowed(*plan.route, request);
+  const bool own_priority = plan.workspace != nullptr && plan.workspace->priority.has_value();
+  plan.priority = std::clamp(own_priority ? *plan.workspace->priority : plan.route->priority, 0,
+                             kLastQueueRank);
+  plan.cache_scope = ScopeOf(plan.workspace);
+  if (request.generation) {
+    const auto newest = state.NewestWeights(request.generation->model);
+    const WeightsNumber number = newest ? newest->number : WeightsNumber(0);
+    plan.chain = PromptChain::Of(*request.generation,
+                                 SaltOf(plan, request.generation->model, number));
+  }
+  return plan;
+}
+
+std::optional<BackendChoice> ChooseFor(GatewayState& state, const ExchangePlan& plan,
+                                       const InboundRequest& request,
+                                       const std::set<BackendId>& tried, TimePoint now) {
+  const std::vector<BackendPtr> candidates =
+      Candidates(state, plan, request, tried, now, state.directory());
+  if (candidates.empty()) return std::nullopt;
+  PlacementQuery query;
+  query.own_zone = state.zone();
+  query.gateways = state.gateways();
+  query.tie_break = state.NextSequence();
+  query.now = now;
+  if (request.generation) {
+    query.chain = &*plan.chain;
+    query.model = request.generation->model;
+    const auto newest = state.NewestWeights(query.model);
+    if (newest) query.newest_weights = newest->number;
+  }
+  const Placement placement = ChooseBackend(query, candidates, state.weights());
+  BackendChoice choice;
+  choice.backend = candidates[placement.index];
+  if (request.generation) {
+    choice.tokens_to_read =
+        plan.chain->prompt_tokens - std::min(placement.cached_tokens, plan.chain->prompt_tokens);
+    choice.weights = WeightsOf(*choice.backend, request.generation->model);
+  }
+  return choice;
+}
+
+AttemptDirectives DirectivesFor(const GatewayState& /*state*/, const ExchangePlan& plan,
+                                const BackendChoice& choice, TimePoint now) {
+  AttemptDirectives directives;
+  directives.expected_backend = choice.backend->entry.id;
+  if (plan.workspace != nullptr) directives.workspace = plan.workspace->id;
+  directives.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(plan.answer_by - now, Clock::duration::zero()));
+  directives.queue_priority = plan.priority;
+  if (!plan.chain) return directives;
+  directives.expected_weights = choice.weights;
+  const WeightsNumber number = choice.weights.value_or(WeightsNumber(0));
+  directives.cache_salt = plan.cache_scope + ":" + std::to_string(number.value());
+  return directives;
+}
+
+TimePoint HeadLimit(const GatewayState& state, const ExchangePlan& plan, const AttemptFacts& facts,
+                    TimePoint now) {
+  const bool another_run = facts.may_repeat && facts.runs + 1 < facts.max_runs;
+  if (!another_run) return plan.answer_by;
+  const bool stream = plan.route->kind == RouteKind::kStream;
+  const double objectives =
+      stream ? state.limits().stream_patience_objectives : state.limits().patience_objectives;
+  const auto patience = std::chrono::milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(plan.route->latency_objective.count()) *
+                                objectives));
+  return std::min<TimePoint>(plan.answer_by, now + patience);
+}
+
+TimePoint EventLimit(const ExchangePlan& plan, const AttemptFacts& facts, bool passed_any,
+                     TimePoint now) {
+  const bool another_run = facts.may_repeat && facts.runs + 1 < facts.max_runs;
+  if (!another_run || !passed_any) return plan.answer_by;
+  return std::min<TimePoint>(plan.answer_by, now + kLongestStreamSilence);
+}
+
+bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
+
+bool IsAcceptable(const AnswerHead& head) {
+  if (head.has_content_coding) return false;
+  return !IsSuccess(head.status) || head.has_signature;
+}
+
+bool IsOlderAnswer(const AnswerHead& head) { return !head.request.value().empty(); }
+
+void LearnFromHead(Backend& backend, const InboundRequest& request, const AnswerHead& head,
+                   TimePoint now) {
+  if (!request.generation || !head.weights) return;
+  BackendDirectory::NoteWeights(backend, request.generation->model, *head.weights, now);
+}
+
+void NoteOutcome(Backend& backend, const AttemptFacts& facts, TimePoint now) {
+  switch (facts.end) {
+    case AttemptEnd::kStreamed:
+      return BackendDirectory::NoteSuccess(backend);
+    case AttemptEnd::kAnswered:
+      break;
+    case AttemptEnd::kNotSent:
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kTimedOut:
+      return BackendDirectory::NoteFailure(backend, now);
+    case AttemptEnd::kCallerGone:
+      return;
+  }
+  if (ProvesNotRun(facts)) {
+    const bool other_incarnation = facts.status == kMisdirected;
+    const auto pause = other_incarnation ? BackendDirectory::kFirstBackoff : kRefusalPause;
+    backend.avoid_until = std::max<TimePoint>(backend.avoid_until, now + pause);
+    return;
+  }
+  if (facts.status >= kFirstServerError) return BackendDirectory::NoteErrorAnswer(backend);
+  BackendDirectory::NoteSuccess(backend);
+}
+
+ResultCode NotRunCode(ResultCode last, const AttemptFacts& facts) {
+  if (!facts.time_left) return ResultCode::kNotStartedInTime;
+  return Describe(last).execution == Execution::kNotRun ? last : ResultCode::kNoBackend;
+}
+
+ResultCode FailedCode(ResultCode last) {
+  return Describe(last).execution == Execution::kNotRun ? ResultCode::kBackendBroken : last;
+}
+
+std::chrono::milliseconds RetryAfterFor(const GatewayState& /*state*/, const ExchangePlan& plan) {
+  // A quarter of the objective leaves time to be served within it.
+  const auto quarter = plan.route->latency_objective / 4;
+  return std::max<std::chrono::milliseconds>(quarter, std::chrono::milliseconds(50));
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/refusal.cc
@@ -0,0 +1,32 @@
+#include "gateway/refusal.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+namespace ridgehold {
+
+ResponseMessage MakeRefusal(const Failure& failure, const RequestId& request,
+                            std::chrono::milliseconds retry_after) {
+  const ResultCodeInfo& info = Describe(failure.code);
+  ResponseMessage answer(static_cast<http::status>(info.http_status), 11);
+  answer.set(http::field::content_type, "application/json");
+  answer.set("X-Ridgehold-Code", std::to_string(static_cast<int>(info.code)));
+  if (!request.value().empty()) answer.set("X-Request-Id", request.value());
+  if (info.retry == RetryAdvice::kLater) {
+    const double seconds = std::chrono::duration<double>(retry_after).count();
+    answer.set(http::field::retry_after, fmt::format("{:.3f}", seconds));
+  }
+  const std::string message = failure.detail.empty() ? std::string(info.explanation)
+                                                     : failure.detail;
+  answer.body() =
+      nlohmann::json{{"error",
+                      {{"code", info.name},
+                       {"message", message},
+                       {"execution", ToString(info.execution)}}}}
+          .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  answer.prepare_payload();
+  return answer;
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/request_log.cc
@@ -0,0 +1,107 @@
+#include "gateway/request_log.h"
+
+#include <string_view>
+
+#include "gateway/gateway_state.h"
+#include "log/log.h"
+
+namespace ridgehold {
+namespace {
+
+std::string MillisecondsBetween(TimePoint from, TimePoint to) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count());
+}
+
+std::string_view NameOf(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kStreamed:
+      return "streamed";
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kNotSent:
+      return "not_sent";
+    case AttemptEnd::kBroken:
+      return "broken";
+    case AttemptEnd::kTimedOut:
+      return "timed_out";
+    case AttemptEnd::kCallerGone:
+      return "caller_gone";
+  }
+  return "unknown";
+}
+
+std::string_view NameOf(NextStep step) {
+  switch (step) {
+    case NextStep::kDone:
+      return "done";
+    case NextStep::kDeliver:
+      return "deliver";
+    case NextStep::kTryAgain:
+      return "try_again";
+    case NextStep::kRefuse:
+      return "refuse_not_run";
+    case NextStep::kFail:
+      return "fail_may_have_run";
+    case NextStep::kBreakOff:
+      return "break_off";
+  }
+  return "unknown";
+}
+
+std::string ConfigVersionOf(const GatewayState& state) {
+  return state.snapshot() ? std::to_string(state.snapshot()->version().value()) : "none";
+}
+
+}  // namespace
+
+void LogRequest(GatewayState& state, const RequestRecord& record) {
+  const std::string code(Describe(record.code).name);
+  Metrics& metrics = state.metrics();
+  metrics.GetCounter("ridgehold_requests", "code=\"" + code + "\"").Add();
+  metrics.GetCounter("ridgehold_tries").Add(record.attempts);
+  const TimePoint now = Clock::now();
+  const double seconds = std::chrono::duration<double>(now - record.received).count();
+  metrics.GetSummary("ridgehold_request_seconds").Observe(seconds);
+  if (record.first_event) {
+    metrics.GetSummary("ridgehold_first_token_seconds")
+        .Observe(std::chrono::duration<double>(*record.first_event - record.received).count());
+  }
+  LogFields fields = {{"request", record.request.value()},
+                      {"code", code},
+                      {"status", std::to_string(record.status)},
+                      {"ms", MillisecondsBetween(record.received, now)},
+                      {"attempts", std::to_string(record.attempts)},
+                      {"backend", record.backend.value()},
+                      {"route", record.route.value()},
+                      {"workspace", record.workspace.value()},
+                      {"config", ConfigVersionOf(state)},
+                      {"config_age_ms", MillisecondsBetween(state.confirmed_at(), now)}};
+  if (record.first_event) {
+    fields.push_back({"first_event_ms", MillisecondsBetween(record.received, *record.first_event)});
+  }
+  if (record.out_of_retries) fields.push_back({"retry_budget", "spent"});
+  if (!record.detail.empty()) fields.push_back({"detail", record.detail});
+  Log(LogLevel::kInfo, "request", fields);
+}
+
+void LogAttempt(GatewayState& state, const RequestRecord& record, const Backend& backend,
+                const AttemptFacts& facts, ResultCode code, NextStep step) {
+  state.metrics()
+      .GetCounter("ridgehold_attempts_failed",
+                  "code=\"" + std::string(Describe(code).name) + "\"")
+      .Add();
+  Log(LogLevel::kWarn, "attempt",
+      {{"request", record.request.value()},
+       {"backend", backend.entry.id.value()},
+       {"address", backend.entry.address},
+       {"zone", backend.entry.zone.value()},
+       {"number", std::to_string(record.attempts)},
+       {"end", std::string(NameOf(facts.end))},
+       {"status", std::to_string(facts.status)},
+       {"not_executed", facts.not_executed ? "yes" : "no"},
+       {"code", std::string(Describe(code).name)},
+       {"in_flight", std::to_string(backend.in_flight)},
+       {"next", std::string(NameOf(step))}});
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -0,0 +1,84 @@
+#include "gateway/routing_snapshot.h"
+
+#include <functional>
+#include <numeric>
+
+namespace ridgehold {
+namespace {
+
+std::string RouteKey(std::string_view host, std::string_view prefix) {
+  std::string key(host);
+  key += '\n';
+  key += prefix;
+  return key;
+}
+
+}  // namespace
+
+Result<std::shared_ptr<const RoutingSnapshot>> RoutingSnapshot::Create(RoutingParts parts) {
+  std::shared_ptr<RoutingSnapshot> snapshot(new RoutingSnapshot(std::move(parts)));
+  BOOST_LEAF_CHECK(snapshot->Index());
+  return std::shared_ptr<const RoutingSnapshot>(std::move(snapshot));
+}
+
+Result<void> RoutingSnapshot::Index() {
+  for (std::size_t i = 0; i < parts_.services.size(); ++i) services_[parts_.services[i].id] = i;
+  for (std::size_t i = 0; i < parts_.workspaces.size(); ++i) {
+    for (const std::string& key : parts_.workspaces[i].keys) keys_[key] = i;
+  }
+  for (std::size_t i = 0; i < parts_.routes.size(); ++i) {
+    const RouteRule& route = parts_.routes[i];
+    if (route.targets.empty()) {
+      return Fail(ResultCode::kInvalidCommand, "route " + route.id.value() + " has no service");
+    }
+    for (const WeightedTarget& target : route.targets) {
+      if (services_.contains(target.service)) continue;
+      return Fail(ResultCode::kInvalidCommand, "route " + route.id.value() +
+                                                   " names an unknown service " +
+                                                   target.service.value());
+    }
+    const bool added = routes_.try_emplace(RouteKey(route.host, route.path_prefix), i).second;
+    if (!added) {
+      return Fail(ResultCode::kInvalidCommand,
+                  "two routes for " + route.host + route.path_prefix);
+    }
+  }
+  return {};
+}
+
+const RouteRule* RoutingSnapshot::FindRoute(std::string_view host, std::string_view path) const {
+  // Prefixes end with a slash, so only the path's slashes can end one.
+  std::size_t slash = path.rfind('/');
+  while (slash != std::string_view::npos) {
+    const auto found = routes_.find(RouteKey(host, path.substr(0, slash + 1)));
+    if (found != routes_.end()) return &parts_.routes[found->second];
+    if (slash == 0) break;
+    slash = path.rfind('/', slash - 1);
+  }
+  return nullptr;
+}
+
+const WorkspaceRule* RoutingSnapshot::FindWorkspace(const std::string& key) const {
+  const auto found = keys_.find(key);
+  return found == keys_.end() ? nullptr : &parts_.workspaces[found->second];
+}
+
+const ServiceRule* RoutingSnapshot::FindService(const ServiceId& id) const {
+  const auto found = services_.find(id);
+  return found == services_.end() ? nullptr : &parts_.services[found->second];
+}
+
+const ServiceId& PickTarget(const RouteRule& route, const RequestId& request) {
+  const std::uint64_t total = std::accumulate(
+      route.targets.begin(), route.targets.end(), std::uint64_t{0},
+      [](std::uint64_t sum, const WeightedTarget& target) { return sum + target.weight; });
+  if (total == 0) return route.targets.front().service;
+  std::uint64_t point = std::hash<std::string>{}(request.value()) % total;
+  for (const WeightedTarget& target : route.targets) {
+    if (point < target.weight) return target.service;
+    point -= target.weight;
+  }
+  return route.targets.back().service;
+}
+
+}  // namespace ridgehold
--- a/libs/kv/src/etcd_gateway.cc
+++ b/libs/kv/src/etcd_gateway.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "http/client.h"
-#include "kv/base64.h"
+#include "base/base64.h"
 #include "metrics/metrics.h"
 
 namespace ridgehold {
--- a/libs/log/include/log/log.h
+++ b/libs/log/include/log/log.h
@@ -21,8 +21,18 @@
 
 using LogFields = std::vector<LogField>;
 
-/// Sets up the process's log on standard error: layout `json` or `plain`.
-void StartLog(std::string_view level, std::string_view layout);
+/// Where lines go.
+enum class LogSink : std::uint8_t {
+  kStandardError,         ///< written by the caller's thread
+  kQueuedStandardOutput,  ///< through a bounded queue; never blocks, drops and counts when full
+};
+
+/// Sets up the process's log: layout `json` or `plain`.
+void StartLog(std::string_view level, std::string_view layout,
+              LogSink sink = LogSink::kStandardError);
+
+/// Writes what is still queued and ends the queue's thread.
+void StopLog();
 
 /// Changes the level while running: debug, info, warn or error.
 Result<void> SetLogLevel(std::string_view level);
--- a/libs/log/src/log.cc
+++ b/libs/log/src/log.cc
@@ -1,5 +1,6 @@
 #include "log/log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
@@ -12,6 +13,10 @@
 
 std::atomic<bool> json_layout{true};
 
+// Lines that wait for standard output; log4cxx sums up in a line of its own
+// how many it had to drop. At 400 bytes a line this is 0.8 MB.
+constexpr int kQueuedLines = 2'048;
+
 const log4cxx::LoggerPtr& ProcessLogger() {
   static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("ridgehold");
   return logger;
@@ -46,22 +51,34 @@
   return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+log4cxx::AppenderPtr Queued(const log4cxx::AppenderPtr& target) {
+  const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+  queue->setBufferSize(kQueuedLines);
+  queue->setBlocking(false);
+  queue->addAppender(target);
+  return queue;
+}
+
 }  // namespace
 
-void StartLog(std::string_view level, std::string_view layout) {
+void StartLog(std::string_view level, std::string_view layout, LogSink sink) {
   json_layout = layout == "json";
   // In the JSON layout the pattern opens the object with the time.
   const char* pattern = json_layout ? "{\"time\":\"%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ}\",%m%n"
                                     : "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %m%n";
   const auto layout_object = std::make_shared<log4cxx::PatternLayout>(pattern);
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout_object, log4cxx::ConsoleAppender::getSystemErr());
+  const bool queued = sink == LogSink::kQueuedStandardOutput;
+  const log4cxx::AppenderPtr console = std::make_shared<log4cxx::ConsoleAppender>(
+      layout_object, queued ? log4cxx::ConsoleAppender::getSystemOut()
+                            : log4cxx::ConsoleAppender::getSystemErr());
   ProcessLogger()->removeAllAppenders();
-  ProcessLogger()->addAppender(appender);
+  ProcessLogger()->addAppender(queued ? Queued(console) : console);
   ProcessLogger()->setAdditivity(false);
   ValueOr([&]() -> Result<void> { return SetLogLevel(level); }, [](const Failure&) {});
 }
 
+void StopLog() { ProcessLogger()->removeAllAppenders(); }
+
 Result<void> SetLogLevel(std::string_view level) {
   if (level != "debug" && level != "info" && level != "warn" && level != "error") {
     return Fail(ResultCode::kInvalidCommand, "no such log level: " + std::string(level));
--- /dev/null
+++ b/libs/net/src/connection_pool.cc
@@ -0,0 +1,54 @@
+#include "net/connection_pool.h"
+
+#include <algorithm>
+
+namespace ridgehold {
+
+net::awaitable<Checkout> ConnectionPool::Acquire(std::string address, TimePoint limit) {
+  const TimePoint now = Clock::now();
+  const auto found = idle_.find(address);
+  while (found != idle_.end() && !found->second.empty()) {
+    auto connection = std::move(found->second.back());
+    found->second.pop_back();
+    if (Expired(*connection, now) || !connection->IdleAndOpen()) continue;
+    co_return Checkout{std::move(connection), ExchangeFault::kNone, false};
+  }
+  const tcp::endpoint endpoint = ParseEndpoint(address);
+  if (endpoint.port() == 0) co_return Checkout{nullptr, ExchangeFault::kNotSent, true};
+  auto connection = OutboundConnection::Create(executor_);
+  ++opened_;
+  const TimePoint connect_by = std::min(limit, now + options_.connect_limit);
+  const ExchangeFault fault =
+      co_await connection->Connect(endpoint, connect_by, options_.unacknowledged_limit);
+  if (fault != ExchangeFault::kNone) co_return Checkout{nullptr, fault, true};
+  co_return Checkout{std::move(connection), ExchangeFault::kNone, true};
+}
+
+void ConnectionPool::Release(const std::string& address,
+                             std::shared_ptr<OutboundConnection> connection) {
+  if (!connection || !connection->Reusable()) return;
+  Idle& idle = idle_[address];
+  if (idle.size() >= options_.most_idle) return;
+  connection->MarkIdle(Clock::now());
+  idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::Sweep(TimePoint now) {
+  for (auto& [address, idle] : idle_) {
+    std::erase_if(idle, [&](const auto& connection) {
+      return Expired(*connection, now) || !connection->IdleAndOpen();
+    });
+  }
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+bool ConnectionPool::Expired(const OutboundConnection& connection, TimePoint now) const {
+  auto limit = options_.idle_limit;
+  if (const auto named = connection.keep_alive()) {
+    const std::chrono::milliseconds usable = *named - options_.keep_alive_margin;
+    limit = std::min(limit, std::max(usable, std::chrono::milliseconds(0)));
+  }
+  return now - connection.idle_since() >= limit;
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/net/src/http_call.cc
@@ -0,0 +1,29 @@
+#include "net/http_call.h"
+
+namespace ridgehold {
+namespace {
+
+// Far above any answer of the store or of a control call.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{16} << 20;
+
+}  // namespace
+
+net::awaitable<CallOutcome> Call(ConnectionPool& pool, std::string address, RequestMessage request,
+                                 std::chrono::milliseconds limit) {
+  const TimePoint until = Clock::now() + limit;
+  Checkout checkout = co_await pool.Acquire(address, until);
+  CallOutcome outcome;
+  outcome.fault = checkout.fault;
+  if (outcome.fault != ExchangeFault::kNone) co_return outcome;
+  auto connection = std::move(checkout.connection);
+  connection->StartRequest(request);
+  outcome.fault = co_await connection->ReadHead(until);
+  if (outcome.fault != ExchangeFault::kNone) co_return outcome;
+  outcome.answer.base() = connection->head();
+  outcome.fault =
+      co_await connection->ReadWholeBody(outcome.answer.body(), kMaxAnswerBytes, until);
+  if (outcome.fault == ExchangeFault::kNone) pool.Release(address, std::move(connection));
+  co_return outcome;
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/net/src/outbound_connection.cc
@@ -0,0 +1,197 @@
+#include "net/outbound_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <cerrno>
+#include <charconv>
+#include <sstream>
+
+namespace ridgehold {
+namespace {
+
+constexpr std::size_t kBodyPieceBytes = std::size_t{16} << 10;
+// Heads of backend servers' answers; far above what they send.
+constexpr std::uint32_t kMaxAnswerHeadBytes = 64 << 10;
+constexpr int kFirstFinalStatus = 200;
+
+/// Reads `timeout=SECONDS` out of a Keep-Alive field.
+std::optional<std::chrono::seconds> ParseKeepAlive(std::string_view field) {
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = field.find(kName);
+  if (at == std::string_view::npos) return std::nullopt;
+  const std::string_view digits = field.substr(at + kName.size());
+  long seconds = 0;
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+tcp::endpoint ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return {};
+  ErrorCode error;
+  const auto address = net::ip::make_address(text.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+  if (error || parsed.ec != std::errc() || parsed.ptr != end) return {};
+  return {address, port};
+}
+
+std::shared_ptr<OutboundConnection> OutboundConnection::Create(net::any_io_executor executor) {
+  return std::shared_ptr<OutboundConnection>(new OutboundConnection(std::move(executor)));
+}
+
+OutboundConnection::OutboundConnection(net::any_io_executor executor)
+    : socket_(executor), limit_timer_(executor) {}
+
+net::awaitable<ExchangeFault> OutboundConnection::Connect(
+    tcp::endpoint endpoint, TimePoint limit, std::chrono::milliseconds unacknowledged_limit) {
+  auto self = shared_from_this();
+  ErrorCode error;
+  socket_.open(endpoint.protocol(), error);
+  if (error) co_return ExchangeFault::kNotSent;
+  ArmLimit(limit);
+  co_await socket_.async_connect(endpoint, net::redirect_error(net::use_awaitable, error));
+  ++limit_generation_;
+  if (error || timed_out_ || cancelled_) {
+    Close();
+    co_return cancelled_ ? ExchangeFault::kCancelled : ExchangeFault::kNotSent;
+  }
+  socket_.set_option(tcp::no_delay(true), error);
+  const int user_timeout = static_cast<int>(unacknowledged_limit.count());
+  ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+               sizeof user_timeout);
+  co_return ExchangeFault::kNone;
+}
+
+void OutboundConnection::StartRequest(const RequestMessage& request) {
+  std::ostringstream text;
+  text << request;
+  outgoing_ = std::move(text).str();
+  written_ = 0;
+  write_done_ = false;
+  parser_.reset();
+  auto self = shared_from_this();
+  net::async_write(
+      socket_, net::buffer(outgoing_),
+      [self](const ErrorCode& error, std::size_t bytes) { self->OnWritten(error, bytes); });
+}
+
+void OutboundConnection::OnWritten(const ErrorCode& error, std::size_t bytes) {
+  written_ = bytes;
+  write_done_ = true;
+  write_failed_ = static_cast<bool>(error);
+  // A pending read would otherwise wait for a server that has been told nothing.
+  if (write_failed_ && bytes == 0) Close();
+}
+
+net::awaitable<ExchangeFault> OutboundConnection::ReadHead(TimePoint limit) {
+  auto self = shared_from_this();
+  for (;;) {
+    parser_.emplace();
+    parser_->header_limit(kMaxAnswerHeadBytes);
+    parser_->body_limit(boost::none);
+    ErrorCode error;
+    ArmLimit(limit);
+    co_await http::async_read_header(socket_, buffer_, *parser_,
+                                     net::redirect_error(net::use_awaitable, error));
+    ++limit_generation_;
+    if (error || timed_out_ || cancelled_) co_return FaultAfter(error);
+    if (static_cast<int>(parser_->get().result_int()) >= kFirstFinalStatus) break;
+  }
+  TakeHeadFields();
+  co_return ExchangeFault::kNone;
+}
+
+void OutboundConnection::TakeHeadFields() {
+  const auto field = head().find(http::field::keep_alive);
+  if (field == head().end()) return;
+  keep_alive_ = ParseKeepAlive({field->value().data(), field->value().size()});
+}
+
+net::awaitable<ExchangeFault> OutboundConnection::ReadBody(std::string& out, TimePoint limit) {
+  auto self = shared_from_this();
+  std::array<char, kBodyPieceBytes> piece;
+  const std::size_t before = out.size();
+  while (!parser_->is_done() && out.size() == before) {
+    auto& body = parser_->get().body();
+    body.data = piece.data();
+    body.size = piece.size();
+    body.more = true;
+    ErrorCode error;
+    ArmLimit(limit);
+    co_await http::async_read_some(socket_, buffer_, *parser_,
+                                   net::redirect_error(net::use_awaitable, error));
+    ++limit_generation_;
+    out.append(piece.data(), piece.size() - body.size);
+    if (error == http::error::need_buffer) error = {};
+    if (error || timed_out_ || cancelled_) co_return FaultAfter(error);
+  }
+  co_return ExchangeFault::kNone;
+}
+
+net::awaitable<ExchangeFault> OutboundConnection::ReadWholeBody(std::string& out,
+                                                                std::size_t most_bytes,
+                                                                TimePoint limit) {
+  while (!BodyDone()) {
+    const ExchangeFault fault = co_await ReadBody(out, limit);
+    if (fault != ExchangeFault::kNone) co_return fault;
+    if (out.size() > most_bytes) {
+      broken_ = true;
+      co_return ExchangeFault::kBroken;
+    }
+  }
+  co_return ExchangeFault::kNone;
+}
+
+void OutboundConnection::ArmLimit(TimePoint limit) {
+  const std::uint64_t generation = ++limit_generation_;
+  limit_timer_.expires_at(limit);
+  limit_timer_.async_wait([self = shared_from_this(), generation](const ErrorCode& error) {
+    if (error || generation != self->limit_generation_) return;
+    self->timed_out_ = true;
+    self->Close();
+  });
+}
+
+ExchangeFault OutboundConnection::FaultAfter(const ErrorCode& /*error*/) const {
+  if (write_done_ && write_failed_ && written_ == 0) return ExchangeFault::kNotSent;
+  if (cancelled_) return ExchangeFault::kCancelled;
+  if (timed_out_) return ExchangeFault::kTimedOut;
+  return ExchangeFault::kBroken;
+}
+
+void OutboundConnection::Cancel() {
+  cancelled_ = true;
+  Close();
+}
+
+void OutboundConnection::Close() {
+  ErrorCode ignored;
+  socket_.close(ignored);
+  limit_timer_.cancel();
+}
+
+bool OutboundConnection::Reusable() const {
+  const bool whole = socket_.is_open() && write_done_ && !write_failed_ && parser_.has_value() &&
+                     parser_->is_done() && !broken_;
+  return whole && parser_->keep_alive() && buffer_.size() == 0;
+}
+
+bool OutboundConnection::IdleAndOpen() {
+  if (!socket_.is_open()) return false;
+  char byte = 0;
+  const auto read = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace ridgehold
--- a/libs/reload/include/reload/reload_role.h
+++ b/libs/reload/include/reload/reload_role.h
@@ -13,7 +13,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "kv/kv_store.h"
-#include "reload/lease_clock.h"
+#include "base/lease_clock.h"
 
 namespace ridgehold {
 
--- a/libs/dispatch/include/dispatch/sse.h
+++ b/libs/sse/include/sse/sse.h
@@ -13,6 +13,7 @@
   std::string id;
   std::string type;
   std::string data;
+  std::string raw;  ///< the event as it came, with the blank line that ends it
 };
 
 /// Collects bytes until an event is whole. Bounded: an event of more than
--- a/libs/dispatch/src/sse.cc
+++ b/libs/sse/src/sse.cc
@@ -1,11 +1,15 @@
-#include "dispatch/sse.h"
+#include "sse/sse.h"
+
+#include <algorithm>
 
 namespace ridgehold {
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kBlankLine = "\n\n";
+constexpr std::string_view kBlankLineWithReturns = "\r\n\r\n";
 
 void TakeLine(std::string_view line, SseEvent& event) {
+  if (line.ends_with('\r')) line.remove_suffix(1);
   const std::size_t colon = line.find(':');
   if (colon == 0 || colon == std::string_view::npos) return;  // a comment, or no field
   const std::string_view name = line.substr(0, colon);
@@ -18,6 +22,15 @@
   event.data += value;
 }
 
+/// Returns where the first event of `text` ends, behind its blank line.
+std::size_t EndOfEvent(std::string_view text) {
+  const std::size_t plain = text.find(kBlankLine);
+  const std::size_t with_returns = text.find(kBlankLineWithReturns);
+  if (plain == std::string_view::npos && with_returns == std::string_view::npos) return plain;
+  return plain < with_returns ? plain + kBlankLine.size()
+                              : with_returns + kBlankLineWithReturns.size();
+}
+
 }  // namespace
 
 void SseReader::Append(std::string_view bytes) {
@@ -25,31 +38,31 @@
     buffer_.erase(0, position_);
     position_ = 0;
   }
-  for (const char c : bytes) {
-    if (c != '\r') buffer_ += c;
-  }
+  buffer_ += bytes;
 }
 
 std::optional<SseEvent> SseReader::Next() {
-  const std::size_t end = buffer_.find(kEventEnd, position_);
-  if (failed_ || end == std::string::npos) {
-    failed_ = failed_ || buffer_.size() - position_ > kMaxEventBytes;
+  std::string_view text = buffer_;
+  text.remove_prefix(position_);
+  const std::size_t end = EndOfEvent(text);
+  if (failed_ || end == std::string_view::npos) {
+    failed_ = failed_ || text.size() > kMaxEventBytes;
     return std::nullopt;
   }
   SseEvent event;
-  std::string_view lines = buffer_;
-  lines = lines.substr(position_, end - position_);
-  position_ = end + kEventEnd.size();
+  event.raw = text.substr(0, end);
+  std::string_view lines = event.raw;
   while (!lines.empty()) {
     const std::size_t newline = lines.find('\n');
     TakeLine(lines.substr(0, newline), event);
     lines = newline == std::string_view::npos ? std::string_view() : lines.substr(newline + 1);
   }
+  position_ += end;
   return event;
 }
 
 std::string FormatSse(std::string_view data) {
-  return "data: " + std::string(data) + std::string(kEventEnd);
+  return "data: " + std::string(data) + std::string(kBlankLine);
 }
 
 }  // namespace ridgehold
--- /dev/null
+++ b/programs/ridgehold-entry.cc
@@ -0,0 +1,83 @@
+// The daemon on an entry instance of the platform.
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "log/log.h"
+#include "platform/environment.h"
+#include "platform/instance_settings.h"
+
+namespace ridgehold {
+namespace {
+
+using Entry = EntryInstance<platform::PlatformEnvironment>;
+
+struct Options {
+  std::uint16_t metrics_port = 0;
+  std::string log_level = "info";
+  bool check_settings = false;
+};
+
+/// Reads the settings again and says whether they can be used; addresses and
+/// bounds in force are those of the start.
+void Reload() {
+  const auto failure = FailureOf([] { return platform::ReadSettings(); });
+  if (failure) {
+    Log(LogLevel::kError, "reload failed", {{"detail", failure->detail}});
+    return;
+  }
+  Log(LogLevel::kInfo, "reloaded");
+}
+
+void WaitForSignals(net::signal_set& signals, net::io_context& io, Entry& entry) {
+  signals.async_wait([&](const ErrorCode& error, int signal) {
+    if (error) return;
+    if (signal == SIGHUP) {
+      Reload();
+    } else {
+      entry.BeginShutdown([&io] { io.stop(); });
+    }
+    WaitForSignals(signals, io, entry);
+  });
+}
+
+Result<void> Run(const Options& options) {
+  BOOST_LEAF_AUTO(settings, platform::ReadSettings());
+  if (options.check_settings) return {};
+  net::io_context io(1);
+  const std::string metrics_address =
+      settings.instance_address + ":" + std::to_string(options.metrics_port);
+  Log(LogLevel::kInfo, "starting",
+      {{"daemon", settings.daemon.value()},
+       {"zone", settings.zone.value()},
+       {"callers", settings.caller_address},
+       {"store", settings.store_address}});
+  BOOST_LEAF_AUTO(entry, Entry::Create(io.get_executor(), std::move(settings), {}));
+  if (options.metrics_port != 0) BOOST_LEAF_CHECK(entry->OpenMetrics(metrics_address));
+  net::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+  WaitForSignals(signals, io, *entry);
+  entry->Start();
+  io.run();
+  return {};
+}
+
+}  // namespace
+}  // namespace ridgehold
+
+int main(int argc, char** argv) {
+  ridgehold::Options options;
+  CLI::App app("The gateway of ridgehold on an entry instance of the platform");
+  app.add_option("--metrics-port", options.metrics_port, "Serve /metrics and /state here");
+  app.add_option("--log-level", options.log_level, "debug, info, warn or error");
+  app.add_flag("--check-settings", options.check_settings, "Read the settings and end");
+  CLI11_PARSE(app, argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  ridgehold::StartLog(options.log_level, "json", ridgehold::LogSink::kQueuedStandardOutput);
+  const auto failure = ridgehold::FailureOf([&] { return ridgehold::Run(options); });
+  if (failure) ridgehold::Log(ridgehold::LogLevel::kError, "ended", {{"detail", failure->detail}});
+  ridgehold::StopLog();
+  return failure ? 1 : 0;
+}
--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -8,7 +8,7 @@
 #include "http/request.h"
 #include "http/responder.h"
 #include "http/server.h"
-#include "kv/base64.h"
+#include "base/base64.h"
 #include "kv_table.h"
 
 namespace ridgehold::standin {
--- a/test/cluster.cc
+++ b/test/cluster.cc
@@ -7,7 +7,7 @@
 #include <thread>
 
 #include "base/random_id.h"
-#include "dispatch/sse.h"
+#include "sse/sse.h"
 #include "log/log.h"
 
 namespace ridgehold::test {
