g++ 12 coroutines: no co_await in conditions, no braced temporaries in its arguments

Cause: processes ended with an illegal instruction (co_await behind && in a condition) and with 'free(): invalid pointer' (braced aggregate as an argument of co_await).

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -41,11 +41,13 @@
 
   net::awaitable<void> Run() {
     while (!stopped_) {
-      if (!listed_ && !co_await ListAll()) {
-        co_await Pause();
+      // No co_await within a condition: g++ 12 miscompiles some of them.
+      if (listed_) {
+        co_await WatchOnce();
         continue;
       }
-      co_await WatchOnce();
+      const bool listed = co_await ListAll();
+      if (!listed) co_await Pause();
     }
   }
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -177,23 +177,29 @@
       const TimePoint limit = EventLimit(plan_, facts_, relay_.passed_any(), Clock::now());
       const ExchangeFault fault = co_await attempt_.connection->ReadBody(bytes, limit);
       const std::string events = relay_.Take(bytes);
-      if (!events.empty() && !co_await PassOn(events)) co_return AttemptEnd::kCallerGone;
+      if (!events.empty()) {
+        const bool passed = co_await PassOn(events);
+        if (!passed) co_return AttemptEnd::kCallerGone;
+      }
       if (fault != ExchangeFault::kNone) co_return EndOf(fault);
     }
     if (relay_.incomplete()) co_return AttemptEnd::kBroken;
-    if (!begun_ && !co_await BeginAnswer()) co_return AttemptEnd::kCallerGone;
+    const bool begun = co_await BeginAnswer();
+    if (!begun) co_return AttemptEnd::kCallerGone;
     co_await caller_->EndStream();
     co_return AttemptEnd::kStreamed;
   }
 
   net::awaitable<bool> PassOn(std::string events) {
     NotePrefilled();
-    if (!begun_ && !co_await BeginAnswer()) co_return false;
+    const bool begun = co_await BeginAnswer();
+    if (!begun) co_return false;
     co_return co_await caller_->WriteChunk(std::move(events));
   }
 
+  /// Sends the answer's head, once; a resumed stream keeps the first one.
   net::awaitable<bool> BeginAnswer() {
-    begun_ = true;
+    if (std::exchange(begun_, true)) co_return true;
     facts_.stream_begun = true;
     record_.status = attempt_.head.status;
     record_.first_event = Clock::now();
@@ -275,10 +281,10 @@
         co_await Deliver();
         break;
       case NextStep::kRefuse:
-        co_await Refuse({NotRunCode(last_code_, facts_), ""}, RetryAfterFor(state_, plan_));
+        co_await RefuseWith(NotRunCode(last_code_, facts_), RetryAfterFor(state_, plan_));
         break;
       case NextStep::kFail:
-        co_await Refuse({FailedCode(last_code_), ""}, kDefaultRetryAfter);
+        co_await RefuseWith(FailedCode(last_code_), kDefaultRetryAfter);
         break;
       case NextStep::kBreakOff:
         record_.code = ResultCode::kStreamLost;
@@ -295,6 +301,14 @@
     co_await caller_->Send(std::move(answer), state_.shutting_down());
   }
 
+  // Temporaries made of braces in a co_await's arguments are destroyed twice by
+  // g++ 12; hence plain arguments and named objects.
+  net::awaitable<void> RefuseWith(ResultCode code, std::chrono::milliseconds retry_after) {
+    Failure failure;
+    failure.code = code;
+    co_await Refuse(std::move(failure), retry_after);
+  }
+
   net::awaitable<void> Refuse(Failure failure, std::chrono::milliseconds retry_after) {
     record_.code = failure.code;
     ResponseMessage answer = MakeRefusal(failure, inbound_.id, retry_after);
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -48,19 +48,22 @@
   idle_ = true;
   const bool arrived = co_await WaitForRequest(limits.idle_timeout);
   idle_ = false;
-  if (!arrived) co_return ReadOutcome{};
+  ReadOutcome outcome;
+  if (!arrived) co_return outcome;
   Parser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   const ErrorCode error = co_await ReadHeadAndBody(parser, limits);
   DisarmLimit();
-  if (timed_out_) co_return Refused(ResultCode::kRequestTooSlow);
-  if (error) co_return OutcomeOf(error);
+  if (timed_out_) outcome = Refused(ResultCode::kRequestTooSlow);
+  if (!timed_out_ && error) outcome = OutcomeOf(error);
+  if (timed_out_ || error) co_return outcome;
   request_ = parser.release();
   // Fields in a trailer are not fields of the request.
   if (request_.chunked()) request_.base() = head_;
   close_after_ = !request_.keep_alive();
-  co_return ReadOutcome{ReadOutcome::Kind::kRequest, {}};
+  outcome.kind = ReadOutcome::Kind::kRequest;
+  co_return outcome;
 }
 
 net::awaitable<bool> CallerConnection::WaitForRequest(std::chrono::milliseconds idle_timeout) {
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -6,22 +6,28 @@
 
 net::awaitable<Checkout> ConnectionPool::Acquire(std::string address, TimePoint limit) {
   const TimePoint now = Clock::now();
+  Checkout checkout;
   const auto found = idle_.find(address);
   while (found != idle_.end() && !found->second.empty()) {
     auto connection = std::move(found->second.back());
     found->second.pop_back();
     if (Expired(*connection, now) || !connection->IdleAndOpen()) continue;
-    co_return Checkout{std::move(connection), ExchangeFault::kNone, false};
+    checkout.connection = std::move(connection);
+    co_return checkout;
   }
+  checkout.fresh = true;
   const tcp::endpoint endpoint = ParseEndpoint(address);
-  if (endpoint.port() == 0) co_return Checkout{nullptr, ExchangeFault::kNotSent, true};
+  if (endpoint.port() == 0) {
+    checkout.fault = ExchangeFault::kNotSent;
+    co_return checkout;
+  }
   auto connection = OutboundConnection::Create(executor_);
   ++opened_;
   const TimePoint connect_by = std::min(limit, now + options_.connect_limit);
-  const ExchangeFault fault =
+  checkout.fault =
       co_await connection->Connect(endpoint, connect_by, options_.unacknowledged_limit);
-  if (fault != ExchangeFault::kNone) co_return Checkout{nullptr, fault, true};
-  co_return Checkout{std::move(connection), ExchangeFault::kNone, true};
+  if (checkout.fault == ExchangeFault::kNone) checkout.connection = std::move(connection);
+  co_return checkout;
 }
 
 void ConnectionPool::Release(const std::string& address,
