Weights judged by each naming, rollout steps end at what was ordered, shared parts fetched

Shared parts were read again wherever load sent a request. Change: history of namings; oldest engines first; X-Kv-Fetch from the engine known or ranked to hold the parts.

--- a/libs/control/include/control/fact_sink.h
+++ b/libs/control/include/control/fact_sink.h
@@ -36,7 +36,7 @@
  private:
   void TakeConfig(const StoreItem& item, RoutingParts parts);
   void TakeWeights(const WeightsOrder& order, TimePoint now);
-  void TakeBackend(const StoreItem& item, const BackendEntry& entry, TimePoint now);
+  void TakeBackend(const StoreItem& item, const BackendEntry& entry);
   void CountMembers();
 
   GatewayState& state_;
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "control/backend_control.h"
@@ -76,42 +77,45 @@
   net::awaitable<void> BringUp(RolloutStep step) {
     const BackendId id = step.engine->entry.id;
     const TimePoint give_up = Clock::now() + options_.patience;
-    bool ordered = false;
+    std::optional<WeightsNumber> ordered;
     net::steady_timer timer(state_.executor());
     while (Clock::now() < give_up && !stopped_ && !step.engine->removed) {
       const auto report = co_await control_.Report(step.engine->entry);
       if (!report) break;
-      if (TakeReport(step, *report)) break;
+      if (TakeReport(step, *report, ordered)) break;
       if (!ordered && !report->busy) ordered = co_await Order(step, *report);
       co_await Wait(timer, options_.poll);
     }
     loading_.erase(id);
   }
 
-  /// Returns whether the engine has the newest weights.
-  bool TakeReport(const RolloutStep& step, const EngineReport& report) {
+  /// Returns whether the engine has the weights it was ordered to load, or
+  /// the newest. Newer ones named meanwhile are a step of their own.
+  bool TakeReport(const RolloutStep& step, const EngineReport& report,
+                  std::optional<WeightsNumber> ordered) {
     const auto found = report.weights.find(step.model);
-    const auto newest = state_.NewestWeights(step.model);
+    const auto newest = state_.named_weights().Newest(step.model);
     if (found == report.weights.end() || !newest) return true;
-    BackendDirectory::NoteWeights(*step.engine, step.model, found->second, Clock::now());
-    const bool there = found->second >= newest->number;
+    BackendDirectory::NoteWeights(*step.engine, step.model, found->second);
+    const bool there = found->second >= ordered.value_or(*newest);
     if (there) {
-      Log(LogLevel::kInfo, "engine has newest weights",
+      Log(LogLevel::kInfo, "engine has ordered weights",
           {{"backend", step.engine->entry.id.value()},
            {"weights", std::to_string(found->second.value())}});
     }
     return there;
   }
 
-  net::awaitable<bool> Order(const RolloutStep& step, const EngineReport& report) {
+  /// Returns the weights the engine loads now; nothing when it took no order.
+  net::awaitable<std::optional<WeightsNumber>> Order(const RolloutStep& step, const EngineReport& report) {
     WeightsLoad load;
     load.model = step.model;
-    load.number = state_.NewestWeights(step.model)->number;
+    load.number = *state_.named_weights().Newest(step.model);
     load.holder = options_.self;
     load.fencing = duty_.fencing();
     load.expected_orders_taken = report.orders_taken;
     // The report took time; the duty may be gone by now.
-    if (!MayOrder(Clock::now())) co_return false;
+    if (!MayOrder(Clock::now())) co_return std::nullopt;
     const OrderOutcome outcome = co_await control_.Load(step.engine->entry, load);
     Log(LogLevel::kInfo, "ordered weights",
         {{"backend", step.engine->entry.id.value()},
@@ -121,7 +125,8 @@
          {"orders_taken", std::to_string(load.expected_orders_taken)},
          {"outcome", std::to_string(static_cast<int>(outcome))}});
     state_.metrics().GetCounter("ridgehold_weight_orders").Add();
-    co_return outcome == OrderOutcome::kStarted || outcome == OrderOutcome::kAlreadyHolds;
+    const bool taken = outcome == OrderOutcome::kStarted || outcome == OrderOutcome::kAlreadyHolds;
+    co_return taken ? std::optional(load.number) : std::nullopt;
   }
 
   static net::awaitable<void> Wait(net::steady_timer& timer, std::chrono::milliseconds time) {
--- a/libs/control/include/control/rollout_plan.h
+++ b/libs/control/include/control/rollout_plan.h
@@ -9,7 +9,7 @@
 
 #include "base/ids.h"
 #include "gateway/backend_directory.h"
-#include "gateway/gateway_state.h"
+#include "gateway/named_weights.h"
 
 namespace ridgehold {
 
@@ -25,10 +25,10 @@
   std::uint32_t at_once = 2;
 };
 
-/// Returns the engines to order next: those on older weights, the least busy
-/// first, so many that with `loading` the limit is not passed. Pure.
+/// Returns the engines to order next: those on older weights, the oldest and
+/// then the least busy first, so many that with `loading` the limit is not passed. Pure.
 std::vector<RolloutStep> NextSteps(const BackendDirectory& directory,
-                                   const std::map<ModelId, NamedWeights>& named,
+                                   const NamedWeights& named,
                                    const std::map<BackendId, TimePoint>& loading,
                                    const RolloutLimits& limits);
 
--- a/libs/control/src/fact_sink.cc
+++ b/libs/control/src/fact_sink.cc
@@ -16,7 +16,7 @@
 void FactSink::Take(const StoreItem& item, StoredFact fact, TimePoint now) {
   if (auto* parts = std::get_if<RoutingParts>(&fact)) return TakeConfig(item, std::move(*parts));
   if (const auto* order = std::get_if<WeightsOrder>(&fact)) return TakeWeights(*order, now);
-  if (const auto* entry = std::get_if<BackendEntry>(&fact)) TakeBackend(item, *entry, now);
+  if (const auto* entry = std::get_if<BackendEntry>(&fact)) TakeBackend(item, *entry);
 }
 
 void FactSink::TakeConfig(const StoreItem& item, RoutingParts parts) {
@@ -36,17 +36,17 @@
 }
 
 void FactSink::TakeWeights(const WeightsOrder& order, TimePoint now) {
-  if (!state_.TakeNamedWeights(order.model, order.number, now)) return;
+  if (!state_.named_weights().Take(order.model, order.number, now)) return;
   Log(LogLevel::kInfo, "weights named",
       {{"model", order.model.value()}, {"weights", std::to_string(order.number.value())}});
 }
 
-void FactSink::TakeBackend(const StoreItem& item, const BackendEntry& entry, TimePoint now) {
+void FactSink::TakeBackend(const StoreItem& item, const BackendEntry& entry) {
   const BackendPtr known = state_.directory().Find(entry.id);
   const bool is_new = known == nullptr;
   const bool drains = entry.draining && (is_new || !known->entry.draining);
   const bool returned = !is_new && known->missing_until.has_value();
-  state_.directory().Put(entry, now);
+  state_.directory().Put(entry);
   if (!is_new && !drains && !returned) return;
   Log(LogLevel::kInfo, drains ? "backend drains" : (is_new ? "backend added" : "backend returned"),
       {{"backend", entry.id.value()},
--- a/libs/control/src/rollout_plan.cc
+++ b/libs/control/src/rollout_plan.cc
@@ -1,11 +1,12 @@
 #include "control/rollout_plan.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace ridgehold {
 
 std::vector<RolloutStep> NextSteps(const BackendDirectory& directory,
-                                   const std::map<ModelId, NamedWeights>& named,
+                                   const NamedWeights& named,
                                    const std::map<BackendId, TimePoint>& loading,
                                    const RolloutLimits& limits) {
   if (loading.size() >= limits.at_once) return {};
@@ -13,15 +14,15 @@
   for (const auto& [id, engine] : directory.all()) {
     if (engine->entry.draining || engine->missing_until || loading.contains(id)) continue;
     for (const auto& [model, weights] : engine->weights) {
-      const auto newest = named.find(model);
-      if (newest == named.end() || weights >= newest->second.number) continue;
+      if (!named.OutdatedSince(model, weights)) continue;
       steps.push_back({engine, model});
       break;
     }
   }
   std::ranges::stable_sort(steps, {}, [](const RolloutStep& step) {
     // Those that do not answer now come last.
-    return std::pair(step.engine->failures, step.engine->in_flight);
+    return std::tuple(step.engine->failures, step.engine->weights.at(step.model),
+                      step.engine->in_flight);
   });
   steps.resize(std::min<std::size_t>(steps.size(), limits.at_once - loading.size()));
   return steps;
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -34,7 +34,6 @@
 struct Backend {
   BackendEntry entry;
   std::map<ModelId, WeightsNumber> weights;  ///< newest news of any source
-  TimePoint weights_seen{};                  ///< when `weights` was last told by an answer
   std::optional<TimePoint> missing_until;    ///< registration lapsed; gone from then on
   bool removed = false;
 
@@ -43,7 +42,8 @@
   TimePoint avoid_until{};           ///< after failures, or while it loads weights
   std::uint32_t failures = 0;        ///< in a row
   double error_rate = 0;             ///< moving mean of failed answers
-  std::unordered_map<std::uint64_t, TimePoint> cached_parts;  ///< chain hash, last use
+  /// Chain hash and last use; of the weights it runs now.
+  std::unordered_map<std::uint64_t, TimePoint> cached_parts;
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
@@ -58,7 +58,7 @@
   static constexpr double kErrorRateStep = 0.15;
 
   /// A backend server has registered or changed its entry.
-  void Put(const BackendEntry& entry, TimePoint now);
+  void Put(const BackendEntry& entry);
 
   /// An entry is gone. With `grace` above zero the backend server is used on
   /// until it has passed, in case the entry comes back.
@@ -81,9 +81,9 @@
   static void NoteFailure(Backend& backend, TimePoint now);
   /// It answered, but with a failure of its own.
   static void NoteErrorAnswer(Backend& backend);
-  /// News of the weights it runs, as of `now`.
-  static void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights,
-                          TimePoint now);
+  /// News of the weights it runs.
+  /// Newer weights empty its cache.
+  static void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights);
 
  private:
   std::map<BackendId, BackendPtr> backends_;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -155,7 +155,7 @@
   }
 
   net::awaitable<AttemptEnd> ReadOwnAnswer() {
-    LearnFromHead(*attempt_.backend, inbound_, attempt_.head, Clock::now());
+    LearnFromHead(*attempt_.backend, inbound_, attempt_.head);
     attempt_.caller_head = Wire::MakeCallerHead(attempt_.connection->head());
     if (!IsAcceptable(attempt_.head)) {
       last_code_ = ResultCode::kForeignAnswer;
@@ -257,7 +257,7 @@
     }
     const TimePoint now = Clock::now();
     facts_.time_left = plan_.answer_by - now > state_.limits().least_time;
-    NoteOutcome(*attempt_.backend, facts_, now);
+    NoteOutcome(state_, inbound_, *attempt_.backend, facts_, now);
     tried_.insert(attempt_.backend->entry.id);
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(facts_);
     const bool arrived = end != AttemptEnd::kNotSent;
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -26,7 +26,7 @@
   TimePoint answer_by{};  ///< the caller's limit or the route's, whichever is first
   std::optional<int> priority;
   std::string cache_scope;  ///< who may share cache entries, without the weights
-  std::optional<PromptChain> chain;  ///< under the newest weights
+  std::optional<PromptChain> chain;
 };
 
 /// The backend server an attempt goes to.
@@ -34,6 +34,7 @@
   BackendPtr backend;
   double tokens_to_read = 0;  ///< prompt tokens expected not to be cached there
   std::optional<WeightsNumber> weights;
+  BackendPtr fetch_from;  ///< may have shared parts that `backend` lacks; or null
 };
 
 /// Checks route, key and freshness. Fails with the code to answer.
@@ -67,11 +68,11 @@
 bool IsOlderAnswer(const AnswerHead& head);
 
 /// Takes what an answer's head tells of the backend server.
-void LearnFromHead(Backend& backend, const InboundRequest& request, const AnswerHead& head,
-                   TimePoint now);
+void LearnFromHead(Backend& backend, const InboundRequest& request, const AnswerHead& head);
 
 /// Takes what an attempt's outcome tells of the backend server.
-void NoteOutcome(Backend& backend, const AttemptFacts& facts, TimePoint now);
+void NoteOutcome(const GatewayState& state, const InboundRequest& request, Backend& backend,
+                 const AttemptFacts& facts, TimePoint now);
 
 /// The code of a request that has not run.
 ResultCode NotRunCode(ResultCode last, const AttemptFacts& facts);
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 
 #include "base/ids.h"
 #include "gateway/backend_directory.h"
+#include "gateway/named_weights.h"
 #include "gateway/placement.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/routing_snapshot.h"
@@ -20,11 +21,6 @@
 
 namespace ridgehold {
 
-/// The newest weights of a model and when this gateway learned of them.
-struct NamedWeights {
-  WeightsNumber number;
-  TimePoint named_at{};
-};
 
 /// Bounds a gateway keeps; from the platform's settings and its own.
 struct GatewayLimits {
@@ -83,19 +79,8 @@
     return !limits_.key_trust || now - confirmed_at_ < *limits_.key_trust;
   }
 
-  /// Weights named by the operator; older numbers than known are ignored.
-  /// Returns whether they are news.
-  bool TakeNamedWeights(const ModelId& model, WeightsNumber number, TimePoint now) {
-    NamedWeights& known = named_weights_[model];
-    if (number <= known.number) return false;
-    known = {number, now};
-    return true;
-  }
-  const std::map<ModelId, NamedWeights>& named_weights() const { return named_weights_; }
-  std::optional<NamedWeights> NewestWeights(const ModelId& model) const {
-    const auto found = named_weights_.find(model);
-    return found == named_weights_.end() ? std::nullopt : std::optional(found->second);
-  }
+  NamedWeights& named_weights() { return named_weights_; }
+  const NamedWeights& named_weights() const { return named_weights_; }
 
   /// Gateways that are alive, this one included.
   std::uint32_t gateways() const { return gateways_; }
@@ -125,7 +110,7 @@
   RetryAllowance retries_;
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   TimePoint confirmed_at_{};
-  std::map<ModelId, NamedWeights> named_weights_;
+  NamedWeights named_weights_;
   std::uint32_t gateways_ = 1;
   std::uint32_t in_flight_ = 0;
   std::uint64_t sequence_ = 0;
--- /dev/null
+++ b/libs/gateway/include/gateway/named_weights.h
@@ -0,0 +1,42 @@
+// The weights that the operator has named, and when this gateway learned of each.
+
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "gateway/inbound_request.h"
+
+namespace ridgehold {
+
+/// Not thread-safe; time comes in as a value.
+class NamedWeights {
+ public:
+  /// Numbers remembered of a model; by far more than are named within the
+  /// time that a rollout may take.
+  static constexpr std::size_t kMostRemembered = 64;
+
+  /// Takes a number; returns whether it is newer than all known ones.
+  bool Take(const ModelId& model, WeightsNumber number, TimePoint now);
+
+  /// The newest number, if any was named.
+  std::optional<WeightsNumber> Newest(const ModelId& model) const;
+
+  /// When the newest was named.
+  std::optional<TimePoint> NewestSince(const ModelId& model) const;
+
+  /// Since when `number` has not been the newest; nothing while it is.
+  std::optional<TimePoint> OutdatedSince(const ModelId& model, WeightsNumber number) const;
+
+ private:
+  struct Naming {
+    WeightsNumber number;
+    TimePoint at{};
+  };
+  std::map<ModelId, std::vector<Naming>> namings_;  // ascending
+};
+
+}  // namespace ridgehold
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -25,22 +25,29 @@
 
   /// `scope` keeps chains apart that may not share cache entries.
   static PromptChain Of(const GenerationRequest& request, std::string_view scope);
+
+  std::uint32_t shared_tokens() const { return links.empty() ? 0 : links.back().tokens_up_to; }
 };
 
 /// Figures the choice weighs; each in milliseconds unless it says otherwise.
 struct PlacementWeights {
-  /// Speed of an engine until a measured one is at hand.
-  double prefill_tokens_per_ms = 50;
+  /// Speed of an engine, measured on the platform's sites.
+  double prefill_tokens_per_ms = 56;
   /// What a request that runs already adds to the wait for a first event.
   double per_running_request = 0.6;
   /// A round trip to another zone, and the price of bytes between zones.
   double other_zone = 6;
+  /// Fetching shared parts from another engine: the call, and each token.
+  double fetch_call = 8;
+  double fetch_token = 0.001;
   /// What a call to a plain service adds to the wait of the next one.
   double per_running_call = 20;
   /// How much a backend server whose answers all fail is worse than others.
   double failing = 400;
   /// How much older weights are worse than the newest, once those are old news.
-  double older_weights = 60;
+  double older_weights = 150;
+  /// Requests may begin on older weights this long without being worth less.
+  std::chrono::milliseconds older_weights_free{1'000};
   /// Parts not used for this long are taken for evicted.
   std::chrono::milliseconds cache_life{10'000};
 };
@@ -49,9 +56,10 @@
 struct PlacementQuery {
   ZoneId own_zone;
   const PromptChain* chain = nullptr;  ///< null for calls of plain services
-  std::optional<WeightsNumber> newest_weights;
   ModelId model;
-  std::uint32_t gateways = 1;  ///< that send to the same backend servers
+  std::optional<WeightsNumber> newest_weights;
+  std::optional<TimePoint> newest_since;  ///< when they were named
+  std::uint32_t gateways = 1;             ///< that send to the same backend servers
   std::uint64_t tie_break = 0;
   TimePoint now{};
 };
@@ -59,8 +67,10 @@
 /// The chosen one and why.
 struct Placement {
   std::size_t index = 0;
-  double cost = 0;               ///< milliseconds it is expected to take, with prices
-  std::uint32_t cached_tokens = 0;  ///< expected to be found in its cache
+  double cost = 0;                  ///< milliseconds it is expected to take, with prices
+  std::uint32_t cached_tokens = 0;  ///< expected to be in its cache, or fetched into it
+  /// Another candidate that may have parts which the chosen one lacks.
+  std::optional<std::size_t> fetch_from;
 };
 
 /// Returns the cheapest of `candidates`, which are never none. Pure.
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -5,22 +5,22 @@
 namespace ridgehold {
 namespace {
 
-// Entries lag answers by a heartbeat of the backend server and its way through the store.
-constexpr std::chrono::milliseconds kEntryLag{2'500};
+/// Weights only move forward; an older number is late news.
+void RaiseWeights(Backend& backend, const ModelId& model, WeightsNumber weights) {
+  WeightsNumber& known = backend.weights[model];
+  if (weights <= known) return;
+  known = weights;
+  backend.cached_parts.clear();
+}
 
 }  // namespace
 
-void BackendDirectory::Put(const BackendEntry& entry, TimePoint now) {
+void BackendDirectory::Put(const BackendEntry& entry) {
   BackendPtr& backend = backends_[entry.id];
   if (!backend) backend = std::make_shared<Backend>();
   backend->missing_until.reset();
   backend->removed = false;
-  const bool answers_are_newer = now - backend->weights_seen < kEntryLag;
-  for (const auto& [model, weights] : entry.weights) {
-    WeightsNumber& known = backend->weights[model];
-    // Weights only move forward; an older number is late news.
-    if (!answers_are_newer || weights > known) known = std::max(known, weights);
-  }
+  for (const auto& [model, weights] : entry.weights) RaiseWeights(*backend, model, weights);
   backend->entry = entry;
 }
 
@@ -41,7 +41,7 @@
   std::set<BackendId> listed;
   for (const BackendEntry& entry : entries) {
     listed.insert(entry.id);
-    Put(entry, now);
+    Put(entry);
   }
   std::vector<BackendId> missing;
   for (const auto& [id, backend] : backends_) {
@@ -91,11 +91,9 @@
   backend.error_rate += kErrorRateStep * (1 - backend.error_rate);
 }
 
-void BackendDirectory::NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights,
-                                   TimePoint now) {
-  WeightsNumber& known = backend.weights[model];
-  known = std::max(known, weights);
-  backend.weights_seen = now;
+void BackendDirectory::NoteWeights(Backend& backend, const ModelId& model,
+                                   WeightsNumber weights) {
+  RaiseWeights(backend, model, weights);
 }
 
 }  // namespace ridgehold
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -7,6 +7,8 @@
 
 // A refusal by a full or reloading backend server keeps others from trying it at once.
 constexpr std::chrono::milliseconds kRefusalPause{120};
+// An engine on older weights that refuses is most likely loading newer ones, which takes 0.8 s.
+constexpr std::chrono::milliseconds kReloadPause{500};
 // Silence within a stream that no sound engine shows; callers give up after 4 s or more.
 constexpr std::chrono::milliseconds kLongestStreamSilence{3'000};
 // Queue ranks that a request may be given; 0 is first.
@@ -37,10 +39,6 @@
   return isolated ? "w:" + workspace->id.value() : "shared";
 }
 
-std::string SaltOf(const ExchangePlan& plan, const ModelId& model, WeightsNumber weights) {
-  return plan.cache_scope + ":" + model.value() + ":" + std::to_string(weights.value());
-}
-
 std::optional<WeightsNumber> WeightsOf(const Backend& backend, const ModelId& model) {
   const auto found = backend.weights.find(model);
   return found == backend.weights.end() ? std::nullopt : std::optional(found->second);
@@ -49,10 +47,22 @@
 /// Whether a request may still begin on the weights the backend server has.
 bool WeightsAllowed(const GatewayState& state, const Backend& backend, const ModelId& model,
                     TimePoint now) {
-  const auto newest = state.NewestWeights(model);
   const auto own = WeightsOf(backend, model);
-  if (!newest || !own || *own >= newest->number) return true;
-  return now - newest->named_at < state.limits().older_weights;
+  if (!own) return true;
+  const auto outdated = state.named_weights().OutdatedSince(model, *own);
+  return !outdated || now - *outdated < state.limits().older_weights;
+}
+
+/// How long a backend server that refused is left alone.
+std::chrono::milliseconds PauseAfterRefusal(const GatewayState& state,
+                                            const InboundRequest& request, const Backend& backend,
+                                            const AttemptFacts& facts) {
+  if (facts.status == kMisdirected) return BackendDirectory::kFirstBackoff;
+  if (!request.generation) return kRefusalPause;
+  const ModelId& model = request.generation->model;
+  const auto own = WeightsOf(backend, model);
+  const bool outdated = own && state.named_weights().OutdatedSince(model, *own);
+  return outdated ? kReloadPause : kRefusalPause;
 }
 
 std::vector<BackendPtr> Candidates(const GatewayState& state, const ExchangePlan& plan,
@@ -87,10 +97,8 @@
                              kLastQueueRank);
   plan.cache_scope = ScopeOf(plan.workspace);
   if (request.generation) {
-    const auto newest = state.NewestWeights(request.generation->model);
-    const WeightsNumber number = newest ? newest->number : WeightsNumber(0);
     plan.chain = PromptChain::Of(*request.generation,
-                                 SaltOf(plan, request.generation->model, number));
+                                 plan.cache_scope + ":" + request.generation->model.value());
   }
   return plan;
 }
@@ -109,8 +117,8 @@
   if (request.generation) {
     query.chain = &*plan.chain;
     query.model = request.generation->model;
-    const auto newest = state.NewestWeights(query.model);
-    if (newest) query.newest_weights = newest->number;
+    query.newest_weights = state.named_weights().Newest(query.model);
+    query.newest_since = state.named_weights().NewestSince(query.model);
   }
   const Placement placement = ChooseBackend(query, candidates, state.weights());
   BackendChoice choice;
@@ -119,6 +127,7 @@
     choice.tokens_to_read =
         plan.chain->prompt_tokens - std::min(placement.cached_tokens, plan.chain->prompt_tokens);
     choice.weights = WeightsOf(*choice.backend, request.generation->model);
+    if (placement.fetch_from) choice.fetch_from = candidates[*placement.fetch_from];
   }
   return choice;
 }
@@ -134,6 +143,7 @@
   if (!plan.chain) return directives;
   directives.expected_weights = choice.weights;
   const WeightsNumber number = choice.weights.value_or(WeightsNumber(0));
+  if (choice.fetch_from) directives.fetch_cache_from = choice.fetch_from->entry.address;
   directives.cache_salt = plan.cache_scope + ":" + std::to_string(number.value());
   return directives;
 }
@@ -167,13 +177,13 @@
 
 bool IsOlderAnswer(const AnswerHead& head) { return !head.request.value().empty(); }
 
-void LearnFromHead(Backend& backend, const InboundRequest& request, const AnswerHead& head,
-                   TimePoint now) {
+void LearnFromHead(Backend& backend, const InboundRequest& request, const AnswerHead& head) {
   if (!request.generation || !head.weights) return;
-  BackendDirectory::NoteWeights(backend, request.generation->model, *head.weights, now);
+  BackendDirectory::NoteWeights(backend, request.generation->model, *head.weights);
 }
 
-void NoteOutcome(Backend& backend, const AttemptFacts& facts, TimePoint now) {
+void NoteOutcome(const GatewayState& state, const InboundRequest& request, Backend& backend,
+                 const AttemptFacts& facts, TimePoint now) {
   switch (facts.end) {
     case AttemptEnd::kStreamed:
       return BackendDirectory::NoteSuccess(backend);
@@ -187,8 +197,7 @@
       return;
   }
   if (ProvesNotRun(facts)) {
-    const bool other_incarnation = facts.status == kMisdirected;
-    const auto pause = other_incarnation ? BackendDirectory::kFirstBackoff : kRefusalPause;
+    const auto pause = PauseAfterRefusal(state, request, backend, facts);
     backend.avoid_until = std::max<TimePoint>(backend.avoid_until, now + pause);
     return;
   }
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -13,8 +13,8 @@
 constexpr std::size_t kMostRemembered = 2'000;
 // A backend server that was just tried without success is chosen last.
 constexpr double kAvoided = 5'000;
-// Parts shorter than this are not worth sending a request out of its way.
-constexpr std::uint32_t kWorthSharing = 256;
+// Fewer shared tokens than this are read again sooner than fetched.
+constexpr std::uint32_t kWorthFetching = 256;
 
 std::uint64_t Hash(std::uint64_t seed, std::uint64_t value) {
   return XXH3_64bits_withSeed(&value, sizeof value, seed);
@@ -22,47 +22,156 @@
 
 std::uint64_t HashText(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
-std::uint32_t KnownCachedTokens(const Backend& backend, const PromptChain& chain,
-                                const PlacementQuery& query, const PlacementWeights& weights) {
-  std::uint32_t tokens = 0;
-  for (const PromptChain::Link& link : chain.links) {
-    const auto found = backend.cached_parts.find(link.hash);
-    const bool fresh =
-        found != backend.cached_parts.end() && query.now - found->second < weights.cache_life;
-    if (!fresh) break;
-    tokens = link.tokens_up_to;
+/// The choice among one set of candidates.
+class Chooser {
+ public:
+  Chooser(const PlacementQuery& query, std::span<const BackendPtr> candidates,
+          const PlacementWeights& weights)
+      : query_(query), candidates_(candidates), weights_(weights) {
+    if (query_.chain != nullptr) RankHolders();
   }
-  return tokens;
-}
 
-/// The backend server on which all gateways, without talking, agree to keep a
-/// prompt's shared parts: the highest of hashes of both (rendezvous hashing).
-std::size_t HomeOf(const PromptChain& chain, std::span<const BackendPtr> candidates) {
-  std::size_t home = candidates.size();
-  if (chain.links.empty() || chain.links.back().tokens_up_to < kWorthSharing) return home;
-  std::uint64_t best = 0;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const std::uint64_t rank =
-        Hash(chain.links.back().hash, HashText(candidates[i]->entry.id.value()));
-    if (home != candidates.size() && rank <= best) continue;
-    best = rank;
-    home = i;
+  Placement Choose() const {
+    Placement best;
+    best.cost = std::numeric_limits<double>::max();
+    std::uint64_t best_tie = 0;
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      Placement placement = Price(i);
+      const std::uint64_t tie =
+          Hash(query_.tie_break, HashText(candidates_[i]->entry.id.value()));
+      if (placement.cost > best.cost) continue;
+      if (placement.cost == best.cost && tie <= best_tie) continue;
+      best = placement;
+      best_tie = tie;
+    }
+    return best;
   }
-  return home;
-}
 
-double CostOfModel(const PlacementQuery& query, const Backend& backend, std::uint32_t cached,
-                   const PlacementWeights& weights) {
-  const double others = static_cast<double>(query.gateways);
-  const double ahead = backend.unprefilled_tokens * std::max(1.0, others / 2);
-  const double own = query.chain->prompt_tokens - std::min(cached, query.chain->prompt_tokens);
-  double cost = (ahead + own) / weights.prefill_tokens_per_ms;
-  cost += weights.per_running_request * backend.in_flight * others;
-  const auto version = backend.weights.find(query.model);
-  const bool older = query.newest_weights && version != backend.weights.end() &&
-                     version->second < *query.newest_weights;
-  return older ? cost + weights.older_weights : cost;
-}
+ private:
+  /// What is known or guessed of a candidate's cache.
+  struct Holding {
+    std::uint32_t known_tokens = 0;  ///< of the chain, by own requests
+    std::uint64_t rank = 0;          ///< of rendezvous hashing
+  };
+
+  Placement Price(std::size_t index) const {
+    const Backend& backend = *candidates_[index];
+    Placement placement;
+    placement.index = index;
+    placement.cost = backend.error_rate * weights_.failing;
+    if (backend.entry.zone != query_.own_zone) placement.cost += weights_.other_zone;
+    if (backend.avoid_until > query_.now) placement.cost += kAvoided;
+    if (backend.missing_until) placement.cost += kAvoided / 2;
+    if (query_.chain == nullptr) {
+      placement.cost += weights_.per_running_call * backend.in_flight;
+      return placement;
+    }
+    PriceCache(index, placement);
+    placement.cost += PriceOfWork(backend, placement.cached_tokens);
+    placement.cost += PriceOfWeights(backend);
+    return placement;
+  }
+
+  /// Fills in what will be found in the cache and what fetching costs.
+  void PriceCache(std::size_t index, Placement& placement) const {
+    const std::uint32_t shared = query_.chain->shared_tokens();
+    placement.cached_tokens = holdings_[index].known_tokens;
+    if (shared < kWorthFetching || placement.cached_tokens >= shared) return;
+    placement.fetch_from = SourceFor(index);
+    const bool home = index == home_;
+    // All gateways send the prompts of one subject to its home first, so it
+    // has the parts or reads them now for everybody.
+    placement.cached_tokens = home || placement.fetch_from ? shared : placement.cached_tokens;
+    if (home || !placement.fetch_from) return;
+    const double distance =
+        candidates_[*placement.fetch_from]->entry.zone == candidates_[index]->entry.zone ? 1 : 2;
+    placement.cost += distance * (weights_.fetch_call + weights_.fetch_token * shared);
+  }
+
+  double PriceOfWork(const Backend& backend, std::uint32_t cached) const {
+    const double others = static_cast<double>(query_.gateways);
+    const double ahead = backend.unprefilled_tokens * std::max(1.0, others / 2);
+    const double own = query_.chain->prompt_tokens - std::min(cached, query_.chain->prompt_tokens);
+    const double reading = (ahead + own) / weights_.prefill_tokens_per_ms;
+    return reading + weights_.per_running_request * backend.in_flight * others;
+  }
+
+  double PriceOfWeights(const Backend& backend) const {
+    if (!query_.newest_weights || WeightsOf(backend) >= *query_.newest_weights) return 0;
+    const bool news =
+        query_.newest_since && query_.now - *query_.newest_since < weights_.older_weights_free;
+    return news ? 0 : weights_.older_weights;
+  }
+
+  WeightsNumber WeightsOf(const Backend& backend) const {
+    const auto found = backend.weights.find(query_.model);
+    return found == backend.weights.end() ? WeightsNumber() : found->second;
+  }
+
+  /// Rendezvous hashing: without talking, all gateways rank the candidates for
+  /// a prompt's shared parts alike; the first is their home.
+  void RankHolders() {
+    holdings_.resize(candidates_.size());
+    if (query_.chain->links.empty()) return;
+    const std::uint64_t subject = query_.chain->links.back().hash;
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      holdings_[i].known_tokens = KnownTokens(*candidates_[i]);
+      holdings_[i].rank = Hash(subject, HashText(candidates_[i]->entry.id.value()));
+      const bool better = home_ == kNone || Before(i, home_);
+      if (better) home_ = i;
+    }
+  }
+
+  /// Engines with newer weights come first: the others lose their cache soon.
+  bool Before(std::size_t a, std::size_t b) const {
+    const WeightsNumber of_a = WeightsOf(*candidates_[a]);
+    const WeightsNumber of_b = WeightsOf(*candidates_[b]);
+    if (of_a != of_b) return of_a > of_b;
+    return holdings_[a].rank > holdings_[b].rank;
+  }
+
+  std::uint32_t KnownTokens(const Backend& backend) const {
+    std::uint32_t tokens = 0;
+    for (const PromptChain::Link& link : query_.chain->links) {
+      const auto found = backend.cached_parts.find(link.hash);
+      const bool fresh =
+          found != backend.cached_parts.end() && query_.now - found->second < weights_.cache_life;
+      if (!fresh) break;
+      tokens = link.tokens_up_to;
+    }
+    return tokens;
+  }
+
+  /// The candidate most likely to have what `index` lacks: one known to have
+  /// it, else the first in rank.
+  std::optional<std::size_t> SourceFor(std::size_t index) const {
+    std::optional<std::size_t> source;
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      const Backend& backend = *candidates_[i];
+      const bool usable = i != index && backend.avoid_until <= query_.now &&
+                          !backend.missing_until &&
+                          WeightsOf(backend) == WeightsOf(*candidates_[index]);
+      if (!usable) continue;
+      if (!source || BetterSource(i, *source)) source = i;
+    }
+    return source;
+  }
+
+  bool BetterSource(std::size_t a, std::size_t b) const {
+    if (holdings_[a].known_tokens != holdings_[b].known_tokens) {
+      return holdings_[a].known_tokens > holdings_[b].known_tokens;
+    }
+    return holdings_[a].rank > holdings_[b].rank;
+  }
+
+  static constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
+
+  const PlacementQuery& query_;
+  std::span<const BackendPtr> candidates_;
+  const PlacementWeights& weights_;
+  std::vector<Holding> holdings_;
+  std::size_t home_ = kNone;
+};
 
 }  // namespace
 
@@ -81,31 +190,7 @@
 
 Placement ChooseBackend(const PlacementQuery& query, std::span<const BackendPtr> candidates,
                         const PlacementWeights& weights) {
-  const std::size_t home =
-      query.chain != nullptr ? HomeOf(*query.chain, candidates) : candidates.size();
-  Placement best;
-  best.cost = std::numeric_limits<double>::max();
-  std::uint64_t best_tie = 0;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const Backend& backend = *candidates[i];
-    double cost = backend.error_rate * weights.failing;
-    std::uint32_t cached = 0;
-    if (query.chain != nullptr) {
-      cached = i == home ? query.chain->links.back().tokens_up_to
-                         : KnownCachedTokens(backend, *query.chain, query, weights);
-      cost += CostOfModel(query, backend, cached, weights);
-    } else {
-      cost += weights.per_running_call * backend.in_flight;
-    }
-    if (backend.entry.zone != query.own_zone) cost += weights.other_zone;
-    if (backend.avoid_until > query.now) cost += kAvoided;
-    if (backend.missing_until) cost += kAvoided / 2;
-    const std::uint64_t tie = Hash(query.tie_break, HashText(backend.entry.id.value()));
-    if (cost > best.cost || (cost == best.cost && tie <= best_tie)) continue;
-    best = {i, cost, cached};
-    best_tie = tie;
-  }
-  return best;
+  return Chooser(query, candidates, weights).Choose();
 }
 
 void RememberParts(Backend& backend, const PromptChain& chain, TimePoint now) {
