Gateways tell each other load, cached parts, holds and weights; engines are emptied before a load

Cause: each gateway saw only its own eighth of the load and of the caches; engines that waited for runs took 1.2 to 4 s for a load of 0.8 s. Ways weighed: reports (probes, 100 ms old), cache events (late, polls limited), datagrams between gateways (chosen). Change: libs/peers; loads with 'break runs' once only resumable runs are left; twice as many engines begun as may load at once.

--- a/libs/control/include/control/own_records.h
+++ b/libs/control/include/control/own_records.h
@@ -4,7 +4,7 @@
 
 #include <map>
 #include <string>
-#include <string_view>
+#include <vector>
 
 #include "base/ids.h"
 #include "control/state_store.h"
@@ -39,7 +39,15 @@
     return count;
   }
 
-  const std::map<std::string, StoreItem>& items() const { return items_; }
+  /// The members' values: each instance's address.
+  std::vector<std::string> MemberAddresses() const {
+    std::vector<std::string> addresses;
+    for (auto at = items_.lower_bound(kMemberPrefix);
+         at != items_.end() && at->first.starts_with(kMemberPrefix); ++at) {
+      addresses.push_back(at->second.value);
+    }
+    return addresses;
+  }
 
  private:
   std::map<std::string, StoreItem> items_;
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -8,8 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "control/backend_control.h"
@@ -29,13 +29,20 @@
   struct Options {
     DaemonId self;
     std::chrono::milliseconds separation{3'000};
-    RolloutLimits limits;
     /// Between looks for work.
-    std::chrono::milliseconds look{100};
-    /// Between looks at an engine that is loading.
-    std::chrono::milliseconds poll{200};
-    /// A load that has not shown by then is ordered again.
+    std::chrono::milliseconds look{50};
+    /// Between looks at an engine that is loading, and when the first is due.
+    std::chrono::milliseconds poll{100};
+    /// A load takes 0.76 s or more on the platform's sites.
+    std::chrono::milliseconds first_poll{600};
+    /// A load that has not shown by then is planned again.
     std::chrono::milliseconds patience{6'000};
+    /// Gateways need so long to hear that an engine is held.
+    std::chrono::milliseconds hold_spreads{80};
+    /// Requests that cannot be resumed elsewhere get so long to end.
+    std::chrono::milliseconds longest_drain{1'500};
+    /// Engines are held at most so long at once, in case this gateway ends.
+    std::chrono::milliseconds hold{4'000};
   };
 
   Rollout(Control& control, HeldKey<Store>& duty, GatewayState& state, Options options)
@@ -57,7 +64,7 @@
     timer_.cancel();
   }
 
-  bool idle() const { return loading_.empty(); }
+  bool idle() const { return begun_.empty(); }
 
  private:
   bool MayOrder(TimePoint now) const {
@@ -65,28 +72,57 @@
   }
 
   void StartSteps() {
-    const auto steps = NextSteps(state_.directory(), state_.named_weights(), loading_,
-                                 options_.limits);
+    const auto steps = NextSteps(state_.directory(), state_.named_weights(), begun_);
     for (const RolloutStep& step : steps) {
-      loading_[step.engine->entry.id] = Clock::now();
+      begun_.insert(step.engine->entry.id);
       net::co_spawn(state_.executor(), BringUp(step), net::detached);
     }
   }
 
-  /// Orders one engine and waits until it reports the weights.
+  /// Empties one engine, orders it, and waits until it reports the weights.
   net::awaitable<void> BringUp(RolloutStep step) {
     const BackendId id = step.engine->entry.id;
+    net::steady_timer timer(state_.executor());
+    state_.Hold(*step.engine, options_.hold, Clock::now());
+    co_await Drain(step, timer);
+    ++loading_;
+    co_await Load(step, timer);
+    --loading_;
+    state_.Hold(*step.engine, std::chrono::milliseconds(0), Clock::now());
+    begun_.erase(id);
+  }
+
+  /// Waits until only requests run there that can be resumed elsewhere, and
+  /// until a load of another engine has ended where too many run.
+  net::awaitable<void> Drain(const RolloutStep& step, net::steady_timer& timer) {
+    const TimePoint begun = Clock::now();
+    bool empty = false;
+    while (!empty && !stopped_ && Clock::now() - begun < options_.longest_drain) {
+      co_await Wait(timer, options_.hold_spreads);
+      empty = Unrepeatable(step) == 0;
+    }
+    const std::uint32_t at_once = LoadsAtOnce(state_.directory(), step.engine->entry.service);
+    while (loading_ >= at_once && !stopped_) co_await Wait(timer, options_.look);
+  }
+
+  static std::uint32_t Unrepeatable(const RolloutStep& step) {
+    return step.engine->unrepeatable + step.engine->peers.unrepeatable;
+  }
+
+  net::awaitable<void> Load(const RolloutStep& step, net::steady_timer& timer) {
     const TimePoint give_up = Clock::now() + options_.patience;
     std::optional<WeightsNumber> ordered;
-    net::steady_timer timer(state_.executor());
     while (Clock::now() < give_up && !stopped_ && !step.engine->removed) {
       const auto report = co_await control_.Report(step.engine->entry);
       if (!report) break;
       if (TakeReport(step, *report, ordered)) break;
-      if (!ordered && !report->busy) ordered = co_await Order(step, *report);
-      co_await Wait(timer, options_.poll);
+      std::chrono::milliseconds pause = options_.poll;
+      if (!ordered && !report->busy) {
+        ordered = co_await Order(step, *report);
+        if (ordered) pause = options_.first_poll;
+      }
+      co_await Wait(timer, pause);
     }
-    loading_.erase(id);
   }
 
   /// Returns whether the engine has the weights it was ordered to load, or
@@ -96,7 +132,7 @@
     const auto found = report.weights.find(step.model);
     const auto newest = state_.named_weights().Newest(step.model);
     if (found == report.weights.end() || !newest) return true;
-    BackendDirectory::NoteWeights(*step.engine, step.model, found->second);
+    state_.NoteWeights(*step.engine, step.model, found->second);
     const bool there = found->second >= ordered.value_or(*newest);
     if (there) {
       Log(LogLevel::kInfo, "engine has ordered weights",
@@ -113,6 +149,7 @@
     load.number = *state_.named_weights().Newest(step.model);
     load.holder = options_.self;
     load.fencing = duty_.fencing();
+    load.mode = Unrepeatable(step) == 0 ? ReloadMode::kBreakRuns : ReloadMode::kFinishRuns;
     load.expected_orders_taken = report.orders_taken;
     // The report took time; the duty may be gone by now.
     if (!MayOrder(Clock::now())) co_return std::nullopt;
@@ -122,6 +159,7 @@
          {"model", load.model.value()},
          {"weights", std::to_string(load.number.value())},
          {"fencing", std::to_string(load.fencing)},
+         {"mode", std::to_string(static_cast<int>(load.mode))},
          {"orders_taken", std::to_string(load.expected_orders_taken)},
          {"outcome", std::to_string(static_cast<int>(outcome))}});
     state_.metrics().GetCounter("ridgehold_weight_orders").Add();
@@ -140,7 +178,8 @@
   GatewayState& state_;
   Options options_;
   net::steady_timer timer_;
-  std::map<BackendId, TimePoint> loading_;
+  std::set<BackendId> begun_;
+  std::uint32_t loading_ = 0;
   bool stopped_ = false;
 };
 
--- a/libs/control/include/control/rollout_plan.h
+++ b/libs/control/include/control/rollout_plan.h
@@ -2,9 +2,8 @@
 
 #pragma once
 
-#include <chrono>
 #include <cstdint>
-#include <map>
+#include <set>
 #include <vector>
 
 #include "base/ids.h"
@@ -19,17 +18,14 @@
   ModelId model;
 };
 
-/// Bounds of a rollout.
-struct RolloutLimits {
-  /// More loads at once make each of them slower.
-  std::uint32_t at_once = 2;
-};
+/// Engines of a service that may load at once: the platform slows loads down
+/// beyond a fifth of them.
+std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service);
 
-/// Returns the engines to order next: those on older weights, the oldest and
-/// then the least busy first, so many that with `loading` the limit is not passed. Pure.
-std::vector<RolloutStep> NextSteps(const BackendDirectory& directory,
-                                   const NamedWeights& named,
-                                   const std::map<BackendId, TimePoint>& loading,
-                                   const RolloutLimits& limits);
+/// Returns the engines to begin with next: those on older weights, the oldest
+/// and then the least busy first. Twice as many as may load at once are
+/// begun, so that some are emptied while others load. Pure.
+std::vector<RolloutStep> NextSteps(const BackendDirectory& directory, const NamedWeights& named,
+                                   const std::set<BackendId>& begun);
 
 }  // namespace ridgehold
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -22,6 +22,7 @@
 #include "gateway/caller_server.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
+#include "peers/peer_link.h"
 
 namespace ridgehold {
 
@@ -63,6 +64,7 @@
     std::unique_ptr<EntryInstance> entry(
         new EntryInstance(executor, std::move(settings), times, std::move(acceptor)));
     BOOST_LEAF_CHECK(entry->OpenAdmin());
+    BOOST_LEAF_CHECK(entry->OpenPeers());
     return entry;
   }
 
@@ -71,6 +73,8 @@
     net::co_spawn(executor_, member_.Run(), net::detached);
     net::co_spawn(executor_, duty_.Run(), net::detached);
     net::co_spawn(executor_, rollout_.Run(), net::detached);
+    net::co_spawn(executor_, peers_->Send(), net::detached);
+    net::co_spawn(executor_, peers_->Receive(), net::detached);
     net::co_spawn(executor_, KeepHouse(), net::detached);
     server_.Start();
   }
@@ -139,9 +143,7 @@
   typename Duty::Options MemberOptions() const {
     typename Duty::Options options;
     options.key = kMemberPrefix + settings_.daemon.value();
-    options.value = nlohmann::json{{"zone", settings_.zone.value()},
-                                   {"address", settings_.instance_address}}
-                        .dump();
+    options.value = settings_.instance_address;
     options.ttl = std::max(times_.member_ttl, settings_.least_lease_ttl);
     options.exclusive = false;
     return options;
@@ -180,6 +182,22 @@
     return {};
   }
 
+  Result<void> OpenPeers() {
+    PeerLink::Options options;
+    options.self = settings_.daemon;
+    options.address = settings_.instance_address;
+    options.port = settings_.first_peer_port;
+    BOOST_LEAF_ASSIGN(peers_, PeerLink::Create(state_, std::move(options),
+                                               [this] { return PeerAddresses(); }));
+    return {};
+  }
+
+  std::vector<std::string> PeerAddresses() const {
+    std::vector<std::string> addresses = records_.MemberAddresses();
+    std::erase(addresses, settings_.instance_address);
+    return addresses;
+  }
+
   AdminServer::Pages MetricsPages() {
     AdminServer::Pages pages;
     pages["/metrics"] = [this] {
@@ -225,6 +243,7 @@
     while (!done_) {
       const TimePoint now = Clock::now();
       state_.pool().Sweep(now);
+      state_.SetHeardGateways(peers_->peers_heard());
       for (const BackendId& id : state_.directory().Expire(now)) {
         Log(LogLevel::kInfo, "backend gone", {{"backend", id.value()}});
       }
@@ -265,6 +284,7 @@
     Log(LogLevel::kInfo, "stopped", {{"in_flight", std::to_string(state_.in_flight())}});
     done_ = true;
     follower_.Stop();
+    peers_->Stop();
     done();
   }
 
@@ -290,6 +310,7 @@
   Rollout<typename Env::Control, Store> rollout_;
   CallerServer<typename Env::Wire> server_;
   std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<PeerLink> peers_;
   std::unique_ptr<AdminServer> metrics_server_;
   net::steady_timer timer_;
   bool done_ = false;
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -8,11 +8,13 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/ids.h"
+#include "gateway/gateway_news.h"
 #include "gateway/inbound_request.h"
 
 namespace ridgehold {
@@ -30,6 +32,13 @@
   std::map<ModelId, WeightsNumber> weights;
 };
 
+/// What other gateways do at a backend server, as they told last.
+struct PeerWork {
+  std::uint32_t running = 0;
+  std::uint32_t unread_tokens = 0;
+  std::uint32_t unrepeatable = 0;
+};
+
 /// One backend server. Requests that run there share it with the directory.
 struct Backend {
   BackendEntry entry;
@@ -38,12 +47,17 @@
   bool removed = false;
 
   std::uint32_t in_flight = 0;       ///< requests of this gateway
+  std::uint32_t unrepeatable = 0;    ///< those of them that cannot be resumed elsewhere
+  PeerWork peers;
+  TimePoint hold_until{};            ///< to get no new requests before, if others can take them
   double unprefilled_tokens = 0;     ///< of requests that have no first event yet
   TimePoint avoid_until{};           ///< after failures, or while it loads weights
   std::uint32_t failures = 0;        ///< in a row
   double error_rate = 0;             ///< moving mean of failed answers
-  /// Chain hash and last use; of the weights it runs now.
-  std::unordered_map<std::uint64_t, TimePoint> cached_parts;
+  /// Tokens its cache has taken in since it was first seen.
+  double inserted_tokens = 0;
+  /// Chain hash and `inserted_tokens` at the last use; of the weights it runs now.
+  std::unordered_map<std::uint64_t, double> cached_parts;
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
@@ -74,6 +88,7 @@
   std::vector<BackendPtr> Usable(const ServiceId& service, TimePoint now) const;
 
   BackendPtr Find(const BackendId& id) const;
+  BackendPtr FindByHash(BackendHash hash) const;
   const std::map<BackendId, BackendPtr>& all() const { return backends_; }
 
   static void NoteSuccess(Backend& backend);
@@ -81,12 +96,16 @@
   static void NoteFailure(Backend& backend, TimePoint now);
   /// It answered, but with a failure of its own.
   static void NoteErrorAnswer(Backend& backend);
+  /// A request with these parts was sent there; `new_tokens` of it were not cached.
+  static void NoteCached(Backend& backend, std::span<const std::uint64_t> parts,
+                         std::uint32_t new_tokens);
   /// News of the weights it runs.
   /// Newer weights empty its cache.
   static void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights);
 
  private:
   std::map<BackendId, BackendPtr> backends_;
+  std::unordered_map<BackendHash, BackendPtr> by_hash_;
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "gateway/attempt_policy.h"
+#include "gateway/backend_load.h"
 #include "gateway/caller_connection.h"
 #include "gateway/event_relay.h"
 #include "gateway/exchange_plan.h"
@@ -111,9 +112,9 @@
     ++facts_.sends;
     record_.backend = attempt_.backend->entry.id;
     ++record_.attempts;
-    BeginLoad(*attempt_.backend, *choice);
+    load_.emplace(state_, plan_, inbound_, *choice);
     const AttemptEnd end = co_await RunAttempt(*choice);
-    EndLoad(*attempt_.backend, *choice);
+    load_.reset();
     co_return Judge(end);
   }
 
@@ -155,7 +156,7 @@
   }
 
   net::awaitable<AttemptEnd> ReadOwnAnswer() {
-    LearnFromHead(*attempt_.backend, inbound_, attempt_.head);
+    LearnFromHead(state_, *attempt_.backend, inbound_, attempt_.head);
     attempt_.caller_head = Wire::MakeCallerHead(attempt_.connection->head());
     if (!IsAcceptable(attempt_.head)) {
       last_code_ = ResultCode::kForeignAnswer;
@@ -209,21 +210,7 @@
   /// The engine has made its first event, so the prompt is read.
   void NotePrefilled() {
     if (std::exchange(attempt_.prefilled, true)) return;
-    attempt_.backend->unprefilled_tokens -= load_.tokens;
-    load_.tokens = 0;
-  }
-
-  void BeginLoad(Backend& backend, const BackendChoice& choice) {
-    ++backend.in_flight;
-    load_.tokens = choice.tokens_to_read;
-    backend.unprefilled_tokens += load_.tokens;
-    if (plan_.chain) RememberParts(backend, *plan_.chain, Clock::now());
-  }
-
-  void EndLoad(Backend& backend, const BackendChoice& /*choice*/) {
-    --backend.in_flight;
-    backend.unprefilled_tokens -= load_.tokens;
-    load_.tokens = 0;
+    load_->EndReading();
   }
 
   AttemptEnd EndOf(ExchangeFault fault) {
@@ -323,10 +310,6 @@
     if (worth_ending && attempt_.connection) attempt_.connection->Cancel();
   }
 
-  struct Load {
-    double tokens = 0;  ///< counted as not yet read at the backend server
-  };
-
   GatewayState& state_;
   std::shared_ptr<CallerConnection> caller_;
   InboundRequest inbound_;
@@ -334,7 +317,7 @@
   EventRelay relay_;
   AttemptFacts facts_;
   Attempt attempt_;
-  Load load_;
+  std::optional<BackendLoad> load_;
   std::set<BackendId> tried_;
   ResultCode last_code_ = ResultCode::kNoBackend;
   RequestRecord record_;
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -68,7 +68,8 @@
 bool IsOlderAnswer(const AnswerHead& head);
 
 /// Takes what an answer's head tells of the backend server.
-void LearnFromHead(Backend& backend, const InboundRequest& request, const AnswerHead& head);
+void LearnFromHead(GatewayState& state, Backend& backend, const InboundRequest& request,
+                   const AnswerHead& head);
 
 /// Takes what an attempt's outcome tells of the backend server.
 void NoteOutcome(const GatewayState& state, const InboundRequest& request, Backend& backend,
--- /dev/null
+++ b/libs/gateway/include/gateway/gateway_news.h
@@ -0,0 +1,67 @@
+// What a gateway tells the others about the backend servers.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "gateway/inbound_request.h"
+
+namespace ridgehold {
+
+/// Stands for a backend server's id between gateways.
+using BackendHash = std::uint64_t;
+
+BackendHash HashOf(const BackendId& id);
+
+/// One gateway's requests at a backend server.
+struct LoadNews {
+  BackendHash backend = 0;
+  std::uint32_t running = 0;
+  std::uint32_t unread_tokens = 0;  ///< prompts of requests without a first event
+  std::uint32_t unrepeatable = 0;   ///< requests that cannot be resumed elsewhere
+};
+
+/// A request was sent; its parts will be in the backend server's cache.
+struct PlacedNews {
+  BackendHash backend = 0;
+  std::uint32_t new_tokens = 0;
+  std::vector<std::uint64_t> parts;
+};
+
+/// A backend server is to get no new requests for a while; 0: it may again.
+struct HoldNews {
+  BackendHash backend = 0;
+  std::chrono::milliseconds length{0};
+};
+
+/// A backend server was seen to run these weights.
+struct WeightsNews {
+  BackendHash backend = 0;
+  ModelId model;
+  WeightsNumber number;
+};
+
+/// What has happened since the last message.
+struct NewsItems {
+  std::vector<PlacedNews> placed;
+  std::vector<HoldNews> holds;
+  std::vector<WeightsNews> weights;
+
+  bool empty() const { return placed.empty() && holds.empty() && weights.empty(); }
+};
+
+/// One message.
+struct GatewayNews {
+  DaemonId daemon;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  std::vector<LoadNews> loads;
+  NewsItems items;
+};
+
+}  // namespace ridgehold
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 
 #include "base/ids.h"
 #include "gateway/backend_directory.h"
+#include "gateway/gateway_news.h"
 #include "gateway/named_weights.h"
 #include "gateway/placement.h"
 #include "gateway/retry_allowance.h"
@@ -89,6 +90,25 @@
     retries_.SetGateways(gateways_);
   }
 
+  /// Other gateways that are alive but tell nothing of their work.
+  double unheard_gateways() const {
+    return std::max(0.0, static_cast<double>(gateways_) - 1 - heard_gateways_);
+  }
+  void SetHeardGateways(std::size_t heard) { heard_gateways_ = static_cast<double>(heard); }
+
+  /// News for the other gateways.
+  NewsItems& news() { return news_; }
+
+  /// Takes out what is to be told now; of placed requests at most `most_placed`.
+  NewsItems TakeNews(std::size_t most_placed);
+
+  /// Keeps new requests off a backend server, here and at the other gateways;
+  /// zero lets them in again.
+  void Hold(Backend& backend, std::chrono::milliseconds length, TimePoint now);
+
+  /// A backend server was seen to run these weights.
+  void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber number);
+
   bool shutting_down() const { return shutting_down_; }
   void BeginShutdown() { shutting_down_ = true; }
 
@@ -112,6 +132,8 @@
   TimePoint confirmed_at_{};
   NamedWeights named_weights_;
   std::uint32_t gateways_ = 1;
+  double heard_gateways_ = 0;
+  NewsItems news_;
   std::uint32_t in_flight_ = 0;
   std::uint64_t sequence_ = 0;
   bool shutting_down_ = false;
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -48,8 +48,11 @@
   double older_weights = 150;
   /// Requests may begin on older weights this long without being worth less.
   std::chrono::milliseconds older_weights_free{1'000};
-  /// Parts not used for this long are taken for evicted.
-  std::chrono::milliseconds cache_life{10'000};
+  /// Part of an engine's memory that keeps parts nobody uses now; the rest is
+  /// taken by running requests.
+  double cache_part = 0.7;
+  /// An engine that is to get no new requests is chosen only before none.
+  double held = 3'000;
 };
 
 /// What the choice is made for.
@@ -59,7 +62,8 @@
   ModelId model;
   std::optional<WeightsNumber> newest_weights;
   std::optional<TimePoint> newest_since;  ///< when they were named
-  std::uint32_t gateways = 1;             ///< that send to the same backend servers
+  std::uint64_t cache_tokens = 0;         ///< memory of one engine
+  double unheard_share = 0;  ///< requests of unheard gateways for each own one
   std::uint64_t tie_break = 0;
   TimePoint now{};
 };
@@ -77,7 +81,4 @@
 Placement ChooseBackend(const PlacementQuery& query, std::span<const BackendPtr> candidates,
                         const PlacementWeights& weights);
 
-/// Notes that `backend` will hold the chain's parts.
-void RememberParts(Backend& backend, const PromptChain& chain, TimePoint now);
-
 }  // namespace ridgehold
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -5,6 +5,10 @@
 namespace ridgehold {
 namespace {
 
+// Bounds what is remembered of one backend server's cache; today 104 subjects
+// with 4 rule sets and 197 with 40 are all there are.
+constexpr std::size_t kMostRememberedParts = 4'000;
+
 /// Weights only move forward; an older number is late news.
 void RaiseWeights(Backend& backend, const ModelId& model, WeightsNumber weights) {
   WeightsNumber& known = backend.weights[model];
@@ -17,7 +21,10 @@
 
 void BackendDirectory::Put(const BackendEntry& entry) {
   BackendPtr& backend = backends_[entry.id];
-  if (!backend) backend = std::make_shared<Backend>();
+  if (!backend) {
+    backend = std::make_shared<Backend>();
+    by_hash_[HashOf(entry.id)] = backend;
+  }
   backend->missing_until.reset();
   backend->removed = false;
   for (const auto& [model, weights] : entry.weights) RaiseWeights(*backend, model, weights);
@@ -33,6 +40,7 @@
     return;
   }
   backend.removed = true;
+  by_hash_.erase(HashOf(id));
   backends_.erase(found);
 }
 
@@ -74,6 +82,18 @@
   return found == backends_.end() ? nullptr : found->second;
 }
 
+BackendPtr BackendDirectory::FindByHash(BackendHash hash) const {
+  const auto found = by_hash_.find(hash);
+  return found == by_hash_.end() ? nullptr : found->second;
+}
+
+void BackendDirectory::NoteCached(Backend& backend, std::span<const std::uint64_t> parts,
+                                  std::uint32_t new_tokens) {
+  if (backend.cached_parts.size() > kMostRememberedParts) backend.cached_parts.clear();
+  backend.inserted_tokens += new_tokens;
+  for (const std::uint64_t part : parts) backend.cached_parts[part] = backend.inserted_tokens;
+}
+
 void BackendDirectory::NoteSuccess(Backend& backend) {
   backend.failures = 0;
   backend.error_rate *= 1 - kErrorRateStep;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -111,11 +111,13 @@
   if (candidates.empty()) return std::nullopt;
   PlacementQuery query;
   query.own_zone = state.zone();
-  query.gateways = state.gateways();
+  query.unheard_share = state.unheard_gateways();
   query.tie_break = state.NextSequence();
   query.now = now;
   if (request.generation) {
     query.chain = &*plan.chain;
+    const ServiceRule* service = plan.snapshot->FindService(plan.service);
+    if (service != nullptr && service->engine) query.cache_tokens = service->engine->cache_tokens;
     query.model = request.generation->model;
     query.newest_weights = state.named_weights().Newest(query.model);
     query.newest_since = state.named_weights().NewestSince(query.model);
@@ -177,9 +179,10 @@
 
 bool IsOlderAnswer(const AnswerHead& head) { return !head.request.value().empty(); }
 
-void LearnFromHead(Backend& backend, const InboundRequest& request, const AnswerHead& head) {
+void LearnFromHead(GatewayState& state, Backend& backend, const InboundRequest& request,
+                   const AnswerHead& head) {
   if (!request.generation || !head.weights) return;
-  BackendDirectory::NoteWeights(backend, request.generation->model, *head.weights);
+  state.NoteWeights(backend, request.generation->model, *head.weights);
 }
 
 void NoteOutcome(const GatewayState& state, const InboundRequest& request, Backend& backend,
--- /dev/null
+++ b/libs/gateway/src/gateway_state.cc
@@ -0,0 +1,33 @@
+#include "gateway/gateway_state.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace ridgehold {
+
+NewsItems GatewayState::TakeNews(std::size_t most_placed) {
+  NewsItems taken;
+  std::swap(taken.holds, news_.holds);
+  std::swap(taken.weights, news_.weights);
+  const auto end =
+      news_.placed.begin() +
+      static_cast<std::ptrdiff_t>(std::min(most_placed, news_.placed.size()));
+  taken.placed.assign(std::make_move_iterator(news_.placed.begin()),
+                      std::make_move_iterator(end));
+  news_.placed.erase(news_.placed.begin(), end);
+  return taken;
+}
+
+void GatewayState::Hold(Backend& backend, std::chrono::milliseconds length, TimePoint now) {
+  backend.hold_until = now + length;
+  news_.holds.push_back({HashOf(backend.entry.id), length});
+}
+
+void GatewayState::NoteWeights(Backend& backend, const ModelId& model, WeightsNumber number) {
+  const auto known = backend.weights.find(model);
+  if (known != backend.weights.end() && known->second >= number) return;
+  BackendDirectory::NoteWeights(backend, model, number);
+  news_.weights.push_back({HashOf(backend.entry.id), model, number});
+}
+
+}  // namespace ridgehold
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -9,8 +9,6 @@
 namespace ridgehold {
 namespace {
 
-// Bounds what is remembered of one backend server; 104 subjects and 4 rule sets are today's size.
-constexpr std::size_t kMostRemembered = 2'000;
 // A backend server that was just tried without success is chosen last.
 constexpr double kAvoided = 5'000;
 // Fewer shared tokens than this are read again sooner than fetched.
@@ -62,8 +60,10 @@
     if (backend.entry.zone != query_.own_zone) placement.cost += weights_.other_zone;
     if (backend.avoid_until > query_.now) placement.cost += kAvoided;
     if (backend.missing_until) placement.cost += kAvoided / 2;
+    if (backend.hold_until > query_.now) placement.cost += weights_.held;
     if (query_.chain == nullptr) {
-      placement.cost += weights_.per_running_call * backend.in_flight;
+      placement.cost +=
+          weights_.per_running_call * Together(backend.in_flight, backend.peers.running);
       return placement;
     }
     PriceCache(index, placement);
@@ -89,11 +89,16 @@
   }
 
   double PriceOfWork(const Backend& backend, std::uint32_t cached) const {
-    const double others = static_cast<double>(query_.gateways);
-    const double ahead = backend.unprefilled_tokens * std::max(1.0, others / 2);
+    const double ahead = Together(backend.unprefilled_tokens, backend.peers.unread_tokens);
     const double own = query_.chain->prompt_tokens - std::min(cached, query_.chain->prompt_tokens);
     const double reading = (ahead + own) / weights_.prefill_tokens_per_ms;
-    return reading + weights_.per_running_request * backend.in_flight * others;
+    return reading +
+           weights_.per_running_request * Together(backend.in_flight, backend.peers.running);
+  }
+
+  /// All gateways' work, where those that are not heard do as this one does.
+  double Together(double own, double peers) const {
+    return own * (1 + query_.unheard_share) + peers;
   }
 
   double PriceOfWeights(const Backend& backend) const {
@@ -134,9 +139,10 @@
     std::uint32_t tokens = 0;
     for (const PromptChain::Link& link : query_.chain->links) {
       const auto found = backend.cached_parts.find(link.hash);
-      const bool fresh =
-          found != backend.cached_parts.end() && query_.now - found->second < weights_.cache_life;
-      if (!fresh) break;
+      const double room = weights_.cache_part * static_cast<double>(query_.cache_tokens);
+      const bool kept = found != backend.cached_parts.end() &&
+                        backend.inserted_tokens - found->second < room;
+      if (!kept) break;
       tokens = link.tokens_up_to;
     }
     return tokens;
@@ -193,9 +199,4 @@
   return Chooser(query, candidates, weights).Choose();
 }
 
-void RememberParts(Backend& backend, const PromptChain& chain, TimePoint now) {
-  if (backend.cached_parts.size() > kMostRemembered) backend.cached_parts.clear();
-  for (const PromptChain::Link& link : chain.links) backend.cached_parts[link.hash] = now;
-}
-
 }  // namespace ridgehold
--- /dev/null
+++ b/libs/peers/include/peers/peer_loads.h
@@ -0,0 +1,49 @@
+// Adds what other gateways do at each backend server into the directory.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "base/ids.h"
+#include "gateway/backend_directory.h"
+#include "gateway/gateway_news.h"
+
+namespace ridgehold {
+
+/// Not thread-safe; time comes in as a value.
+class PeerLoads {
+ public:
+  /// A gateway unheard for this long is taken to send nothing any more.
+  static constexpr std::chrono::milliseconds kForgetAfter{1'500};
+
+  explicit PeerLoads(BackendDirectory& directory) : directory_(directory) {}
+
+  /// Takes a message; false when it is older than one taken before.
+  bool Take(const GatewayNews& news, TimePoint now);
+
+  /// Drops gateways that have fallen silent.
+  void Expire(TimePoint now);
+
+  /// Gateways heard lately.
+  std::size_t size() const { return peers_.size(); }
+
+ private:
+  struct Peer {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::vector<LoadNews> loads;
+    TimePoint heard{};
+  };
+
+  void Add(const std::vector<LoadNews>& loads);
+  void Subtract(const std::vector<LoadNews>& loads);
+  void TakeItems(const NewsItems& items, TimePoint now);
+
+  BackendDirectory& directory_;
+  std::map<DaemonId, Peer> peers_;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/peers/src/news_codec.cc
@@ -0,0 +1,80 @@
+#include "peers/news_codec.h"
+
+#include "gateway.pb.h"
+
+namespace ridgehold {
+namespace {
+
+void EncodeItems(const NewsItems& items, wire::GatewayNews& message) {
+  for (const PlacedNews& placed : items.placed) {
+    wire::GatewayPlaced& entry = *message.add_placed();
+    entry.set_backend(placed.backend);
+    entry.set_new_tokens(placed.new_tokens);
+    for (const std::uint64_t part : placed.parts) entry.add_parts(part);
+  }
+  for (const HoldNews& hold : items.holds) {
+    wire::GatewayHold& entry = *message.add_holds();
+    entry.set_backend(hold.backend);
+    entry.set_for_ms(static_cast<std::uint32_t>(hold.length.count()));
+  }
+  for (const WeightsNews& weights : items.weights) {
+    wire::GatewayWeights& entry = *message.add_weights();
+    entry.set_backend(weights.backend);
+    entry.set_model(weights.model.value());
+    entry.set_number(weights.number.value());
+  }
+}
+
+NewsItems DecodeItems(const wire::GatewayNews& message) {
+  NewsItems items;
+  for (const wire::GatewayPlaced& entry : message.placed()) {
+    items.placed.push_back({entry.backend(), entry.new_tokens(),
+                            {entry.parts().begin(), entry.parts().end()}});
+  }
+  for (const wire::GatewayHold& entry : message.holds()) {
+    items.holds.push_back({entry.backend(), std::chrono::milliseconds(entry.for_ms())});
+  }
+  for (const wire::GatewayWeights& entry : message.weights()) {
+    items.weights.push_back(
+        {entry.backend(), ModelId(entry.model()), WeightsNumber(entry.number())});
+  }
+  return items;
+}
+
+}  // namespace
+
+std::string EncodeNews(const GatewayNews& news) {
+  wire::GatewayNews message;
+  message.set_daemon(news.daemon.value());
+  message.set_incarnation(news.incarnation);
+  message.set_sequence(news.sequence);
+  for (const LoadNews& load : news.loads) {
+    wire::GatewayLoad& entry = *message.add_loads();
+    entry.set_backend(load.backend);
+    entry.set_running(load.running);
+    entry.set_unread_tokens(load.unread_tokens);
+    entry.set_unrepeatable(load.unrepeatable);
+  }
+  EncodeItems(news.items, message);
+  return message.SerializeAsString();
+}
+
+Result<GatewayNews> DecodeNews(std::string_view bytes) {
+  wire::GatewayNews message;
+  const bool parsed = message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+  if (!parsed || message.daemon().empty()) {
+    return Fail(ResultCode::kMalformedPeerMessage, "not a gateway's message");
+  }
+  GatewayNews news;
+  news.daemon = DaemonId(message.daemon());
+  news.incarnation = message.incarnation();
+  news.sequence = message.sequence();
+  for (const wire::GatewayLoad& entry : message.loads()) {
+    news.loads.push_back(
+        {entry.backend(), entry.running(), entry.unread_tokens(), entry.unrepeatable()});
+  }
+  news.items = DecodeItems(message);
+  return news;
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/peers/src/peer_link.cc
@@ -0,0 +1,118 @@
+#include "peers/peer_link.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+#include "log/log.h"
+#include "peers/news_codec.h"
+
+namespace ridgehold {
+
+Result<std::unique_ptr<PeerLink>> PeerLink::Create(
+    GatewayState& state, Options options, std::function<std::vector<std::string>()> peers) {
+  ErrorCode error;
+  const auto address = net::ip::make_address(options.address, error);
+  net::ip::udp::socket socket(state.executor());
+  if (!error) socket.open(net::ip::udp::v4(), error);
+  if (!error) socket.bind({address, options.port}, error);
+  if (error) {
+    return Fail(ResultCode::kInvalidSettings, "cannot receive peers' messages on " +
+                                                  options.address + ":" +
+                                                  std::to_string(options.port) + ": " +
+                                                  error.message());
+  }
+  return std::unique_ptr<PeerLink>(
+      new PeerLink(state, std::move(options), std::move(peers), std::move(socket)));
+}
+
+PeerLink::PeerLink(GatewayState& state, Options options,
+                   std::function<std::vector<std::string>()> peers, net::ip::udp::socket socket)
+    : state_(state),
+      options_(std::move(options)),
+      peers_(std::move(peers)),
+      socket_(std::move(socket)),
+      timer_(state.executor()),
+      loads_(state.directory()),
+      incarnation_(std::random_device{}()) {}
+
+net::awaitable<void> PeerLink::Send() {
+  while (!stopped_) {
+    const std::vector<std::string> peers = peers_();
+    const TimePoint now = Clock::now();
+    loads_.Expire(now);
+    GatewayNews news = MakeNews();
+    const bool has_load = !news.loads.empty();
+    const bool due = now - last_sent_ >= options_.heartbeat;
+    if (!news.items.empty() || has_load || had_load_ || due) {
+      had_load_ = has_load;
+      last_sent_ = now;
+      SendToPeers(EncodeNews(news), peers);
+    }
+    ErrorCode ignored;
+    const int count = static_cast<int>(peers.size());
+    timer_.expires_after(options_.period + count * options_.period_per_peer);
+    co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
+  }
+}
+
+GatewayNews PeerLink::MakeNews() {
+  GatewayNews news;
+  news.daemon = options_.self;
+  news.incarnation = incarnation_;
+  news.sequence = ++sequence_;
+  for (const auto& [id, backend] : state_.directory().all()) {
+    if (backend->in_flight == 0) continue;
+    news.loads.push_back({HashOf(id), backend->in_flight,
+                          static_cast<std::uint32_t>(std::max(0.0, backend->unprefilled_tokens)),
+                          backend->unrepeatable});
+  }
+  news.items = state_.TakeNews(kMostPlaced);
+  return news;
+}
+
+void PeerLink::SendToPeers(const std::string& datagram, const std::vector<std::string>& peers) {
+  for (const std::string& peer : peers) {
+    ErrorCode error;
+    const auto address = net::ip::make_address(peer, error);
+    if (error) continue;
+    socket_.send_to(net::buffer(datagram), {address, options_.port}, 0, error);
+    // A full buffer or an unreachable peer: the next message follows soon.
+    if (error) state_.metrics().GetCounter("ridgehold_peer_messages_dropped").Add();
+  }
+}
+
+net::awaitable<void> PeerLink::Receive() {
+  net::ip::udp::endpoint sender;
+  while (!stopped_) {
+    ErrorCode error;
+    const std::size_t bytes = co_await socket_.async_receive_from(
+        net::buffer(buffer_), sender, net::redirect_error(net::use_awaitable, error));
+    if (error == net::error::operation_aborted) co_return;
+    if (!error) Take(bytes);
+  }
+}
+
+void PeerLink::Take(std::size_t bytes) {
+  ValueOr(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(news, DecodeNews({buffer_.data(), bytes}));
+        if (news.daemon != options_.self) loads_.Take(news, Clock::now());
+        return {};
+      },
+      [&](const Failure& failure) {
+        state_.metrics().GetCounter("ridgehold_peer_messages_malformed").Add();
+        Log(LogLevel::kWarn, "malformed peer message",
+            {{"bytes", std::to_string(bytes)}, {"detail", failure.detail}});
+      });
+}
+
+void PeerLink::Stop() {
+  stopped_ = true;
+  ErrorCode ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/peers/src/peer_loads.cc
@@ -0,0 +1,66 @@
+#include "peers/peer_loads.h"
+
+#include <algorithm>
+
+namespace ridgehold {
+
+bool PeerLoads::Take(const GatewayNews& news, TimePoint now) {
+  Peer& peer = peers_[news.daemon];
+  const bool known = peer.incarnation == news.incarnation;
+  if (known && news.sequence <= peer.sequence) return false;
+  Subtract(peer.loads);
+  peer = {news.incarnation, news.sequence, news.loads, now};
+  Add(peer.loads);
+  TakeItems(news.items, now);
+  return true;
+}
+
+void PeerLoads::Expire(TimePoint now) {
+  std::erase_if(peers_, [&](const auto& entry) {
+    const bool silent = now - entry.second.heard >= kForgetAfter;
+    if (silent) Subtract(entry.second.loads);
+    return silent;
+  });
+}
+
+void PeerLoads::Add(const std::vector<LoadNews>& loads) {
+  for (const LoadNews& load : loads) {
+    const BackendPtr backend = directory_.FindByHash(load.backend);
+    if (!backend) continue;
+    backend->peers.running += load.running;
+    backend->peers.unread_tokens += load.unread_tokens;
+    backend->peers.unrepeatable += load.unrepeatable;
+  }
+}
+
+void PeerLoads::Subtract(const std::vector<LoadNews>& loads) {
+  for (const LoadNews& load : loads) {
+    const BackendPtr backend = directory_.FindByHash(load.backend);
+    if (!backend) continue;
+    // A backend server may have been added between; nothing goes below zero.
+    PeerWork& work = backend->peers;
+    work.running -= std::min(work.running, load.running);
+    work.unread_tokens -= std::min(work.unread_tokens, load.unread_tokens);
+    work.unrepeatable -= std::min(work.unrepeatable, load.unrepeatable);
+  }
+}
+
+void PeerLoads::TakeItems(const NewsItems& items, TimePoint now) {
+  for (const PlacedNews& placed : items.placed) {
+    if (const BackendPtr backend = directory_.FindByHash(placed.backend)) {
+      BackendDirectory::NoteCached(*backend, placed.parts, placed.new_tokens);
+    }
+  }
+  for (const HoldNews& hold : items.holds) {
+    if (const BackendPtr backend = directory_.FindByHash(hold.backend)) {
+      backend->hold_until = now + hold.length;
+    }
+  }
+  for (const WeightsNews& weights : items.weights) {
+    if (const BackendPtr backend = directory_.FindByHash(weights.backend)) {
+      BackendDirectory::NoteWeights(*backend, weights.model, weights.number);
+    }
+  }
+}
+
+}  // namespace ridgehold
