--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -45,7 +45,8 @@
   std::chrono::milliseconds duty_ttl{2'000};
   std::chrono::milliseconds member_ttl{10'000};
   std::chrono::milliseconds housekeeping{500};
-  /// The balancer asks once a second and needs two misses.
+  /// The balancer asks once a second and needs two misses. Requests that come
+  /// later are refused, so that none is broken off at the end.
   std::chrono::milliseconds lame_duck{2'600};
   /// Left before the process is killed.
   std::chrono::milliseconds shutdown_margin{700};
@@ -276,6 +277,8 @@
     co_await duty_.Release();
     co_await WaitOn(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
                                begun + times_.lame_duck - Clock::now()));
+    server_.Stop();
+    state_.RefuseNewRequests();
     while (Clock::now() < latest) {
       server_.CloseIdle();
       if (state_.in_flight() == 0 && server_.open_connections() == 0) break;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -112,6 +112,10 @@
   bool shutting_down() const { return shutting_down_; }
   void BeginShutdown() { shutting_down_ = true; }
 
+  /// From now on new requests are refused: they could not end in time.
+  void RefuseNewRequests() { refusing_new_ = true; }
+  bool refusing_new() const { return refusing_new_; }
+
   std::uint32_t in_flight() const { return in_flight_; }
   void RequestBegan() { ++in_flight_; }
   void RequestEnded() { --in_flight_; }
@@ -137,6 +141,7 @@
   std::uint32_t in_flight_ = 0;
   std::uint64_t sequence_ = 0;
   bool shutting_down_ = false;
+  bool refusing_new_ = false;
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -82,6 +82,7 @@
 
 Result<ExchangePlan> PlanExchange(const GatewayState& state, const InboundRequest& request,
                                   TimePoint now) {
+  if (state.refusing_new()) return Fail(ResultCode::kShuttingDown, "");
   ExchangePlan plan;
   plan.snapshot = state.snapshot();
   if (!plan.snapshot) return Fail(ResultCode::kNotReady, "");
