--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -32,8 +32,13 @@
 concept Environment = WireFormat<typename Env::Wire> && StateStore<typename Env::Store> &&
                       FactCodec<typename Env::Codec> && BackendControl<typename Env::Control>;
 
-/// Times of an entry instance's own.
-struct EntryTimes {
+/// Settings of an entry instance's own, as the product's settings file has them.
+struct EntryTuning {
+  PlacementWeights placement;
+  /// Waiting this many latency objectives for an answer's head is enough.
+  double call_patience = 3;
+  double stream_patience = 8;
+
   /// A call to the store takes 4 ms, and 0.4 s when the store is slow.
   std::chrono::milliseconds store_call{1'000};
   std::chrono::milliseconds control_call{800};
@@ -60,10 +65,10 @@
  public:
   /// Opens the listening sockets. Fails with kInvalidSettings.
   static Result<std::unique_ptr<EntryInstance>> Create(net::any_io_executor executor,
-                                                       EntrySettings settings, EntryTimes times) {
+                                                       EntrySettings settings, EntryTuning tuning) {
     BOOST_LEAF_AUTO(acceptor, Listen(executor, settings.caller_address));
     std::unique_ptr<EntryInstance> entry(
-        new EntryInstance(executor, std::move(settings), times, std::move(acceptor)));
+        new EntryInstance(executor, std::move(settings), tuning, std::move(acceptor)));
     BOOST_LEAF_CHECK(entry->OpenAdmin());
     BOOST_LEAF_CHECK(entry->OpenPeers());
     return entry;
@@ -99,7 +104,7 @@
   bool Ready() const {
     if (state_.shutting_down() || !follower_.ready() || !state_.snapshot()) return false;
     if (!settings_.strict_revocation) return true;
-    const auto trust = settings_.revocation_limit * times_.ready_part;
+    const auto trust = settings_.revocation_limit * tuning_.ready_part;
     return Clock::now() - state_.confirmed_at() < trust;
   }
 
@@ -108,17 +113,17 @@
   std::uint16_t ready_port() const { return admin_->port(); }
 
  private:
-  EntryInstance(net::any_io_executor executor, EntrySettings settings, EntryTimes times,
+  EntryInstance(net::any_io_executor executor, EntrySettings settings, EntryTuning tuning,
                 tcp::acceptor acceptor)
       : executor_(executor),
         settings_(std::move(settings)),
-        times_(times),
-        state_(executor, settings_.zone, LimitsOf(settings_, times), metrics_),
-        store_(executor, metrics_, settings_.store_address, times.store_call),
+        tuning_(tuning),
+        state_(executor, settings_.zone, LimitsOf(settings_, tuning), tuning.placement, metrics_),
+        store_(executor, metrics_, settings_.store_address, tuning.store_call),
         follower_(store_, state_, records_, {}),
         member_(store_, executor, MemberOptions(), [] { return true; }),
         duty_(store_, executor, DutyOptions(), [this] { return DutyIsFree(); }),
-        control_(state_.pool(), times.control_call),
+        control_(state_.pool(), tuning.control_call),
         rollout_(control_, duty_, state_, RolloutOptions()),
         server_(state_, std::move(acceptor), MostConnections(settings_)),
         timer_(executor) {}
@@ -126,13 +131,15 @@
   using Store = typename Env::Store;
   using Duty = HeldKey<Store>;
 
-  static GatewayLimits LimitsOf(const EntrySettings& settings, const EntryTimes& times) {
+  static GatewayLimits LimitsOf(const EntrySettings& settings, const EntryTuning& tuning) {
     GatewayLimits limits;
     if (settings.strict_revocation) {
-      limits.key_trust = settings.revocation_limit - times.key_margin;
+      limits.key_trust = settings.revocation_limit - tuning.key_margin;
     }
-    limits.older_weights = settings.weights_limit - times.weights_margin;
+    limits.older_weights = settings.weights_limit - tuning.weights_margin;
     limits.retries = settings.retries;
+    limits.patience_objectives = tuning.call_patience;
+    limits.stream_patience_objectives = tuning.stream_patience;
     return limits;
   }
 
@@ -145,7 +152,7 @@
     typename Duty::Options options;
     options.key = kMemberPrefix + settings_.daemon.value();
     options.value = settings_.instance_address;
-    options.ttl = std::max(times_.member_ttl, settings_.least_lease_ttl);
+    options.ttl = std::max(tuning_.member_ttl, settings_.least_lease_ttl);
     options.exclusive = false;
     return options;
   }
@@ -154,7 +161,7 @@
     typename Duty::Options options;
     options.key = kRolloutHolderKey;
     options.value = settings_.daemon.value();
-    options.ttl = std::max(times_.duty_ttl, settings_.least_lease_ttl);
+    options.ttl = std::max(tuning_.duty_ttl, settings_.least_lease_ttl);
     return options;
   }
 
@@ -252,7 +259,7 @@
         was_ready = ready;
         LogReadiness(ready, now);
       }
-      co_await Wait(times_.housekeeping);
+      co_await Wait(tuning_.housekeeping);
     }
   }
 
@@ -266,23 +273,23 @@
 
   net::awaitable<void> ShutDown(std::function<void()> done) {
     const TimePoint begun = Clock::now();
-    const TimePoint latest = begun + settings_.shutdown_limit - times_.shutdown_margin;
+    const TimePoint latest = begun + settings_.shutdown_limit - tuning_.shutdown_margin;
     net::steady_timer timer(executor_);
     rollout_.Stop();
     co_await member_.Release();
-    while (!rollout_.idle() && Clock::now() < begun + times_.lame_duck) {
-      co_await WaitOn(timer, times_.housekeeping / 5);
+    while (!rollout_.idle() && Clock::now() < begun + tuning_.lame_duck) {
+      co_await WaitOn(timer, tuning_.housekeeping / 5);
     }
     // Not before the last order is settled.
     co_await duty_.Release();
     co_await WaitOn(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
-                               begun + times_.lame_duck - Clock::now()));
+                               begun + tuning_.lame_duck - Clock::now()));
     server_.Stop();
     state_.RefuseNewRequests();
     while (Clock::now() < latest) {
       server_.CloseIdle();
       if (state_.in_flight() == 0 && server_.open_connections() == 0) break;
-      co_await WaitOn(timer, times_.housekeeping / 5);
+      co_await WaitOn(timer, tuning_.housekeeping / 5);
     }
     Log(LogLevel::kInfo, "stopped", {{"in_flight", std::to_string(state_.in_flight())}});
     done_ = true;
@@ -301,7 +308,7 @@
 
   net::any_io_executor executor_;
   EntrySettings settings_;
-  EntryTimes times_;
+  EntryTuning tuning_;
   Metrics metrics_;
   mutable GatewayState state_;
   OwnRecords records_;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -45,10 +45,12 @@
 /// Lives on one executor; not thread-safe. Outlives all sessions.
 class GatewayState {
  public:
-  GatewayState(net::any_io_executor executor, ZoneId zone, GatewayLimits limits, Metrics& metrics)
+  GatewayState(net::any_io_executor executor, ZoneId zone, GatewayLimits limits,
+               PlacementWeights weights, Metrics& metrics)
       : executor_(executor),
         zone_(std::move(zone)),
         limits_(limits),
+        placement_weights_(weights),
         metrics_(metrics),
         pool_(executor, ConnectionPool::Options{}),
         retries_(limits.retries) {}
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -16,6 +16,7 @@
 using Entry = EntryInstance<platform::PlatformEnvironment>;
 
 struct Options {
+  EntryTuning tuning;
   std::uint16_t metrics_port = 0;
   std::string log_level = "info";
   bool check_settings = false;
@@ -55,7 +56,7 @@
        {"zone", settings.zone.value()},
        {"callers", settings.caller_address},
        {"store", settings.store_address}});
-  BOOST_LEAF_AUTO(entry, Entry::Create(io.get_executor(), std::move(settings), {}));
+  BOOST_LEAF_AUTO(entry, Entry::Create(io.get_executor(), std::move(settings), options.tuning));
   if (options.metrics_port != 0) BOOST_LEAF_CHECK(entry->OpenMetrics(metrics_address));
   net::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   WaitForSignals(signals, io, *entry);
@@ -64,6 +65,31 @@
   return {};
 }
 
+/// Settings of the product's own: `[placement]` and `[limits]` of the INI file.
+void AddTuning(CLI::App& app, EntryTuning& tuning) {
+  PlacementWeights& placement = tuning.placement;
+  app.add_option("--placement.prefill-tokens-per-ms", placement.prefill_tokens_per_ms,
+                 "Speed of an engine");
+  app.add_option("--placement.per-running-request", placement.per_running_request,
+                 "ms that a running request adds to the wait");
+  app.add_option("--placement.other-zone", placement.other_zone, "ms to another zone");
+  app.add_option("--placement.fetch-call", placement.fetch_call, "ms of a fetch of shared parts");
+  app.add_option("--placement.fetch-token", placement.fetch_token,
+                 "ms for each token fetched, with what it evicts");
+  app.add_option("--placement.per-running-call", placement.per_running_call,
+                 "ms that a running call adds at a plain service");
+  app.add_option("--placement.failing", placement.failing,
+                 "ms by which a server is worse whose answers all fail");
+  app.add_option("--placement.older-weights", placement.older_weights,
+                 "ms by which older weights are worse");
+  app.add_option("--placement.cache-part", placement.cache_part,
+                 "part of an engine's memory that keeps idle prompt parts");
+  app.add_option("--limits.call-patience", tuning.call_patience,
+                 "latency objectives until a call is tried elsewhere");
+  app.add_option("--limits.stream-patience", tuning.stream_patience,
+                 "latency objectives until a stream is tried elsewhere");
+}
+
 }  // namespace
 }  // namespace ridgehold
 
@@ -73,6 +99,8 @@
   app.add_option("--metrics-port", options.metrics_port, "Serve /metrics and /state here");
   app.add_option("--log-level", options.log_level, "debug, info, warn or error");
   app.add_flag("--check-settings", options.check_settings, "Read the settings and end");
+  app.set_config("--settings", "", "INI file with the settings of the product's own");
+  ridgehold::AddTuning(app, options.tuning);
   CLI11_PARSE(app, argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   ridgehold::StartLog(options.log_level, "json", ridgehold::LogSink::kQueuedStandardOutput);
