--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -29,6 +31,8 @@
   struct Options {
     DaemonId self;
     std::chrono::milliseconds separation{3'000};
+    /// One engine of so many loads at a time.
+    std::uint32_t engines_for_each_load = 5;
     /// Between looks for work.
     std::chrono::milliseconds look{50};
     /// Between looks at an engine that is loading, and when the first is due.
@@ -72,22 +76,32 @@
   }
 
   void StartSteps() {
-    const auto steps = NextSteps(state_.directory(), state_.named_weights(), begun_);
+    const auto steps =
+        NextSteps(state_.directory(), state_.named_weights(), begun_, LoadsEnding(),
+                  options_.engines_for_each_load);
     for (const RolloutStep& step : steps) {
       begun_.insert(step.engine->entry.id);
       net::co_spawn(state_.executor(), BringUp(step), net::detached);
     }
   }
 
+  /// Loads that will end before another engine is emptied.
+  std::size_t LoadsEnding() const {
+    const TimePoint now = Clock::now();
+    return static_cast<std::size_t>(std::ranges::count_if(load_begun_, [&](const auto& load) {
+      return now - load.second >= options_.first_poll;
+    }));
+  }
+
   /// Empties one engine, orders it, and waits until it reports the weights.
   net::awaitable<void> BringUp(RolloutStep step) {
     const BackendId id = step.engine->entry.id;
     net::steady_timer timer(state_.executor());
     state_.Hold(*step.engine, options_.hold, Clock::now());
     co_await Drain(step, timer);
-    ++loading_;
+    load_begun_[id] = Clock::now();
     co_await Load(step, timer);
-    --loading_;
+    load_begun_.erase(id);
     state_.Hold(*step.engine, std::chrono::milliseconds(0), Clock::now());
     begun_.erase(id);
   }
@@ -101,8 +115,9 @@
       co_await Wait(timer, options_.hold_spreads);
       empty = Unrepeatable(step) == 0;
     }
-    const std::uint32_t at_once = LoadsAtOnce(state_.directory(), step.engine->entry.service);
-    while (loading_ >= at_once && !stopped_) co_await Wait(timer, options_.look);
+    const std::uint32_t at_once = LoadsAtOnce(
+        state_.directory(), step.engine->entry.service, options_.engines_for_each_load);
+    while (load_begun_.size() >= at_once && !stopped_) co_await Wait(timer, options_.look);
   }
 
   static std::uint32_t Unrepeatable(const RolloutStep& step) {
@@ -179,7 +194,7 @@
   Options options_;
   net::steady_timer timer_;
   std::set<BackendId> begun_;
-  std::uint32_t loading_ = 0;
+  std::map<BackendId, TimePoint> load_begun_;
   bool stopped_ = false;
 };
 
--- a/libs/control/include/control/rollout_plan.h
+++ b/libs/control/include/control/rollout_plan.h
@@ -18,14 +18,16 @@
   ModelId model;
 };
 
-/// Engines of a service that may load at once: the platform slows loads down
-/// beyond a fifth of them.
-std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service);
+/// Engines of a service that may load at once: one of `engines_for_each_load`,
+/// rounded up.
+std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
+                          std::uint32_t engines_for_each_load);
 
 /// Returns the engines to begin with next: those on older weights, the oldest
-/// and then the least busy first. Twice as many as may load at once are
-/// begun, so that some are emptied while others load. Pure.
+/// and then the least busy first. `ending` of those begun will soon have
+/// loaded; so many more are begun, to be emptied meanwhile. Pure.
 std::vector<RolloutStep> NextSteps(const BackendDirectory& directory, const NamedWeights& named,
-                                   const std::set<BackendId>& begun);
+                                   const std::set<BackendId>& begun, std::size_t ending,
+                                   std::uint32_t engines_for_each_load);
 
 }  // namespace ridgehold
--- a/libs/control/src/rollout_plan.cc
+++ b/libs/control/src/rollout_plan.cc
@@ -6,8 +6,6 @@
 namespace ridgehold {
 namespace {
 
-constexpr std::uint32_t kEnginesForEachLoad = 5;
-
 bool IsOutdated(const Backend& engine, const ModelId& model, WeightsNumber weights,
                 const NamedWeights& named) {
   return !engine.entry.draining && !engine.missing_until &&
@@ -16,17 +14,19 @@
 
 }  // namespace
 
-std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service) {
+std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
+                          std::uint32_t engines_for_each_load) {
   const auto engines = std::ranges::count_if(directory.all(), [&](const auto& entry) {
     return entry.second->entry.service == service;
   });
   const auto rounded_up =
-      (static_cast<std::uint32_t>(engines) + kEnginesForEachLoad - 1) / kEnginesForEachLoad;
+      (static_cast<std::uint32_t>(engines) + engines_for_each_load - 1) / engines_for_each_load;
   return std::max(rounded_up, 1U);
 }
 
 std::vector<RolloutStep> NextSteps(const BackendDirectory& directory, const NamedWeights& named,
-                                   const std::set<BackendId>& begun) {
+                                   const std::set<BackendId>& begun, std::size_t ending,
+                                   std::uint32_t engines_for_each_load) {
   std::vector<RolloutStep> steps;
   for (const auto& [id, engine] : directory.all()) {
     if (begun.contains(id)) continue;
@@ -43,7 +43,7 @@
                       step.engine->in_flight + step.engine->peers.running);
   });
   const std::size_t most =
-      2 * LoadsAtOnce(directory, steps.front().engine->entry.service);
+      ending + LoadsAtOnce(directory, steps.front().engine->entry.service, engines_for_each_load);
   steps.resize(std::min(steps.size(), most - std::min(most, begun.size())));
   return steps;
 }
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -38,6 +38,10 @@
   /// Waiting this many latency objectives for an answer's head is enough.
   double call_patience = 3;
   double stream_patience = 8;
+  std::uint32_t older_weights_free_ms = 1'000;
+  /// One engine of so many loads weights at a time; the platform slows loads
+  /// down beyond a fifth of them.
+  std::uint32_t engines_for_each_load = 5;
 
   /// A call to the store takes 4 ms, and 0.4 s when the store is slow.
   std::chrono::milliseconds store_call{1'000};
@@ -118,7 +122,7 @@
       : executor_(executor),
         settings_(std::move(settings)),
         tuning_(tuning),
-        state_(executor, settings_.zone, LimitsOf(settings_, tuning), tuning.placement, metrics_),
+        state_(executor, settings_.zone, LimitsOf(settings_, tuning), WeightsOf(tuning), metrics_),
         store_(executor, metrics_, settings_.store_address, tuning.store_call),
         follower_(store_, state_, records_, {}),
         member_(store_, executor, MemberOptions(), [] { return true; }),
@@ -143,6 +147,12 @@
     return limits;
   }
 
+  static PlacementWeights WeightsOf(const EntryTuning& tuning) {
+    PlacementWeights weights = tuning.placement;
+    weights.older_weights_free = std::chrono::milliseconds(tuning.older_weights_free_ms);
+    return weights;
+  }
+
   static std::size_t MostConnections(const EntrySettings& settings) {
     // Half of the descriptors; the other half is for backend servers and files.
     return settings.max_descriptors / 2;
@@ -169,6 +179,7 @@
     typename Rollout<typename Env::Control, Store>::Options options;
     options.self = settings_.daemon;
     options.separation = settings_.holder_separation;
+    options.engines_for_each_load = tuning_.engines_for_each_load;
     return options;
   }
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -110,7 +110,7 @@
     }
     attempt_.backend = choice->backend;
     ++facts_.sends;
-    record_.backend = attempt_.backend->entry.id;
+    NoteChoice(*choice);
     ++record_.attempts;
     load_.emplace(state_, plan_, inbound_, *choice);
     const AttemptEnd end = co_await RunAttempt(*choice);
@@ -118,6 +118,15 @@
     co_return Judge(end);
   }
 
+  void NoteChoice(const BackendChoice& choice) {
+    const Backend& backend = *choice.backend;
+    record_.backend = backend.entry.id;
+    record_.expected_ms = choice.expected_ms;
+    record_.tokens_to_read = choice.tokens_to_read;
+    record_.running_there = backend.in_flight + backend.peers.running;
+    record_.fetched_from = choice.fetch_from.value_or("");
+  }
+
   net::awaitable<AttemptEnd> RunAttempt(const BackendChoice& choice) {
     const std::string address = attempt_.backend->entry.address;
     Checkout checkout = co_await state_.pool().Acquire(address, plan_.answer_by);
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -33,6 +33,7 @@
 struct BackendChoice {
   BackendPtr backend;
   double tokens_to_read = 0;  ///< prompt tokens expected not to be cached there
+  double expected_ms = 0;     ///< cost that decided, see Placement
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address that has shared parts
   std::optional<std::string> save_to;     ///< address of a store that is to keep them
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -25,6 +25,11 @@
   TimePoint received{};
   std::optional<TimePoint> first_event;
   std::uint32_t attempts = 0;
+  // What decided the last choice of a backend server.
+  double expected_ms = 0;
+  double tokens_to_read = 0;
+  std::uint32_t running_there = 0;  ///< of all gateways
+  std::string fetched_from;
   int status = 0;  ///< sent to the caller
   ResultCode code = ResultCode::kOk;
   bool out_of_retries = false;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -142,6 +142,7 @@
   const Placement placement = ChooseBackend(query, candidates, state.weights());
   BackendChoice choice;
   choice.backend = candidates[placement.index];
+  choice.expected_ms = placement.cost;
   if (request.generation) {
     choice.tokens_to_read =
         plan.chain->prompt_tokens - std::min(placement.cached_tokens, plan.chain->prompt_tokens);
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -1,5 +1,6 @@
 #include "gateway/request_log.h"
 
+#include <cmath>
 #include <string_view>
 
 #include "gateway/gateway_state.h"
@@ -74,11 +75,15 @@
                       {"backend", record.backend.value()},
                       {"route", record.route.value()},
                       {"workspace", record.workspace.value()},
+                      {"expected_ms", std::to_string(std::lround(record.expected_ms))},
+                      {"to_read", std::to_string(std::lround(record.tokens_to_read))},
+                      {"running_there", std::to_string(record.running_there)},
                       {"config", ConfigVersionOf(state)},
                       {"config_age_ms", MillisecondsBetween(state.confirmed_at(), now)}};
   if (record.first_event) {
     fields.push_back({"first_event_ms", MillisecondsBetween(record.received, *record.first_event)});
   }
+  if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.out_of_retries) fields.push_back({"retry_budget", "spent"});
   if (!record.detail.empty()) fields.push_back({"detail", record.detail});
   Log(LogLevel::kInfo, "request", fields);
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -88,12 +88,16 @@
                  "ms by which a server is worse whose answers all fail");
   app.add_option("--placement.older-weights", placement.older_weights,
                  "ms by which older weights are worse");
+  app.add_option("--placement.older-weights-free-ms", tuning.older_weights_free_ms,
+                 "ms after a naming in which older weights are as good");
   app.add_option("--placement.cache-part", placement.cache_part,
                  "part of an engine's memory that keeps idle prompt parts");
   app.add_option("--limits.call-patience", tuning.call_patience,
                  "latency objectives until a call is tried elsewhere");
   app.add_option("--limits.stream-patience", tuning.stream_patience,
                  "latency objectives until a stream is tried elsewhere");
+  app.add_option("--rollout.engines-for-each-load", tuning.engines_for_each_load,
+                 "one engine of so many loads weights at a time");
 }
 
 }  // namespace
