--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,23 @@
     timer_.cancel();
   }
 
+  /// Everything known of the store, by key, and the revision it is of.
+  const std::map<std::string, StoreItem>& items() const { return items_; }
+  StoreRevision revision() const { return revision_; }
+
+  /// Takes another gateway's copy of the store. `confirmed` is when its
+  /// configuration was the newest for certain. Older copies change nothing.
+  void TakeCopy(std::vector<StoreItem> items, StoreRevision revision, TimePoint confirmed) {
+    if (revision < revision_) return;
+    if (revision > revision_) {
+      TakeListing(items);
+      revision_ = revision;
+      listed_ = true;
+      read_once_ = true;
+    }
+    state_.ConfirmSnapshot(confirmed);
+  }
+
   /// Whether the store has been read whole once.
   bool ready() const { return read_once_; }
   const StoreContact& contact() const { return contact_; }
@@ -94,7 +112,9 @@
     const TimePoint now = Clock::now();
     std::vector<BackendEntry> backends;
     records_.Clear();
+    items_.clear();
     for (const StoreItem& item : items) {
+      items_[item.key] = item;
       if (item.key.starts_with(kOwnPrefix)) {
         sink_.TakeOwn(item);
         continue;
@@ -129,7 +149,9 @@
   }
 
   void TakeEvent(const StoreEvent& event, TimePoint now) {
+    items_.erase(event.key);
     if (event.item) {
+      items_[event.key] = *event.item;
       if (event.key.starts_with(kOwnPrefix)) return sink_.TakeOwn(*event.item);
       return Decode(*event.item,
                     [&](StoredFact fact) { sink_.Take(*event.item, std::move(fact), now); });
@@ -190,6 +212,7 @@
   net::steady_timer timer_;
   StoreContact contact_;
   StoreRevision revision_;
+  std::map<std::string, StoreItem> items_;
   std::chrono::milliseconds pause_{50};
   bool listed_ = false;
   bool read_once_ = false;
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -23,6 +23,8 @@
 #include "log/log.h"
 #include "metrics/metrics.h"
 #include "peers/peer_link.h"
+#include "peers/store_copy.h"
+#include "peers/store_copy_reader.h"
 
 namespace ridgehold {
 
@@ -85,6 +87,7 @@
     net::co_spawn(executor_, rollout_.Run(), net::detached);
     net::co_spawn(executor_, peers_->Send(), net::detached);
     net::co_spawn(executor_, peers_->Receive(), net::detached);
+    net::co_spawn(executor_, copy_reader_.Run(), net::detached);
     net::co_spawn(executor_, KeepHouse(), net::detached);
     server_.Start();
   }
@@ -130,10 +133,12 @@
         control_(state_.pool(), tuning.control_call),
         rollout_(control_, duty_, state_, RolloutOptions()),
         server_(state_, std::move(acceptor), MostConnections(settings_)),
+        copy_reader_(state_, follower_, CopyOptions(), [this] { return PeerAddresses(); }),
         timer_(executor) {}
 
   using Store = typename Env::Store;
   using Duty = HeldKey<Store>;
+  using Follower = StateFollower<Store, typename Env::Codec>;
 
   static GatewayLimits LimitsOf(const EntrySettings& settings, const EntryTuning& tuning) {
     GatewayLimits limits;
@@ -208,11 +213,44 @@
     options.port = settings_.first_peer_port;
     BOOST_LEAF_ASSIGN(peers_, PeerLink::Create(state_, std::move(options),
                                                [this] { return PeerAddresses(); }));
+    const std::string address =
+        settings_.instance_address + ":" + std::to_string(settings_.first_peer_port);
+    BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, PeerPages()));
     return {};
   }
 
+  /// What other gateways may ask for; nothing before the store was read.
+  AdminServer::Pages PeerPages() {
+    AdminServer::Pages pages;
+    pages[kStoreCopyPath] = [this] { return StoreCopyPage(true); };
+    pages[kStoreCopyAgePath] = [this] { return StoreCopyPage(false); };
+    return pages;
+  }
+
+  AdminPage StoreCopyPage(bool with_items) const {
+    if (!follower_.ready()) return {http::status::service_unavailable, "text/plain", ""};
+    StoreCopy copy;
+    copy.revision = follower_.revision();
+    copy.age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                                     state_.confirmed_at());
+    // Rounded up, so that nothing looks fresher than it is.
+    copy.age += std::chrono::milliseconds(1);
+    if (with_items) {
+      for (const auto& [key, item] : follower_.items()) copy.items.push_back(item);
+    }
+    return {http::status::ok, "application/x-protobuf", EncodeStoreCopy(copy)};
+  }
+
+  typename StoreCopyReader<Follower>::Options CopyOptions() const {
+    typename StoreCopyReader<Follower>::Options options;
+    options.port = settings_.first_peer_port;
+    return options;
+  }
+
   std::vector<std::string> PeerAddresses() const {
     std::vector<std::string> addresses = records_.MemberAddresses();
+    // Before the store was read only the seeds are known.
+    if (addresses.empty()) addresses = settings_.seed_addresses;
     std::erase(addresses, settings_.instance_address);
     return addresses;
   }
@@ -306,6 +344,7 @@
     done_ = true;
     follower_.Stop();
     peers_->Stop();
+    copy_reader_.Stop();
     done();
   }
 
@@ -324,7 +363,7 @@
   mutable GatewayState state_;
   OwnRecords records_;
   Store store_;
-  StateFollower<Store, typename Env::Codec> follower_;
+  Follower follower_;
   Duty member_;
   Duty duty_;
   typename Env::Control control_;
@@ -332,6 +371,8 @@
   CallerServer<typename Env::Wire> server_;
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<PeerLink> peers_;
+  std::unique_ptr<AdminServer> peer_server_;
+  StoreCopyReader<Follower> copy_reader_;
   std::unique_ptr<AdminServer> metrics_server_;
   net::steady_timer timer_;
   bool done_ = false;
--- a/libs/entry/include/entry/entry_settings.h
+++ b/libs/entry/include/entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "gateway/gateway_state.h"
@@ -20,6 +21,8 @@
   std::string ready_address;   ///< where the balancer asks for readiness
   std::string instance_address;  ///< without a port; for metrics and peers
   std::uint16_t first_peer_port = 0;  ///< free for messages between daemons
+  /// Some other instances, without a port; may be out of date.
+  std::vector<std::string> seed_addresses;
   std::string store_address;
   std::chrono::milliseconds least_lease_ttl{1'000};
   std::uint32_t max_descriptors = 1'024;
