--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -39,6 +39,12 @@
   std::uint32_t unrepeatable = 0;
 };
 
+/// A prompt part that a backend server has in its cache, or is reading.
+struct CachedPart {
+  double inserted_before = 0;  ///< the backend server's `inserted_tokens` at its last use
+  TimePoint placed{};          ///< when a request first brought it there
+};
+
 /// One backend server. Requests that run there share it with the directory.
 struct Backend {
   BackendEntry entry;
@@ -56,8 +62,8 @@
   double error_rate = 0;             ///< moving mean of failed answers
   /// Tokens its cache has taken in since it was first seen.
   double inserted_tokens = 0;
-  /// Chain hash and `inserted_tokens` at the last use; of the weights it runs now.
-  std::unordered_map<std::uint64_t, double> cached_parts;
+  /// By chain hash; of the weights it runs now.
+  std::unordered_map<std::uint64_t, CachedPart> cached_parts;
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
@@ -98,7 +104,7 @@
   static void NoteErrorAnswer(Backend& backend);
   /// A request with these parts was sent there; `new_tokens` of it were not cached.
   static void NoteCached(Backend& backend, std::span<const std::uint64_t> parts,
-                         std::uint32_t new_tokens);
+                         std::uint32_t new_tokens, TimePoint now);
   /// News of the weights it runs.
   /// Newer weights empty its cache.
   static void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights);
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -57,6 +57,11 @@
   /// Part of an engine's memory that keeps parts nobody uses now; the rest is
   /// taken by running requests.
   double cache_part = 0.7;
+  /// Parts are read and can be fetched this long after they were brought.
+  std::chrono::milliseconds reading_time{250};
+  /// Parts for whose last use more than this part of the memory has been
+  /// taken in may be evicted; a fetch from the store costs 1 ms if not.
+  double doubtful_part = 0.3;
   /// An engine that is to get no new requests is chosen only before none.
   double held = 3'000;
 };
@@ -83,6 +88,7 @@
   /// Another candidate that has parts which the chosen one lacks.
   std::optional<std::size_t> fetch_from;
   bool lacks_parts = false;  ///< shared parts are not expected in its own cache
+  bool doubts_parts = false;  ///< they are, but may have been evicted
 };
 
 /// Returns the cheapest of `candidates`, which are never none. Pure.
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -88,10 +88,14 @@
 }
 
 void BackendDirectory::NoteCached(Backend& backend, std::span<const std::uint64_t> parts,
-                                  std::uint32_t new_tokens) {
+                                  std::uint32_t new_tokens, TimePoint now) {
   if (backend.cached_parts.size() > kMostRememberedParts) backend.cached_parts.clear();
   backend.inserted_tokens += new_tokens;
-  for (const std::uint64_t part : parts) backend.cached_parts[part] = backend.inserted_tokens;
+  for (const std::uint64_t part : parts) {
+    const auto [entry, is_new] = backend.cached_parts.try_emplace(part);
+    if (is_new) entry->second.placed = now;
+    entry->second.inserted_before = backend.inserted_tokens;
+  }
 }
 
 void BackendDirectory::NoteSuccess(Backend& backend) {
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -69,7 +69,7 @@
 /// store, which is given those that have to be read.
 void ChooseCacheSource(const ExchangePlan& plan, std::span<const BackendPtr> candidates,
                        const Placement& placement, BackendChoice& choice) {
-  if (!placement.lacks_parts) return;
+  if (!placement.lacks_parts && !placement.doubts_parts) return;
   if (placement.fetch_from) {
     choice.fetch_from = candidates[*placement.fetch_from]->entry.address;
     return;
@@ -77,7 +77,7 @@
   const KvCacheStore* store = plan.snapshot->FindKvStore();
   if (store == nullptr) return;
   choice.fetch_from = store->address;
-  choice.save_to = store->address;
+  if (placement.lacks_parts) choice.save_to = store->address;
 }
 
 std::vector<BackendPtr> Candidates(const GatewayState& state, const ExchangePlan& plan,
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -48,7 +48,9 @@
  private:
   /// What is known or guessed of a candidate's cache.
   struct Holding {
-    std::uint32_t known_tokens = 0;  ///< of the chain, by own requests
+    std::uint32_t known_tokens = 0;    ///< of the chain, brought by earlier requests
+    std::uint32_t fetchable_tokens = 0;  ///< of those, what has been read by now
+    bool doubtful = false;             ///< some may have been evicted
     std::uint64_t rank = 0;          ///< of rendezvous hashing
   };
 
@@ -76,12 +78,17 @@
   void PriceCache(std::size_t index, Placement& placement) const {
     const std::uint32_t shared = query_.chain->shared_tokens();
     placement.cached_tokens = holdings_[index].known_tokens;
-    if (shared < kWorthFetching || placement.cached_tokens >= shared) return;
+    if (shared < kWorthFetching) return;
+    placement.doubts_parts = holdings_[index].doubtful;
+    if (placement.cached_tokens >= shared) return;
     placement.lacks_parts = true;
     placement.fetch_from = SourceFor(index);
-    const bool fetched = placement.fetch_from || query_.store_zone;
-    if (fetched) placement.cached_tokens = shared;
-    placement.cost += PriceOfFetch(index, placement.fetch_from);
+    // While another engine reads the parts nobody has them to fetch from.
+    const bool fetched = placement.fetch_from || (query_.store_zone && !being_read_);
+    if (fetched) {
+      placement.cached_tokens = shared;
+      placement.cost += PriceOfFetch(index, placement.fetch_from);
+    }
     if (index != home_) placement.cost += weights_.copy_token * shared;
   }
 
@@ -111,7 +118,7 @@
   }
 
   double PriceOfWeights(const Backend& backend) const {
-    if (!query_.newest_weights || WeightsOf(backend) >= *query_.newest_weights) return 0;
+    if (IsNewest(backend)) return 0;
     const bool news =
         query_.newest_since && query_.now - *query_.newest_since < weights_.older_weights_free;
     return news ? 0 : weights_.older_weights;
@@ -129,13 +136,19 @@
     if (query_.chain->links.empty()) return;
     const std::uint64_t subject = query_.chain->links.back().hash;
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
-      holdings_[i].known_tokens = KnownTokens(*candidates_[i]);
+      TakeKnown(*candidates_[i], holdings_[i]);
       holdings_[i].rank = Hash(subject, HashText(candidates_[i]->entry.id.value()));
       const bool better = home_ == kNone || Before(i, home_);
       if (better) home_ = i;
+      const bool reads = holdings_[i].known_tokens > holdings_[i].fetchable_tokens;
+      being_read_ = being_read_ || (reads && IsNewest(*candidates_[i]));
     }
   }
 
+  bool IsNewest(const Backend& backend) const {
+    return !query_.newest_weights || WeightsOf(backend) >= *query_.newest_weights;
+  }
+
   /// Engines with newer weights come first: the others lose their cache soon.
   bool Before(std::size_t a, std::size_t b) const {
     const WeightsNumber of_a = WeightsOf(*candidates_[a]);
@@ -144,17 +157,19 @@
     return holdings_[a].rank > holdings_[b].rank;
   }
 
-  std::uint32_t KnownTokens(const Backend& backend) const {
-    std::uint32_t tokens = 0;
+  /// Fills in which of the chain's parts the backend server has.
+  void TakeKnown(const Backend& backend, Holding& holding) const {
+    const auto memory = static_cast<double>(query_.cache_tokens);
     for (const PromptChain::Link& link : query_.chain->links) {
       const auto found = backend.cached_parts.find(link.hash);
-      const double room = weights_.cache_part * static_cast<double>(query_.cache_tokens);
-      const bool kept = found != backend.cached_parts.end() &&
-                        backend.inserted_tokens - found->second < room;
-      if (!kept) break;
-      tokens = link.tokens_up_to;
+      if (found == backend.cached_parts.end()) break;
+      const double taken_in = backend.inserted_tokens - found->second.inserted_before;
+      if (taken_in >= weights_.cache_part * memory) break;
+      if (taken_in >= weights_.doubtful_part * memory) holding.doubtful = true;
+      holding.known_tokens = link.tokens_up_to;
+      const bool read = query_.now - found->second.placed >= weights_.reading_time;
+      if (read) holding.fetchable_tokens = link.tokens_up_to;
     }
-    return tokens;
   }
 
   /// The candidate that is known to have most of what `index` lacks.
@@ -164,7 +179,7 @@
       const Backend& backend = *candidates_[i];
       const bool usable = i != index && backend.avoid_until <= query_.now &&
                           !backend.missing_until &&
-                          holdings_[i].known_tokens > holdings_[index].known_tokens &&
+                          holdings_[i].fetchable_tokens > holdings_[index].known_tokens &&
                           WeightsOf(backend) == WeightsOf(*candidates_[index]);
       if (!usable) continue;
       if (!source || BetterSource(i, *source)) source = i;
@@ -173,8 +188,8 @@
   }
 
   bool BetterSource(std::size_t a, std::size_t b) const {
-    if (holdings_[a].known_tokens != holdings_[b].known_tokens) {
-      return holdings_[a].known_tokens > holdings_[b].known_tokens;
+    if (holdings_[a].fetchable_tokens != holdings_[b].fetchable_tokens) {
+      return holdings_[a].fetchable_tokens > holdings_[b].fetchable_tokens;
     }
     return holdings_[a].rank > holdings_[b].rank;
   }
@@ -186,6 +201,7 @@
   const PlacementWeights& weights_;
   std::vector<Holding> holdings_;
   std::size_t home_ = kNone;
+  bool being_read_ = false;  ///< an engine on the newest weights reads the parts now
 };
 
 }  // namespace
--- a/libs/peers/src/peer_loads.cc
+++ b/libs/peers/src/peer_loads.cc
@@ -48,7 +48,7 @@
 void PeerLoads::TakeItems(const NewsItems& items, TimePoint now) {
   for (const PlacedNews& placed : items.placed) {
     if (const BackendPtr backend = directory_.FindByHash(placed.backend)) {
-      BackendDirectory::NoteCached(*backend, placed.parts, placed.new_tokens);
+      BackendDirectory::NoteCached(*backend, placed.parts, placed.new_tokens, now);
     }
   }
   for (const HoldNews& hold : items.holds) {
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -88,6 +88,8 @@
                  "ms by which a server is worse whose answers all fail");
   app.add_option("--placement.older-weights", placement.older_weights,
                  "ms by which older weights are worse");
+  app.add_option("--placement.doubtful-part", placement.doubtful_part,
+                 "part of an engine's memory after which cached parts may be evicted");
   app.add_option("--placement.older-weights-free-ms", tuning.older_weights_free_ms,
                  "ms after a naming in which older weights are as good");
   app.add_option("--placement.cache-part", placement.cache_part,
