Weights namings are dated to the latest moment at which they can have been, and told to restarted peers

Now: 5 s of age assumed for what a start finds, the last confirmation for news that may be late, peers' ages where there are any; the earliest of all holds.

--- a/libs/control/include/control/fact_sink.h
+++ b/libs/control/include/control/fact_sink.h
@@ -17,8 +17,9 @@
  public:
   FactSink(GatewayState& state, OwnRecords& records) : state_(state), records_(records) {}
 
-  /// Takes a decoded fact; `item` is where it came from.
-  void Take(const StoreItem& item, StoredFact fact, TimePoint now);
+  /// Takes a decoded fact; `item` is where it came from, `written` the latest
+  /// moment at which it can have been written.
+  void Take(const StoreItem& item, StoredFact fact, TimePoint written);
 
   /// A key of the gateways' own.
   void TakeOwn(const StoreItem& item);
@@ -35,7 +36,7 @@
 
  private:
   void TakeConfig(const StoreItem& item, RoutingParts parts);
-  void TakeWeights(const WeightsOrder& order, TimePoint now);
+  void TakeWeights(const WeightsOrder& order, TimePoint written);
   void TakeBackend(const StoreItem& item, const BackendEntry& entry);
   void CountMembers();
 
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -110,6 +110,7 @@
 
   void TakeListing(const std::vector<StoreItem>& items) {
     const TimePoint now = Clock::now();
+    const TimePoint written = LatestWriting(now);
     std::vector<BackendEntry> backends;
     records_.Clear();
     items_.clear();
@@ -121,7 +122,7 @@
       }
       Decode(item, [&](StoredFact fact) {
         if (auto* entry = std::get_if<BackendEntry>(&fact)) backends.push_back(*entry);
-        sink_.Take(item, std::move(fact), now);
+        sink_.Take(item, std::move(fact), written);
       });
     }
     sink_.ReplaceBackends(backends, contact_.GraceForMissing(now), now);
@@ -141,20 +142,28 @@
     }
     NoteAnswer();
     const TimePoint now = Clock::now();
-    for (const StoreEvent& event : answer->events) TakeEvent(event, now);
+    const TimePoint written = LatestWriting(now);
+    for (const StoreEvent& event : answer->events) TakeEvent(event, now, written);
     revision_ = std::max(revision_, answer->revision);
     // An empty watch that lasted its whole time saw nothing until its end.
     const bool waited = answer->events.empty() && now - begun >= options_.watch;
     state_.ConfirmSnapshot(waited ? begun + options_.watch : begun);
   }
 
-  void TakeEvent(const StoreEvent& event, TimePoint now) {
+  /// When something heard of at `now` can have been written at the latest.
+  /// News that may be late is dated back to when it was not there yet.
+  TimePoint LatestWriting(TimePoint now) const {
+    if (!read_once_) return now - kUnknownAge;
+    return now - state_.confirmed_at() > kPromptNews ? state_.confirmed_at() : now;
+  }
+
+  void TakeEvent(const StoreEvent& event, TimePoint now, TimePoint written) {
     items_.erase(event.key);
     if (event.item) {
       items_[event.key] = *event.item;
       if (event.key.starts_with(kOwnPrefix)) return sink_.TakeOwn(*event.item);
       return Decode(*event.item,
-                    [&](StoredFact fact) { sink_.Take(*event.item, std::move(fact), now); });
+                    [&](StoredFact fact) { sink_.Take(*event.item, std::move(fact), written); });
     }
     if (event.key.starts_with(kOwnPrefix)) return sink_.RemoveOwn(event.key);
     if (const auto id = Codec::BackendOf(event.key)) {
@@ -204,6 +213,12 @@
     co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
   }
 
+  /// What a process finds at its start was written at an unknown time; its
+  /// peers tell better if there are any. Half of the time that a rollout has.
+  static constexpr std::chrono::milliseconds kUnknownAge{5'000};
+  /// A watch that works tells within its length and a slow store's answer.
+  static constexpr std::chrono::milliseconds kPromptNews{1'500};
+
   Store& store_;
   GatewayState& state_;
   OwnRecords& records_;
--- a/libs/control/src/fact_sink.cc
+++ b/libs/control/src/fact_sink.cc
@@ -13,9 +13,9 @@
 
 }  // namespace
 
-void FactSink::Take(const StoreItem& item, StoredFact fact, TimePoint now) {
+void FactSink::Take(const StoreItem& item, StoredFact fact, TimePoint written) {
   if (auto* parts = std::get_if<RoutingParts>(&fact)) return TakeConfig(item, std::move(*parts));
-  if (const auto* order = std::get_if<WeightsOrder>(&fact)) return TakeWeights(*order, now);
+  if (const auto* order = std::get_if<WeightsOrder>(&fact)) return TakeWeights(*order, written);
   if (const auto* entry = std::get_if<BackendEntry>(&fact)) TakeBackend(item, *entry);
 }
 
@@ -35,10 +35,13 @@
       [&](const Failure& failure) { Reject(item, failure); });
 }
 
-void FactSink::TakeWeights(const WeightsOrder& order, TimePoint now) {
-  if (!state_.named_weights().Take(order.model, order.number, now)) return;
+void FactSink::TakeWeights(const WeightsOrder& order, TimePoint written) {
+  if (!state_.named_weights().Take(order.model, order.number, written)) return;
+  const auto age = std::chrono::duration_cast<Duration>(Clock::now() - written);
   Log(LogLevel::kInfo, "weights named",
-      {{"model", order.model.value()}, {"weights", std::to_string(order.number.value())}});
+      {{"model", order.model.value()},
+       {"weights", std::to_string(order.number.value())},
+       {"age_ms", Milliseconds(age)}});
 }
 
 void FactSink::TakeBackend(const StoreItem& item, const BackendEntry& entry) {
--- a/libs/gateway/include/gateway/gateway_news.h
+++ b/libs/gateway/include/gateway/gateway_news.h
@@ -46,6 +46,13 @@
   WeightsNumber number;
 };
 
+/// The operator named these weights so long ago at the least.
+struct NamingNews {
+  ModelId model;
+  WeightsNumber number;
+  std::chrono::milliseconds age{0};
+};
+
 /// What has happened since the last message.
 struct NewsItems {
   std::vector<PlacedNews> placed;
@@ -62,6 +69,7 @@
   std::uint64_t sequence = 0;
   std::vector<LoadNews> loads;
   NewsItems items;
+  std::vector<NamingNews> namings;  ///< in some messages only
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/named_weights.h
+++ b/libs/gateway/include/gateway/named_weights.h
@@ -19,8 +19,18 @@
   /// time that a rollout may take.
   static constexpr std::size_t kMostRemembered = 64;
 
-  /// Takes a number; returns whether it is newer than all known ones.
-  bool Take(const ModelId& model, WeightsNumber number, TimePoint now);
+  /// One number of one model.
+  struct Naming {
+    WeightsNumber number;
+    TimePoint at{};  ///< the latest moment at which it can have been named
+  };
+
+  /// Takes a number that was named at `at` at the latest; of two tellings the
+  /// earlier moment holds. Returns whether it is newer than all known ones.
+  bool Take(const ModelId& model, WeightsNumber number, TimePoint at);
+
+  /// All that is remembered, ascending by number.
+  const std::map<ModelId, std::vector<Naming>>& all() const { return namings_; }
 
   /// The newest number, if any was named.
   std::optional<WeightsNumber> Newest(const ModelId& model) const;
@@ -28,15 +38,11 @@
   /// When the newest was named.
   std::optional<TimePoint> NewestSince(const ModelId& model) const;
 
-  /// Since when `number` has not been the newest; nothing while it is.
+  /// Since when `number` has not been the newest, at the latest; nothing while it is.
   std::optional<TimePoint> OutdatedSince(const ModelId& model, WeightsNumber number) const;
 
  private:
-  struct Naming {
-    WeightsNumber number;
-    TimePoint at{};
-  };
-  std::map<ModelId, std::vector<Naming>> namings_;  // ascending
+  std::map<ModelId, std::vector<Naming>> namings_;
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/src/named_weights.cc
+++ b/libs/gateway/src/named_weights.cc
@@ -4,12 +4,17 @@
 
 namespace ridgehold {
 
-bool NamedWeights::Take(const ModelId& model, WeightsNumber number, TimePoint now) {
+bool NamedWeights::Take(const ModelId& model, WeightsNumber number, TimePoint at) {
   std::vector<Naming>& namings = namings_[model];
-  if (!namings.empty() && number <= namings.back().number) return false;
-  if (namings.size() >= kMostRemembered) namings.erase(namings.begin());
-  namings.push_back({number, now});
-  return true;
+  const auto place = std::ranges::lower_bound(namings, number, {}, &Naming::number);
+  const bool newest = place == namings.end();
+  if (!newest && place->number == number) {
+    place->at = std::min(place->at, at);
+    return false;
+  }
+  namings.insert(place, {number, at});
+  if (namings.size() > kMostRemembered) namings.erase(namings.begin());
+  return newest;
 }
 
 std::optional<WeightsNumber> NamedWeights::Newest(const ModelId& model) const {
@@ -28,8 +33,10 @@
                                                      WeightsNumber number) const {
   const auto found = namings_.find(model);
   if (found == namings_.end()) return std::nullopt;
+  // A later number proves that the weights are outdated at its moment too.
   const auto newer = std::ranges::upper_bound(found->second, number, {}, &Naming::number);
-  return newer == found->second.end() ? std::nullopt : std::optional(newer->at);
+  const auto earliest = std::ranges::min_element(newer, found->second.end(), {}, &Naming::at);
+  return earliest == found->second.end() ? std::nullopt : std::optional(earliest->at);
 }
 
 }  // namespace ridgehold
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -32,7 +32,7 @@
     std::chrono::milliseconds period{40};
     /// Added to it for each peer, so that a large fleet sends less often.
     std::chrono::milliseconds period_per_peer{3};
-    /// A message goes out at least this often.
+    /// A message goes out at least this often; so often one has the namings.
     std::chrono::milliseconds heartbeat{500};
   };
 
@@ -57,6 +57,7 @@
            std::function<std::vector<std::string>()> peers, net::ip::udp::socket socket);
 
   GatewayNews MakeNews();
+  std::vector<NamingNews> RecentNamings(TimePoint now) const;
   void SendToPeers(const std::string& datagram, const std::vector<std::string>& peers);
   void Take(std::size_t bytes);
 
@@ -69,6 +70,7 @@
   std::uint64_t incarnation_ = 0;
   std::uint64_t sequence_ = 0;
   TimePoint last_sent_{};
+  TimePoint last_namings_{};
   bool had_load_ = false;
   bool stopped_ = false;
   std::array<char, kMaxDatagramBytes> buffer_;
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -56,6 +56,12 @@
     entry.set_unrepeatable(load.unrepeatable);
   }
   EncodeItems(news.items, message);
+  for (const NamingNews& naming : news.namings) {
+    wire::GatewayNaming& entry = *message.add_namings();
+    entry.set_model(naming.model.value());
+    entry.set_number(naming.number.value());
+    entry.set_age_ms(static_cast<std::uint32_t>(naming.age.count()));
+  }
   return message.SerializeAsString();
 }
 
@@ -74,6 +80,10 @@
         {entry.backend(), entry.running(), entry.unread_tokens(), entry.unrepeatable()});
   }
   news.items = DecodeItems(message);
+  for (const wire::GatewayNaming& entry : message.namings()) {
+    news.namings.push_back({ModelId(entry.model()), WeightsNumber(entry.number()),
+                            std::chrono::milliseconds(entry.age_ms())});
+  }
   return news;
 }
 
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -9,6 +9,12 @@
 #include "peers/news_codec.h"
 
 namespace ridgehold {
+namespace {
+
+// A rollout that is more namings behind has other troubles.
+constexpr std::size_t kMostNamings = 6;
+
+}  // namespace
 
 Result<std::unique_ptr<PeerLink>> PeerLink::Create(
     GatewayState& state, Options options, std::function<std::vector<std::string>()> peers) {
@@ -69,9 +75,27 @@
                           backend->unrepeatable});
   }
   news.items = state_.TakeNews(kMostPlaced);
+  const TimePoint now = Clock::now();
+  if (now - last_namings_ >= options_.heartbeat) {
+    last_namings_ = now;
+    news.namings = RecentNamings(now);
+  }
   return news;
 }
 
+std::vector<NamingNews> PeerLink::RecentNamings(TimePoint now) const {
+  std::vector<NamingNews> recent;
+  for (const auto& [model, namings] : state_.named_weights().all()) {
+    const std::size_t skipped = namings.size() - std::min(namings.size(), kMostNamings);
+    for (std::size_t i = skipped; i < namings.size(); ++i) {
+      const auto age =
+          std::chrono::duration_cast<std::chrono::milliseconds>(now - namings[i].at);
+      recent.push_back({model, namings[i].number, age});
+    }
+  }
+  return recent;
+}
+
 void PeerLink::SendToPeers(const std::string& datagram, const std::vector<std::string>& peers) {
   for (const std::string& peer : peers) {
     ErrorCode error;
@@ -98,7 +122,12 @@
   ValueOr(
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(news, DecodeNews({buffer_.data(), bytes}));
-        if (news.daemon != options_.self) loads_.Take(news, Clock::now());
+        if (news.daemon == options_.self) return {};
+        const TimePoint now = Clock::now();
+        loads_.Take(news, now);
+        for (const NamingNews& naming : news.namings) {
+          state_.named_weights().Take(naming.model, naming.number, now - naming.age);
+        }
         return {};
       },
       [&](const Failure& failure) {
