--- /dev/null
+++ b/libs/gateway/test/attempt_policy-test.cc
@@ -0,0 +1,101 @@
+#include "gateway/attempt_policy.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace ridgehold;
+
+namespace {
+
+AttemptFacts Answered(int status, bool not_executed, bool may_repeat) {
+  AttemptFacts facts;
+  facts.end = AttemptEnd::kAnswered;
+  facts.status = status;
+  facts.not_executed = not_executed;
+  facts.has_signature = !not_executed;
+  facts.may_repeat = may_repeat;
+  facts.max_runs = 2;
+  facts.sends = 1;
+  facts.may_have_run = !ProvesNotRun(facts);
+  facts.runs = facts.may_have_run ? 1 : 0;
+  return facts;
+}
+
+/// Any facts that can come about: runs and proofs agree with each other.
+rc::Gen<AttemptFacts> AnyFacts() {
+  return rc::gen::exec([] {
+    AttemptFacts facts;
+    facts.end = *rc::gen::element(AttemptEnd::kStreamed, AttemptEnd::kAnswered,
+                                  AttemptEnd::kNotSent, AttemptEnd::kBroken,
+                                  AttemptEnd::kTimedOut, AttemptEnd::kCallerGone);
+    if (facts.end == AttemptEnd::kAnswered) {
+      facts.status = *rc::gen::element(200, 204, 302, 400, 404, 408, 421, 429, 500, 503, 504);
+      facts.not_executed = *rc::gen::arbitrary<bool>();
+      facts.has_signature = *rc::gen::arbitrary<bool>();
+    }
+    facts.may_repeat = *rc::gen::arbitrary<bool>();
+    facts.stream_begun = *rc::gen::arbitrary<bool>();
+    const auto earlier_runs = *rc::gen::inRange(0, 3);
+    facts.runs = static_cast<std::uint32_t>(earlier_runs);
+    if (!ProvesNotRun(facts)) ++facts.runs;
+    facts.may_have_run = facts.runs > 0;
+    facts.max_runs = static_cast<std::uint32_t>(*rc::gen::inRange(1, 4));
+    facts.sends = facts.runs + static_cast<std::uint32_t>(*rc::gen::inRange(0, 5));
+    facts.time_left = *rc::gen::arbitrary<bool>();
+    return facts;
+  });
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(attempt_policy)
+
+BOOST_AUTO_TEST_CASE(success_is_delivered) {
+  BOOST_TEST((DecideNext(Answered(200, false, false)) == NextStep::kDeliver));
+}
+
+BOOST_AUTO_TEST_CASE(refusal_is_tried_elsewhere_for_every_kind) {
+  BOOST_TEST((DecideNext(Answered(503, true, false)) == NextStep::kTryAgain));
+  BOOST_TEST((DecideNext(Answered(421, false, false)) == NextStep::kTryAgain));
+}
+
+BOOST_AUTO_TEST_CASE(failure_of_an_unsafe_request_is_delivered_and_of_a_safe_one_repeated) {
+  BOOST_TEST((DecideNext(Answered(500, false, false)) == NextStep::kDeliver));
+  BOOST_TEST((DecideNext(Answered(500, false, true)) == NextStep::kTryAgain));
+}
+
+BOOST_AUTO_TEST_CASE(overload_without_proof_fails_an_unsafe_request) {
+  BOOST_TEST((DecideNext(Answered(503, false, false)) == NextStep::kFail));
+}
+
+RC_BOOST_PROP(never_sent_again_after_a_run_that_may_not_repeat, ()) {
+  const AttemptFacts facts = *AnyFacts();
+  RC_PRE(!facts.may_repeat && facts.may_have_run);
+  RC_ASSERT(DecideNext(facts) != NextStep::kTryAgain);
+}
+
+RC_BOOST_PROP(not_run_is_said_only_when_it_is_proved, ()) {
+  const AttemptFacts facts = *AnyFacts();
+  if (DecideNext(facts) == NextStep::kRefuse) RC_ASSERT(!facts.may_have_run);
+}
+
+RC_BOOST_PROP(delivered_status_never_promises_what_is_not_proved, ()) {
+  const AttemptFacts facts = *AnyFacts();
+  if (DecideNext(facts) != NextStep::kDeliver) return;
+  for (const int promise : {408, 421, 429, 503}) RC_ASSERT(facts.status != promise);
+  if (facts.status < 400) RC_ASSERT(facts.has_signature);
+}
+
+RC_BOOST_PROP(runs_stay_within_the_routes_limit, ()) {
+  const AttemptFacts facts = *AnyFacts();
+  if (DecideNext(facts) == NextStep::kTryAgain) RC_ASSERT(facts.runs < facts.max_runs);
+}
+
+RC_BOOST_PROP(begun_stream_ends_whole_or_is_broken_off, ()) {
+  const AttemptFacts facts = *AnyFacts();
+  RC_PRE(facts.stream_begun);
+  const NextStep step = DecideNext(facts);
+  RC_ASSERT(step == NextStep::kDone || step == NextStep::kTryAgain || step == NextStep::kBreakOff);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -0,0 +1,96 @@
+#include "gateway/backend_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId kService("s");
+const ModelId kModel("m");
+const TimePoint kStart{1h};
+
+BackendEntry Entry(const std::string& id, bool draining = false) {
+  BackendEntry entry;
+  entry.id = BackendId(id);
+  entry.service = kService;
+  entry.draining = draining;
+  return entry;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(backend_directory)
+
+BOOST_AUTO_TEST_CASE(draining_backend_server_gets_no_new_requests) {
+  BackendDirectory directory;
+  directory.Put(Entry("b"));
+  BOOST_TEST(directory.Usable(kService, kStart).size() == 1);
+  directory.Put(Entry("b", true));
+  BOOST_TEST(directory.Usable(kService, kStart).empty());
+}
+
+BOOST_AUTO_TEST_CASE(removed_backend_server_is_gone_at_once_without_grace) {
+  BackendDirectory directory;
+  directory.Put(Entry("b"));
+  const BackendPtr held = directory.Find(BackendId("b"));
+  directory.Remove(BackendId("b"), Duration::zero(), kStart);
+  BOOST_TEST(directory.Usable(kService, kStart).empty());
+  BOOST_TEST(directory.FindByHash(HashOf(BackendId("b"))) == nullptr);
+  BOOST_TEST(held->removed);
+}
+
+BOOST_AUTO_TEST_CASE(lapsed_registration_is_used_until_its_grace_is_over) {
+  BackendDirectory directory;
+  directory.Put(Entry("b"));
+  directory.Remove(BackendId("b"), 2s, kStart);
+  BOOST_TEST(directory.Usable(kService, kStart + 1s).size() == 1);
+  BOOST_TEST(directory.Usable(kService, kStart + 2s).empty());
+  BOOST_TEST(directory.Expire(kStart + 2s).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(registration_that_comes_back_cancels_the_grace) {
+  BackendDirectory directory;
+  directory.Put(Entry("b"));
+  directory.Remove(BackendId("b"), 2s, kStart);
+  directory.Put(Entry("b"));
+  BOOST_TEST(directory.Expire(kStart + 3s).empty());
+  BOOST_TEST(directory.Usable(kService, kStart + 3s).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(second_news_of_a_lapse_does_not_prolong_the_grace) {
+  BackendDirectory directory;
+  directory.Put(Entry("b"));
+  directory.Remove(BackendId("b"), 2s, kStart);
+  directory.Remove(BackendId("b"), 2s, kStart + 1s);
+  BOOST_TEST(directory.Usable(kService, kStart + 2s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(weights_only_move_forward_and_empty_the_cache) {
+  BackendDirectory directory;
+  directory.Put(Entry("b"));
+  Backend& backend = *directory.Find(BackendId("b"));
+  BackendDirectory::NoteWeights(backend, kModel, WeightsNumber(2));
+  const std::uint64_t part = 7;
+  BackendDirectory::NoteCached(backend, {&part, 1}, 100, kStart);
+  BackendDirectory::NoteWeights(backend, kModel, WeightsNumber(1));
+  BOOST_TEST((backend.weights[kModel] == WeightsNumber(2)));
+  BOOST_TEST(backend.cached_parts.size() == 1);
+  BackendDirectory::NoteWeights(backend, kModel, WeightsNumber(3));
+  BOOST_TEST(backend.cached_parts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(failures_lengthen_the_backoff_up_to_a_limit) {
+  BackendDirectory directory;
+  directory.Put(Entry("b"));
+  Backend& backend = *directory.Find(BackendId("b"));
+  BackendDirectory::NoteFailure(backend, kStart);
+  BOOST_TEST((backend.avoid_until == kStart + BackendDirectory::kFirstBackoff));
+  for (int i = 0; i < 10; ++i) BackendDirectory::NoteFailure(backend, kStart);
+  BOOST_TEST((backend.avoid_until == kStart + BackendDirectory::kLongestBackoff));
+  BackendDirectory::NoteSuccess(backend);
+  BOOST_TEST(backend.failures == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/gateway/test/event_relay-test.cc
@@ -0,0 +1,62 @@
+#include "gateway/event_relay.h"
+
+#include <boost/test/unit_test.hpp>
+#include <algorithm>
+#include <rapidcheck/boost_test.h>
+
+using namespace ridgehold;
+
+namespace {
+
+std::string Event(int number) {
+  return "id: " + std::to_string(number) + "\ndata: d" + std::to_string(number) + "\n\n";
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(event_relay)
+
+BOOST_AUTO_TEST_CASE(event_is_passed_on_as_it_came_once_it_is_whole) {
+  EventRelay relay(std::nullopt);
+  BOOST_TEST(relay.Take("x-weight: 3\r\nid: 1\r\ndata: a\r\n").empty());
+  BOOST_TEST(relay.incomplete());
+  BOOST_TEST(relay.Take("\r\nid: 2") == "x-weight: 3\r\nid: 1\r\ndata: a\r\n\r\n");
+  BOOST_TEST(relay.last_event().value() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(events_without_a_number_are_passed_on) {
+  EventRelay relay(std::nullopt);
+  BOOST_TEST(relay.Take("data: a\n\ndata: b\n\n") == "data: a\n\ndata: b\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(events_the_caller_has_are_dropped) {
+  EventRelay relay(4);
+  BOOST_TEST(relay.Take(Event(4) + Event(5)) == Event(5));
+}
+
+RC_BOOST_PROP(each_event_passes_once_in_order_whatever_breaks, ()) {
+  const int total = *rc::gen::inRange(1, 30);
+  EventRelay relay(std::nullopt);
+  std::string passed;
+  int done = 0;
+  constexpr int kMostBreaks = 10;
+  for (int attempt = 0; done < total; ++attempt) {
+    relay.StartAttempt();
+    // An attempt resumes after the last event, may tell some again, and may
+    // break anywhere.
+    const int from = std::max(1, done + 1 - *rc::gen::inRange(0, 3));
+    std::string bytes;
+    for (int i = from; i <= total; ++i) bytes += Event(i);
+    const bool last = attempt == kMostBreaks;
+    const auto cut = last ? bytes.size() : *rc::gen::inRange<std::size_t>(1, bytes.size() + 1);
+    for (std::size_t at = 0; at < cut; at += 7) {
+      passed += relay.Take(std::string_view(bytes).substr(at, std::min<std::size_t>(7, cut - at)));
+    }
+    done = static_cast<int>(relay.last_event().value_or(0));
+  }
+  std::string expected;
+  for (int i = 1; i <= total; ++i) expected += Event(i);
+  RC_ASSERT(passed == expected);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/gateway/test/placement-test.cc
@@ -0,0 +1,146 @@
+#include "gateway/placement.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ModelId kModel("m");
+const TimePoint kNow{1h};
+
+BackendPtr MakeBackend(const std::string& id, const std::string& zone = "a") {
+  auto backend = std::make_shared<Backend>();
+  backend->entry.id = BackendId(id);
+  backend->entry.zone = ZoneId(zone);
+  backend->weights[kModel] = WeightsNumber(1);
+  return backend;
+}
+
+GenerationRequest Generation() {
+  GenerationRequest request;
+  request.model = kModel;
+  request.prompt_tokens = 9'000;
+  request.parts = {{1, 2'500}, {2, 3'500}, {3, 3'000}};
+  return request;
+}
+
+struct Fixture {
+  std::vector<BackendPtr> backends = {MakeBackend("x"), MakeBackend("y"), MakeBackend("z")};
+  PromptChain chain = PromptChain::Of(Generation(), "shared");
+  PlacementQuery query;
+  PlacementWeights weights;
+
+  Fixture() {
+    query.own_zone = ZoneId("a");
+    query.chain = &chain;
+    query.model = kModel;
+    query.newest_weights = WeightsNumber(1);
+    query.cache_tokens = 100'000;
+    query.now = kNow;
+  }
+
+  void Bring(const BackendPtr& backend, std::chrono::milliseconds ago) {
+    std::vector<std::uint64_t> parts;
+    for (const PromptChain::Link& link : chain.links) parts.push_back(link.hash);
+    BackendDirectory::NoteCached(*backend, parts, 9'000, kNow - ago);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(placement, Fixture)
+
+BOOST_AUTO_TEST_CASE(chain_leaves_out_the_requests_own_part_and_knows_its_scope) {
+  BOOST_TEST(chain.links.size() == 2);
+  BOOST_TEST(chain.shared_tokens() == 6'000);
+  BOOST_TEST(PromptChain::Of(Generation(), "w:1").links[0].hash != chain.links[0].hash);
+}
+
+BOOST_AUTO_TEST_CASE(prompt_goes_where_its_parts_are) {
+  for (const BackendPtr& holder : backends) {
+    for (const BackendPtr& backend : backends) backend->cached_parts.clear();
+    Bring(holder, 1s);
+    const Placement chosen = ChooseBackend(query, backends, weights);
+    BOOST_TEST(backends[chosen.index] == holder);
+    BOOST_TEST(chosen.cached_tokens == 6'000);
+    BOOST_TEST(!chosen.lacks_parts);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(busy_holder_is_left_and_its_parts_are_fetched) {
+  Bring(backends[1], 1s);
+  backends[1]->unprefilled_tokens = 60'000;
+  const Placement chosen = ChooseBackend(query, backends, weights);
+  BOOST_TEST(chosen.index != 1);
+  BOOST_REQUIRE(chosen.fetch_from.has_value());
+  BOOST_TEST(*chosen.fetch_from == 1);
+}
+
+BOOST_AUTO_TEST_CASE(parts_that_are_being_read_cannot_be_fetched) {
+  Bring(backends[1], 50ms);
+  backends[1]->unprefilled_tokens = 60'000;
+  const Placement chosen = ChooseBackend(query, backends, weights);
+  BOOST_TEST(!chosen.fetch_from.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(parts_pushed_out_by_others_count_as_gone) {
+  Bring(backends[1], 1s);
+  BackendDirectory::NoteCached(*backends[1], {}, 95'000, kNow);
+  BOOST_TEST(ChooseBackend(query, backends, weights).lacks_parts);
+}
+
+BOOST_AUTO_TEST_CASE(work_of_other_gateways_counts) {
+  Bring(backends[1], 1s);
+  backends[1]->peers.unread_tokens = 60'000;
+  BOOST_TEST(ChooseBackend(query, backends, weights).index != 1);
+}
+
+BOOST_AUTO_TEST_CASE(held_and_failing_backend_servers_are_chosen_last) {
+  Bring(backends[1], 1s);
+  backends[1]->hold_until = kNow + 1s;
+  BOOST_TEST(ChooseBackend(query, backends, weights).index != 1);
+  for (const BackendPtr& backend : backends) backend->avoid_until = kNow + 1s;
+  backends[1]->hold_until = {};
+  BOOST_TEST(ChooseBackend(query, backends, weights).index == 1);
+}
+
+BOOST_AUTO_TEST_CASE(newest_weights_are_preferred_once_older_ones_are_old_news) {
+  query.newest_weights = WeightsNumber(2);
+  backends[2]->weights[kModel] = WeightsNumber(2);
+  query.newest_since = kNow - 3s;
+  weights.older_weights = 500;
+  BOOST_TEST(ChooseBackend(query, backends, weights).index == 2);
+}
+
+BOOST_AUTO_TEST_CASE(parts_are_fetched_only_from_engines_of_the_same_weights) {
+  query.newest_weights = WeightsNumber(2);
+  backends[1]->weights[kModel] = WeightsNumber(2);
+  Bring(backends[1], 1s);
+  backends[1]->unprefilled_tokens = 200'000;
+  const Placement chosen = ChooseBackend(query, backends, weights);
+  BOOST_TEST(chosen.index != 1);
+  BOOST_TEST(!chosen.fetch_from.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(plain_call_goes_to_the_least_busy) {
+  query.chain = nullptr;
+  backends[0]->in_flight = 2;
+  backends[1]->peers.running = 1;
+  BOOST_TEST(ChooseBackend(query, backends, weights).index == 2);
+}
+
+RC_BOOST_FIXTURE_PROP(all_gateways_agree_on_the_home_of_a_new_subject, Fixture, ()) {
+  GenerationRequest request = Generation();
+  request.parts[1].id = *rc::gen::arbitrary<std::uint64_t>();
+  chain = PromptChain::Of(request, "shared");
+  query.tie_break = *rc::gen::arbitrary<std::uint64_t>();
+  const Placement one = ChooseBackend(query, backends, weights);
+  query.tie_break = *rc::gen::arbitrary<std::uint64_t>();
+  const Placement other = ChooseBackend(query, backends, weights);
+  RC_ASSERT(one.index == other.index);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/gateway/test/routing_snapshot-test.cc
@@ -0,0 +1,73 @@
+#include "gateway/routing_snapshot.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace ridgehold;
+
+namespace {
+
+RouteRule Route(const std::string& id, const std::string& prefix) {
+  RouteRule route;
+  route.id = RuleId(id);
+  route.host = "h";
+  route.path_prefix = prefix;
+  route.targets = {{ServiceId("s"), 1}};
+  return route;
+}
+
+RoutingParts Parts(std::vector<RouteRule> routes) {
+  RoutingParts parts;
+  parts.routes = std::move(routes);
+  ServiceRule service;
+  service.id = ServiceId("s");
+  parts.services = {service};
+  return parts;
+}
+
+std::string Found(const RoutingSnapshot& snapshot, const std::string& path) {
+  const RouteRule* route = snapshot.FindRoute("h", path);
+  return route == nullptr ? "" : route->id.value();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(routing_snapshot)
+
+BOOST_AUTO_TEST_CASE(longest_prefix_wins) {
+  const auto snapshot =
+      RoutingSnapshot::Create(Parts({Route("a", "/a/"), Route("ab", "/a/b/"), Route("r", "/")}));
+  BOOST_REQUIRE(snapshot.has_value());
+  BOOST_TEST(Found(**snapshot, "/a/b/c") == "ab");
+  BOOST_TEST(Found(**snapshot, "/a/b") == "a");
+  BOOST_TEST(Found(**snapshot, "/a/x/b/") == "a");
+  BOOST_TEST(Found(**snapshot, "/ab/") == "r");
+  BOOST_TEST((*snapshot)->FindRoute("other", "/a/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(unknown_service_and_doubled_route_are_refused) {
+  RouteRule lost = Route("a", "/a/");
+  lost.targets = {{ServiceId("none"), 1}};
+  const auto code_of = [](RoutingParts parts) {
+    return FailureOf([&] { return RoutingSnapshot::Create(std::move(parts)); })->code;
+  };
+  BOOST_TEST((code_of(Parts({lost})) == ResultCode::kInvalidCommand));
+  BOOST_TEST((code_of(Parts({Route("a", "/a/"), Route("b", "/a/")})) ==
+              ResultCode::kInvalidCommand));
+}
+
+BOOST_AUTO_TEST_CASE(targets_are_picked_by_weight_and_alike_for_equal_requests) {
+  RouteRule route = Route("a", "/a/");
+  route.targets = {{ServiceId("s"), 90}, {ServiceId("t"), 10}, {ServiceId("u"), 0}};
+  std::map<std::string, int> picked;
+  for (int i = 0; i < 2'000; ++i) {
+    const RequestId request("r" + std::to_string(i));
+    BOOST_TEST((PickTarget(route, request) == PickTarget(route, request)));
+    ++picked[PickTarget(route, request).value()];
+  }
+  BOOST_TEST(picked["t"] > 130);
+  BOOST_TEST(picked["t"] < 270);
+  BOOST_TEST(picked["u"] == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
