--- a/libs/control/include/control/fact_sink.h
+++ b/libs/control/include/control/fact_sink.h
@@ -17,9 +17,14 @@
  public:
   FactSink(GatewayState& state, OwnRecords& records) : state_(state), records_(records) {}
 
-  /// Takes a decoded fact; `item` is where it came from, `written` the latest
-  /// moment at which it can have been written.
-  void Take(const StoreItem& item, StoredFact fact, TimePoint written);
+  /// When a fact was written, as far as is known.
+  struct Writing {
+    TimePoint at{};
+    bool assumed = false;  ///< `at` is the earliest possible moment, or a guess
+  };
+
+  /// Takes a decoded fact; `item` is where it came from.
+  void Take(const StoreItem& item, StoredFact fact, const Writing& writing);
 
   /// A key of the gateways' own.
   void TakeOwn(const StoreItem& item);
@@ -36,7 +41,7 @@
 
  private:
   void TakeConfig(const StoreItem& item, RoutingParts parts);
-  void TakeWeights(const WeightsOrder& order, TimePoint written);
+  void TakeWeights(const WeightsOrder& order, const Writing& writing);
   void TakeBackend(const StoreItem& item, const BackendEntry& entry);
   void CountMembers();
 
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -68,8 +68,16 @@
     timer_.cancel();
   }
 
+  /// Whether no engine is being brought up.
   bool idle() const { return begun_.empty(); }
 
+  /// Whether nothing is left to do for now.
+  bool finished() const {
+    return idle() && NextSteps(state_.directory(), state_.named_weights(), begun_, 0,
+                               options_.engines_for_each_load)
+                         .empty();
+  }
+
  private:
   bool MayOrder(TimePoint now) const {
     return !stopped_ && duty_.Held(now) && now - duty_.held_since() >= options_.separation;
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -110,7 +110,7 @@
 
   void TakeListing(const std::vector<StoreItem>& items) {
     const TimePoint now = Clock::now();
-    const TimePoint written = LatestWriting(now);
+    const FactSink::Writing writing = WritingOf(now);
     std::vector<BackendEntry> backends;
     records_.Clear();
     items_.clear();
@@ -122,7 +122,7 @@
       }
       Decode(item, [&](StoredFact fact) {
         if (auto* entry = std::get_if<BackendEntry>(&fact)) backends.push_back(*entry);
-        sink_.Take(item, std::move(fact), written);
+        sink_.Take(item, std::move(fact), writing);
       });
     }
     sink_.ReplaceBackends(backends, contact_.GraceForMissing(now), now);
@@ -142,28 +142,29 @@
     }
     NoteAnswer();
     const TimePoint now = Clock::now();
-    const TimePoint written = LatestWriting(now);
-    for (const StoreEvent& event : answer->events) TakeEvent(event, now, written);
+    const FactSink::Writing writing = WritingOf(now);
+    for (const StoreEvent& event : answer->events) TakeEvent(event, now, writing);
     revision_ = std::max(revision_, answer->revision);
     // An empty watch that lasted its whole time saw nothing until its end.
     const bool waited = answer->events.empty() && now - begun >= options_.watch;
     state_.ConfirmSnapshot(waited ? begun + options_.watch : begun);
   }
 
-  /// When something heard of at `now` can have been written at the latest.
-  /// News that may be late is dated back to when it was not there yet.
-  TimePoint LatestWriting(TimePoint now) const {
-    if (!read_once_) return now - kUnknownAge;
-    return now - state_.confirmed_at() > kPromptNews ? state_.confirmed_at() : now;
+  /// When something heard of at `now` was written. News that may be late is
+  /// dated back to when it was certainly not there yet.
+  FactSink::Writing WritingOf(TimePoint now) const {
+    if (!read_once_) return {now - kUnknownAge, true};
+    const bool prompt = now - state_.confirmed_at() <= kPromptNews;
+    return prompt ? FactSink::Writing{now, false} : FactSink::Writing{state_.confirmed_at(), true};
   }
 
-  void TakeEvent(const StoreEvent& event, TimePoint now, TimePoint written) {
+  void TakeEvent(const StoreEvent& event, TimePoint now, const FactSink::Writing& writing) {
     items_.erase(event.key);
     if (event.item) {
       items_[event.key] = *event.item;
       if (event.key.starts_with(kOwnPrefix)) return sink_.TakeOwn(*event.item);
       return Decode(*event.item,
-                    [&](StoredFact fact) { sink_.Take(*event.item, std::move(fact), written); });
+                    [&](StoredFact fact) { sink_.Take(*event.item, std::move(fact), writing); });
     }
     if (event.key.starts_with(kOwnPrefix)) return sink_.RemoveOwn(event.key);
     if (const auto id = Codec::BackendOf(event.key)) {
--- a/libs/control/src/fact_sink.cc
+++ b/libs/control/src/fact_sink.cc
@@ -13,9 +13,9 @@
 
 }  // namespace
 
-void FactSink::Take(const StoreItem& item, StoredFact fact, TimePoint written) {
+void FactSink::Take(const StoreItem& item, StoredFact fact, const Writing& writing) {
   if (auto* parts = std::get_if<RoutingParts>(&fact)) return TakeConfig(item, std::move(*parts));
-  if (const auto* order = std::get_if<WeightsOrder>(&fact)) return TakeWeights(*order, written);
+  if (const auto* order = std::get_if<WeightsOrder>(&fact)) return TakeWeights(*order, writing);
   if (const auto* entry = std::get_if<BackendEntry>(&fact)) TakeBackend(item, *entry);
 }
 
@@ -35,13 +35,15 @@
       [&](const Failure& failure) { Reject(item, failure); });
 }
 
-void FactSink::TakeWeights(const WeightsOrder& order, TimePoint written) {
-  if (!state_.named_weights().Take(order.model, order.number, written)) return;
-  const auto age = std::chrono::duration_cast<Duration>(Clock::now() - written);
+void FactSink::TakeWeights(const WeightsOrder& order, const Writing& writing) {
+  NamedWeights& named = state_.named_weights();
+  if (!named.Take(order.model, order.number, writing.at, writing.assumed)) return;
+  const auto age = std::chrono::duration_cast<Duration>(Clock::now() - writing.at);
   Log(LogLevel::kInfo, "weights named",
       {{"model", order.model.value()},
        {"weights", std::to_string(order.number.value())},
-       {"age_ms", Milliseconds(age)}});
+       {"age_ms", Milliseconds(age)},
+       {"age_is", writing.assumed ? "assumed" : "known"}});
 }
 
 void FactSink::TakeBackend(const StoreItem& item, const BackendEntry& entry) {
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -59,6 +59,8 @@
   /// The balancer asks once a second and needs two misses. Requests that come
   /// later are refused, so that none is broken off at the end.
   std::chrono::milliseconds lame_duck{2'600};
+  /// An engine that was ordered has loaded by then.
+  std::chrono::milliseconds longest_load{1'500};
   /// Left before the process is killed.
   std::chrono::milliseconds shutdown_margin{700};
   /// Requests begin on older weights until so long before the limit.
@@ -312,6 +314,22 @@
     }
   }
 
+  /// A rollout that has begun is ended first, since the next holder must wait
+  /// before it may order; and the duty is not given up with an order unsettled.
+  net::awaitable<void> HandOverDuty(TimePoint latest) {
+    net::steady_timer timer(executor_);
+    const TimePoint stop_by = latest - tuning_.longest_load;
+    while (duty_.Held(Clock::now()) && !rollout_.finished() && Clock::now() < stop_by) {
+      co_await WaitOn(timer, tuning_.housekeeping / 5);
+    }
+    rollout_.Stop();
+    while (!rollout_.idle() && Clock::now() < latest) {
+      co_await WaitOn(timer, tuning_.housekeeping / 5);
+    }
+    co_await duty_.Release();
+    duty_handed_over_ = true;
+  }
+
   void LogReadiness(bool ready, TimePoint now) const {
     const auto age =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.confirmed_at());
@@ -324,20 +342,16 @@
     const TimePoint begun = Clock::now();
     const TimePoint latest = begun + settings_.shutdown_limit - tuning_.shutdown_margin;
     net::steady_timer timer(executor_);
-    rollout_.Stop();
+    net::co_spawn(executor_, HandOverDuty(latest), net::detached);
     co_await member_.Release();
-    while (!rollout_.idle() && Clock::now() < begun + tuning_.lame_duck) {
-      co_await WaitOn(timer, tuning_.housekeeping / 5);
-    }
-    // Not before the last order is settled.
-    co_await duty_.Release();
     co_await WaitOn(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
                                begun + tuning_.lame_duck - Clock::now()));
     server_.Stop();
     state_.RefuseNewRequests();
     while (Clock::now() < latest) {
       server_.CloseIdle();
-      if (state_.in_flight() == 0 && server_.open_connections() == 0) break;
+      const bool empty = state_.in_flight() == 0 && server_.open_connections() == 0;
+      if (empty && duty_handed_over_) break;
       co_await WaitOn(timer, tuning_.housekeeping / 5);
     }
     Log(LogLevel::kInfo, "stopped", {{"in_flight", std::to_string(state_.in_flight())}});
@@ -375,6 +389,7 @@
   StoreCopyReader<Follower> copy_reader_;
   std::unique_ptr<AdminServer> metrics_server_;
   net::steady_timer timer_;
+  bool duty_handed_over_ = false;
   bool done_ = false;
 };
 
--- a/libs/gateway/include/gateway/named_weights.h
+++ b/libs/gateway/include/gateway/named_weights.h
@@ -22,12 +22,14 @@
   /// One number of one model.
   struct Naming {
     WeightsNumber number;
-    TimePoint at{};  ///< the latest moment at which it can have been named
+    TimePoint at{};
+    bool assumed = false;  ///< `at` is a careful guess, not known
   };
 
-  /// Takes a number that was named at `at` at the latest; of two tellings the
-  /// earlier moment holds. Returns whether it is newer than all known ones.
-  bool Take(const ModelId& model, WeightsNumber number, TimePoint at);
+  /// Takes a number that was named at `at`. What is known replaces what was
+  /// assumed; of two alike the earlier moment holds. Returns whether the
+  /// number is newer than all known ones.
+  bool Take(const ModelId& model, WeightsNumber number, TimePoint at, bool assumed = false);
 
   /// All that is remembered, ascending by number.
   const std::map<ModelId, std::vector<Naming>>& all() const { return namings_; }
--- a/libs/gateway/src/named_weights.cc
+++ b/libs/gateway/src/named_weights.cc
@@ -4,15 +4,16 @@
 
 namespace ridgehold {
 
-bool NamedWeights::Take(const ModelId& model, WeightsNumber number, TimePoint at) {
+bool NamedWeights::Take(const ModelId& model, WeightsNumber number, TimePoint at, bool assumed) {
   std::vector<Naming>& namings = namings_[model];
   const auto place = std::ranges::lower_bound(namings, number, {}, &Naming::number);
   const bool newest = place == namings.end();
   if (!newest && place->number == number) {
-    place->at = std::min(place->at, at);
+    if (place->assumed && !assumed) *place = {number, at, false};
+    if (place->assumed == assumed) place->at = std::min(place->at, at);
     return false;
   }
-  namings.insert(place, {number, at});
+  namings.insert(place, {number, at, assumed});
   if (namings.size() > kMostRemembered) namings.erase(namings.begin());
   return newest;
 }
--- a/libs/gateway/test/named_weights-test.cc
+++ b/libs/gateway/test/named_weights-test.cc
@@ -43,6 +43,18 @@
   BOOST_TEST((named.OutdatedSince(kModel, N(2)).value() == kStart + 14s));
 }
 
+// Found in an incident of tbw-depots: what one start assumed was taken by all
+// gateways, and requests were refused 3 s too early.
+BOOST_AUTO_TEST_CASE(assumed_moment_gives_way_to_a_known_one_and_never_replaces_it) {
+  NamedWeights named;
+  named.Take(kModel, N(3), kStart - 5s, true);
+  BOOST_TEST((named.OutdatedSince(kModel, N(2)).value() == kStart - 5s));
+  named.Take(kModel, N(3), kStart);
+  BOOST_TEST((named.OutdatedSince(kModel, N(2)).value() == kStart));
+  named.Take(kModel, N(3), kStart - 9s, true);
+  BOOST_TEST((named.OutdatedSince(kModel, N(2)).value() == kStart));
+}
+
 RC_BOOST_PROP(order_of_tellings_does_not_matter, ()) {
   const auto tellings = *rc::gen::container<std::vector<std::pair<int, int>>>(
       rc::gen::pair(rc::gen::inRange(1, 8), rc::gen::inRange(0, 60)));
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -88,6 +88,8 @@
   for (const auto& [model, namings] : state_.named_weights().all()) {
     const std::size_t skipped = namings.size() - std::min(namings.size(), kMostNamings);
     for (std::size_t i = skipped; i < namings.size(); ++i) {
+      // A guess would take the place of what others know.
+      if (namings[i].assumed) continue;
       const auto age =
           std::chrono::duration_cast<std::chrono::milliseconds>(now - namings[i].at);
       recent.push_back({model, namings[i].number, age});
