--- a/libs/control/include/control/backend_control.h
+++ b/libs/control/include/control/backend_control.h
@@ -20,7 +20,7 @@
 /// What an engine says of itself; some hundred ms old.
 struct EngineReport {
   std::map<ModelId, WeightsNumber> weights;
-  bool busy = false;              ///< an order is being carried out
+  bool busy = false;               ///< an order is being carried out
   std::uint64_t orders_taken = 0;  ///< number of orders accepted since its start
   std::uint32_t waiting = 0;
   std::uint32_t running = 0;
@@ -47,11 +47,11 @@
 enum class OrderOutcome : std::uint8_t {
   kStarted,
   kAlreadyHolds,
-  kConflict,         ///< another order runs, or was taken since the report
-  kFenced,           ///< a holder with a higher fencing token was there
-  kOtherBackend,     ///< the address belongs to another incarnation
+  kConflict,      ///< another order runs, or was taken since the report
+  kFenced,        ///< a holder with a higher fencing token was there
+  kOtherBackend,  ///< the address belongs to another incarnation
   kInvalid,
-  kUnknown,          ///< no answer: it may be carried out, now or later
+  kUnknown,  ///< no answer: it may be carried out, now or later
 };
 
 /// A client of engines' control calls.
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -2,13 +2,13 @@
 
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
-#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -84,9 +84,8 @@
   }
 
   void StartSteps() {
-    const auto steps =
-        NextSteps(state_.directory(), state_.named_weights(), begun_, LoadsEnding(),
-                  options_.engines_for_each_load);
+    const auto steps = NextSteps(state_.directory(), state_.named_weights(), begun_, LoadsEnding(),
+                                 options_.engines_for_each_load);
     for (const RolloutStep& step : steps) {
       begun_.insert(step.engine->entry.id);
       net::co_spawn(state_.executor(), BringUp(step), net::detached);
@@ -96,9 +95,8 @@
   /// Loads that will end before another engine is emptied.
   std::size_t LoadsEnding() const {
     const TimePoint now = Clock::now();
-    return static_cast<std::size_t>(std::ranges::count_if(load_begun_, [&](const auto& load) {
-      return now - load.second >= options_.first_poll;
-    }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        load_begun_, [&](const auto& load) { return now - load.second >= options_.first_poll; }));
   }
 
   /// Empties one engine, orders it, and waits until it reports the weights.
@@ -123,8 +121,8 @@
       co_await Wait(timer, options_.hold_spreads);
       empty = Unrepeatable(step) == 0;
     }
-    const std::uint32_t at_once = LoadsAtOnce(
-        state_.directory(), step.engine->entry.service, options_.engines_for_each_load);
+    const std::uint32_t at_once =
+        LoadsAtOnce(state_.directory(), step.engine->entry.service, options_.engines_for_each_load);
     while (load_begun_.size() >= at_once && !stopped_) co_await Wait(timer, options_.look);
   }
 
@@ -166,7 +164,8 @@
   }
 
   /// Returns the weights the engine loads now; nothing when it took no order.
-  net::awaitable<std::optional<WeightsNumber>> Order(const RolloutStep& step, const EngineReport& report) {
+  net::awaitable<std::optional<WeightsNumber>> Order(const RolloutStep& step,
+                                                     const EngineReport& report) {
     WeightsLoad load;
     load.model = step.model;
     load.number = *state_.named_weights().Newest(step.model);
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -203,8 +203,7 @@
       return;
     }
     if (!contact_.NoteFault()) return;
-    Log(LogLevel::kWarn, "store lost",
-        {{"call", call}, {"fault", std::string(NameOf(fault))}});
+    Log(LogLevel::kWarn, "store lost", {{"call", call}, {"fault", std::string(NameOf(fault))}});
   }
 
   net::awaitable<void> Pause() {
--- a/libs/control/src/rollout_plan.cc
+++ b/libs/control/src/rollout_plan.cc
@@ -16,9 +16,8 @@
 
 std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
                           std::uint32_t engines_for_each_load) {
-  const auto engines = std::ranges::count_if(directory.all(), [&](const auto& entry) {
-    return entry.second->entry.service == service;
-  });
+  const auto engines = std::ranges::count_if(
+      directory.all(), [&](const auto& entry) { return entry.second->entry.service == service; });
   const auto rounded_up =
       (static_cast<std::uint32_t>(engines) + engines_for_each_load - 1) / engines_for_each_load;
   return std::max(rounded_up, 1U);
--- a/libs/control/test/held_key-test.cc
+++ b/libs/control/test/held_key-test.cc
@@ -1,10 +1,10 @@
 #include "control/held_key.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
-#include <algorithm>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -21,9 +21,8 @@
 
 struct Holder {
   Holder(MemoryTable& table, net::any_io_executor executor, std::uint32_t seed)
-      : store(table, seed), key(store, executor, Options(seed), [&table] {
-          return !table.items().contains(kKey);
-        }) {}
+      : store(table, seed),
+        key(store, executor, Options(seed), [&table] { return !table.items().contains(kKey); }) {}
 
   static HeldKey<MemoryStore>::Options Options(std::uint32_t seed) {
     HeldKey<MemoryStore>::Options options;
@@ -52,8 +51,8 @@
 
   std::size_t CountHeld() const {
     const TimePoint now = Clock::now();
-    return static_cast<std::size_t>(std::ranges::count_if(
-        holders, [&](const auto& holder) { return holder->key.Held(now); }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(holders, [&](const auto& holder) { return holder->key.Held(now); }));
   }
 };
 
--- a/libs/control/test/memory_store.h
+++ b/libs/control/test/memory_store.h
@@ -19,9 +19,9 @@
 
 /// Faults of the store, or of one client's way to it.
 struct StoreFaults {
-  bool down = false;           ///< refuses all calls
-  double lost_answers = 0;     ///< part of the calls that are done and not answered
-  double late_writes = 0;      ///< part of the writes that are done later, unanswered
+  bool down = false;        ///< refuses all calls
+  double lost_answers = 0;  ///< part of the calls that are done and not answered
+  double late_writes = 0;   ///< part of the writes that are done later, unanswered
   std::chrono::milliseconds late_by{150};
 };
 
--- a/libs/control/test/rollout-test.cc
+++ b/libs/control/test/rollout-test.cc
@@ -90,7 +90,8 @@
     key.key = "duty";
     key.ttl = 300ms;
     key.look = 10ms;
-    duty = std::make_unique<HeldKey<MemoryStore>>(store, io.get_executor(), key, [] { return true; });
+    duty =
+        std::make_unique<HeldKey<MemoryStore>>(store, io.get_executor(), key, [] { return true; });
     Rollout<FakeEngines, MemoryStore>::Options options;
     options.self = DaemonId("d");
     options.separation = separation;
--- a/libs/dispatch/include/dispatch/model_session.h
+++ b/libs/dispatch/include/dispatch/model_session.h
@@ -17,11 +17,11 @@
 #include "config/entities.h"
 #include "dispatch/attempt_state.h"
 #include "dispatch/error_answer.h"
-#include "sse/sse.h"
 #include "dispatch/stream_sequencer.h"
 #include "http/headers.h"
 #include "http/responder.h"
 #include "routing/router.h"
+#include "sse/sse.h"
 
 namespace ridgehold {
 
--- a/libs/dispatch/test/stream-test.cc
+++ b/libs/dispatch/test/stream-test.cc
@@ -2,8 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "sse/sse.h"
 #include "dispatch/stream_sequencer.h"
+#include "sse/sse.h"
 
 using namespace ridgehold;
 
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -2,13 +2,13 @@
 
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -32,7 +32,7 @@
 /// meaning of the store's keys, and control of engines.
 template <class Env>
 concept Environment = WireFormat<typename Env::Wire> && StateStore<typename Env::Store> &&
-                      FactCodec<typename Env::Codec> && BackendControl<typename Env::Control>;
+    FactCodec<typename Env::Codec> && BackendControl<typename Env::Control>;
 
 /// Settings of an entry instance's own, as the product's settings file has them.
 struct EntryTuning {
@@ -203,8 +203,8 @@
       return AdminPage{ready ? http::status::ok : http::status::service_unavailable, "text/plain",
                        ready ? "ready\n" : "not ready\n"};
     };
-    BOOST_LEAF_ASSIGN(admin_, AdminServer::Create(executor_, settings_.ready_address,
-                                                  std::move(pages)));
+    BOOST_LEAF_ASSIGN(admin_,
+                      AdminServer::Create(executor_, settings_.ready_address, std::move(pages)));
     return {};
   }
 
@@ -213,8 +213,8 @@
     options.self = settings_.daemon;
     options.address = settings_.instance_address;
     options.port = settings_.first_peer_port;
-    BOOST_LEAF_ASSIGN(peers_, PeerLink::Create(state_, std::move(options),
-                                               [this] { return PeerAddresses(); }));
+    BOOST_LEAF_ASSIGN(
+        peers_, PeerLink::Create(state_, std::move(options), [this] { return PeerAddresses(); }));
     const std::string address =
         settings_.instance_address + ":" + std::to_string(settings_.first_peer_port);
     BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, PeerPages()));
@@ -233,8 +233,8 @@
     if (!follower_.ready()) return {http::status::service_unavailable, "text/plain", ""};
     StoreCopy copy;
     copy.revision = follower_.revision();
-    copy.age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
-                                                                     state_.confirmed_at());
+    copy.age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - state_.confirmed_at());
     // Rounded up, so that nothing looks fresher than it is.
     copy.age += std::chrono::milliseconds(1);
     if (with_items) {
@@ -280,20 +280,19 @@
                           {"failures", backend->failures},
                           {"error_rate", backend->error_rate}});
     }
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
-                                                                           state_.confirmed_at());
-    return nlohmann::json{
-        {"daemon", settings_.daemon.value()},
-        {"zone", settings_.zone.value()},
-        {"ready", Ready()},
-        {"shutting_down", state_.shutting_down()},
-        {"config", state_.snapshot() ? state_.snapshot()->version().value() : 0},
-        {"config_age_ms", age.count()},
-        {"gateways", state_.gateways()},
-        {"rollout_held", duty_.Held(Clock::now())},
-        {"in_flight", state_.in_flight()},
-        {"connections", server_.open_connections()},
-        {"backends", backends}}
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - state_.confirmed_at());
+    return nlohmann::json{{"daemon", settings_.daemon.value()},
+                          {"zone", settings_.zone.value()},
+                          {"ready", Ready()},
+                          {"shutting_down", state_.shutting_down()},
+                          {"config", state_.snapshot() ? state_.snapshot()->version().value() : 0},
+                          {"config_age_ms", age.count()},
+                          {"gateways", state_.gateways()},
+                          {"rollout_held", duty_.Held(Clock::now())},
+                          {"in_flight", state_.in_flight()},
+                          {"connections", server_.open_connections()},
+                          {"backends", backends}}
         .dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
   }
 
--- a/libs/entry/include/entry/entry_settings.h
+++ b/libs/entry/include/entry/entry_settings.h
@@ -17,9 +17,9 @@
 struct EntrySettings {
   DaemonId daemon;
   ZoneId zone;
-  std::string caller_address;  ///< `address:port` where callers connect
-  std::string ready_address;   ///< where the balancer asks for readiness
-  std::string instance_address;  ///< without a port; for metrics and peers
+  std::string caller_address;         ///< `address:port` where callers connect
+  std::string ready_address;          ///< where the balancer asks for readiness
+  std::string instance_address;       ///< without a port; for metrics and peers
   std::uint16_t first_peer_port = 0;  ///< free for messages between daemons
   /// Some other instances, without a port; may be out of date.
   std::vector<std::string> seed_addresses;
--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -56,8 +56,7 @@
     if (error) break;
     ResponseMessage answer = Answer(request);
     http::response_serializer<http::string_body> serializer(answer);
-    co_await http::async_write(socket, serializer,
-                               net::redirect_error(net::use_awaitable, error));
+    co_await http::async_write(socket, serializer, net::redirect_error(net::use_awaitable, error));
     if (!answer.keep_alive()) break;
   }
 }
--- a/libs/gateway/include/gateway/attempt_messages.h
+++ b/libs/gateway/include/gateway/attempt_messages.h
@@ -29,8 +29,8 @@
 /// What an answer's status line and header fields say.
 struct AnswerHead {
   int status = 0;
-  bool not_executed = false;      ///< the backend server states that it did not run the request
-  bool has_signature = false;     ///< proof that the backend server made the answer
+  bool not_executed = false;        ///< the backend server states that it did not run the request
+  bool has_signature = false;       ///< proof that the backend server made the answer
   bool has_content_coding = false;  ///< the body is not as the backend server made it
   bool event_stream = false;
   RequestId request;  ///< empty: not named
--- a/libs/gateway/include/gateway/attempt_policy.h
+++ b/libs/gateway/include/gateway/attempt_policy.h
@@ -25,23 +25,23 @@
   int status = 0;             ///< of kAnswered
   bool not_executed = false;  ///< the backend server states that it did not run the request
   bool has_signature = false;
-  bool may_repeat = false;       ///< the request may run more than once
-  bool stream_begun = false;     ///< the caller has some events already
-  bool may_have_run = false;     ///< this or an earlier attempt
-  std::uint32_t runs = 0;        ///< attempts that may have run, this one included
-  std::uint32_t max_runs = 1;    ///< the route's limit
-  std::uint32_t sends = 0;       ///< attempts of any outcome
-  bool time_left = true;         ///< enough for another attempt
+  bool may_repeat = false;     ///< the request may run more than once
+  bool stream_begun = false;   ///< the caller has some events already
+  bool may_have_run = false;   ///< this or an earlier attempt
+  std::uint32_t runs = 0;      ///< attempts that may have run, this one included
+  std::uint32_t max_runs = 1;  ///< the route's limit
+  std::uint32_t sends = 0;     ///< attempts of any outcome
+  bool time_left = true;       ///< enough for another attempt
 };
 
 /// What to do.
 enum class NextStep : std::uint8_t {
-  kDone,           ///< nothing is owed any more
-  kDeliver,        ///< pass the backend server's answer on
-  kTryAgain,       ///< on another backend server, if the retry budget allows
-  kRefuse,         ///< say that it has not run
-  kFail,           ///< say that it may have run
-  kBreakOff,       ///< end the streamed answer so that it cannot look whole
+  kDone,      ///< nothing is owed any more
+  kDeliver,   ///< pass the backend server's answer on
+  kTryAgain,  ///< on another backend server, if the retry budget allows
+  kRefuse,    ///< say that it has not run
+  kFail,      ///< say that it may have run
+  kBreakOff,  ///< end the streamed answer so that it cannot look whole
 };
 
 /// Sends beyond the runs that a route allows: refusals do not run.
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -52,14 +52,14 @@
   std::optional<TimePoint> missing_until;    ///< registration lapsed; gone from then on
   bool removed = false;
 
-  std::uint32_t in_flight = 0;       ///< requests of this gateway
-  std::uint32_t unrepeatable = 0;    ///< those of them that cannot be resumed elsewhere
+  std::uint32_t in_flight = 0;     ///< requests of this gateway
+  std::uint32_t unrepeatable = 0;  ///< those of them that cannot be resumed elsewhere
   PeerWork peers;
-  TimePoint hold_until{};            ///< to get no new requests before, if others can take them
-  double unprefilled_tokens = 0;     ///< of requests that have no first event yet
-  TimePoint avoid_until{};           ///< after failures, or while it loads weights
-  std::uint32_t failures = 0;        ///< in a row
-  double error_rate = 0;             ///< moving mean of failed answers
+  TimePoint hold_until{};         ///< to get no new requests before, if others can take them
+  double unprefilled_tokens = 0;  ///< of requests that have no first event yet
+  TimePoint avoid_until{};        ///< after failures, or while it loads weights
+  std::uint32_t failures = 0;     ///< in a row
+  double error_rate = 0;          ///< moving mean of failed answers
   /// Tokens its cache has taken in since it was first seen.
   double inserted_tokens = 0;
   /// By chain hash; of the weights it runs now.
--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -1,4 +1,5 @@
-// One caller's connection: reads requests with limits, writes answers, notices a caller that leaves.
+// One caller's connection: reads requests with limits, writes answers, notices a caller that
+// leaves.
 
 #pragma once
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -153,8 +153,8 @@
       if (attempt_.head.request == inbound_.id) co_return co_await ReadOwnAnswer();
       if (!IsOlderAnswer(attempt_.head)) break;
       std::string skipped;
-      fault = co_await attempt_.connection->ReadWholeBody(
-          skipped, state_.limits().max_answer_bytes, plan_.answer_by);
+      fault = co_await attempt_.connection->ReadWholeBody(skipped, state_.limits().max_answer_bytes,
+                                                          plan_.answer_by);
       if (fault != ExchangeFault::kNone) co_return EndOf(fault);
     }
     last_code_ = ResultCode::kForeignAnswer;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -22,7 +22,6 @@
 
 namespace ridgehold {
 
-
 /// Bounds a gateway keeps; from the platform's settings and its own.
 struct GatewayLimits {
   /// A key may be trusted this long after the configuration was last known to
--- a/libs/gateway/include/gateway/inbound_request.h
+++ b/libs/gateway/include/gateway/inbound_request.h
@@ -32,9 +32,9 @@
 /// Decoded once, at the edge.
 struct InboundRequest {
   RequestId id;
-  std::string host;  ///< lower case, without a port
-  std::string path;  ///< without the query
-  std::string key;   ///< empty: none was sent
+  std::string host;                                     ///< lower case, without a port
+  std::string path;                                     ///< without the query
+  std::string key;                                      ///< empty: none was sent
   std::optional<std::chrono::milliseconds> time_limit;  ///< how long the caller will wait
   std::optional<GenerationRequest> generation;
   std::optional<std::uint64_t> resume_after;  ///< the last event the caller has
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -75,7 +75,7 @@
   std::optional<TimePoint> newest_since;  ///< when they were named
   std::uint64_t cache_tokens = 0;         ///< memory of one engine
   std::optional<ZoneId> store_zone;       ///< of the store of kept cache, if there is one
-  double unheard_share = 0;  ///< requests of unheard gateways for each own one
+  double unheard_share = 0;               ///< requests of unheard gateways for each own one
   std::uint64_t tie_break = 0;
   TimePoint now{};
 };
@@ -87,7 +87,7 @@
   std::uint32_t cached_tokens = 0;  ///< expected to be in its cache, or fetched into it
   /// Another candidate that has parts which the chosen one lacks.
   std::optional<std::size_t> fetch_from;
-  bool lacks_parts = false;  ///< shared parts are not expected in its own cache
+  bool lacks_parts = false;   ///< shared parts are not expected in its own cache
   bool doubts_parts = false;  ///< they are, but may have been evicted
 };
 
--- a/libs/gateway/include/gateway/refusal.h
+++ b/libs/gateway/include/gateway/refusal.h
@@ -5,8 +5,8 @@
 #include <chrono>
 #include <optional>
 
-#include "base/result.h"
 #include "base/ids.h"
+#include "base/result.h"
 #include "net/beast.h"
 
 namespace ridgehold {
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -38,13 +38,13 @@
   std::string host;         ///< lower case, without a port
   std::string path_prefix;  ///< begins and ends with a slash
   RouteKind kind = RouteKind::kSafe;
-  std::chrono::milliseconds timeout{0};          ///< the longest a request may wait for its answer
+  std::chrono::milliseconds timeout{0};  ///< the longest a request may wait for its answer
   std::chrono::milliseconds latency_objective{0};  ///< streams: until the first event
   std::chrono::milliseconds pause_objective{0};    ///< streams: between two events
   int priority = 0;                                ///< 0 is the most urgent
-  std::uint32_t max_attempts = 1;  ///< backend servers that may run one request
-  bool is_public = false;          ///< needs no key
-  bool caches_prompts = false;     ///< requests name the parts of their prompts
+  std::uint32_t max_attempts = 1;                  ///< backend servers that may run one request
+  bool is_public = false;                          ///< needs no key
+  bool caches_prompts = false;                     ///< requests name the parts of their prompts
   bool resumable = false;
   std::vector<WeightedTarget> targets;
 
@@ -56,8 +56,8 @@
 
 /// What the configuration says of the engines of a service.
 struct EngineProfile {
-  std::uint32_t slots = 1;          ///< requests that run at once
-  std::uint64_t cache_tokens = 0;   ///< memory, in tokens
+  std::uint32_t slots = 1;            ///< requests that run at once
+  std::uint64_t cache_tokens = 0;     ///< memory, in tokens
   std::uint32_t max_event_polls = 0;  ///< waiting polls for cache events, from all callers
 };
 
--- a/libs/gateway/src/attempt_policy.cc
+++ b/libs/gateway/src/attempt_policy.cc
@@ -13,8 +13,8 @@
 
 /// Statuses by which callers learn that the request did not run.
 bool PromisesNotRun(int status) {
-  return status == kTooManyRequests || status == kServiceUnavailable ||
-         status == kRequestTimeout || status == kMisdirected;
+  return status == kTooManyRequests || status == kServiceUnavailable || status == kRequestTimeout ||
+         status == kMisdirected;
 }
 
 /// Whether another backend server may answer better.
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -105,8 +105,8 @@
 
 void BackendDirectory::NoteFailure(Backend& backend, TimePoint now) {
   const auto doubled = kFirstBackoff * (1U << std::min(backend.failures, 4U));
-  backend.avoid_until = std::max(backend.avoid_until,
-                                 now + std::min<std::chrono::milliseconds>(doubled, kLongestBackoff));
+  backend.avoid_until = std::max(
+      backend.avoid_until, now + std::min<std::chrono::milliseconds>(doubled, kLongestBackoff));
   ++backend.failures;
   NoteErrorAnswer(backend);
 }
@@ -115,8 +115,7 @@
   backend.error_rate += kErrorRateStep * (1 - backend.error_rate);
 }
 
-void BackendDirectory::NoteWeights(Backend& backend, const ModelId& model,
-                                   WeightsNumber weights) {
+void BackendDirectory::NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights) {
   RaiseWeights(backend, model, weights);
 }
 
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -28,8 +28,6 @@
   if (unrepeatable_) --backend_->unrepeatable;
 }
 
-void BackendLoad::EndReading() {
-  backend_->unprefilled_tokens -= std::exchange(unread_tokens_, 0);
-}
+void BackendLoad::EndReading() { backend_->unprefilled_tokens -= std::exchange(unread_tokens_, 0); }
 
 }  // namespace ridgehold
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -131,11 +131,11 @@
 void CallerConnection::OnReadable(const ErrorCode& error, std::uint64_t watch) {
   if (!watching_ || watch != watch_) return;
   char byte = 0;
-  const auto read =
-      error ? 0 : ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const auto read = error ? 0 : ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // More bytes are the next request; it is read when this one is answered.
   if (read > 0) return;
-  if (read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return WatchCaller(std::move(on_gone_));
+  if (read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    return WatchCaller(std::move(on_gone_));
   watching_ = false;
   caller_gone_ = true;
   const auto on_gone = std::exchange(on_gone_, nullptr);
@@ -157,8 +157,7 @@
   answer.keep_alive(!close_after_);
   ErrorCode error;
   http::response_serializer<http::string_body> serializer(answer);
-  co_await http::async_write(socket_, serializer,
-                             net::redirect_error(net::use_awaitable, error));
+  co_await http::async_write(socket_, serializer, net::redirect_error(net::use_awaitable, error));
   if (error) Close();
   co_return !error;
 }
@@ -182,7 +181,8 @@
 net::awaitable<bool> CallerConnection::WriteChunk(std::string bytes) {
   auto self = shared_from_this();
   ErrorCode error;
-  co_await net::async_write(socket_, http::make_chunk(net::const_buffer(bytes.data(), bytes.size())),
+  co_await net::async_write(socket_,
+                            http::make_chunk(net::const_buffer(bytes.data(), bytes.size())),
                             net::redirect_error(net::use_awaitable, error));
   if (error) caller_gone_ = true;
   co_return !error;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -81,9 +81,8 @@
 }
 
 std::vector<BackendPtr> Candidates(const GatewayState& state, const ExchangePlan& plan,
-                                   const InboundRequest& request,
-                                   const std::set<BackendId>& tried, TimePoint now,
-                                   BackendDirectory& directory) {
+                                   const InboundRequest& request, const std::set<BackendId>& tried,
+                                   TimePoint now, BackendDirectory& directory) {
   std::vector<BackendPtr> candidates = directory.Usable(plan.service, now);
   std::erase_if(candidates, [&](const BackendPtr& backend) {
     if (tried.contains(backend->entry.id)) return true;
@@ -103,8 +102,7 @@
   if (!plan.snapshot) return Fail(ResultCode::kNotReady, "");
   plan.route = plan.snapshot->FindRoute(request.host, request.path);
   if (plan.route == nullptr) return Fail(ResultCode::kNoRoute, "");
-  BOOST_LEAF_ASSIGN(plan.workspace,
-                    Authorize(state, *plan.snapshot, *plan.route, request, now));
+  BOOST_LEAF_ASSIGN(plan.workspace, Authorize(state, *plan.snapshot, *plan.route, request, now));
   plan.service = PickTarget(*plan.route, request.id);
   plan.received = request.received;
   plan.answer_by = request.received + TimeAllowed(*plan.route, request);
@@ -176,9 +174,8 @@
   const bool stream = plan.route->kind == RouteKind::kStream;
   const double objectives =
       stream ? state.limits().stream_patience_objectives : state.limits().patience_objectives;
-  const auto patience = std::chrono::milliseconds(
-      static_cast<std::int64_t>(static_cast<double>(plan.route->latency_objective.count()) *
-                                objectives));
+  const auto patience = std::chrono::milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(plan.route->latency_objective.count()) * objectives));
   return std::min<TimePoint>(plan.answer_by, now + patience);
 }
 
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -9,11 +9,9 @@
   NewsItems taken;
   std::swap(taken.holds, news_.holds);
   std::swap(taken.weights, news_.weights);
-  const auto end =
-      news_.placed.begin() +
-      static_cast<std::ptrdiff_t>(std::min(most_placed, news_.placed.size()));
-  taken.placed.assign(std::make_move_iterator(news_.placed.begin()),
-                      std::make_move_iterator(end));
+  const auto end = news_.placed.begin() +
+                   static_cast<std::ptrdiff_t>(std::min(most_placed, news_.placed.size()));
+  taken.placed.assign(std::make_move_iterator(news_.placed.begin()), std::make_move_iterator(end));
   news_.placed.erase(news_.placed.begin(), end);
   return taken;
 }
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -35,8 +35,7 @@
     std::uint64_t best_tie = 0;
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
       Placement placement = Price(i);
-      const std::uint64_t tie =
-          Hash(query_.tie_break, HashText(candidates_[i]->entry.id.value()));
+      const std::uint64_t tie = Hash(query_.tie_break, HashText(candidates_[i]->entry.id.value()));
       if (placement.cost > best.cost) continue;
       if (placement.cost == best.cost && tie <= best_tie) continue;
       best = placement;
@@ -48,10 +47,10 @@
  private:
   /// What is known or guessed of a candidate's cache.
   struct Holding {
-    std::uint32_t known_tokens = 0;    ///< of the chain, brought by earlier requests
+    std::uint32_t known_tokens = 0;      ///< of the chain, brought by earlier requests
     std::uint32_t fetchable_tokens = 0;  ///< of those, what has been read by now
-    bool doubtful = false;             ///< some may have been evicted
-    std::uint64_t rank = 0;          ///< of rendezvous hashing
+    bool doubtful = false;               ///< some may have been evicted
+    std::uint64_t rank = 0;              ///< of rendezvous hashing
   };
 
   Placement Price(std::size_t index) const {
--- a/libs/gateway/src/refusal.cc
+++ b/libs/gateway/src/refusal.cc
@@ -17,13 +17,12 @@
     const double seconds = std::chrono::duration<double>(retry_after).count();
     answer.set(http::field::retry_after, fmt::format("{:.3f}", seconds));
   }
-  const std::string message = failure.detail.empty() ? std::string(info.explanation)
-                                                     : failure.detail;
+  const std::string message =
+      failure.detail.empty() ? std::string(info.explanation) : failure.detail;
   answer.body() =
-      nlohmann::json{{"error",
-                      {{"code", info.name},
-                       {"message", message},
-                       {"execution", ToString(info.execution)}}}}
+      nlohmann::json{
+          {"error",
+           {{"code", info.name}, {"message", message}, {"execution", ToString(info.execution)}}}}
           .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   answer.prepare_payload();
   return answer;
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -92,8 +92,7 @@
 void LogAttempt(GatewayState& state, const RequestRecord& record, const Backend& backend,
                 const AttemptFacts& facts, ResultCode code, NextStep step) {
   state.metrics()
-      .GetCounter("ridgehold_attempts_failed",
-                  "code=\"" + std::string(Describe(code).name) + "\"")
+      .GetCounter("ridgehold_attempts_failed", "code=\"" + std::string(Describe(code).name) + "\"")
       .Add();
   Log(LogLevel::kWarn, "attempt",
       {{"request", record.request.value()},
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -33,14 +33,13 @@
     }
     for (const WeightedTarget& target : route.targets) {
       if (services_.contains(target.service)) continue;
-      return Fail(ResultCode::kInvalidCommand, "route " + route.id.value() +
-                                                   " names an unknown service " +
-                                                   target.service.value());
+      return Fail(
+          ResultCode::kInvalidCommand,
+          "route " + route.id.value() + " names an unknown service " + target.service.value());
     }
     const bool added = routes_.try_emplace(RouteKey(route.host, route.path_prefix), i).second;
     if (!added) {
-      return Fail(ResultCode::kInvalidCommand,
-                  "two routes for " + route.host + route.path_prefix);
+      return Fail(ResultCode::kInvalidCommand, "two routes for " + route.host + route.path_prefix);
     }
   }
   return {};
--- a/libs/gateway/test/attempt_policy-test.cc
+++ b/libs/gateway/test/attempt_policy-test.cc
@@ -1,7 +1,7 @@
 #include "gateway/attempt_policy.h"
 
-#include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
 
 using namespace ridgehold;
 
@@ -25,9 +25,9 @@
 rc::Gen<AttemptFacts> AnyFacts() {
   return rc::gen::exec([] {
     AttemptFacts facts;
-    facts.end = *rc::gen::element(AttemptEnd::kStreamed, AttemptEnd::kAnswered,
-                                  AttemptEnd::kNotSent, AttemptEnd::kBroken,
-                                  AttemptEnd::kTimedOut, AttemptEnd::kCallerGone);
+    facts.end =
+        *rc::gen::element(AttemptEnd::kStreamed, AttemptEnd::kAnswered, AttemptEnd::kNotSent,
+                          AttemptEnd::kBroken, AttemptEnd::kTimedOut, AttemptEnd::kCallerGone);
     if (facts.end == AttemptEnd::kAnswered) {
       facts.status = *rc::gen::element(200, 204, 302, 400, 404, 408, 421, 429, 500, 503, 504);
       facts.not_executed = *rc::gen::arbitrary<bool>();
--- a/libs/gateway/test/event_relay-test.cc
+++ b/libs/gateway/test/event_relay-test.cc
@@ -1,8 +1,8 @@
 #include "gateway/event_relay.h"
 
-#include <boost/test/unit_test.hpp>
-#include <algorithm>
 #include <rapidcheck/boost_test.h>
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
 
 using namespace ridgehold;
 
--- a/libs/gateway/test/named_weights-test.cc
+++ b/libs/gateway/test/named_weights-test.cc
@@ -1,7 +1,7 @@
 #include "gateway/named_weights.h"
 
-#include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
 
 using namespace ridgehold;
 using namespace std::chrono_literals;
@@ -61,14 +61,16 @@
   NamedWeights forward;
   NamedWeights backward;
   for (const auto& [number, second] : tellings) {
-    forward.Take(kModel, N(static_cast<std::uint64_t>(number)), kStart + std::chrono::seconds(second));
+    forward.Take(kModel, N(static_cast<std::uint64_t>(number)),
+                 kStart + std::chrono::seconds(second));
   }
   for (auto at = tellings.rbegin(); at != tellings.rend(); ++at) {
     backward.Take(kModel, N(static_cast<std::uint64_t>(at->first)),
                   kStart + std::chrono::seconds(at->second));
   }
   for (std::uint64_t number = 0; number < 9; ++number) {
-    RC_ASSERT(forward.OutdatedSince(kModel, N(number)) == backward.OutdatedSince(kModel, N(number)));
+    RC_ASSERT(forward.OutdatedSince(kModel, N(number)) ==
+              backward.OutdatedSince(kModel, N(number)));
   }
 }
 
--- a/libs/gateway/test/placement-test.cc
+++ b/libs/gateway/test/placement-test.cc
@@ -1,7 +1,7 @@
 #include "gateway/placement.h"
 
-#include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
 
 using namespace ridgehold;
 using namespace std::chrono_literals;
--- a/libs/gateway/test/retry_allowance-test.cc
+++ b/libs/gateway/test/retry_allowance-test.cc
@@ -1,7 +1,7 @@
 #include "gateway/retry_allowance.h"
 
-#include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
 
 using namespace ridgehold;
 
--- a/libs/gateway/test/routing_snapshot-test.cc
+++ b/libs/gateway/test/routing_snapshot-test.cc
@@ -52,8 +52,8 @@
     return FailureOf([&] { return RoutingSnapshot::Create(std::move(parts)); })->code;
   };
   BOOST_TEST((code_of(Parts({lost})) == ResultCode::kInvalidCommand));
-  BOOST_TEST((code_of(Parts({Route("a", "/a/"), Route("b", "/a/")})) ==
-              ResultCode::kInvalidCommand));
+  BOOST_TEST(
+      (code_of(Parts({Route("a", "/a/"), Route("b", "/a/")})) == ResultCode::kInvalidCommand));
 }
 
 BOOST_AUTO_TEST_CASE(targets_are_picked_by_weight_and_alike_for_equal_requests) {
--- a/libs/kv/src/etcd_gateway.cc
+++ b/libs/kv/src/etcd_gateway.cc
@@ -3,8 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "http/client.h"
 #include "base/base64.h"
+#include "http/client.h"
 #include "metrics/metrics.h"
 
 namespace ridgehold {
--- a/libs/log/src/log.cc
+++ b/libs/log/src/log.cc
@@ -69,8 +69,8 @@
   const auto layout_object = std::make_shared<log4cxx::PatternLayout>(pattern);
   const bool queued = sink == LogSink::kQueuedStandardOutput;
   const log4cxx::AppenderPtr console = std::make_shared<log4cxx::ConsoleAppender>(
-      layout_object, queued ? log4cxx::ConsoleAppender::getSystemOut()
-                            : log4cxx::ConsoleAppender::getSystemErr());
+      layout_object,
+      queued ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
   ProcessLogger()->removeAllAppenders();
   ProcessLogger()->addAppender(queued ? Queued(console) : console);
   ProcessLogger()->setAdditivity(false);
--- a/libs/net/src/http_call.cc
+++ b/libs/net/src/http_call.cc
@@ -20,8 +20,7 @@
   outcome.fault = co_await connection->ReadHead(until);
   if (outcome.fault != ExchangeFault::kNone) co_return outcome;
   outcome.answer.base() = connection->head();
-  outcome.fault =
-      co_await connection->ReadWholeBody(outcome.answer.body(), kMaxAnswerBytes, until);
+  outcome.fault = co_await connection->ReadWholeBody(outcome.answer.body(), kMaxAnswerBytes, until);
   if (outcome.fault == ExchangeFault::kNone) pool.Release(address, std::move(connection));
   co_return outcome;
 }
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -26,7 +26,7 @@
  public:
   struct Options {
     DaemonId self;
-    std::string address;  ///< without a port
+    std::string address;     ///< without a port
     std::uint16_t port = 0;  ///< the same on all instances
     /// Between messages while there is news.
     std::chrono::milliseconds period{40};
@@ -38,8 +38,8 @@
 
   /// `peers` tells the addresses, without port, of the other gateways. Fails
   /// with kInvalidSettings when the port cannot be had.
-  static Result<std::unique_ptr<PeerLink>> Create(
-      GatewayState& state, Options options, std::function<std::vector<std::string>()> peers);
+  static Result<std::unique_ptr<PeerLink>> Create(GatewayState& state, Options options,
+                                                  std::function<std::vector<std::string>()> peers);
 
   net::awaitable<void> Send();
   net::awaitable<void> Receive();
@@ -53,8 +53,8 @@
   /// datagrams are split on the way and lost whole.
   static constexpr std::size_t kMostPlaced = 24;
 
-  PeerLink(GatewayState& state, Options options,
-           std::function<std::vector<std::string>()> peers, net::ip::udp::socket socket);
+  PeerLink(GatewayState& state, Options options, std::function<std::vector<std::string>()> peers,
+           net::ip::udp::socket socket);
 
   GatewayNews MakeNews();
   std::vector<NamingNews> RecentNamings(TimePoint now) const;
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -28,8 +28,8 @@
 NewsItems DecodeItems(const wire::GatewayNews& message) {
   NewsItems items;
   for (const wire::GatewayPlaced& entry : message.placed()) {
-    items.placed.push_back({entry.backend(), entry.new_tokens(),
-                            {entry.parts().begin(), entry.parts().end()}});
+    items.placed.push_back(
+        {entry.backend(), entry.new_tokens(), {entry.parts().begin(), entry.parts().end()}});
   }
   for (const wire::GatewayHold& entry : message.holds()) {
     items.holds.push_back({entry.backend(), std::chrono::milliseconds(entry.for_ms())});
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -24,10 +24,9 @@
   if (!error) socket.open(net::ip::udp::v4(), error);
   if (!error) socket.bind({address, options.port}, error);
   if (error) {
-    return Fail(ResultCode::kInvalidSettings, "cannot receive peers' messages on " +
-                                                  options.address + ":" +
-                                                  std::to_string(options.port) + ": " +
-                                                  error.message());
+    return Fail(ResultCode::kInvalidSettings,
+                "cannot receive peers' messages on " + options.address + ":" +
+                    std::to_string(options.port) + ": " + error.message());
   }
   return std::unique_ptr<PeerLink>(
       new PeerLink(state, std::move(options), std::move(peers), std::move(socket)));
@@ -90,8 +89,7 @@
     for (std::size_t i = skipped; i < namings.size(); ++i) {
       // A guess would take the place of what others know.
       if (namings[i].assumed) continue;
-      const auto age =
-          std::chrono::duration_cast<std::chrono::milliseconds>(now - namings[i].at);
+      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - namings[i].at);
       recent.push_back({model, namings[i].number, age});
     }
   }
--- /dev/null
+++ b/libs/peers/test/peers-test.cc
@@ -0,0 +1,140 @@
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+#include "peers/news_codec.h"
+#include "peers/peer_loads.h"
+#include "peers/store_copy.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ModelId kModel("m");
+const TimePoint kStart{1h};
+
+struct Fixture {
+  BackendDirectory directory;
+  PeerLoads loads{directory};
+
+  Fixture() {
+    BackendEntry entry;
+    entry.id = BackendId("b");
+    directory.Put(entry);
+  }
+
+  Backend& backend() { return *directory.Find(BackendId("b")); }
+
+  static GatewayNews News(const std::string& daemon, std::uint64_t sequence,
+                          std::uint32_t running) {
+    GatewayNews news;
+    news.daemon = DaemonId(daemon);
+    news.incarnation = 1;
+    news.sequence = sequence;
+    if (running > 0) news.loads = {{HashOf(BackendId("b")), running, running * 100, 1}};
+    return news;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(peers, Fixture)
+
+BOOST_AUTO_TEST_CASE(work_of_peers_adds_up_and_is_replaced_by_newer_news) {
+  loads.Take(News("d1", 1, 3), kStart);
+  loads.Take(News("d2", 1, 4), kStart);
+  BOOST_TEST(backend().peers.running == 7);
+  loads.Take(News("d1", 2, 1), kStart);
+  BOOST_TEST(backend().peers.running == 5);
+  BOOST_TEST(backend().peers.unread_tokens == 500);
+  loads.Take(News("d1", 3, 0), kStart);
+  loads.Take(News("d2", 2, 0), kStart);
+  BOOST_TEST(backend().peers.running == 0);
+  BOOST_TEST(backend().peers.unrepeatable == 0);
+}
+
+BOOST_AUTO_TEST_CASE(overtaken_message_changes_nothing) {
+  loads.Take(News("d1", 5, 3), kStart);
+  BOOST_TEST(!loads.Take(News("d1", 4, 9), kStart));
+  BOOST_TEST(backend().peers.running == 3);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_peer_begins_anew) {
+  loads.Take(News("d1", 50, 3), kStart);
+  GatewayNews news = News("d1", 1, 2);
+  news.incarnation = 2;
+  BOOST_TEST(loads.Take(news, kStart));
+  BOOST_TEST(backend().peers.running == 2);
+}
+
+BOOST_AUTO_TEST_CASE(silent_peer_is_forgotten) {
+  loads.Take(News("d1", 1, 3), kStart);
+  loads.Expire(kStart + 1s);
+  BOOST_TEST(loads.size() == 1);
+  loads.Expire(kStart + 2s);
+  BOOST_TEST(loads.size() == 0);
+  BOOST_TEST(backend().peers.running == 0);
+}
+
+BOOST_AUTO_TEST_CASE(news_of_unknown_backend_servers_is_passed_over) {
+  GatewayNews news = News("d1", 1, 3);
+  news.loads[0].backend = 77;
+  news.items.holds = {{77, 1s}};
+  news.items.placed = {{77, 10, {1, 2}}};
+  BOOST_TEST(loads.Take(news, kStart));
+  BOOST_TEST(backend().peers.running == 0);
+}
+
+BOOST_AUTO_TEST_CASE(holds_parts_and_weights_are_taken) {
+  GatewayNews news = News("d1", 1, 0);
+  const BackendHash hash = HashOf(BackendId("b"));
+  news.items.holds = {{hash, 2s}};
+  news.items.weights = {{hash, kModel, WeightsNumber(3)}};
+  loads.Take(news, kStart);
+  BOOST_TEST((backend().hold_until == kStart + 2s));
+  BOOST_TEST((backend().weights.at(kModel) == WeightsNumber(3)));
+  news.sequence = 2;
+  news.items = {};
+  news.items.placed = {{hash, 400, {11, 12}}};
+  loads.Take(news, kStart);
+  BOOST_TEST(backend().cached_parts.contains(11));
+  BOOST_TEST(backend().inserted_tokens == 400);
+}
+
+RC_BOOST_PROP(message_survives_its_encoding, ()) {
+  GatewayNews news;
+  news.daemon = DaemonId("d" + *rc::gen::arbitrary<std::string>());
+  news.incarnation = *rc::gen::arbitrary<std::uint64_t>();
+  news.sequence = *rc::gen::arbitrary<std::uint64_t>();
+  const auto count = *rc::gen::inRange(0, 20);
+  for (int i = 0; i < count; ++i) {
+    const auto any = *rc::gen::arbitrary<std::uint64_t>();
+    news.loads.push_back({any, 1, 2, 3});
+    news.items.placed.push_back({any, 5, {any, any + 1}});
+    news.items.holds.push_back({any, 5ms});
+    news.items.weights.push_back({any, kModel, WeightsNumber(any)});
+    news.namings.push_back({kModel, WeightsNumber(any), 7ms});
+  }
+  const auto decoded = DecodeNews(EncodeNews(news));
+  RC_ASSERT(decoded.has_value());
+  RC_ASSERT(EncodeNews(*decoded) == EncodeNews(news));
+}
+
+RC_BOOST_PROP(any_bytes_are_read_or_refused, (const std::string& bytes)) {
+  FailureOf([&] { return DecodeNews(bytes); });
+  FailureOf([&] { return DecodeStoreCopy(bytes); });
+}
+
+BOOST_AUTO_TEST_CASE(copy_of_the_store_survives_its_encoding) {
+  StoreCopy copy;
+  copy.revision = StoreRevision(9);
+  copy.age = 120ms;
+  copy.items = {{"key", std::string("\0\xff", 2), StoreRevision(4), {}}};
+  const auto decoded = DecodeStoreCopy(EncodeStoreCopy(copy));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST((decoded->revision == copy.revision));
+  BOOST_TEST((decoded->age == copy.age));
+  BOOST_TEST(decoded->items.at(0).value == copy.items[0].value);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/reload/include/reload/reload_role.h
+++ b/libs/reload/include/reload/reload_role.h
@@ -11,9 +11,9 @@
 #include <utility>
 
 #include "base/ids.h"
+#include "base/lease_clock.h"
 #include "base/result.h"
 #include "kv/kv_store.h"
-#include "base/lease_clock.h"
 
 namespace ridgehold {
 
--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -5,10 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "base/base64.h"
 #include "http/request.h"
 #include "http/responder.h"
 #include "http/server.h"
-#include "base/base64.h"
 #include "kv_table.h"
 
 namespace ridgehold::standin {
--- a/test/cluster.cc
+++ b/test/cluster.cc
@@ -7,8 +7,8 @@
 #include <thread>
 
 #include "base/random_id.h"
-#include "sse/sse.h"
 #include "log/log.h"
+#include "sse/sse.h"
 
 namespace ridgehold::test {
 namespace {
