--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -40,6 +40,10 @@
   /// Waiting this many latency objectives for an answer's head is enough.
   double call_patience = 3;
   double stream_patience = 8;
+  /// Waits in latency objectives at which requests for text are refused; for
+  /// routes of the highest priority, and for others.
+  double most_wait_urgent = 1'000;
+  double most_wait = 1'000;
   std::uint32_t older_weights_free_ms = 1'000;
   /// One engine of so many loads weights at a time; the platform slows loads
   /// down beyond a fifth of them.
@@ -149,6 +153,8 @@
     }
     limits.older_weights = settings.weights_limit - tuning.weights_margin;
     limits.retries = settings.retries;
+    limits.most_wait_objectives = tuning.most_wait;
+    limits.most_wait_objectives_urgent = tuning.most_wait_urgent;
     limits.patience_objectives = tuning.call_patience;
     limits.stream_patience_objectives = tuning.stream_patience;
     return limits;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -105,6 +105,10 @@
     const auto choice = ChooseFor(state_, plan_, inbound_, tried_, Clock::now());
     // What the last attempt has answered is still the best there is.
     if (!choice) co_return StepWithoutRetry(facts_);
+    if (facts_.sends == 0 && IsOverloaded(state_, plan_, *choice)) {
+      last_code_ = ResultCode::kDeadlineUnreachable;
+      co_return StepWithoutRetry(facts_);
+    }
     attempt_ = Attempt{};
     attempt_.backend = choice->backend;
     ++facts_.sends;
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -34,6 +34,7 @@
   BackendPtr backend;
   double tokens_to_read = 0;  ///< prompt tokens expected not to be cached there
   double expected_ms = 0;     ///< cost that decided, see Placement
+  double wait_ms = 0;         ///< of that, until the prompt is read
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address that has shared parts
   std::optional<std::string> save_to;     ///< address of a store that is to keep them
@@ -49,6 +50,12 @@
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now);
 
+/// Whether a request that has not been sent yet should rather come back: the
+/// first event would come so late that it would be worth little, and the
+/// engines' time is better used for others.
+bool IsOverloaded(const GatewayState& state, const ExchangePlan& plan,
+                  const BackendChoice& choice);
+
 /// What the attempt tells the backend server.
 AttemptDirectives DirectivesFor(const GatewayState& state, const ExchangePlan& plan,
                                 const BackendChoice& choice, TimePoint now);
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -37,6 +37,10 @@
   double patience_objectives = 3;
   /// The same for resumable streams, which may wait in a queue.
   double stream_patience_objectives = 5;
+  /// A request for text is refused at once when its prompt would be read only
+  /// after so many latency objectives; routes of the highest priority later.
+  double most_wait_objectives = 1'000;
+  double most_wait_objectives_urgent = 1'000;
   /// An attempt needs at least this much time to be worth making.
   std::chrono::milliseconds least_time{30};
 };
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -84,6 +84,7 @@
 struct Placement {
   std::size_t index = 0;
   double cost = 0;                  ///< milliseconds it is expected to take, with prices
+  double wait = 0;                  ///< of that, until the prompt is read
   std::uint32_t cached_tokens = 0;  ///< expected to be in its cache, or fetched into it
   /// Another candidate that has parts which the chosen one lacks.
   std::optional<std::size_t> fetch_from;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -141,6 +141,7 @@
   BackendChoice choice;
   choice.backend = candidates[placement.index];
   choice.expected_ms = placement.cost;
+  choice.wait_ms = placement.wait;
   if (request.generation) {
     choice.tokens_to_read =
         plan.chain->prompt_tokens - std::min(placement.cached_tokens, plan.chain->prompt_tokens);
@@ -150,6 +151,17 @@
   return choice;
 }
 
+bool IsOverloaded(const GatewayState& state, const ExchangePlan& plan,
+                  const BackendChoice& choice) {
+  if (!plan.chain || plan.route->latency_objective.count() <= 0) return false;
+  // More urgent requests are let in longer.
+  const double objectives = plan.route->priority == 0
+                                ? state.limits().most_wait_objectives_urgent
+                                : state.limits().most_wait_objectives;
+  const auto objective = static_cast<double>(plan.route->latency_objective.count());
+  return choice.wait_ms > objectives * objective;
+}
+
 AttemptDirectives DirectivesFor(const GatewayState& /*state*/, const ExchangePlan& plan,
                                 const BackendChoice& choice, TimePoint now) {
   AttemptDirectives directives;
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -68,7 +68,8 @@
       return placement;
     }
     PriceCache(index, placement);
-    placement.cost += PriceOfWork(backend, placement.cached_tokens);
+    placement.wait = PriceOfWork(backend, placement.cached_tokens);
+    placement.cost += placement.wait;
     placement.cost += PriceOfWeights(backend);
     return placement;
   }
