--- a/libs/control/include/control/own_records.h
+++ b/libs/control/include/control/own_records.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,18 @@
 inline constexpr char kMemberPrefix[] = "ridgehold/members/";
 inline constexpr char kRolloutHolderKey[] = "ridgehold/rollout-holder";
 
+/// A gateway that is alive, as its key in the store says.
+struct Member {
+  std::string address;  ///< without a port
+  ZoneId zone;
+};
+
+/// The value of a member's key.
+std::string EncodeMember(const Member& member);
+
+/// Returns nothing when `value` is not a member's.
+std::optional<Member> DecodeMember(const std::string& value);
+
 /// A copy of them as the store last told. Not thread-safe.
 class OwnRecords {
  public:
@@ -24,30 +37,14 @@
   void Clear() { items_.clear(); }
 
   /// Returns the item, or null.
-  const StoreItem* Find(const std::string& key) const {
-    const auto found = items_.find(key);
-    return found == items_.end() ? nullptr : &found->second;
-  }
-
-  /// Gateways that have a member's key.
-  std::uint32_t CountMembers() const {
-    std::uint32_t count = 0;
-    for (auto at = items_.lower_bound(kMemberPrefix);
-         at != items_.end() && at->first.starts_with(kMemberPrefix); ++at) {
-      ++count;
-    }
-    return count;
-  }
-
-  /// The members' values: each instance's address.
-  std::vector<std::string> MemberAddresses() const {
-    std::vector<std::string> addresses;
-    for (auto at = items_.lower_bound(kMemberPrefix);
-         at != items_.end() && at->first.starts_with(kMemberPrefix); ++at) {
-      addresses.push_back(at->second.value);
-    }
-    return addresses;
-  }
+  const StoreItem* Find(const std::string& key) const;
+
+  /// Gateways that have a member's key, in the order of their names.
+  std::vector<Member> Members() const;
+
+  /// The member of `zone` that asks the store for the others there: the first
+  /// by name. Nothing when none is known.
+  std::optional<Member> RelayOf(const ZoneId& zone) const;
 
  private:
   std::map<std::string, StoreItem> items_;
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -6,7 +6,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <deque>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +30,9 @@
     /// An empty watch ends after this long and confirms the configuration; a
     /// third of the strictest trust in keys, 5 s, leaves room for a lost one.
     std::chrono::milliseconds watch{1'000};
+    /// Whether another gateway's copy is followed now instead of the store.
+    std::function<bool()> follows_peer = [] { return false; };
+    std::chrono::milliseconds peer_look{100};
     /// Between failed calls; doubled up to the longest.
     std::chrono::milliseconds first_pause{50};
     std::chrono::milliseconds longest_pause{400};
@@ -42,6 +48,10 @@
 
   net::awaitable<void> Run() {
     while (!stopped_) {
+      if (listed_ && options_.follows_peer()) {
+        co_await Wait(options_.peer_look);
+        continue;
+      }
       // No co_await within a condition: g++ 12 miscompiles some of them.
       if (listed_) {
         co_await WatchOnce();
@@ -61,6 +71,27 @@
   const std::map<std::string, StoreItem>& items() const { return items_; }
   StoreRevision revision() const { return revision_; }
 
+  /// The changes after `revision`, if all of them are still remembered.
+  std::optional<std::vector<StoreEvent>> ChangesAfter(StoreRevision revision) const {
+    if (!listed_ || revision < forgotten_up_to_ || revision > revision_) return std::nullopt;
+    std::vector<StoreEvent> changes;
+    for (const StoreEvent& event : recent_) {
+      if (event.revision > revision) changes.push_back(event);
+    }
+    return changes;
+  }
+
+  /// Takes changes that another gateway has heard of, which follow on this
+  /// one's revision.
+  void TakeChanges(const std::vector<StoreEvent>& changes, StoreRevision revision,
+                   TimePoint confirmed) {
+    const TimePoint now = Clock::now();
+    const FactSink::Writing writing = WritingOf(now);
+    for (const StoreEvent& event : changes) TakeEvent(event, now, writing);
+    revision_ = std::max(revision_, revision);
+    state_.ConfirmSnapshot(confirmed);
+  }
+
   /// Takes another gateway's copy of the store. `confirmed` is when its
   /// configuration was the newest for certain. Older copies change nothing.
   void TakeCopy(std::vector<StoreItem> items, StoreRevision revision, TimePoint confirmed) {
@@ -68,6 +99,7 @@
     if (revision > revision_) {
       TakeListing(items);
       revision_ = revision;
+      ForgetChanges();
       listed_ = true;
       read_once_ = true;
     }
@@ -102,6 +134,7 @@
     NoteAnswer();
     TakeListing(items);
     revision_ = *first_revision;
+    ForgetChanges();
     state_.ConfirmSnapshot(begun);
     listed_ = true;
     read_once_ = true;
@@ -114,6 +147,7 @@
     std::vector<BackendEntry> backends;
     records_.Clear();
     items_.clear();
+    ForgetChanges();
     for (const StoreItem& item : items) {
       items_[item.key] = item;
       if (item.key.starts_with(kOwnPrefix)) {
@@ -159,6 +193,7 @@
   }
 
   void TakeEvent(const StoreEvent& event, TimePoint now, const FactSink::Writing& writing) {
+    Remember(event);
     items_.erase(event.key);
     if (event.item) {
       items_[event.key] = *event.item;
@@ -172,6 +207,19 @@
     }
   }
 
+  /// Keeps a change for gateways that follow this one.
+  void Remember(const StoreEvent& event) {
+    recent_.push_back(event);
+    if (recent_.size() <= kMostRecent) return;
+    forgotten_up_to_ = recent_.front().revision;
+    recent_.pop_front();
+  }
+
+  void ForgetChanges() {
+    recent_.clear();
+    forgotten_up_to_ = revision_;
+  }
+
   template <class Take>
   void Decode(const StoreItem& item, Take&& take) {
     ValueOr(
@@ -207,12 +255,20 @@
   }
 
   net::awaitable<void> Pause() {
-    ErrorCode ignored;
-    timer_.expires_after(pause_);
+    const std::chrono::milliseconds pause = pause_;
     pause_ = std::min(pause_ * 2, options_.longest_pause);
+    co_await Wait(pause);
+  }
+
+  net::awaitable<void> Wait(std::chrono::milliseconds time) {
+    ErrorCode ignored;
+    timer_.expires_after(time);
     co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
   }
 
+  /// Changes remembered; a large fleet's heartbeats and a rollout make some
+  /// hundred within the half second between two questions of a peer.
+  static constexpr std::size_t kMostRecent = 1'000;
   /// What a process finds at its start was written at an unknown time; its
   /// peers tell better if there are any. Half of the time that a rollout has.
   static constexpr std::chrono::milliseconds kUnknownAge{5'000};
@@ -228,6 +284,8 @@
   StoreContact contact_;
   StoreRevision revision_;
   std::map<std::string, StoreItem> items_;
+  std::deque<StoreEvent> recent_;
+  StoreRevision forgotten_up_to_;
   std::chrono::milliseconds pause_{50};
   bool listed_ = false;
   bool read_once_ = false;
--- a/libs/control/src/fact_sink.cc
+++ b/libs/control/src/fact_sink.cc
@@ -72,7 +72,7 @@
 }
 
 void FactSink::CountMembers() {
-  const std::uint32_t members = std::max(records_.CountMembers(), 1U);
+  const auto members = std::max(static_cast<std::uint32_t>(records_.Members().size()), 1U);
   if (members == state_.gateways()) return;
   state_.SetGateways(members);
   Log(LogLevel::kInfo, "gateways alive", {{"count", std::to_string(members)}});
--- a/libs/entry/include/entry/admin_server.h
+++ b/libs/entry/include/entry/admin_server.h
@@ -23,7 +23,8 @@
 /// executor until that ends.
 class AdminServer {
  public:
-  using Pages = std::map<std::string, std::function<AdminPage()>>;
+  /// By path; each is given the query, without its question mark.
+  using Pages = std::map<std::string, std::function<AdminPage(const std::string& query)>>;
 
   /// Listens on `address:port`. Fails with kInvalidSettings.
   static Result<std::unique_ptr<AdminServer>> Create(net::any_io_executor executor,
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -133,13 +134,15 @@
         tuning_(tuning),
         state_(executor, settings_.zone, LimitsOf(settings_, tuning), WeightsOf(tuning), metrics_),
         store_(executor, metrics_, settings_.store_address, tuning.store_call),
-        follower_(store_, state_, records_, {}),
+        follower_(store_, state_, records_, FollowerOptions()),
         member_(store_, executor, MemberOptions(), [] { return true; }),
         duty_(store_, executor, DutyOptions(), [this] { return DutyIsFree(); }),
         control_(state_.pool(), tuning.control_call),
         rollout_(control_, duty_, state_, RolloutOptions()),
         server_(state_, std::move(acceptor), MostConnections(settings_)),
-        copy_reader_(state_, follower_, CopyOptions(), [this] { return PeerAddresses(); }),
+        copy_reader_(
+            state_, follower_, CopyOptions(), [this] { return PeerAddresses(); },
+            [this] { return Relay(); }),
         timer_(executor) {}
 
   using Store = typename Env::Store;
@@ -174,7 +177,7 @@
   typename Duty::Options MemberOptions() const {
     typename Duty::Options options;
     options.key = kMemberPrefix + settings_.daemon.value();
-    options.value = settings_.instance_address;
+    options.value = EncodeMember({settings_.instance_address, settings_.zone});
     options.ttl = std::max(tuning_.member_ttl, settings_.least_lease_ttl);
     options.exclusive = false;
     return options;
@@ -204,7 +207,7 @@
 
   Result<void> OpenAdmin() {
     AdminServer::Pages pages;
-    pages[Env::kReadyPath] = [this] {
+    pages[Env::kReadyPath] = [this](const std::string& /*query*/) {
       const bool ready = Ready();
       return AdminPage{ready ? http::status::ok : http::status::service_unavailable, "text/plain",
                        ready ? "ready\n" : "not ready\n"};
@@ -230,12 +233,12 @@
   /// What other gateways may ask for; nothing before the store was read.
   AdminServer::Pages PeerPages() {
     AdminServer::Pages pages;
-    pages[kStoreCopyPath] = [this] { return StoreCopyPage(true); };
-    pages[kStoreCopyAgePath] = [this] { return StoreCopyPage(false); };
+    pages[kStoreCopyPath] = [this](const std::string& query) { return StoreCopyPage(query); };
     return pages;
   }
 
-  AdminPage StoreCopyPage(bool with_items) const {
+  /// Changes since the revision in the query, or all where they are not known.
+  AdminPage StoreCopyPage(const std::string& query) const {
     if (!follower_.ready()) return {http::status::service_unavailable, "text/plain", ""};
     StoreCopy copy;
     copy.revision = follower_.revision();
@@ -243,12 +246,36 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - state_.confirmed_at());
     // Rounded up, so that nothing looks fresher than it is.
     copy.age += std::chrono::milliseconds(1);
-    if (with_items) {
-      for (const auto& [key, item] : follower_.items()) copy.items.push_back(item);
+    auto changes = follower_.ChangesAfter(StoreRevision(std::strtoull(query.c_str(), nullptr, 10)));
+    copy.whole = !changes.has_value();
+    if (changes) {
+      copy.changes = std::move(*changes);
+    } else {
+      for (const auto& [key, item] : follower_.items()) {
+        copy.changes.push_back({key, item.revision, item});
+      }
     }
     return {http::status::ok, "application/x-protobuf", EncodeStoreCopy(copy)};
   }
 
+  typename Follower::Options FollowerOptions() {
+    typename Follower::Options options;
+    options.follows_peer = [this] { return FollowsRelay(); };
+    return options;
+  }
+
+  /// The other instance of the own zone that asks the store for this one too.
+  std::optional<std::string> Relay() const {
+    const auto relay = records_.RelayOf(settings_.zone);
+    if (!relay || relay->address == settings_.instance_address) return std::nullopt;
+    return relay->address;
+  }
+
+  /// Whether the relay keeps this instance current; else it asks the store.
+  bool FollowsRelay() const {
+    return Relay().has_value() && copy_reader_.RelayIsCurrent(Clock::now());
+  }
+
   typename StoreCopyReader<Follower>::Options CopyOptions() const {
     typename StoreCopyReader<Follower>::Options options;
     options.port = settings_.first_peer_port;
@@ -256,7 +283,8 @@
   }
 
   std::vector<std::string> PeerAddresses() const {
-    std::vector<std::string> addresses = records_.MemberAddresses();
+    std::vector<std::string> addresses;
+    for (const Member& member : records_.Members()) addresses.push_back(member.address);
     // Before the store was read only the seeds are known.
     if (addresses.empty()) addresses = settings_.seed_addresses;
     std::erase(addresses, settings_.instance_address);
@@ -265,11 +293,13 @@
 
   AdminServer::Pages MetricsPages() {
     AdminServer::Pages pages;
-    pages["/metrics"] = [this] {
+    pages["/metrics"] = [this](const std::string& /*query*/) {
       state_.metrics().SetGauge("ridgehold_in_flight", "", state_.in_flight());
       return AdminPage{http::status::ok, "text/plain; version=0.0.4", metrics_.Print()};
     };
-    pages["/state"] = [this] { return AdminPage{http::status::ok, "application/json", Dump()}; };
+    pages["/state"] = [this](const std::string& /*query*/) {
+      return AdminPage{http::status::ok, "application/json", Dump()};
+    };
     return pages;
   }
 
--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -63,9 +63,11 @@
 
 ResponseMessage AdminServer::Answer(const RequestMessage& request) const {
   const std::string target(request.target());
-  const auto page = pages_.find(target.substr(0, target.find('?')));
+  const std::size_t mark = target.find('?');
+  const std::string query = mark == std::string::npos ? "" : target.substr(mark + 1);
+  const auto page = pages_.find(target.substr(0, mark));
   AdminPage made{http::status::not_found, "text/plain", "not found\n"};
-  if (page != pages_.end()) made = page->second();
+  if (page != pages_.end()) made = page->second(query);
   ResponseMessage answer(made.status, request.version());
   answer.set(http::field::content_type, made.content_type);
   answer.keep_alive(request.keep_alive());
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -94,7 +94,7 @@
     record_.route = plan_.route->id;
     record_.service = plan_.service;
     if (plan_.workspace != nullptr) record_.workspace = plan_.workspace->id;
-    relay_ = EventRelay(inbound_.resume_after);
+    relay_ = EventRelay{inbound_.resume_after};
     facts_.may_repeat = plan_.route->MayRepeat();
     facts_.max_runs = plan_.route->max_attempts;
     return std::nullopt;
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -53,8 +53,7 @@
 /// Whether a request that has not been sent yet should rather come back: the
 /// first event would come so late that it would be worth little, and the
 /// engines' time is better used for others.
-bool IsOverloaded(const GatewayState& state, const ExchangePlan& plan,
-                  const BackendChoice& choice);
+bool IsOverloaded(const GatewayState& state, const ExchangePlan& plan, const BackendChoice& choice);
 
 /// What the attempt tells the backend server.
 AttemptDirectives DirectivesFor(const GatewayState& state, const ExchangePlan& plan,
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -155,9 +155,8 @@
                   const BackendChoice& choice) {
   if (!plan.chain || plan.route->latency_objective.count() <= 0) return false;
   // More urgent requests are let in longer.
-  const double objectives = plan.route->priority == 0
-                                ? state.limits().most_wait_objectives_urgent
-                                : state.limits().most_wait_objectives;
+  const double objectives = plan.route->priority == 0 ? state.limits().most_wait_objectives_urgent
+                                                      : state.limits().most_wait_objectives;
   const auto objective = static_cast<double>(plan.route->latency_objective.count());
   return choice.wait_ms > objectives * objective;
 }
--- a/libs/peers/include/peers/store_copy.h
+++ b/libs/peers/include/peers/store_copy.h
@@ -1,9 +1,8 @@
-// A gateway's copy of the store, handed to gateways that cannot reach the store.
+// A gateway's copy of the store, handed to gateways that do not ask the store themselves.
 
 #pragma once
 
 #include <chrono>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,15 +12,16 @@
 
 namespace ridgehold {
 
-/// Paths under which gateways serve it to each other.
+/// Path under which gateways serve it to each other; the query is the revision
+/// that the asking one has.
 inline constexpr char kStoreCopyPath[] = "/store-copy";
-inline constexpr char kStoreCopyAgePath[] = "/store-copy-age";
 
 /// What one gateway knows of the store.
 struct StoreCopy {
   StoreRevision revision;            ///< all changes up to this one are known
   std::chrono::milliseconds age{0};  ///< since that was the newest for certain
-  std::vector<StoreItem> items;      ///< none when only the age was asked for
+  bool whole = false;                ///< `changes` are all items there are
+  std::vector<StoreEvent> changes;   ///< since the revision that was asked for
 };
 
 std::string EncodeStoreCopy(const StoreCopy& copy);
--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -1,4 +1,4 @@
-// Keeps a gateway current through its peers while it cannot reach the store itself.
+// Keeps a gateway current through its peers, so that few gateways ask the store itself.
 
 #pragma once
 
@@ -23,14 +23,17 @@
 /// What takes copies, such as StateFollower.
 template <class Follower>
 concept CopyTaker = requires(Follower& follower, std::vector<StoreItem> items,
-                             StoreRevision revision, TimePoint confirmed) {
+                             const std::vector<StoreEvent>& changes, StoreRevision revision,
+                             TimePoint confirmed) {
   { follower.revision() } -> std::convertible_to<StoreRevision>;
   follower.TakeCopy(std::move(items), revision, confirmed);
+  follower.TakeChanges(changes, revision, confirmed);
 };
 
-/// Asks peers once the configuration has not been confirmed for a while. An
-/// answer's age counts from before the question was sent, so a late answer
-/// never looks fresher than it is. Runs on one executor.
+/// Asks the zone's relay regularly; and any peer once the configuration has
+/// not been confirmed for a while. An answer's age counts from before the
+/// question was sent, so a late answer never looks fresher than it is. Runs on
+/// one executor.
 template <CopyTaker Follower>
 class StoreCopyReader {
  public:
@@ -40,24 +43,37 @@
     /// confirms every second.
     std::chrono::milliseconds ask_after{1'500};
     std::chrono::milliseconds look{200};
+    /// Between questions to the relay: what is late here goes to backend
+    /// servers that are gone.
+    std::chrono::milliseconds relay_pause{150};
+    /// A relay whose watch works is never older than the watch's second.
+    std::chrono::milliseconds current_age{1'300};
+    /// A relay that was not current for so long is not relied on.
+    std::chrono::milliseconds relay_silence{600};
     /// A peer answers within a round trip, 6 ms between zones.
     std::chrono::milliseconds limit{250};
   };
 
   StoreCopyReader(GatewayState& state, Follower& follower, Options options,
-                  std::function<std::vector<std::string>()> peers)
+                  std::function<std::vector<std::string>()> peers,
+                  std::function<std::optional<std::string>()> relay)
       : state_(state),
         follower_(follower),
         options_(options),
         peers_(std::move(peers)),
+        relay_(std::move(relay)),
         timer_(state.executor()),
         random_(std::random_device{}()) {}
 
   net::awaitable<void> Run() {
     while (!stopped_) {
-      if (Clock::now() - state_.confirmed_at() >= options_.ask_after) co_await AskOne();
+      const bool stale = Clock::now() - state_.confirmed_at() >= options_.ask_after;
+      const std::optional<std::string> relay = relay_();
+      if (relay) co_await Ask(*relay);
+      const std::string peer = stale ? AnyPeer() : "";
+      if (!peer.empty()) co_await Ask(peer);
       ErrorCode ignored;
-      timer_.expires_after(options_.look);
+      timer_.expires_after(relay && !stale ? options_.relay_pause : options_.look);
       co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
     }
   }
@@ -67,34 +83,56 @@
     timer_.cancel();
   }
 
+  /// Whether the relay answers and is itself current.
+  bool RelayIsCurrent(TimePoint now) const {
+    return now - relay_answered_ < options_.relay_silence;
+  }
+
  private:
-  net::awaitable<void> AskOne() {
+  std::string AnyPeer() {
     const std::vector<std::string> peers = peers_();
-    if (peers.empty()) co_return;
-    const std::string peer = peers[random_() % peers.size()] + ":" + std::to_string(options_.port);
-    TimePoint asked = Clock::now();
-    std::optional<StoreCopy> copy = co_await Ask(peer, kStoreCopyAgePath);
+    return peers.empty() ? "" : peers[random_() % peers.size()];
+  }
+
+  net::awaitable<void> Ask(std::string peer) {
+    const TimePoint asked = Clock::now();
+    std::optional<StoreCopy> copy = co_await Fetch(peer);
+    if (copy && copy->age < options_.current_age && relay_() == peer) relay_answered_ = asked;
     if (!copy || copy->revision < follower_.revision()) co_return;
-    if (copy->revision > follower_.revision()) {
-      asked = Clock::now();
-      copy = co_await Ask(peer, kStoreCopyPath);
-      if (!copy) co_return;
-    }
     const TimePoint confirmed = asked - copy->age;
-    if (confirmed <= state_.confirmed_at()) co_return;
-    Log(LogLevel::kInfo, "configuration confirmed by a peer",
-        {{"peer", peer},
-         {"store_revision", std::to_string(copy->revision.value())},
-         {"age_ms", std::to_string(copy->age.count())}});
-    follower_.TakeCopy(std::move(copy->items), copy->revision, confirmed);
+    if (confirmed <= state_.confirmed_at() && copy->revision == follower_.revision()) co_return;
+    if (!copy->changes.empty()) {
+      Log(LogLevel::kInfo, "changes taken from a peer",
+          {{"peer", peer},
+           {"changes", std::to_string(copy->changes.size())},
+           {"whole", copy->whole ? "yes" : "no"},
+           {"store_revision", std::to_string(copy->revision.value())},
+           {"age_ms", std::to_string(copy->age.count())}});
+    }
+    if (copy->whole) {
+      follower_.TakeCopy(ItemsOf(std::move(*copy)), copy->revision, confirmed);
+    } else {
+      follower_.TakeChanges(copy->changes, copy->revision, confirmed);
+    }
+  }
+
+  static std::vector<StoreItem> ItemsOf(StoreCopy copy) {
+    std::vector<StoreItem> items;
+    for (StoreEvent& change : copy.changes) {
+      if (change.item) items.push_back(std::move(*change.item));
+    }
+    return items;
   }
 
-  net::awaitable<std::optional<StoreCopy>> Ask(std::string peer, const char* path) {
+  net::awaitable<std::optional<StoreCopy>> Fetch(std::string peer) {
     constexpr unsigned kHttp11 = 11;
-    RequestMessage request(http::verb::get, path, kHttp11);
+    const std::string target =
+        kStoreCopyPath + std::string("?") + std::to_string(follower_.revision().value());
+    RequestMessage request(http::verb::get, target, kHttp11);
     request.set(http::field::host, peer);
+    const std::string address = peer + ":" + std::to_string(options_.port);
     const CallOutcome outcome =
-        co_await Call(state_.pool(), peer, std::move(request), options_.limit);
+        co_await Call(state_.pool(), address, std::move(request), options_.limit);
     if (outcome.fault != ExchangeFault::kNone || outcome.answer.result() != http::status::ok) {
       co_return std::nullopt;
     }
@@ -114,8 +152,10 @@
   Follower& follower_;
   Options options_;
   std::function<std::vector<std::string>()> peers_;
+  std::function<std::optional<std::string>()> relay_;
   net::steady_timer timer_;
   std::minstd_rand random_;
+  TimePoint relay_answered_{};  ///< when it was last asked and was current
   bool stopped_ = false;
 };
 
--- a/libs/peers/src/store_copy.cc
+++ b/libs/peers/src/store_copy.cc
@@ -3,16 +3,34 @@
 #include "gateway.pb.h"
 
 namespace ridgehold {
+namespace {
+
+StoreEvent DecodeChange(const wire::StoredItem& entry) {
+  StoreEvent change;
+  change.key = entry.key();
+  change.revision = StoreRevision(entry.revision());
+  if (entry.removed()) return change;
+  StoreItem item;
+  item.key = entry.key();
+  item.value = entry.value();
+  item.revision = change.revision;
+  change.item = std::move(item);
+  return change;
+}
+
+}  // namespace
 
 std::string EncodeStoreCopy(const StoreCopy& copy) {
   wire::StoreCopy message;
   message.set_revision(copy.revision.value());
   message.set_age_ms(static_cast<std::uint32_t>(copy.age.count()));
-  for (const StoreItem& item : copy.items) {
+  message.set_whole(copy.whole);
+  for (const StoreEvent& change : copy.changes) {
     wire::StoredItem& entry = *message.add_items();
-    entry.set_key(item.key);
-    entry.set_value(item.value);
-    entry.set_revision(item.revision.value());
+    entry.set_key(change.key);
+    entry.set_revision(change.revision.value());
+    entry.set_removed(!change.item.has_value());
+    if (change.item) entry.set_value(change.item->value);
   }
   return message.SerializeAsString();
 }
@@ -25,8 +43,9 @@
   StoreCopy copy;
   copy.revision = StoreRevision(message.revision());
   copy.age = std::chrono::milliseconds(message.age_ms());
+  copy.whole = message.whole();
   for (const wire::StoredItem& entry : message.items()) {
-    copy.items.push_back({entry.key(), entry.value(), StoreRevision(entry.revision()), {}});
+    copy.changes.push_back(DecodeChange(entry));
   }
   return copy;
 }
