--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -62,7 +62,7 @@
       co_await Refuse(std::move(*failure), kDefaultRetryAfter);
       co_return;
     }
-    state_.retries().Earn(plan_.service);
+    state_.retries().Earn(plan_.service, Clock::now());
     caller_->WatchCaller([self = this->shared_from_this()] { self->OnCallerGone(); });
     NextStep step = NextStep::kTryAgain;
     while (step == NextStep::kTryAgain) step = co_await TryOnce();
@@ -259,7 +259,7 @@
     tried_.insert(attempt_.backend->entry.id);
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(facts_);
     const bool arrived = end != AttemptEnd::kNotSent;
-    if (step == NextStep::kTryAgain && arrived && !state_.retries().Spend(plan_.service)) {
+    if (step == NextStep::kTryAgain && arrived && !state_.retries().Spend(plan_.service, now)) {
       record_.out_of_retries = true;
       step = StepWithoutRetry(facts_);
     }
--- a/libs/gateway/include/gateway/retry_allowance.h
+++ b/libs/gateway/include/gateway/retry_allowance.h
@@ -2,7 +2,8 @@
 
 #pragma once
 
-#include <algorithm>
+#include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 
@@ -15,46 +16,58 @@
 struct RetryBound {
   double ratio = 0.1;
   double slack = 5;
+  std::chrono::milliseconds window{10'000};
 };
 
-/// A token bucket a service. It holds at most this gateway's share of the
-/// slack and earns by requests, so that in any window it lets out at most its
-/// share of the slack plus `ratio` times its own requests. Not thread-safe.
+/// Counts a service's requests and retries over the last window, in steps of a
+/// twentieth of it. A retry is allowed while the window that ends now stays
+/// within this gateway's share: its part of the slack, and `ratio` of its own
+/// requests. So a burst may use what the last window's requests have earned.
+/// Not thread-safe; time comes in as a value.
 class RetryAllowance {
  public:
-  /// Part of the bound that is used; the rest covers gateways that are not known.
+  /// Part of the bound that is used; the rest covers gateways that are not
+  /// known and windows that begin between steps.
   static constexpr double kUsedPart = 0.8;
 
   explicit RetryAllowance(RetryBound bound) : bound_(bound) {}
 
   /// `gateways` share the slack from now on.
-  void SetGateways(std::uint32_t gateways) { gateways_ = std::max(gateways, 1U); }
+  void SetGateways(std::uint32_t gateways) { gateways_ = gateways > 0 ? gateways : 1; }
 
   /// A request for `service` came in.
-  void Earn(const ServiceId& service) {
-    double& saved = SavedOf(service);
-    saved = std::min(saved + bound_.ratio * kUsedPart, Capacity());
-  }
+  void Earn(const ServiceId& service, TimePoint now);
 
   /// Returns whether one more arrival beyond a request's first is allowed, and
   /// counts it.
-  bool Spend(const ServiceId& service) {
-    double& saved = SavedOf(service);
-    saved = std::min(saved, Capacity());
-    if (saved < 1) return false;
-    saved -= 1;
-    return true;
-  }
+  bool Spend(const ServiceId& service, TimePoint now);
 
  private:
-  double Capacity() const { return std::max(1.0, bound_.slack * kUsedPart / gateways_); }
-  double& SavedOf(const ServiceId& service) {
-    return saved_.try_emplace(service, Capacity()).first->second;
-  }
+  static constexpr std::size_t kSteps = 20;
+
+  /// Counts by step; entry `step % kSteps` is of the newest step with that rest.
+  class WindowCounter {
+   public:
+    void Add(std::int64_t step);
+    double Sum(std::int64_t step);
+
+   private:
+    void Advance(std::int64_t step);
+
+    std::array<std::uint32_t, kSteps> counts_{};
+    std::int64_t newest_ = 0;
+  };
+
+  struct Counters {
+    WindowCounter requests;
+    WindowCounter retries;
+  };
+
+  std::int64_t StepAt(TimePoint now) const;
 
   RetryBound bound_;
   std::uint32_t gateways_ = 1;
-  std::map<ServiceId, double> saved_;
+  std::map<ServiceId, Counters> counters_;
 };
 
 }  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/retry_allowance.cc
@@ -0,0 +1,46 @@
+#include "gateway/retry_allowance.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace ridgehold {
+
+void RetryAllowance::WindowCounter::Add(std::int64_t step) {
+  Advance(step);
+  ++counts_[static_cast<std::size_t>(step) % kSteps];
+}
+
+double RetryAllowance::WindowCounter::Sum(std::int64_t step) {
+  Advance(step);
+  return std::accumulate(counts_.begin(), counts_.end(), 0.0);
+}
+
+void RetryAllowance::WindowCounter::Advance(std::int64_t step) {
+  const std::int64_t first = std::max(newest_ + 1, step - static_cast<std::int64_t>(kSteps) + 1);
+  for (std::int64_t passed = first; passed <= step; ++passed) {
+    counts_[static_cast<std::size_t>(passed) % kSteps] = 0;
+  }
+  newest_ = std::max(newest_, step);
+}
+
+void RetryAllowance::Earn(const ServiceId& service, TimePoint now) {
+  counters_[service].requests.Add(StepAt(now));
+}
+
+bool RetryAllowance::Spend(const ServiceId& service, TimePoint now) {
+  Counters& counters = counters_[service];
+  const std::int64_t step = StepAt(now);
+  const double share = bound_.slack / gateways_ + bound_.ratio * counters.requests.Sum(step);
+  // A share below one retry would mean none at all in a large fleet.
+  const double allowed = std::max(1.0, kUsedPart * share);
+  if (counters.retries.Sum(step) + 1 > allowed) return false;
+  counters.retries.Add(step);
+  return true;
+}
+
+std::int64_t RetryAllowance::StepAt(TimePoint now) const {
+  const auto step = std::chrono::duration_cast<Clock::duration>(bound_.window) / kSteps;
+  return now.time_since_epoch() / step;
+}
+
+}  // namespace ridgehold
