--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -31,7 +31,7 @@
     /// Between messages while there is news.
     std::chrono::milliseconds period{40};
     /// Added to it for each peer, so that a large fleet sends less often.
-    std::chrono::milliseconds period_per_peer{3};
+    std::chrono::milliseconds period_per_peer{1};
     /// A message goes out at least this often; so often one has the namings.
     std::chrono::milliseconds heartbeat{500};
   };
