--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -70,15 +70,15 @@
   }
 
   std::optional<Failure> Decode() {
+    record_.received = Clock::now();
     std::optional<Failure> failure;
     ValueOr(
         [&]() -> Result<void> {
-          BOOST_LEAF_ASSIGN(inbound_, Wire::ReadRequest(caller_->head(), Clock::now()));
+          BOOST_LEAF_ASSIGN(inbound_, Wire::ReadRequest(caller_->head(), record_.received));
           return {};
         },
         [&](const Failure& fault) { failure = fault; });
     record_.request = inbound_.id;
-    record_.received = inbound_.received;
     return failure;
   }
 
--- a/libs/log/src/log.cc
+++ b/libs/log/src/log.cc
@@ -64,7 +64,7 @@
 void StartLog(std::string_view level, std::string_view layout, LogSink sink) {
   json_layout = layout == "json";
   // In the JSON layout the pattern opens the object with the time.
-  const char* pattern = json_layout ? "{\"time\":\"%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ}\",%m%n"
+  const char* pattern = json_layout ? "{\"time\":\"%d{yyyy-MM-dd}T%d{HH:mm:ss.SSSZ}\",%m%n"
                                     : "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %m%n";
   const auto layout_object = std::make_shared<log4cxx::PatternLayout>(pattern);
   const bool queued = sink == LogSink::kQueuedStandardOutput;
