--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -105,6 +105,21 @@
     return {};
   }
 
+  /// Takes the bounds of settings that were read again. Addresses and names are
+  /// those of the start; that another is wanted is logged.
+  void Apply(const EntrySettings& settings) {
+    const bool moved = settings.caller_address != settings_.caller_address ||
+                       settings.store_address != settings_.store_address ||
+                       settings.daemon != settings_.daemon;
+    if (moved) Log(LogLevel::kWarn, "address or name changed, in force after a restart");
+    settings_.revocation_limit = settings.revocation_limit;
+    settings_.strict_revocation = settings.strict_revocation;
+    settings_.weights_limit = settings.weights_limit;
+    settings_.shutdown_limit = settings.shutdown_limit;
+    settings_.retries = settings.retries;
+    state_.SetLimits(LimitsOf(settings_, tuning_));
+  }
+
   /// Not ready from now on; `done` is called when nothing is left to answer.
   void BeginShutdown(std::function<void()> done) {
     if (state_.shutting_down()) return;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -61,6 +61,11 @@
   net::any_io_executor executor() const { return executor_; }
   const ZoneId& zone() const { return zone_; }
   const GatewayLimits& limits() const { return limits_; }
+  /// New limits, for requests that are decided from now on.
+  void SetLimits(const GatewayLimits& limits) {
+    limits_ = limits;
+    retries_.SetBound(limits.retries);
+  }
   const PlacementWeights& weights() const { return placement_weights_; }
   Metrics& metrics() { return metrics_; }
   ConnectionPool& pool() { return pool_; }
--- a/libs/gateway/include/gateway/retry_allowance.h
+++ b/libs/gateway/include/gateway/retry_allowance.h
@@ -32,6 +32,9 @@
 
   explicit RetryAllowance(RetryBound bound) : bound_(bound) {}
 
+  /// Another bound holds from now on; what was counted stays.
+  void SetBound(RetryBound bound) { bound_ = bound; }
+
   /// `gateways` share the slack from now on.
   void SetGateways(std::uint32_t gateways) { gateways_ = gateways > 0 ? gateways : 1; }
 
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -3,6 +3,8 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <iostream>
 
@@ -22,22 +24,38 @@
   bool check_settings = false;
 };
 
-/// Reads the settings again and says whether they can be used; addresses and
-/// bounds in force are those of the start.
-void Reload() {
-  const auto failure = FailureOf([] { return platform::ReadSettings(); });
-  if (failure) {
-    Log(LogLevel::kError, "reload failed", {{"detail", failure->detail}});
-    return;
-  }
-  Log(LogLevel::kInfo, "reloaded");
+// The platform may change the file without a signal.
+constexpr std::chrono::seconds kSettingsLook{2};
+
+/// Reads the settings again; faulty ones change nothing.
+void Reload(Entry& entry, const char* cause) {
+  ValueOr(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(settings, platform::ReadSettings());
+        entry.Apply(settings);
+        Log(LogLevel::kInfo, "reloaded", {{"cause", cause}});
+        return {};
+      },
+      [&](const Failure& failure) {
+        Log(LogLevel::kError, "reload failed", {{"cause", cause}, {"detail", failure.detail}});
+      });
+}
+
+/// Reloads when the settings file has changed.
+void WatchSettings(net::steady_timer& timer, Entry& entry, platform::SettingsFile file) {
+  timer.expires_after(kSettingsLook);
+  timer.async_wait([&timer, &entry, file](const ErrorCode& error) mutable {
+    if (error) return;
+    if (file.Changed()) Reload(entry, "file changed");
+    WatchSettings(timer, entry, file);
+  });
 }
 
 void WaitForSignals(net::signal_set& signals, net::io_context& io, Entry& entry) {
   signals.async_wait([&](const ErrorCode& error, int signal) {
     if (error) return;
     if (signal == SIGHUP) {
-      Reload();
+      Reload(entry, "SIGHUP");
     } else {
       entry.BeginShutdown([&io] { io.stop(); });
     }
@@ -60,6 +78,8 @@
   if (options.metrics_port != 0) BOOST_LEAF_CHECK(entry->OpenMetrics(metrics_address));
   net::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   WaitForSignals(signals, io, *entry);
+  net::steady_timer settings_timer(io);
+  WatchSettings(settings_timer, *entry, platform::SettingsFile());
   entry->Start();
   io.run();
   return {};
