--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -12,7 +12,6 @@
 #include <chrono>
 #include <cstdlib>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <string>
 
 #include "control/held_key.h"
@@ -20,6 +19,8 @@
 #include "control/state_follower.h"
 #include "entry/admin_server.h"
 #include "entry/entry_settings.h"
+#include "entry/entry_tuning.h"
+#include "entry/state_dump.h"
 #include "gateway/caller_server.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
@@ -35,43 +36,6 @@
 concept Environment = WireFormat<typename Env::Wire> && StateStore<typename Env::Store> &&
     FactCodec<typename Env::Codec> && BackendControl<typename Env::Control>;
 
-/// Settings of an entry instance's own, as the product's settings file has them.
-struct EntryTuning {
-  PlacementWeights placement;
-  /// Waiting this many latency objectives for an answer's head is enough.
-  double call_patience = 3;
-  double stream_patience = 8;
-  /// Waits in latency objectives at which requests for text are refused; for
-  /// routes of the highest priority, and for others.
-  double most_wait_urgent = 1'000;
-  double most_wait = 1'000;
-  std::uint32_t older_weights_free_ms = 1'000;
-  /// One engine of so many loads weights at a time; the platform slows loads
-  /// down beyond a fifth of them.
-  std::uint32_t engines_for_each_load = 5;
-
-  /// A call to the store takes 4 ms, and 0.4 s when the store is slow.
-  std::chrono::milliseconds store_call{1'000};
-  std::chrono::milliseconds control_call{800};
-  /// Part of the trust in keys that is not used, for messages on their way.
-  std::chrono::milliseconds key_margin{300};
-  /// Not ready without news of the configuration for this part of the trust in
-  /// keys: the balancer then takes others before requests must be refused.
-  double ready_part = 0.6;
-  std::chrono::milliseconds duty_ttl{2'000};
-  std::chrono::milliseconds member_ttl{10'000};
-  std::chrono::milliseconds housekeeping{500};
-  /// The balancer asks once a second and needs two misses. Requests that come
-  /// later are refused, so that none is broken off at the end.
-  std::chrono::milliseconds lame_duck{2'600};
-  /// An engine that was ordered has loaded by then.
-  std::chrono::milliseconds longest_load{1'500};
-  /// Left before the process is killed.
-  std::chrono::milliseconds shutdown_margin{700};
-  /// Requests begin on older weights until so long before the limit.
-  std::chrono::milliseconds weights_margin{1'000};
-};
-
 /// Create, Start, then run the executor until `done` is called.
 template <Environment Env>
 class EntryInstance {
@@ -319,32 +283,12 @@
   }
 
   std::string Dump() const {
-    nlohmann::json backends = nlohmann::json::array();
-    for (const auto& [id, backend] : state_.directory().all()) {
-      backends.push_back({{"id", id.value()},
-                          {"service", backend->entry.service.value()},
-                          {"address", backend->entry.address},
-                          {"zone", backend->entry.zone.value()},
-                          {"draining", backend->entry.draining},
-                          {"missing", backend->missing_until.has_value()},
-                          {"in_flight", backend->in_flight},
-                          {"failures", backend->failures},
-                          {"error_rate", backend->error_rate}});
-    }
-    const auto age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - state_.confirmed_at());
-    return nlohmann::json{{"daemon", settings_.daemon.value()},
-                          {"zone", settings_.zone.value()},
-                          {"ready", Ready()},
-                          {"shutting_down", state_.shutting_down()},
-                          {"config", state_.snapshot() ? state_.snapshot()->version().value() : 0},
-                          {"config_age_ms", age.count()},
-                          {"gateways", state_.gateways()},
-                          {"rollout_held", duty_.Held(Clock::now())},
-                          {"in_flight", state_.in_flight()},
-                          {"connections", server_.open_connections()},
-                          {"backends", backends}}
-        .dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
+    InstanceFacts facts;
+    facts.daemon = settings_.daemon;
+    facts.ready = Ready();
+    facts.holds_rollout = duty_.Held(Clock::now());
+    facts.connections = server_.open_connections();
+    return DumpState(state_, facts, Clock::now());
   }
 
   net::awaitable<void> KeepHouse() {
--- /dev/null
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -0,0 +1,49 @@
+// Settings of an entry instance's own, as the product's settings file has them.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "gateway/placement.h"
+
+namespace ridgehold {
+
+/// Settings of an entry instance's own, as the product's settings file has them.
+struct EntryTuning {
+  PlacementWeights placement;
+  /// Waiting this many latency objectives for an answer's head is enough.
+  double call_patience = 3;
+  double stream_patience = 8;
+  /// Waits in latency objectives at which requests for text are refused; for
+  /// routes of the highest priority, and for others.
+  double most_wait_urgent = 1'000;
+  double most_wait = 1'000;
+  std::uint32_t older_weights_free_ms = 1'000;
+  /// One engine of so many loads weights at a time; the platform slows loads
+  /// down beyond a fifth of them.
+  std::uint32_t engines_for_each_load = 5;
+
+  /// A call to the store takes 4 ms, and 0.4 s when the store is slow.
+  std::chrono::milliseconds store_call{1'000};
+  std::chrono::milliseconds control_call{800};
+  /// Part of the trust in keys that is not used, for messages on their way.
+  std::chrono::milliseconds key_margin{300};
+  /// Not ready without news of the configuration for this part of the trust in
+  /// keys: the balancer then takes others before requests must be refused.
+  double ready_part = 0.6;
+  std::chrono::milliseconds duty_ttl{2'000};
+  std::chrono::milliseconds member_ttl{10'000};
+  std::chrono::milliseconds housekeeping{500};
+  /// The balancer asks once a second and needs two misses. Requests that come
+  /// later are refused, so that none is broken off at the end.
+  std::chrono::milliseconds lame_duck{2'600};
+  /// An engine that was ordered has loaded by then.
+  std::chrono::milliseconds longest_load{1'500};
+  /// Left before the process is killed.
+  std::chrono::milliseconds shutdown_margin{700};
+  /// Requests begin on older weights until so long before the limit.
+  std::chrono::milliseconds weights_margin{1'000};
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/entry/include/entry/state_dump.h
@@ -0,0 +1,25 @@
+// An entry instance's whole state as JSON, for operators.
+
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "base/ids.h"
+
+namespace ridgehold {
+
+class GatewayState;
+
+/// What the gateway's own tables do not know.
+struct InstanceFacts {
+  DaemonId daemon;
+  bool ready = false;
+  bool holds_rollout = false;
+  std::size_t connections = 0;  ///< of callers
+};
+
+/// Returns the state at `now` as JSON text.
+std::string DumpState(GatewayState& state, const InstanceFacts& facts, TimePoint now);
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/entry/src/state_dump.cc
@@ -0,0 +1,41 @@
+#include "entry/state_dump.h"
+
+#include <nlohmann/json.hpp>
+
+#include "gateway/gateway_state.h"
+
+namespace ridgehold {
+namespace {
+
+using nlohmann::json;
+
+json Describe(const Backend& backend) {
+  return {{"id", backend.entry.id.value()},     {"service", backend.entry.service.value()},
+          {"address", backend.entry.address},   {"zone", backend.entry.zone.value()},
+          {"draining", backend.entry.draining}, {"missing", backend.missing_until.has_value()},
+          {"in_flight", backend.in_flight},     {"peers_running", backend.peers.running},
+          {"failures", backend.failures},       {"error_rate", backend.error_rate}};
+}
+
+}  // namespace
+
+std::string DumpState(GatewayState& state, const InstanceFacts& facts, TimePoint now) {
+  json backends = json::array();
+  for (const auto& [id, backend] : state.directory().all()) backends.push_back(Describe(*backend));
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - state.confirmed_at());
+  const json dump = {{"daemon", facts.daemon.value()},
+                     {"zone", state.zone().value()},
+                     {"ready", facts.ready},
+                     {"shutting_down", state.shutting_down()},
+                     {"config", state.snapshot() ? state.snapshot()->version().value() : 0},
+                     {"config_age_ms", age.count()},
+                     {"gateways", state.gateways()},
+                     {"rollout_held", facts.holds_rollout},
+                     {"in_flight", state.in_flight()},
+                     {"connections", facts.connections},
+                     {"backends", backends}};
+  return dump.dump(2, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace ridgehold
