Kept cache is spread over all stores instead of lying in the first

Cause: the grown fleets have three stores of kept cache, and only the first was ever used: 2.0 M tokens of room for 4 M tokens of shared parts (1,022 subjects of 3,780 tokens and what isolated workspaces have apart), so its least recently used parts went before they were asked for again. Change: each prompt's shared parts have one store, by rendezvous hashing over the stores' names; no messages, and a store that comes or goes moves its share. Ruled out: a store for each zone, which would keep each part four times.

--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -116,8 +116,10 @@
 
   const ServiceRule* FindService(const ServiceId& id) const;
 
-  /// Returns the store of kept KV cache, or null.
-  const KvCacheStore* FindKvStore() const;
+  /// Returns the store that keeps the KV cache of the prompt parts with this
+  /// hash, or null where there is no store. All gateways pick the same one of
+  /// several, and a store that comes or goes moves only its own share.
+  const KvCacheStore* KvStoreFor(std::uint64_t parts) const;
 
   ConfigVersion version() const { return parts_.version; }
   const CallerLimits& limits() const { return parts_.limits; }
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -65,6 +65,12 @@
   return outdated ? kReloadPause : kRefusalPause;
 }
 
+/// The store that keeps the prompt's shared parts, or null.
+const KvCacheStore* StoreFor(const ExchangePlan& plan) {
+  if (plan.chain->links.empty()) return nullptr;
+  return plan.snapshot->KvStoreFor(plan.chain->links.back().hash);
+}
+
 /// Parts that the chosen engine lacks come from another engine, else from the
 /// store, which is given those that have to be read.
 void ChooseCacheSource(const ExchangePlan& plan, std::span<const BackendPtr> candidates,
@@ -74,7 +80,7 @@
     choice.fetch_from = candidates[*placement.fetch_from]->entry.address;
     return;
   }
-  const KvCacheStore* store = plan.snapshot->FindKvStore();
+  const KvCacheStore* store = StoreFor(plan);
   if (store == nullptr) return;
   choice.fetch_from = store->address;
   if (placement.lacks_parts) choice.save_to = store->address;
@@ -132,7 +138,7 @@
     query.chain = &*plan.chain;
     const ServiceRule* service = plan.snapshot->FindService(plan.service);
     if (service != nullptr && service->engine) query.cache_tokens = service->engine->cache_tokens;
-    if (const KvCacheStore* store = plan.snapshot->FindKvStore()) query.store_zone = store->zone;
+    if (const KvCacheStore* store = StoreFor(plan)) query.store_zone = store->zone;
     query.model = request.generation->model;
     query.newest_weights = state.named_weights().Newest(query.model);
     query.newest_since = state.named_weights().NewestSince(query.model);
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -1,5 +1,8 @@
 #include "gateway/routing_snapshot.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <functional>
 #include <numeric>
 
@@ -67,11 +70,18 @@
   return found == services_.end() ? nullptr : &parts_.services[found->second];
 }
 
-const KvCacheStore* RoutingSnapshot::FindKvStore() const {
+const KvCacheStore* RoutingSnapshot::KvStoreFor(std::uint64_t parts) const {
+  const KvCacheStore* chosen = nullptr;
+  std::uint64_t highest = 0;
   for (const ServiceRule& service : parts_.services) {
-    if (service.kv_store) return &*service.kv_store;
+    if (!service.kv_store) continue;
+    const std::string& name = service.id.value();
+    const std::uint64_t rank = XXH3_64bits_withSeed(name.data(), name.size(), parts);
+    if (chosen != nullptr && rank <= highest) continue;
+    chosen = &*service.kv_store;
+    highest = rank;
   }
-  return nullptr;
+  return chosen;
 }
 
 const ServiceId& PickTarget(const RouteRule& route, const RequestId& request) {
--- a/libs/gateway/test/routing_snapshot-test.cc
+++ b/libs/gateway/test/routing_snapshot-test.cc
@@ -70,4 +70,29 @@
   BOOST_TEST(picked["u"] == 0);
 }
 
+BOOST_AUTO_TEST_CASE(kept_parts_are_spread_over_all_stores_and_move_only_with_their_store) {
+  const auto with_stores = [](int count) {
+    RoutingParts parts = Parts({});
+    for (int i = 0; i < count; ++i) {
+      ServiceRule store;
+      store.id = ServiceId("store-" + std::to_string(i));
+      store.kv_store = KvCacheStore{std::to_string(i), ZoneId("a")};
+      parts.services.push_back(store);
+    }
+    return *RoutingSnapshot::Create(std::move(parts));
+  };
+  const auto two = with_stores(2);
+  const auto three = with_stores(3);
+  std::map<std::string, int> parts_at;
+  int moved_between_old = 0;
+  for (std::uint64_t part = 0; part < 900; ++part) {
+    const std::string address = three->KvStoreFor(part)->address;
+    ++parts_at[address];
+    if (address != "2" && address != two->KvStoreFor(part)->address) ++moved_between_old;
+  }
+  for (const char* address : {"0", "1", "2"}) BOOST_TEST(parts_at[address] > 200);
+  BOOST_TEST(moved_between_old == 0);
+  BOOST_TEST(with_stores(0)->KvStoreFor(1) == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
