A placed request is told to the other gateways at once

Cause: on the grown fleets a gateway told its news every 110 ms (40 ms and 1 ms a peer). Change: a message goes out with a placed request, at most each 5 ms and 0.25 ms a peer; load that has only become less still waits for the period, and a message that would say the same as the last is not sent before the heartbeat. Ruled out: that engines lack the speed (a fifth of their prefill is used), that small instances lack processor time (0.017 of 0.12 cores).

--- a/libs/gateway/include/gateway/gateway_news.h
+++ b/libs/gateway/include/gateway/gateway_news.h
@@ -24,6 +24,8 @@
   std::uint32_t running = 0;
   std::uint32_t unread_tokens = 0;  ///< prompts of requests without a first event
   std::uint32_t unrepeatable = 0;   ///< requests that cannot be resumed elsewhere
+
+  bool operator==(const LoadNews&) const = default;
 };
 
 /// A request was sent; its parts will be in the backend server's cache.
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -107,7 +107,12 @@
   void SetHeardGateways(std::size_t heard) { heard_gateways_ = static_cast<double>(heard); }
 
   /// News for the other gateways.
-  NewsItems& news() { return news_; }
+  const NewsItems& news() const { return news_; }
+
+  /// A request was sent to an engine: the others are to know soon.
+  void TellPlaced(PlacedNews placed);
+  /// Called after each TellPlaced.
+  void SetPlacedListener(std::function<void()> listener) { on_placed_ = std::move(listener); }
 
   /// Takes out what is to be told now; of placed requests at most `most_placed`.
   NewsItems TakeNews(std::size_t most_placed);
@@ -148,6 +153,7 @@
   std::uint32_t gateways_ = 1;
   double heard_gateways_ = 0;
   NewsItems news_;
+  std::function<void()> on_placed_;
   std::uint32_t in_flight_ = 0;
   std::uint64_t sequence_ = 0;
   bool shutting_down_ = false;
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -19,7 +19,7 @@
       static_cast<std::uint32_t>(unread_tokens_) + request.generation->max_output_tokens;
   for (const PromptChain::Link& link : plan.chain->links) placed.parts.push_back(link.hash);
   BackendDirectory::NoteCached(*backend_, placed.parts, placed.new_tokens, Clock::now());
-  state.news().placed.push_back(std::move(placed));
+  state.TellPlaced(std::move(placed));
 }
 
 BackendLoad::~BackendLoad() {
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -16,6 +16,11 @@
   return taken;
 }
 
+void GatewayState::TellPlaced(PlacedNews placed) {
+  news_.placed.push_back(std::move(placed));
+  if (on_placed_) on_placed_();
+}
+
 void GatewayState::Hold(Backend& backend, std::chrono::milliseconds length, TimePoint now) {
   backend.hold_until = now + length;
   news_.holds.push_back({HashOf(backend.entry.id), length});
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -28,10 +28,15 @@
     DaemonId self;
     std::string address;     ///< without a port
     std::uint16_t port = 0;  ///< the same on all instances
-    /// Between messages while there is news.
+    /// Between messages about load that has only become less.
     std::chrono::milliseconds period{40};
     /// Added to it for each peer, so that a large fleet sends less often.
     std::chrono::milliseconds period_per_peer{1};
+    /// A placed request is told at once, so that the others do not pile onto
+    /// the same engine, but not sooner than so long after the last message.
+    std::chrono::microseconds placed_gap{5'000};
+    /// Added to it for each peer.
+    std::chrono::microseconds placed_gap_per_peer{250};
     /// A message goes out at least this often; so often one has the namings.
     std::chrono::milliseconds heartbeat{500};
   };
@@ -56,7 +61,12 @@
   PeerLink(GatewayState& state, Options options, std::function<std::vector<std::string>()> peers,
            net::ip::udp::socket socket);
 
+  /// Sends what there is to tell, if anything or a heartbeat is due.
+  void SendNews(const std::vector<std::string>& peers, TimePoint now);
+  /// When the next message goes out if nothing more happens.
+  TimePoint NextSend(std::size_t peers) const;
   GatewayNews MakeNews();
+  std::vector<LoadNews> OwnLoads() const;
   std::vector<NamingNews> RecentNamings(TimePoint now) const;
   void SendToPeers(const std::string& datagram, const std::vector<std::string>& peers);
   void Take(std::size_t bytes);
@@ -69,9 +79,10 @@
   PeerLoads loads_;
   std::uint64_t incarnation_ = 0;
   std::uint64_t sequence_ = 0;
+  TimePoint looked_{};  ///< for something to tell
   TimePoint last_sent_{};
   TimePoint last_namings_{};
-  bool had_load_ = false;
+  std::vector<LoadNews> told_loads_;  ///< of the last message
   bool stopped_ = false;
   std::array<char, kMaxDatagramBytes> buffer_;
 };
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -43,23 +43,46 @@
       incarnation_(std::random_device{}()) {}
 
 net::awaitable<void> PeerLink::Send() {
+  state_.SetPlacedListener([this] { timer_.cancel(); });
   while (!stopped_) {
     const std::vector<std::string> peers = peers_();
     const TimePoint now = Clock::now();
     loads_.Expire(now);
-    GatewayNews news = MakeNews();
-    const bool has_load = !news.loads.empty();
-    const bool due = now - last_sent_ >= options_.heartbeat;
-    if (!news.items.empty() || has_load || had_load_ || due) {
-      had_load_ = has_load;
-      last_sent_ = now;
-      SendToPeers(EncodeNews(news), peers);
-    }
+    if (now >= NextSend(peers.size())) SendNews(peers, now);
     ErrorCode ignored;
-    const int count = static_cast<int>(peers.size());
-    timer_.expires_after(options_.period + count * options_.period_per_peer);
+    timer_.expires_at(NextSend(peers.size()));
     co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
   }
+  state_.SetPlacedListener({});
+}
+
+TimePoint PeerLink::NextSend(std::size_t peers) const {
+  const auto count = static_cast<int>(peers);
+  if (!state_.news().placed.empty()) {
+    return looked_ + options_.placed_gap + count * options_.placed_gap_per_peer;
+  }
+  return looked_ + options_.period + count * options_.period_per_peer;
+}
+
+void PeerLink::SendNews(const std::vector<std::string>& peers, TimePoint now) {
+  looked_ = now;
+  GatewayNews news = MakeNews();
+  const bool due = now - last_sent_ >= options_.heartbeat;
+  if (news.items.empty() && news.loads == told_loads_ && !due) return;
+  last_sent_ = now;
+  SendToPeers(EncodeNews(news), peers);
+  told_loads_ = std::move(news.loads);
+}
+
+std::vector<LoadNews> PeerLink::OwnLoads() const {
+  std::vector<LoadNews> loads;
+  for (const auto& [id, backend] : state_.directory().all()) {
+    if (backend->in_flight == 0) continue;
+    loads.push_back({HashOf(id), backend->in_flight,
+                     static_cast<std::uint32_t>(std::max(0.0, backend->unprefilled_tokens)),
+                     backend->unrepeatable});
+  }
+  return loads;
 }
 
 GatewayNews PeerLink::MakeNews() {
@@ -67,12 +90,7 @@
   news.daemon = options_.self;
   news.incarnation = incarnation_;
   news.sequence = ++sequence_;
-  for (const auto& [id, backend] : state_.directory().all()) {
-    if (backend->in_flight == 0) continue;
-    news.loads.push_back({HashOf(id), backend->in_flight,
-                          static_cast<std::uint32_t>(std::max(0.0, backend->unprefilled_tokens)),
-                          backend->unrepeatable});
-  }
+  news.loads = OwnLoads();
   news.items = state_.TakeNews(kMostPlaced);
   const TimePoint now = Clock::now();
   if (now - last_namings_ >= options_.heartbeat) {
