Parts come from the store of kept cache alone; beginnings of prompts have engines of their own

Cause: three things read shared parts again. (2) An engine saves only parts that it reads, and the list of what it holds showed the same 2,500 tokens of a common beginning at every engine, once for each isolated workspace: up to 70 k of 95 k tokens. (3) Fetched tokens were not counted among what a cache has taken in. Change: where there is a store, what an engine lacks comes from it and is saved there; prompts have their home within a segment of the engines that is as long as their beginning's share of all tokens, as heard from all gateways; copies and fetches are priced by what is missing; fetched tokens count.

--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -32,9 +32,10 @@
 /// The backend server an attempt goes to.
 struct BackendChoice {
   BackendPtr backend;
-  double tokens_to_read = 0;  ///< prompt tokens expected not to be cached there
-  double expected_ms = 0;     ///< cost that decided, see Placement
-  double wait_ms = 0;         ///< of that, until the prompt is read
+  double tokens_to_read = 0;          ///< prompt tokens expected not to be cached there
+  std::uint32_t tokens_to_store = 0;  ///< those, and what is fetched: what its cache takes in
+  double expected_ms = 0;             ///< cost that decided, see Placement
+  double wait_ms = 0;                 ///< of that, until the prompt is read
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address that has shared parts
   std::optional<std::string> save_to;     ///< address of a store that is to keep them
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "gateway/gateway_news.h"
 #include "gateway/named_weights.h"
 #include "gateway/placement.h"
+#include "gateway/prefix_shares.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/routing_snapshot.h"
 #include "metrics/metrics.h"
@@ -90,6 +91,8 @@
     return !limits_.key_trust || now - confirmed_at_ < *limits_.key_trust;
   }
 
+  PrefixShares& prefix_shares() { return prefix_shares_; }
+
   NamedWeights& named_weights() { return named_weights_; }
   const NamedWeights& named_weights() const { return named_weights_; }
 
@@ -109,7 +112,9 @@
   /// News for the other gateways.
   const NewsItems& news() const { return news_; }
 
-  /// A request was sent to an engine: the others are to know soon.
+  /// A request was sent to an engine, by this or another gateway.
+  void TakePlaced(const PlacedNews& placed, TimePoint now);
+  /// This gateway sent it: the others are to know soon.
   void TellPlaced(PlacedNews placed);
   /// Called after each TellPlaced.
   void SetPlacedListener(std::function<void()> listener) { on_placed_ = std::move(listener); }
@@ -149,6 +154,7 @@
   RetryAllowance retries_;
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   TimePoint confirmed_at_{};
+  PrefixShares prefix_shares_;
   NamedWeights named_weights_;
   std::uint32_t gateways_ = 1;
   double heard_gateways_ = 0;
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -11,6 +11,7 @@
 #include "base/ids.h"
 #include "gateway/backend_directory.h"
 #include "gateway/inbound_request.h"
+#include "gateway/prefix_shares.h"
 
 namespace ridgehold {
 
@@ -44,8 +45,9 @@
   /// The same from a store of kept cache, whose link is slower.
   double store_call = 10;
   double store_token = 0.006;
-  /// Each token of a second copy takes the place of something else.
-  double copy_token = 0.002;
+  /// Each token of a second copy takes the place of something else. On the
+  /// grown fleets 0.008 and 0.02 were alike and better than 0.002.
+  double copy_token = 0.01;
   /// What a call to a plain service adds to the wait of the next one.
   double per_running_call = 20;
   /// How much a backend server whose answers all fail is worse than others.
@@ -75,6 +77,7 @@
   std::optional<TimePoint> newest_since;  ///< when they were named
   std::uint64_t cache_tokens = 0;         ///< memory of one engine
   std::optional<ZoneId> store_zone;       ///< of the store of kept cache, if there is one
+  CircleSegment segment;                  ///< of the engines that keep the prompt's beginning
   double unheard_share = 0;               ///< requests of unheard gateways for each own one
   std::uint64_t tie_break = 0;
   TimePoint now{};
@@ -86,6 +89,7 @@
   double cost = 0;                  ///< milliseconds it is expected to take, with prices
   double wait = 0;                  ///< of that, until the prompt is read
   std::uint32_t cached_tokens = 0;  ///< expected to be in its cache, or fetched into it
+  std::uint32_t known_tokens = 0;   ///< of those, what it has without a fetch
   /// Another candidate that has parts which the chosen one lacks.
   std::optional<std::size_t> fetch_from;
   bool lacks_parts = false;   ///< shared parts are not expected in its own cache
--- /dev/null
+++ b/libs/gateway/include/gateway/prefix_shares.h
@@ -0,0 +1,44 @@
+// How the prompts' work divides by their first part: which engines keep which beginnings.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+
+#include "base/ids.h"
+
+namespace ridgehold {
+
+/// A piece of the circle [0, 1).
+struct CircleSegment {
+  double begin = 0;
+  double length = 1;
+};
+
+/// Prompts that begin alike share their first part; were they spread over all
+/// engines, every engine would keep every beginning, once for each isolated
+/// workspace. So each beginning has a segment of the engines, as long as its
+/// share of the tokens that caches take in. All gateways hear of all placed
+/// requests, so their segments differ by little. Not thread-safe.
+class PrefixShares {
+ public:
+  /// Counts are halved this often: long enough to be steady (a few hundred
+  /// beginnings at some hundred requests a second), short enough to follow the day.
+  static constexpr std::chrono::seconds kHalfLife{10};
+
+  /// A request whose prompt begins with `first` brought `tokens` to a cache.
+  void Note(std::uint64_t first, double tokens, TimePoint now);
+
+  /// Beginnings that were never noted have a segment without length.
+  CircleSegment SegmentOf(std::uint64_t first) const;
+
+ private:
+  void Halve();
+
+  std::map<std::uint64_t, double> tokens_;  ///< by first part
+  double total_ = 0;
+  TimePoint halved_{};
+};
+
+}  // namespace ridgehold
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -15,10 +15,8 @@
   if (!plan.chain) return;
   PlacedNews placed;
   placed.backend = HashOf(backend_->entry.id);
-  placed.new_tokens =
-      static_cast<std::uint32_t>(unread_tokens_) + request.generation->max_output_tokens;
+  placed.new_tokens = choice.tokens_to_store + request.generation->max_output_tokens;
   for (const PromptChain::Link& link : plan.chain->links) placed.parts.push_back(link.hash);
-  BackendDirectory::NoteCached(*backend_, placed.parts, placed.new_tokens, Clock::now());
   state.TellPlaced(std::move(placed));
 }
 
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -65,7 +65,8 @@
   return outdated ? kReloadPause : kRefusalPause;
 }
 
-/// The store that keeps the prompt's shared parts, or null.
+/// The store that keeps the prompt's shared parts, or null. Chosen by all of
+/// them: by the first alone, a few common beginnings would fill one store's link.
 const KvCacheStore* StoreFor(const ExchangePlan& plan) {
   if (plan.chain->links.empty()) return nullptr;
   return plan.snapshot->KvStoreFor(plan.chain->links.back().hash);
@@ -83,7 +84,7 @@
   const KvCacheStore* store = StoreFor(plan);
   if (store == nullptr) return;
   choice.fetch_from = store->address;
-  if (placement.lacks_parts) choice.save_to = store->address;
+  choice.save_to = store->address;
 }
 
 std::vector<BackendPtr> Candidates(const GatewayState& state, const ExchangePlan& plan,
@@ -139,6 +140,9 @@
     const ServiceRule* service = plan.snapshot->FindService(plan.service);
     if (service != nullptr && service->engine) query.cache_tokens = service->engine->cache_tokens;
     if (const KvCacheStore* store = StoreFor(plan)) query.store_zone = store->zone;
+    if (!plan.chain->links.empty()) {
+      query.segment = state.prefix_shares().SegmentOf(plan.chain->links.front().hash);
+    }
     query.model = request.generation->model;
     query.newest_weights = state.named_weights().Newest(query.model);
     query.newest_since = state.named_weights().NewestSince(query.model);
@@ -151,6 +155,8 @@
   if (request.generation) {
     choice.tokens_to_read =
         plan.chain->prompt_tokens - std::min(placement.cached_tokens, plan.chain->prompt_tokens);
+    choice.tokens_to_store =
+        plan.chain->prompt_tokens - std::min(placement.known_tokens, plan.chain->prompt_tokens);
     choice.weights = WeightsOf(*choice.backend, request.generation->model);
     ChooseCacheSource(plan, candidates, placement, choice);
   }
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -16,7 +16,14 @@
   return taken;
 }
 
+void GatewayState::TakePlaced(const PlacedNews& placed, TimePoint now) {
+  if (!placed.parts.empty()) prefix_shares_.Note(placed.parts.front(), placed.new_tokens, now);
+  const BackendPtr backend = directory_.FindByHash(placed.backend);
+  if (backend) BackendDirectory::NoteCached(*backend, placed.parts, placed.new_tokens, now);
+}
+
 void GatewayState::TellPlaced(PlacedNews placed) {
+  TakePlaced(placed, Clock::now());
   news_.placed.push_back(std::move(placed));
   if (on_placed_) on_placed_();
 }
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -4,7 +4,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <numeric>
 
 namespace ridgehold {
 namespace {
@@ -26,6 +28,9 @@
   Chooser(const PlacementQuery& query, std::span<const BackendPtr> candidates,
           const PlacementWeights& weights)
       : query_(query), candidates_(candidates), weights_(weights) {
+    for (const BackendPtr& candidate : candidates_) {
+      id_hashes_.push_back(HashText(candidate->entry.id.value()));
+    }
     if (query_.chain != nullptr) RankHolders();
   }
 
@@ -35,7 +40,7 @@
     std::uint64_t best_tie = 0;
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
       Placement placement = Price(i);
-      const std::uint64_t tie = Hash(query_.tie_break, HashText(candidates_[i]->entry.id.value()));
+      const std::uint64_t tie = Hash(query_.tie_break, id_hashes_[i]);
       if (placement.cost > best.cost) continue;
       if (placement.cost == best.cost && tie <= best_tie) continue;
       best = placement;
@@ -50,6 +55,7 @@
     std::uint32_t known_tokens = 0;      ///< of the chain, brought by earlier requests
     std::uint32_t fetchable_tokens = 0;  ///< of those, what has been read by now
     bool doubtful = false;               ///< some may have been evicted
+    bool in_segment = false;             ///< keeps prompts with this beginning
     std::uint64_t rank = 0;              ///< of rendezvous hashing
   };
 
@@ -77,7 +83,8 @@
   /// Fills in what will be found in the cache and what fetching costs.
   void PriceCache(std::size_t index, Placement& placement) const {
     const std::uint32_t shared = query_.chain->shared_tokens();
-    placement.cached_tokens = holdings_[index].known_tokens;
+    placement.known_tokens = holdings_[index].known_tokens;
+    placement.cached_tokens = placement.known_tokens;
     if (shared < kWorthFetching) return;
     placement.doubts_parts = holdings_[index].doubtful;
     if (placement.cached_tokens >= shared) return;
@@ -89,12 +96,17 @@
       placement.cached_tokens = shared;
       placement.cost += PriceOfFetch(index, placement.fetch_from);
     }
-    if (index != home_) placement.cost += weights_.copy_token * shared;
+    if (index != home_) placement.cost += weights_.copy_token * MissingAt(index);
+  }
+
+  /// Shared tokens that the candidate has not got yet.
+  std::uint32_t MissingAt(std::size_t index) const {
+    return query_.chain->shared_tokens() - holdings_[index].known_tokens;
   }
 
   double PriceOfFetch(std::size_t index, std::optional<std::size_t> source) const {
     const ZoneId& zone = candidates_[index]->entry.zone;
-    const std::uint32_t tokens = query_.chain->shared_tokens();
+    const std::uint32_t tokens = MissingAt(index);
     if (source) {
       const double distance = candidates_[*source]->entry.zone == zone ? 1 : 2;
       return distance * (weights_.fetch_call + weights_.fetch_token * tokens);
@@ -129,15 +141,16 @@
     return found == backend.weights.end() ? WeightsNumber() : found->second;
   }
 
-  /// Rendezvous hashing: without talking, all gateways rank the candidates for
-  /// a prompt's shared parts alike; the first is their home.
+  /// Rendezvous hashing within the segment of the prompt's beginning: without
+  /// asking, all gateways rank the candidates alike; the first is their home.
   void RankHolders() {
     holdings_.resize(candidates_.size());
     if (query_.chain->links.empty()) return;
     const std::uint64_t subject = query_.chain->links.back().hash;
+    MarkSegment();
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
       TakeKnown(*candidates_[i], holdings_[i]);
-      holdings_[i].rank = Hash(subject, HashText(candidates_[i]->entry.id.value()));
+      holdings_[i].rank = Hash(subject, id_hashes_[i]);
       const bool better = home_ == kNone || Before(i, home_);
       if (better) home_ = i;
       const bool reads = holdings_[i].known_tokens > holdings_[i].fetchable_tokens;
@@ -145,6 +158,20 @@
     }
   }
 
+  /// Marks the candidates in the prompt's segment, at least one: the circle is
+  /// divided evenly among the candidates, in the order of their ids' hashes.
+  void MarkSegment() {
+    const auto count = static_cast<double>(candidates_.size());
+    std::vector<std::size_t> order(candidates_.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::sort(order.begin(), order.end(),
+              [this](std::size_t a, std::size_t b) { return id_hashes_[a] < id_hashes_[b]; });
+    const auto first = static_cast<std::size_t>(query_.segment.begin * count);
+    const double end = std::ceil((query_.segment.begin + query_.segment.length) * count);
+    const std::size_t last = std::max(first + 1, static_cast<std::size_t>(end));
+    for (std::size_t i = first; i < last; ++i) holdings_[order[i % order.size()]].in_segment = true;
+  }
+
   bool IsNewest(const Backend& backend) const {
     return !query_.newest_weights || WeightsOf(backend) >= *query_.newest_weights;
   }
@@ -154,6 +181,7 @@
     const WeightsNumber of_a = WeightsOf(*candidates_[a]);
     const WeightsNumber of_b = WeightsOf(*candidates_[b]);
     if (of_a != of_b) return of_a > of_b;
+    if (holdings_[a].in_segment != holdings_[b].in_segment) return holdings_[a].in_segment;
     return holdings_[a].rank > holdings_[b].rank;
   }
 
@@ -172,9 +200,12 @@
     }
   }
 
-  /// The candidate that is known to have most of what `index` lacks.
+  /// The candidate that is known to have most of what `index` lacks. None where
+  /// there is a store: it has for certain what an engine may have evicted, and
+  /// about every second fetch from engines ended in reading the parts again.
   std::optional<std::size_t> SourceFor(std::size_t index) const {
     std::optional<std::size_t> source;
+    if (query_.store_zone) return source;
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
       const Backend& backend = *candidates_[i];
       const bool usable = i != index && backend.avoid_until <= query_.now &&
@@ -199,6 +230,7 @@
   const PlacementQuery& query_;
   std::span<const BackendPtr> candidates_;
   const PlacementWeights& weights_;
+  std::vector<std::uint64_t> id_hashes_;  ///< by candidate
   std::vector<Holding> holdings_;
   std::size_t home_ = kNone;
   bool being_read_ = false;  ///< an engine on the newest weights reads the parts now
--- /dev/null
+++ b/libs/gateway/test/exchange_plan-test.cc
@@ -0,0 +1,140 @@
+#include "gateway/exchange_plan.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "gateway/backend_load.h"
+#include "gateway/gateway_state.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ModelId kModel("m");
+const ServiceId kEngines("engines");
+constexpr std::uint32_t kShared = 6'000;
+constexpr std::uint32_t kOwn = 3'000;
+
+ServiceRule Store(const std::string& name) {
+  ServiceRule rule;
+  rule.id = ServiceId(name);
+  rule.kv_store = KvCacheStore{name + ":1", ZoneId("a")};
+  return rule;
+}
+
+RoutingParts Parts(const std::vector<std::string>& stores) {
+  RoutingParts parts;
+  parts.version = ConfigVersion(1);
+  ServiceRule engines;
+  engines.id = kEngines;
+  engines.engine = EngineProfile{.slots = 8, .cache_tokens = 100'000};
+  parts.services.push_back(engines);
+  for (const std::string& store : stores) parts.services.push_back(Store(store));
+  RouteRule route;
+  route.id = RuleId("r");
+  route.host = "h";
+  route.path_prefix = "/";
+  route.kind = RouteKind::kStream;
+  route.is_public = true;
+  route.timeout = 4s;
+  route.targets = {{kEngines, 1}};
+  parts.routes.push_back(route);
+  return parts;
+}
+
+struct Fixture {
+  net::io_context io;
+  Metrics metrics;
+  GatewayState state{io.get_executor(), ZoneId("a"), GatewayLimits{}, PlacementWeights{}, metrics};
+  InboundRequest request;
+
+  Fixture() {
+    for (const char* id : {"x", "y", "z"}) {
+      BackendEntry entry;
+      entry.id = BackendId(id);
+      entry.service = kEngines;
+      entry.address = std::string(id) + ":2";
+      entry.zone = ZoneId("a");
+      entry.weights[kModel] = WeightsNumber(1);
+      state.directory().Put(entry);
+    }
+    request.id = RequestId("q");
+    request.host = "h";
+    request.path = "/p";
+    request.received = Clock::now();
+  }
+
+  void Configure(const std::vector<std::string>& stores) {
+    state.TakeSnapshot(*RoutingSnapshot::Create(Parts(stores)));
+  }
+
+  /// Asks for text after two shared parts.
+  void Prompt(std::uint64_t first, std::uint64_t second) {
+    request.generation = GenerationRequest{
+        kModel, kShared + kOwn, 10, {{first, kShared / 2}, {second, kShared / 2}, {99, kOwn}}};
+  }
+
+  ExchangePlan Plan() { return *PlanExchange(state, request, Clock::now()); }
+  BackendChoice Choose() { return *ChooseFor(state, Plan(), request, {}, Clock::now()); }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(exchange_plan, Fixture)
+
+BOOST_AUTO_TEST_CASE(prompts_that_begin_alike_are_spread_over_all_stores) {
+  Configure({"s", "t", "u"});
+  std::map<std::string, int> prompts_at;
+  for (std::uint64_t second = 0; second < 300; ++second) {
+    Prompt(1, second);
+    ++prompts_at[Choose().fetch_from.value_or("none")];
+  }
+  for (const char* store : {"s:1", "t:1", "u:1"}) BOOST_TEST(prompts_at[store] > 60);
+}
+
+BOOST_AUTO_TEST_CASE(equal_prompts_have_one_store) {
+  Configure({"s", "t", "u"});
+  for (std::uint64_t second = 0; second < 50; ++second) {
+    Prompt(1, second);
+    const auto store = Choose().fetch_from;
+    BOOST_TEST(store.has_value());
+    BOOST_TEST((Choose().fetch_from == store));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(what_is_looked_for_in_a_store_is_saved_there) {
+  Configure({"s"});
+  Prompt(1, 2);
+  const BackendChoice choice = Choose();
+  BOOST_TEST(choice.fetch_from.value_or("") == "s:1");
+  BOOST_TEST(choice.save_to.value_or("") == "s:1");
+}
+
+BOOST_AUTO_TEST_CASE(parts_that_may_have_been_evicted_are_looked_for_and_saved_too) {
+  Configure({"s"});
+  Prompt(1, 2);
+  const ExchangePlan plan = Plan();
+  const BackendChoice first = Choose();
+  { BackendLoad load(state, plan, request, first); }
+  BOOST_TEST(!Choose().fetch_from.has_value());
+  BackendDirectory::NoteCached(*first.backend, {}, 40'000, Clock::now());
+  const BackendChoice second = Choose();
+  BOOST_TEST(second.backend == first.backend);
+  BOOST_TEST(second.fetch_from.value_or("") == "s:1");
+  BOOST_TEST(second.save_to.value_or("") == "s:1");
+}
+
+BOOST_AUTO_TEST_CASE(what_is_fetched_takes_the_place_of_other_parts) {
+  Configure({"s"});
+  Prompt(1, 2);
+  const BackendChoice choice = Choose();
+  BOOST_TEST(choice.tokens_to_read == kOwn);
+  BOOST_TEST(choice.tokens_to_store == kShared + kOwn);
+  { BackendLoad load(state, Plan(), request, choice); }
+  BOOST_TEST(choice.backend->inserted_tokens == kShared + kOwn + 10);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/test/placement-test.cc
+++ b/libs/gateway/test/placement-test.cc
@@ -79,6 +79,18 @@
   BOOST_TEST(*chosen.fetch_from == 1);
 }
 
+BOOST_AUTO_TEST_CASE(where_there_is_a_store_missing_parts_come_from_it_alone) {
+  query.store_zone = ZoneId("a");
+  Bring(backends[1], 1s);
+  backends[1]->unprefilled_tokens = 60'000;
+  const Placement chosen = ChooseBackend(query, backends, weights);
+  BOOST_TEST(chosen.index != 1);
+  BOOST_TEST(!chosen.fetch_from.has_value());
+  BOOST_TEST(chosen.lacks_parts);
+  BOOST_TEST(chosen.cached_tokens == 6'000);
+  BOOST_TEST(chosen.known_tokens == 0);
+}
+
 BOOST_AUTO_TEST_CASE(parts_that_are_being_read_cannot_be_fetched) {
   Bring(backends[1], 50ms);
   backends[1]->unprefilled_tokens = 60'000;
@@ -125,6 +137,41 @@
   BOOST_TEST(!chosen.fetch_from.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(home_is_in_the_segment_of_the_prompts_beginning) {
+  for (double begin : {0.0, 0.4, 0.7}) {
+    query.segment = {begin, 0.01};
+    std::set<std::size_t> homes;
+    GenerationRequest request = Generation();
+    for (std::uint64_t subject = 10; subject < 40; ++subject) {
+      request.parts[1].id = subject;
+      chain = PromptChain::Of(request, "shared");
+      homes.insert(ChooseBackend(query, backends, weights).index);
+    }
+    BOOST_TEST(homes.size() == 1);
+  }
+  query.segment = {0, 1};
+  std::set<std::size_t> homes;
+  GenerationRequest request = Generation();
+  for (std::uint64_t subject = 10; subject < 40; ++subject) {
+    request.parts[1].id = subject;
+    chain = PromptChain::Of(request, "shared");
+    homes.insert(ChooseBackend(query, backends, weights).index);
+  }
+  BOOST_TEST(homes.size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(copy_costs_only_what_is_missing) {
+  query.store_zone = ZoneId("a");
+  Bring(backends[1], 1s);
+  backends[1]->unprefilled_tokens = 600'000;
+  // Has the first of the two shared parts.
+  const std::uint64_t first = chain.links[0].hash;
+  BackendDirectory::NoteCached(*backends[2], {&first, 1}, 2'500, kNow - 1s);
+  weights.copy_token = 1;
+  weights.store_token = 1;
+  BOOST_TEST(ChooseBackend(query, backends, weights).index == 2);
+}
+
 BOOST_AUTO_TEST_CASE(plain_call_goes_to_the_least_busy) {
   query.chain = nullptr;
   backends[0]->in_flight = 2;
--- a/libs/peers/include/peers/peer_loads.h
+++ b/libs/peers/include/peers/peer_loads.h
@@ -1,4 +1,4 @@
-// Adds what other gateways do at each backend server into the directory.
+// Adds what other gateways do at each backend server to what this one knows.
 
 #pragma once
 
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "gateway/backend_directory.h"
 #include "gateway/gateway_news.h"
+#include "gateway/gateway_state.h"
 
 namespace ridgehold {
 
@@ -19,7 +19,7 @@
   /// A gateway unheard for this long is taken to send nothing any more.
   static constexpr std::chrono::milliseconds kForgetAfter{1'500};
 
-  explicit PeerLoads(BackendDirectory& directory) : directory_(directory) {}
+  explicit PeerLoads(GatewayState& state) : state_(state) {}
 
   /// Takes a message; false when it is older than one taken before.
   bool Take(const GatewayNews& news, TimePoint now);
@@ -42,7 +42,7 @@
   void Subtract(const std::vector<LoadNews>& loads);
   void TakeItems(const NewsItems& items, TimePoint now);
 
-  BackendDirectory& directory_;
+  GatewayState& state_;
   std::map<DaemonId, Peer> peers_;
 };
 
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -39,7 +39,7 @@
       peers_(std::move(peers)),
       socket_(std::move(socket)),
       timer_(state.executor()),
-      loads_(state.directory()),
+      loads_(state),
       incarnation_(std::random_device{}()) {}
 
 net::awaitable<void> PeerLink::Send() {
--- a/libs/peers/src/peer_loads.cc
+++ b/libs/peers/src/peer_loads.cc
@@ -25,7 +25,7 @@
 
 void PeerLoads::Add(const std::vector<LoadNews>& loads) {
   for (const LoadNews& load : loads) {
-    const BackendPtr backend = directory_.FindByHash(load.backend);
+    const BackendPtr backend = state_.directory().FindByHash(load.backend);
     if (!backend) continue;
     backend->peers.running += load.running;
     backend->peers.unread_tokens += load.unread_tokens;
@@ -35,7 +35,7 @@
 
 void PeerLoads::Subtract(const std::vector<LoadNews>& loads) {
   for (const LoadNews& load : loads) {
-    const BackendPtr backend = directory_.FindByHash(load.backend);
+    const BackendPtr backend = state_.directory().FindByHash(load.backend);
     if (!backend) continue;
     // A backend server may have been added between; nothing goes below zero.
     PeerWork& work = backend->peers;
@@ -46,18 +46,14 @@
 }
 
 void PeerLoads::TakeItems(const NewsItems& items, TimePoint now) {
-  for (const PlacedNews& placed : items.placed) {
-    if (const BackendPtr backend = directory_.FindByHash(placed.backend)) {
-      BackendDirectory::NoteCached(*backend, placed.parts, placed.new_tokens, now);
-    }
-  }
+  for (const PlacedNews& placed : items.placed) state_.TakePlaced(placed, now);
   for (const HoldNews& hold : items.holds) {
-    if (const BackendPtr backend = directory_.FindByHash(hold.backend)) {
+    if (const BackendPtr backend = state_.directory().FindByHash(hold.backend)) {
       backend->hold_until = now + hold.length;
     }
   }
   for (const WeightsNews& weights : items.weights) {
-    if (const BackendPtr backend = directory_.FindByHash(weights.backend)) {
+    if (const BackendPtr backend = state_.directory().FindByHash(weights.backend)) {
       BackendDirectory::NoteWeights(*backend, weights.model, weights.number);
     }
   }
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -1,4 +1,5 @@
 #include <rapidcheck/boost_test.h>
+#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "peers/news_codec.h"
@@ -14,16 +15,18 @@
 const TimePoint kStart{1h};
 
 struct Fixture {
-  BackendDirectory directory;
-  PeerLoads loads{directory};
+  net::io_context io;
+  Metrics metrics;
+  GatewayState state{io.get_executor(), ZoneId("a"), GatewayLimits{}, PlacementWeights{}, metrics};
+  PeerLoads loads{state};
 
   Fixture() {
     BackendEntry entry;
     entry.id = BackendId("b");
-    directory.Put(entry);
+    state.directory().Put(entry);
   }
 
-  Backend& backend() { return *directory.Find(BackendId("b")); }
+  Backend& backend() { return *state.directory().Find(BackendId("b")); }
 
   static GatewayNews News(const std::string& daemon, std::uint64_t sequence,
                           std::uint32_t running) {
