News from the store is gathered; a free duty is applied for in turn

Each key that changes ended the watch of every relay at once, and a rollout writes each engine's key (some twenty a second); all 69 to 78 gateways applied for the free rollout duty together, three calls each, all but one in vain. Change: after news the follower waits 200 ms before it asks again; the duty is applied for in the order of the members' names, 250 ms apart, all after 1.5 s. Ruled out: the members' leases (renewals, a tenth of a call each).

--- a/libs/control/include/control/own_records.h
+++ b/libs/control/include/control/own_records.h
@@ -39,6 +39,9 @@
   /// Returns the item, or null.
   const StoreItem* Find(const std::string& key) const;
 
+  /// How many members' keys come before `key` by name.
+  std::size_t MembersBefore(const std::string& key) const;
+
   /// Gateways that have a member's key, in the order of their names.
   std::vector<Member> Members() const;
 
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -30,6 +30,11 @@
     /// An empty watch ends after this long and confirms the configuration; a
     /// third of the strictest trust in keys, 5 s, leaves room for a lost one.
     std::chrono::milliseconds watch{1'000};
+    /// After news the store is not asked again for so long: a rollout writes
+    /// some twenty keys a second, and each would cost every relay a call. What
+    /// is late by this stays within a tenth of the time that leaving backend
+    /// servers and changed configurations leave.
+    std::chrono::milliseconds gather{200};
     /// Whether another gateway's copy is followed now instead of the store.
     std::function<bool()> follows_peer = [] { return false; };
     std::chrono::milliseconds peer_look{100};
@@ -182,6 +187,7 @@
     // An empty watch that lasted its whole time saw nothing until its end.
     const bool waited = answer->events.empty() && now - begun >= options_.watch;
     state_.ConfirmSnapshot(waited ? begun + options_.watch : begun);
+    if (!answer->events.empty()) co_await Wait(options_.gather);
   }
 
   /// When something heard of at `now` was written. News that may be late is
--- a/libs/control/src/own_records.cc
+++ b/libs/control/src/own_records.cc
@@ -33,6 +33,11 @@
   return members;
 }
 
+std::size_t OwnRecords::MembersBefore(const std::string& key) const {
+  return static_cast<std::size_t>(
+      std::distance(items_.lower_bound(kMemberPrefix), items_.lower_bound(key)));
+}
+
 std::optional<Member> OwnRecords::RelayOf(const ZoneId& zone) const {
   const std::vector<Member> members = Members();
   const auto relay = std::ranges::find(members, zone, &Member::zone);
--- a/libs/control/test/memory_store.h
+++ b/libs/control/test/memory_store.h
@@ -136,6 +136,7 @@
   MemoryStore(MemoryTable& table, std::uint32_t seed) : table_(table), random_(seed) {}
 
   StoreFaults faults;
+  int watches = 0;  ///< calls of Watch so far
 
   net::awaitable<StoreResult<StorePage>> List(std::string /*prefix*/, std::string /*after*/) {
     co_await Pause(std::chrono::milliseconds(1));
@@ -148,6 +149,7 @@
 
   net::awaitable<StoreResult<WatchAnswer>> Watch(std::string /*prefix*/, StoreRevision after,
                                                  std::chrono::milliseconds wait) {
+    ++watches;
     const TimePoint until = Clock::now() + wait;
     for (;;) {
       co_await Pause(std::chrono::milliseconds(1));
--- /dev/null
+++ b/libs/control/test/own_records-test.cc
@@ -0,0 +1,40 @@
+#include "control/own_records.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace ridgehold;
+
+namespace {
+
+void PutMember(OwnRecords& records, const std::string& name, const std::string& zone) {
+  records.Put({kMemberPrefix + name, EncodeMember({"10.0.0." + name, ZoneId(zone)}),
+               StoreRevision(1), StoreLeaseId(1)});
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(own_records)
+
+BOOST_AUTO_TEST_CASE(members_take_turns_in_the_order_of_their_names) {
+  OwnRecords records;
+  for (const char* name : {"3", "1", "2"}) PutMember(records, name, "a");
+  records.Put({kRolloutHolderKey, "1", StoreRevision(2), StoreLeaseId(2)});
+  const std::string prefix = kMemberPrefix;
+  BOOST_TEST(records.MembersBefore(prefix + "1") == 0);
+  BOOST_TEST(records.MembersBefore(prefix + "3") == 2);
+  // One whose own key is not there yet comes where its name puts it.
+  BOOST_TEST(records.MembersBefore(prefix + "4") == 3);
+  records.Remove(prefix + "1");
+  BOOST_TEST(records.MembersBefore(prefix + "3") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(first_member_of_a_zone_is_its_relay) {
+  OwnRecords records;
+  PutMember(records, "1", "a");
+  PutMember(records, "2", "b");
+  PutMember(records, "3", "b");
+  BOOST_TEST(records.RelayOf(ZoneId("b"))->address == "10.0.0.2");
+  BOOST_TEST(!records.RelayOf(ZoneId("c")).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -52,10 +52,12 @@
   MemoryStore store{table, 1};
   Follower::Options options;
   std::unique_ptr<Follower> follower;
+  std::chrono::milliseconds gather{5};
 
   void Start() {
     options.watch = 100ms;
     options.longest_pause = 50ms;
+    options.gather = gather;
     follower = std::make_unique<Follower>(store, state, records, options);
     net::co_spawn(io, follower->Run(), net::detached);
     io.run_for(50ms);
@@ -86,6 +88,21 @@
   BOOST_TEST(!Has("b1"));
 }
 
+BOOST_AUTO_TEST_CASE(many_changes_in_a_row_cost_few_calls_and_none_is_missed) {
+  gather = 150ms;
+  options.watch = 5s;
+  table.Put("config", "1");
+  Start();
+  const int before = store.watches;
+  for (int i = 0; i < 30; ++i) {
+    table.Put("backend/b" + std::to_string(i), "x");
+    io.run_for(10ms);
+  }
+  BOOST_TEST(store.watches - before <= 4);
+  io.run_for(400ms);
+  for (int i = 0; i < 30; ++i) BOOST_TEST(Has("b" + std::to_string(i)));
+}
+
 BOOST_AUTO_TEST_CASE(configuration_never_goes_back) {
   table.Put("config", "5");
   Start();
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -178,10 +178,21 @@
     return options;
   }
 
-  /// Whether the duty may be applied for: nobody has it as far as is known now.
-  bool DutyIsFree() const {
-    return !state_.shutting_down() && follower_.connected() &&
-           records_.Find(kRolloutHolderKey) == nullptr;
+  /// Whether this instance may apply for the duty: nobody has it as far as is
+  /// known now, and those before it by name have had their turn. Were all to
+  /// apply at once, each but one would spend three calls in vain.
+  bool DutyIsFree() {
+    const bool free = !state_.shutting_down() && follower_.connected() &&
+                      records_.Find(kRolloutHolderKey) == nullptr;
+    if (!free) {
+      duty_free_since_.reset();
+      return false;
+    }
+    const TimePoint now = Clock::now();
+    if (!duty_free_since_) duty_free_since_ = now;
+    const std::size_t before = records_.MembersBefore(kMemberPrefix + settings_.daemon.value());
+    const auto turn = std::min<std::size_t>(before, tuning_.duty_turns);
+    return now - *duty_free_since_ >= turn * tuning_.duty_turn;
   }
 
   Result<void> OpenAdmin() {
@@ -383,6 +394,7 @@
   StoreCopyReader<Follower> copy_reader_;
   std::unique_ptr<AdminServer> metrics_server_;
   net::steady_timer timer_;
+  std::optional<TimePoint> duty_free_since_;
   bool duty_handed_over_ = false;
   bool done_ = false;
 };
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -33,6 +33,10 @@
   /// keys: the balancer then takes others before requests must be refused.
   double ready_part = 0.6;
   std::chrono::milliseconds duty_ttl{2'000};
+  /// The next by name applies for a free duty so much later, which is more than
+  /// taking it takes; after so many turns all may, should those before be cut off.
+  std::chrono::milliseconds duty_turn{250};
+  std::size_t duty_turns = 6;
   std::chrono::milliseconds member_ttl{10'000};
   std::chrono::milliseconds housekeeping{500};
   /// The balancer asks once a second and needs two misses. Requests that come
