--- a/libs/gateway/test/placement-test.cc
+++ b/libs/gateway/test/placement-test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck/boost_test.h>
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace ridgehold;
 using namespace std::chrono_literals;
@@ -47,6 +48,18 @@
     for (const PromptChain::Link& link : chain.links) parts.push_back(link.hash);
     BackendDirectory::NoteCached(*backend, parts, 9'000, kNow - ago);
   }
+
+  /// Where prompts go that begin alike and are new to all.
+  std::set<std::size_t> HomesOfSubjects() {
+    std::set<std::size_t> homes;
+    GenerationRequest request = Generation();
+    for (std::uint64_t subject = 10; subject < 40; ++subject) {
+      request.parts[1].id = subject;
+      chain = PromptChain::Of(request, "shared");
+      homes.insert(ChooseBackend(query, backends, weights).index);
+    }
+    return homes;
+  }
 };
 
 }  // namespace
@@ -140,24 +153,10 @@
 BOOST_AUTO_TEST_CASE(home_is_in_the_segment_of_the_prompts_beginning) {
   for (double begin : {0.0, 0.4, 0.7}) {
     query.segment = {begin, 0.01};
-    std::set<std::size_t> homes;
-    GenerationRequest request = Generation();
-    for (std::uint64_t subject = 10; subject < 40; ++subject) {
-      request.parts[1].id = subject;
-      chain = PromptChain::Of(request, "shared");
-      homes.insert(ChooseBackend(query, backends, weights).index);
-    }
-    BOOST_TEST(homes.size() == 1);
+    BOOST_TEST(HomesOfSubjects().size() == 1);
   }
   query.segment = {0, 1};
-  std::set<std::size_t> homes;
-  GenerationRequest request = Generation();
-  for (std::uint64_t subject = 10; subject < 40; ++subject) {
-    request.parts[1].id = subject;
-    chain = PromptChain::Of(request, "shared");
-    homes.insert(ChooseBackend(query, backends, weights).index);
-  }
-  BOOST_TEST(homes.size() == 3);
+  BOOST_TEST(HomesOfSubjects().size() == 3);
 }
 
 BOOST_AUTO_TEST_CASE(copy_costs_only_what_is_missing) {
