Sight: age of newer weights on each request's line, what each step of a rollout took

A request that used weights that were not the newest says which, how old the naming was when it was sent and when its first event came, and whether that moment is known or assumed. A step of the rollout says how long the engine was emptied and loaded, how many runs had to end, and how old the naming was; 'rollout may order' says when a holder's waiting time is over. Metrics: ridgehold_begun_on_older_weights_seconds, ridgehold_begun_on_weights_past_limit, ridgehold_rollout_step_seconds{outcome}, ridgehold_engines_on_older_weights, ridgehold_holds_rollout.

--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "control/backend_control.h"
 #include "control/held_key.h"
@@ -58,7 +59,8 @@
 
   net::awaitable<void> Run() {
     while (!stopped_) {
-      if (MayOrder(Clock::now())) StartSteps();
+      NoteMayOrder(MayOrder(Clock::now()));
+      if (may_order_) StartSteps();
       co_await Wait(timer_, options_.look);
     }
   }
@@ -79,6 +81,23 @@
   }
 
  private:
+  /// What one engine's step took, for its line in the log.
+  struct StepTimes {
+    TimePoint held{};
+    std::optional<TimePoint> emptied;
+    std::optional<TimePoint> ordered;
+    std::uint32_t left_to_end = 0;  ///< runs there that could not be resumed, when it was ordered
+    const char* outcome = "given_up";
+  };
+
+  void NoteMayOrder(bool may_order) {
+    if (std::exchange(may_order_, may_order) == may_order) return;
+    Log(LogLevel::kInfo, may_order ? "rollout may order" : "rollout may not order",
+        {{"fencing", std::to_string(duty_.fencing())},
+         {"held_for_ms", Milliseconds(Clock::now() - duty_.held_since())},
+         {"separation_ms", std::to_string(options_.separation.count())}});
+  }
+
   bool MayOrder(TimePoint now) const {
     return !stopped_ && duty_.Held(now) && now - duty_.held_since() >= options_.separation;
   }
@@ -103,10 +122,14 @@
   net::awaitable<void> BringUp(RolloutStep step) {
     const BackendId id = step.engine->entry.id;
     net::steady_timer timer(state_.executor());
-    state_.Hold(*step.engine, options_.hold, Clock::now());
+    StepTimes times;
+    times.held = Clock::now();
+    state_.Hold(*step.engine, options_.hold, times.held);
     co_await Drain(step, timer);
-    load_begun_[id] = Clock::now();
-    co_await Load(step, timer);
+    times.emptied = Clock::now();
+    load_begun_[id] = *times.emptied;
+    co_await Load(step, timer, times);
+    LogStep(step, times);
     load_begun_.erase(id);
     state_.Hold(*step.engine, std::chrono::milliseconds(0), Clock::now());
     begun_.erase(id);
@@ -130,16 +153,22 @@
     return step.engine->unrepeatable + step.engine->peers.unrepeatable;
   }
 
-  net::awaitable<void> Load(const RolloutStep& step, net::steady_timer& timer) {
+  net::awaitable<void> Load(const RolloutStep& step, net::steady_timer& timer, StepTimes& times) {
     const TimePoint give_up = Clock::now() + options_.patience;
     std::optional<WeightsNumber> ordered;
     while (Clock::now() < give_up && !stopped_ && !step.engine->removed) {
       const auto report = co_await control_.Report(step.engine->entry);
-      if (!report) break;
-      if (TakeReport(step, *report, ordered)) break;
+      if (!report) {
+        times.outcome = "no_report";
+        break;
+      }
+      if (TakeReport(step, *report, ordered)) {
+        times.outcome = "loaded";
+        break;
+      }
       std::chrono::milliseconds pause = options_.poll;
       if (!ordered && !report->busy) {
-        ordered = co_await Order(step, *report);
+        ordered = co_await Order(step, *report, times);
         if (ordered) pause = options_.first_poll;
       }
       co_await Wait(timer, pause);
@@ -165,7 +194,7 @@
 
   /// Returns the weights the engine loads now; nothing when it took no order.
   net::awaitable<std::optional<WeightsNumber>> Order(const RolloutStep& step,
-                                                     const EngineReport& report) {
+                                                     const EngineReport& report, StepTimes& times) {
     WeightsLoad load;
     load.model = step.model;
     load.number = *state_.named_weights().Newest(step.model);
@@ -175,6 +204,8 @@
     load.expected_orders_taken = report.orders_taken;
     // The report took time; the duty may be gone by now.
     if (!MayOrder(Clock::now())) co_return std::nullopt;
+    times.ordered = Clock::now();
+    times.left_to_end = Unrepeatable(step);
     const OrderOutcome outcome = co_await control_.Load(step.engine->entry, load);
     Log(LogLevel::kInfo, "ordered weights",
         {{"backend", step.engine->entry.id.value()},
@@ -189,6 +220,34 @@
     co_return taken ? std::optional(load.number) : std::nullopt;
   }
 
+  static std::string Milliseconds(Clock::duration duration) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+  }
+
+  /// The times tell what held the engine up: runs that had to end before the
+  /// order, a turn to load, or the load itself.
+  void LogStep(const RolloutStep& step, const StepTimes& times) {
+    const TimePoint now = Clock::now();
+    LogFields fields = {{"backend", step.engine->entry.id.value()},
+                        {"outcome", times.outcome},
+                        {"ms", Milliseconds(now - times.held)}};
+    if (times.emptied) fields.push_back({"drain_ms", Milliseconds(*times.emptied - times.held)});
+    if (times.ordered) {
+      fields.push_back({"load_ms", Milliseconds(now - *times.ordered)});
+      fields.push_back({"left_to_end", std::to_string(times.left_to_end)});
+    }
+    if (const auto since = state_.named_weights().NewestSince(step.model)) {
+      fields.push_back({"newest_age_ms", Milliseconds(now - *since)});
+    }
+    fields.push_back(
+        {"running_there", std::to_string(step.engine->in_flight + step.engine->peers.running)});
+    Log(LogLevel::kInfo, "rollout step", fields);
+    state_.metrics()
+        .GetSummary("ridgehold_rollout_step_seconds",
+                    "outcome=\"" + std::string(times.outcome) + "\"")
+        .Observe(std::chrono::duration<double>(now - times.held).count());
+  }
+
   static net::awaitable<void> Wait(net::steady_timer& timer, std::chrono::milliseconds time) {
     ErrorCode ignored;
     timer.expires_after(time);
@@ -202,6 +261,7 @@
   net::steady_timer timer_;
   std::set<BackendId> begun_;
   std::map<BackendId, TimePoint> load_begun_;
+  bool may_order_ = false;
   bool stopped_ = false;
 };
 
--- a/libs/control/include/control/rollout_plan.h
+++ b/libs/control/include/control/rollout_plan.h
@@ -23,6 +23,10 @@
 std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
                           std::uint32_t engines_for_each_load);
 
+/// Engines that are to load newer weights than they have, those that are being
+/// brought up included.
+std::size_t CountOutdated(const BackendDirectory& directory, const NamedWeights& named);
+
 /// Returns the engines to begin with next: those on older weights, the oldest
 /// and then the least busy first. `ending` of those begun will soon have
 /// loaded; so many more are begun, to be emptied meanwhile. Pure.
--- a/libs/control/src/rollout_plan.cc
+++ b/libs/control/src/rollout_plan.cc
@@ -12,6 +12,19 @@
          named.OutdatedSince(model, weights).has_value();
 }
 
+std::vector<RolloutStep> OutdatedEngines(const BackendDirectory& directory,
+                                         const NamedWeights& named) {
+  std::vector<RolloutStep> steps;
+  for (const auto& [id, engine] : directory.all()) {
+    for (const auto& [model, weights] : engine->weights) {
+      if (!IsOutdated(*engine, model, weights, named)) continue;
+      steps.push_back({engine, model});
+      break;
+    }
+  }
+  return steps;
+}
+
 }  // namespace
 
 std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
@@ -23,18 +36,16 @@
   return std::max(rounded_up, 1U);
 }
 
+std::size_t CountOutdated(const BackendDirectory& directory, const NamedWeights& named) {
+  return OutdatedEngines(directory, named).size();
+}
+
 std::vector<RolloutStep> NextSteps(const BackendDirectory& directory, const NamedWeights& named,
                                    const std::set<BackendId>& begun, std::size_t ending,
                                    std::uint32_t engines_for_each_load) {
-  std::vector<RolloutStep> steps;
-  for (const auto& [id, engine] : directory.all()) {
-    if (begun.contains(id)) continue;
-    for (const auto& [model, weights] : engine->weights) {
-      if (!IsOutdated(*engine, model, weights, named)) continue;
-      steps.push_back({engine, model});
-      break;
-    }
-  }
+  std::vector<RolloutStep> steps = OutdatedEngines(directory, named);
+  std::erase_if(steps,
+                [&](const RolloutStep& step) { return begun.contains(step.engine->entry.id); });
   if (steps.empty()) return steps;
   std::ranges::stable_sort(steps, {}, [](const RolloutStep& step) {
     // Those that do not answer now come last.
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -284,7 +284,7 @@
   AdminServer::Pages MetricsPages() {
     AdminServer::Pages pages;
     pages["/metrics"] = [this](const std::string& /*query*/) {
-      state_.metrics().SetGauge("ridgehold_in_flight", "", state_.in_flight());
+      SetGauges();
       return AdminPage{http::status::ok, "text/plain; version=0.0.4", metrics_.Print()};
     };
     pages["/state"] = [this](const std::string& /*query*/) {
@@ -293,6 +293,16 @@
     return pages;
   }
 
+  void SetGauges() const {
+    const TimePoint now = Clock::now();
+    Metrics& metrics = state_.metrics();
+    metrics.SetGauge("ridgehold_in_flight", "", state_.in_flight());
+    metrics.SetGauge("ridgehold_holds_rollout", "", duty_.Held(now) ? 1 : 0);
+    metrics.SetGauge(
+        "ridgehold_engines_on_older_weights", "",
+        static_cast<double>(CountOutdated(state_.directory(), state_.named_weights())));
+  }
+
   std::string Dump() const {
     InstanceFacts facts;
     facts.daemon = settings_.daemon;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -45,6 +45,7 @@
   /// One attempt while it runs.
   struct Attempt {
     BackendPtr backend;
+    std::optional<WeightsNumber> expected_weights;
     std::shared_ptr<OutboundConnection> connection;
     AnswerHead head;
     ResponseHead caller_head;
@@ -111,6 +112,7 @@
     }
     attempt_ = Attempt{};
     attempt_.backend = choice->backend;
+    attempt_.expected_weights = choice->weights;
     ++facts_.sends;
     NoteChoice(*choice);
     ++record_.attempts;
@@ -127,6 +129,7 @@
     record_.tokens_to_read = choice.tokens_to_read;
     record_.running_there = backend.in_flight + backend.peers.running;
     record_.fetched_from = choice.fetch_from.value_or("");
+    record_.older_weights = OlderWeightsAt(state_, inbound_, choice.weights, Clock::now());
   }
 
   net::awaitable<AttemptEnd> RunAttempt(const BackendChoice& choice) {
@@ -222,6 +225,20 @@
   void NotePrefilled() {
     if (std::exchange(attempt_.prefilled, true)) return;
     load_->EndReading();
+    NoteBegun();
+  }
+
+  /// An engine begins a request with its first event. Newer weights may have
+  /// been named while the request waited there.
+  void NoteBegun() {
+    const auto weights = attempt_.head.weights ? attempt_.head.weights : attempt_.expected_weights;
+    const auto use = OlderWeightsAt(state_, inbound_, weights, Clock::now());
+    if (!use) return;
+    if (!record_.older_weights) {
+      record_.older_weights = use;
+      record_.older_weights->age_when_sent = Duration::zero();
+    }
+    record_.older_weights->age_when_begun = use->age_when_sent;
   }
 
   AttemptEnd EndOf(ExchangeFault fault) {
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/inbound_request.h"
 #include "gateway/placement.h"
+#include "gateway/request_log.h"
 
 namespace ridgehold {
 
@@ -60,6 +61,11 @@
 AttemptDirectives DirectivesFor(const GatewayState& state, const ExchangePlan& plan,
                                 const BackendChoice& choice, TimePoint now);
 
+/// What is to be noted if `weights` are not the newest at `now`.
+std::optional<OlderWeightsUse> OlderWeightsAt(const GatewayState& state,
+                                              const InboundRequest& request,
+                                              std::optional<WeightsNumber> weights, TimePoint now);
+
 /// Until when to wait for an answer's head.
 TimePoint HeadLimit(const GatewayState& state, const ExchangePlan& plan, const AttemptFacts& facts,
                     TimePoint now);
--- a/libs/gateway/include/gateway/named_weights.h
+++ b/libs/gateway/include/gateway/named_weights.h
@@ -40,7 +40,11 @@
   /// When the newest was named.
   std::optional<TimePoint> NewestSince(const ModelId& model) const;
 
-  /// Since when `number` has not been the newest, at the latest; nothing while it is.
+  /// The naming since which `number` has not been the newest, at the latest;
+  /// nothing while it is.
+  std::optional<Naming> OutdatedBy(const ModelId& model, WeightsNumber number) const;
+
+  /// Its moment alone.
   std::optional<TimePoint> OutdatedSince(const ModelId& model, WeightsNumber number) const;
 
  private:
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -10,11 +10,22 @@
 #include "base/result_code.h"
 #include "gateway/attempt_policy.h"
 #include "gateway/backend_directory.h"
+#include "gateway/inbound_request.h"
 
 namespace ridgehold {
 
 class GatewayState;
 
+/// A request that was sent to an engine with weights that were not the newest,
+/// or whose weights were no longer the newest when it began.
+struct OlderWeightsUse {
+  WeightsNumber weights;
+  WeightsNumber newer;         ///< the number that outdated them
+  Duration age_when_sent{0};   ///< of that naming, as this gateway counts; 0: named later
+  Duration age_when_begun{0};  ///< the same at the first event; 0: none came
+  bool assumed = false;        ///< the naming's moment was a guess
+};
+
 /// What is remembered of a request for its line.
 struct RequestRecord {
   RequestId request;
@@ -30,6 +41,7 @@
   double tokens_to_read = 0;
   std::uint32_t running_there = 0;  ///< of all gateways
   std::string fetched_from;
+  std::optional<OlderWeightsUse> older_weights;
   int status = 0;  ///< sent to the caller
   ResultCode code = ResultCode::kOk;
   bool out_of_retries = false;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -190,6 +190,20 @@
   return directives;
 }
 
+std::optional<OlderWeightsUse> OlderWeightsAt(const GatewayState& state,
+                                              const InboundRequest& request,
+                                              std::optional<WeightsNumber> weights, TimePoint now) {
+  if (!request.generation || !weights) return std::nullopt;
+  const auto newer = state.named_weights().OutdatedBy(request.generation->model, *weights);
+  if (!newer) return std::nullopt;
+  OlderWeightsUse use;
+  use.weights = *weights;
+  use.newer = newer->number;
+  use.age_when_sent = std::chrono::duration_cast<Duration>(now - newer->at);
+  use.assumed = newer->assumed;
+  return use;
+}
+
 TimePoint HeadLimit(const GatewayState& state, const ExchangePlan& plan, const AttemptFacts& facts,
                     TimePoint now) {
   const bool another_run = facts.may_repeat && facts.runs + 1 < facts.max_runs;
--- a/libs/gateway/src/named_weights.cc
+++ b/libs/gateway/src/named_weights.cc
@@ -30,14 +30,20 @@
   return found->second.back().at;
 }
 
-std::optional<TimePoint> NamedWeights::OutdatedSince(const ModelId& model,
-                                                     WeightsNumber number) const {
+std::optional<NamedWeights::Naming> NamedWeights::OutdatedBy(const ModelId& model,
+                                                             WeightsNumber number) const {
   const auto found = namings_.find(model);
   if (found == namings_.end()) return std::nullopt;
   // A later number proves that the weights are outdated at its moment too.
   const auto newer = std::ranges::upper_bound(found->second, number, {}, &Naming::number);
   const auto earliest = std::ranges::min_element(newer, found->second.end(), {}, &Naming::at);
-  return earliest == found->second.end() ? std::nullopt : std::optional(earliest->at);
+  return earliest == found->second.end() ? std::nullopt : std::optional(*earliest);
+}
+
+std::optional<TimePoint> NamedWeights::OutdatedSince(const ModelId& model,
+                                                     WeightsNumber number) const {
+  const auto naming = OutdatedBy(model, number);
+  return naming ? std::optional(naming->at) : std::nullopt;
 }
 
 }  // namespace ridgehold
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -53,6 +53,24 @@
   return state.snapshot() ? std::to_string(state.snapshot()->version().value()) : "none";
 }
 
+std::string Milliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+void AppendOlderWeights(GatewayState& state, const OlderWeightsUse& use, LogFields& fields) {
+  fields.push_back({"weights", std::to_string(use.weights.value())});
+  fields.push_back({"newer", std::to_string(use.newer.value())});
+  fields.push_back({"newer_age_sent_ms", Milliseconds(use.age_when_sent)});
+  fields.push_back({"newer_age_is", use.assumed ? "assumed" : "known"});
+  if (use.age_when_begun == Duration::zero()) return;
+  fields.push_back({"newer_age_begun_ms", Milliseconds(use.age_when_begun)});
+  state.metrics()
+      .GetSummary("ridgehold_begun_on_older_weights_seconds")
+      .Observe(std::chrono::duration<double>(use.age_when_begun).count());
+  const bool late = use.age_when_begun >= state.limits().older_weights;
+  if (late) state.metrics().GetCounter("ridgehold_begun_on_weights_past_limit").Add();
+}
+
 }  // namespace
 
 void LogRequest(GatewayState& state, const RequestRecord& record) {
@@ -84,6 +102,7 @@
     fields.push_back({"first_event_ms", MillisecondsBetween(record.received, *record.first_event)});
   }
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
+  if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
   if (record.out_of_retries) fields.push_back({"retry_budget", "spent"});
   if (!record.detail.empty()) fields.push_back({"detail", record.detail});
   Log(LogLevel::kInfo, "request", fields);
