Requests that wait at an engine past the bound on its weights are withdrawn; namings count from when they were not there yet

Overloaded engines begin them seconds later.

Changed: what waits for its first event is watched and taken back at the bound, also when the naming comes after the sending (WaitingAttempts); a resumable request goes on elsewhere, another fails as 3009, may have run. None is sent that would wait past the bound (as the last ones did, and the oldest that waits). Checked again after connecting. A naming counts from the last moment at which it was certainly not there; after a start unknown namings are taken for older. The margin on the bound, which had to cover queue and hearing, goes from 1 s to 0.4 s. A connection that is given up is reset, so that the kernel does not deliver the request a second later.

Ruled out: a time limit on the attempt that ends at the bound; it would cut runs that began in time.

--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -53,6 +53,7 @@
   kStreamLost = 3006,
   kForeignAnswer = 3007,
   kCallerGone = 3008,
+  kWeightsPastLimit = 3009,
   // 4xxx: the platform's key-value service.
   kPlatformUnavailable = 4001,
   kPlatformAnswerLost = 4002,
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -38,6 +38,9 @@
     /// Whether another gateway's copy is followed now instead of the store.
     std::function<bool()> follows_peer = [] { return false; };
     std::chrono::milliseconds peer_look{100};
+    /// What a process finds at its start was written at an unknown time; its
+    /// peers tell better if there are any.
+    std::chrono::milliseconds unknown_age{5'000};
     /// Between failed calls; doubled up to the longest.
     std::chrono::milliseconds first_pause{50};
     std::chrono::milliseconds longest_pause{400};
@@ -190,12 +193,12 @@
     if (!answer->events.empty()) co_await Wait(options_.gather);
   }
 
-  /// When something heard of at `now` was written. News that may be late is
-  /// dated back to when it was certainly not there yet.
+  /// When something heard of at `now` was written at the earliest: bounds count
+  /// from the writing, and news is late by gathering, relays and a slow store.
   FactSink::Writing WritingOf(TimePoint now) const {
-    if (!read_once_) return {now - kUnknownAge, true};
+    if (!read_once_) return {now - options_.unknown_age, true};
     const bool prompt = now - state_.confirmed_at() <= kPromptNews;
-    return prompt ? FactSink::Writing{now, false} : FactSink::Writing{state_.confirmed_at(), true};
+    return {state_.confirmed_at(), !prompt};
   }
 
   void TakeEvent(const StoreEvent& event, TimePoint now, const FactSink::Writing& writing) {
@@ -275,9 +278,6 @@
   /// Changes remembered; a large fleet's heartbeats and a rollout make some
   /// hundred within the half second between two questions of a peer.
   static constexpr std::size_t kMostRecent = 1'000;
-  /// What a process finds at its start was written at an unknown time; its
-  /// peers tell better if there are any. Half of the time that a rollout has.
-  static constexpr std::chrono::milliseconds kUnknownAge{5'000};
   /// A watch that works tells within its length and a slow store's answer.
   static constexpr std::chrono::milliseconds kPromptNews{1'500};
 
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -251,6 +251,7 @@
   typename Follower::Options FollowerOptions() {
     typename Follower::Options options;
     options.follows_peer = [this] { return FollowsRelay(); };
+    options.unknown_age = settings_.weights_limit - tuning_.unknown_weights_use;
     return options;
   }
 
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -46,8 +46,15 @@
   std::chrono::milliseconds longest_load{1'500};
   /// Left before the process is killed.
   std::chrono::milliseconds shutdown_margin{700};
-  /// Requests begin on older weights until so long before the limit.
-  std::chrono::milliseconds weights_margin{1'000};
+  /// Requests must have begun on older weights so long before the limit: a
+  /// close takes a few ms to the engine, a gateway on a capped core stands
+  /// still for up to 100 ms, and an engine looks up after each step of 75 ms.
+  std::chrono::milliseconds weights_margin{400};
+  /// After a start, weights that were named at an unknown time let requests
+  /// begin on older ones for so long, less the margin: peers tell the time
+  /// within 0.5 s, and a rollout that is resumed brings up the first engines
+  /// within 2 s.
+  std::chrono::milliseconds unknown_weights_use{3'000};
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/attempt_policy.h
+++ b/libs/gateway/include/gateway/attempt_policy.h
@@ -17,6 +17,8 @@
   kBroken,      ///< it broke off, or what came cannot be the answer
   kTimedOut,    ///< no answer in time
   kCallerGone,  ///< ended because the caller left
+  kSkipped,     ///< not sent: the backend server may no longer be used
+  kWithdrawn,   ///< ended since no event came before its weights got too old
 };
 
 /// All that the next step depends on.
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -60,6 +60,9 @@
   TimePoint avoid_until{};        ///< after failures, or while it loads weights
   std::uint32_t failures = 0;     ///< in a row
   double error_rate = 0;          ///< moving mean of failed answers
+  Duration begin_wait{0};         ///< until the first event, as requests waited lately
+  TimePoint begin_wait_seen{};
+  std::multiset<TimePoint> waiting_since;  ///< of this gateway's requests without an event
   /// Tokens its cache has taken in since it was first seen.
   double inserted_tokens = 0;
   /// By chain hash; of the weights it runs now.
@@ -97,6 +100,12 @@
   BackendPtr FindByHash(BackendHash hash) const;
   const std::map<BackendId, BackendPtr>& all() const { return backends_; }
 
+  /// How long a request that is sent now waits until the engine begins it: as
+  /// long as the last ones did, and the one that has waited longest by now.
+  static Duration ExpectedWait(const Backend& backend, TimePoint now);
+  /// The first event has come after `waited`.
+  static void NoteBegun(Backend& backend, Duration waited, TimePoint now);
+
   static void NoteSuccess(Backend& backend);
   /// The backend server could not be reached or broke off.
   static void NoteFailure(Backend& backend, TimePoint now);
--- a/libs/gateway/include/gateway/backend_load.h
+++ b/libs/gateway/include/gateway/backend_load.h
@@ -2,6 +2,9 @@
 
 #pragma once
 
+#include <optional>
+#include <set>
+
 #include "gateway/backend_directory.h"
 #include "gateway/exchange_plan.h"
 
@@ -18,11 +21,14 @@
   BackendLoad& operator=(const BackendLoad&) = delete;
 
   /// The prompt has been read: the first event is there.
-  void EndReading();
+  void Begun(TimePoint now);
 
  private:
+  void EndReading();
+
   BackendPtr backend_;
   double unread_tokens_ = 0;
+  std::optional<std::multiset<TimePoint>::iterator> waiting_;
   bool unrepeatable_ = false;
 };
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -51,6 +51,7 @@
     ResponseHead caller_head;
     std::string body;
     bool prefilled = false;
+    bool withdrawn = false;
   };
 
   Exchange(GatewayState& state, std::shared_ptr<CallerConnection> caller)
@@ -141,14 +142,33 @@
       state_.pool().Release(address, attempt_.connection);
       co_return AttemptEnd::kCallerGone;
     }
+    // Connecting took time, and what was chosen then may have left since.
+    if (!MayStillSend(state_, inbound_, choice, Clock::now())) {
+      state_.pool().Release(address, attempt_.connection);
+      last_code_ = ResultCode::kNoBackend;
+      co_return AttemptEnd::kSkipped;
+    }
     AttemptDirectives directives = DirectivesFor(state_, plan_, choice, Clock::now());
     directives.resume_after = relay_.last_event();
+    WatchBegin();
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptEnd end = co_await ReadAnswer();
+    waiting_.reset();
     state_.pool().Release(address, std::move(attempt_.connection));
     co_return end;
   }
 
+  /// The bound on older weights is about the moment an engine begins a request,
+  /// so one that still waits there then is taken back.
+  void WatchBegin() {
+    if (!inbound_.generation || !attempt_.expected_weights) return;
+    state_.waiting_attempts().Add(waiting_, inbound_.generation->model, *attempt_.expected_weights,
+                                  [this] {
+                                    attempt_.withdrawn = true;
+                                    attempt_.connection->Cancel();
+                                  });
+  }
+
   /// Reads heads until one belongs to this request; answers to others are skipped.
   net::awaitable<AttemptEnd> ReadAnswer() {
     relay_.StartAttempt();
@@ -177,6 +197,7 @@
       attempt_.connection->Cancel();
       co_return AttemptEnd::kBroken;
     }
+    if (!attempt_.head.event_stream) waiting_.reset();
     const bool streams = plan_.route->kind == RouteKind::kStream && attempt_.head.event_stream &&
                          IsSuccess(attempt_.head.status);
     if (streams) co_return co_await RelayStream();
@@ -224,13 +245,14 @@
   /// The engine has made its first event, so the prompt is read.
   void NotePrefilled() {
     if (std::exchange(attempt_.prefilled, true)) return;
-    load_->EndReading();
+    load_->Begun(Clock::now());
     NoteBegun();
   }
 
   /// An engine begins a request with its first event. Newer weights may have
   /// been named while the request waited there.
   void NoteBegun() {
+    waiting_.reset();
     const auto weights = attempt_.head.weights ? attempt_.head.weights : attempt_.expected_weights;
     const auto use = OlderWeightsAt(state_, inbound_, weights, Clock::now());
     if (!use) return;
@@ -251,7 +273,9 @@
         return AttemptEnd::kTimedOut;
       case ExchangeFault::kCancelled:
         if (caller_->caller_gone()) return AttemptEnd::kCallerGone;
-        break;
+        if (!attempt_.withdrawn) break;
+        last_code_ = ResultCode::kWeightsPastLimit;
+        return AttemptEnd::kWithdrawn;
       case ExchangeFault::kNone:
       case ExchangeFault::kBroken:
         break;
@@ -275,7 +299,7 @@
     NoteOutcome(state_, inbound_, *attempt_.backend, facts_, now);
     tried_.insert(attempt_.backend->entry.id);
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(facts_);
-    const bool arrived = end != AttemptEnd::kNotSent;
+    const bool arrived = end != AttemptEnd::kNotSent && end != AttemptEnd::kSkipped;
     if (step == NextStep::kTryAgain && arrived && !state_.retries().Spend(plan_.service, now)) {
       record_.out_of_retries = true;
       step = StepWithoutRetry(facts_);
@@ -346,6 +370,7 @@
   AttemptFacts facts_;
   Attempt attempt_;
   std::optional<BackendLoad> load_;
+  std::optional<WaitingAttempts::Ticket> waiting_;
   std::set<BackendId> tried_;
   ResultCode last_code_ = ResultCode::kNoBackend;
   RequestRecord record_;
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -57,6 +57,11 @@
 /// engines' time is better used for others.
 bool IsOverloaded(const GatewayState& state, const ExchangePlan& plan, const BackendChoice& choice);
 
+/// Whether the attempt may still be sent there: the backend server is not
+/// leaving, and has weights on which the request may begin.
+bool MayStillSend(const GatewayState& state, const InboundRequest& request,
+                  const BackendChoice& choice, TimePoint now);
+
 /// What the attempt tells the backend server.
 AttemptDirectives DirectivesFor(const GatewayState& state, const ExchangePlan& plan,
                                 const BackendChoice& choice, TimePoint now);
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -18,6 +18,7 @@
 #include "gateway/prefix_shares.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/routing_snapshot.h"
+#include "gateway/waiting_attempts.h"
 #include "metrics/metrics.h"
 #include "net/connection_pool.h"
 
@@ -57,7 +58,13 @@
         placement_weights_(weights),
         metrics_(metrics),
         pool_(executor, ConnectionPool::Options{}),
-        retries_(limits.retries) {}
+        retries_(limits.retries),
+        waiting_attempts_(executor, named_weights_, limits.older_weights) {
+    named_weights_.SetListener([this] { waiting_attempts_.Review(); });
+  }
+
+  GatewayState(const GatewayState&) = delete;
+  GatewayState& operator=(const GatewayState&) = delete;
 
   net::any_io_executor executor() const { return executor_; }
   const ZoneId& zone() const { return zone_; }
@@ -66,6 +73,7 @@
   void SetLimits(const GatewayLimits& limits) {
     limits_ = limits;
     retries_.SetBound(limits.retries);
+    waiting_attempts_.SetLimit(limits.older_weights);
   }
   const PlacementWeights& weights() const { return placement_weights_; }
   Metrics& metrics() { return metrics_; }
@@ -95,6 +103,7 @@
 
   NamedWeights& named_weights() { return named_weights_; }
   const NamedWeights& named_weights() const { return named_weights_; }
+  WaitingAttempts& waiting_attempts() { return waiting_attempts_; }
 
   /// Gateways that are alive, this one included.
   std::uint32_t gateways() const { return gateways_; }
@@ -156,6 +165,7 @@
   TimePoint confirmed_at_{};
   PrefixShares prefix_shares_;
   NamedWeights named_weights_;
+  WaitingAttempts waiting_attempts_;
   std::uint32_t gateways_ = 1;
   double heard_gateways_ = 0;
   NewsItems news_;
--- a/libs/gateway/include/gateway/named_weights.h
+++ b/libs/gateway/include/gateway/named_weights.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -31,6 +33,9 @@
   /// number is newer than all known ones.
   bool Take(const ModelId& model, WeightsNumber number, TimePoint at, bool assumed = false);
 
+  /// Called after each Take that changed something.
+  void SetListener(std::function<void()> listener) { on_change_ = std::move(listener); }
+
   /// All that is remembered, ascending by number.
   const std::map<ModelId, std::vector<Naming>>& all() const { return namings_; }
 
@@ -48,6 +53,11 @@
   std::optional<TimePoint> OutdatedSince(const ModelId& model, WeightsNumber number) const;
 
  private:
+  void Changed() const {
+    if (on_change_) on_change_();
+  }
+
+  std::function<void()> on_change_;
   std::map<ModelId, std::vector<Naming>> namings_;
 };
 
--- a/libs/gateway/src/attempt_policy.cc
+++ b/libs/gateway/src/attempt_policy.cc
@@ -34,7 +34,7 @@
 }  // namespace
 
 bool ProvesNotRun(const AttemptFacts& facts) {
-  if (facts.end == AttemptEnd::kNotSent) return true;
+  if (facts.end == AttemptEnd::kNotSent || facts.end == AttemptEnd::kSkipped) return true;
   return facts.end == AttemptEnd::kAnswered && (facts.not_executed || facts.status == kMisdirected);
 }
 
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -9,6 +9,9 @@
 // with 4 rule sets and 197 with 40 are all there are.
 constexpr std::size_t kMostRememberedParts = 4'000;
 
+// Without a first event for so long nothing is known of an engine's queue.
+constexpr std::chrono::milliseconds kWaitRemembered{3'000};
+
 /// Weights only move forward; an older number is late news.
 void RaiseWeights(Backend& backend, const ModelId& model, WeightsNumber weights) {
   WeightsNumber& known = backend.weights[model];
@@ -98,6 +101,22 @@
   }
 }
 
+Duration BackendDirectory::ExpectedWait(const Backend& backend, TimePoint now) {
+  Duration wait{0};
+  if (now - backend.begin_wait_seen < kWaitRemembered) wait = backend.begin_wait;
+  if (backend.waiting_since.empty()) return wait;
+  const auto oldest = std::chrono::duration_cast<Duration>(now - *backend.waiting_since.begin());
+  return std::max(wait, oldest);
+}
+
+void BackendDirectory::NoteBegun(Backend& backend, Duration waited, TimePoint now) {
+  const bool recent = now - backend.begin_wait_seen < kWaitRemembered;
+  const Duration known = recent ? backend.begin_wait : Duration::zero();
+  // A queue that grows is believed at once, one that shrinks step by step.
+  backend.begin_wait = std::max<Duration>(waited, (2 * known + waited) / 3);
+  backend.begin_wait_seen = now;
+}
+
 void BackendDirectory::NoteSuccess(Backend& backend) {
   backend.failures = 0;
   backend.error_rate *= 1 - kErrorRateStep;
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -13,6 +13,7 @@
   backend_->unprefilled_tokens += unread_tokens_;
   if (unrepeatable_) ++backend_->unrepeatable;
   if (!plan.chain) return;
+  waiting_ = backend_->waiting_since.insert(Clock::now());
   PlacedNews placed;
   placed.backend = HashOf(backend_->entry.id);
   placed.new_tokens = choice.tokens_to_store + request.generation->max_output_tokens;
@@ -26,6 +27,17 @@
   if (unrepeatable_) --backend_->unrepeatable;
 }
 
-void BackendLoad::EndReading() { backend_->unprefilled_tokens -= std::exchange(unread_tokens_, 0); }
+void BackendLoad::Begun(TimePoint now) {
+  if (!waiting_) return;
+  const auto waited = std::chrono::duration_cast<Duration>(now - **waiting_);
+  EndReading();
+  BackendDirectory::NoteBegun(*backend_, waited, now);
+}
+
+void BackendLoad::EndReading() {
+  backend_->unprefilled_tokens -= std::exchange(unread_tokens_, 0);
+  if (waiting_) backend_->waiting_since.erase(*waiting_);
+  waiting_.reset();
+}
 
 }  // namespace ridgehold
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -44,13 +44,17 @@
   return found == backend.weights.end() ? std::nullopt : std::optional(found->second);
 }
 
-/// Whether a request may still begin on the weights the backend server has.
+/// Whether a request that is sent at `now` can still begin on the weights the
+/// backend server has: the bound is about the beginning, and requests wait
+/// there for as long as the last ones did.
 bool WeightsAllowed(const GatewayState& state, const Backend& backend, const ModelId& model,
                     TimePoint now) {
   const auto own = WeightsOf(backend, model);
   if (!own) return true;
   const auto outdated = state.named_weights().OutdatedSince(model, *own);
-  return !outdated || now - *outdated < state.limits().older_weights;
+  if (!outdated) return true;
+  const TimePoint begins = now + BackendDirectory::ExpectedWait(backend, now);
+  return begins - *outdated < state.limits().older_weights;
 }
 
 /// How long a backend server that refused is left alone.
@@ -173,6 +177,13 @@
   return choice.wait_ms > objectives * objective;
 }
 
+bool MayStillSend(const GatewayState& state, const InboundRequest& request,
+                  const BackendChoice& choice, TimePoint now) {
+  const Backend& backend = *choice.backend;
+  if (backend.removed || backend.entry.draining) return false;
+  return !request.generation || WeightsAllowed(state, backend, request.generation->model, now);
+}
+
 AttemptDirectives DirectivesFor(const GatewayState& /*state*/, const ExchangePlan& plan,
                                 const BackendChoice& choice, TimePoint now) {
   AttemptDirectives directives;
@@ -250,6 +261,8 @@
     case AttemptEnd::kTimedOut:
       return BackendDirectory::NoteFailure(backend, now);
     case AttemptEnd::kCallerGone:
+    case AttemptEnd::kSkipped:
+    case AttemptEnd::kWithdrawn:
       return;
   }
   if (ProvesNotRun(facts)) {
--- a/libs/gateway/src/named_weights.cc
+++ b/libs/gateway/src/named_weights.cc
@@ -9,12 +9,15 @@
   const auto place = std::ranges::lower_bound(namings, number, {}, &Naming::number);
   const bool newest = place == namings.end();
   if (!newest && place->number == number) {
-    if (place->assumed && !assumed) *place = {number, at, false};
-    if (place->assumed == assumed) place->at = std::min(place->at, at);
+    const bool better = place->assumed ? !assumed || at < place->at : !assumed && at < place->at;
+    if (!better) return false;
+    *place = {number, at, assumed};
+    Changed();
     return false;
   }
   namings.insert(place, {number, at, assumed});
   if (namings.size() > kMostRemembered) namings.erase(namings.begin());
+  Changed();
   return newest;
 }
 
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -27,6 +27,10 @@
       return "timed_out";
     case AttemptEnd::kCallerGone:
       return "caller_gone";
+    case AttemptEnd::kSkipped:
+      return "skipped";
+    case AttemptEnd::kWithdrawn:
+      return "withdrawn";
   }
   return "unknown";
 }
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -82,6 +82,7 @@
   void OnWritten(const ErrorCode& error, std::size_t bytes);
   ExchangeFault FaultAfter(const ErrorCode& error) const;
   void TakeHeadFields();
+  void DropUnsent();
   void Close();
 
   tcp::socket socket_;
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -159,6 +159,7 @@
   limit_timer_.async_wait([self = shared_from_this(), generation](const ErrorCode& error) {
     if (error || generation != self->limit_generation_) return;
     self->timed_out_ = true;
+    self->DropUnsent();
     self->Close();
   });
 }
@@ -172,9 +173,17 @@
 
 void OutboundConnection::Cancel() {
   cancelled_ = true;
+  DropUnsent();
   Close();
 }
 
+void OutboundConnection::DropUnsent() {
+  // Else the kernel goes on sending what the other side has not acknowledged,
+  // and a request or an order that was given up may arrive a second later.
+  ErrorCode ignored;
+  socket_.set_option(net::socket_base::linger(true, 0), ignored);
+}
+
 void OutboundConnection::Close() {
   ErrorCode ignored;
   socket_.close(ignored);
