A rollout of weights keeps its bound: it hurries as the bound comes near, and a restarted holder goes on

It waited for engines to empty, for their runs to end (4 to 5 s at overloaded ones, during which the engine took nothing new), for turns that silent engines held, and after the loss of its holder for that holder's own lease and then for 3 s, since the former holder might have been another instance.

Changed: - Engines that load at once: as many as the time to the bound asks for, two of nine at least as before. A drain never takes the order past the bound. - Runs that cannot be resumed end under an order only if that is short and there is time for the worst (5 s); else they go on under the new weights: no caller loses an answer. - An engine is asked for its report before it takes a turn; a silent one is left alone for 1 s. Holds are renewed while an engine waits for its turn. - Engines are emptied while the separation from the former holder runs out. - A restarted instance takes back a key that its former process had, at once, if that process had come to act (the key says so): else the separation from the holder before it would be skipped. A renewal without an answer no longer gives the key up: a later one that succeeds proves that nobody else had it.

--- a/libs/control/include/control/backend_control.h
+++ b/libs/control/include/control/backend_control.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/ids.h"
 #include "gateway/backend_directory.h"
@@ -33,6 +34,8 @@
   kContinueRuns,  ///< they go on under the new weights
 };
 
+std::string_view NameOf(ReloadMode mode);
+
 /// An order to load weights.
 struct WeightsLoad {
   ModelId model;
--- a/libs/control/include/control/held_key.h
+++ b/libs/control/include/control/held_key.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,7 +19,8 @@
 
 /// Takes the key whenever it is free, and keeps its lease alive. Certain of
 /// the key only while the lease, counted from before the last renewal was
-/// sent, has not ended. Runs on one executor.
+/// sent, has not ended. Acts only when another holder's last act is
+/// `separation` old. Runs on one executor.
 template <StateStore Store>
 class HeldKey {
  public:
@@ -33,6 +35,8 @@
     bool exclusive = true;
     /// How often a taken key is looked at in the local copy of the store.
     std::chrono::milliseconds look{200};
+    /// Between the acts of two holders.
+    std::chrono::milliseconds separation{0};
   };
 
   /// `key_is_free` says whether the store, as last heard, has no such key.
@@ -47,10 +51,15 @@
     while (!stopped_) {
       if (lease_) {
         co_await Renew();
+        co_await MarkActing();
         co_await Wait(options_.ttl / options_.renewals);
         continue;
       }
-      if (key_is_free_()) co_await Take();
+      if (options_.exclusive && !looked_for_own_) {
+        co_await TakeBack();
+      } else if (key_is_free_()) {
+        co_await Take(StoreRevision(0), options_.separation);
+      }
       if (!lease_) co_await Wait(options_.look);
     }
   }
@@ -72,19 +81,42 @@
   /// Whether the key is certainly held at `now`.
   bool Held(TimePoint now) const { return lease_.has_value() && clock_.MayAct(now); }
 
+  /// Whether the holder may act at `now`.
+  bool MayAct(TimePoint now) const { return Held(now) && now >= acts_from_; }
+
+  /// From when on it may, as long as the key is held.
+  TimePoint acts_from() const { return acts_from_; }
+
   /// The revision at which the key was taken: higher for each later holder.
   std::uint64_t fencing() const { return fencing_; }
 
-  /// When the key was taken.
-  TimePoint held_since() const { return held_since_; }
-
  private:
-  net::awaitable<void> Take() {
+  /// In the key's value when its holder may have acted, so that the separation
+  /// from the holder before it is over.
+  static constexpr char kActing[] = " acting";
+
+  /// A former process of this instance may have the key still. None else can
+  /// have acted under it, so it is taken back at once and without separation:
+  /// waiting for its lease and then for itself cost 4.8 s of the 10 s that a
+  /// rollout has. If the former process had not got to act, the wait stays.
+  net::awaitable<void> TakeBack() {
+    const StoreResult<StorePage> page = co_await store_.List(options_.key, "");
+    if (page.has_error()) co_return;
+    looked_for_own_ = true;
+    const auto found = std::ranges::find(page->items, options_.key, &StoreItem::key);
+    if (found == page->items.end()) co_return;
+    const bool acted = found->value == options_.value + kActing;
+    if (!acted && found->value != options_.value) co_return;
+    co_await Take(found->revision, acted ? std::chrono::milliseconds(0) : options_.separation);
+  }
+
+  /// Takes the key if it is at `revision`; 0: if it is free.
+  net::awaitable<void> Take(StoreRevision revision, std::chrono::milliseconds separation) {
     const TimePoint begun = Clock::now();
     const StoreResult<GrantedLease> granted = co_await store_.GrantLease(options_.ttl);
     if (granted.has_error()) co_return;
     StoreTransaction transaction;
-    if (options_.exclusive) transaction.conditions.push_back({options_.key, StoreRevision(0)});
+    if (options_.exclusive) transaction.conditions.push_back({options_.key, revision});
     transaction.puts.push_back({options_.key, options_.value, granted->id});
     const StoreResult<StoreRevision> written = co_await store_.Commit(std::move(transaction));
     if (written.has_error()) {
@@ -95,11 +127,27 @@
     lease_ = granted->id;
     clock_.Renew(begun, granted->ttl);
     fencing_ = written->value();
-    held_since_ = Clock::now();
+    revision_ = *written;
+    acts_from_ = Clock::now() + separation;
+    marked_ = false;
     Log(LogLevel::kInfo, "key held",
         {{"key", options_.key},
          {"fencing", std::to_string(fencing_)},
-         {"ttl_ms", std::to_string(granted->ttl.count())}});
+         {"ttl_ms", std::to_string(granted->ttl.count())},
+         {"taken_back", revision == StoreRevision(0) ? "no" : "yes"},
+         {"acts_in_ms", std::to_string(separation.count())}});
+  }
+
+  /// Tells a later process of this instance that it need not wait.
+  net::awaitable<void> MarkActing() {
+    const bool due = options_.exclusive && !marked_ && MayAct(Clock::now());
+    if (!due) co_return;
+    StoreTransaction transaction;
+    transaction.conditions.push_back({options_.key, revision_});
+    transaction.puts.push_back({options_.key, options_.value + kActing, *lease_});
+    const StoreResult<StoreRevision> written = co_await store_.Commit(std::move(transaction));
+    // Only an earlier mark whose answer was lost can have changed the key.
+    marked_ = written.has_value() || written.error() == StoreFault::kConditionFailed;
   }
 
   net::awaitable<void> Renew() {
@@ -111,8 +159,10 @@
       clock_.Renew(begun, renewed->ttl);
       co_return;
     }
-    const bool ended = renewed.error() == StoreFault::kNotFound;
-    if (!ended && clock_.MayAct(Clock::now())) co_return;
+    // Without an answer the lease may live on. A later renewal that succeeds
+    // proves that nobody else has had the key; giving it up here cost its rest
+    // and the separation after each short outage of the store.
+    if (renewed.error() != StoreFault::kNotFound) co_return;
     Log(LogLevel::kWarn, "key lost",
         {{"key", options_.key}, {"fault", std::string(NameOf(renewed.error()))}});
     Forget();
@@ -136,7 +186,10 @@
   std::optional<StoreLeaseId> lease_;
   LeaseClock clock_;
   std::uint64_t fencing_ = 0;
-  TimePoint held_since_{};
+  StoreRevision revision_;  ///< of the key, as written last
+  TimePoint acts_from_{};
+  bool looked_for_own_ = false;
+  bool marked_ = false;
   bool stopped_ = false;
 };
 
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -11,9 +11,9 @@
 #include <chrono>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "control/backend_control.h"
 #include "control/held_key.h"
@@ -24,14 +24,15 @@
 namespace ridgehold {
 
 /// Orders engines only while it certainly holds the duty's key, and not before
-/// the former holder's last order is `separation` old. Judges by what engines
-/// report, never by what was ordered. Runs on one executor.
+/// the former holder's last order is old enough (HeldKey). Judges by what
+/// engines report, never by what was ordered. Counts its time from when the
+/// weights were named, and hurries as their bound comes near. Runs on one
+/// executor.
 template <BackendControl Control, StateStore Store>
 class Rollout {
  public:
   struct Options {
     DaemonId self;
-    std::chrono::milliseconds separation{3'000};
     /// One engine of so many loads at a time.
     std::uint32_t engines_for_each_load = 5;
     /// Between looks for work.
@@ -40,14 +41,31 @@
     std::chrono::milliseconds poll{100};
     /// A load takes 0.76 s or more on the platform's sites.
     std::chrono::milliseconds first_poll{600};
+    /// An order and the report that it is done, 1.05 s to 1.15 s on the
+    /// platform's sites when no run has to end first.
+    std::chrono::milliseconds load{1'150};
     /// A load that has not shown by then is planned again.
     std::chrono::milliseconds patience{6'000};
     /// Gateways need so long to hear that an engine is held.
     std::chrono::milliseconds hold_spreads{80};
     /// Requests that cannot be resumed elsewhere get so long to end.
     std::chrono::milliseconds longest_drain{1'500};
+    /// Runs may end under an order only if that should take no longer, and only
+    /// while there is time for the worst. It blocks the engine meanwhile:
+    /// overloaded ones took 4.0 to 4.8 s, half of it for the last few runs.
+    std::chrono::milliseconds expected_finish{1'000};
+    std::chrono::milliseconds longest_finish{5'000};
+    /// The last order is given so long before older weights are at their limit.
+    std::chrono::milliseconds reserve{1'000};
     /// Engines are held at most so long at once, in case this gateway ends.
     std::chrono::milliseconds hold{4'000};
+    /// An engine that is there answers within this; others give up their turn.
+    std::chrono::milliseconds prompt_report{100};
+    /// One that gave no report is left alone for so long.
+    std::chrono::milliseconds silence{1'000};
+    /// After a start the bound of weights that were named at an unknown time is
+    /// left aside for so long, in which other gateways tell the time.
+    std::chrono::milliseconds unknown_namings{1'000};
   };
 
   Rollout(Control& control, HeldKey<Store>& duty, GatewayState& state, Options options)
@@ -58,9 +76,11 @@
         timer_(state.executor()) {}
 
   net::awaitable<void> Run() {
+    started_ = Clock::now();
     while (!stopped_) {
-      NoteMayOrder(MayOrder(Clock::now()));
-      if (may_order_) StartSteps();
+      const TimePoint now = Clock::now();
+      NoteMayOrder(duty_.MayAct(now));
+      if (MayPrepare(now)) StartSteps(now);
       co_await Wait(timer_, options_.look);
     }
   }
@@ -71,21 +91,25 @@
   }
 
   /// Whether no engine is being brought up.
-  bool idle() const { return begun_.empty(); }
+  bool idle() const { return steps_.empty(); }
 
   /// Whether nothing is left to do for now.
-  bool finished() const {
-    return idle() && NextSteps(state_.directory(), state_.named_weights(), begun_, 0,
-                               options_.engines_for_each_load)
-                         .empty();
-  }
+  bool finished() const { return idle() && Waiting(Clock::now()).empty(); }
 
  private:
+  /// How far an engine is.
+  struct StepState {
+    TimePoint begun{};
+    bool answered = false;          ///< it gave a report
+    std::optional<TimePoint> turn;  ///< since when it is loading, or about to
+  };
+
   /// What one engine's step took, for its line in the log.
   struct StepTimes {
-    TimePoint held{};
+    TimePoint begun{};
     std::optional<TimePoint> emptied;
     std::optional<TimePoint> ordered;
+    ReloadMode mode = ReloadMode::kFinishRuns;
     std::uint32_t left_to_end = 0;  ///< runs there that could not be resumed, when it was ordered
     const char* outcome = "given_up";
   };
@@ -94,28 +118,96 @@
     if (std::exchange(may_order_, may_order) == may_order) return;
     Log(LogLevel::kInfo, may_order ? "rollout may order" : "rollout may not order",
         {{"fencing", std::to_string(duty_.fencing())},
-         {"held_for_ms", Milliseconds(Clock::now() - duty_.held_since())},
-         {"separation_ms", std::to_string(options_.separation.count())}});
+         {"key_held", duty_.Held(Clock::now()) ? "yes" : "no"}});
   }
 
-  bool MayOrder(TimePoint now) const {
-    return !stopped_ && duty_.Held(now) && now - duty_.held_since() >= options_.separation;
+  bool MayOrder(TimePoint now) const { return !stopped_ && duty_.MayAct(now); }
+
+  /// Engines are emptied while the former holder's time runs out.
+  bool MayPrepare(TimePoint now) const {
+    return !stopped_ && duty_.Held(now) && now >= duty_.acts_from() - options_.longest_drain;
   }
 
-  void StartSteps() {
-    const auto steps = NextSteps(state_.directory(), state_.named_weights(), begun_, LoadsEnding(),
-                                 options_.engines_for_each_load);
-    for (const RolloutStep& step : steps) {
-      begun_.insert(step.engine->entry.id);
+  void StartSteps(TimePoint now) {
+    std::erase_if(left_alone_, [&](const auto& entry) { return now >= entry.second; });
+    std::vector<RolloutStep> waiting = Waiting(now);
+    const std::size_t turns = TurnsAt(now) + LoadsEnding(now);
+    const std::size_t taken = TurnsTaken(now);
+    if (taken >= turns) return;
+    waiting.resize(std::min(waiting.size(), turns - taken));
+    for (const RolloutStep& step : waiting) {
+      steps_[step.engine->entry.id].begun = now;
       net::co_spawn(state_.executor(), BringUp(step), net::detached);
     }
   }
 
+  /// Engines to be brought up that nothing has been begun for.
+  std::vector<RolloutStep> Waiting(TimePoint now) const {
+    std::vector<RolloutStep> waiting = Answering(now);
+    std::erase_if(waiting,
+                  [&](const RolloutStep& step) { return steps_.contains(step.engine->entry.id); });
+    return waiting;
+  }
+
+  /// Engines to be brought up, without those that gave no report lately.
+  std::vector<RolloutStep> Answering(TimePoint now) const {
+    std::vector<RolloutStep> engines = OutdatedEngines(state_.directory(), state_.named_weights());
+    std::erase_if(engines, [&](const RolloutStep& step) {
+      const auto found = left_alone_.find(step.engine->entry.id);
+      return found != left_alone_.end() && now < found->second;
+    });
+    return engines;
+  }
+
+  /// A silent engine takes nobody's turn.
+  std::size_t TurnsTaken(TimePoint now) const {
+    return static_cast<std::size_t>(std::ranges::count_if(steps_, [&](const auto& entry) {
+      return entry.second.answered || now - entry.second.begun < options_.prompt_report;
+    }));
+  }
+
+  /// Engines that load at once, more as the bound comes near: waiting for turns
+  /// past it would keep requests on weights that are too old.
+  std::uint32_t TurnsAt(TimePoint now) const {
+    const std::vector<RolloutStep> engines = Answering(now);
+    if (engines.empty()) return 1;
+    const std::uint32_t usual = UsualLoadsAtOnce(
+        state_.directory(), engines.front().engine->entry.service, options_.engines_for_each_load);
+    const auto bound = EarliestBound(engines, now);
+    if (!bound) return usual;
+    const auto left = std::chrono::duration_cast<Duration>(*bound - options_.reserve - now);
+    return LoadsAtOnce(usual, engines.size(), options_.load, left);
+  }
+
+  std::optional<TimePoint> EarliestBound(const std::vector<RolloutStep>& engines,
+                                         TimePoint now) const {
+    std::optional<TimePoint> earliest;
+    for (const RolloutStep& step : engines) {
+      const auto bound = BoundOf(step, now);
+      if (bound && (!earliest || *bound < *earliest)) earliest = bound;
+    }
+    return earliest;
+  }
+
+  /// Until when requests may begin on the weights the engine has.
+  std::optional<TimePoint> BoundOf(const RolloutStep& step, TimePoint now) const {
+    const auto naming =
+        state_.named_weights().OutdatedBy(step.model, step.engine->weights.at(step.model));
+    if (!naming) return std::nullopt;
+    if (naming->assumed && now - started_ < options_.unknown_namings) return std::nullopt;
+    return naming->at + state_.limits().older_weights;
+  }
+
   /// Loads that will end before another engine is emptied.
-  std::size_t LoadsEnding() const {
-    const TimePoint now = Clock::now();
+  std::size_t LoadsEnding(TimePoint now) const {
+    return static_cast<std::size_t>(std::ranges::count_if(steps_, [&](const auto& entry) {
+      return entry.second.turn && now - *entry.second.turn >= options_.first_poll;
+    }));
+  }
+
+  std::size_t Loading() const {
     return static_cast<std::size_t>(std::ranges::count_if(
-        load_begun_, [&](const auto& load) { return now - load.second >= options_.first_poll; }));
+        steps_, [](const auto& entry) { return entry.second.turn.has_value(); }));
   }
 
   /// Empties one engine, orders it, and waits until it reports the weights.
@@ -123,30 +215,74 @@
     const BackendId id = step.engine->entry.id;
     net::steady_timer timer(state_.executor());
     StepTimes times;
-    times.held = Clock::now();
-    state_.Hold(*step.engine, options_.hold, times.held);
+    times.begun = Clock::now();
+    const auto report = co_await control_.Report(step.engine->entry);
+    if (!report) {
+      times.outcome = "no_report";
+      LeaveAlone(step);
+    } else if (TakeReport(step, *report, std::nullopt)) {
+      times.outcome = "loaded";
+    } else {
+      steps_[id].answered = true;
+      co_await EmptyAndLoad(step, timer, times);
+    }
+    LogStep(step, times);
+    steps_.erase(id);
+  }
+
+  net::awaitable<void> EmptyAndLoad(const RolloutStep& step, net::steady_timer& timer,
+                                    StepTimes& times) {
     co_await Drain(step, timer);
+    co_await AwaitTurn(step, timer);
     times.emptied = Clock::now();
-    load_begun_[id] = *times.emptied;
+    steps_[step.engine->entry.id].turn = times.emptied;
     co_await Load(step, timer, times);
-    LogStep(step, times);
-    load_begun_.erase(id);
     state_.Hold(*step.engine, std::chrono::milliseconds(0), Clock::now());
-    begun_.erase(id);
   }
 
-  /// Waits until only requests run there that can be resumed elsewhere, and
-  /// until a load of another engine has ended where too many run.
+  /// Waits until only requests run there that can be resumed elsewhere, for a
+  /// while.
   net::awaitable<void> Drain(const RolloutStep& step, net::steady_timer& timer) {
     const TimePoint begun = Clock::now();
     bool empty = false;
-    while (!empty && !stopped_ && Clock::now() - begun < options_.longest_drain) {
+    while (!empty && !stopped_ && Clock::now() - begun < DrainTime(step, Clock::now())) {
+      KeepHeld(step);
       co_await Wait(timer, options_.hold_spreads);
       empty = Unrepeatable(step) == 0;
     }
-    const std::uint32_t at_once =
-        LoadsAtOnce(state_.directory(), step.engine->entry.service, options_.engines_for_each_load);
-    while (load_begun_.size() >= at_once && !stopped_) co_await Wait(timer, options_.look);
+  }
+
+  /// As long as leaves the engine's order well before the bound.
+  Duration DrainTime(const RolloutStep& step, TimePoint now) const {
+    const auto bound = BoundOf(step, now);
+    if (!bound) return options_.longest_drain;
+    const auto spare = *bound - options_.reserve - options_.load - now;
+    return std::clamp<Duration>(std::chrono::duration_cast<Duration>(spare), options_.hold_spreads,
+                                options_.longest_drain);
+  }
+
+  /// Waits until the holder may order, and a load of another engine has ended
+  /// where too many run.
+  net::awaitable<void> AwaitTurn(const RolloutStep& step, net::steady_timer& timer) {
+    while (!stopped_ && duty_.Held(Clock::now())) {
+      const TimePoint now = Clock::now();
+      if (MayOrder(now) && Loading() < TurnsAt(now)) break;
+      KeepHeld(step);
+      co_await Wait(timer, options_.look);
+    }
+  }
+
+  /// Holds are short, in case this gateway ends, so they are renewed.
+  void KeepHeld(const RolloutStep& step) {
+    const TimePoint now = Clock::now();
+    if (step.engine->hold_until - now >= options_.hold / 2) return;
+    state_.Hold(*step.engine, options_.hold, now);
+  }
+
+  void LeaveAlone(const RolloutStep& step) {
+    const TimePoint now = Clock::now();
+    left_alone_[step.engine->entry.id] = now + options_.silence;
+    BackendDirectory::NoteFailure(*step.engine, now);
   }
 
   static std::uint32_t Unrepeatable(const RolloutStep& step) {
@@ -160,21 +296,47 @@
       const auto report = co_await control_.Report(step.engine->entry);
       if (!report) {
         times.outcome = "no_report";
+        LeaveAlone(step);
         break;
       }
       if (TakeReport(step, *report, ordered)) {
         times.outcome = "loaded";
         break;
       }
+      if (!ordered && !MayOrder(Clock::now())) {
+        times.outcome = "duty_lost";
+        break;
+      }
       std::chrono::milliseconds pause = options_.poll;
       if (!ordered && !report->busy) {
         ordered = co_await Order(step, *report, times);
         if (ordered) pause = options_.first_poll;
       }
+      KeepHeld(step);
       co_await Wait(timer, pause);
     }
   }
 
+  /// What happens to the runs there: resumable ones are broken off and go on
+  /// elsewhere; others end first if that is short and within the bound, else
+  /// they go on under the new weights, so that no caller loses an answer.
+  ReloadMode ModeFor(const RolloutStep& step, TimePoint now) const {
+    if (Unrepeatable(step) == 0) return ReloadMode::kBreakRuns;
+    const auto bound = BoundOf(step, now);
+    const bool time_left = !bound || now + options_.longest_finish + options_.reserve < *bound;
+    const bool short_runs = ExpectedFinish(step) <= options_.expected_finish;
+    return time_left && short_runs ? ReloadMode::kFinishRuns : ReloadMode::kContinueRuns;
+  }
+
+  /// Until the prompts that were sent there are read; running text ends sooner.
+  Duration ExpectedFinish(const RolloutStep& step) const {
+    const double tokens = step.engine->unprefilled_tokens + step.engine->peers.unread_tokens;
+    const double reading_ms = tokens / state_.weights().prefill_tokens_per_ms;
+    const auto reading =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(reading_ms));
+    return std::max(reading, BackendDirectory::ExpectedWait(*step.engine, Clock::now()));
+  }
+
   /// Returns whether the engine has the weights it was ordered to load, or
   /// the newest. Newer ones named meanwhile are a step of their own.
   bool TakeReport(const RolloutStep& step, const EngineReport& report,
@@ -200,19 +362,20 @@
     load.number = *state_.named_weights().Newest(step.model);
     load.holder = options_.self;
     load.fencing = duty_.fencing();
-    load.mode = Unrepeatable(step) == 0 ? ReloadMode::kBreakRuns : ReloadMode::kFinishRuns;
+    load.mode = ModeFor(step, Clock::now());
     load.expected_orders_taken = report.orders_taken;
     // The report took time; the duty may be gone by now.
     if (!MayOrder(Clock::now())) co_return std::nullopt;
     times.ordered = Clock::now();
     times.left_to_end = Unrepeatable(step);
+    times.mode = load.mode;
     const OrderOutcome outcome = co_await control_.Load(step.engine->entry, load);
     Log(LogLevel::kInfo, "ordered weights",
         {{"backend", step.engine->entry.id.value()},
          {"model", load.model.value()},
          {"weights", std::to_string(load.number.value())},
          {"fencing", std::to_string(load.fencing)},
-         {"mode", std::to_string(static_cast<int>(load.mode))},
+         {"mode", std::string(NameOf(load.mode))},
          {"orders_taken", std::to_string(load.expected_orders_taken)},
          {"outcome", std::to_string(static_cast<int>(outcome))}});
     state_.metrics().GetCounter("ridgehold_weight_orders").Add();
@@ -230,10 +393,11 @@
     const TimePoint now = Clock::now();
     LogFields fields = {{"backend", step.engine->entry.id.value()},
                         {"outcome", times.outcome},
-                        {"ms", Milliseconds(now - times.held)}};
-    if (times.emptied) fields.push_back({"drain_ms", Milliseconds(*times.emptied - times.held)});
+                        {"ms", Milliseconds(now - times.begun)}};
+    if (times.emptied) fields.push_back({"drain_ms", Milliseconds(*times.emptied - times.begun)});
     if (times.ordered) {
       fields.push_back({"load_ms", Milliseconds(now - *times.ordered)});
+      fields.push_back({"mode", std::string(NameOf(times.mode))});
       fields.push_back({"left_to_end", std::to_string(times.left_to_end)});
     }
     if (const auto since = state_.named_weights().NewestSince(step.model)) {
@@ -245,7 +409,7 @@
     state_.metrics()
         .GetSummary("ridgehold_rollout_step_seconds",
                     "outcome=\"" + std::string(times.outcome) + "\"")
-        .Observe(std::chrono::duration<double>(now - times.held).count());
+        .Observe(std::chrono::duration<double>(now - times.begun).count());
   }
 
   static net::awaitable<void> Wait(net::steady_timer& timer, std::chrono::milliseconds time) {
@@ -259,8 +423,9 @@
   GatewayState& state_;
   Options options_;
   net::steady_timer timer_;
-  std::set<BackendId> begun_;
-  std::map<BackendId, TimePoint> load_begun_;
+  TimePoint started_{};
+  std::map<BackendId, StepState> steps_;
+  std::map<BackendId, TimePoint> left_alone_;  ///< gave no report; until when
   bool may_order_ = false;
   bool stopped_ = false;
 };
--- a/libs/control/include/control/rollout_plan.h
+++ b/libs/control/include/control/rollout_plan.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <cstdint>
-#include <set>
 #include <vector>
 
 #include "base/ids.h"
@@ -18,20 +17,19 @@
   ModelId model;
 };
 
-/// Engines of a service that may load at once: one of `engines_for_each_load`,
-/// rounded up.
-std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
-                          std::uint32_t engines_for_each_load);
-
-/// Engines that are to load newer weights than they have, those that are being
-/// brought up included.
-std::size_t CountOutdated(const BackendDirectory& directory, const NamedWeights& named);
-
-/// Returns the engines to begin with next: those on older weights, the oldest
-/// and then the least busy first. `ending` of those begun will soon have
-/// loaded; so many more are begun, to be emptied meanwhile. Pure.
-std::vector<RolloutStep> NextSteps(const BackendDirectory& directory, const NamedWeights& named,
-                                   const std::set<BackendId>& begun, std::size_t ending,
-                                   std::uint32_t engines_for_each_load);
+/// Engines that are to load newer weights than they have, the oldest and then
+/// the least busy first.
+std::vector<RolloutStep> OutdatedEngines(const BackendDirectory& directory,
+                                         const NamedWeights& named);
+
+/// Engines of a service that load at once when there is time: one of
+/// `engines_for_each_load`, rounded up.
+std::uint32_t UsualLoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
+                               std::uint32_t engines_for_each_load);
+
+/// Engines that must load at once, so that `engines` of them, each taking
+/// `load`, have their orders within `time_left`; `usual` at least. Pure.
+std::uint32_t LoadsAtOnce(std::uint32_t usual, std::size_t engines, Duration load,
+                          Duration time_left);
 
 }  // namespace ridgehold
--- a/libs/control/src/rollout_plan.cc
+++ b/libs/control/src/rollout_plan.cc
@@ -12,6 +12,8 @@
          named.OutdatedSince(model, weights).has_value();
 }
 
+}  // namespace
+
 std::vector<RolloutStep> OutdatedEngines(const BackendDirectory& directory,
                                          const NamedWeights& named) {
   std::vector<RolloutStep> steps;
@@ -22,13 +24,16 @@
       break;
     }
   }
+  std::ranges::stable_sort(steps, {}, [](const RolloutStep& step) {
+    // Those that do not answer now come last.
+    return std::tuple(step.engine->failures, step.engine->weights.at(step.model),
+                      step.engine->in_flight + step.engine->peers.running);
+  });
   return steps;
 }
 
-}  // namespace
-
-std::uint32_t LoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
-                          std::uint32_t engines_for_each_load) {
+std::uint32_t UsualLoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
+                               std::uint32_t engines_for_each_load) {
   const auto engines = std::ranges::count_if(
       directory.all(), [&](const auto& entry) { return entry.second->entry.service == service; });
   const auto rounded_up =
@@ -36,26 +41,13 @@
   return std::max(rounded_up, 1U);
 }
 
-std::size_t CountOutdated(const BackendDirectory& directory, const NamedWeights& named) {
-  return OutdatedEngines(directory, named).size();
-}
-
-std::vector<RolloutStep> NextSteps(const BackendDirectory& directory, const NamedWeights& named,
-                                   const std::set<BackendId>& begun, std::size_t ending,
-                                   std::uint32_t engines_for_each_load) {
-  std::vector<RolloutStep> steps = OutdatedEngines(directory, named);
-  std::erase_if(steps,
-                [&](const RolloutStep& step) { return begun.contains(step.engine->entry.id); });
-  if (steps.empty()) return steps;
-  std::ranges::stable_sort(steps, {}, [](const RolloutStep& step) {
-    // Those that do not answer now come last.
-    return std::tuple(step.engine->failures, step.engine->weights.at(step.model),
-                      step.engine->in_flight + step.engine->peers.running);
-  });
-  const std::size_t most =
-      ending + LoadsAtOnce(directory, steps.front().engine->entry.service, engines_for_each_load);
-  steps.resize(std::min(steps.size(), most - std::min(most, begun.size())));
-  return steps;
+std::uint32_t LoadsAtOnce(std::uint32_t usual, std::size_t engines, Duration load,
+                          Duration time_left) {
+  const auto all = std::max(usual, static_cast<std::uint32_t>(engines));
+  if (time_left <= load) return all;
+  const auto work = static_cast<std::int64_t>(engines) * load.count();
+  const auto rounded_up = (work + time_left.count() - 1) / time_left.count();
+  return std::clamp(static_cast<std::uint32_t>(rounded_up), usual, all);
 }
 
 }  // namespace ridgehold
--- a/libs/control/test/rollout-test.cc
+++ b/libs/control/test/rollout-test.cc
@@ -99,17 +99,18 @@
 
   void Start(int count, std::chrono::milliseconds separation = 0ms) {
     for (int i = 0; i < count; ++i) AddEngine("e" + std::to_string(i));
-    duty = std::make_unique<HeldKey<MemoryStore>>(store, io.get_executor(), KeyOptions(),
+    duty = std::make_unique<HeldKey<MemoryStore>>(store, io.get_executor(), KeyOptions(separation),
                                                   [] { return true; });
     rollout = std::make_unique<Rollout<FakeEngines, MemoryStore>>(engines, *duty, state,
-                                                                  RolloutOptions(separation));
+                                                                  RolloutOptions());
     started = Clock::now();
     net::co_spawn(io, duty->Run(), net::detached);
     net::co_spawn(io, rollout->Run(), net::detached);
   }
 
-  static HeldKey<MemoryStore>::Options KeyOptions() {
+  static HeldKey<MemoryStore>::Options KeyOptions(std::chrono::milliseconds separation) {
     HeldKey<MemoryStore>::Options key;
+    key.separation = separation;
     key.key = "duty";
     key.value = "d";
     key.ttl = 300ms;
@@ -117,14 +118,18 @@
     return key;
   }
 
-  static Rollout<FakeEngines, MemoryStore>::Options RolloutOptions(
-      std::chrono::milliseconds separation) {
+  static Rollout<FakeEngines, MemoryStore>::Options RolloutOptions() {
     Rollout<FakeEngines, MemoryStore>::Options options;
     options.self = DaemonId("d");
-    options.separation = separation;
     options.look = 5ms;
     options.poll = 10ms;
     options.first_poll = 30ms;
+    options.load = 90ms;
+    options.reserve = 100ms;
+    options.expected_finish = 100ms;
+    options.longest_finish = 500ms;
+    options.prompt_report = 10ms;
+    options.silence = 100ms;
     options.hold_spreads = 5ms;
     options.longest_drain = 100ms;
     options.patience = 5s;
@@ -253,10 +258,9 @@
   rollout->Stop();
   io.run_for(50ms);
   MemoryStore restarted_store(table, 2);
-  HeldKey<MemoryStore> restarted_duty(restarted_store, io.get_executor(), KeyOptions(),
+  HeldKey<MemoryStore> restarted_duty(restarted_store, io.get_executor(), KeyOptions(300ms),
                                       [this] { return !table.items().contains("duty"); });
-  Rollout<FakeEngines, MemoryStore> restarted(engines, restarted_duty, state,
-                                              RolloutOptions(300ms));
+  Rollout<FakeEngines, MemoryStore> restarted(engines, restarted_duty, state, RolloutOptions());
   net::co_spawn(io, restarted_duty.Run(), net::detached);
   net::co_spawn(io, restarted.Run(), net::detached);
   // Nothing begins on the older weights once an engine has taken its order.
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -165,7 +165,9 @@
   typename Duty::Options DutyOptions() const {
     typename Duty::Options options;
     options.key = kRolloutHolderKey;
-    options.value = settings_.daemon.value();
+    // The address tells an instance from a later one of the same name.
+    options.value = settings_.daemon.value() + " " + settings_.instance_address;
+    options.separation = settings_.holder_separation;
     options.ttl = std::max(tuning_.duty_ttl, settings_.least_lease_ttl);
     return options;
   }
@@ -173,7 +175,6 @@
   typename Rollout<typename Env::Control, Store>::Options RolloutOptions() const {
     typename Rollout<typename Env::Control, Store>::Options options;
     options.self = settings_.daemon;
-    options.separation = settings_.holder_separation;
     options.engines_for_each_load = tuning_.engines_for_each_load;
     return options;
   }
@@ -301,7 +302,7 @@
     metrics.SetGauge("ridgehold_holds_rollout", "", duty_.Held(now) ? 1 : 0);
     metrics.SetGauge(
         "ridgehold_engines_on_older_weights", "",
-        static_cast<double>(CountOutdated(state_.directory(), state_.named_weights())));
+        static_cast<double>(OutdatedEngines(state_.directory(), state_.named_weights()).size()));
   }
 
   std::string Dump() const {
