A rollout hurries only the engines whose own bound is near

Cause: the time to the earliest bound was divided among all outdated engines.

Changed: engines count by their own time, those with least first.

--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -173,20 +173,13 @@
     if (engines.empty()) return 1;
     const std::uint32_t usual = UsualLoadsAtOnce(
         state_.directory(), engines.front().engine->entry.service, options_.engines_for_each_load);
-    const auto bound = EarliestBound(engines, now);
-    if (!bound) return usual;
-    const auto left = std::chrono::duration_cast<Duration>(*bound - options_.reserve - now);
-    return LoadsAtOnce(usual, engines.size(), options_.load, left);
-  }
-
-  std::optional<TimePoint> EarliestBound(const std::vector<RolloutStep>& engines,
-                                         TimePoint now) const {
-    std::optional<TimePoint> earliest;
+    std::vector<Duration> time_left;
     for (const RolloutStep& step : engines) {
       const auto bound = BoundOf(step, now);
-      if (bound && (!earliest || *bound < *earliest)) earliest = bound;
+      if (!bound) continue;
+      time_left.push_back(std::chrono::duration_cast<Duration>(*bound - options_.reserve - now));
     }
-    return earliest;
+    return LoadsAtOnce(usual, std::move(time_left), options_.load);
   }
 
   /// Until when requests may begin on the weights the engine has.
--- a/libs/control/include/control/rollout_plan.h
+++ b/libs/control/include/control/rollout_plan.h
@@ -27,9 +27,10 @@
 std::uint32_t UsualLoadsAtOnce(const BackendDirectory& directory, const ServiceId& service,
                                std::uint32_t engines_for_each_load);
 
-/// Engines that must load at once, so that `engines` of them, each taking
-/// `load`, have their orders within `time_left`; `usual` at least. Pure.
-std::uint32_t LoadsAtOnce(std::uint32_t usual, std::size_t engines, Duration load,
-                          Duration time_left);
+/// Engines that must load at once so that each has its order in time, `usual`
+/// at least: `time_left` has an entry for each engine, and each takes `load`.
+/// Those with the least time go first; so an engine that is late hurries those
+/// before it, and not all others. Pure.
+std::uint32_t LoadsAtOnce(std::uint32_t usual, std::vector<Duration> time_left, Duration load);
 
 }  // namespace ridgehold
--- a/libs/control/src/rollout_plan.cc
+++ b/libs/control/src/rollout_plan.cc
@@ -41,13 +41,17 @@
   return std::max(rounded_up, 1U);
 }
 
-std::uint32_t LoadsAtOnce(std::uint32_t usual, std::size_t engines, Duration load,
-                          Duration time_left) {
-  const auto all = std::max(usual, static_cast<std::uint32_t>(engines));
-  if (time_left <= load) return all;
-  const auto work = static_cast<std::int64_t>(engines) * load.count();
-  const auto rounded_up = (work + time_left.count() - 1) / time_left.count();
-  return std::clamp(static_cast<std::uint32_t>(rounded_up), usual, all);
+std::uint32_t LoadsAtOnce(std::uint32_t usual, std::vector<Duration> time_left, Duration load) {
+  std::ranges::sort(time_left);
+  std::uint32_t at_once = usual;
+  std::uint32_t engines = 0;
+  for (const Duration left : time_left) {
+    ++engines;
+    const auto turns = std::max<std::int64_t>(left / load, 1);
+    const auto rounded_up = (engines + turns - 1) / turns;
+    at_once = std::max(at_once, static_cast<std::uint32_t>(rounded_up));
+  }
+  return at_once;
 }
 
 }  // namespace ridgehold
