Changes of the store that are heard of twice are taken once, and an older listing undoes no copy

Cause: a watch (or listing) and the reader of peers' copies run at the same time, and events were applied without regard to the revision known by then: an event of revision r+1 that arrived after r+3 set a draining engine back to ready, or brought a removed one back. A listing whose pages were read before a peer's newer copy was taken replaced that copy and set the revision back.

Change: an answer's events are taken only if they are above the revision known when the answer is taken; the revision is raised after all of them, since those of one transaction share theirs. A listing that was overtaken by a copy is not taken (only the confirmation of its begin is, which the newer copy bears out). Ruled out: refusing every listing of a revision below the known one; after a 410 of a store whose counter is lower, the follower would then list without end.

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -93,10 +93,7 @@
   /// one's revision.
   void TakeChanges(const std::vector<StoreEvent>& changes, StoreRevision revision,
                    TimePoint confirmed) {
-    const TimePoint now = Clock::now();
-    const FactSink::Writing writing = WritingOf(now);
-    for (const StoreEvent& event : changes) TakeEvent(event, now, writing);
-    revision_ = std::max(revision_, revision);
+    TakeEvents(changes, revision);
     state_.ConfirmSnapshot(confirmed);
   }
 
@@ -124,6 +121,7 @@
  private:
   net::awaitable<bool> ListAll() {
     const TimePoint begun = Clock::now();
+    const StoreRevision known = revision_;
     std::vector<StoreItem> items;
     std::string after;
     std::optional<StoreRevision> first_revision;
@@ -140,9 +138,13 @@
       if (more) after = page->items.back().key;
     }
     NoteAnswer();
-    TakeListing(items);
-    revision_ = *first_revision;
-    ForgetChanges();
+    // What a peer told while the pages were read stands if it is newer.
+    const bool overtaken = revision_ > std::max(known, *first_revision);
+    if (!overtaken) {
+      TakeListing(items);
+      revision_ = *first_revision;
+      ForgetChanges();
+    }
     state_.ConfirmSnapshot(begun);
     listed_ = true;
     read_once_ = true;
@@ -184,9 +186,7 @@
     }
     NoteAnswer();
     const TimePoint now = Clock::now();
-    const FactSink::Writing writing = WritingOf(now);
-    for (const StoreEvent& event : answer->events) TakeEvent(event, now, writing);
-    revision_ = std::max(revision_, answer->revision);
+    TakeEvents(answer->events, answer->revision);
     // An empty watch that lasted its whole time saw nothing until its end.
     const bool waited = answer->events.empty() && now - begun >= options_.watch;
     state_.ConfirmSnapshot(waited ? begun + options_.watch : begun);
@@ -201,6 +201,18 @@
     return {state_.confirmed_at(), !prompt};
   }
 
+  /// Takes what is new of an answer. Watches and peers' copies are read at the
+  /// same time, and what one has told already would undo later changes. Changes
+  /// of one transaction share a revision, so it is raised after all of them.
+  void TakeEvents(const std::vector<StoreEvent>& events, StoreRevision revision) {
+    const TimePoint now = Clock::now();
+    const FactSink::Writing writing = WritingOf(now);
+    for (const StoreEvent& event : events) {
+      if (event.revision > revision_) TakeEvent(event, now, writing);
+    }
+    revision_ = std::max(revision_, revision);
+  }
+
   void TakeEvent(const StoreEvent& event, TimePoint now, const FactSink::Writing& writing) {
     Remember(event);
     items_.erase(event.key);
--- a/libs/control/test/memory_store.h
+++ b/libs/control/test/memory_store.h
@@ -23,6 +23,8 @@
   double lost_answers = 0;  ///< part of the calls that are done and not answered
   double late_writes = 0;   ///< part of the writes that are done later, unanswered
   std::chrono::milliseconds late_by{150};
+  /// Above zero, lists and watches are answered at once and heard of so late.
+  std::chrono::milliseconds late_reads{0};
 };
 
 /// The store itself; clients share it.
@@ -144,6 +146,7 @@
     StorePage page;
     for (const auto& [key, item] : table_.items()) page.items.push_back(item);
     page.revision = StoreRevision(table_.revision());
+    co_await Pause(faults.late_reads);
     co_return page;
   }
 
@@ -156,10 +159,12 @@
       if (faults.down) co_return StoreFault::kUnavailable;
       const auto events = table_.After(after);
       if (!events) co_return StoreFault::kHistoryGone;
-      if (events->empty() && Clock::now() < until) continue;
+      const bool late = faults.late_reads > std::chrono::milliseconds::zero();
+      if (events->empty() && !late && Clock::now() < until) continue;
       WatchAnswer answer;
       answer.events = *events;
       answer.revision = StoreRevision(table_.revision());
+      co_await Pause(faults.late_reads);
       co_return answer;
     }
   }
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -13,7 +13,8 @@
 
 namespace {
 
-/// Keys `config/N`, `weights/N`, `backend/ID`; a value of `bad` cannot be read.
+/// Keys `config/N`, `weights/N`, `backend/ID`; a value of `bad` cannot be read,
+/// a backend server's may be `draining`.
 struct TestCodec {
   static Result<StoredFact> Decode(const StoreItem& item) {
     if (item.value == "bad") return Fail(ResultCode::kPlatformMalformed, "bad");
@@ -29,6 +30,7 @@
       BackendEntry entry;
       entry.id = *id;
       entry.service = ServiceId("s");
+      entry.draining = item.value == "draining";
       return StoredFact(entry);
     }
     return StoredFact(IrrelevantFact{});
@@ -67,6 +69,17 @@
     return state.snapshot() ? state.snapshot()->version().value() : 0;
   }
   bool Has(const std::string& id) { return state.directory().Find(BackendId(id)) != nullptr; }
+
+  /// What another gateway, which hears everything at once, would tell now.
+  void TakeChangesOfPeer() {
+    const StoreRevision known = follower->revision();
+    follower->TakeChanges(*table.After(known), StoreRevision(table.revision()), Clock::now());
+  }
+  void TakeCopyOfPeer() {
+    std::vector<StoreItem> items;
+    for (const auto& [key, item] : table.items()) items.push_back(item);
+    follower->TakeCopy(std::move(items), StoreRevision(table.revision()), Clock::now());
+  }
 };
 
 }  // namespace
@@ -240,4 +253,48 @@
   BOOST_TEST(Config() == 3);
 }
 
+BOOST_AUTO_TEST_CASE(late_answer_of_a_watch_undoes_nothing_that_a_peer_told) {
+  table.Put("backend/b1", "draining");
+  Start();
+  store.faults.late_reads = 80ms;
+  table.Put("backend/b1", "x");
+  table.Put("backend/b2", "x");
+  io.run_for(20ms);
+  table.Put("backend/b1", "draining");
+  table.Remove("backend/b2");
+  const StoreRevision before = follower->revision();
+  TakeChangesOfPeer();
+  io.run_for(80ms);
+  BOOST_TEST(state.directory().Find(BackendId("b1"))->entry.draining);
+  BOOST_TEST(!Has("b2"));
+  BOOST_TEST(follower->items().at("backend/b1").value == "draining");
+  BOOST_TEST(follower->ChangesAfter(before)->size() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(changes_of_a_transaction_are_all_taken) {
+  table.Put("backend/b1", "x");
+  Start();
+  const StoreRevision revision(table.revision() + 1);
+  const std::vector<StoreEvent> changes = {
+      {"backend/b1", revision, std::nullopt},
+      {"backend/b2", revision, StoreItem{"backend/b2", "x", revision, {}}}};
+  follower->TakeChanges(changes, revision, Clock::now());
+  BOOST_TEST(!Has("b1"));
+  BOOST_TEST(Has("b2"));
+}
+
+BOOST_AUTO_TEST_CASE(listing_older_than_a_copy_taken_meanwhile_changes_nothing) {
+  store.faults.late_reads = 80ms;
+  table.Put("backend/b1", "x");
+  Start();
+  table.Put("backend/b1", "draining");
+  table.Put("backend/b2", "x");
+  TakeCopyOfPeer();
+  const StoreRevision taken = follower->revision();
+  io.run_for(60ms);
+  BOOST_TEST((follower->revision() == taken));
+  BOOST_TEST(state.directory().Find(BackendId("b1"))->entry.draining);
+  BOOST_TEST(Has("b2"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
