Grace for lapsed registrations counts from calls that failed, not from an old answer

Cause: an outage was taken to be as long as the last own answer is old. A gateway that follows another one makes no calls, so one failed call and an answer looked like a return after minutes, and engines that were really gone were used on for 2.3 s, longer than drain_ms. A gateway that never reached the store, or whose calls fail, had no grace at all: it took removals from a peer's copy at once, and all lapsed engines went.

Change: an outage lasts from the sending of the first call that failed to the answer, and failures are forgotten while another gateway is followed. While the own calls fail, what a copy lacks is used on for the full grace.

The older cases of store_contact give the moment of the failed call now, which is that of the last answer, so they ask as much as before. The two new cases of store_contact use the new calls and have no run on the old code.

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -57,6 +57,7 @@
   net::awaitable<void> Run() {
     while (!stopped_) {
       if (listed_ && options_.follows_peer()) {
+        contact_.NoteUnasked();
         co_await Wait(options_.peer_look);
         continue;
       }
@@ -128,7 +129,7 @@
     for (bool more = true; more;) {
       const StoreResult<StorePage> page = co_await store_.List("", after);
       if (page.has_error()) {
-        NoteFault("list", page.error());
+        NoteFault("list", page.error(), begun);
         co_return false;
       }
       // Pages are no snapshot; the watch goes on from before the first.
@@ -176,7 +177,7 @@
     const TimePoint begun = Clock::now();
     const StoreResult<WatchAnswer> answer = co_await store_.Watch("", revision_, options_.watch);
     if (answer.has_error()) {
-      NoteFault("watch", answer.error());
+      NoteFault("watch", answer.error(), begun);
       if (answer.error() == StoreFault::kHistoryGone) {
         listed_ = false;
         co_return;
@@ -255,15 +256,14 @@
   void NoteAnswer() {
     const TimePoint now = Clock::now();
     pause_ = options_.first_pause;
-    if (contact_.failing()) {
-      const auto away =
-          std::chrono::duration_cast<std::chrono::milliseconds>(now - contact_.last_answer());
+    if (const auto since = contact_.failing_since()) {
+      const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(now - *since);
       Log(LogLevel::kInfo, "store regained", {{"away_ms", std::to_string(away.count())}});
     }
     contact_.NoteAnswer(now);
   }
 
-  void NoteFault(const char* call, StoreFault fault) {
+  void NoteFault(const char* call, StoreFault fault, TimePoint begun) {
     state_.metrics().GetCounter("ridgehold_platform_faults").Add();
     // The store answered; only the history is gone.
     if (fault == StoreFault::kHistoryGone) {
@@ -271,7 +271,7 @@
           {{"revision", std::to_string(revision_.value())}});
       return;
     }
-    if (!contact_.NoteFault()) return;
+    if (!contact_.NoteFault(begun)) return;
     Log(LogLevel::kWarn, "store lost", {{"call", call}, {"fault", std::string(NameOf(fault))}});
   }
 
--- a/libs/control/include/control/store_contact.h
+++ b/libs/control/include/control/store_contact.h
@@ -1,18 +1,20 @@
-// Whether the store can be relied on: when it last answered, and whether it has just come back.
+// Whether the store can be relied on: whether calls fail, and whether it has just come back.
 
 #pragma once
 
+#include <algorithm>
 #include <chrono>
-#include <utility>
+#include <optional>
 
 #include "base/ids.h"
 
 namespace ridgehold {
 
-/// Not thread-safe; time comes in as a value.
+/// Only calls that failed tell of an outage: a gateway that follows another one
+/// makes none for long. Not thread-safe; time comes in as a value.
 class StoreContact {
  public:
-  /// Without an answer for this long, registrations may have lapsed unheard.
+  /// After failed calls for this long, registrations may have lapsed unheard.
   /// Shorter than the backend servers' three heartbeats of 1.2 s.
   static constexpr std::chrono::milliseconds kAwayAfter{1'500};
   /// After the store's return, live backend servers register again within 2 s.
@@ -20,28 +22,35 @@
 
   /// The store answered a call.
   void NoteAnswer(TimePoint now) {
-    if (failing_ && now - last_answer_ >= kAwayAfter) returned_at_ = now;
-    failing_ = false;
-    last_answer_ = now;
+    if (failing_since_ && now - *failing_since_ >= kAwayAfter) settled_at_ = now + kSettleTime;
+    failing_since_.reset();
   }
 
-  /// A call had no answer, or was refused. Returns whether this is news.
-  bool NoteFault() { return !std::exchange(failing_, true); }
+  /// A call sent at `begun` had no answer, or was refused. Returns whether this
+  /// is news.
+  bool NoteFault(TimePoint begun) {
+    if (failing_since_) return false;
+    failing_since_ = begun;
+    return true;
+  }
+
+  /// The store is not asked for now; earlier faults say nothing of that time.
+  void NoteUnasked() { failing_since_.reset(); }
 
-  bool failing() const { return failing_; }
-  TimePoint last_answer() const { return last_answer_; }
+  bool failing() const { return failing_since_.has_value(); }
+  /// When the first of the calls that fail now was sent.
+  std::optional<TimePoint> failing_since() const { return failing_since_; }
 
-  /// How much longer a missing registration says nothing.
+  /// How much longer a missing registration says nothing. What is heard while
+  /// the own calls fail is from others, who may not have seen the outage.
   Duration GraceForMissing(TimePoint now) const {
-    const auto settled = returned_at_ + kSettleTime;
-    if (now >= settled) return Duration::zero();
-    return std::chrono::duration_cast<Duration>(settled - now);
+    if (failing()) return kSettleTime;
+    return std::max(Duration::zero(), std::chrono::duration_cast<Duration>(settled_at_ - now));
   }
 
  private:
-  bool failing_ = false;
-  TimePoint last_answer_{};
-  TimePoint returned_at_{Clock::duration::min() / 2};
+  std::optional<TimePoint> failing_since_;
+  TimePoint settled_at_{};
 };
 
 }  // namespace ridgehold
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -297,4 +297,53 @@
   BOOST_TEST(Has("b2"));
 }
 
+BOOST_AUTO_TEST_CASE(registration_missing_in_a_copy_is_used_on_while_the_own_calls_fail) {
+  store.faults.down = true;
+  Start();
+  table.Put("backend/b1", "x");
+  table.Put("backend/b2", "x");
+  TakeCopyOfPeer();
+  table.Remove("backend/b1");
+  TakeChangesOfPeer();
+  BOOST_REQUIRE(Has("b1"));
+  BOOST_TEST(state.directory().Find(BackendId("b1"))->missing_until.has_value());
+  table.Remove("backend/b2");
+  TakeCopyOfPeer();
+  BOOST_TEST(Has("b2"));
+}
+
+BOOST_AUTO_TEST_CASE(failed_call_after_a_time_without_calls_is_no_outage) {
+  bool follows = false;
+  options.follows_peer = [&] { return follows; };
+  options.peer_look = 5ms;
+  table.Put("backend/b1", "x");
+  Start();
+  follows = true;
+  io.run_for(StoreContact::kAwayAfter + 200ms);
+  follows = false;
+  store.faults.down = true;
+  io.run_for(60ms);
+  store.faults.down = false;
+  table.Remove("backend/b1");
+  io.run_for(200ms);
+  BOOST_TEST(!Has("b1"));
+}
+
+BOOST_AUTO_TEST_CASE(failed_call_before_a_time_without_calls_is_no_outage) {
+  bool follows = false;
+  options.follows_peer = [&] { return follows; };
+  options.peer_look = 5ms;
+  table.Put("backend/b1", "x");
+  Start();
+  store.faults.down = true;
+  io.run_for(60ms);
+  follows = true;
+  io.run_for(StoreContact::kAwayAfter + 200ms);
+  follows = false;
+  store.faults.down = false;
+  table.Remove("backend/b1");
+  io.run_for(200ms);
+  BOOST_TEST(!Has("b1"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/control/test/store_contact-test.cc
+++ b/libs/control/test/store_contact-test.cc
@@ -22,8 +22,8 @@
 BOOST_AUTO_TEST_CASE(short_fault_such_as_a_cut_watch_gives_no_grace) {
   StoreContact contact;
   contact.NoteAnswer(kStart);
-  BOOST_TEST(contact.NoteFault());
-  BOOST_TEST(!contact.NoteFault());
+  BOOST_TEST(contact.NoteFault(kStart));
+  BOOST_TEST(!contact.NoteFault(kStart));
   contact.NoteAnswer(kStart + 1s);
   BOOST_TEST((contact.GraceForMissing(kStart + 1s) == Duration::zero()));
 }
@@ -31,7 +31,7 @@
 BOOST_AUTO_TEST_CASE(return_after_an_outage_gives_registrations_time_to_come_back) {
   StoreContact contact;
   contact.NoteAnswer(kStart);
-  contact.NoteFault();
+  contact.NoteFault(kStart);
   const TimePoint back = kStart + 5s;
   contact.NoteAnswer(back);
   BOOST_TEST((contact.GraceForMissing(back) == StoreContact::kSettleTime));
@@ -39,4 +39,23 @@
   BOOST_TEST((contact.GraceForMissing(back + 3s) == Duration::zero()));
 }
 
+BOOST_AUTO_TEST_CASE(outage_is_as_long_as_calls_failed_and_not_as_the_last_answer_is_old) {
+  StoreContact contact;
+  contact.NoteAnswer(kStart);
+  contact.NoteFault(kStart + 60s);
+  contact.NoteAnswer(kStart + 61s);
+  BOOST_TEST((contact.GraceForMissing(kStart + 61s) == Duration::zero()));
+  contact.NoteFault(kStart + 70s);
+  contact.NoteUnasked();
+  contact.NoteFault(kStart + 80s);
+  contact.NoteAnswer(kStart + 81s);
+  BOOST_TEST((contact.GraceForMissing(kStart + 81s) == Duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(store_that_was_never_reached_gives_full_grace) {
+  StoreContact contact;
+  contact.NoteFault(kStart);
+  BOOST_TEST((contact.GraceForMissing(kStart) == StoreContact::kSettleTime));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
