An empty watch that is answered late confirms only the moment of its question

Cause: any empty answer that came after the watch's length confirmed the configuration as of begun + watch, however late it came. It may have been made early and have lain on its way (a stalled connection, a store or a process that stood still); a configuration written meanwhile was then denied by a confirmation.

Change: the end of the watch counts only if the answer came within 100 ms after it; else the question does.

Price, reasoned and not measured: with a slow store (answers after 0.4 s) each confirmation is as of the question, so the configuration's age runs from 1.4 to 2.8 s instead of 0.4 to 1.8 s. A relay is then older than current_age (1.3 s) throughout and its followers ask the store themselves; and kPromptNews (1.5 s) is passed, so that weights named meanwhile have an assumed age.

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -188,8 +188,10 @@
     NoteAnswer();
     const TimePoint now = Clock::now();
     TakeEvents(answer->events, answer->revision);
-    // An empty watch that lasted its whole time saw nothing until its end.
-    const bool waited = answer->events.empty() && now - begun >= options_.watch;
+    // An empty watch that lasted its whole time saw nothing until its end. Of a
+    // later answer only the question's moment is certain.
+    const auto late = now - begun - options_.watch;
+    const bool waited = answer->events.empty() && late >= Duration::zero() && late <= kPromptAnswer;
     state_.ConfirmSnapshot(waited ? begun + options_.watch : begun);
     if (!answer->events.empty()) co_await Wait(options_.gather);
   }
@@ -290,6 +292,9 @@
   /// Changes remembered; a large fleet's heartbeats and a rollout make some
   /// hundred within the half second between two questions of a peer.
   static constexpr std::size_t kMostRecent = 1'000;
+  /// The store answers in 4 ms. A whole watch's answer that takes longer than
+  /// this beyond its length may have been made early and have lain on its way.
+  static constexpr std::chrono::milliseconds kPromptAnswer{100};
   /// A watch that works tells within its length and a slow store's answer.
   static constexpr std::chrono::milliseconds kPromptNews{1'500};
 
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -346,4 +346,18 @@
   BOOST_TEST(!Has("b1"));
 }
 
+BOOST_AUTO_TEST_CASE(empty_answer_of_a_watch_that_comes_late_confirms_only_its_question) {
+  table.Put("config", "1");
+  Start();
+  store.faults.late_reads = 250ms;
+  io.run_for(20ms);
+  const TimePoint answered = Clock::now();
+  table.Put("config", "2");
+  io.run_for(260ms);
+  BOOST_TEST(Config() == 1);
+  BOOST_TEST((state.confirmed_at() < answered));
+  io.run_for(300ms);
+  BOOST_TEST(Config() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
