The sender's grace comes with its copy of the store

Cause: a follower takes removals from the copy of a gateway that saw an outage and uses missing engines on, but did not hear of that outage itself; all lapsed engines went at once there. Change: StoreCopy carries how much longer the sender waits for registrations after an outage that it saw. It counts from before the question, so passing it on never lengthens it.

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -91,17 +91,21 @@
   }
 
   /// Takes changes that another gateway has heard of, which follow on this
-  /// one's revision.
+  /// one's revision. `settled` is as in TakeCopy.
   void TakeChanges(const std::vector<StoreEvent>& changes, StoreRevision revision,
-                   TimePoint confirmed) {
+                   TimePoint confirmed, TimePoint settled = {}) {
+    contact_.NoteSettling(settled);
     TakeEvents(changes, revision);
     state_.ConfirmSnapshot(confirmed);
   }
 
   /// Takes another gateway's copy of the store. `confirmed` is when its
-  /// configuration was the newest for certain. Older copies change nothing.
-  void TakeCopy(std::vector<StoreItem> items, StoreRevision revision, TimePoint confirmed) {
+  /// configuration was the newest for certain; until `settled` registrations may
+  /// come back after an outage that it saw. Older copies change nothing.
+  void TakeCopy(std::vector<StoreItem> items, StoreRevision revision, TimePoint confirmed,
+                TimePoint settled = {}) {
     if (revision < revision_) return;
+    contact_.NoteSettling(settled);
     if (revision > revision_) {
       TakeListing(items);
       revision_ = revision;
--- a/libs/control/include/control/store_contact.h
+++ b/libs/control/include/control/store_contact.h
@@ -22,7 +22,7 @@
 
   /// The store answered a call.
   void NoteAnswer(TimePoint now) {
-    if (failing_since_ && now - *failing_since_ >= kAwayAfter) settled_at_ = now + kSettleTime;
+    if (failing_since_ && now - *failing_since_ >= kAwayAfter) NoteSettling(now + kSettleTime);
     failing_since_.reset();
   }
 
@@ -37,15 +37,23 @@
   /// The store is not asked for now; earlier faults say nothing of that time.
   void NoteUnasked() { failing_since_.reset(); }
 
+  /// The sender of a copy that was taken saw an outage, and registrations may
+  /// come back until `settled`.
+  void NoteSettling(TimePoint settled) { settled_at_ = std::max(settled_at_, settled); }
+
   bool failing() const { return failing_since_.has_value(); }
   /// When the first of the calls that fail now was sent.
   std::optional<TimePoint> failing_since() const { return failing_since_; }
 
+  /// How much longer registrations may come back after an outage that was seen.
+  Duration SettlesIn(TimePoint now) const {
+    return std::max(Duration::zero(), std::chrono::duration_cast<Duration>(settled_at_ - now));
+  }
+
   /// How much longer a missing registration says nothing. What is heard while
   /// the own calls fail is from others, who may not have seen the outage.
   Duration GraceForMissing(TimePoint now) const {
-    if (failing()) return kSettleTime;
-    return std::max(Duration::zero(), std::chrono::duration_cast<Duration>(settled_at_ - now));
+    return failing() ? Duration(kSettleTime) : SettlesIn(now);
   }
 
  private:
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -312,6 +312,22 @@
   BOOST_TEST(Has("b2"));
 }
 
+BOOST_AUTO_TEST_CASE(registration_missing_after_an_outage_that_the_sender_saw_is_used_on) {
+  options.follows_peer = [] { return true; };
+  table.Put("backend/b1", "x");
+  table.Put("backend/b2", "x");
+  Start();
+  const TimePoint settled = Clock::now() + 1s;
+  table.Remove("backend/b1");
+  follower->TakeChanges(*table.After(follower->revision()), StoreRevision(table.revision()),
+                        Clock::now(), settled);
+  BOOST_REQUIRE(Has("b1"));
+  BOOST_TEST((*state.directory().Find(BackendId("b1"))->missing_until <= settled));
+  table.Remove("backend/b2");
+  follower->TakeCopy({}, StoreRevision(table.revision()), Clock::now(), settled);
+  BOOST_TEST(Has("b2"));
+}
+
 BOOST_AUTO_TEST_CASE(failed_call_after_a_time_without_calls_is_no_outage) {
   bool follows = false;
   options.follows_peer = [&] { return follows; };
--- a/libs/control/test/store_contact-test.cc
+++ b/libs/control/test/store_contact-test.cc
@@ -56,6 +56,18 @@
   StoreContact contact;
   contact.NoteFault(kStart);
   BOOST_TEST((contact.GraceForMissing(kStart) == StoreContact::kSettleTime));
+  // Only an outage that has ended is told to others.
+  BOOST_TEST((contact.SettlesIn(kStart) == Duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(outage_that_the_sender_of_a_copy_saw_counts_as_an_own_one) {
+  StoreContact contact;
+  contact.NoteAnswer(kStart);
+  contact.NoteSettling(kStart + 2s);
+  contact.NoteSettling(kStart);
+  BOOST_TEST((contact.GraceForMissing(kStart + 500ms) == 1'500ms));
+  BOOST_TEST((contact.SettlesIn(kStart + 500ms) == 1'500ms));
+  BOOST_TEST((contact.GraceForMissing(kStart + 2s) == Duration::zero()));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -237,6 +237,8 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - state_.confirmed_at());
     // Rounded up, so that nothing looks fresher than it is.
     copy.age += std::chrono::milliseconds(1);
+    copy.grace = std::chrono::duration_cast<std::chrono::milliseconds>(
+        follower_.contact().SettlesIn(Clock::now()));
     auto changes = follower_.ChangesAfter(StoreRevision(std::strtoull(query.c_str(), nullptr, 10)));
     copy.whole = !changes.has_value();
     if (changes) {
--- a/libs/peers/include/peers/store_copy.h
+++ b/libs/peers/include/peers/store_copy.h
@@ -18,10 +18,11 @@
 
 /// What one gateway knows of the store.
 struct StoreCopy {
-  StoreRevision revision;            ///< all changes up to this one are known
-  std::chrono::milliseconds age{0};  ///< since that was the newest for certain
-  bool whole = false;                ///< `changes` are all items there are
-  std::vector<StoreEvent> changes;   ///< since the revision that was asked for
+  StoreRevision revision;              ///< all changes up to this one are known
+  std::chrono::milliseconds age{0};    ///< since that was the newest for certain
+  bool whole = false;                  ///< `changes` are all items there are
+  std::vector<StoreEvent> changes;     ///< since the revision that was asked for
+  std::chrono::milliseconds grace{0};  ///< so long missing registrations say nothing
 };
 
 std::string EncodeStoreCopy(const StoreCopy& copy);
--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -24,10 +24,10 @@
 template <class Follower>
 concept CopyTaker = requires(Follower& follower, std::vector<StoreItem> items,
                              const std::vector<StoreEvent>& changes, StoreRevision revision,
-                             TimePoint confirmed) {
+                             TimePoint confirmed, TimePoint settled) {
   { follower.revision() } -> std::convertible_to<StoreRevision>;
-  follower.TakeCopy(std::move(items), revision, confirmed);
-  follower.TakeChanges(changes, revision, confirmed);
+  follower.TakeCopy(std::move(items), revision, confirmed, settled);
+  follower.TakeChanges(changes, revision, confirmed, settled);
 };
 
 /// Asks the zone's relay regularly; and any peer once the configuration has
@@ -100,6 +100,7 @@
     if (copy && copy->age < options_.current_age && relay_() == peer) relay_answered_ = asked;
     if (!copy || copy->revision < follower_.revision()) co_return;
     const TimePoint confirmed = asked - copy->age;
+    const TimePoint settled = asked + copy->grace;
     if (confirmed <= state_.confirmed_at() && copy->revision == follower_.revision()) co_return;
     if (!copy->changes.empty()) {
       Log(LogLevel::kInfo, "changes taken from a peer",
@@ -110,9 +111,9 @@
            {"age_ms", std::to_string(copy->age.count())}});
     }
     if (copy->whole) {
-      follower_.TakeCopy(ItemsOf(std::move(*copy)), copy->revision, confirmed);
+      follower_.TakeCopy(ItemsOf(std::move(*copy)), copy->revision, confirmed, settled);
     } else {
-      follower_.TakeChanges(copy->changes, copy->revision, confirmed);
+      follower_.TakeChanges(copy->changes, copy->revision, confirmed, settled);
     }
   }
 
--- a/libs/peers/src/store_copy.cc
+++ b/libs/peers/src/store_copy.cc
@@ -25,6 +25,7 @@
   message.set_revision(copy.revision.value());
   message.set_age_ms(static_cast<std::uint32_t>(copy.age.count()));
   message.set_whole(copy.whole);
+  message.set_grace_ms(static_cast<std::uint32_t>(copy.grace.count()));
   for (const StoreEvent& change : copy.changes) {
     wire::StoredItem& entry = *message.add_items();
     entry.set_key(change.key);
@@ -44,6 +45,7 @@
   copy.revision = StoreRevision(message.revision());
   copy.age = std::chrono::milliseconds(message.age_ms());
   copy.whole = message.whole();
+  copy.grace = std::chrono::milliseconds(message.grace_ms());
   for (const wire::StoredItem& entry : message.items()) {
     copy.changes.push_back(DecodeChange(entry));
   }
--- /dev/null
+++ b/test/store_copy_reader-test.cc
@@ -0,0 +1,74 @@
+#include "peers/store_copy_reader.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "entry/admin_server.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Keeps what it was given last.
+struct Taker {
+  StoreRevision known;
+  TimePoint settled{};
+
+  StoreRevision revision() const { return known; }
+  void TakeCopy(const std::vector<StoreItem>& /*items*/, StoreRevision revision,
+                TimePoint /*confirmed*/, TimePoint until) {
+    known = revision;
+    settled = until;
+  }
+  void TakeChanges(const std::vector<StoreEvent>& /*changes*/, StoreRevision revision,
+                   TimePoint /*confirmed*/, TimePoint until) {
+    known = revision;
+    settled = until;
+  }
+};
+
+/// A reader, and the relay that it asks.
+struct Fixture {
+  net::io_context io;
+  Metrics metrics;
+  GatewayState state{io.get_executor(), ZoneId("a"), GatewayLimits{}, PlacementWeights{}, metrics};
+  Taker taker;
+  StoreCopy told;
+  std::unique_ptr<AdminServer> relay;
+  std::unique_ptr<StoreCopyReader<Taker>> reader;
+
+  Fixture() {
+    const std::string address = "127.0.0.31";
+    StoreCopyReader<Taker>::Options options;
+    options.port = 23'452;
+    AdminServer::Pages pages;
+    pages[kStoreCopyPath] = [this](const std::string& /*query*/) {
+      return AdminPage{http::status::ok, "application/x-protobuf", EncodeStoreCopy(told)};
+    };
+    const std::string listen = address + ":" + std::to_string(options.port);
+    relay = std::move(*AdminServer::Create(io.get_executor(), listen, std::move(pages)));
+    told.revision = StoreRevision(7);
+    told.age = 10ms;
+    reader = std::make_unique<StoreCopyReader<Taker>>(
+        state, taker, options, [] { return std::vector<std::string>(); },
+        [address] { return std::optional(address); });
+    net::co_spawn(io, reader->Run(), net::detached);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(store_copy_reader, Fixture)
+
+BOOST_AUTO_TEST_CASE(time_that_registrations_have_after_an_outage_is_passed_on) {
+  told.grace = 2s;
+  io.run_for(100ms);
+  BOOST_TEST((taker.known == StoreRevision(7)));
+  BOOST_TEST((taker.settled > Clock::now() + 1'500ms));
+  BOOST_TEST((taker.settled <= Clock::now() + 2s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
