A relay that has lost the store is not relied on

Cause: a relay counted as current until its copy was 1.3 s old and 0.6 s more; with connects its followers passed the 2 s of drain_ms and config_apply_ms. Change: StoreCopy says whether the sender's calls to the store fail; the first such answer ends the reliance. Absent (an older gateway) it reads as before. After a failure the next watch waits 0 ms, so that one lost call makes a relay "lost" for a round trip and not for the second of a watch that stays empty.

A watch that waits 0 ms was not tried against the platform by itself. Left: a relay whose call hangs fails only after watch + call limit (2 s).

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -179,7 +179,10 @@
 
   net::awaitable<void> WatchOnce() {
     const TimePoint begun = Clock::now();
-    const StoreResult<WatchAnswer> answer = co_await store_.Watch("", revision_, options_.watch);
+    // After a failure an answer at once tells that the store is back; followers
+    // of this gateway ask the store themselves until then.
+    const auto wait = contact_.failing() ? std::chrono::milliseconds(0) : options_.watch;
+    const StoreResult<WatchAnswer> answer = co_await store_.Watch("", revision_, wait);
     if (answer.has_error()) {
       NoteFault("watch", answer.error(), begun);
       if (answer.error() == StoreFault::kHistoryGone) {
@@ -194,9 +197,9 @@
     TakeEvents(answer->events, answer->revision);
     // An empty watch that lasted its whole time saw nothing until its end. Of a
     // later answer only the question's moment is certain.
-    const auto late = now - begun - options_.watch;
+    const auto late = now - begun - wait;
     const bool waited = answer->events.empty() && late >= Duration::zero() && late <= kPromptAnswer;
-    state_.ConfirmSnapshot(waited ? begun + options_.watch : begun);
+    state_.ConfirmSnapshot(waited ? begun + wait : begun);
     if (!answer->events.empty()) co_await Wait(options_.gather);
   }
 
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -54,10 +54,11 @@
   MemoryStore store{table, 1};
   Follower::Options options;
   std::unique_ptr<Follower> follower;
+  std::chrono::milliseconds watch{100};
   std::chrono::milliseconds gather{5};
 
   void Start() {
-    options.watch = 100ms;
+    options.watch = watch;
     options.longest_pause = 50ms;
     options.gather = gather;
     follower = std::make_unique<Follower>(store, state, records, options);
@@ -376,4 +377,15 @@
   BOOST_TEST(Config() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(return_of_the_store_is_noticed_before_a_watch_has_passed) {
+  watch = 5s;
+  Start();
+  store.faults.down = true;
+  io.run_for(60ms);
+  BOOST_TEST(!follower->connected());
+  store.faults.down = false;
+  io.run_for(400ms);
+  BOOST_TEST(follower->connected());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -239,6 +239,7 @@
     copy.age += std::chrono::milliseconds(1);
     copy.grace = std::chrono::duration_cast<std::chrono::milliseconds>(
         follower_.contact().SettlesIn(Clock::now()));
+    copy.store_lost = follower_.contact().failing();
     auto changes = follower_.ChangesAfter(StoreRevision(std::strtoull(query.c_str(), nullptr, 10)));
     copy.whole = !changes.has_value();
     if (changes) {
--- a/libs/peers/include/peers/store_copy.h
+++ b/libs/peers/include/peers/store_copy.h
@@ -23,6 +23,7 @@
   bool whole = false;                  ///< `changes` are all items there are
   std::vector<StoreEvent> changes;     ///< since the revision that was asked for
   std::chrono::milliseconds grace{0};  ///< so long missing registrations say nothing
+  bool store_lost = false;             ///< the sender's calls to the store fail
 };
 
 std::string EncodeStoreCopy(const StoreCopy& copy);
--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -83,7 +83,7 @@
     timer_.cancel();
   }
 
-  /// Whether the relay answers and is itself current.
+  /// Whether the relay answers, reaches the store and is itself current.
   bool RelayIsCurrent(TimePoint now) const {
     return now - relay_answered_ < options_.relay_silence;
   }
@@ -97,7 +97,7 @@
   net::awaitable<void> Ask(std::string peer) {
     const TimePoint asked = Clock::now();
     std::optional<StoreCopy> copy = co_await Fetch(peer);
-    if (copy && copy->age < options_.current_age && relay_() == peer) relay_answered_ = asked;
+    if (copy && relay_() == peer) NoteRelay(*copy, asked);
     if (!copy || copy->revision < follower_.revision()) co_return;
     const TimePoint confirmed = asked - copy->age;
     const TimePoint settled = asked + copy->grace;
@@ -117,6 +117,13 @@
     }
   }
 
+  void NoteRelay(const StoreCopy& copy, TimePoint asked) {
+    // It cannot keep anybody current; waiting for its copy to grow old would
+    // use up the time that changes have.
+    if (copy.store_lost) relay_answered_ = {};
+    if (!copy.store_lost && copy.age < options_.current_age) relay_answered_ = asked;
+  }
+
   static std::vector<StoreItem> ItemsOf(StoreCopy copy) {
     std::vector<StoreItem> items;
     for (StoreEvent& change : copy.changes) {
--- a/libs/peers/src/store_copy.cc
+++ b/libs/peers/src/store_copy.cc
@@ -26,6 +26,7 @@
   message.set_age_ms(static_cast<std::uint32_t>(copy.age.count()));
   message.set_whole(copy.whole);
   message.set_grace_ms(static_cast<std::uint32_t>(copy.grace.count()));
+  message.set_store_lost(copy.store_lost);
   for (const StoreEvent& change : copy.changes) {
     wire::StoredItem& entry = *message.add_items();
     entry.set_key(change.key);
@@ -46,6 +47,7 @@
   copy.age = std::chrono::milliseconds(message.age_ms());
   copy.whole = message.whole();
   copy.grace = std::chrono::milliseconds(message.grace_ms());
+  copy.store_lost = message.store_lost();
   for (const wire::StoredItem& entry : message.items()) {
     copy.changes.push_back(DecodeChange(entry));
   }
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -134,6 +134,7 @@
   copy.age = 120ms;
   copy.whole = true;
   copy.grace = 1'700ms;
+  copy.store_lost = true;
   copy.changes = {
       {"key", StoreRevision(4), StoreItem{"key", std::string("\0\xff", 2), StoreRevision(4), {}}},
       {"gone", StoreRevision(5), std::nullopt}};
@@ -143,6 +144,7 @@
   BOOST_TEST((decoded->age == copy.age));
   BOOST_TEST(decoded->whole);
   BOOST_TEST((decoded->grace == copy.grace));
+  BOOST_TEST(decoded->store_lost);
   BOOST_TEST(decoded->changes.at(0).item->value == copy.changes[0].item->value);
   BOOST_TEST(!decoded->changes.at(1).item.has_value());
 }
--- a/test/store_copy_reader-test.cc
+++ b/test/store_copy_reader-test.cc
@@ -71,4 +71,15 @@
   BOOST_TEST((taker.settled <= Clock::now() + 2s));
 }
 
+BOOST_AUTO_TEST_CASE(relay_that_lost_the_store_is_not_relied_on_at_once) {
+  io.run_for(100ms);
+  BOOST_TEST(reader->RelayIsCurrent(Clock::now()));
+  told.store_lost = true;
+  io.run_for(250ms);
+  BOOST_TEST(!reader->RelayIsCurrent(Clock::now()));
+  told.store_lost = false;
+  io.run_for(250ms);
+  BOOST_TEST(reader->RelayIsCurrent(Clock::now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
