An order to an engine is sent only if the duty is held once the connection is there

Cause, of the incident's class: whether this instance may order was checked before a connection was made, which may take 0.7 s; judged is when the order arrives. With the kernel's second of sending again the order could arrive 2.9 s before the next holder's first one, where 3 s are promised and engines do not check fences.

The new test failed with the question answered 'yes' throughout (order_is_not_sent_when_the_duty_was_lost_while_connecting); the old code has no such question to run it on.

--- a/libs/control/include/control/backend_control.h
+++ b/libs/control/include/control/backend_control.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,15 +55,21 @@
   kFenced,        ///< a holder with a higher fencing token was there
   kOtherBackend,  ///< the address belongs to another incarnation
   kInvalid,
+  kNotSent,  ///< nothing was sent
   kUnknown,  ///< no answer: it may be carried out, now or later
 };
 
+std::string_view NameOf(OrderOutcome outcome);
+
+/// Whether an order may go out now; asked once the connection is there.
+using MayOrder = std::function<bool()>;
+
 /// A client of engines' control calls.
 template <class Control>
 concept BackendControl = requires(Control& control, const BackendEntry& entry,
-                                  const WeightsLoad& load) {
+                                  const WeightsLoad& load, const MayOrder& may_order) {
   { control.Report(entry) } -> std::same_as<net::awaitable<std::optional<EngineReport>>>;
-  { control.Load(entry, load) } -> std::same_as<net::awaitable<OrderOutcome>>;
+  { control.Load(entry, load, may_order) } -> std::same_as<net::awaitable<OrderOutcome>>;
 };
 
 }  // namespace ridgehold
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -357,12 +357,12 @@
     load.fencing = duty_.fencing();
     load.mode = ModeFor(step, Clock::now());
     load.expected_orders_taken = report.orders_taken;
-    // The report took time; the duty may be gone by now.
-    if (!MayOrder(Clock::now())) co_return std::nullopt;
     times.ordered = Clock::now();
     times.left_to_end = Unrepeatable(step);
     times.mode = load.mode;
-    const OrderOutcome outcome = co_await control_.Load(step.engine->entry, load);
+    // Report and connection take time; the duty may be gone when both are there.
+    const ridgehold::MayOrder may_order = [this] { return MayOrder(Clock::now()); };
+    const OrderOutcome outcome = co_await control_.Load(step.engine->entry, load, may_order);
     Log(LogLevel::kInfo, "ordered weights",
         {{"backend", step.engine->entry.id.value()},
          {"model", load.model.value()},
@@ -370,7 +370,7 @@
          {"fencing", std::to_string(load.fencing)},
          {"mode", std::string(NameOf(load.mode))},
          {"orders_taken", std::to_string(load.expected_orders_taken)},
-         {"outcome", std::to_string(static_cast<int>(outcome))}});
+         {"outcome", std::string(NameOf(outcome))}});
     state_.metrics().GetCounter("ridgehold_weight_orders").Add();
     const bool taken = outcome == OrderOutcome::kStarted || outcome == OrderOutcome::kAlreadyHolds;
     co_return taken ? std::optional(load.number) : std::nullopt;
--- a/libs/control/src/backend_control.cc
+++ b/libs/control/src/backend_control.cc
@@ -14,4 +14,26 @@
   return "continue_runs";
 }
 
+std::string_view NameOf(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kStarted:
+      return "started";
+    case OrderOutcome::kAlreadyHolds:
+      return "already_holds";
+    case OrderOutcome::kConflict:
+      return "conflict";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kOtherBackend:
+      return "other_backend";
+    case OrderOutcome::kInvalid:
+      return "invalid";
+    case OrderOutcome::kNotSent:
+      return "not_sent";
+    case OrderOutcome::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
 }  // namespace ridgehold
--- a/libs/control/test/rollout-test.cc
+++ b/libs/control/test/rollout-test.cc
@@ -22,7 +22,8 @@
  public:
   struct Engine {
     bool silent = false;
-    std::chrono::milliseconds runs_last{0};  ///< before a load that lets them end
+    std::chrono::milliseconds connecting{0};  ///< before an order can be sent
+    std::chrono::milliseconds runs_last{0};   ///< before a load that lets them end
     WeightsNumber weights{1};
     std::uint64_t orders = 0;
     std::optional<WeightsNumber> loading;
@@ -54,8 +55,15 @@
     co_return report;
   }
 
-  net::awaitable<OrderOutcome> Load(const BackendEntry& entry, const WeightsLoad& load) {
+  net::awaitable<OrderOutcome> Load(const BackendEntry& entry, const WeightsLoad& load,
+                                    const MayOrder& may_order) {
     Engine& engine = engines[entry.id];
+    if (engine.connecting > 0ms) {
+      net::steady_timer timer(co_await net::this_coro::executor, engine.connecting);
+      ErrorCode ignored;
+      co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+    if (!may_order()) co_return OrderOutcome::kNotSent;
     Settle(engine);
     ordered_at.push_back(Clock::now());
     if (engine.loading || engine.orders != load.expected_orders_taken) {
@@ -180,6 +188,19 @@
   BOOST_TEST((engines.ordered_at.front() - started >= 200ms));
 }
 
+// A connection to a slow engine takes up to 0.7 s; an order that went out then could
+// arrive less than the separation before the next holder's.
+BOOST_AUTO_TEST_CASE(order_is_not_sent_when_the_duty_was_lost_while_connecting) {
+  Start(1);
+  engines.engines[BackendId("e0")].connecting = 400ms;
+  io.run_for(50ms);
+  Name(2);
+  io.run_for(100ms);
+  store.faults.down = true;
+  io.run_for(700ms);
+  BOOST_TEST(engines.ordered_at.empty());
+}
+
 BOOST_AUTO_TEST_CASE(without_the_duty_nothing_is_ordered) {
   Start(3);
   io.run_for(50ms);
--- a/libs/net/src/http_call.cc
+++ b/libs/net/src/http_call.cc
@@ -9,13 +9,18 @@
 }  // namespace
 
 net::awaitable<CallOutcome> Call(ConnectionPool& pool, std::string address, RequestMessage request,
-                                 std::chrono::milliseconds limit) {
+                                 std::chrono::milliseconds limit, MaySend may_send) {
   const TimePoint until = Clock::now() + limit;
   Checkout checkout = co_await pool.Acquire(address, until);
   CallOutcome outcome;
   outcome.fault = checkout.fault;
   if (outcome.fault != ExchangeFault::kNone) co_return outcome;
   auto connection = std::move(checkout.connection);
+  if (may_send && !may_send()) {
+    pool.Release(address, std::move(connection));
+    outcome.fault = ExchangeFault::kNotSent;
+    co_return outcome;
+  }
   connection->StartRequest(request);
   outcome.fault = co_await connection->ReadHead(until);
   if (outcome.fault != ExchangeFault::kNone) co_return outcome;
