Retries: any span of the window's length keeps the bound, counted to where a retry arrives

Cause: a gateway counted its retries in 20 steps of a twentieth of the window, the current one included: 9.5 to 10 s of a sliding window of 10 s. All that is allowed could be spent at 0.49 s and again at 10.00 s. Besides, a retry arrives up to 0.7 s after it was allowed (a connect lies between), so that two which were allowed 10.7 s apart may share a window.

Changed: the moments of the retries are kept and counted exactly over window + 0.7 s; they are few, by the bound itself. The 0.7 s is asserted against the connect limit. Requests, which earn, keep their steps: 9.5 to 10 s, never more than a window.

Ruled out: more steps for the retries too. Safe, but each burst would be held back for up to a step longer, and the number of steps would depend on the window.

--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -47,6 +47,8 @@
   std::chrono::milliseconds least_time{30};
 };
 
+static_assert(RetryAllowance::kLongestWay >= ConnectionPool::Options{}.connect_limit);
+
 /// Lives on one executor; not thread-safe. Outlives all sessions.
 class GatewayState {
  public:
--- a/libs/gateway/include/gateway/retry_allowance.h
+++ b/libs/gateway/include/gateway/retry_allowance.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 
 #include "base/ids.h"
@@ -19,17 +20,21 @@
   std::chrono::milliseconds window{10'000};
 };
 
-/// Counts a service's requests and retries over the last window, in steps of a
-/// twentieth of it. A retry is allowed while the window that ends now stays
-/// within this gateway's share: its part of the slack, and `ratio` of its own
-/// requests. So a burst may use what the last window's requests have earned.
-/// Not thread-safe; time comes in as a value.
+/// Counts a service's requests and retries over the last window. A retry is
+/// allowed while the window in which it arrives stays within this gateway's
+/// share: its part of the slack, and `ratio` of its own requests. So a burst may
+/// use what the last window's requests have earned. Where a count is not exact
+/// it errs to fewer retries: requests over less than the window, retries over
+/// more. Not thread-safe; time comes in as a value.
 class RetryAllowance {
  public:
-  /// Part of the bound that is used; the rest covers gateways that are not
-  /// known and windows that begin between steps.
+  /// Part of the bound that is used; the rest covers gateways that are not known.
   static constexpr double kUsedPart = 0.8;
 
+  /// A retry arrives at most so long after it was allowed: connecting lies
+  /// between, see ConnectionPool::Options::connect_limit.
+  static constexpr std::chrono::milliseconds kLongestWay{700};
+
   explicit RetryAllowance(RetryBound bound) : bound_(bound) {}
 
   /// Another bound holds from now on; what was counted stays.
@@ -48,7 +53,8 @@
  private:
   static constexpr std::size_t kSteps = 20;
 
-  /// Counts by step; entry `step % kSteps` is of the newest step with that rest.
+  /// Counts by steps of a twentieth of the window, the current one included, so
+  /// over at most the window.
   class WindowCounter {
    public:
     void Add(std::int64_t step);
@@ -57,17 +63,21 @@
    private:
     void Advance(std::int64_t step);
 
+    /// Entry `step % kSteps` is of the newest step with that rest.
     std::array<std::uint32_t, kSteps> counts_{};
     std::int64_t newest_ = 0;
   };
 
   struct Counters {
     WindowCounter requests;
-    WindowCounter retries;
+    std::deque<TimePoint> retries;  ///< when each was allowed; few, by the bound
   };
 
   std::int64_t StepAt(TimePoint now) const;
 
+  /// Retries that were allowed within it may share a window with one allowed now.
+  std::chrono::milliseconds CountedSpan() const { return bound_.window + kLongestWay; }
+
   RetryBound bound_;
   std::uint32_t gateways_ = 1;
   std::map<ServiceId, Counters> counters_;
--- a/libs/gateway/src/retry_allowance.cc
+++ b/libs/gateway/src/retry_allowance.cc
@@ -29,12 +29,13 @@
 
 bool RetryAllowance::Spend(const ServiceId& service, TimePoint now) {
   Counters& counters = counters_[service];
-  const std::int64_t step = StepAt(now);
-  const double share = bound_.slack / gateways_ + bound_.ratio * counters.requests.Sum(step);
+  const double earned = bound_.ratio * counters.requests.Sum(StepAt(now));
   // A share below one retry would mean none at all in a large fleet.
-  const double allowed = std::max(1.0, kUsedPart * share);
-  if (counters.retries.Sum(step) + 1 > allowed) return false;
-  counters.retries.Add(step);
+  const double allowed = std::max(1.0, kUsedPart * (bound_.slack / gateways_ + earned));
+  auto& retries = counters.retries;
+  while (!retries.empty() && now - retries.front() > CountedSpan()) retries.pop_front();
+  if (static_cast<double>(retries.size()) + 1 > allowed) return false;
+  retries.push_back(now);
   return true;
 }
 
--- a/libs/gateway/test/retry_allowance-test.cc
+++ b/libs/gateway/test/retry_allowance-test.cc
@@ -94,6 +94,40 @@
   BOOST_TEST(allowance.Spend(kService, kStart + 11s));
 }
 
+BOOST_AUTO_TEST_CASE(bound_holds_in_windows_that_begin_at_any_moment) {
+  RetryAllowance allowance({0.2, 10, 10s});
+  while (allowance.Spend(kService, kStart + 490ms)) {
+  }
+  BOOST_TEST(!allowance.Spend(kService, kStart + 10s));
+  // Those of 490 ms may have arrived 700 ms later.
+  BOOST_TEST(!allowance.Spend(kService, kStart + 490ms + 10'700ms));
+  BOOST_TEST(allowance.Spend(kService, kStart + 490ms + 10'701ms));
+}
+
+RC_BOOST_PROP(arrivals_keep_the_bound_in_every_window_however_long_they_are_on_the_way, ()) {
+  RetryAllowance allowance({0.2, 5, 10s});
+  std::vector<TimePoint> arrivals;
+  TimePoint now = kStart;
+  for (const int gap : *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 3'000))) {
+    now += std::chrono::milliseconds(gap);
+    const std::chrono::milliseconds way(*rc::gen::inRange(0, 701));
+    if (allowance.Spend(kService, now)) arrivals.push_back(now + way);
+  }
+  for (const TimePoint from : arrivals) {
+    const auto in_window = std::ranges::count_if(
+        arrivals, [&](TimePoint at) { return at >= from && at <= from + 10s; });
+    RC_ASSERT(in_window <= 5);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(requests_earn_for_no_longer_than_a_window) {
+  RetryAllowance allowance({0.2, 10, 10s});
+  for (int i = 0; i < 100; ++i) allowance.Earn(kService, kStart);
+  int allowed = 0;
+  while (allowance.Spend(kService, kStart + 10'001ms)) ++allowed;
+  BOOST_TEST(allowed == 8);
+}
+
 BOOST_AUTO_TEST_CASE(services_do_not_share_an_allowance) {
   RetryAllowance allowance({0.2, 5, 10s});
   while (allowance.Spend(ServiceId("a"), kStart)) {
