Retries: fewer gateways share the slack only after a window has passed

Cause: the count of live gateways divided the slack at once. When member leases lapse in an outage of the store, each gateway that goes on took itself for the only one and had the whole slack; and those that have truly left may have spent their part just before.

Failed before (retry_allowance alone, with the moment passed in but not used, since the old call has none), slack 80, eight gateways, then one, four and two: slack_is_shared_by_the_most_gateways_of_the_last_window: check allowed(kStart + 1min) == 8 has failed [64 != 8] check allowed(kStart + 1min + 10'700ms) == 8 has failed [32 != 8] check allowed(kStart + 1min + 10'701ms) == 16 has failed [32 != 16] check allowed(kStart + 1min + 6s + 10'700ms) == 16 has failed [32 != 16]

Changed: the slack is divided by the most gateways at any moment of the span over which retries are counted, the window and 0.7 s; so it rises at once, and each fall counts from its own moment. Placement still takes the count as it is. The calls of two existing tests pass a moment now; their checks are as before.

Ruled out: one timer that each change starts again; a fleet in which gateways come and go would never get down.

--- a/libs/control/src/fact_sink.cc
+++ b/libs/control/src/fact_sink.cc
@@ -74,7 +74,7 @@
 void FactSink::CountMembers() {
   const auto members = std::max(static_cast<std::uint32_t>(records_.Members().size()), 1U);
   if (members == state_.gateways()) return;
-  state_.SetGateways(members);
+  state_.SetGateways(members, Clock::now());
   Log(LogLevel::kInfo, "gateways alive", {{"count", std::to_string(members)}});
 }
 
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -109,9 +109,9 @@
 
   /// Gateways that are alive, this one included.
   std::uint32_t gateways() const { return gateways_; }
-  void SetGateways(std::uint32_t gateways) {
+  void SetGateways(std::uint32_t gateways, TimePoint now) {
     gateways_ = std::max(gateways, 1U);
-    retries_.SetGateways(gateways_);
+    retries_.SetGateways(gateways_, now);
   }
 
   /// Other gateways that are alive but tell nothing of their work.
--- a/libs/gateway/include/gateway/retry_allowance.h
+++ b/libs/gateway/include/gateway/retry_allowance.h
@@ -40,8 +40,10 @@
   /// Another bound holds from now on; what was counted stays.
   void SetBound(RetryBound bound) { bound_ = bound; }
 
-  /// `gateways` share the slack from now on.
-  void SetGateways(std::uint32_t gateways) { gateways_ = gateways > 0 ? gateways : 1; }
+  /// `gateways` are alive. More share the slack at once; fewer only when a window
+  /// has passed: until then retries of those that are gone count, and leases that
+  /// lapse while the store is away end no gateway.
+  void SetGateways(std::uint32_t gateways, TimePoint now);
 
   /// A request for `service` came in.
   void Earn(const ServiceId& service, TimePoint now);
@@ -73,13 +75,21 @@
     std::deque<TimePoint> retries;  ///< when each was allowed; few, by the bound
   };
 
+  struct GatewayCount {
+    std::uint32_t count = 1;
+    TimePoint since;  ///< when the last larger count ended
+  };
+
+  /// The most gateways at any moment of the counted span that ends now.
+  std::uint32_t MostGateways(TimePoint now);
+
   std::int64_t StepAt(TimePoint now) const;
 
   /// Retries that were allowed within it may share a window with one allowed now.
   std::chrono::milliseconds CountedSpan() const { return bound_.window + kLongestWay; }
 
   RetryBound bound_;
-  std::uint32_t gateways_ = 1;
+  std::deque<GatewayCount> gateway_counts_;  ///< each smaller than the one before
   std::map<ServiceId, Counters> counters_;
 };
 
--- a/libs/gateway/src/retry_allowance.cc
+++ b/libs/gateway/src/retry_allowance.cc
@@ -23,6 +23,23 @@
   newest_ = std::max(newest_, step);
 }
 
+void RetryAllowance::SetGateways(std::uint32_t gateways, TimePoint now) {
+  GatewayCount latest{std::max(gateways, 1U), now};
+  while (!gateway_counts_.empty() && gateway_counts_.back().count <= latest.count) {
+    latest.since = gateway_counts_.back().since;
+    gateway_counts_.pop_back();
+  }
+  gateway_counts_.push_back(latest);
+}
+
+std::uint32_t RetryAllowance::MostGateways(TimePoint now) {
+  if (gateway_counts_.empty()) return 1;
+  while (gateway_counts_.size() > 1 && now - gateway_counts_[1].since > CountedSpan()) {
+    gateway_counts_.pop_front();
+  }
+  return gateway_counts_.front().count;
+}
+
 void RetryAllowance::Earn(const ServiceId& service, TimePoint now) {
   counters_[service].requests.Add(StepAt(now));
 }
@@ -31,7 +48,7 @@
   Counters& counters = counters_[service];
   const double earned = bound_.ratio * counters.requests.Sum(StepAt(now));
   // A share below one retry would mean none at all in a large fleet.
-  const double allowed = std::max(1.0, kUsedPart * (bound_.slack / gateways_ + earned));
+  const double allowed = std::max(1.0, kUsedPart * (bound_.slack / MostGateways(now) + earned));
   auto& retries = counters.retries;
   while (!retries.empty() && now - retries.front() > CountedSpan()) retries.pop_front();
   if (static_cast<double>(retries.size()) + 1 > allowed) return false;
--- a/libs/gateway/test/retry_allowance-test.cc
+++ b/libs/gateway/test/retry_allowance-test.cc
@@ -51,7 +51,7 @@
   std::vector<RetryAllowance> all;
   for (int i = 0; i < gateways; ++i) {
     all.emplace_back(kBound);
-    all.back().SetGateways(static_cast<std::uint32_t>(gateways));
+    all.back().SetGateways(static_cast<std::uint32_t>(gateways), kStart);
   }
   // Requests a step for each stretch of 4 s; everything fails, so every
   // gateway retries as often as it may.
@@ -79,7 +79,7 @@
 // when an engine crashed, though the last seconds had earned enough.
 BOOST_AUTO_TEST_CASE(burst_may_use_what_the_last_window_has_earned) {
   RetryAllowance allowance({0.2, 56, 10s});
-  allowance.SetGateways(8);
+  allowance.SetGateways(8, kStart);
   for (int i = 0; i < 100; ++i) allowance.Earn(kService, kStart + i * 90ms);
   int allowed = 0;
   while (allowance.Spend(kService, kStart + 9s)) ++allowed;
@@ -128,6 +128,30 @@
   BOOST_TEST(allowed == 8);
 }
 
+BOOST_AUTO_TEST_CASE(slack_is_shared_by_the_most_gateways_of_the_last_window) {
+  RetryAllowance allowance({0.2, 80, 10s});
+  const auto allowed = [&](TimePoint now) {
+    RetryAllowance copy = allowance;
+    int count = 0;
+    while (copy.Spend(kService, now)) ++count;
+    return count;
+  };
+  allowance.SetGateways(8, kStart);
+  BOOST_TEST(allowed(kStart) == 8);
+  // All leases lapse in an outage; the gateways go on.
+  allowance.SetGateways(1, kStart + 1min);
+  BOOST_TEST(allowed(kStart + 1min) == 8);
+  allowance.SetGateways(4, kStart + 1min + 4s);
+  allowance.SetGateways(2, kStart + 1min + 6s);
+  BOOST_TEST(allowed(kStart + 1min + 10'700ms) == 8);
+  BOOST_TEST(allowed(kStart + 1min + 10'701ms) == 16);
+  BOOST_TEST(allowed(kStart + 1min + 6s + 10'700ms) == 16);
+  BOOST_TEST(allowed(kStart + 1min + 6s + 10'701ms) == 32);
+  // One more counts at once.
+  allowance.SetGateways(16, kStart + 1min + 7s);
+  BOOST_TEST(allowed(kStart + 1min + 7s) == 4);
+}
+
 BOOST_AUTO_TEST_CASE(services_do_not_share_an_allowance) {
   RetryAllowance allowance({0.2, 5, 10s});
   while (allowance.Spend(ServiceId("a"), kStart)) {
