Callers: whether one has closed is looked up before a request is sent, and behind its next request

Cause: a close is learned by an event of the loop only. On an instance that had no processor for a while the request is read and, over a kept connection, sent on before that event is handled. And a caller that had sent its next request early was not watched any more: its socket stays readable, so there is no event for a close behind those bytes.

Changed: CallerConnection::CheckCallerGone asks the kernel; an exchange does so when it has a connection, just before it sends, and ends as caller_gone. The connection is now taken into the attempt only after these checks: one that went back to the pool stayed in the attempt. While bytes of a next request wait, the caller is looked at every 200 ms.

Ruled out: a peek (MSG_PEEK). It shows the bytes that wait, not the close behind them; poll with POLLRDHUP shows it. Waiting for readability again at once: with bytes there it is a busy loop.

--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -46,6 +46,10 @@
   void StopWatching();
   bool caller_gone() const { return caller_gone_; }
 
+  /// Whether the caller has closed by now. The event that tells so may still wait
+  /// behind others of a busy loop.
+  bool CheckCallerGone();
+
   /// Each returns false when the caller can no longer be reached.
   net::awaitable<bool> Send(ResponseMessage answer, bool close_after);
   net::awaitable<bool> BeginStream(ResponseHead head, bool close_after);
@@ -72,10 +76,12 @@
   void ArmLimit(std::chrono::milliseconds limit);
   void DisarmLimit();
   void OnReadable(const ErrorCode& error, std::uint64_t watch);
+  void WatchAgainLater(std::uint64_t watch);
   void Close();
 
   tcp::socket socket_;
   net::steady_timer limit_timer_;
+  net::steady_timer watch_timer_;
   boost::beast::flat_buffer buffer_;
   RequestHead head_;
   RequestMessage request_;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -137,17 +137,15 @@
     const std::string address = attempt_.backend->entry.address;
     Checkout checkout = co_await state_.pool().Acquire(address, plan_.answer_by);
     if (checkout.fault != ExchangeFault::kNone) co_return EndOf(checkout.fault);
-    attempt_.connection = checkout.connection;
-    if (caller_->caller_gone()) {
-      state_.pool().Release(address, attempt_.connection);
-      co_return AttemptEnd::kCallerGone;
-    }
-    // Connecting took time, and what was chosen then may have left since.
-    if (!MayStillSend(state_, inbound_, choice, Clock::now())) {
-      state_.pool().Release(address, attempt_.connection);
+    // Connecting took time: the caller may have left since, or the backend server.
+    const bool caller_gone = caller_->CheckCallerGone();
+    if (caller_gone || !MayStillSend(state_, inbound_, choice, Clock::now())) {
+      state_.pool().Release(address, std::move(checkout.connection));
+      if (caller_gone) co_return AttemptEnd::kCallerGone;
       last_code_ = ResultCode::kNoBackend;
       co_return AttemptEnd::kSkipped;
     }
+    attempt_.connection = std::move(checkout.connection);
     AttemptDirectives directives = DirectivesFor(state_, plan_, choice, Clock::now());
     directives.resume_after = relay_.last_event();
     WatchBegin();
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -1,17 +1,20 @@
 #include "gateway/caller_connection.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <cerrno>
 
 namespace ridgehold {
 namespace {
 
 constexpr unsigned kHttp11 = 11;
+// A caller's next request keeps its socket readable, so a close behind it makes no
+// event. Looked for this often, it is noticed well within half a second.
+constexpr std::chrono::milliseconds kWatchPause{200};
 
 ReadOutcome Refused(ResultCode code, std::string detail = "") {
   return {ReadOutcome::Kind::kRefused, {code, std::move(detail)}};
@@ -32,6 +35,12 @@
   return field != head.end() && boost::beast::iequals(field->value(), "100-continue");
 }
 
+/// Whether the other side has closed, also where bytes wait before the close.
+bool HasClosed(int descriptor) {
+  pollfd look{descriptor, POLLRDHUP, 0};
+  return ::poll(&look, 1, 0) > 0;
+}
+
 }  // namespace
 
 std::shared_ptr<CallerConnection> CallerConnection::Create(tcp::socket socket) {
@@ -41,7 +50,9 @@
 }
 
 CallerConnection::CallerConnection(tcp::socket socket)
-    : socket_(std::move(socket)), limit_timer_(socket_.get_executor()) {}
+    : socket_(std::move(socket)),
+      limit_timer_(socket_.get_executor()),
+      watch_timer_(socket_.get_executor()) {}
 
 net::awaitable<ReadOutcome> CallerConnection::Read(CallerLimits limits) {
   auto self = shared_from_this();
@@ -130,21 +141,31 @@
 
 void CallerConnection::OnReadable(const ErrorCode& error, std::uint64_t watch) {
   if (!watching_ || watch != watch_) return;
-  char byte = 0;
-  const auto read = error ? 0 : ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // More bytes are the next request; it is read when this one is answered.
-  if (read > 0) return;
-  if (read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-    return WatchCaller(std::move(on_gone_));
+  if (!error && !CheckCallerGone()) return WatchAgainLater(watch);
   watching_ = false;
   caller_gone_ = true;
   const auto on_gone = std::exchange(on_gone_, nullptr);
   if (on_gone) on_gone();
 }
 
+void CallerConnection::WatchAgainLater(std::uint64_t watch) {
+  watch_timer_.expires_after(kWatchPause);
+  watch_timer_.async_wait([self = shared_from_this(), watch](const ErrorCode& error) {
+    if (error || !self->watching_ || watch != self->watch_) return;
+    self->WatchCaller(std::move(self->on_gone_));
+  });
+}
+
+bool CallerConnection::CheckCallerGone() {
+  caller_gone_ = caller_gone_ || HasClosed(socket_.native_handle());
+  return caller_gone_;
+}
+
 void CallerConnection::StopWatching() {
   if (!std::exchange(watching_, false)) return;
   on_gone_ = nullptr;
+  watch_timer_.cancel();
   ErrorCode ignored;
   socket_.cancel(ignored);
 }
