Shutdown: requests that still wait near the end of the grace time are answered

Cause: at the end of the grace time (SIGTERM + limit - 0.7 s) the process ends, and requests that wait for an engine then lost their connection without an answer.

Failed before (platform/test/entry-test.cc, a silent engine, limit 2 s): request_that_still_waits_at_the_end_of_a_shutdown_is_answered: check answered_before_stop has failed

Changed: 300 ms before the end (EntryTuning::last_answers) attempts whose answer has not begun are ended. The policy decides as for any request whose time is over: 504 where it may have run, 503 with "not run" where it was not sent. From the SIGTERM on, no connect lasts beyond that moment, and nothing is sent after it. Streams that have passed an event on go on to the end. The caller server keeps each connection's exchange, so no other list is needed.

Ruled out: the moment as every attempt's own limit. Limits are set when a wait begins, which is before the SIGTERM for those that matter; and it would end streams that run.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -361,6 +361,7 @@
   net::awaitable<void> ShutDown(std::function<void()> done) {
     const TimePoint begun = Clock::now();
     const TimePoint latest = begun + settings_.shutdown_limit - tuning_.shutdown_margin;
+    state_.SetLastAnswers(latest - tuning_.last_answers);
     net::steady_timer timer(executor_);
     net::co_spawn(executor_, HandOverDuty(latest), net::detached);
     co_await member_.Release();
@@ -370,6 +371,7 @@
     state_.RefuseNewRequests();
     while (Clock::now() < latest) {
       server_.CloseIdle();
+      if (Clock::now() >= state_.last_answers()) server_.AnswerWaiting();
       const bool empty = state_.in_flight() == 0 && server_.open_connections() == 0;
       if (empty && duty_handed_over_) break;
       co_await WaitOn(timer, tuning_.housekeeping / 5);
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -44,6 +44,10 @@
   std::chrono::milliseconds lame_duck{2'600};
   /// An engine that was ordered has loaded by then.
   std::chrono::milliseconds longest_load{1'500};
+  /// Requests that wait so long before the end are answered then: a gateway on a
+  /// capped core stands still for up to 100 ms, the end is looked for every
+  /// 100 ms, and the answer needs a few ms to the caller.
+  std::chrono::milliseconds last_answers{300};
   /// Left before the process is killed.
   std::chrono::milliseconds shutdown_margin{700};
   /// Requests must have begun on older weights so long before the limit: a
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -6,8 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <map>
 #include <memory>
-#include <set>
 
 #include "gateway/caller_connection.h"
 #include "gateway/exchange.h"
@@ -38,7 +38,14 @@
   /// Closes connections that carry no request now.
   void CloseIdle() {
     const auto open = connections_;
-    for (const auto& connection : open) connection->CloseIfIdle();
+    for (const auto& [connection, exchange] : open) connection->CloseIfIdle();
+  }
+
+  /// Answers requests that still wait; `last_answers` of the state has passed.
+  void AnswerWaiting() {
+    for (const auto& [connection, exchange] : connections_) {
+      if (exchange) exchange->EndWaiting();
+    }
   }
 
   std::size_t open_connections() const { return connections_.size(); }
@@ -46,6 +53,7 @@
 
  private:
   using ConnectionPtr = std::shared_ptr<CallerConnection>;
+  using ExchangePtr = std::shared_ptr<Exchange<Wire>>;
 
   net::awaitable<void> Accept() {
     while (acceptor_.is_open()) {
@@ -67,7 +75,7 @@
   }
 
   net::awaitable<void> Serve(ConnectionPtr connection) {
-    connections_.insert(connection);
+    ExchangePtr& exchange = connections_[connection];
     while (connection->KeepsOpen()) {
       const CallerLimits limits = state_.snapshot() ? state_.snapshot()->limits() : CallerLimits{};
       const ReadOutcome outcome = co_await connection->Read(limits);
@@ -76,8 +84,9 @@
         co_await RefuseUnread(connection, outcome.failure);
         break;
       }
-      const auto exchange = Exchange<Wire>::Create(state_, connection);
+      exchange = Exchange<Wire>::Create(state_, connection);
       co_await exchange->Run();
+      exchange.reset();
     }
     connection->Abort();
     connections_.erase(connection);
@@ -97,7 +106,7 @@
   GatewayState& state_;
   tcp::acceptor acceptor_;
   std::size_t most_connections_;
-  std::set<ConnectionPtr> connections_;
+  std::map<ConnectionPtr, ExchangePtr> connections_;  ///< with what is answered there now
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -41,6 +41,12 @@
     LogRequest(state_, record_);
   }
 
+  /// Answers a request that still waits once `last_answers` has passed, with what
+  /// is known. An answer that has begun goes on.
+  void EndWaiting() {
+    if (!begun_ && attempt_.connection) attempt_.connection->Cancel();
+  }
+
  private:
   /// One attempt while it runs.
   struct Attempt {
@@ -135,18 +141,20 @@
 
   net::awaitable<AttemptEnd> RunAttempt(const BackendChoice& choice) {
     const std::string address = attempt_.backend->entry.address;
-    Checkout checkout = co_await state_.pool().Acquire(address, plan_.answer_by);
+    Checkout checkout = co_await state_.pool().Acquire(address, WaitLimit());
     if (checkout.fault != ExchangeFault::kNone) co_return EndOf(checkout.fault);
     // Connecting took time: the caller may have left since, or the backend server.
     const bool caller_gone = caller_->CheckCallerGone();
-    if (caller_gone || !MayStillSend(state_, inbound_, choice, Clock::now())) {
+    const TimePoint now = Clock::now();
+    const bool too_late = now >= WaitLimit();
+    if (caller_gone || too_late || !MayStillSend(state_, inbound_, choice, now)) {
       state_.pool().Release(address, std::move(checkout.connection));
       if (caller_gone) co_return AttemptEnd::kCallerGone;
       last_code_ = ResultCode::kNoBackend;
       co_return AttemptEnd::kSkipped;
     }
     attempt_.connection = std::move(checkout.connection);
-    AttemptDirectives directives = DirectivesFor(state_, plan_, choice, Clock::now());
+    AttemptDirectives directives = DirectivesFor(state_, plan_, choice, now);
     directives.resume_after = relay_.last_event();
     WatchBegin();
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
@@ -261,6 +269,11 @@
     record_.older_weights->age_when_begun = use->age_when_sent;
   }
 
+  /// Until when the answer must have begun.
+  TimePoint WaitLimit() const {
+    return begun_ ? plan_.answer_by : std::min(plan_.answer_by, state_.last_answers());
+  }
+
   AttemptEnd EndOf(ExchangeFault fault) {
     switch (fault) {
       case ExchangeFault::kNotSent:
@@ -271,9 +284,13 @@
         return AttemptEnd::kTimedOut;
       case ExchangeFault::kCancelled:
         if (caller_->caller_gone()) return AttemptEnd::kCallerGone;
-        if (!attempt_.withdrawn) break;
-        last_code_ = ResultCode::kWeightsPastLimit;
-        return AttemptEnd::kWithdrawn;
+        if (attempt_.withdrawn) {
+          last_code_ = ResultCode::kWeightsPastLimit;
+          return AttemptEnd::kWithdrawn;
+        }
+        if (Clock::now() < WaitLimit()) break;
+        last_code_ = ResultCode::kBackendTimeout;
+        return AttemptEnd::kTimedOut;
       case ExchangeFault::kNone:
       case ExchangeFault::kBroken:
         break;
@@ -293,7 +310,7 @@
       ++facts_.runs;
     }
     const TimePoint now = Clock::now();
-    facts_.time_left = plan_.answer_by - now > state_.limits().least_time;
+    facts_.time_left = WaitLimit() - now > state_.limits().least_time;
     NoteOutcome(state_, inbound_, *attempt_.backend, facts_, now);
     tried_.insert(attempt_.backend->entry.id);
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(facts_);
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -147,6 +147,10 @@
   void RefuseNewRequests() { refusing_new_ = true; }
   bool refusing_new() const { return refusing_new_; }
 
+  /// Requests whose answer has not begun by `moment` are answered then.
+  void SetLastAnswers(TimePoint moment) { last_answers_ = moment; }
+  TimePoint last_answers() const { return last_answers_; }
+
   std::uint32_t in_flight() const { return in_flight_; }
   void RequestBegan() { ++in_flight_; }
   void RequestEnded() { --in_flight_; }
@@ -174,6 +178,7 @@
   std::function<void()> on_placed_;
   std::uint32_t in_flight_ = 0;
   std::uint64_t sequence_ = 0;
+  TimePoint last_answers_ = TimePoint::max();
   bool shutting_down_ = false;
   bool refusing_new_ = false;
 };
