--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -254,6 +254,21 @@
   BOOST_TEST(Config() == 3);
 }
 
+// Bounds count from the writing, and news is late: here by the pause after other news.
+BOOST_AUTO_TEST_CASE(naming_counts_from_before_it_was_written) {
+  gather = 150ms;
+  Start();
+  table.Put("backend/b1", "x");
+  io.run_for(50ms);
+  const TimePoint written = Clock::now();
+  table.Put("weights", "2");
+  io.run_for(300ms);
+  const auto since = state.named_weights().NewestSince(ModelId("m"));
+  BOOST_REQUIRE(since.has_value());
+  BOOST_TEST((*since <= written));
+  BOOST_TEST((*since >= written - 200ms));
+}
+
 BOOST_AUTO_TEST_CASE(late_answer_of_a_watch_undoes_nothing_that_a_peer_told) {
   table.Put("backend/b1", "draining");
   Start();
