--- a/libs/control/include/control/held_key.h
+++ b/libs/control/include/control/held_key.h
@@ -50,9 +50,12 @@
   net::awaitable<void> Run() {
     while (!stopped_) {
       if (lease_) {
+        // Counted from the last renewal's beginning: slow calls to the store
+        // would else use up the lease.
+        const TimePoint next = Clock::now() + options_.ttl / options_.renewals;
         co_await Renew();
         co_await MarkActing();
-        co_await Wait(options_.ttl / options_.renewals);
+        co_await WaitUntil(next);
         continue;
       }
       if (options_.exclusive && !looked_for_own_) {
@@ -102,12 +105,14 @@
   net::awaitable<void> TakeBack() {
     const StoreResult<StorePage> page = co_await store_.List(options_.key, "");
     if (page.has_error()) co_return;
-    looked_for_own_ = true;
     const auto found = std::ranges::find(page->items, options_.key, &StoreItem::key);
-    if (found == page->items.end()) co_return;
-    const bool acted = found->value == options_.value + kActing;
-    if (!acted && found->value != options_.value) co_return;
-    co_await Take(found->revision, acted ? std::chrono::milliseconds(0) : options_.separation);
+    const bool acted = found != page->items.end() && found->value == options_.value + kActing;
+    const bool own = acted || (found != page->items.end() && found->value == options_.value);
+    if (own) {
+      co_await Take(found->revision, acted ? std::chrono::milliseconds(0) : options_.separation);
+    }
+    // A taking whose answer was lost is looked for again.
+    looked_for_own_ = !own || lease_.has_value();
   }
 
   /// Takes the key if it is at `revision`; 0: if it is free.
@@ -174,8 +179,12 @@
   }
 
   net::awaitable<void> Wait(std::chrono::milliseconds time) {
+    co_await WaitUntil(Clock::now() + time);
+  }
+
+  net::awaitable<void> WaitUntil(TimePoint moment) {
     ErrorCode ignored;
-    timer_.expires_after(time);
+    timer_.expires_at(moment);
     co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
   }
 
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -166,6 +166,11 @@
     }));
   }
 
+  std::size_t Answered() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(steps_, [](const auto& entry) { return entry.second.answered; }));
+  }
+
   /// Engines that load at once, more as the bound comes near: waiting for turns
   /// past it would keep requests on weights that are too old.
   std::uint32_t TurnsAt(TimePoint now) const {
@@ -215,6 +220,11 @@
       LeaveAlone(step);
     } else if (TakeReport(step, *report, std::nullopt)) {
       times.outcome = "loaded";
+    } else if (Answered() >= TurnsAt(Clock::now()) + LoadsEnding(Clock::now())) {
+      // Its report was late and others have the turns. Held without one, it
+      // would stand idle; the next look begins it again.
+      steps_.erase(id);
+      co_return;
     } else {
       steps_[id].answered = true;
       co_await EmptyAndLoad(step, timer, times);
@@ -275,6 +285,8 @@
   void LeaveAlone(const RolloutStep& step) {
     const TimePoint now = Clock::now();
     left_alone_[step.engine->entry.id] = now + options_.silence;
+    // Its kept connections may have gone silent, and not the engine.
+    state_.pool().Forget(step.engine->entry.address);
     BackendDirectory::NoteFailure(*step.engine, now);
   }
 
@@ -323,11 +335,8 @@
 
   /// Until the prompts that were sent there are read; running text ends sooner.
   Duration ExpectedFinish(const RolloutStep& step) const {
-    const double tokens = step.engine->unprefilled_tokens + step.engine->peers.unread_tokens;
-    const double reading_ms = tokens / state_.weights().prefill_tokens_per_ms;
-    const auto reading =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(reading_ms));
-    return std::max(reading, BackendDirectory::ExpectedWait(*step.engine, Clock::now()));
+    return BackendDirectory::ExpectedWait(*step.engine, state_.weights().prefill_tokens_per_ms,
+                                          Clock::now());
   }
 
   /// Returns whether the engine has the weights it was ordered to load, or
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -207,8 +207,9 @@
   /// from the writing, and news is late by gathering, relays and a slow store.
   FactSink::Writing WritingOf(TimePoint now) const {
     if (!read_once_) return {now - options_.unknown_age, true};
+    // After an outage that says little, and no more than at a start.
     const bool prompt = now - state_.confirmed_at() <= kPromptNews;
-    return {state_.confirmed_at(), !prompt};
+    return {std::max<TimePoint>(state_.confirmed_at(), now - options_.unknown_age), !prompt};
   }
 
   /// Takes what is new of an answer. Watches and peers' copies are read at the
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -255,7 +255,8 @@
   typename Follower::Options FollowerOptions() {
     typename Follower::Options options;
     options.follows_peer = [this] { return FollowsRelay(); };
-    options.unknown_age = settings_.weights_limit - tuning_.unknown_weights_use;
+    options.unknown_age = std::max(settings_.weights_limit - tuning_.unknown_weights_use,
+                                   std::chrono::milliseconds(0));
     return options;
   }
 
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -101,8 +101,9 @@
   const std::map<BackendId, BackendPtr>& all() const { return backends_; }
 
   /// How long a request that is sent now waits until the engine begins it: as
-  /// long as the last ones did, and the one that has waited longest by now.
-  static Duration ExpectedWait(const Backend& backend, TimePoint now);
+  /// long as the last ones did, as the one that has waited longest by now, and as
+  /// reading takes what all gateways have sent there.
+  static Duration ExpectedWait(const Backend& backend, double tokens_per_ms, TimePoint now);
   /// The first event has come after `waited`.
   static void NoteBegun(Backend& backend, Duration waited, TimePoint now);
 
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -101,9 +101,12 @@
   }
 }
 
-Duration BackendDirectory::ExpectedWait(const Backend& backend, TimePoint now) {
-  Duration wait{0};
-  if (now - backend.begin_wait_seen < kWaitRemembered) wait = backend.begin_wait;
+Duration BackendDirectory::ExpectedWait(const Backend& backend, double tokens_per_ms,
+                                        TimePoint now) {
+  const double unread = backend.unprefilled_tokens + backend.peers.unread_tokens;
+  Duration wait = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(std::max(0.0, unread) / tokens_per_ms));
+  if (now - backend.begin_wait_seen < kWaitRemembered) wait = std::max(wait, backend.begin_wait);
   if (backend.waiting_since.empty()) return wait;
   const auto oldest = std::chrono::duration_cast<Duration>(now - *backend.waiting_since.begin());
   return std::max(wait, oldest);
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -53,7 +53,8 @@
   if (!own) return true;
   const auto outdated = state.named_weights().OutdatedSince(model, *own);
   if (!outdated) return true;
-  const TimePoint begins = now + BackendDirectory::ExpectedWait(backend, now);
+  const TimePoint begins =
+      now + BackendDirectory::ExpectedWait(backend, state.weights().prefill_tokens_per_ms, now);
   return begins - *outdated < state.limits().older_weights;
 }
 
@@ -181,6 +182,7 @@
                   const BackendChoice& choice, TimePoint now) {
   const Backend& backend = *choice.backend;
   if (backend.removed || backend.entry.draining) return false;
+  if (backend.missing_until && now >= *backend.missing_until) return false;
   return !request.generation || WeightsAllowed(state, backend, request.generation->model, now);
 }
 
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -60,6 +60,11 @@
   /// Ends the running operation; it reports kCancelled.
   void Cancel();
 
+  /// Whether closing, or the end of the process, drops what the other side has
+  /// not acknowledged. Else the kernel goes on sending it, and a request or an
+  /// order that was given up may arrive a second later.
+  void ResetOnClose(bool reset);
+
   /// Whether the last exchange left the connection fit for another: whole
   /// request sent, whole answer read, nothing behind it, and kept by the server.
   bool Reusable() const;
@@ -82,7 +87,6 @@
   void OnWritten(const ErrorCode& error, std::size_t bytes);
   ExchangeFault FaultAfter(const ErrorCode& error) const;
   void TakeHeadFields();
-  void DropUnsent();
   void Close();
 
   tcp::socket socket_;
--- a/libs/net/src/http_call.cc
+++ b/libs/net/src/http_call.cc
@@ -21,12 +21,16 @@
     outcome.fault = ExchangeFault::kNotSent;
     co_return outcome;
   }
+  // What was sent under a condition is not to arrive after the process's end.
+  if (may_send) connection->ResetOnClose(true);
   connection->StartRequest(request);
   outcome.fault = co_await connection->ReadHead(until);
   if (outcome.fault != ExchangeFault::kNone) co_return outcome;
   outcome.answer.base() = connection->head();
   outcome.fault = co_await connection->ReadWholeBody(outcome.answer.body(), kMaxAnswerBytes, until);
-  if (outcome.fault == ExchangeFault::kNone) pool.Release(address, std::move(connection));
+  if (outcome.fault != ExchangeFault::kNone) co_return outcome;
+  if (may_send) connection->ResetOnClose(false);
+  pool.Release(address, std::move(connection));
   co_return outcome;
 }
 
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -159,7 +159,7 @@
   limit_timer_.async_wait([self = shared_from_this(), generation](const ErrorCode& error) {
     if (error || generation != self->limit_generation_) return;
     self->timed_out_ = true;
-    self->DropUnsent();
+    self->ResetOnClose(true);
     self->Close();
   });
 }
@@ -173,15 +173,13 @@
 
 void OutboundConnection::Cancel() {
   cancelled_ = true;
-  DropUnsent();
+  ResetOnClose(true);
   Close();
 }
 
-void OutboundConnection::DropUnsent() {
-  // Else the kernel goes on sending what the other side has not acknowledged,
-  // and a request or an order that was given up may arrive a second later.
+void OutboundConnection::ResetOnClose(bool reset) {
   ErrorCode ignored;
-  socket_.set_option(net::socket_base::linger(true, 0), ignored);
+  socket_.set_option(net::socket_base::linger(reset, 0), ignored);
 }
 
 void OutboundConnection::Close() {
