--- /dev/null
+++ b/libs/control/include/control/rollout_pace.h
@@ -0,0 +1,55 @@
+// How fast a rollout must go, and how gently it may treat what runs at an engine.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "control/backend_control.h"
+#include "control/rollout_options.h"
+#include "control/rollout_plan.h"
+#include "gateway/gateway_state.h"
+
+namespace ridgehold {
+
+/// Weighs the bound on older weights against the requests at the engines. Time
+/// comes in as a value.
+class RolloutPace {
+ public:
+  RolloutPace(GatewayState& state, const RolloutOptions& options)
+      : state_(state), options_(options) {}
+
+  /// The process has just started; see RolloutOptions::unknown_namings.
+  void Start(TimePoint now) { started_ = now; }
+
+  /// How many of `engines`, which are to be brought up, load at once: more as
+  /// the bound comes near, since waiting for turns past it would keep requests
+  /// on weights that are too old.
+  std::uint32_t TurnsFor(const std::vector<RolloutStep>& engines, TimePoint now) const;
+
+  /// How long an engine is waited for to empty, so that its order comes well
+  /// before the bound.
+  Duration DrainTime(const RolloutStep& step, TimePoint now) const;
+
+  /// What happens to the runs there: resumable ones are broken off and go on
+  /// elsewhere; others end first if that is short and there is time for the
+  /// worst, else they go on under the new weights, so that no caller loses an
+  /// answer.
+  ReloadMode ModeFor(const RolloutStep& step, TimePoint now) const;
+
+  /// Requests there that cannot be resumed elsewhere.
+  static std::uint32_t Unrepeatable(const RolloutStep& step) {
+    return step.engine->unrepeatable + step.engine->peers.unrepeatable;
+  }
+
+ private:
+  /// Until when requests may begin on the weights the engine has.
+  std::optional<TimePoint> BoundOf(const RolloutStep& step, TimePoint now) const;
+
+  GatewayState& state_;
+  const RolloutOptions& options_;
+  TimePoint started_{};
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/control/src/rollout_pace.cc
@@ -0,0 +1,48 @@
+#include "control/rollout_pace.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace ridgehold {
+
+std::uint32_t RolloutPace::TurnsFor(const std::vector<RolloutStep>& engines, TimePoint now) const {
+  if (engines.empty()) return 1;
+  const std::uint32_t usual = UsualLoadsAtOnce(
+      state_.directory(), engines.front().engine->entry.service, options_.engines_for_each_load);
+  std::vector<Duration> time_left;
+  for (const RolloutStep& step : engines) {
+    const auto bound = BoundOf(step, now);
+    if (!bound) continue;
+    time_left.push_back(std::chrono::duration_cast<Duration>(*bound - options_.reserve - now));
+  }
+  return LoadsAtOnce(usual, std::move(time_left), options_.load);
+}
+
+Duration RolloutPace::DrainTime(const RolloutStep& step, TimePoint now) const {
+  const auto bound = BoundOf(step, now);
+  if (!bound) return options_.longest_drain;
+  const auto spare = *bound - options_.reserve - options_.load - now;
+  return std::clamp<Duration>(std::chrono::duration_cast<Duration>(spare), options_.hold_spreads,
+                              options_.longest_drain);
+}
+
+ReloadMode RolloutPace::ModeFor(const RolloutStep& step, TimePoint now) const {
+  if (Unrepeatable(step) == 0) return ReloadMode::kBreakRuns;
+  const auto bound = BoundOf(step, now);
+  const bool time_left = !bound || now + options_.longest_finish + options_.reserve < *bound;
+  const Duration finish =
+      BackendDirectory::ExpectedWait(*step.engine, state_.weights().prefill_tokens_per_ms, now);
+  const bool short_runs = finish <= options_.expected_finish;
+  return time_left && short_runs ? ReloadMode::kFinishRuns : ReloadMode::kContinueRuns;
+}
+
+std::optional<TimePoint> RolloutPace::BoundOf(const RolloutStep& step, TimePoint now) const {
+  const auto naming =
+      state_.named_weights().OutdatedBy(step.model, step.engine->weights.at(step.model));
+  if (!naming) return std::nullopt;
+  if (naming->assumed && now - started_ < options_.unknown_namings) return std::nullopt;
+  return naming->at + state_.limits().older_weights;
+}
+
+}  // namespace ridgehold
