--- a/libs/control/test/held_key-test.cc
+++ b/libs/control/test/held_key-test.cc
@@ -20,9 +20,14 @@
 constexpr char kKey[] = "duty";
 
 struct Holder {
+  Holder(MemoryTable& table, net::any_io_executor executor, HeldKey<MemoryStore>::Options options,
+         std::uint32_t seed)
+      : store(table, seed), key(store, executor, std::move(options), [&table] {
+          return !table.items().contains(kKey);
+        }) {}
+
   Holder(MemoryTable& table, net::any_io_executor executor, std::uint32_t seed)
-      : store(table, seed),
-        key(store, executor, Options(seed), [&table] { return !table.items().contains(kKey); }) {}
+      : Holder(table, executor, Options(seed), seed) {}
 
   static HeldKey<MemoryStore>::Options Options(std::uint32_t seed) {
     HeldKey<MemoryStore>::Options options;
@@ -49,6 +54,20 @@
     }
   }
 
+  Holder& AddWith(HeldKey<MemoryStore>::Options options) {
+    holders.push_back(std::make_unique<Holder>(table, io.get_executor(), std::move(options), 0));
+    net::co_spawn(io, holders.back()->key.Run(), net::detached);
+    return *holders.back();
+  }
+
+  /// As good as killed (nothing of it reaches the store), and started again.
+  Holder& Restart(Holder& former, HeldKey<MemoryStore>::Options options) {
+    former.store.faults.down = true;
+    return AddWith(std::move(options));
+  }
+
+  bool MarkedActing() { return table.items().at(kKey).value.ends_with(" acting"); }
+
   std::size_t CountHeld() const {
     const TimePoint now = Clock::now();
     return static_cast<std::size_t>(
@@ -164,4 +183,71 @@
   BOOST_TEST(!other.key.Held(Clock::now()));
 }
 
+// Protects the former holder's time: its last order may be younger than the separation.
+BOOST_AUTO_TEST_CASE(key_taken_back_from_a_process_that_had_not_acted_waits_the_separation) {
+  auto options = Holder::Options(0);
+  options.separation = 400ms;
+  Holder& former = AddWith(options);
+  io.run_for(100ms);
+  BOOST_REQUIRE(former.key.Held(Clock::now()));
+  BOOST_REQUIRE(!former.key.MayAct(Clock::now()));
+  const TimePoint begun = Clock::now();
+  Holder& restarted = Restart(former, options);
+  io.run_for(100ms);
+  BOOST_REQUIRE(restarted.key.Held(Clock::now()));
+  BOOST_TEST((restarted.key.acts_from() >= begun + 400ms));
+  BOOST_TEST(!restarted.key.MayAct(Clock::now()));
+  io.run_for(400ms);
+  BOOST_TEST(restarted.key.MayAct(Clock::now()));
+}
+
+// Protects the meaning of the mark: under it the separation from the holder before is over.
+BOOST_AUTO_TEST_CASE(key_is_marked_as_acting_only_once_its_holder_may_act) {
+  auto options = Holder::Options(0);
+  options.separation = 300ms;
+  Holder& holder = AddWith(options);
+  io.run_for(50ms);
+  BOOST_REQUIRE(holder.key.Held(Clock::now()));
+  for (int i = 0; i < 40; ++i) {
+    BOOST_TEST((!MarkedActing() || holder.key.MayAct(Clock::now())));
+    io.run_for(10ms);
+  }
+  BOOST_TEST(MarkedActing());
+}
+
+// Protects the rollout's ten seconds: a holder that had acted goes on after its restart.
+BOOST_AUTO_TEST_CASE(key_taken_back_from_a_process_that_had_acted_acts_at_once) {
+  auto options = Holder::Options(0);
+  options.separation = 400ms;
+  Holder& former = AddWith(options);
+  io.run_for(550ms);
+  BOOST_REQUIRE(former.key.MayAct(Clock::now()));
+  BOOST_REQUIRE(MarkedActing());
+  Holder& restarted = Restart(former, options);
+  io.run_for(100ms);
+  BOOST_TEST(restarted.key.MayAct(Clock::now()));
+  BOOST_TEST(restarted.key.fencing() > former.key.fencing());
+}
+
+// Protects the duty from short outages: the lease lives on, so the key stays held.
+BOOST_AUTO_TEST_CASE(renewals_without_an_answer_do_not_give_up_a_key_whose_lease_lives_on) {
+  auto options = Holder::Options(0);
+  options.ttl = 1s;  // renewed each 250 ms
+  Holder& holder = AddWith(options);
+  io.run_for(50ms);
+  BOOST_REQUIRE(holder.key.Held(Clock::now()));
+  const std::uint64_t fencing = holder.key.fencing();
+  const TimePoint acts_from = holder.key.acts_from();
+  holder.store.faults.down = true;
+  io.run_for(350ms);
+  BOOST_TEST(holder.key.Held(Clock::now()));
+  holder.store.faults.down = false;
+  io.run_for(300ms);
+  BOOST_TEST(holder.key.Held(Clock::now()));
+  io.run_for(600ms);  // past the end of the lease as it was before the outage
+  BOOST_TEST(holder.key.Held(Clock::now()));
+  BOOST_TEST(holder.key.fencing() == fencing);
+  BOOST_TEST((holder.key.acts_from() == acts_from));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
