--- a/libs/control/test/rollout-test.cc
+++ b/libs/control/test/rollout-test.cc
@@ -17,7 +17,8 @@
 
 const ModelId kModel("m");
 
-/// Engines that load in 60 ms, and can be silent, lose answers, or have long runs.
+/// Engines that load in 60 ms unless told otherwise, and can be silent, lose answers, or have long
+/// runs.
 class FakeEngines {
  public:
   struct Engine {
@@ -29,10 +30,11 @@
     std::optional<WeightsNumber> loading;
     TimePoint loaded_at{};
     std::vector<WeightsLoad> accepted;
+    std::optional<TimePoint> first_order;
   };
 
-  static constexpr std::chrono::milliseconds kLoadTime{60};
-  static constexpr std::chrono::milliseconds kCallLimit{80};
+  std::chrono::milliseconds load_time{60};
+  std::chrono::milliseconds call_limit{80};  ///< until a silent engine is given up
 
   std::map<BackendId, Engine> engines;
   double lose_answers = 0;
@@ -42,7 +44,7 @@
   net::awaitable<std::optional<EngineReport>> Report(const BackendEntry& entry) {
     Engine& engine = engines[entry.id];
     if (engine.silent) {
-      net::steady_timer timer(co_await net::this_coro::executor, kCallLimit);
+      net::steady_timer timer(co_await net::this_coro::executor, call_limit);
       ErrorCode ignored;
       co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
       co_return std::nullopt;
@@ -66,12 +68,13 @@
     if (!may_order()) co_return OrderOutcome::kNotSent;
     Settle(engine);
     ordered_at.push_back(Clock::now());
+    if (!engine.first_order) engine.first_order = ordered_at.back();
     if (engine.loading || engine.orders != load.expected_orders_taken) {
       co_return OrderOutcome::kConflict;
     }
     ++engine.orders;
     engine.loading = load.number;
-    engine.loaded_at = Clock::now() + kLoadTime;
+    engine.loaded_at = Clock::now() + load_time;
     if (load.mode == ReloadMode::kFinishRuns) engine.loaded_at += engine.runs_last;
     engine.accepted.push_back(load);
     most_loading = std::max(most_loading, CountLoading());
@@ -101,6 +104,7 @@
   MemoryTable table{io.get_executor()};
   MemoryStore store{table, 1};
   FakeEngines engines;
+  Rollout<FakeEngines, MemoryStore>::Options options = RolloutOptions();
   std::unique_ptr<HeldKey<MemoryStore>> duty;
   std::unique_ptr<Rollout<FakeEngines, MemoryStore>> rollout;
   TimePoint started{};
@@ -109,8 +113,7 @@
     for (int i = 0; i < count; ++i) AddEngine("e" + std::to_string(i));
     duty = std::make_unique<HeldKey<MemoryStore>>(store, io.get_executor(), KeyOptions(separation),
                                                   [] { return true; });
-    rollout = std::make_unique<Rollout<FakeEngines, MemoryStore>>(engines, *duty, state,
-                                                                  RolloutOptions());
+    rollout = std::make_unique<Rollout<FakeEngines, MemoryStore>>(engines, *duty, state, options);
     started = Clock::now();
     net::co_spawn(io, duty->Run(), net::detached);
     net::co_spawn(io, rollout->Run(), net::detached);
@@ -163,6 +166,30 @@
     });
   }
 
+  void SetBound(std::chrono::milliseconds bound) {
+    GatewayLimits limits;
+    limits.older_weights = bound;
+    state.SetLimits(limits);
+  }
+
+  /// Nothing begins on older weights once an engine has taken its order.
+  void CheckLiveOnesOrderedBy(TimePoint limit) {
+    for (const auto& [id, engine] : engines.engines) {
+      if (engine.silent) continue;
+      BOOST_TEST(engine.first_order.has_value(), id.value());
+      BOOST_TEST((engine.first_order && *engine.first_order < limit), id.value());
+    }
+  }
+
+  /// Engines that do not answer the rollout, and that it would begin with.
+  void Silence(std::initializer_list<const char*> ids) {
+    for (auto& [id, engine] : state.directory().all()) engine->peers.running = 3;
+    for (const char* id : ids) {
+      engines.engines[BackendId(id)].silent = true;
+      Engine(id).peers.running = 0;
+    }
+  }
+
   Backend& Engine(const std::string& id) { return *state.directory().Find(BackendId(id)); }
 };
 
@@ -306,4 +333,90 @@
   BOOST_TEST((Engine("e1").weights.at(kModel) == WeightsNumber(2)));
 }
 
+// Protects the bound where little time is left: two of nine at a time would take till 0.8 s.
+BOOST_AUTO_TEST_CASE(more_engines_load_at_once_when_the_usual_pace_would_miss_the_bound) {
+  engines.load_time = 200ms;
+  options.load = 230ms;
+  SetBound(700ms);
+  Start(9);
+  io.run_for(50ms);
+  const TimePoint named = Clock::now();
+  Name(2);
+  io.run_for(1s);
+  CheckLiveOnesOrderedBy(named + 700ms);
+  BOOST_TEST(engines.most_loading > 2);
+}
+
+// Protects the pace: calls to silent engines last long, and take no turn meanwhile.
+BOOST_AUTO_TEST_CASE(silent_engines_keep_no_turn_while_they_are_waited_for) {
+  engines.call_limit = 1s;
+  Start(9);
+  Silence({"e3", "e4"});
+  io.run_for(50ms);
+  const TimePoint named = Clock::now();
+  Name(2);
+  io.run_for(900ms);
+  CheckLiveOnesOrderedBy(named + 900ms);
+}
+
+// Protects the pace: engines that fail at once, though their requests succeed, are left
+// alone for a while; else they would be begun with at each look.
+BOOST_AUTO_TEST_CASE(engines_that_give_no_report_are_left_alone_for_a_while) {
+  engines.call_limit = 1ms;
+  Start(9);
+  Silence({"e3", "e4"});
+  io.run_for(50ms);
+  const TimePoint named = Clock::now();
+  Name(2);
+  for (int i = 0; i < 400; ++i) {
+    io.run_for(2ms);
+    for (const char* silent : {"e3", "e4"}) BackendDirectory::NoteSuccess(Engine(silent));
+  }
+  CheckLiveOnesOrderedBy(named + 800ms);
+}
+
+// Protects the bound from requests that do not end: an engine is emptied only while time is left.
+BOOST_AUTO_TEST_CASE(engine_that_does_not_empty_is_ordered_before_the_bound) {
+  options.longest_drain = 800ms;
+  SetBound(600ms);
+  Start(1);
+  Engine("e0").unrepeatable = 1;
+  io.run_for(50ms);
+  const TimePoint named = Clock::now();
+  Name(2);
+  io.run_for(1s);
+  CheckLiveOnesOrderedBy(named + 600ms);
+}
+
+// Protects the time after a change of holders: engines are emptied during the separation.
+BOOST_AUTO_TEST_CASE(engine_is_empty_when_the_new_holder_may_order) {
+  options.longest_drain = 300ms;
+  Start(1, 500ms);
+  Engine("e0").unrepeatable = 1;
+  Name(2);
+  io.run_for(50ms);
+  const TimePoint acts_from = duty->acts_from();
+  io.run_for(950ms);
+  BOOST_REQUIRE(!engines.ordered_at.empty());
+  BOOST_TEST((engines.ordered_at.front() >= acts_from));
+  CheckLiveOnesOrderedBy(acts_from + 200ms);
+}
+
+// Protects an emptied engine from new requests for as long as it waits for its turn.
+BOOST_AUTO_TEST_CASE(engine_stays_held_while_it_waits_long_for_its_turn) {
+  engines.load_time = 800ms;
+  options.hold = 200ms;
+  Start(2);
+  io.run_for(50ms);
+  Name(2);
+  io.run_for(150ms);
+  BOOST_REQUIRE(engines.engines[BackendId("e0")].first_order.has_value());
+  BOOST_REQUIRE((Engine("e1").hold_until > Clock::now()));
+  for (int i = 0; i < 40; ++i) {
+    io.run_for(10ms);
+    BOOST_REQUIRE(!engines.engines[BackendId("e1")].first_order.has_value());
+    BOOST_TEST((Engine("e1").hold_until > Clock::now()));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
