--- /dev/null
+++ b/soak/caller.cc
@@ -0,0 +1,95 @@
+#include "caller.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <limits>
+
+#include "bounds.h"
+#include "platform/names.h"
+
+namespace ridgehold::soak {
+namespace {
+
+namespace field = platform::field;
+
+constexpr std::chrono::milliseconds kConnectLimit{1'000};
+constexpr std::chrono::milliseconds kConnectPause{30};
+/// How long after its deadline a caller still reads.
+constexpr std::chrono::milliseconds kPatience{1'000};
+constexpr double kNewConnectionPart = 0.05;  // after an answer
+constexpr double kLeavePart = 0.03;          // requests whose caller leaves early
+constexpr std::array kFolders = {"/safe/", "/unsafe/", "/stream/", "/resume/"};
+
+}  // namespace
+
+net::awaitable<void> Caller::Run() {
+  const auto self = shared_from_this();
+  while (!stopping_) {
+    co_await UseConnection();
+    co_await Sleep(kConnectPause);
+  }
+}
+
+net::awaitable<void> Caller::UseConnection() {
+  boost::beast::tcp_stream stream(co_await net::this_coro::executor);
+  stream.expires_after(kConnectLimit);
+  const std::string address = instance_.place().address + ":" + std::to_string(kCallerPort);
+  ErrorCode error;
+  co_await stream.async_connect(ParseEndpoint(address),
+                                net::redirect_error(net::use_awaitable, error));
+  bool kept = !error;
+  while (kept && !stopping_) {
+    kept = co_await Ask(stream);
+    if (random_.Chance(kNewConnectionPart)) kept = false;
+    co_await Sleep(random_.Milliseconds(1, 60));
+  }
+}
+
+RequestRecord Caller::Draw() {
+  RequestRecord record;
+  record.id = name_ + "-" + std::to_string(++sent_);
+  record.kind = static_cast<RequestKind>(random_.Between(0, 3));
+  record.key = operator_.PickKey(random_);
+  record.workspace = operator_.key(record.key).workspace;
+  record.process = instance_.serial();
+  RequestMessage& message = record.message;
+  message.method(http::verb::post);
+  message.target(kFolders[static_cast<std::size_t>(record.kind)] + record.id + "?q=1");
+  message.set(http::field::host, "h");
+  message.set(http::field::authorization, "Bearer " + record.key);
+  message.set(field::kRequestId, record.id);
+  message.set(field::kTimeLeftMs, std::to_string(kCallerDeadline.count()));
+  message.set(field::kModel, "m");
+  message.set(field::kTokenCounts, "900,10");
+  message.set(field::kPromptParts, "a" + std::to_string(random_.Between(1, 9)) + ":500,b2:400");
+  message.body() = std::string(static_cast<std::size_t>(random_.Between(0, 5'000)), 'p');
+  message.prepare_payload();
+  return record;
+}
+
+net::awaitable<bool> Caller::Ask(boost::beast::tcp_stream& stream) {
+  RequestRecord record = Draw();
+  const std::string id = record.id;
+  RequestMessage message = record.message;
+  record.sent = Clock::now();
+  ledger_.Sent(std::move(record));
+  const bool leaves = random_.Chance(kLeavePart);
+  stream.expires_after(leaves ? random_.Milliseconds(5, 200) : kCallerDeadline + kPatience);
+  ErrorCode error;
+  co_await http::async_write(stream, message, net::redirect_error(net::use_awaitable, error));
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  // An instance that refuses may answer before it has read everything.
+  co_await http::async_read(stream, buffer, parser, net::redirect_error(net::use_awaitable, error));
+  CallerView view;
+  if (parser.is_header_done()) view.status = parser.get().result_int();
+  view.whole = parser.is_done();
+  view.gave_up = error == boost::beast::error::timeout;
+  view.signature = std::string(parser.get()[field::kSignature]);
+  view.body = parser.get().body();
+  view.bytes_after = buffer.size();
+  ledger_.Ended(id, view);
+  co_return !error && parser.get().keep_alive() && !parser.need_eof();
+}
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/fault_proxy.cc
@@ -0,0 +1,110 @@
+#include "fault_proxy.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+namespace ridgehold::soak {
+namespace {
+
+constexpr std::size_t kPiece = 8'192;              // bytes read at once
+constexpr std::chrono::milliseconds kHoldLook{5};  // how often a held link is looked at
+
+void ResetSocket(tcp::socket& socket) {
+  ErrorCode ignored;
+  socket.set_option(net::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+}  // namespace
+
+struct FaultProxy::Link {
+  Link(tcp::socket accepted, std::shared_ptr<const LinkState> link_state)
+      : client(std::move(accepted)), server(client.get_executor()), state(std::move(link_state)) {}
+
+  void Reset() {
+    ResetSocket(client);
+    ResetSocket(server);
+  }
+
+  tcp::socket client;
+  tcp::socket server;
+  std::shared_ptr<const LinkState> state;
+};
+
+FaultProxy::FaultProxy(net::any_io_executor executor, const std::string& target)
+    : target_(ParseEndpoint(target)), acceptor_(executor, {net::ip::make_address("127.0.0.1"), 0}) {
+  net::co_spawn(executor, Accept(), net::detached);
+}
+
+std::string FaultProxy::address() const {
+  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void FaultProxy::Reset() {
+  for (const auto& weak : links_) {
+    if (const auto link = weak.lock()) link->Reset();
+  }
+  links_.clear();
+}
+
+net::awaitable<void> FaultProxy::Accept() {
+  for (;;) {
+    ErrorCode error;
+    tcp::socket socket =
+        co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
+    if (error) co_return;
+    if (state_->refuse_new) {
+      ResetSocket(socket);
+      continue;
+    }
+    const auto link = std::make_shared<Link>(std::move(socket), state_);
+    links_.push_back(link);
+    net::co_spawn(acceptor_.get_executor(), Connect(link, target_), net::detached);
+  }
+}
+
+net::awaitable<void> FaultProxy::Connect(Sockets link, tcp::endpoint target) {
+  ErrorCode error;
+  co_await link->server.async_connect(target, net::redirect_error(net::use_awaitable, error));
+  if (error) {
+    link->Reset();
+    co_return;
+  }
+  ErrorCode ignored;
+  link->client.set_option(tcp::no_delay(true), ignored);
+  link->server.set_option(tcp::no_delay(true), ignored);
+  const auto executor = link->client.get_executor();
+  net::co_spawn(executor, Pump(link, link->client, link->server, &LinkState::hold_to_server),
+                net::detached);
+  net::co_spawn(executor, Pump(link, link->server, link->client, &LinkState::hold_to_client),
+                net::detached);
+}
+
+net::awaitable<void> FaultProxy::Pump(Sockets link, tcp::socket& from, tcp::socket& to,
+                                      bool LinkState::*held) {
+  std::array<char, kPiece> piece;
+  for (;;) {
+    ErrorCode read_error;
+    const std::size_t size = co_await from.async_read_some(
+        net::buffer(piece), net::redirect_error(net::use_awaitable, read_error));
+    if (link->state->delay.count() > 0) co_await Sleep(link->state->delay);
+    while ((*link->state).*held) co_await Sleep(kHoldLook);
+    ErrorCode error;
+    if (read_error == net::error::eof) {
+      to.shutdown(tcp::socket::shutdown_send, error);
+      co_return;
+    }
+    if (!read_error) {
+      co_await net::async_write(to, net::buffer(piece.data(), size),
+                                net::redirect_error(net::use_awaitable, error));
+    }
+    if (read_error || error) {
+      link->Reset();
+      co_return;
+    }
+  }
+}
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/fault_script.cc
@@ -0,0 +1,172 @@
+#include "fault_script.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <csignal>
+
+#include "bounds.h"
+
+namespace ridgehold::soak {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds kLook{10};        // how often a process is looked at
+constexpr std::chrono::milliseconds kStopSlack{500};  // past the grace time, for a busy machine
+constexpr double kKindPart = 0.4;                     // of all kinds, those that a seed has
+constexpr double kSeriesPart = 0.4;                   // of the faults, those followed at once
+
+net::awaitable<void> WaitForEnd(InstanceProcess& process, std::chrono::milliseconds limit) {
+  const TimePoint end = Clock::now() + limit;
+  while (process.Running() && Clock::now() < end) co_await Sleep(kLook);
+}
+
+}  // namespace
+
+const std::vector<std::pair<std::string, FaultKind>>& FaultScript::Names() {
+  static const std::vector<std::pair<std::string, FaultKind>> names = {
+      {"stop", FaultKind::kStop},
+      {"kill", FaultKind::kKill},
+      {"pause", FaultKind::kPause},
+      {"store-link", FaultKind::kStoreLink},
+      {"engine-link", FaultKind::kEngineLink},
+      {"store-down", FaultKind::kStoreDown},
+      {"engine-silent", FaultKind::kEngineSilent},
+      {"engine-queue", FaultKind::kEngineQueue},
+      {"engine-breaks", FaultKind::kEngineBreaks},
+      {"keys", FaultKind::kKeys},
+      {"weights", FaultKind::kWeights}};
+  return names;
+}
+
+std::set<FaultKind> FaultScript::Draw() {
+  std::set<FaultKind> kinds = {FaultKind::kKeys, FaultKind::kWeights};
+  for (const auto& [name, kind] : Names()) {
+    if (random_.Chance(kKindPart)) kinds.insert(kind);
+  }
+  return kinds;
+}
+
+void FaultScript::Start(net::any_io_executor executor, std::set<FaultKind> kinds, TimePoint end) {
+  if (kinds.empty()) kinds = Draw();
+  for (const FaultKind kind : kinds) {
+    net::co_spawn(executor, Repeat(kind, end), net::detached);
+  }
+}
+
+net::awaitable<void> FaultScript::Repeat(FaultKind kind, TimePoint end) {
+  Random random = random_.Fork();
+  co_await Sleep(random.Milliseconds(500, 1'500));
+  while (Clock::now() < end) {
+    net::co_spawn(co_await net::this_coro::executor, Once(kind, random.Fork()), net::detached);
+    const bool series = random.Chance(kSeriesPart);
+    const auto pause = series ? random.Milliseconds(20, 300) : random.Milliseconds(700, 3'000);
+    co_await Sleep(pause);
+  }
+}
+
+net::awaitable<void> FaultScript::Once(FaultKind kind, Random random) {
+  switch (kind) {
+    case FaultKind::kStop:
+      return Stop(random);
+    case FaultKind::kKill:
+      return Kill(random);
+    case FaultKind::kPause:
+      return Pause(random);
+    case FaultKind::kStoreLink:
+      return HarmLink(Pick(targets_.instances, random).store_proxy, random);
+    case FaultKind::kEngineLink:
+      return HarmLink(Pick(targets_.engines, random).proxy(), random);
+    case FaultKind::kStoreDown:
+      return StoreDown(random);
+    case FaultKind::kEngineSilent:
+      return ChangeMood({.silent = true}, random);
+    case FaultKind::kEngineQueue:
+      return ChangeMood({.queue = random.Milliseconds(200, 3'000)}, random);
+    case FaultKind::kEngineBreaks:
+      return ChangeMood({.break_part = 0.3, .error_part = 0.1}, random);
+    case FaultKind::kKeys:
+      targets_.operator_log.ChangeKey(random);
+      return Sleep(0ms);
+    case FaultKind::kWeights:
+      targets_.operator_log.NameWeights();
+      return Sleep(0ms);
+  }
+  return Sleep(0ms);
+}
+
+net::awaitable<void> FaultScript::Terminate(Instance& instance) {
+  const int pauses = instance.paused;
+  instance.ending = true;
+  instance.process->Signal(SIGTERM);
+  co_await WaitForEnd(*instance.process, kShutdownLimit + kStopSlack);
+  if (!instance.process->Running()) co_return;
+  if (instance.paused == pauses) {
+    targets_.verdict.Fail("process outlives its grace time", instance.process->place().name, "");
+  }
+  instance.process->Signal(SIGKILL);
+  co_await WaitForEnd(*instance.process, kStopSlack);
+}
+
+net::awaitable<void> FaultScript::Stop(Random random) {
+  Instance& instance = Pick(targets_.instances, random);
+  if (instance.ending) co_return;
+  const Calm::Token token = targets_.calm.Begin(FaultClass::kPlanned);
+  co_await Terminate(instance);
+  co_await Sleep(random.Milliseconds(0, 800));
+  instance.process->Start();
+  instance.ending = false;
+}
+
+net::awaitable<void> FaultScript::Kill(Random random) {
+  Instance& instance = Pick(targets_.instances, random);
+  if (instance.ending) co_return;
+  const Calm::Token token = targets_.calm.Begin(FaultClass::kProcess);
+  instance.ending = true;
+  instance.process->Signal(SIGKILL);
+  co_await WaitForEnd(*instance.process, kStopSlack);
+  co_await Sleep(random.Milliseconds(0, 800));
+  instance.process->Start();
+  instance.ending = false;
+}
+
+net::awaitable<void> FaultScript::Pause(Random random) {
+  Instance& instance = Pick(targets_.instances, random);
+  const Calm::Token token = targets_.calm.Begin(FaultClass::kHeld);
+  ++instance.paused;
+  instance.process->Signal(SIGSTOP);
+  co_await Sleep(random.Milliseconds(50, 4'000));
+  instance.process->Signal(SIGCONT);
+}
+
+net::awaitable<void> FaultScript::HarmLink(FaultProxy& proxy, Random random) {
+  const Calm::Token token = targets_.calm.Begin(FaultClass::kHeld);
+  LinkState state;
+  const int harm = random.Between(0, 4);
+  if (harm == 0) state.delay = random.Milliseconds(20, 200);
+  if (harm == 1 || harm == 2) state.hold_to_server = true;
+  if (harm == 1 || harm == 3) state.hold_to_client = true;
+  if (harm == 4) state.refuse_new = random.Chance(0.5);
+  proxy.Set(state);
+  if (harm == 4) proxy.Reset();
+  co_await Sleep(random.Milliseconds(100, 3'000));
+  // Bytes that were held are lost with their connection, or come now.
+  if (random.Chance(0.5)) proxy.Reset();
+  proxy.Set({});
+}
+
+net::awaitable<void> FaultScript::StoreDown(Random random) {
+  const Calm::Token token = targets_.calm.Begin(FaultClass::kProcess);
+  targets_.store.SetDown(true);
+  co_await Sleep(random.Milliseconds(100, 3'000));
+  targets_.store.SetDown(false);
+}
+
+net::awaitable<void> FaultScript::ChangeMood(EngineMood mood, Random random) {
+  SoakEngine& engine = Pick(targets_.engines, random);
+  engine.SetMood(mood);
+  co_await Sleep(random.Milliseconds(200, 2'500));
+  engine.SetMood({});
+}
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/fault_script.h
@@ -0,0 +1,88 @@
+// Injects faults from outside the processes, in series that overlap.
+
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "calm.h"
+#include "fault_proxy.h"
+#include "instance_process.h"
+#include "operator_log.h"
+#include "random.h"
+#include "soak_engine.h"
+#include "standins.h"
+#include "verdict.h"
+
+namespace ridgehold::soak {
+
+/// An instance with its own way to the store.
+struct Instance {
+  Instance(net::any_io_executor executor, const std::string& store)
+      : store_proxy(executor, store) {}
+
+  FaultProxy store_proxy;
+  std::unique_ptr<InstanceProcess> process;
+  bool ending = false;  ///< its process has been told to end, or is away
+  int paused = 0;       ///< pauses so far
+};
+
+enum class FaultKind {
+  kStop,
+  kKill,
+  kPause,
+  kStoreLink,
+  kEngineLink,
+  kStoreDown,
+  kEngineSilent,
+  kEngineQueue,
+  kEngineBreaks,
+  kKeys,
+  kWeights,
+};
+
+/// What the faults work on.
+struct FaultTargets {
+  std::vector<std::unique_ptr<Instance>>& instances;
+  std::vector<std::unique_ptr<SoakEngine>>& engines;
+  platform::test::StandinStore& store;
+  OperatorLog& operator_log;
+  Calm& calm;
+  Verdict& verdict;
+};
+
+/// Repeats faults of some kinds until an end.
+class FaultScript {
+ public:
+  FaultScript(FaultTargets targets, Random random) : targets_(targets), random_(random) {}
+
+  /// Starts the faults named, or those that are drawn if none is.
+  void Start(net::any_io_executor executor, std::set<FaultKind> kinds, TimePoint end);
+
+  /// Ends an instance's process in order; kills one that takes too long.
+  net::awaitable<void> Terminate(Instance& instance);
+
+  static const std::vector<std::pair<std::string, FaultKind>>& Names();
+
+ private:
+  std::set<FaultKind> Draw();
+  net::awaitable<void> Repeat(FaultKind kind, TimePoint end);
+  net::awaitable<void> Once(FaultKind kind, Random random);
+  net::awaitable<void> Stop(Random random);
+  net::awaitable<void> Kill(Random random);
+  net::awaitable<void> Pause(Random random);
+  net::awaitable<void> HarmLink(FaultProxy& proxy, Random random);
+  net::awaitable<void> StoreDown(Random random);
+  net::awaitable<void> ChangeMood(EngineMood mood, Random random);
+
+  template <class List>
+  auto& Pick(List& list, Random& random) {
+    return *list[static_cast<std::size_t>(random.Between(0, static_cast<int>(list.size()) - 1))];
+  }
+
+  FaultTargets targets_;
+  Random random_;
+};
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/instance_process.cc
@@ -0,0 +1,104 @@
+#include "instance_process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <deque>
+#include <fstream>
+#include <stdexcept>
+
+#include "bounds.h"
+#include "platform/names.h"
+
+namespace ridgehold::soak {
+namespace {
+
+constexpr int kExecFailed = 127;
+
+int NextSerial() {
+  static int last = 0;
+  return ++last;
+}
+
+}  // namespace
+
+InstanceProcess::InstanceProcess(InstancePlace place, std::filesystem::path program,
+                                 std::filesystem::path folder)
+    : place_(std::move(place)), program_(std::move(program)), folder_(std::move(folder)) {
+  WriteSettings();
+}
+
+InstanceProcess::~InstanceProcess() {
+  if (!Running()) return;
+  ::kill(pid_, SIGKILL);
+  ::waitpid(pid_, &status_, 0);
+}
+
+void InstanceProcess::Start() {
+  const pid_t parent = ::getpid();
+  const pid_t child = ::fork();
+  if (child < 0) throw std::runtime_error("fork failed");
+  if (child == 0) {
+    // The instance must not outlive a soak that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent) ::_exit(kExecFailed);
+    Become();
+  }
+  pid_ = child;
+  serial_ = NextSerial();
+}
+
+void InstanceProcess::Become() const {
+  const int log = ::open(LogPath().c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::dup2(log, STDOUT_FILENO);
+  ::dup2(log, STDERR_FILENO);
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
+  ::setenv(platform::kSettingsVariable, SettingsPath().c_str(), 1);
+  ::execl(program_.c_str(), program_.c_str(), "--log-level", "info", nullptr);
+  ::_exit(kExecFailed);
+}
+
+void InstanceProcess::Signal(int signal) const {
+  if (pid_ > 0) ::kill(pid_, signal);
+}
+
+bool InstanceProcess::Running() {
+  if (pid_ == 0) return false;
+  const pid_t ended = ::waitpid(pid_, &status_, WNOHANG);
+  if (ended == 0) return true;
+  pid_ = 0;
+  return false;
+}
+
+std::string InstanceProcess::LastLogLines(std::size_t count) const {
+  std::ifstream log(LogPath());
+  std::deque<std::string> lines;
+  for (std::string line; std::getline(log, line);) {
+    lines.push_back(line);
+    if (lines.size() > count) lines.pop_front();
+  }
+  std::string text;
+  for (const std::string& line : lines) text += "  " + line + "\n";
+  return text;
+}
+
+void InstanceProcess::WriteSettings() const {
+  const auto listen = [this](int port) { return place_.address + ":" + std::to_string(port); };
+  std::ofstream file(SettingsPath());
+  file << "node=" << place_.name << "\nzone=a\nip=" << place_.address
+       << "\nlisten.front=" << listen(kCallerPort) << "\nlisten.ready=" << listen(kReadyPort)
+       << "\nlisten.control=" << listen(kControlPort) << "\ninternal_ports=7340,7355"
+       << "\nseeds=" << place_.seeds << "\nplatform.addr=" << place_.store_address
+       << "\nplatform.ttl_min_ms=" << kLeastLeaseTtl.count() << "\nlimits.max_fds=1000"
+       << "\nbounds.revoke_strict=true\nbounds.revoke_ms=" << kRevocationLimit.count()
+       << "\nbounds.lease_ms=" << kHolderSeparation.count()
+       << "\nbounds.version_ms=" << kWeightsLimit.count()
+       << "\nbounds.retry_ratio=0.2\nbounds.retry_window_s=10\nbounds.retry_slack=56"
+       << "\nbounds.grace_s=" << kShutdownLimit.count() / 1'000 << "\n";
+}
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/instance_process.h
@@ -0,0 +1,59 @@
+// A ridgehold-entry as a process of its own.
+
+#pragma once
+
+#include <sys/types.h>
+
+#include <filesystem>
+#include <optional>
+#include <string>
+
+namespace ridgehold::soak {
+
+/// Where an instance listens, and where it finds the others.
+struct InstancePlace {
+  std::string name;
+  std::string address;        ///< its own loopback address
+  std::string store_address;  ///< its own way to the store
+  std::string seeds;          ///< ADDRESS:PORT,...
+};
+
+/// Starts the program and sends it signals; kills it at the end of its life.
+class InstanceProcess {
+ public:
+  /// Settings and log go to files under `folder`.
+  InstanceProcess(InstancePlace place, std::filesystem::path program, std::filesystem::path folder);
+  ~InstanceProcess();
+  InstanceProcess(const InstanceProcess&) = delete;
+  InstanceProcess& operator=(const InstanceProcess&) = delete;
+
+  void Start();
+  void Signal(int signal) const;
+  /// Looks whether the process has ended since.
+  bool Running();
+  /// How the last process ended, as waitpid tells it.
+  int status() const { return status_; }
+  /// Counts the starts of all instances; tells processes apart.
+  int serial() const { return serial_; }
+  const InstancePlace& place() const { return place_; }
+  std::string LastLogLines(std::size_t count) const;
+
+ private:
+  void WriteSettings() const;
+  [[noreturn]] void Become() const;
+  std::filesystem::path SettingsPath() const { return folder_ / (place_.name + ".conf"); }
+  std::filesystem::path LogPath() const { return folder_ / (place_.name + ".log"); }
+
+  InstancePlace place_;
+  std::filesystem::path program_;
+  std::filesystem::path folder_;
+  pid_t pid_ = 0;
+  int status_ = 0;
+  int serial_ = 0;
+};
+
+inline constexpr int kCallerPort = 8'782;
+inline constexpr int kReadyPort = 8'789;
+inline constexpr int kControlPort = 8'783;
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/ledger.h
@@ -0,0 +1,68 @@
+// Judges requests by what callers and engines see of them.
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "calm.h"
+#include "operator_log.h"
+#include "request_record.h"
+#include "verdict.h"
+
+namespace ridgehold::soak {
+
+/// What a caller has read when its request ended.
+struct CallerView {
+  int status = 0;        ///< 0: not even a head
+  bool whole = false;    ///< the answer's framing says that it is complete
+  bool gave_up = false;  ///< the caller left
+  std::string signature;
+  std::string body;
+  std::size_t bytes_after = 0;  ///< what came after a whole answer
+};
+
+/// Keeps all requests of a run.
+class Ledger {
+ public:
+  Ledger(Verdict& verdict, const Calm& calm, const OperatorLog& operator_log)
+      : verdict_(verdict), calm_(calm), operator_(operator_log) {}
+
+  void Sent(RequestRecord record);
+  /// An engine begins to work on a request; returns null for one nobody sent.
+  std::shared_ptr<Run> Begin(const RequestMessage& request, int weights);
+  void Ended(const std::string& id, const CallerView& view);
+
+  int sent() const { return static_cast<int>(requests_.size()); }
+  int served() const { return served_; }
+  int lost() const { return lost_; }
+
+ private:
+  struct Entry {
+    RequestRecord record;
+    std::vector<std::shared_ptr<Run>> runs;
+  };
+
+  void CheckUnchanged(const Entry& entry, const RequestMessage& request);
+  void CheckRepeats(const Entry& entry);
+  void CheckKey(const Entry& entry);
+  void CheckWeights(const Entry& entry, int weights);
+  void CheckSuccess(const Entry& entry, const CallerView& view);
+  void CheckEvents(const Entry& entry, const CallerView& view);
+  void CheckRefusal(Entry& entry, const CallerView& view);
+  void CheckLost(const Entry& entry, const CallerView& view);
+  void Fail(const Entry& entry, const char* promise, const std::string& detail);
+
+  Verdict& verdict_;
+  const Calm& calm_;
+  const OperatorLog& operator_;
+  std::map<std::string, Entry> requests_;
+  /// By process: configurations whose effect was seen, with the first time.
+  std::map<int, std::map<int, TimePoint>> seen_configs_;
+  int runs_ = 0;
+  int served_ = 0;
+  int lost_ = 0;
+};
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/operator_log.cc
@@ -0,0 +1,109 @@
+#include "operator_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include "bounds.h"
+#include "platform/names.h"
+
+namespace ridgehold::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kWorkspaces = 3;
+constexpr double kOldKeyPart = 0.15;  // requests with the key that was taken away last
+
+Json Route(const char* name, const char* type, bool resumable) {
+  return {{"name", name},
+          {"host", "h"},
+          {"prefix", std::string("/") + name + "/"},
+          {"type", type},
+          {"timeout_ms", kRouteTimeout.count()},
+          {"slo_ms", 300},
+          {"priority", 0},
+          {"service", "llm"},
+          {"attempts", 3},
+          {"public", false},
+          {"sticky", true},
+          {"resumable", resumable},
+          {"gap_target_ms", 500}};
+}
+
+Json Service() {
+  return {{"name", "llm"},
+          {"health_path", "/healthz"},
+          {"max_conns", 200},
+          {"engine", {{"slots", 8}, {"kv_capacity", 90'000}, {"max_inflight", 12}}}};
+}
+
+}  // namespace
+
+OperatorLog::OperatorLog(ridgehold::test::MemoryTable& table) : table_(table) {
+  for (int i = 0; i < kWorkspaces; ++i) {
+    const std::string key = "key" + std::to_string(i);
+    keys_[key] = {.workspace = "w" + std::to_string(i), .granted = version_};
+    order_.push_back(key);
+  }
+  WriteConfig();
+  NameWeights();
+}
+
+void OperatorLog::ChangeKey(Random& random) {
+  version_ += random.Between(1, 5);
+  const std::string workspace = "w" + std::to_string(random.Between(1, kWorkspaces - 1));
+  for (auto& [key, record] : keys_) {
+    if (record.workspace == workspace && record.revoked == 0) record.revoked = version_;
+  }
+  const std::string fresh = "key" + std::to_string(keys_.size());
+  keys_[fresh] = {.workspace = workspace, .granted = version_};
+  order_.push_back(fresh);
+  WriteConfig();
+  for (auto& [key, record] : keys_) {
+    if (record.revoked == version_) record.revoked_at = Clock::now();
+  }
+}
+
+void OperatorLog::NameWeights() {
+  named_.push_back(Clock::now());
+  table_.Put(std::string(platform::key::kWeightsPrefix) + "m",
+             Json{{"model", "m"}, {"version", weights()}}.dump());
+}
+
+std::string OperatorLog::PickKey(Random& random) const {
+  std::vector<std::string> valid;
+  std::string newest_revoked;
+  for (const std::string& key : order_) {
+    if (keys_.at(key).revoked == 0) {
+      valid.push_back(key);
+    } else {
+      newest_revoked = key;
+    }
+  }
+  if (!newest_revoked.empty() && random.Chance(kOldKeyPart)) return newest_revoked;
+  return valid[static_cast<std::size_t>(random.Between(0, static_cast<int>(valid.size()) - 1))];
+}
+
+void OperatorLog::WriteConfig() {
+  std::map<std::string, std::vector<std::string>> keys;
+  for (const auto& [key, record] : keys_) {
+    if (record.revoked == 0) keys[record.workspace].push_back(key);
+  }
+  Json workspaces = Json::array();
+  for (const auto& [name, list] : keys) {
+    workspaces.push_back({{"name", name}, {"api_keys", list}, {"priority", 1}});
+  }
+  const Json config = {{"version", version_},
+                       {"routes",
+                        {Route("safe", "safe", false), Route("unsafe", "unsafe", false),
+                         Route("stream", "stream", false), Route("resume", "stream", true)}},
+                       {"services", {Service()}},
+                       {"limits",
+                        {{"max_header_bytes", 16'384},
+                         {"max_body_bytes", 100'000},
+                         {"header_timeout_ms", 1'000},
+                         {"idle_timeout_ms", 5'000}}},
+                       {"tenants", workspaces}};
+  table_.Put(platform::key::kConfig, config.dump());
+}
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/operator_log.h
@@ -0,0 +1,49 @@
+// What the operator has ordered, and when the store acknowledged it.
+
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "random.h"
+#include "sleep.h"
+#include "standins.h"
+
+namespace ridgehold::soak {
+
+/// A workspace's key, with the configurations that had it.
+struct KeyRecord {
+  std::string workspace;
+  int granted = 0;  ///< version of the first configuration with it
+  int revoked = 0;  ///< version of the first one without it; 0: none
+  TimePoint revoked_at{};
+};
+
+/// Writes configurations and named weights to the store.
+class OperatorLog {
+ public:
+  explicit OperatorLog(ridgehold::test::MemoryTable& table);
+
+  /// Gives a workspace a new key, and takes the old one away if told so.
+  void ChangeKey(Random& random);
+  void NameWeights();
+
+  const KeyRecord& key(const std::string& key) const { return keys_.at(key); }
+  /// A key to send: mostly a valid one, sometimes one taken away.
+  std::string PickKey(Random& random) const;
+  int weights() const { return static_cast<int>(named_.size()); }
+  /// When weights newer than `number` were first acknowledged.
+  TimePoint NewerThan(int number) const { return named_.at(static_cast<std::size_t>(number)); }
+
+ private:
+  void WriteConfig();
+
+  ridgehold::test::MemoryTable& table_;
+  int version_ = 1;
+  std::map<std::string, KeyRecord> keys_;
+  std::vector<std::string> order_;  // keys as they were granted
+  std::vector<TimePoint> named_;    // acknowledgement of weights 1, 2, ...
+};
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/soak_engine.cc
@@ -0,0 +1,257 @@
+#include "soak_engine.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+#include "platform/names.h"
+
+namespace ridgehold::soak {
+namespace {
+
+using Json = nlohmann::json;
+namespace field = platform::field;
+using namespace std::chrono_literals;
+
+constexpr double kReadLatePart = 0.5;  // requests that a silent engine has not begun
+constexpr double kNoAnswerPart = 0.4;  // of the answers that end early
+constexpr double kChunkedPart = 0.3;   // of the answers that are no stream
+constexpr int kSlots = 8;
+constexpr int kQueuePlaces = 16;
+constexpr std::chrono::milliseconds kLook{5};  // how often a waiting request looks again
+
+std::string HeadLine(http::status status) {
+  return "HTTP/1.1 " + std::to_string(static_cast<int>(status)) + " " +
+         std::string(http::obsolete_reason(status)) + "\r\n";
+}
+
+std::string Chunk(const std::string& data) {
+  std::array<char, 16> size;
+  std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+  return size.data() + data + "\r\n";
+}
+
+int Number(boost::beast::string_view text) { return std::atoi(std::string(text).c_str()); }
+
+}  // namespace
+
+SoakEngine::SoakEngine(net::any_io_executor executor, std::string id, Judges judges,
+                       ridgehold::test::MemoryTable& table, Random random)
+    : id_(std::move(id)),
+      judges_(judges),
+      table_(table),
+      random_(random),
+      acceptor_(executor, {net::ip::make_address("127.0.0.1"), 0}),
+      proxy_(executor, "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())) {
+  net::co_spawn(executor, Accept(), net::detached);
+}
+
+void SoakEngine::Register() {
+  const Json entry = {
+      {"service", "llm"},
+      {"addr", proxy_.address()},
+      {"zone", "a"},
+      {"version", "v1"},
+      {"slots", kSlots},
+      {"state", "ready"},
+      {"cold_left_ms", 0},
+      {"models", {{{"name", "m"}, {"version", weights_}, {"adapters", Json::array()}}}},
+      {"seq", orders_}};
+  table_.Put(platform::key::kBackendPrefix + id_, entry.dump());
+}
+
+net::awaitable<void> SoakEngine::Accept() {
+  for (;;) {
+    ErrorCode error;
+    tcp::socket socket =
+        co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
+    if (error) co_return;
+    net::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)), net::detached);
+  }
+}
+
+net::awaitable<void> SoakEngine::Serve(tcp::socket socket) {
+  boost::beast::flat_buffer buffer;
+  for (bool kept = true; kept;) {
+    RequestMessage request;
+    ErrorCode error;
+    co_await http::async_read(socket, buffer, request,
+                              net::redirect_error(net::use_awaitable, error));
+    if (error) co_return;
+    kept = co_await Answer(socket, request);
+  }
+}
+
+net::awaitable<bool> SoakEngine::Answer(tcp::socket& socket, const RequestMessage& request) {
+  const std::string target(request.target());
+  const bool read_late = random_.Chance(kReadLatePart);  // falls silent before or after it runs
+  while (mood_.silent && read_late) co_await Sleep(kLook);
+  const std::string expected(request[field::kExpectedBackend]);
+  if (!expected.empty() && expected != id_) {
+    co_return co_await Reply(socket, http::status::misdirected_request, "", request, true);
+  }
+  if (target == platform::path::kReport) {
+    co_return co_await Reply(socket, http::status::ok, Report(), request, false);
+  }
+  if (target == platform::path::kOrder) {
+    const http::status status = TakeOrder(request.body());
+    co_return co_await Reply(socket, status, "{}", request, false);
+  }
+  if (target == "/healthz") {
+    co_return co_await Reply(socket, http::status::ok, "", request, false);
+  }
+  co_return co_await Generate(socket, request);
+}
+
+bool SoakEngine::MayRun(const RequestMessage& request) const {
+  return !busy_ && active_ < kSlots && Number(request[field::kTimeLeftMs]) > 0;
+}
+
+net::awaitable<void> SoakEngine::WaitInQueue(std::chrono::milliseconds limit) {
+  const TimePoint end = Clock::now() + limit;
+  const TimePoint turn = Clock::now() + mood_.queue;
+  ++queued_;
+  while (!busy_ && Clock::now() < end && (Clock::now() < turn || active_ >= kSlots)) {
+    co_await Sleep(kLook);
+  }
+  --queued_;
+}
+
+net::awaitable<bool> SoakEngine::Generate(tcp::socket& socket, const RequestMessage& request) {
+  const std::chrono::milliseconds limit(Number(request[field::kTimeLeftMs]));
+  const TimePoint arrived = Clock::now();
+  bool may_run = queued_ < kQueuePlaces;
+  if (may_run) {
+    co_await WaitInQueue(limit);
+    may_run = MayRun(request) && Clock::now() < arrived + limit;
+  }
+  if (!may_run) {
+    co_return co_await Reply(socket, http::status::service_unavailable, "", request, true);
+  }
+  const std::string weights(request[field::kExpectedWeights]);
+  if (!weights.empty() && weights != std::to_string(weights_)) {
+    co_return co_await Reply(socket, http::status::misdirected_request, "", request, true);
+  }
+  const auto run = judges_.ledger.Begin(request, weights_);
+  if (!run) co_return false;
+  ++active_;
+  const bool stream =
+      request.target().find("/stream/") == 0 || request.target().find("/resume/") == 0;
+  bool kept = false;
+  if (stream) {
+    kept = co_await Events(socket, request, *run);
+  } else {
+    kept = co_await Plain(socket, request, *run);
+  }
+  --active_;
+  co_return kept;
+}
+
+net::awaitable<bool> SoakEngine::Plain(tcp::socket& socket, const RequestMessage& request,
+                                       Run& run) {
+  co_await Sleep(random_.Milliseconds(2, 80));
+  while (mood_.silent) co_await Sleep(kLook);
+  const bool breaks = random_.Chance(mood_.break_part);
+  run.broke_off = breaks;
+  if (breaks && random_.Chance(kNoAnswerPart)) co_return false;
+  run.status = random_.Chance(mood_.error_part) ? 500 : 200;
+  const std::string body = BodyOf(run.signature);
+  const bool chunked = random_.Chance(kChunkedPart);
+  const std::string framing = chunked ? "Transfer-Encoding: chunked\r\n"
+                                      : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  std::string answer = Head(run, std::string(request[field::kRequestId]), framing);
+  answer += chunked ? Chunk(body) + "0\r\n\r\n" : body;
+  if (breaks)
+    answer.resize(
+        static_cast<std::size_t>(random_.Between(1, static_cast<int>(answer.size()) - 1)));
+  const bool written = co_await Write(socket, std::move(answer));
+  co_return written && !breaks;
+}
+
+net::awaitable<bool> SoakEngine::Events(tcp::socket& socket, const RequestMessage& request,
+                                        Run& run) {
+  const std::string id(request[field::kRequestId]);
+  const int breaks_before = breaks_;
+  const bool breaks = random_.Chance(mood_.break_part);
+  const int count = EventCount(id);
+  const int break_at = breaks ? random_.Between(0, count) : count + 1;
+  run.status = 200;
+  co_await Sleep(random_.Milliseconds(2, 60));
+  bool written = co_await Write(
+      socket, Head(run, id, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+  for (int i = Number(request[field::kLastEventId]) + 1; i <= count && written; ++i) {
+    co_await Sleep(random_.Milliseconds(2, 60));
+    while (mood_.silent) co_await Sleep(kLook);
+    std::string event = EventOf(id, run.signature, i);
+    const bool ends = i >= break_at || breaks_ != breaks_before;
+    if (ends) {
+      run.broke_off = true;
+      event.resize(event.size() / 2);
+    }
+    written = co_await Write(socket, Chunk(event));
+    if (ends) co_return false;
+  }
+  if (!written) co_return false;
+  co_return co_await Write(socket, "0\r\n\r\n");
+}
+
+std::string SoakEngine::Head(const Run& run, const std::string& id,
+                             const std::string& framing) const {
+  return HeadLine(static_cast<http::status>(run.status)) + field::kRequestId + ": " + id + "\r\n" +
+         field::kSignature + ": " + run.signature + "\r\n" + field::kWeights + ": " +
+         std::to_string(weights_) + "\r\n" + framing + "\r\n";
+}
+
+net::awaitable<bool> SoakEngine::Write(tcp::socket& socket, std::string bytes) {
+  ErrorCode error;
+  co_await net::async_write(socket, net::buffer(bytes),
+                            net::redirect_error(net::use_awaitable, error));
+  co_return !error;
+}
+
+net::awaitable<bool> SoakEngine::Reply(tcp::socket& socket, http::status status, std::string body,
+                                       const RequestMessage& request, bool not_run) {
+  std::string answer = HeadLine(status) + field::kBackend + ": " + id_ + "\r\n";
+  const std::string id(request[field::kRequestId]);
+  if (!id.empty()) answer += std::string(field::kRequestId) + ": " + id + "\r\n";
+  if (not_run) answer += std::string(field::kNotExecuted) + ": 1\r\n";
+  answer += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  co_return co_await Write(socket, std::move(answer));
+}
+
+std::string SoakEngine::Report() const {
+  return Json{{"stage", "both"},
+              {"models", {{{"name", "m"}, {"version", weights_}, {"adapters", Json::array()}}}},
+              {"busy", busy_},
+              {"seq", orders_},
+              {"queued", queued_},
+              {"active", active_}}
+      .dump();
+}
+
+http::status SoakEngine::TakeOrder(const std::string& body) {
+  const Json order = Json::parse(body);
+  judges_.orders.Arrived(id_, order.at("holder"), order.at("fence"));
+  const int weights = order.at("version");
+  if (busy_ || order.value("precondition", orders_) != orders_) return http::status::conflict;
+  if (weights == weights_) return http::status::ok;
+  ++orders_;
+  busy_ = true;
+  net::co_spawn(acceptor_.get_executor(), Load(weights, order.at("mode") == "truncate"),
+                net::detached);
+  return http::status::accepted;
+}
+
+net::awaitable<void> SoakEngine::Load(int weights, bool break_runs) {
+  if (break_runs) ++breaks_;
+  while (active_ > 0) co_await Sleep(kLook);
+  co_await Sleep(random_.Milliseconds(100, 400));
+  weights_ = weights;
+  busy_ = false;
+  Register();
+}
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/soak_engine.h
@@ -0,0 +1,72 @@
+// An engine that streams, queues, falls silent and breaks off.
+
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "fault_proxy.h"
+#include "ledger.h"
+#include "order_check.h"
+#include "random.h"
+#include "standins.h"
+
+namespace ridgehold::soak {
+
+/// How an engine misbehaves now.
+struct EngineMood {
+  bool silent = false;                 ///< reads and does not answer
+  std::chrono::milliseconds queue{0};  ///< how long requests wait before they run
+  double break_part = 0;               ///< part of the answers that end early
+  double error_part = 0;               ///< part of the answers that are failures
+};
+
+/// An engine of the model `m`; it tells the ledger of each run.
+class SoakEngine {
+ public:
+  struct Judges {
+    Ledger& ledger;
+    OrderCheck& orders;
+  };
+
+  SoakEngine(net::any_io_executor executor, std::string id, Judges judges,
+             ridgehold::test::MemoryTable& table, Random random);
+
+  void Register();
+  void SetMood(const EngineMood& mood) { mood_ = mood; }
+  FaultProxy& proxy() { return proxy_; }
+
+ private:
+  net::awaitable<void> Accept();
+  net::awaitable<void> Serve(tcp::socket socket);
+  /// These return false when the connection is to end.
+  net::awaitable<bool> Answer(tcp::socket& socket, const RequestMessage& request);
+  net::awaitable<bool> Generate(tcp::socket& socket, const RequestMessage& request);
+  net::awaitable<bool> Plain(tcp::socket& socket, const RequestMessage& request, Run& run);
+  net::awaitable<bool> Events(tcp::socket& socket, const RequestMessage& request, Run& run);
+  net::awaitable<bool> Write(tcp::socket& socket, std::string bytes);
+  net::awaitable<bool> Reply(tcp::socket& socket, http::status status, std::string body,
+                             const RequestMessage& request, bool not_run);
+  net::awaitable<void> WaitInQueue(std::chrono::milliseconds limit);
+  http::status TakeOrder(const std::string& body);
+  net::awaitable<void> Load(int weights, bool break_runs);
+  std::string Report() const;
+  std::string Head(const Run& run, const std::string& id, const std::string& framing) const;
+  bool MayRun(const RequestMessage& request) const;
+
+  std::string id_;
+  Judges judges_;
+  ridgehold::test::MemoryTable& table_;
+  Random random_;
+  tcp::acceptor acceptor_;
+  FaultProxy proxy_;
+  EngineMood mood_;
+  int weights_ = 1;
+  int orders_ = 0;
+  bool busy_ = false;
+  int queued_ = 0;
+  int active_ = 0;
+  int breaks_ = 0;  // grows when all streams are to be broken off
+};
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/soak_run.cc
@@ -0,0 +1,149 @@
+#include "soak_run.h"
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "bounds.h"
+
+namespace ridgehold::soak {
+namespace {
+
+constexpr int kEngines = 4;
+constexpr int kLeastInstances = 3;
+constexpr int kMostInstances = 5;
+constexpr int kCallersEach = 6;  // for each instance
+constexpr std::chrono::milliseconds kLook{20};
+constexpr std::size_t kLogLines = 8;  // printed of each instance
+/// Time for what still runs when the faults have ended.
+constexpr std::chrono::milliseconds kSettle{4'500};
+constexpr double kServedCalm = 0.95;  // least part that is served without faults
+
+/// Loopback addresses that soaks at work at the same time do not share.
+std::string AddressOf(int instance) {
+  const int pid = ::getpid();
+  return "127." + std::to_string(64 + pid / 256 % 128) + "." + std::to_string(pid % 256) + "." +
+         std::to_string(10 + instance);
+}
+
+}  // namespace
+
+SoakRun::SoakRun(SoakOptions options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      io_(1),
+      store_(io_.get_executor()),
+      operator_(store_.table()),
+      ledger_(verdict_, calm_, operator_),
+      orders_(verdict_, calm_),
+      faults_({instances_, engines_, store_, operator_, calm_, verdict_}, random_.Fork()) {
+  for (int i = 0; i < kEngines; ++i) {
+    engines_.push_back(std::make_unique<SoakEngine>(io_.get_executor(), "e" + std::to_string(i),
+                                                    SoakEngine::Judges{ledger_, orders_},
+                                                    store_.table(), random_.Fork()));
+    engines_.back()->Register();
+  }
+  if (options_.instances == 0) {
+    options_.instances = random_.Between(kLeastInstances, kMostInstances);
+  }
+}
+
+void SoakRun::StartInstances() {
+  std::string seeds;
+  for (int i = 0; i < std::min(options_.instances, kLeastInstances); ++i) {
+    seeds += (i == 0 ? "" : ",") + AddressOf(i) + ":" + std::to_string(kControlPort);
+  }
+  for (int i = 0; i < options_.instances; ++i) {
+    auto instance = std::make_unique<Instance>(io_.get_executor(), store_.address());
+    const InstancePlace place{.name = "entry-" + std::to_string(i),
+                              .address = AddressOf(i),
+                              .store_address = instance->store_proxy.address(),
+                              .seeds = seeds};
+    instance->process = std::make_unique<InstanceProcess>(place, options_.program, options_.folder);
+    instance->process->Start();
+    instances_.push_back(std::move(instance));
+  }
+}
+
+void SoakRun::StartCallers() {
+  for (const auto& instance : instances_) {
+    for (int i = 0; i < kCallersEach; ++i) {
+      const std::string name = "r" + std::to_string(callers_.size());
+      callers_.push_back(
+          std::make_shared<Caller>(name, *instance->process, ledger_, operator_, random_.Fork()));
+      net::co_spawn(io_, callers_.back()->Run(), net::detached);
+    }
+  }
+}
+
+bool SoakRun::Play() {
+  StartInstances();
+  StartCallers();
+  net::co_spawn(io_, WatchProcesses(), net::detached);
+  net::co_spawn(io_, Script(), [this](const std::exception_ptr& error) {
+    io_.stop();
+    if (error) std::rethrow_exception(error);
+  });
+  io_.run();
+  return !verdict_.first();
+}
+
+net::awaitable<void> SoakRun::Script() {
+  const TimePoint end = Clock::now() + options_.length;
+  const TimePoint faults_end =
+      end - random_.Milliseconds(
+                0, static_cast<int>(std::chrono::milliseconds(options_.length).count()) * 3 / 4);
+  if (!options_.calm) faults_.Start(io_.get_executor(), options_.faults, faults_end);
+  while (!verdict_.first() && (Clock::now() < end || calm_.active())) co_await Sleep(kLook);
+  if (options_.calm && ledger_.served() < ledger_.sent() * kServedCalm) {
+    verdict_.Fail("too few are served", "all", std::to_string(ledger_.served()));
+  }
+  if (!verdict_.first()) co_await StopAll();
+}
+
+net::awaitable<void> SoakRun::StopAll() {
+  for (const auto& instance : instances_) {
+    net::co_spawn(io_, faults_.Terminate(*instance), net::detached);
+  }
+  const TimePoint limit = Clock::now() + kSettle;
+  for (bool running = true; running && Clock::now() < limit;) {
+    running = false;
+    for (const auto& instance : instances_) running = running || instance->process->Running();
+    co_await Sleep(kLook);
+  }
+  for (const auto& caller : callers_) caller->Stop();
+}
+
+net::awaitable<void> SoakRun::WatchProcesses() {
+  for (;;) {
+    for (const auto& instance : instances_) {
+      if (instance->ending || instance->process->Running()) continue;
+      const int status = instance->process->status();
+      verdict_.Fail("process ends by itself", instance->process->place().name,
+                    WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                        : "status " + std::to_string(WEXITSTATUS(status)));
+    }
+    co_await Sleep(kLook);
+  }
+}
+
+std::string SoakRun::Summary() {
+  std::string text =
+      "seed " + std::to_string(options_.seed) + ": " + std::to_string(instances_.size()) +
+      " instances, " + std::to_string(ledger_.sent()) + " requests, " +
+      std::to_string(ledger_.served()) + " served, " + std::to_string(ledger_.lost()) +
+      " cut off, weights " + std::to_string(operator_.weights());
+  const auto& violation = verdict_.first();
+  if (!violation) return text + ", all promises kept\n";
+  text += "\nBROKEN: " + violation->promise + ": " + violation->request + ": " + violation->detail +
+          "\n";
+  for (const auto& instance : instances_) {
+    text += instance->process->place().name + ", last lines of " + options_.folder.string() +
+            ":\n" + instance->process->LastLogLines(kLogLines);
+  }
+  return text;
+}
+
+}  // namespace ridgehold::soak
--- /dev/null
+++ b/soak/soak_run.h
@@ -0,0 +1,58 @@
+// One seed: a deployment of real processes, callers, and faults.
+
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <filesystem>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "caller.h"
+#include "fault_script.h"
+
+namespace ridgehold::soak {
+
+struct SoakOptions {
+  std::uint64_t seed = 1;
+  std::chrono::seconds length{8};
+  int instances = 0;  ///< 0: three to five, drawn
+  std::filesystem::path program;
+  std::filesystem::path folder;  ///< for settings and logs
+  std::set<FaultKind> faults;    ///< none: drawn
+  bool calm = false;             ///< no faults at all
+};
+
+/// Owns all parts of a run; everything of the soak's own is on one thread.
+class SoakRun {
+ public:
+  explicit SoakRun(SoakOptions options);
+
+  /// Plays the run and returns whether all promises were kept.
+  bool Play();
+  /// What to print of it.
+  std::string Summary();
+
+ private:
+  void StartInstances();
+  void StartCallers();
+  net::awaitable<void> Script();
+  net::awaitable<void> StopAll();
+  net::awaitable<void> WatchProcesses();
+
+  SoakOptions options_;
+  Random random_;
+  boost::asio::io_context io_;
+  Verdict verdict_;
+  Calm calm_;
+  platform::test::StandinStore store_;
+  OperatorLog operator_;
+  Ledger ledger_;
+  OrderCheck orders_;
+  std::vector<std::unique_ptr<SoakEngine>> engines_;
+  std::vector<std::unique_ptr<Instance>> instances_;
+  std::vector<std::shared_ptr<Caller>> callers_;
+  FaultScript faults_;
+};
+
+}  // namespace ridgehold::soak
