--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -96,12 +96,13 @@
 }
 
 net::awaitable<void> FaultScript::Terminate(Instance& instance) {
-  const int pauses = instance.paused;
+  const int pauses = instance.pauses;
+  const bool paused = instance.paused > 0;
   instance.ending = true;
   instance.process->Signal(SIGTERM);
   co_await WaitForEnd(*instance.process, kShutdownLimit + kStopSlack);
   if (!instance.process->Running()) co_return;
-  if (instance.paused == pauses) {
+  if (!paused && instance.pauses == pauses) {
     targets_.verdict.Fail("process outlives its grace time", instance.process->place().name, "");
   }
   instance.process->Signal(SIGKILL);
@@ -133,10 +134,11 @@
 net::awaitable<void> FaultScript::Pause(Random random) {
   Instance& instance = Pick(targets_.instances, random);
   const Calm::Token token = targets_.calm.Begin(FaultClass::kHeld);
+  ++instance.pauses;
   ++instance.paused;
   instance.process->Signal(SIGSTOP);
   co_await Sleep(random.Milliseconds(50, 4'000));
-  instance.process->Signal(SIGCONT);
+  if (--instance.paused == 0) instance.process->Signal(SIGCONT);
 }
 
 net::awaitable<void> FaultScript::HarmLink(FaultProxy& proxy, Random random) {
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -25,7 +25,8 @@
   FaultProxy store_proxy;
   std::unique_ptr<InstanceProcess> process;
   bool ending = false;  ///< its process has been told to end, or is away
-  int paused = 0;       ///< pauses so far
+  int pauses = 0;       ///< pauses so far
+  int paused = 0;       ///< pauses at work
 };
 
 enum class FaultKind {
