--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -1,6 +1,10 @@
 // Plays seeded runs of real processes under faults and judges what callers and
 // engines see.
 
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <fstream>
@@ -14,6 +18,7 @@
 struct Options {
   std::uint64_t seed = 1;
   int seeds = 1;
+  std::size_t jobs = 1;
   int seconds = 8;
   int instances = 0;
   bool calm = false;
@@ -38,6 +43,9 @@
   for (int i = 0; i < options.seeds; ++i) {
     seeds.push_back(options.seed + static_cast<std::uint64_t>(i));
   }
+  std::ranges::sort(seeds);
+  const auto repeated = std::ranges::unique(seeds);
+  seeds.erase(repeated.begin(), repeated.end());
   return seeds;
 }
 
@@ -77,11 +85,37 @@
   return CLI::IsMember(names);
 }
 
+/// Plays one seed in a process of its own, which ends with this one.
+pid_t StartSeed(const Options& options, std::uint64_t seed) {
+  const pid_t child = ::fork();
+  if (child < 0) throw std::runtime_error("fork failed");
+  if (child > 0) return child;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  ::_exit(PlaySeed(options, seed) ? 0 : 1);
+}
+
+/// Waits for a seed to end; returns it if it failed.
+std::optional<std::uint64_t> WaitForSeed(std::map<pid_t, std::uint64_t>& playing) {
+  int status = 0;
+  const pid_t ended = ::wait(&status);
+  if (ended < 0) throw std::runtime_error("no seed is being played");
+  const std::uint64_t seed = playing.at(ended);
+  playing.erase(ended);
+  if (WIFEXITED(status) && WEXITSTATUS(status) == 0) return std::nullopt;
+  return seed;
+}
+
 int PlayAll(const Options& options) {
-  std::vector<std::uint64_t> failed;
   const std::vector<std::uint64_t> seeds = SeedsToPlay(options);
-  for (const std::uint64_t seed : seeds) {
-    if (!PlaySeed(options, seed)) failed.push_back(seed);
+  std::map<pid_t, std::uint64_t> playing;
+  std::vector<std::uint64_t> failed;
+  for (auto next = seeds.begin(); next != seeds.end() || !playing.empty();) {
+    if (next != seeds.end() && playing.size() < options.jobs) {
+      playing[StartSeed(options, *next)] = *next;
+      ++next;
+      continue;
+    }
+    if (const auto seed = WaitForSeed(playing)) failed.push_back(*seed);
   }
   std::cout << seeds.size() << " seeds, " << failed.size() << " failed";
   for (const std::uint64_t seed : failed) std::cout << " " << seed;
@@ -97,6 +131,8 @@
   CLI::App app("Plays seeded runs of entry instances under faults");
   app.add_option("--seed", options.seed, "The first seed");
   app.add_option("--seeds", options.seeds, "How many seeds to play");
+  app.add_option("--jobs", options.jobs, "Seeds played at the same time")
+      ->check(CLI::PositiveNumber);
   app.add_option("--seconds", options.seconds, "Length of a run")->check(CLI::PositiveNumber);
   app.add_option("--instances", options.instances, "Instances; three to five are drawn if absent");
   app.add_option("--program", options.program, "The instances' program");
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -130,11 +130,13 @@
 }
 
 std::string SoakRun::Summary() {
+  const auto length = std::chrono::duration_cast<std::chrono::seconds>(Clock::now() - started_);
   std::string text =
       "seed " + std::to_string(options_.seed) + ": " + std::to_string(instances_.size()) +
       " instances, " + std::to_string(ledger_.sent()) + " requests, " +
       std::to_string(ledger_.served()) + " served, " + std::to_string(ledger_.lost()) +
-      " cut off, weights " + std::to_string(operator_.weights());
+      " cut off, weights " + std::to_string(operator_.weights()) + ", " +
+      std::to_string(length.count()) + " s";
   const auto& violation = verdict_.first();
   if (!violation) return text + ", all promises kept\n";
   text += "\nBROKEN: " + violation->promise + ": " + violation->request + ": " + violation->detail +
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -41,6 +41,7 @@
   net::awaitable<void> WatchProcesses();
 
   SoakOptions options_;
+  TimePoint started_ = Clock::now();
   Random random_;
   boost::asio::io_context io_;
   Verdict verdict_;
