--- a/soak/calm.h
+++ b/soak/calm.h
@@ -33,6 +33,7 @@
     return unplanned_ == 0 && last_unplanned_end_ <= start;
   }
 
+  /// When the last fault ended; long ago if there has been none.
   TimePoint last_end() const { return last_end_; }
   bool active() const { return active_ > 0; }
   /// When something that had been held up last went on.
@@ -51,8 +52,8 @@
 
   int active_ = 0;
   int unplanned_ = 0;
-  TimePoint last_end_ = Clock::now();  // the start of all processes
-  TimePoint last_unplanned_end_ = Clock::now();
+  TimePoint last_end_{};
+  TimePoint last_unplanned_end_ = Clock::now();  // the start of all processes
   TimePoint last_thaw_{};
 };
 
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 
 #include "bounds.h"
+#include "control/own_records.h"
 
 namespace ridgehold::soak {
 namespace {
@@ -14,7 +15,10 @@
 constexpr std::chrono::milliseconds kLook{10};        // how often a process is looked at
 constexpr std::chrono::milliseconds kStopSlack{500};  // past the grace time, for a busy machine
 constexpr double kKindPart = 0.4;                     // of all kinds, those that a seed has
-constexpr double kSeriesPart = 0.4;                   // of the faults, those followed at once
+constexpr double kHolderPart = 0.5;  // of the faults, those that hit the holder of the duty
+// Longer than keys are trusted, so that some instances lose their trust.
+constexpr int kLongestStoreFault = 5'500;  // ms
+constexpr double kSeriesPart = 0.4;        // of the faults, those followed at once
 
 net::awaitable<void> WaitForEnd(InstanceProcess& process, std::chrono::milliseconds limit) {
   const TimePoint end = Clock::now() + limit;
@@ -74,7 +78,7 @@
     case FaultKind::kPause:
       return Pause(random);
     case FaultKind::kStoreLink:
-      return HarmLink(Pick(targets_.instances, random).store_proxy, random);
+      return HarmLink(PickInstance(random).store_proxy, random);
     case FaultKind::kEngineLink:
       return HarmLink(Pick(targets_.engines, random).proxy(), random);
     case FaultKind::kStoreDown:
@@ -95,6 +99,18 @@
   return Sleep(0ms);
 }
 
+Instance& FaultScript::PickInstance(Random& random) {
+  const auto& items = targets_.store.table().items();
+  const auto holder = items.find(kRolloutHolderKey);
+  if (holder != items.end() && random.Chance(kHolderPart)) {
+    for (const auto& instance : targets_.instances) {
+      // The value is the holder's name and address.
+      if (holder->second.value.starts_with(instance->process->place().name + " ")) return *instance;
+    }
+  }
+  return Pick(targets_.instances, random);
+}
+
 net::awaitable<void> FaultScript::Terminate(Instance& instance) {
   const int pauses = instance.pauses;
   const bool paused = instance.paused > 0;
@@ -110,7 +126,7 @@
 }
 
 net::awaitable<void> FaultScript::Stop(Random random) {
-  Instance& instance = Pick(targets_.instances, random);
+  Instance& instance = PickInstance(random);
   if (instance.ending) co_return;
   const Calm::Token token = targets_.calm.Begin(FaultClass::kPlanned);
   co_await Terminate(instance);
@@ -120,7 +136,7 @@
 }
 
 net::awaitable<void> FaultScript::Kill(Random random) {
-  Instance& instance = Pick(targets_.instances, random);
+  Instance& instance = PickInstance(random);
   if (instance.ending) co_return;
   const Calm::Token token = targets_.calm.Begin(FaultClass::kProcess);
   instance.ending = true;
@@ -132,7 +148,7 @@
 }
 
 net::awaitable<void> FaultScript::Pause(Random random) {
-  Instance& instance = Pick(targets_.instances, random);
+  Instance& instance = PickInstance(random);
   const Calm::Token token = targets_.calm.Begin(FaultClass::kHeld);
   ++instance.pauses;
   ++instance.paused;
@@ -160,7 +176,7 @@
 net::awaitable<void> FaultScript::StoreDown(Random random) {
   const Calm::Token token = targets_.calm.Begin(FaultClass::kProcess);
   targets_.store.SetDown(true);
-  co_await Sleep(random.Milliseconds(100, 3'000));
+  co_await Sleep(random.Milliseconds(100, kLongestStoreFault));
   targets_.store.SetDown(false);
 }
 
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -77,6 +77,9 @@
   net::awaitable<void> StoreDown(Random random);
   net::awaitable<void> ChangeMood(EngineMood mood, Random random);
 
+  /// An instance; often the one that orders weights now.
+  Instance& PickInstance(Random& random);
+
   template <class List>
   auto& Pick(List& list, Random& random) {
     return *list[static_cast<std::size_t>(random.Between(0, static_cast<int>(list.size()) - 1))];
--- a/soak/order_check.cc
+++ b/soak/order_check.cc
@@ -9,9 +9,9 @@
   const TimePoint now = Clock::now();
   // What was held up may come in any order; precondition guards against it.
   if (now - calm_.last_thaw() <= kThaw) return;
-  const auto found = last_.find(engine);
-  if (found != last_.end() && found->second.holder != holder) {
-    const Order& before = found->second;
+  if (last_ && last_->holder != holder) {
+    const Order& before = *last_;
+    ++handovers_;
     if (now - before.arrived < kHolderSeparation) {
       verdict_.Fail("holders take turns", engine, before.holder + " and then " + holder);
     }
@@ -21,7 +21,7 @@
           holder + " has " + std::to_string(token) + " after " + std::to_string(before.token));
     }
   }
-  last_[engine] = {holder, token, now};
+  last_ = Order{holder, token, now};
 }
 
 }  // namespace ridgehold::soak
--- a/soak/order_check.h
+++ b/soak/order_check.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <optional>
 #include <string>
 
 #include "calm.h"
@@ -11,14 +11,17 @@
 
 namespace ridgehold::soak {
 
-/// Orders to one engine: those of two holders must lie a lease apart and bear
-/// tokens that grow.
+/// Orders of two holders must lie a lease apart, to whichever engines they go,
+/// and bear tokens that grow.
 class OrderCheck {
  public:
   OrderCheck(Verdict& verdict, const Calm& calm) : verdict_(verdict), calm_(calm) {}
 
   void Arrived(const std::string& engine, const std::string& holder, std::uint64_t token);
 
+  /// Orders that followed one of another holder.
+  int handovers() const { return handovers_; }
+
  private:
   struct Order {
     std::string holder;
@@ -28,7 +31,8 @@
 
   Verdict& verdict_;
   const Calm& calm_;
-  std::map<std::string, Order> last_;  // by engine
+  std::optional<Order> last_;
+  int handovers_ = 0;
 };
 
 }  // namespace ridgehold::soak
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -19,6 +19,7 @@
 constexpr double kReadLatePart = 0.5;  // requests that a silent engine has not begun
 constexpr double kNoAnswerPart = 0.4;  // of the answers that end early
 constexpr double kChunkedPart = 0.3;   // of the answers that are no stream
+constexpr double kSlowLoadPart = 0.2;  // of the loads of weights
 constexpr int kSlots = 8;
 constexpr int kQueuePlaces = 16;
 constexpr std::chrono::milliseconds kLook{5};  // how often a waiting request looks again
@@ -248,7 +249,8 @@
 net::awaitable<void> SoakEngine::Load(int weights, bool break_runs) {
   if (break_runs) ++breaks_;
   while (active_ > 0) co_await Sleep(kLook);
-  co_await Sleep(random_.Milliseconds(100, 400));
+  const bool slow = random_.Chance(kSlowLoadPart);
+  co_await Sleep(slow ? random_.Milliseconds(1'000, 4'000) : random_.Milliseconds(100, 400));
   weights_ = weights;
   busy_ = false;
   Register();
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -135,8 +135,8 @@
       "seed " + std::to_string(options_.seed) + ": " + std::to_string(instances_.size()) +
       " instances, " + std::to_string(ledger_.sent()) + " requests, " +
       std::to_string(ledger_.served()) + " served, " + std::to_string(ledger_.lost()) +
-      " cut off, weights " + std::to_string(operator_.weights()) + ", " +
-      std::to_string(length.count()) + " s";
+      " cut off, weights " + std::to_string(operator_.weights()) + " (" +
+      std::to_string(orders_.handovers()) + " handovers), " + std::to_string(length.count()) + " s";
   const auto& violation = verdict_.first();
   if (!violation) return text + ", all promises kept\n";
   text += "\nBROKEN: " + violation->promise + ": " + violation->request + ": " + violation->detail +
