--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -281,6 +281,7 @@
     // Report and connection take time; the duty may be gone when both are there.
     const ridgehold::MayOrder may_order = [this] { return MayOrder(Clock::now()); };
     const OrderOutcome outcome = co_await control_.Load(step.engine->entry, load, may_order);
+    const std::string outcome_name(NameOf(outcome));
     Log(LogLevel::kInfo, "ordered weights",
         {{"backend", step.engine->entry.id.value()},
          {"model", load.model.value()},
@@ -288,7 +289,7 @@
          {"fencing", std::to_string(load.fencing)},
          {"mode", std::string(NameOf(load.mode))},
          {"orders_taken", std::to_string(load.expected_orders_taken)},
-         {"outcome", std::string(NameOf(outcome))}});
+         {"outcome", outcome_name}});
     state_.metrics().GetCounter("ridgehold_weight_orders").Add();
     const bool taken = outcome == OrderOutcome::kStarted || outcome == OrderOutcome::kAlreadyHolds;
     co_return taken ? std::optional(load.number) : std::nullopt;
--- a/soak/bounds.h
+++ b/soak/bounds.h
@@ -10,8 +10,9 @@
 inline constexpr std::chrono::milliseconds kRevocationLimit{3'000};
 inline constexpr std::chrono::milliseconds kWeightsLimit{5'000};
 inline constexpr std::chrono::milliseconds kShutdownLimit{3'000};
+// Half of a usual deployment's: a run of 8 s must see orders of a second holder.
+inline constexpr std::chrono::milliseconds kHolderSeparation{1'500};
 // As on a usual deployment.
-inline constexpr std::chrono::milliseconds kHolderSeparation{3'000};
 inline constexpr std::chrono::milliseconds kContact{3'000};
 inline constexpr std::chrono::milliseconds kThaw{300};
 inline constexpr std::chrono::milliseconds kDowngradeLimit{250};
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -44,8 +44,7 @@
     seeds.push_back(options.seed + static_cast<std::uint64_t>(i));
   }
   std::ranges::sort(seeds);
-  const auto repeated = std::ranges::unique(seeds);
-  seeds.erase(repeated.begin(), repeated.end());
+  seeds.erase(std::unique(seeds.begin(), seeds.end()), seeds.end());
   return seeds;
 }
 
