--- a/libs/control/src/fact_sink.cc
+++ b/libs/control/src/fact_sink.cc
@@ -1,5 +1,6 @@
 #include "control/fact_sink.h"
 
+#include "log/duration_text.h"
 #include "log/log.h"
 
 namespace ridgehold {
@@ -7,10 +8,6 @@
 
 std::string RevisionText(const StoreItem& item) { return std::to_string(item.revision.value()); }
 
-std::string Milliseconds(Duration duration) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 }  // namespace
 
 void FactSink::Take(const StoreItem& item, StoredFact fact, const Writing& writing) {
@@ -42,7 +39,7 @@
   Log(LogLevel::kInfo, "weights named",
       {{"model", order.model.value()},
        {"weights", std::to_string(order.number.value())},
-       {"age_ms", Milliseconds(age)},
+       {"age_ms", MillisecondsText(age)},
        {"age_is", writing.assumed ? "assumed" : "known"}});
 }
 
@@ -86,14 +83,15 @@
   Log(LogLevel::kInfo, "backend missing",
       {{"backend", id.value()},
        {"address", known->entry.address},
-       {"used_on_for_ms", Milliseconds(grace)}});
+       {"used_on_for_ms", MillisecondsText(grace)}});
 }
 
 void FactSink::ReplaceBackends(const std::vector<BackendEntry>& entries, Duration grace,
                                TimePoint now) {
   state_.directory().Replace(entries, grace, now);
   Log(LogLevel::kInfo, "backends listed",
-      {{"count", std::to_string(entries.size())}, {"missing_used_on_for_ms", Milliseconds(grace)}});
+      {{"count", std::to_string(entries.size())},
+       {"missing_used_on_for_ms", MillisecondsText(grace)}});
 }
 
 void FactSink::Reject(const StoreItem& item, const Failure& failure) {
--- a/libs/control/src/rollout_step_log.cc
+++ b/libs/control/src/rollout_step_log.cc
@@ -3,30 +3,23 @@
 #include <chrono>
 #include <string>
 
+#include "log/duration_text.h"
 #include "log/log.h"
 
 namespace ridgehold {
-namespace {
-
-std::string Milliseconds(Clock::duration duration) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
-}  // namespace
-
 void LogRolloutStep(GatewayState& state, const RolloutStep& step, const StepTimes& times) {
   const TimePoint now = Clock::now();
   LogFields fields = {{"backend", step.engine->entry.id.value()},
                       {"outcome", times.outcome},
-                      {"ms", Milliseconds(now - times.begun)}};
-  if (times.emptied) fields.push_back({"drain_ms", Milliseconds(*times.emptied - times.begun)});
+                      {"ms", MillisecondsText(now - times.begun)}};
+  if (times.emptied) fields.push_back({"drain_ms", MillisecondsText(*times.emptied - times.begun)});
   if (times.ordered) {
-    fields.push_back({"load_ms", Milliseconds(now - *times.ordered)});
+    fields.push_back({"load_ms", MillisecondsText(now - *times.ordered)});
     fields.push_back({"mode", std::string(NameOf(times.mode))});
     fields.push_back({"left_to_end", std::to_string(times.left_to_end)});
   }
   if (const auto since = state.named_weights().NewestSince(step.model)) {
-    fields.push_back({"newest_age_ms", Milliseconds(now - *since)});
+    fields.push_back({"newest_age_ms", MillisecondsText(now - *since)});
   }
   fields.push_back(
       {"running_there", std::to_string(step.engine->in_flight + step.engine->peers.running)});
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -4,15 +4,12 @@
 #include <string_view>
 
 #include "gateway/gateway_state.h"
+#include "log/duration_text.h"
 #include "log/log.h"
 
 namespace ridgehold {
 namespace {
 
-std::string MillisecondsBetween(TimePoint from, TimePoint to) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count());
-}
-
 std::string_view NameOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kStreamed:
@@ -57,17 +54,13 @@
   return state.snapshot() ? std::to_string(state.snapshot()->version().value()) : "none";
 }
 
-std::string Milliseconds(Duration duration) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 void AppendOlderWeights(GatewayState& state, const OlderWeightsUse& use, LogFields& fields) {
   fields.push_back({"weights", std::to_string(use.weights.value())});
   fields.push_back({"newer", std::to_string(use.newer.value())});
-  fields.push_back({"newer_age_sent_ms", Milliseconds(use.age_when_sent)});
+  fields.push_back({"newer_age_sent_ms", MillisecondsText(use.age_when_sent)});
   fields.push_back({"newer_age_is", use.assumed ? "assumed" : "known"});
   if (use.age_when_begun == Duration::zero()) return;
-  fields.push_back({"newer_age_begun_ms", Milliseconds(use.age_when_begun)});
+  fields.push_back({"newer_age_begun_ms", MillisecondsText(use.age_when_begun)});
   state.metrics()
       .GetSummary("ridgehold_begun_on_older_weights_seconds")
       .Observe(std::chrono::duration<double>(use.age_when_begun).count());
@@ -92,7 +85,7 @@
   LogFields fields = {{"request", record.request.value()},
                       {"code", code},
                       {"status", std::to_string(record.status)},
-                      {"ms", MillisecondsBetween(record.received, now)},
+                      {"ms", MillisecondsText(now - record.received)},
                       {"attempts", std::to_string(record.attempts)},
                       {"backend", record.backend.value()},
                       {"route", record.route.value()},
@@ -101,9 +94,9 @@
                       {"to_read", std::to_string(std::lround(record.tokens_to_read))},
                       {"running_there", std::to_string(record.running_there)},
                       {"config", ConfigVersionOf(state)},
-                      {"config_age_ms", MillisecondsBetween(state.confirmed_at(), now)}};
+                      {"config_age_ms", MillisecondsText(now - state.confirmed_at())}};
   if (record.first_event) {
-    fields.push_back({"first_event_ms", MillisecondsBetween(record.received, *record.first_event)});
+    fields.push_back({"first_event_ms", MillisecondsText(*record.first_event - record.received)});
   }
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
