Admission: engines get no more than they read within the shortest objective

Cause: in the worst windows every stream waited 1.6 s at an engine, short ones too, where 0.64 s were expected. Four of nine engines could read about as much as came in, but everything was taken in by engines in order of arrival, so everything was late; slow steps then held memory and parts were read again.

Change: a request that would be late, or would fill an engine beyond the shortest objective of its service, waits at the gateway: in-time ones first, then by urgency and arrival. A stream that has begun goes on at once. It replaces the refusal by expected wait, which no setting used.

--- a/libs/control/src/rollout_pace.cc
+++ b/libs/control/src/rollout_pace.cc
@@ -31,8 +31,8 @@
   if (Unrepeatable(step) == 0) return ReloadMode::kBreakRuns;
   const auto bound = BoundOf(step, now);
   const bool time_left = !bound || now + options_.longest_finish + options_.reserve < *bound;
-  const Duration finish =
-      BackendDirectory::ExpectedWait(*step.engine, state_.weights().prefill_tokens_per_ms, now);
+  const double speed = state_.TokensPerMs(step.engine->entry.service);
+  const Duration finish = BackendDirectory::ExpectedWait(*step.engine, speed, now);
   const bool short_runs = finish <= options_.expected_finish;
   return time_left && short_runs ? ReloadMode::kFinishRuns : ReloadMode::kContinueRuns;
 }
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -135,8 +135,7 @@
     }
     limits.older_weights = settings.weights_limit - tuning.weights_margin;
     limits.retries = settings.retries;
-    limits.most_wait_objectives = tuning.most_wait;
-    limits.most_wait_objectives_urgent = tuning.most_wait_urgent;
+    limits.admission = tuning.admission;
     limits.patience_objectives = tuning.call_patience;
     limits.stream_patience_objectives = tuning.stream_patience;
     return limits;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 
+#include "gateway/admission.h"
 #include "gateway/placement.h"
 
 namespace ridgehold {
@@ -15,10 +16,7 @@
   /// Waiting this many latency objectives for an answer's head is enough.
   double call_patience = 3;
   double stream_patience = 8;
-  /// Waits in latency objectives at which requests for text are refused; for
-  /// routes of the highest priority, and for others.
-  double most_wait_urgent = 1'000;
-  double most_wait = 1'000;
+  AdmissionRule admission;
   std::uint32_t older_weights_free_ms = 1'000;
   /// One engine of so many loads weights at a time; the platform slows loads
   /// down beyond a fifth of them.
--- a/libs/gateway/include/gateway/backend_load.h
+++ b/libs/gateway/include/gateway/backend_load.h
@@ -26,7 +26,10 @@
  private:
   void EndReading();
 
+  GatewayState& state_;
   BackendPtr backend_;
+  double tokens_ahead_ = 0;
+  bool fetches_ = false;
   double unread_tokens_ = 0;
   std::optional<std::multiset<TimePoint>::iterator> waiting_;
   bool unrepeatable_ = false;
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -33,9 +33,11 @@
 /// The backend server an attempt goes to.
 struct BackendChoice {
   BackendPtr backend;
+  double tokens_ahead = 0;            ///< that the engine has to read before
   double tokens_to_read = 0;          ///< prompt tokens expected not to be cached there
   std::uint32_t tokens_to_store = 0;  ///< those, and what is fetched: what its cache takes in
   double expected_ms = 0;             ///< cost that decided, see Placement
+  double ahead_ms = 0;                ///< of that, until what is before it has been read
   double wait_ms = 0;                 ///< of that, until the prompt is read
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address that has shared parts
@@ -52,10 +54,9 @@
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now);
 
-/// Whether a request that has not been sent yet should rather come back: the
-/// first event would come so late that it would be worth little, and the
-/// engines' time is better used for others.
-bool IsOverloaded(const GatewayState& state, const ExchangePlan& plan, const BackendChoice& choice);
+/// What decides whether a request for text is sent to the chosen engine now.
+AdmissionQuery AdmissionQueryFor(const ExchangePlan& plan, const BackendChoice& choice,
+                                 TimePoint now);
 
 /// Whether the attempt may still be sent there: the backend server is not
 /// leaving, and has weights on which the request may begin.
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -11,11 +11,14 @@
 #include <string>
 
 #include "base/ids.h"
+#include "gateway/admission.h"
 #include "gateway/backend_directory.h"
+#include "gateway/deferred_requests.h"
 #include "gateway/gateway_news.h"
 #include "gateway/named_weights.h"
 #include "gateway/placement.h"
 #include "gateway/prefix_shares.h"
+#include "gateway/reading_speed.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/waiting_attempts.h"
@@ -39,10 +42,7 @@
   double patience_objectives = 3;
   /// The same for resumable streams, which may wait in a queue.
   double stream_patience_objectives = 5;
-  /// A request for text is refused at once when its prompt would be read only
-  /// after so many latency objectives; routes of the highest priority later.
-  double most_wait_objectives = 1'000;
-  double most_wait_objectives_urgent = 1'000;
+  AdmissionRule admission;
   /// An attempt needs at least this much time to be worth making.
   std::chrono::milliseconds least_time{30};
 };
@@ -103,9 +103,15 @@
 
   PrefixShares& prefix_shares() { return prefix_shares_; }
 
+  /// Of the engines of a service.
+  ReadingSpeed& reading_speed(const ServiceId& service);
+  /// The same in tokens a millisecond; the settings' figure before any answer.
+  double TokensPerMs(const ServiceId& service) const;
+
   NamedWeights& named_weights() { return named_weights_; }
   const NamedWeights& named_weights() const { return named_weights_; }
   WaitingAttempts& waiting_attempts() { return waiting_attempts_; }
+  DeferredRequests& deferred_requests() { return deferred_requests_; }
 
   /// Gateways that are alive, this one included.
   std::uint32_t gateways() const { return gateways_; }
@@ -170,8 +176,10 @@
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   TimePoint confirmed_at_{};
   PrefixShares prefix_shares_;
+  std::map<ServiceId, ReadingSpeed> reading_speeds_;
   NamedWeights named_weights_;
   WaitingAttempts waiting_attempts_;
+  DeferredRequests deferred_requests_;
   std::uint32_t gateways_ = 1;
   double heard_gateways_ = 0;
   NewsItems news_;
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -32,7 +32,7 @@
 
 /// Figures the choice weighs; each in milliseconds unless it says otherwise.
 struct PlacementWeights {
-  /// Speed of an engine, measured on the platform's sites.
+  /// Speed of an engine until its first answers tell (ReadingSpeed).
   double prefill_tokens_per_ms = 56;
   /// What a request that runs already adds to the wait for a first event.
   double per_running_request = 0.6;
@@ -79,6 +79,7 @@
   std::optional<ZoneId> store_zone;       ///< of the store of kept cache, if there is one
   CircleSegment segment;                  ///< of the engines that keep the prompt's beginning
   double unheard_share = 0;               ///< requests of unheard gateways for each own one
+  double tokens_per_ms = 0;               ///< at which engines read; 0: as the weights say
   std::uint64_t tie_break = 0;
   TimePoint now{};
 };
@@ -88,6 +89,8 @@
   std::size_t index = 0;
   double cost = 0;                  ///< milliseconds it is expected to take, with prices
   double wait = 0;                  ///< of that, until the prompt is read
+  double ahead = 0;                 ///< of that, until what was sent before has been read
+  double tokens_ahead = 0;          ///< those tokens
   std::uint32_t cached_tokens = 0;  ///< expected to be in its cache, or fetched into it
   std::uint32_t known_tokens = 0;   ///< of those, what it has without a fetch
   /// Another candidate that has parts which the chosen one lacks.
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -34,10 +34,12 @@
   ServiceId service;
   BackendId backend;  ///< the last one tried
   TimePoint received{};
+  Duration deferred{0};  ///< waited here for room at an engine
   std::optional<TimePoint> first_event;
   std::uint32_t attempts = 0;
   // What decided the last choice of a backend server.
   double expected_ms = 0;
+  double wait_ms = 0;  ///< expected until the prompt is read
   double tokens_to_read = 0;
   std::uint32_t running_there = 0;  ///< of all gateways
   std::string fetched_from;
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -121,6 +121,10 @@
   /// several, and a store that comes or goes moves only its own share.
   const KvCacheStore* KvStoreFor(std::uint64_t parts) const;
 
+  /// The shortest latency objective of the streaming routes to a service; zero
+  /// where none has one.
+  std::chrono::milliseconds ShortestObjective(const ServiceId& service) const;
+
   ConfigVersion version() const { return parts_.version; }
   const CallerLimits& limits() const { return parts_.limits; }
   const std::vector<ServiceRule>& services() const { return parts_.services; }
@@ -131,12 +135,14 @@
   explicit RoutingSnapshot(RoutingParts parts) : parts_(std::move(parts)) {}
 
   Result<void> Index();
+  void NoteObjective(const RouteRule& route);
 
   RoutingParts parts_;
   /// Keyed by host, a newline and prefix.
   std::unordered_map<std::string, std::size_t> routes_;
   std::unordered_map<std::string, std::size_t> keys_;
   std::unordered_map<ServiceId, std::size_t> services_;
+  std::unordered_map<ServiceId, std::chrono::milliseconds> shortest_objectives_;
 };
 
 /// Picks one of a route's services by weight; equal requests get the same one.
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -6,7 +6,10 @@
 
 BackendLoad::BackendLoad(GatewayState& state, const ExchangePlan& plan,
                          const InboundRequest& request, const BackendChoice& choice)
-    : backend_(choice.backend),
+    : state_(state),
+      backend_(choice.backend),
+      tokens_ahead_(choice.tokens_ahead),
+      fetches_(choice.fetch_from.has_value()),
       unread_tokens_(choice.tokens_to_read),
       unrepeatable_(!plan.route->MayRepeat()) {
   ++backend_->in_flight;
@@ -30,6 +33,11 @@
 void BackendLoad::Begun(TimePoint now) {
   if (!waiting_) return;
   const auto waited = std::chrono::duration_cast<Duration>(now - **waiting_);
+  // A wait for a link says nothing of reading.
+  if (!fetches_) {
+    const double tokens = tokens_ahead_ + unread_tokens_;
+    state_.reading_speed(backend_->entry.service).Note(tokens, waited);
+  }
   EndReading();
   BackendDirectory::NoteBegun(*backend_, waited, now);
 }
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -34,6 +34,11 @@
   return workspace;
 }
 
+Duration DurationOf(double milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 std::string ScopeOf(const WorkspaceRule* workspace) {
   const bool isolated = workspace != nullptr && workspace->isolated;
   return isolated ? "w:" + workspace->id.value() : "shared";
@@ -53,8 +58,8 @@
   if (!own) return true;
   const auto outdated = state.named_weights().OutdatedSince(model, *own);
   if (!outdated) return true;
-  const TimePoint begins =
-      now + BackendDirectory::ExpectedWait(backend, state.weights().prefill_tokens_per_ms, now);
+  const double speed = state.TokensPerMs(backend.entry.service);
+  const TimePoint begins = now + BackendDirectory::ExpectedWait(backend, speed, now);
   return begins - *outdated < state.limits().older_weights;
 }
 
@@ -142,6 +147,7 @@
   query.now = now;
   if (request.generation) {
     query.chain = &*plan.chain;
+    query.tokens_per_ms = state.TokensPerMs(plan.service);
     const ServiceRule* service = plan.snapshot->FindService(plan.service);
     if (service != nullptr && service->engine) query.cache_tokens = service->engine->cache_tokens;
     if (const KvCacheStore* store = StoreFor(plan)) query.store_zone = store->zone;
@@ -156,8 +162,10 @@
   BackendChoice choice;
   choice.backend = candidates[placement.index];
   choice.expected_ms = placement.cost;
+  choice.ahead_ms = placement.ahead;
   choice.wait_ms = placement.wait;
   if (request.generation) {
+    choice.tokens_ahead = placement.tokens_ahead;
     choice.tokens_to_read =
         plan.chain->prompt_tokens - std::min(placement.cached_tokens, plan.chain->prompt_tokens);
     choice.tokens_to_store =
@@ -168,14 +176,15 @@
   return choice;
 }
 
-bool IsOverloaded(const GatewayState& state, const ExchangePlan& plan,
-                  const BackendChoice& choice) {
-  if (!plan.chain || plan.route->latency_objective.count() <= 0) return false;
-  // More urgent requests are let in longer.
-  const double objectives = plan.route->priority == 0 ? state.limits().most_wait_objectives_urgent
-                                                      : state.limits().most_wait_objectives;
-  const auto objective = static_cast<double>(plan.route->latency_objective.count());
-  return choice.wait_ms > objectives * objective;
+AdmissionQuery AdmissionQueryFor(const ExchangePlan& plan, const BackendChoice& choice,
+                                 TimePoint now) {
+  AdmissionQuery query;
+  query.ahead = DurationOf(choice.ahead_ms);
+  query.own = DurationOf(choice.wait_ms - choice.ahead_ms);
+  query.room = plan.snapshot->ShortestObjective(plan.service);
+  query.objective = plan.route->latency_objective;
+  query.age = std::chrono::duration_cast<Duration>(now - plan.received);
+  return query;
 }
 
 bool MayStillSend(const GatewayState& state, const InboundRequest& request,
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -5,6 +5,17 @@
 
 namespace ridgehold {
 
+ReadingSpeed& GatewayState::reading_speed(const ServiceId& service) {
+  return reading_speeds_.try_emplace(service, placement_weights_.prefill_tokens_per_ms)
+      .first->second;
+}
+
+double GatewayState::TokensPerMs(const ServiceId& service) const {
+  const auto found = reading_speeds_.find(service);
+  return found == reading_speeds_.end() ? placement_weights_.prefill_tokens_per_ms
+                                        : found->second.tokens_per_ms();
+}
+
 NewsItems GatewayState::TakeNews(std::size_t most_placed) {
   NewsItems taken;
   std::swap(taken.holds, news_.holds);
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -74,8 +74,10 @@
       return placement;
     }
     PriceCache(index, placement);
-    placement.wait = PriceOfWork(backend, placement.cached_tokens);
-    placement.cost += placement.wait;
+    placement.tokens_ahead = Together(backend.unprefilled_tokens, backend.peers.unread_tokens);
+    placement.ahead = placement.tokens_ahead / TokensPerMs();
+    placement.wait = placement.ahead + OwnReading(placement);
+    placement.cost += placement.wait + PriceOfRunning(backend);
     placement.cost += PriceOfWeights(backend);
     return placement;
   }
@@ -116,12 +118,17 @@
     return distance * (weights_.store_call + weights_.store_token * tokens);
   }
 
-  double PriceOfWork(const Backend& backend, std::uint32_t cached) const {
-    const double ahead = Together(backend.unprefilled_tokens, backend.peers.unread_tokens);
-    const double own = query_.chain->prompt_tokens - std::min(cached, query_.chain->prompt_tokens);
-    const double reading = (ahead + own) / weights_.prefill_tokens_per_ms;
-    return reading +
-           weights_.per_running_request * Together(backend.in_flight, backend.peers.running);
+  double TokensPerMs() const {
+    return query_.tokens_per_ms > 0 ? query_.tokens_per_ms : weights_.prefill_tokens_per_ms;
+  }
+
+  double OwnReading(const Placement& placement) const {
+    const std::uint32_t prompt = query_.chain->prompt_tokens;
+    return (prompt - std::min(placement.cached_tokens, prompt)) / TokensPerMs();
+  }
+
+  double PriceOfRunning(const Backend& backend) const {
+    return weights_.per_running_request * Together(backend.in_flight, backend.peers.running);
   }
 
   /// All gateways' work, where those that are not heard do as this one does.
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -91,6 +91,7 @@
                       {"route", record.route.value()},
                       {"workspace", record.workspace.value()},
                       {"expected_ms", std::to_string(std::lround(record.expected_ms))},
+                      {"wait_ms", std::to_string(std::lround(record.wait_ms))},
                       {"to_read", std::to_string(std::lround(record.tokens_to_read))},
                       {"running_there", std::to_string(record.running_there)},
                       {"config", ConfigVersionOf(state)},
@@ -98,6 +99,11 @@
   if (record.first_event) {
     fields.push_back({"first_event_ms", MillisecondsText(*record.first_event - record.received)});
   }
+  if (record.deferred > Duration::zero()) {
+    fields.push_back({"deferred_ms", MillisecondsText(record.deferred)});
+    metrics.GetSummary("ridgehold_deferred_seconds")
+        .Observe(std::chrono::duration<double>(record.deferred).count());
+  }
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
   if (record.out_of_retries) fields.push_back({"retry_budget", "spent"});
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -3,6 +3,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <algorithm>
 #include <functional>
 #include <numeric>
 
@@ -44,6 +45,7 @@
     if (!added) {
       return Fail(ResultCode::kInvalidCommand, "two routes for " + route.host + route.path_prefix);
     }
+    NoteObjective(route);
   }
   return {};
 }
@@ -70,6 +72,20 @@
   return found == services_.end() ? nullptr : &parts_.services[found->second];
 }
 
+std::chrono::milliseconds RoutingSnapshot::ShortestObjective(const ServiceId& service) const {
+  const auto found = shortest_objectives_.find(service);
+  return found == shortest_objectives_.end() ? std::chrono::milliseconds(0) : found->second;
+}
+
+void RoutingSnapshot::NoteObjective(const RouteRule& route) {
+  if (route.kind != RouteKind::kStream || route.latency_objective.count() <= 0) return;
+  for (const WeightedTarget& target : route.targets) {
+    std::chrono::milliseconds& shortest =
+        shortest_objectives_.try_emplace(target.service, route.latency_objective).first->second;
+    shortest = std::min(shortest, route.latency_objective);
+  }
+}
+
 const KvCacheStore* RoutingSnapshot::KvStoreFor(std::uint64_t parts) const {
   const KvCacheStore* chosen = nullptr;
   std::uint64_t highest = 0;
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -116,10 +116,14 @@
                  "part of an engine's memory that keeps idle prompt parts");
   app.add_option("--limits.call-patience", tuning.call_patience,
                  "latency objectives until a call is tried elsewhere");
-  app.add_option("--limits.most-wait", tuning.most_wait,
-                 "latency objectives of expected wait at which requests for text are refused");
-  app.add_option("--limits.most-wait-urgent", tuning.most_wait_urgent,
-                 "the same for routes of the highest priority");
+  app.add_option("--admission.enabled", tuning.admission.enabled,
+                 "requests for text wait here for room at an engine");
+  app.add_option("--admission.full-part", tuning.admission.full_part,
+                 "part of the shortest objective that an engine may have to read");
+  app.add_option("--admission.late-part", tuning.admission.late_part,
+                 "the same for requests that are late already");
+  app.add_option("--admission.longest-wait", tuning.admission.longest_wait,
+                 "latency objectives that a request waits for room");
   app.add_option("--limits.stream-patience", tuning.stream_patience,
                  "latency objectives until a stream is tried elsewhere");
   app.add_option("--rollout.engines-for-each-load", tuning.engines_for_each_load,
