Cache: engines pictured as they evict, and parts fetched from the source that is free soonest

Cause: the store's one link carries 22 prompts' shared parts a second and as many miss in a busy second, so fetches waited up to 2 s there while the nine links of the engines were idle; and after a naming the store was taken to have parts that nobody had read yet.

Link speeds and token sizes come from the configuration. The test that fixed the store as the only source is replaced by three: soonest source, reading where every link is busy longer, parts kept by weights.

--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "gateway/engine_cache.h"
 #include "gateway/gateway_news.h"
 #include "gateway/inbound_request.h"
 
@@ -39,12 +40,6 @@
   std::uint32_t unrepeatable = 0;
 };
 
-/// A prompt part that a backend server has in its cache, or is reading.
-struct CachedPart {
-  double inserted_before = 0;  ///< the backend server's `inserted_tokens` at its last use
-  TimePoint placed{};          ///< when a request first brought it there
-};
-
 /// One backend server. Requests that run there share it with the directory.
 struct Backend {
   BackendEntry entry;
@@ -63,10 +58,7 @@
   Duration begin_wait{0};         ///< until the first event, as requests waited lately
   TimePoint begin_wait_seen{};
   std::multiset<TimePoint> waiting_since;  ///< of this gateway's requests without an event
-  /// Tokens its cache has taken in since it was first seen.
-  double inserted_tokens = 0;
-  /// By chain hash; of the weights it runs now.
-  std::unordered_map<std::uint64_t, CachedPart> cached_parts;
+  EngineCache cache;                       ///< under the weights it runs now
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
@@ -112,9 +104,6 @@
   static void NoteFailure(Backend& backend, TimePoint now);
   /// It answered, but with a failure of its own.
   static void NoteErrorAnswer(Backend& backend);
-  /// A request with these parts was sent there; `new_tokens` of it were not cached.
-  static void NoteCached(Backend& backend, std::span<const std::uint64_t> parts,
-                         std::uint32_t new_tokens, TimePoint now);
   /// News of the weights it runs.
   /// Newer weights empty its cache.
   static void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights);
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -41,7 +41,9 @@
   double wait_ms = 0;                 ///< of that, until the prompt is read
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address that has shared parts
+  Duration fetch_length{0};               ///< that the link to it is busy
   std::optional<std::string> save_to;     ///< address of a store that is to keep them
+  Duration save_length{0};                ///< that its link is busy
 };
 
 /// Checks route, key and freshness. Fails with the code to answer.
--- a/libs/gateway/include/gateway/gateway_news.h
+++ b/libs/gateway/include/gateway/gateway_news.h
@@ -9,7 +9,9 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "gateway/engine_cache.h"
 #include "gateway/inbound_request.h"
+#include "gateway/transfer_links.h"
 
 namespace ridgehold {
 
@@ -31,8 +33,14 @@
 /// A request was sent; its parts will be in the backend server's cache.
 struct PlacedNews {
   BackendHash backend = 0;
-  std::uint32_t new_tokens = 0;
-  std::vector<std::uint64_t> parts;
+  std::uint32_t new_tokens = 0;  ///< that its cache takes in
+  std::uint32_t own_tokens = 0;  ///< of those, what only this request uses
+  std::vector<SharedPart> parts;
+  WeightsNumber weights;      ///< that the engine runs
+  LinkHash fetched_from = 0;  ///< 0: nothing is fetched
+  Duration fetch_length{0};   ///< that the link is busy
+  LinkHash saved_to = 0;      ///< store that gets the parts; 0: none
+  Duration save_length{0};    ///< that its link is busy
 };
 
 /// A backend server is to get no new requests for a while; 0: it may again.
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 #include "base/ids.h"
 #include "gateway/admission.h"
@@ -102,6 +103,10 @@
   }
 
   PrefixShares& prefix_shares() { return prefix_shares_; }
+  const TransferLinks& links() const { return links_; }
+
+  /// What a store is believed to keep, see KeptPart.
+  const EngineCache& KeptAt(LinkHash store) { return kept_[store]; }
 
   /// Of the engines of a service.
   ReadingSpeed& reading_speed(const ServiceId& service);
@@ -165,6 +170,12 @@
   std::uint64_t NextSequence() { return ++sequence_; }
 
  private:
+  /// Memory of an engine of the service; 0: not known.
+  std::uint64_t CacheTokensOf(const ServiceId& service) const;
+  /// Room in the store at this link; 0: not known.
+  std::uint64_t StoreTokensAt(LinkHash link) const;
+  void NoteTransfers(const PlacedNews& placed, TimePoint now);
+
   net::any_io_executor executor_;
   ZoneId zone_;
   GatewayLimits limits_;
@@ -176,6 +187,8 @@
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   TimePoint confirmed_at_{};
   PrefixShares prefix_shares_;
+  TransferLinks links_;
+  std::unordered_map<LinkHash, EngineCache> kept_;  ///< by store
   std::map<ServiceId, ReadingSpeed> reading_speeds_;
   NamedWeights named_weights_;
   WaitingAttempts waiting_attempts_;
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -12,22 +13,22 @@
 #include "gateway/backend_directory.h"
 #include "gateway/inbound_request.h"
 #include "gateway/prefix_shares.h"
+#include "gateway/transfer_links.h"
 
 namespace ridgehold {
 
 /// A prompt's shared parts as a chain: each hash stands for a part and all before it.
 struct PromptChain {
-  struct Link {
-    std::uint64_t hash = 0;
-    std::uint32_t tokens_up_to = 0;  ///< of this part and all before it
-  };
-  std::vector<Link> links;          ///< without the request's own last part
+  std::vector<SharedPart> parts;    ///< without the request's own last part
+  std::uint32_t shared_tokens = 0;  ///< of these parts
   std::uint32_t prompt_tokens = 0;  ///< of the whole prompt
 
   /// `scope` keeps chains apart that may not share cache entries.
   static PromptChain Of(const GenerationRequest& request, std::string_view scope);
 
-  std::uint32_t shared_tokens() const { return links.empty() ? 0 : links.back().tokens_up_to; }
+  std::uint32_t own_tokens() const {
+    return prompt_tokens - std::min(prompt_tokens, shared_tokens);
+  }
 };
 
 /// Figures the choice weighs; each in milliseconds unless it says otherwise.
@@ -45,6 +46,9 @@
   /// The same from a store of kept cache, whose link is slower.
   double store_call = 10;
   double store_token = 0.006;
+  /// Reading takes an engine's time from all that wait there; so many times its
+  /// own time a fetch may take instead.
+  double reading_again = 2;
   /// Each token of a second copy takes the place of something else. On the
   /// grown fleets 0.008 and 0.02 were alike and better than 0.002.
   double copy_token = 0.01;
@@ -56,18 +60,28 @@
   double older_weights = 150;
   /// Requests may begin on older weights this long without being worth less.
   std::chrono::milliseconds older_weights_free{1'000};
-  /// Part of an engine's memory that keeps parts nobody uses now; the rest is
-  /// taken by running requests.
-  double cache_part = 0.7;
   /// Parts are read and can be fetched this long after they were brought.
   std::chrono::milliseconds reading_time{250};
-  /// Parts for whose last use more than this part of the memory has been
-  /// taken in may be evicted; a fetch from the store costs 1 ms if not.
+  /// Parts in this part of an engine's memory, counted from those that go next,
+  /// may be evicted already: what runs there and what other gateways sent a
+  /// moment ago is not all known. A fetch costs 1 ms if they are there.
   double doubtful_part = 0.3;
   /// An engine that is to get no new requests is chosen only before none.
   double held = 3'000;
 };
 
+/// The store of kept cache that keeps a prompt's parts.
+struct KvStoreView {
+  ZoneId zone;
+  LinkHash link = 0;
+  double ms_per_token = 0;            ///< over its link; 0: as the weights say
+  const EngineCache* kept = nullptr;  ///< what it has, see KeptPart; null: taken to have all
+};
+
+/// A part as stores keep it: parts of other weights are others.
+SharedPart KeptPart(const SharedPart& part, WeightsNumber weights);
+std::vector<SharedPart> KeptParts(std::span<const SharedPart> parts, WeightsNumber weights);
+
 /// What the choice is made for.
 struct PlacementQuery {
   ZoneId own_zone;
@@ -76,7 +90,9 @@
   std::optional<WeightsNumber> newest_weights;
   std::optional<TimePoint> newest_since;  ///< when they were named
   std::uint64_t cache_tokens = 0;         ///< memory of one engine
-  std::optional<ZoneId> store_zone;       ///< of the store of kept cache, if there is one
+  std::optional<KvStoreView> store;       ///< of kept cache, if there is one
+  const TransferLinks* links = nullptr;   ///< null: taken to be idle
+  double engine_ms_per_token = 0;         ///< over an engine's link; 0: as the weights say
   CircleSegment segment;                  ///< of the engines that keep the prompt's beginning
   double unheard_share = 0;               ///< requests of unheard gateways for each own one
   double tokens_per_ms = 0;               ///< at which engines read; 0: as the weights say
@@ -84,6 +100,14 @@
   TimePoint now{};
 };
 
+/// Where shared parts can be fetched from.
+struct CacheSource {
+  std::optional<std::size_t> engine;  ///< another candidate; none: the store
+  std::uint32_t tokens = 0;           ///< of the chain that it has
+  double ms = 0;                      ///< until they are there, with the wait for the link
+  double link_ms = 0;                 ///< of that, what the link is busy
+};
+
 /// The chosen one and why.
 struct Placement {
   std::size_t index = 0;
@@ -93,8 +117,8 @@
   double tokens_ahead = 0;          ///< those tokens
   std::uint32_t cached_tokens = 0;  ///< expected to be in its cache, or fetched into it
   std::uint32_t known_tokens = 0;   ///< of those, what it has without a fetch
-  /// Another candidate that has parts which the chosen one lacks.
-  std::optional<std::size_t> fetch_from;
+  /// Where parts come from that the chosen one lacks.
+  std::optional<CacheSource> source;
   bool lacks_parts = false;   ///< shared parts are not expected in its own cache
   bool doubts_parts = false;  ///< they are, but may have been evicted
 };
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -59,12 +59,16 @@
   std::uint32_t slots = 1;            ///< requests that run at once
   std::uint64_t cache_tokens = 0;     ///< memory, in tokens
   std::uint32_t max_event_polls = 0;  ///< waiting polls for cache events, from all callers
+  double token_bytes = 0;             ///< of KV cache; 0: not known
+  double link_mbps = 0;               ///< over which KV cache moves; 0: not known
 };
 
 /// A store of kept KV cache.
 struct KvCacheStore {
   std::string address;
   ZoneId zone;
+  std::uint64_t cache_tokens = 0;  ///< that it has room for; 0: not known
+  double link_mbps = 0;            ///< 0: not known
 };
 
 /// A service that routes name.
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -5,10 +5,6 @@
 namespace ridgehold {
 namespace {
 
-// Bounds what is remembered of one backend server's cache; today 104 subjects
-// with 4 rule sets and 197 with 40 are all there are.
-constexpr std::size_t kMostRememberedParts = 4'000;
-
 // Without a first event for so long nothing is known of an engine's queue.
 constexpr std::chrono::milliseconds kWaitRemembered{3'000};
 
@@ -17,7 +13,7 @@
   WeightsNumber& known = backend.weights[model];
   if (weights <= known) return;
   known = weights;
-  backend.cached_parts.clear();
+  backend.cache.Clear();
 }
 
 }  // namespace
@@ -90,17 +86,6 @@
   return found == by_hash_.end() ? nullptr : found->second;
 }
 
-void BackendDirectory::NoteCached(Backend& backend, std::span<const std::uint64_t> parts,
-                                  std::uint32_t new_tokens, TimePoint now) {
-  if (backend.cached_parts.size() > kMostRememberedParts) backend.cached_parts.clear();
-  backend.inserted_tokens += new_tokens;
-  for (const std::uint64_t part : parts) {
-    const auto [entry, is_new] = backend.cached_parts.try_emplace(part);
-    if (is_new) entry->second.placed = now;
-    entry->second.inserted_before = backend.inserted_tokens;
-  }
-}
-
 Duration BackendDirectory::ExpectedWait(const Backend& backend, double tokens_per_ms,
                                         TimePoint now) {
   const double unread = backend.unprefilled_tokens + backend.peers.unread_tokens;
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -20,7 +20,13 @@
   PlacedNews placed;
   placed.backend = HashOf(backend_->entry.id);
   placed.new_tokens = choice.tokens_to_store + request.generation->max_output_tokens;
-  for (const PromptChain::Link& link : plan.chain->links) placed.parts.push_back(link.hash);
+  placed.own_tokens = plan.chain->own_tokens() + request.generation->max_output_tokens;
+  placed.parts = plan.chain->parts;
+  placed.weights = choice.weights.value_or(WeightsNumber(0));
+  if (choice.fetch_from) placed.fetched_from = LinkOf(*choice.fetch_from);
+  placed.fetch_length = choice.fetch_length;
+  if (choice.save_to) placed.saved_to = LinkOf(*choice.save_to);
+  placed.save_length = choice.save_length;
   state.TellPlaced(std::move(placed));
 }
 
--- /dev/null
+++ b/libs/gateway/src/engine_cache.cc
@@ -0,0 +1,67 @@
+#include "gateway/engine_cache.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace ridgehold {
+
+void EngineCache::Use(std::span<const SharedPart> parts, std::uint32_t own_tokens,
+                      std::uint64_t capacity, TimePoint now) {
+  if (own_tokens > 0) {
+    entries_.push_front({0, own_tokens, false, now});
+    tokens_ += own_tokens;
+  }
+  // The beginning comes last: a part is of no use without those before it.
+  for (const SharedPart& part : parts | std::views::reverse) Touch(part, now);
+  Evict(capacity);
+}
+
+void EngineCache::Touch(const SharedPart& part, TimePoint now) {
+  const auto found = by_hash_.find(part.hash);
+  if (found != by_hash_.end()) {
+    entries_.splice(entries_.begin(), entries_, found->second);
+    return;
+  }
+  entries_.push_front({part.hash, part.tokens, true, now});
+  by_hash_[part.hash] = entries_.begin();
+  tokens_ += part.tokens;
+}
+
+void EngineCache::Evict(std::uint64_t capacity) {
+  while (!entries_.empty()) {
+    const bool over = capacity > 0 && tokens_ > capacity;
+    if (!over && entries_.size() <= kMostEntries) break;
+    const Entry& oldest = entries_.back();
+    tokens_ -= oldest.tokens;
+    if (oldest.shared) by_hash_.erase(oldest.hash);
+    entries_.pop_back();
+  }
+}
+
+EngineCache::Holding EngineCache::Find(std::span<const SharedPart> parts, Duration reading_time,
+                                       TimePoint now) const {
+  Holding holding;
+  const Entry* last = nullptr;
+  for (const SharedPart& part : parts) {
+    const auto found = by_hash_.find(part.hash);
+    if (found == by_hash_.end()) break;
+    last = &*found->second;
+    const bool read = holding.readable == holding.tokens && now - last->placed >= reading_time;
+    holding.tokens += last->tokens;
+    if (read) holding.readable = holding.tokens;
+  }
+  if (last == nullptr) return holding;
+  for (const Entry& entry : entries_) {
+    if (&entry == last) break;
+    holding.used_since += entry.tokens;
+  }
+  return holding;
+}
+
+void EngineCache::Clear() {
+  entries_.clear();
+  by_hash_.clear();
+  tokens_ = 0;
+}
+
+}  // namespace ridgehold
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -78,23 +78,49 @@
 /// The store that keeps the prompt's shared parts, or null. Chosen by all of
 /// them: by the first alone, a few common beginnings would fill one store's link.
 const KvCacheStore* StoreFor(const ExchangePlan& plan) {
-  if (plan.chain->links.empty()) return nullptr;
-  return plan.snapshot->KvStoreFor(plan.chain->links.back().hash);
+  if (plan.chain->parts.empty()) return nullptr;
+  return plan.snapshot->KvStoreFor(plan.chain->parts.back().hash);
 }
 
-/// Parts that the chosen engine lacks come from another engine, else from the
-/// store, which is given those that have to be read.
+const EngineProfile* EngineOf(const ExchangePlan& plan) {
+  const ServiceRule* service = plan.snapshot->FindService(plan.service);
+  return service != nullptr && service->engine ? &*service->engine : nullptr;
+}
+
+double EngineLinkMbps(const ExchangePlan& plan) {
+  const EngineProfile* engine = EngineOf(plan);
+  return engine != nullptr ? engine->link_mbps : 0;
+}
+
+/// What a token of KV cache takes over such a link; 0: not known.
+double LinkMsPerToken(const ExchangePlan& plan, double link_mbps) {
+  const EngineProfile* engine = EngineOf(plan);
+  if (engine == nullptr || link_mbps <= 0) return 0;
+  constexpr double kBitsPerByte = 8;
+  constexpr double kBitsPerMsAtOneMbps = 1'000;
+  return engine->token_bytes * kBitsPerByte / (link_mbps * kBitsPerMsAtOneMbps);
+}
+
+/// Parts that the chosen engine lacks, or may lack, are fetched from the source
+/// that has them soonest, and kept in the store once they are read. A source
+/// that has nothing costs 1 ms, so the store is asked also when it is not known
+/// to have them.
 void ChooseCacheSource(const ExchangePlan& plan, std::span<const BackendPtr> candidates,
                        const Placement& placement, BackendChoice& choice) {
   if (!placement.lacks_parts && !placement.doubts_parts) return;
-  if (placement.fetch_from) {
-    choice.fetch_from = candidates[*placement.fetch_from]->entry.address;
+  if (placement.source) choice.fetch_length = DurationOf(placement.source->link_ms);
+  if (placement.source && placement.source->engine) {
+    choice.fetch_from = candidates[*placement.source->engine]->entry.address;
     return;
   }
   const KvCacheStore* store = StoreFor(plan);
   if (store == nullptr) return;
   choice.fetch_from = store->address;
   choice.save_to = store->address;
+  if (placement.source) return;
+  const double distance = choice.backend->entry.zone == store->zone ? 1 : 2;
+  choice.save_length =
+      DurationOf(distance * LinkMsPerToken(plan, store->link_mbps) * plan.chain->shared_tokens);
 }
 
 std::vector<BackendPtr> Candidates(const GatewayState& state, const ExchangePlan& plan,
@@ -148,11 +174,16 @@
   if (request.generation) {
     query.chain = &*plan.chain;
     query.tokens_per_ms = state.TokensPerMs(plan.service);
-    const ServiceRule* service = plan.snapshot->FindService(plan.service);
-    if (service != nullptr && service->engine) query.cache_tokens = service->engine->cache_tokens;
-    if (const KvCacheStore* store = StoreFor(plan)) query.store_zone = store->zone;
-    if (!plan.chain->links.empty()) {
-      query.segment = state.prefix_shares().SegmentOf(plan.chain->links.front().hash);
+    if (const EngineProfile* engine = EngineOf(plan)) query.cache_tokens = engine->cache_tokens;
+    query.links = &state.links();
+    query.engine_ms_per_token = LinkMsPerToken(plan, EngineLinkMbps(plan));
+    if (const KvCacheStore* store = StoreFor(plan)) {
+      const LinkHash link = LinkOf(store->address);
+      const double token_ms = LinkMsPerToken(plan, store->link_mbps);
+      query.store = KvStoreView{store->zone, link, token_ms, &state.KeptAt(link)};
+    }
+    if (!plan.chain->parts.empty()) {
+      query.segment = state.prefix_shares().SegmentOf(plan.chain->parts.front().hash);
     }
     query.model = request.generation->model;
     query.newest_weights = state.named_weights().Newest(query.model);
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -27,10 +27,37 @@
   return taken;
 }
 
+std::uint64_t GatewayState::CacheTokensOf(const ServiceId& service) const {
+  const ServiceRule* rule = snapshot_ ? snapshot_->FindService(service) : nullptr;
+  return rule != nullptr && rule->engine ? rule->engine->cache_tokens : 0;
+}
+
+std::uint64_t GatewayState::StoreTokensAt(LinkHash link) const {
+  if (!snapshot_) return 0;
+  for (const ServiceRule& service : snapshot_->services()) {
+    if (service.kv_store && LinkOf(service.kv_store->address) == link) {
+      return service.kv_store->cache_tokens;
+    }
+  }
+  return 0;
+}
+
+void GatewayState::NoteTransfers(const PlacedNews& placed, TimePoint now) {
+  if (placed.fetched_from != 0) links_.Add(placed.fetched_from, placed.fetch_length, now);
+  if (placed.saved_to == 0) return;
+  links_.Add(placed.saved_to, placed.save_length, now);
+  const std::vector<SharedPart> parts = KeptParts(placed.parts, placed.weights);
+  kept_[placed.saved_to].Use(parts, 0, StoreTokensAt(placed.saved_to), now);
+}
+
 void GatewayState::TakePlaced(const PlacedNews& placed, TimePoint now) {
-  if (!placed.parts.empty()) prefix_shares_.Note(placed.parts.front(), placed.new_tokens, now);
+  if (!placed.parts.empty()) {
+    prefix_shares_.Note(placed.parts.front().hash, placed.new_tokens, now);
+  }
+  NoteTransfers(placed, now);
   const BackendPtr backend = directory_.FindByHash(placed.backend);
-  if (backend) BackendDirectory::NoteCached(*backend, placed.parts, placed.new_tokens, now);
+  if (!backend) return;
+  backend->cache.Use(placed.parts, placed.own_tokens, CacheTokensOf(backend->entry.service), now);
 }
 
 void GatewayState::TellPlaced(PlacedNews placed) {
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -76,7 +76,7 @@
     PriceCache(index, placement);
     placement.tokens_ahead = Together(backend.unprefilled_tokens, backend.peers.unread_tokens);
     placement.ahead = placement.tokens_ahead / TokensPerMs();
-    placement.wait = placement.ahead + OwnReading(placement);
+    placement.wait = std::max(placement.ahead, FetchTime(placement)) + OwnReading(placement);
     placement.cost += placement.wait + PriceOfRunning(backend);
     placement.cost += PriceOfWeights(backend);
     return placement;
@@ -84,38 +84,92 @@
 
   /// Fills in what will be found in the cache and what fetching costs.
   void PriceCache(std::size_t index, Placement& placement) const {
-    const std::uint32_t shared = query_.chain->shared_tokens();
+    const std::uint32_t shared = query_.chain->shared_tokens;
     placement.known_tokens = holdings_[index].known_tokens;
     placement.cached_tokens = placement.known_tokens;
     if (shared < kWorthFetching) return;
     placement.doubts_parts = holdings_[index].doubtful;
     if (placement.cached_tokens >= shared) return;
     placement.lacks_parts = true;
-    placement.fetch_from = SourceFor(index);
-    // While another engine reads the parts nobody has them to fetch from.
-    const bool fetched = placement.fetch_from || (query_.store_zone && !being_read_);
-    if (fetched) {
-      placement.cached_tokens = shared;
-      placement.cost += PriceOfFetch(index, placement.fetch_from);
-    }
+    placement.source = BestSource(index);
+    if (placement.source) placement.cached_tokens = placement.source->tokens;
     if (index != home_) placement.cost += weights_.copy_token * MissingAt(index);
   }
 
   /// Shared tokens that the candidate has not got yet.
   std::uint32_t MissingAt(std::size_t index) const {
-    return query_.chain->shared_tokens() - holdings_[index].known_tokens;
+    return query_.chain->shared_tokens - holdings_[index].known_tokens;
   }
 
-  double PriceOfFetch(std::size_t index, std::optional<std::size_t> source) const {
-    const ZoneId& zone = candidates_[index]->entry.zone;
-    const std::uint32_t tokens = MissingAt(index);
-    if (source) {
-      const double distance = candidates_[*source]->entry.zone == zone ? 1 : 2;
-      return distance * (weights_.fetch_call + weights_.fetch_token * tokens);
+  /// Where the candidate gets parts that it lacks soonest; nothing where reading
+  /// them is sooner, or nobody has them.
+  std::optional<CacheSource> BestSource(std::size_t index) const {
+    std::optional<CacheSource> best = FromStore(index);
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      if (!MayFetch(index, i)) continue;
+      const CacheSource source = FromEngine(index, i);
+      if (!best || SavedBy(index, source) > SavedBy(index, *best)) best = source;
     }
-    if (!query_.store_zone) return 0;
-    const double distance = *query_.store_zone == zone ? 1 : 2;
-    return distance * (weights_.store_call + weights_.store_token * tokens);
+    if (best && SavedBy(index, *best) <= 0) best.reset();
+    return best;
+  }
+
+  /// What the source saves in milliseconds.
+  double SavedBy(std::size_t index, const CacheSource& source) const {
+    const std::uint32_t tokens = source.tokens - holdings_[index].known_tokens;
+    return weights_.reading_again * tokens / TokensPerMs() - source.ms;
+  }
+
+  bool MayFetch(std::size_t to, std::size_t from) const {
+    const Backend& backend = *candidates_[from];
+    return from != to && backend.avoid_until <= query_.now && !backend.missing_until &&
+           !holdings_[from].doubtful &&
+           holdings_[from].fetchable_tokens > holdings_[to].known_tokens &&
+           WeightsOf(backend) == WeightsOf(*candidates_[to]);
+  }
+
+  CacheSource FromEngine(std::size_t to, std::size_t from) const {
+    const Backend& backend = *candidates_[from];
+    CacheSource source;
+    source.engine = from;
+    source.tokens = holdings_[from].fetchable_tokens;
+    const double token_ms =
+        query_.engine_ms_per_token > 0 ? query_.engine_ms_per_token : weights_.fetch_token;
+    const double distance = Distance(backend.entry.zone, to);
+    source.link_ms = distance * token_ms * (source.tokens - holdings_[to].known_tokens);
+    source.ms =
+        source.link_ms + distance * weights_.fetch_call + LinkWait(LinkOf(backend.entry.address));
+    return source;
+  }
+
+  std::optional<CacheSource> FromStore(std::size_t to) const {
+    if (!query_.store) return std::nullopt;
+    CacheSource source;
+    source.tokens = TokensInStore(WeightsOf(*candidates_[to]));
+    if (source.tokens <= holdings_[to].known_tokens) return std::nullopt;
+    const double token_ms =
+        query_.store->ms_per_token > 0 ? query_.store->ms_per_token : weights_.store_token;
+    const double distance = Distance(query_.store->zone, to);
+    source.link_ms = distance * token_ms * (source.tokens - holdings_[to].known_tokens);
+    source.ms = source.link_ms + distance * weights_.store_call + LinkWait(query_.store->link);
+    return source;
+  }
+
+  std::uint32_t TokensInStore(WeightsNumber weights) const {
+    // While another engine reads the parts nobody has them to fetch from.
+    if (query_.store->kept == nullptr) return being_read_ ? 0 : query_.chain->shared_tokens;
+    const std::vector<SharedPart> parts = KeptParts(query_.chain->parts, weights);
+    return query_.store->kept->Find(parts, weights_.reading_time, query_.now).readable;
+  }
+
+  double Distance(const ZoneId& from, std::size_t to) const {
+    return candidates_[to]->entry.zone == from ? 1 : 2;
+  }
+
+  double LinkWait(LinkHash link) const {
+    if (query_.links == nullptr) return 0;
+    const std::chrono::duration<double, std::milli> wait = query_.links->WaitAt(link, query_.now);
+    return wait.count();
   }
 
   double TokensPerMs() const {
@@ -127,6 +181,10 @@
     return (prompt - std::min(placement.cached_tokens, prompt)) / TokensPerMs();
   }
 
+  static double FetchTime(const Placement& placement) {
+    return placement.source ? placement.source->ms : 0;
+  }
+
   double PriceOfRunning(const Backend& backend) const {
     return weights_.per_running_request * Together(backend.in_flight, backend.peers.running);
   }
@@ -152,8 +210,8 @@
   /// asking, all gateways rank the candidates alike; the first is their home.
   void RankHolders() {
     holdings_.resize(candidates_.size());
-    if (query_.chain->links.empty()) return;
-    const std::uint64_t subject = query_.chain->links.back().hash;
+    if (query_.chain->parts.empty()) return;
+    const std::uint64_t subject = query_.chain->parts.back().hash;
     MarkSegment();
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
       TakeKnown(*candidates_[i], holdings_[i]);
@@ -194,42 +252,11 @@
 
   /// Fills in which of the chain's parts the backend server has.
   void TakeKnown(const Backend& backend, Holding& holding) const {
-    const auto memory = static_cast<double>(query_.cache_tokens);
-    for (const PromptChain::Link& link : query_.chain->links) {
-      const auto found = backend.cached_parts.find(link.hash);
-      if (found == backend.cached_parts.end()) break;
-      const double taken_in = backend.inserted_tokens - found->second.inserted_before;
-      if (taken_in >= weights_.cache_part * memory) break;
-      if (taken_in >= weights_.doubtful_part * memory) holding.doubtful = true;
-      holding.known_tokens = link.tokens_up_to;
-      const bool read = query_.now - found->second.placed >= weights_.reading_time;
-      if (read) holding.fetchable_tokens = link.tokens_up_to;
-    }
-  }
-
-  /// The candidate that is known to have most of what `index` lacks. None where
-  /// there is a store: it has for certain what an engine may have evicted, and
-  /// about every second fetch from engines ended in reading the parts again.
-  std::optional<std::size_t> SourceFor(std::size_t index) const {
-    std::optional<std::size_t> source;
-    if (query_.store_zone) return source;
-    for (std::size_t i = 0; i < candidates_.size(); ++i) {
-      const Backend& backend = *candidates_[i];
-      const bool usable = i != index && backend.avoid_until <= query_.now &&
-                          !backend.missing_until &&
-                          holdings_[i].fetchable_tokens > holdings_[index].known_tokens &&
-                          WeightsOf(backend) == WeightsOf(*candidates_[index]);
-      if (!usable) continue;
-      if (!source || BetterSource(i, *source)) source = i;
-    }
-    return source;
-  }
-
-  bool BetterSource(std::size_t a, std::size_t b) const {
-    if (holdings_[a].fetchable_tokens != holdings_[b].fetchable_tokens) {
-      return holdings_[a].fetchable_tokens > holdings_[b].fetchable_tokens;
-    }
-    return holdings_[a].rank > holdings_[b].rank;
+    const auto found = backend.cache.Find(query_.chain->parts, weights_.reading_time, query_.now);
+    holding.known_tokens = found.tokens;
+    holding.fetchable_tokens = found.readable;
+    const double safe = (1 - weights_.doubtful_part) * static_cast<double>(query_.cache_tokens);
+    holding.doubtful = static_cast<double>(found.used_since) >= safe;
   }
 
   static constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
@@ -253,11 +280,23 @@
   for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
     hash = Hash(hash, request.parts[i].id);
     tokens += request.parts[i].tokens;
-    chain.links.push_back({hash, tokens});
+    chain.parts.push_back({hash, request.parts[i].tokens});
   }
+  chain.shared_tokens = tokens;
   return chain;
 }
 
+SharedPart KeptPart(const SharedPart& part, WeightsNumber weights) {
+  return {Hash(weights.value(), part.hash), part.tokens};
+}
+
+std::vector<SharedPart> KeptParts(std::span<const SharedPart> parts, WeightsNumber weights) {
+  std::vector<SharedPart> kept;
+  kept.reserve(parts.size());
+  for (const SharedPart& part : parts) kept.push_back(KeptPart(part, weights));
+  return kept;
+}
+
 Placement ChooseBackend(const PlacementQuery& query, std::span<const BackendPtr> candidates,
                         const PlacementWeights& weights) {
   return Chooser(query, candidates, weights).Choose();
--- /dev/null
+++ b/libs/gateway/src/transfer_links.cc
@@ -0,0 +1,34 @@
+#include "gateway/transfer_links.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace ridgehold {
+namespace {
+
+// Engines come and go; above so many links the idle ones are forgotten.
+constexpr std::size_t kMostLinks = 10'000;
+
+}  // namespace
+
+LinkHash LinkOf(std::string_view address) { return XXH3_64bits(address.data(), address.size()); }
+
+Duration TransferLinks::WaitAt(LinkHash link, TimePoint now) const {
+  const auto found = busy_until_.find(link);
+  if (found == busy_until_.end() || found->second <= now) return Duration::zero();
+  return std::chrono::duration_cast<Duration>(found->second - now);
+}
+
+void TransferLinks::Add(LinkHash link, Duration length, TimePoint now) {
+  if (length <= Duration::zero()) return;
+  if (busy_until_.size() >= kMostLinks) {
+    std::erase_if(busy_until_, [&](const auto& entry) { return entry.second <= now; });
+  }
+  TimePoint& busy_until = busy_until_[link];
+  const TimePoint limit = now + kLongestWait + length;
+  busy_until = std::min(std::max(busy_until, now) + length, limit);
+}
+
+}  // namespace ridgehold
--- a/libs/gateway/test/backend_directory-test.cc
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -72,13 +72,13 @@
   directory.Put(Entry("b"));
   Backend& backend = *directory.Find(BackendId("b"));
   BackendDirectory::NoteWeights(backend, kModel, WeightsNumber(2));
-  const std::uint64_t part = 7;
-  BackendDirectory::NoteCached(backend, {&part, 1}, 100, kStart);
+  const SharedPart part{7, 50};
+  backend.cache.Use({&part, 1}, 100, 1'000, kStart);
   BackendDirectory::NoteWeights(backend, kModel, WeightsNumber(1));
   BOOST_TEST((backend.weights[kModel] == WeightsNumber(2)));
-  BOOST_TEST(backend.cached_parts.size() == 1);
+  BOOST_TEST(backend.cache.Contains(part.hash));
   BackendDirectory::NoteWeights(backend, kModel, WeightsNumber(3));
-  BOOST_TEST(backend.cached_parts.empty());
+  BOOST_TEST(backend.cache.tokens() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(failures_lengthen_the_backoff_up_to_a_limit) {
--- a/libs/gateway/test/exchange_plan-test.cc
+++ b/libs/gateway/test/exchange_plan-test.cc
@@ -120,7 +120,7 @@
   const BackendChoice first = Choose();
   { BackendLoad load(state, plan, request, first); }
   BOOST_TEST(!Choose().fetch_from.has_value());
-  BackendDirectory::NoteCached(*first.backend, {}, 40'000, Clock::now());
+  first.backend->cache.Use({}, 75'000, 100'000, Clock::now());
   const BackendChoice second = Choose();
   BOOST_TEST(second.backend == first.backend);
   BOOST_TEST(second.fetch_from.value_or("") == "s:1");
@@ -130,11 +130,16 @@
 BOOST_AUTO_TEST_CASE(what_is_fetched_takes_the_place_of_other_parts) {
   Configure({"s"});
   Prompt(1, 2);
+  PlacedNews saved;
+  saved.parts = Plan().chain->parts;
+  saved.weights = WeightsNumber(1);
+  saved.saved_to = LinkOf("s:1");
+  state.TakePlaced(saved, Clock::now() - 1s);
   const BackendChoice choice = Choose();
   BOOST_TEST(choice.tokens_to_read == kOwn);
   BOOST_TEST(choice.tokens_to_store == kShared + kOwn);
   { BackendLoad load(state, Plan(), request, choice); }
-  BOOST_TEST(choice.backend->inserted_tokens == kShared + kOwn + 10);
+  BOOST_TEST(choice.backend->cache.tokens() == kShared + kOwn + 10);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/test/placement-test.cc
+++ b/libs/gateway/test/placement-test.cc
@@ -44,9 +44,7 @@
   }
 
   void Bring(const BackendPtr& backend, std::chrono::milliseconds ago) {
-    std::vector<std::uint64_t> parts;
-    for (const PromptChain::Link& link : chain.links) parts.push_back(link.hash);
-    BackendDirectory::NoteCached(*backend, parts, 9'000, kNow - ago);
+    backend->cache.Use(chain.parts, chain.own_tokens(), query.cache_tokens, kNow - ago);
   }
 
   /// Where prompts go that begin alike and are new to all.
@@ -67,14 +65,14 @@
 BOOST_FIXTURE_TEST_SUITE(placement, Fixture)
 
 BOOST_AUTO_TEST_CASE(chain_leaves_out_the_requests_own_part_and_knows_its_scope) {
-  BOOST_TEST(chain.links.size() == 2);
-  BOOST_TEST(chain.shared_tokens() == 6'000);
-  BOOST_TEST(PromptChain::Of(Generation(), "w:1").links[0].hash != chain.links[0].hash);
+  BOOST_TEST(chain.parts.size() == 2);
+  BOOST_TEST(chain.shared_tokens == 6'000);
+  BOOST_TEST(PromptChain::Of(Generation(), "w:1").parts[0].hash != chain.parts[0].hash);
 }
 
 BOOST_AUTO_TEST_CASE(prompt_goes_where_its_parts_are) {
   for (const BackendPtr& holder : backends) {
-    for (const BackendPtr& backend : backends) backend->cached_parts.clear();
+    for (const BackendPtr& backend : backends) backend->cache.Clear();
     Bring(holder, 1s);
     const Placement chosen = ChooseBackend(query, backends, weights);
     BOOST_TEST(backends[chosen.index] == holder);
@@ -88,32 +86,63 @@
   backends[1]->unprefilled_tokens = 60'000;
   const Placement chosen = ChooseBackend(query, backends, weights);
   BOOST_TEST(chosen.index != 1);
-  BOOST_REQUIRE(chosen.fetch_from.has_value());
-  BOOST_TEST(*chosen.fetch_from == 1);
+  BOOST_REQUIRE(chosen.source.has_value());
+  BOOST_TEST((chosen.source->engine == std::optional<std::size_t>(1)));
+  BOOST_TEST(chosen.lacks_parts);
+  BOOST_TEST(chosen.cached_tokens == 6'000);
+  BOOST_TEST(chosen.known_tokens == 0);
 }
 
-BOOST_AUTO_TEST_CASE(where_there_is_a_store_missing_parts_come_from_it_alone) {
-  query.store_zone = ZoneId("a");
+// The pattern: nine engines and one store with links of the same speed, where a
+// prompt's parts take a link 46 ms and as many prompts miss as that link carries.
+BOOST_AUTO_TEST_CASE(parts_come_from_the_source_whose_link_is_free_soonest) {
+  TransferLinks links;
+  query.links = &links;
+  query.engine_ms_per_token = 0.0073;
+  query.store = KvStoreView{ZoneId("a"), LinkOf("store"), 0.0073, nullptr};
+  backends[1]->entry.address = "y:1";
   Bring(backends[1], 1s);
   backends[1]->unprefilled_tokens = 60'000;
+  links.Add(LinkOf("store"), 100ms, kNow);
+  Placement chosen = ChooseBackend(query, backends, weights);
+  BOOST_REQUIRE(chosen.source.has_value());
+  BOOST_TEST(chosen.source->engine.has_value());
+  links.Add(LinkOf("y:1"), 400ms, kNow);
+  chosen = ChooseBackend(query, backends, weights);
+  BOOST_REQUIRE(chosen.source.has_value());
+  BOOST_TEST(!chosen.source->engine.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(parts_are_read_where_every_link_is_busy_for_longer) {
+  TransferLinks links;
+  query.links = &links;
+  query.store = KvStoreView{ZoneId("a"), LinkOf("store"), 0.0073, nullptr};
+  links.Add(LinkOf("store"), 1s, kNow);
   const Placement chosen = ChooseBackend(query, backends, weights);
-  BOOST_TEST(chosen.index != 1);
-  BOOST_TEST(!chosen.fetch_from.has_value());
+  BOOST_TEST(!chosen.source.has_value());
   BOOST_TEST(chosen.lacks_parts);
-  BOOST_TEST(chosen.cached_tokens == 6'000);
-  BOOST_TEST(chosen.known_tokens == 0);
+  BOOST_TEST(chosen.cached_tokens == 0);
+}
+
+BOOST_AUTO_TEST_CASE(store_has_what_was_kept_under_the_same_weights) {
+  EngineCache kept;
+  query.store = KvStoreView{ZoneId("a"), LinkOf("store"), 0.0073, &kept};
+  kept.Use(KeptParts(chain.parts, WeightsNumber(2)), 0, 100'000, kNow - 1s);
+  BOOST_TEST(!ChooseBackend(query, backends, weights).source.has_value());
+  kept.Use(KeptParts(chain.parts, WeightsNumber(1)), 0, 100'000, kNow - 1s);
+  BOOST_TEST(ChooseBackend(query, backends, weights).source.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(parts_that_are_being_read_cannot_be_fetched) {
   Bring(backends[1], 50ms);
   backends[1]->unprefilled_tokens = 60'000;
   const Placement chosen = ChooseBackend(query, backends, weights);
-  BOOST_TEST(!chosen.fetch_from.has_value());
+  BOOST_TEST(!chosen.source.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(parts_pushed_out_by_others_count_as_gone) {
   Bring(backends[1], 1s);
-  BackendDirectory::NoteCached(*backends[1], {}, 95'000, kNow);
+  backends[1]->cache.Use({}, 95'000, query.cache_tokens, kNow);
   BOOST_TEST(ChooseBackend(query, backends, weights).lacks_parts);
 }
 
@@ -147,7 +176,7 @@
   backends[1]->unprefilled_tokens = 200'000;
   const Placement chosen = ChooseBackend(query, backends, weights);
   BOOST_TEST(chosen.index != 1);
-  BOOST_TEST(!chosen.fetch_from.has_value());
+  BOOST_TEST(!chosen.source.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(home_is_in_the_segment_of_the_prompts_beginning) {
@@ -160,12 +189,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(copy_costs_only_what_is_missing) {
-  query.store_zone = ZoneId("a");
+  query.store = KvStoreView{ZoneId("a")};
   Bring(backends[1], 1s);
   backends[1]->unprefilled_tokens = 600'000;
   // Has the first of the two shared parts.
-  const std::uint64_t first = chain.links[0].hash;
-  BackendDirectory::NoteCached(*backends[2], {&first, 1}, 2'500, kNow - 1s);
+  backends[2]->cache.Use({&chain.parts[0], 1}, 0, query.cache_tokens, kNow - 1s);
   weights.copy_token = 1;
   weights.store_token = 1;
   BOOST_TEST(ChooseBackend(query, backends, weights).index == 2);
--- /dev/null
+++ b/libs/gateway/test/transfer_links-test.cc
@@ -0,0 +1,42 @@
+#include "gateway/transfer_links.h"
+
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{1h};
+constexpr LinkHash kLink = 7;
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(transfer_links)
+
+BOOST_AUTO_TEST_CASE(transfers_wait_for_those_before_them) {
+  TransferLinks links;
+  BOOST_TEST((links.WaitAt(kLink, kNow) == 0ms));
+  links.Add(kLink, 46ms, kNow);
+  links.Add(kLink, 92ms, kNow + 10ms);
+  BOOST_TEST((links.WaitAt(kLink, kNow + 10ms) == 128ms));
+  BOOST_TEST((links.WaitAt(kLink, kNow + 200ms) == 0ms));
+}
+
+BOOST_AUTO_TEST_CASE(links_do_not_wait_for_each_other) {
+  TransferLinks links;
+  links.Add(kLink, 1s, kNow);
+  BOOST_TEST((links.WaitAt(kLink + 1, kNow) == 0ms));
+}
+
+RC_BOOST_PROP(nonsense_keeps_no_link_busy_for_ever, ()) {
+  TransferLinks links;
+  const auto lengths = *rc::gen::container<std::vector<std::int64_t>>(
+      rc::gen::inRange<std::int64_t>(-5'000'000, 5'000'000));
+  for (const std::int64_t length : lengths) links.Add(kLink, Duration(length), kNow);
+  RC_ASSERT(links.WaitAt(kLink, kNow) >= 0ms);
+  RC_ASSERT(links.WaitAt(kLink, kNow) <= TransferLinks::kLongestWait + 5s);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -1,5 +1,8 @@
 #include "peers/news_codec.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "gateway.pb.h"
 
 namespace ridgehold {
@@ -10,7 +13,16 @@
     wire::GatewayPlaced& entry = *message.add_placed();
     entry.set_backend(placed.backend);
     entry.set_new_tokens(placed.new_tokens);
-    for (const std::uint64_t part : placed.parts) entry.add_parts(part);
+    entry.set_own_tokens(placed.own_tokens);
+    entry.set_weights(placed.weights.value());
+    entry.set_fetched_from(placed.fetched_from);
+    entry.set_fetch_us(static_cast<std::uint32_t>(placed.fetch_length.count()));
+    entry.set_saved_to(placed.saved_to);
+    entry.set_save_us(static_cast<std::uint32_t>(placed.save_length.count()));
+    for (const SharedPart& part : placed.parts) {
+      entry.add_parts(part.hash);
+      entry.add_part_tokens(part.tokens);
+    }
   }
   for (const HoldNews& hold : items.holds) {
     wire::GatewayHold& entry = *message.add_holds();
@@ -28,8 +40,18 @@
 NewsItems DecodeItems(const wire::GatewayNews& message) {
   NewsItems items;
   for (const wire::GatewayPlaced& entry : message.placed()) {
-    items.placed.push_back(
-        {entry.backend(), entry.new_tokens(), {entry.parts().begin(), entry.parts().end()}});
+    PlacedNews placed{entry.backend(),
+                      entry.new_tokens(),
+                      entry.own_tokens(),
+                      {},
+                      WeightsNumber(entry.weights()),
+                      entry.fetched_from(),
+                      Duration(entry.fetch_us()),
+                      entry.saved_to(),
+                      Duration(entry.save_us())};
+    const int parts = std::min(entry.parts_size(), entry.part_tokens_size());
+    for (int i = 0; i < parts; ++i) placed.parts.push_back({entry.parts(i), entry.part_tokens(i)});
+    items.placed.push_back(std::move(placed));
   }
   for (const wire::GatewayHold& entry : message.holds()) {
     items.holds.push_back({entry.backend(), std::chrono::milliseconds(entry.for_ms())});
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -83,7 +83,7 @@
   GatewayNews news = News("d1", 1, 3);
   news.loads[0].backend = 77;
   news.items.holds = {{77, 1s}};
-  news.items.placed = {{77, 10, {1, 2}}};
+  news.items.placed = {{77, 10, 4, {{1, 3}, {2, 3}}}};
   BOOST_TEST(loads.Take(news, kStart));
   BOOST_TEST(backend().peers.running == 0);
 }
@@ -98,10 +98,10 @@
   BOOST_TEST((backend().weights.at(kModel) == WeightsNumber(3)));
   news.sequence = 2;
   news.items = {};
-  news.items.placed = {{hash, 400, {11, 12}}};
+  news.items.placed = {{hash, 400, 100, {{11, 200}, {12, 100}}}};
   loads.Take(news, kStart);
-  BOOST_TEST(backend().cached_parts.contains(11));
-  BOOST_TEST(backend().inserted_tokens == 400);
+  BOOST_TEST(backend().cache.Contains(11));
+  BOOST_TEST(backend().cache.tokens() == 400U);
 }
 
 RC_BOOST_PROP(message_survives_its_encoding, ()) {
@@ -113,7 +113,7 @@
   for (int i = 0; i < count; ++i) {
     const auto any = *rc::gen::arbitrary<std::uint64_t>();
     news.loads.push_back({any, 1, 2, 3});
-    news.items.placed.push_back({any, 5, {any, any + 1}});
+    news.items.placed.push_back({any, 5, 4, {{any, 7}, {any + 1, 8}}});
     news.items.holds.push_back({any, 5ms});
     news.items.weights.push_back({any, kModel, WeightsNumber(any)});
     news.namings.push_back({kModel, WeightsNumber(any), 7ms});
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -109,11 +109,9 @@
   app.add_option("--placement.older-weights", placement.older_weights,
                  "ms by which older weights are worse");
   app.add_option("--placement.doubtful-part", placement.doubtful_part,
-                 "part of an engine's memory after which cached parts may be evicted");
+                 "part of an engine's memory, its oldest, where cached parts may be evicted");
   app.add_option("--placement.older-weights-free-ms", tuning.older_weights_free_ms,
                  "ms after a naming in which older weights are as good");
-  app.add_option("--placement.cache-part", placement.cache_part,
-                 "part of an engine's memory that keeps idle prompt parts");
   app.add_option("--limits.call-patience", tuning.call_patience,
                  "latency objectives until a call is tried elsewhere");
   app.add_option("--admission.enabled", tuning.admission.enabled,
--- a/test/peer_link-test.cc
+++ b/test/peer_link-test.cc
@@ -40,7 +40,7 @@
 
   void Place(std::uint64_t part) {
     ++backend().in_flight;
-    state.TellPlaced({HashOf(BackendId("b")), 100, {part}});
+    state.TellPlaced({HashOf(BackendId("b")), 100, 10, {{part, 90}}});
   }
 };
 
@@ -65,7 +65,7 @@
   io.run_for(50ms);
   first.Place(7);
   BOOST_TEST(Within(1s, [&] { return second.backend().peers.running == 1; }));
-  BOOST_TEST(second.backend().cached_parts.contains(7));
+  BOOST_TEST(second.backend().cache.Contains(7));
   first.Place(8);
   BOOST_TEST(Within(1s, [&] { return second.backend().peers.running == 2; }));
 }
