Rollout: no more loads at once than were seen to help

Change: LoadTimes keeps how long loads took by their number at once; the hurry goes beyond the usual number only as far as that brought engines up faster, or nobody knows.

--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -223,6 +223,7 @@
   net::awaitable<void> Load(const RolloutStep& step, net::steady_timer& timer, StepTimes& times) {
     const TimePoint give_up = Clock::now() + options_.patience;
     std::optional<WeightsNumber> ordered;
+    std::uint32_t at_once = 0;
     while (Clock::now() < give_up && !stopped_ && !step.engine->removed) {
       const auto report = co_await control_.Report(step.engine->entry);
       if (!report) {
@@ -232,6 +233,7 @@
       }
       if (TakeReport(step, *report, ordered)) {
         times.outcome = "loaded";
+        if (ordered) pace_.NoteLoad(at_once, Since(*times.ordered));
         break;
       }
       if (!ordered && !MayOrder(Clock::now())) {
@@ -241,6 +243,7 @@
       std::chrono::milliseconds pause = options_.poll;
       if (!ordered && !report->busy) {
         ordered = co_await Order(step, *report, times);
+        at_once = static_cast<std::uint32_t>(Loading());
         if (ordered) pause = options_.first_poll;
       }
       KeepHeld(step);
@@ -295,6 +298,10 @@
     co_return taken ? std::optional(load.number) : std::nullopt;
   }
 
+  static Duration Since(TimePoint moment) {
+    return std::chrono::duration_cast<Duration>(Clock::now() - moment);
+  }
+
   static net::awaitable<void> Wait(net::steady_timer& timer, std::chrono::milliseconds time) {
     ErrorCode ignored;
     timer.expires_after(time);
--- a/libs/control/include/control/rollout_pace.h
+++ b/libs/control/include/control/rollout_pace.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "control/backend_control.h"
+#include "control/load_times.h"
 #include "control/rollout_options.h"
 #include "control/rollout_plan.h"
 #include "gateway/gateway_state.h"
@@ -28,6 +29,9 @@
   /// on weights that are too old.
   std::uint32_t TurnsFor(const std::vector<RolloutStep>& engines, TimePoint now) const;
 
+  /// A load that was ordered as one of `at_once` took `took`.
+  void NoteLoad(std::uint32_t at_once, Duration took) { load_times_.Note(at_once, took); }
+
   /// How long an engine is waited for to empty, so that its order comes well
   /// before the bound.
   Duration DrainTime(const RolloutStep& step, TimePoint now) const;
@@ -60,6 +64,7 @@
   GatewayState& state_;
   const RolloutOptions& options_;
   TimePoint started_{};
+  LoadTimes load_times_;
 };
 
 }  // namespace ridgehold
--- a/libs/control/src/rollout_pace.cc
+++ b/libs/control/src/rollout_pace.cc
@@ -24,7 +24,8 @@
     if (!bound) continue;
     time_left.push_back(std::chrono::duration_cast<Duration>(*bound - options_.reserve - now));
   }
-  return LoadsAtOnce(usual, std::move(time_left), options_.load);
+  const std::uint32_t in_time = LoadsAtOnce(usual, std::move(time_left), options_.load);
+  return std::max(usual, std::min(in_time, load_times_.MostUseful(usual)));
 }
 
 Duration RolloutPace::DrainTime(const RolloutStep& step, TimePoint now) const {
