Rollout: engines are emptied for less time the fuller the others are

Cause: each engine was out of service 1.8 to 2.2 s for a load of 0.7 s, the rest waiting for the last one to three long prompts while the other engines had as much to read as the objective allows.

Change: the longest wait goes from 1.5 s down to 0.3 s by what the open engines have to read against the shortest objective.

--- a/libs/control/include/control/rollout_options.h
+++ b/libs/control/include/control/rollout_options.h
@@ -29,6 +29,9 @@
   std::chrono::milliseconds hold_spreads{80};
   /// Requests that cannot be resumed elsewhere get so long to end.
   std::chrono::milliseconds longest_drain{1'500};
+  /// The same when all engines are busy: an engine that is emptied serves
+  /// nobody, and in so long it reads what one to two long prompts take.
+  std::chrono::milliseconds shortest_drain{300};
   /// Runs may end under an order only if that should take no longer, and only
   /// while there is time for the worst. It blocks the engine meanwhile:
   /// overloaded ones took 4.0 to 4.8 s, half of it for the last few runs.
--- a/libs/control/include/control/rollout_pace.h
+++ b/libs/control/include/control/rollout_pace.h
@@ -58,6 +58,13 @@
   }
 
  private:
+  /// How long an engine may stand idle for the requests that end there.
+  Duration DrainWorth(const RolloutStep& step, TimePoint now) const;
+
+  /// How full the engines of a service are that take requests: 1 when they have
+  /// as much to read as the shortest objective allows.
+  double PressureAt(const ServiceId& service, TimePoint now) const;
+
   /// Until when requests may begin on the weights the engine has.
   std::optional<TimePoint> BoundOf(const RolloutStep& step, TimePoint now) const;
 
--- a/libs/control/src/rollout_pace.cc
+++ b/libs/control/src/rollout_pace.cc
@@ -29,11 +29,36 @@
 }
 
 Duration RolloutPace::DrainTime(const RolloutStep& step, TimePoint now) const {
+  const Duration worth = DrainWorth(step, now);
   const auto bound = BoundOf(step, now);
-  if (!bound) return options_.longest_drain;
+  if (!bound) return worth;
   const auto spare = *bound - options_.reserve - options_.load - now;
   return std::clamp<Duration>(std::chrono::duration_cast<Duration>(spare), options_.hold_spreads,
-                              options_.longest_drain);
+                              worth);
+}
+
+Duration RolloutPace::DrainWorth(const RolloutStep& step, TimePoint now) const {
+  const double idle = 1 - PressureAt(step.engine->entry.service, now);
+  const Duration span = options_.longest_drain - options_.shortest_drain;
+  return options_.shortest_drain + std::chrono::duration_cast<Duration>(idle * span);
+}
+
+double RolloutPace::PressureAt(const ServiceId& service, TimePoint now) const {
+  const auto& snapshot = state_.snapshot();
+  const Duration room = snapshot ? snapshot->ShortestObjective(service) : Duration(0);
+  const std::vector<BackendPtr> engines = state_.directory().Usable(service, now);
+  if (room <= Duration::zero() || engines.empty()) return 0;
+  double unread = 0;
+  std::uint32_t open = 0;
+  for (const BackendPtr& engine : engines) {
+    if (engine->hold_until > now || engine->avoid_until > now) continue;
+    unread += engine->unprefilled_tokens + engine->peers.unread_tokens;
+    ++open;
+  }
+  if (open == 0) return 1;
+  const std::chrono::duration<double, std::milli> room_ms = room;
+  const double ahead_ms = unread / open / state_.TokensPerMs(service);
+  return std::clamp(ahead_ms / room_ms.count(), 0.0, 1.0);
 }
 
 ReloadMode RolloutPace::ModeFor(const RolloutStep& step, TimePoint now) const {
