Engines: a new registration at an address ends the ones before; no load waits for streams to end

And an order that lets runs end held three engines up for 2.9, 4.5 and 5.3 s, for captions beside one to three long prompts.

Change: a registration that is new ends the earlier ones at its address; an order lets runs end only if nothing else runs there.

--- a/libs/control/src/rollout_pace.cc
+++ b/libs/control/src/rollout_pace.cc
@@ -70,7 +70,9 @@
   const bool time_left = !bound || now + options_.longest_finish + options_.reserve < *bound;
   const double speed = state_.TokensPerMs(step.engine->entry.service);
   const Duration finish = BackendDirectory::ExpectedWait(*step.engine, speed, now);
-  const bool short_runs = finish <= options_.expected_finish;
+  // Streams that could be resumed would hold the engine up for seconds.
+  const bool only_these = Unrepeatable(step) >= Running(step);
+  const bool short_runs = only_these && finish <= options_.expected_finish;
   return time_left && short_runs ? ReloadMode::kFinishRuns : ReloadMode::kContinueRuns;
 }
 
--- a/libs/control/src/rollout_plan.cc
+++ b/libs/control/src/rollout_plan.cc
@@ -8,7 +8,7 @@
 
 bool IsOutdated(const Backend& engine, const ModelId& model, WeightsNumber weights,
                 const NamedWeights& named) {
-  return !engine.entry.draining && !engine.missing_until &&
+  return !engine.entry.draining && !engine.missing_until && !engine.superseded &&
          named.OutdatedSince(model, weights).has_value();
 }
 
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -47,6 +47,7 @@
   std::map<ModelId, WeightsNumber> weights;  ///< newest news of any source
   std::optional<TimePoint> missing_until;    ///< registration lapsed; gone from then on
   bool removed = false;
+  bool superseded = false;  ///< another incarnation has registered at its address
 
   std::uint32_t in_flight = 0;     ///< requests of this gateway
   std::uint32_t unrepeatable = 0;  ///< those of them that cannot be resumed elsewhere
@@ -73,7 +74,10 @@
   /// Weight of the newest answer in `error_rate`.
   static constexpr double kErrorRateStep = 0.15;
 
-  /// A backend server has registered or changed its entry.
+  /// A backend server has registered or changed its entry. A new one at an
+  /// address ends those that were there before: their own entries lapse only
+  /// seconds later, and each request sent there meanwhile costs a retry (184 in
+  /// 14 s, when a third of the engines crashed three times).
   void Put(const BackendEntry& entry);
 
   /// An entry is gone. With `grace` above zero the backend server is used on
@@ -110,6 +114,10 @@
   static void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights);
 
  private:
+  void Store(const BackendEntry& entry);
+  /// Ends those at the address of `newcomer`, if that is not known yet.
+  void Supersede(const BackendEntry& newcomer);
+
   std::map<BackendId, BackendPtr> backends_;
   std::unordered_map<BackendHash, BackendPtr> by_hash_;
 };
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -19,6 +19,11 @@
 }  // namespace
 
 void BackendDirectory::Put(const BackendEntry& entry) {
+  Supersede(entry);
+  Store(entry);
+}
+
+void BackendDirectory::Store(const BackendEntry& entry) {
   BackendPtr& backend = backends_[entry.id];
   if (!backend) {
     backend = std::make_shared<Backend>();
@@ -30,6 +35,13 @@
   backend->entry = entry;
 }
 
+void BackendDirectory::Supersede(const BackendEntry& newcomer) {
+  if (newcomer.address.empty() || backends_.contains(newcomer.id)) return;
+  for (const auto& [id, backend] : backends_) {
+    if (backend->entry.address == newcomer.address) backend->superseded = true;
+  }
+}
+
 void BackendDirectory::Remove(const BackendId& id, Duration grace, TimePoint now) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
@@ -46,9 +58,11 @@
 void BackendDirectory::Replace(const std::vector<BackendEntry>& entries, Duration grace,
                                TimePoint now) {
   std::set<BackendId> listed;
+  // Which of two at one address is newer, the list does not tell.
+  for (const BackendEntry& entry : entries) Supersede(entry);
   for (const BackendEntry& entry : entries) {
     listed.insert(entry.id);
-    Put(entry);
+    Store(entry);
   }
   std::vector<BackendId> missing;
   for (const auto& [id, backend] : backends_) {
@@ -70,6 +84,7 @@
   std::vector<BackendPtr> usable;
   for (const auto& [id, backend] : backends_) {
     if (backend->entry.service != service || backend->entry.draining) continue;
+    if (backend->superseded) continue;
     if (backend->missing_until && now >= *backend->missing_until) continue;
     usable.push_back(backend);
   }
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -221,7 +221,7 @@
 bool MayStillSend(const GatewayState& state, const InboundRequest& request,
                   const BackendChoice& choice, TimePoint now) {
   const Backend& backend = *choice.backend;
-  if (backend.removed || backend.entry.draining) return false;
+  if (backend.removed || backend.superseded || backend.entry.draining) return false;
   if (backend.missing_until && now >= *backend.missing_until) return false;
   return !request.generation || WeightsAllowed(state, backend, request.generation->model, now);
 }
--- a/libs/gateway/test/backend_directory-test.cc
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -81,6 +81,32 @@
   BOOST_TEST(backend.cache.tokens() == 0U);
 }
 
+// The pattern: engines that crash and are back at their address before their old
+// entries lapse.
+BOOST_AUTO_TEST_CASE(new_one_at_an_address_ends_those_before) {
+  BackendDirectory directory;
+  BackendEntry old_entry = Entry("old");
+  old_entry.address = "10.0.0.1:1";
+  BackendEntry new_entry = Entry("new");
+  new_entry.address = old_entry.address;
+  directory.Put(old_entry);
+  directory.Put(new_entry);
+  const auto usable = directory.Usable(kService, kStart);
+  BOOST_REQUIRE(usable.size() == 1U);
+  BOOST_TEST((usable[0]->entry.id == BackendId("new")));
+  directory.Replace({old_entry, new_entry}, 2s, kStart);
+  BOOST_TEST(directory.Usable(kService, kStart).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(list_alone_does_not_tell_which_of_two_at_an_address_is_newer) {
+  BackendDirectory directory;
+  BackendEntry one = Entry("one");
+  BackendEntry other = Entry("other");
+  one.address = other.address = "10.0.0.1:1";
+  directory.Replace({one, other}, 2s, kStart);
+  BOOST_TEST(directory.Usable(kService, kStart).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(failures_lengthen_the_backoff_up_to_a_limit) {
   BackendDirectory directory;
   directory.Put(Entry("b"));
