--- a/libs/control/include/control/rollout_options.h
+++ b/libs/control/include/control/rollout_options.h
@@ -14,6 +14,10 @@
   DaemonId self;
   /// One engine of so many loads at a time.
   std::uint32_t engines_for_each_load = 5;
+  /// Off: runs are broken off for loads whether or not retries are left.
+  bool spare_retries = true;
+  /// Off: the hurry before a bound is not limited by what loads were seen to take.
+  bool observe_loads = true;
   /// Between looks for work.
   std::chrono::milliseconds look{50};
   /// Between looks at an engine that is loading, and when the first is due.
--- a/libs/control/src/rollout_pace.cc
+++ b/libs/control/src/rollout_pace.cc
@@ -25,6 +25,7 @@
     time_left.push_back(std::chrono::duration_cast<Duration>(*bound - options_.reserve - now));
   }
   const std::uint32_t in_time = LoadsAtOnce(usual, std::move(time_left), options_.load);
+  if (!options_.observe_loads) return in_time;
   return std::max(usual, std::min(in_time, load_times_.MostUseful(usual)));
 }
 
@@ -63,7 +64,8 @@
 
 ReloadMode RolloutPace::ModeFor(const RolloutStep& step, TimePoint now) const {
   if (Unrepeatable(step) == 0) {
-    const bool most_resumed = kLossAgainstPause * Uncovered(step, now) <= Running(step);
+    const std::uint32_t lost = options_.spare_retries ? Uncovered(step, now) : 0;
+    const bool most_resumed = kLossAgainstPause * lost <= Running(step);
     return most_resumed ? ReloadMode::kBreakRuns : ReloadMode::kContinueRuns;
   }
   const auto bound = BoundOf(step, now);
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -21,6 +21,7 @@
 #include "entry/entry_settings.h"
 #include "entry/entry_tuning.h"
 #include "entry/state_dump.h"
+#include "gateway/backend_prober.h"
 #include "gateway/caller_server.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
@@ -59,6 +60,7 @@
     net::co_spawn(executor_, peers_->Send(), net::detached);
     net::co_spawn(executor_, peers_->Receive(), net::detached);
     net::co_spawn(executor_, copy_reader_.Run(), net::detached);
+    net::co_spawn(executor_, prober_.Run(), net::detached);
     net::co_spawn(executor_, KeepHouse(), net::detached);
     server_.Start();
   }
@@ -117,6 +119,7 @@
         member_(store_, executor, MemberOptions(), [] { return true; }),
         duty_(store_, executor, DutyOptions(), [this] { return DutyIsFree(); }),
         control_(state_.pool(), tuning.control_call),
+        prober_(state_, tuning.probing),
         rollout_(control_, duty_, state_, RolloutOptions()),
         server_(state_, std::move(acceptor), MostConnections(settings_)),
         copy_reader_(
@@ -175,6 +178,9 @@
     typename Rollout<typename Env::Control, Store>::Options options;
     options.self = settings_.daemon;
     options.engines_for_each_load = tuning_.engines_for_each_load;
+    options.spare_retries = tuning_.spare_retries;
+    options.observe_loads = tuning_.observe_loads;
+    options.shortest_drain = std::chrono::milliseconds(tuning_.shortest_drain_ms);
     return options;
   }
 
@@ -403,6 +409,7 @@
   Duty member_;
   Duty duty_;
   typename Env::Control control_;
+  BackendProber prober_;
   Rollout<typename Env::Control, Store> rollout_;
   CallerServer<typename Env::Wire> server_;
   std::unique_ptr<AdminServer> admin_;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "gateway/admission.h"
+#include "gateway/backend_prober.h"
 #include "gateway/placement.h"
 
 namespace ridgehold {
@@ -17,6 +18,11 @@
   double call_patience = 3;
   double stream_patience = 8;
   AdmissionRule admission;
+  BackendProber::Options probing;
+  bool spare_retries = true;
+  bool observe_loads = true;
+  /// How long engines are emptied at least when all are busy.
+  std::uint32_t shortest_drain_ms = 300;
   std::uint32_t older_weights_free_ms = 1'000;
   /// One engine of so many loads weights at a time; the platform slows loads
   /// down beyond a fifth of them.
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -47,6 +47,9 @@
   std::map<ModelId, WeightsNumber> weights;  ///< newest news of any source
   std::optional<TimePoint> missing_until;    ///< registration lapsed; gone from then on
   bool removed = false;
+  bool reachable = true;  ///< as of the last probe
+  bool doubted = false;   ///< an attempt failed, or a peer cannot reach it: to be probed
+  TimePoint probed_at{};
   bool superseded = false;  ///< another incarnation has registered at its address
 
   std::uint32_t in_flight = 0;     ///< requests of this gateway
@@ -104,6 +107,9 @@
   /// The first event has come after `waited`.
   static void NoteBegun(Backend& backend, Duration waited, TimePoint now);
 
+  /// A probe has reached it.
+  static void NoteReached(Backend& backend);
+
   static void NoteSuccess(Backend& backend);
   /// The backend server could not be reached or broke off.
   static void NoteFailure(Backend& backend, TimePoint now);
--- a/libs/gateway/include/gateway/backend_load.h
+++ b/libs/gateway/include/gateway/backend_load.h
@@ -10,6 +10,10 @@
 
 namespace ridgehold {
 
+/// What other gateways are told of an attempt.
+PlacedNews PlacedNewsOf(const ExchangePlan& plan, const InboundRequest& request,
+                        const BackendChoice& choice);
+
 /// Counts on construction, and counts back on destruction.
 class BackendLoad {
  public:
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -168,6 +168,11 @@
     record_.expected_ms = choice.expected_ms;
     record_.wait_ms = choice.wait_ms;
     record_.tokens_to_read = choice.tokens_to_read;
+    if (plan_.chain && !plan_.chain->parts.empty()) {
+      record_.shared_parts = plan_.chain->parts.back().hash;
+      record_.shared_tokens = plan_.chain->shared_tokens;
+      record_.known_tokens = choice.known_tokens;
+    }
     record_.running_there = backend.in_flight + backend.peers.running;
     record_.fetched_from = choice.fetch_from.value_or("");
     record_.older_weights = OlderWeightsAt(state_, inbound_, choice.weights, Clock::now());
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -35,6 +35,7 @@
   BackendPtr backend;
   double tokens_ahead = 0;            ///< that the engine has to read before
   double tokens_to_read = 0;          ///< prompt tokens expected not to be cached there
+  std::uint32_t known_tokens = 0;     ///< shared tokens taken to be in its cache
   std::uint32_t tokens_to_store = 0;  ///< those, and what is fetched: what its cache takes in
   double expected_ms = 0;             ///< cost that decided, see Placement
   double ahead_ms = 0;                ///< of that, until what is before it has been read
--- a/libs/gateway/include/gateway/gateway_news.h
+++ b/libs/gateway/include/gateway/gateway_news.h
@@ -69,8 +69,11 @@
   std::vector<PlacedNews> placed;
   std::vector<HoldNews> holds;
   std::vector<WeightsNews> weights;
+  std::vector<BackendHash> unreachable;  ///< from the sender; to be probed by others
 
-  bool empty() const { return placed.empty() && holds.empty() && weights.empty(); }
+  bool empty() const {
+    return placed.empty() && holds.empty() && weights.empty() && unreachable.empty();
+  }
 };
 
 /// One message.
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -151,6 +151,9 @@
   /// A backend server was seen to run these weights.
   void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber number);
 
+  /// A probe of this gateway has not reached it; the others are to look, too.
+  void NoteUnreachable(Backend& backend);
+
   /// Requests of this gateway there that could not all be resumed elsewhere if
   /// they were broken off together now: the retry allowance does not last.
   std::uint32_t Uncovered(const Backend& backend, TimePoint now);
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -49,6 +49,12 @@
   /// Reading takes an engine's time from all that wait there; so many times its
   /// own time a fetch may take instead.
   double reading_again = 2;
+  /// Off: the settings' speed holds, whatever first events tell.
+  bool observe_speed = true;
+  /// Off: where there is a store, parts come from it alone.
+  bool engines_as_sources = true;
+  /// Off: links are taken to be idle.
+  bool watch_links = true;
   /// Each token of a second copy takes the place of something else. On the
   /// grown fleets 0.008 and 0.02 were alike and better than 0.002.
   double copy_token = 0.01;
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -41,6 +41,9 @@
   double expected_ms = 0;
   double wait_ms = 0;  ///< expected until the prompt is read
   double tokens_to_read = 0;
+  std::uint32_t shared_tokens = 0;  ///< of the prompt
+  std::uint32_t known_tokens = 0;   ///< of those, what the engine was taken to have
+  std::uint64_t shared_parts = 0;   ///< hash of them; 0: none
   std::uint32_t running_there = 0;  ///< of all gateways
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -1,6 +1,7 @@
 #include "gateway/backend_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ridgehold {
 namespace {
@@ -120,6 +121,14 @@
   backend.begin_wait_seen = now;
 }
 
+void BackendDirectory::NoteReached(Backend& backend) {
+  backend.doubted = false;
+  if (std::exchange(backend.reachable, true)) return;
+  // Its failures were those of the way there.
+  backend.avoid_until = {};
+  backend.failures = 0;
+}
+
 void BackendDirectory::NoteSuccess(Backend& backend) {
   backend.failures = 0;
   backend.error_rate *= 1 - kErrorRateStep;
@@ -130,6 +139,7 @@
   backend.avoid_until = std::max(
       backend.avoid_until, now + std::min<std::chrono::milliseconds>(doubled, kLongestBackoff));
   ++backend.failures;
+  backend.doubted = true;
   NoteErrorAnswer(backend);
 }
 
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -4,9 +4,23 @@
 
 namespace ridgehold {
 
+PlacedNews PlacedNewsOf(const ExchangePlan& plan, const InboundRequest& request,
+                        const BackendChoice& choice) {
+  PlacedNews placed;
+  placed.backend = HashOf(choice.backend->entry.id);
+  placed.new_tokens = choice.tokens_to_store + request.generation->max_output_tokens;
+  placed.own_tokens = plan.chain->own_tokens() + request.generation->max_output_tokens;
+  placed.parts = plan.chain->parts;
+  placed.weights = choice.weights.value_or(WeightsNumber(0));
+  if (choice.fetch_from) placed.fetched_from = LinkOf(*choice.fetch_from);
+  placed.fetch_length = choice.fetch_length;
+  if (choice.save_to) placed.saved_to = LinkOf(*choice.save_to);
+  placed.save_length = choice.save_length;
+  return placed;
+}
+
 BackendLoad::BackendLoad(GatewayState& state, const ExchangePlan& plan,
-                         const InboundRequest& request, const BackendChoice& choice,
-                         bool last_run)
+                         const InboundRequest& request, const BackendChoice& choice, bool last_run)
     : state_(state),
       backend_(choice.backend),
       tokens_ahead_(choice.tokens_ahead),
@@ -18,17 +32,7 @@
   if (unrepeatable_) ++backend_->unrepeatable;
   if (!plan.chain) return;
   waiting_ = backend_->waiting_since.insert(Clock::now());
-  PlacedNews placed;
-  placed.backend = HashOf(backend_->entry.id);
-  placed.new_tokens = choice.tokens_to_store + request.generation->max_output_tokens;
-  placed.own_tokens = plan.chain->own_tokens() + request.generation->max_output_tokens;
-  placed.parts = plan.chain->parts;
-  placed.weights = choice.weights.value_or(WeightsNumber(0));
-  if (choice.fetch_from) placed.fetched_from = LinkOf(*choice.fetch_from);
-  placed.fetch_length = choice.fetch_length;
-  if (choice.save_to) placed.saved_to = LinkOf(*choice.save_to);
-  placed.save_length = choice.save_length;
-  state.TellPlaced(std::move(placed));
+  state.TellPlaced(PlacedNewsOf(plan, request, choice));
 }
 
 BackendLoad::~BackendLoad() {
--- /dev/null
+++ b/libs/gateway/src/backend_prober.cc
@@ -0,0 +1,70 @@
+#include "gateway/backend_prober.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "log/duration_text.h"
+#include "log/log.h"
+
+namespace ridgehold {
+
+net::awaitable<void> BackendProber::Run() {
+  while (options_.enabled) {
+    StartProbes(Clock::now());
+    ErrorCode ignored;
+    timer_.expires_after(options_.look);
+    co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
+  }
+}
+
+void BackendProber::StartProbes(TimePoint now) {
+  for (const auto& [id, backend] : state_.directory().all()) {
+    if (running_ >= options_.most_at_once) return;
+    if (!IsDue(*backend, now)) continue;
+    ++running_;
+    net::co_spawn(state_.executor(), Probe(backend), net::detached);
+  }
+}
+
+bool BackendProber::IsDue(const Backend& backend, TimePoint now) const {
+  if (backend.superseded || now - backend.probed_at < options_.pause) return false;
+  return backend.doubted || IsSuspicious(backend, now);
+}
+
+bool BackendProber::IsSuspicious(const Backend& backend, TimePoint now) const {
+  if (backend.waiting_since.empty() || !state_.snapshot()) return false;
+  const Duration objective = state_.snapshot()->ShortestObjective(backend.entry.service);
+  if (objective <= Duration::zero()) return false;
+  return now - *backend.waiting_since.begin() >= options_.suspicious_objectives * objective;
+}
+
+net::awaitable<void> BackendProber::Probe(BackendPtr backend) {
+  const TimePoint begun = Clock::now();
+  backend->probed_at = begun;
+  const auto connection = OutboundConnection::Create(state_.executor());
+  const tcp::endpoint endpoint = ParseEndpoint(backend->entry.address);
+  const ExchangeFault fault = co_await connection->Connect(endpoint, begun + options_.connect_limit,
+                                                           options_.connect_limit);
+  --running_;
+  const bool reached = fault == ExchangeFault::kNone;
+  if (reached == backend->reachable && !backend->doubted) co_return;
+  const bool changed = reached != backend->reachable;
+  if (reached) {
+    BackendDirectory::NoteReached(*backend);
+  } else {
+    state_.pool().Forget(backend->entry.address);  // what is kept is as dead
+    state_.NoteUnreachable(*backend);
+  }
+  if (!changed) co_return;
+  state_.metrics().GetCounter("ridgehold_backend_reachability_changes").Add();
+  Log(LogLevel::kInfo, reached ? "backend reached again" : "backend unreachable",
+      {{"backend", backend->entry.id.value()},
+       {"address", backend->entry.address},
+       {"zone", backend->entry.zone.value()},
+       {"probe_ms", MillisecondsText(Clock::now() - begun)}});
+}
+
+}  // namespace ridgehold
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -197,6 +197,7 @@
   choice.wait_ms = placement.wait;
   if (request.generation) {
     choice.tokens_ahead = placement.tokens_ahead;
+    choice.known_tokens = placement.known_tokens;
     choice.tokens_to_read =
         plan.chain->prompt_tokens - std::min(placement.cached_tokens, plan.chain->prompt_tokens);
     choice.tokens_to_store =
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace ridgehold {
 
@@ -12,14 +13,15 @@
 
 double GatewayState::TokensPerMs(const ServiceId& service) const {
   const auto found = reading_speeds_.find(service);
-  return found == reading_speeds_.end() ? placement_weights_.prefill_tokens_per_ms
-                                        : found->second.tokens_per_ms();
+  const bool observed = placement_weights_.observe_speed && found != reading_speeds_.end();
+  return observed ? found->second.tokens_per_ms() : placement_weights_.prefill_tokens_per_ms;
 }
 
 NewsItems GatewayState::TakeNews(std::size_t most_placed) {
   NewsItems taken;
   std::swap(taken.holds, news_.holds);
   std::swap(taken.weights, news_.weights);
+  std::swap(taken.unreachable, news_.unreachable);
   const auto end = news_.placed.begin() +
                    static_cast<std::ptrdiff_t>(std::min(most_placed, news_.placed.size()));
   taken.placed.assign(std::make_move_iterator(news_.placed.begin()), std::make_move_iterator(end));
@@ -71,6 +73,12 @@
   news_.holds.push_back({HashOf(backend.entry.id), length});
 }
 
+void GatewayState::NoteUnreachable(Backend& backend) {
+  backend.doubted = true;
+  if (!std::exchange(backend.reachable, false)) return;
+  news_.unreachable.push_back(HashOf(backend.entry.id));
+}
+
 std::uint32_t GatewayState::Uncovered(const Backend& backend, TimePoint now) {
   // Another engine may be broken off at the same moment, or fail.
   constexpr double kForOneEngine = 0.5;
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -65,7 +65,7 @@
     placement.index = index;
     placement.cost = backend.error_rate * weights_.failing;
     if (backend.entry.zone != query_.own_zone) placement.cost += weights_.other_zone;
-    if (backend.avoid_until > query_.now) placement.cost += kAvoided;
+    if (backend.avoid_until > query_.now || !backend.reachable) placement.cost += kAvoided;
     if (backend.missing_until) placement.cost += kAvoided / 2;
     if (backend.hold_until > query_.now) placement.cost += weights_.held;
     if (query_.chain == nullptr) {
@@ -105,8 +105,9 @@
   /// them is sooner, or nobody has them.
   std::optional<CacheSource> BestSource(std::size_t index) const {
     std::optional<CacheSource> best = FromStore(index);
+    const bool engines_too = weights_.engines_as_sources || !query_.store;
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
-      if (!MayFetch(index, i)) continue;
+      if (!engines_too || !MayFetch(index, i)) continue;
       const CacheSource source = FromEngine(index, i);
       if (!best || SavedBy(index, source) > SavedBy(index, *best)) best = source;
     }
@@ -122,8 +123,8 @@
 
   bool MayFetch(std::size_t to, std::size_t from) const {
     const Backend& backend = *candidates_[from];
-    return from != to && backend.avoid_until <= query_.now && !backend.missing_until &&
-           !holdings_[from].doubtful &&
+    return from != to && backend.avoid_until <= query_.now && backend.reachable &&
+           !backend.missing_until && !holdings_[from].doubtful &&
            holdings_[from].fetchable_tokens > holdings_[to].known_tokens &&
            WeightsOf(backend) == WeightsOf(*candidates_[to]);
   }
@@ -167,7 +168,7 @@
   }
 
   double LinkWait(LinkHash link) const {
-    if (query_.links == nullptr) return 0;
+    if (query_.links == nullptr || !weights_.watch_links) return 0;
     const std::chrono::duration<double, std::milli> wait = query_.links->WaitAt(link, query_.now);
     return wait.count();
   }
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -1,5 +1,7 @@
 #include "gateway/request_log.h"
 
+#include <fmt/format.h>
+
 #include <cmath>
 #include <string_view>
 
@@ -99,6 +101,11 @@
   if (record.first_event) {
     fields.push_back({"first_event_ms", MillisecondsText(*record.first_event - record.received)});
   }
+  if (record.shared_parts != 0) {
+    fields.push_back({"shared_parts", fmt::format("{:x}", record.shared_parts)});
+    fields.push_back({"shared", std::to_string(record.shared_tokens)});
+    fields.push_back({"known", std::to_string(record.known_tokens)});
+  }
   if (record.deferred > Duration::zero()) {
     fields.push_back({"deferred_ms", MillisecondsText(record.deferred)});
     metrics.GetSummary("ridgehold_deferred_seconds")
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -29,6 +29,7 @@
     entry.set_backend(hold.backend);
     entry.set_for_ms(static_cast<std::uint32_t>(hold.length.count()));
   }
+  for (const BackendHash backend : items.unreachable) message.add_unreachable(backend);
   for (const WeightsNews& weights : items.weights) {
     wire::GatewayWeights& entry = *message.add_weights();
     entry.set_backend(weights.backend);
@@ -56,6 +57,7 @@
   for (const wire::GatewayHold& entry : message.holds()) {
     items.holds.push_back({entry.backend(), std::chrono::milliseconds(entry.for_ms())});
   }
+  items.unreachable.assign(message.unreachable().begin(), message.unreachable().end());
   for (const wire::GatewayWeights& entry : message.weights()) {
     items.weights.push_back(
         {entry.backend(), ModelId(entry.model()), WeightsNumber(entry.number())});
@@ -99,9 +101,8 @@
   news.incarnation = message.incarnation();
   news.sequence = message.sequence();
   for (const wire::GatewayLoad& entry : message.loads()) {
-    news.loads.push_back(
-        {entry.backend(), entry.running(), entry.unread_tokens(), entry.unrepeatable(),
-         entry.uncovered()});
+    news.loads.push_back({entry.backend(), entry.running(), entry.unread_tokens(),
+                          entry.unrepeatable(), entry.uncovered()});
   }
   news.items = DecodeItems(message);
   for (const wire::GatewayNaming& entry : message.namings()) {
--- a/libs/peers/src/peer_loads.cc
+++ b/libs/peers/src/peer_loads.cc
@@ -54,6 +54,11 @@
       backend->hold_until = now + hold.length;
     }
   }
+  for (const BackendHash backend_hash : items.unreachable) {
+    if (const BackendPtr backend = state_.directory().FindByHash(backend_hash)) {
+      backend->doubted = true;
+    }
+  }
   for (const WeightsNews& weights : items.weights) {
     if (const BackendPtr backend = state_.directory().FindByHash(weights.backend)) {
       BackendDirectory::NoteWeights(*backend, weights.model, weights.number);
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -85,6 +85,24 @@
   return {};
 }
 
+/// Turns single mechanisms off, to see what each is worth.
+void AddSwitches(CLI::App& app, EntryTuning& tuning) {
+  app.add_option("--admission.enabled", tuning.admission.enabled,
+                 "requests for text wait here for room at an engine");
+  app.add_option("--placement.observe-speed", tuning.placement.observe_speed,
+                 "the speed of engines is taken from first events");
+  app.add_option("--placement.engines-as-sources", tuning.placement.engines_as_sources,
+                 "parts are fetched from engines, too, where there is a store");
+  app.add_option("--placement.watch-links", tuning.placement.watch_links,
+                 "fetches wait for those before them on the same link");
+  app.add_option("--probing.enabled", tuning.probing.enabled,
+                 "servers that may be out of reach are probed by connections");
+  app.add_option("--rollout.spare-retries", tuning.spare_retries,
+                 "runs are broken off for a load only if retries are left");
+  app.add_option("--rollout.observe-loads", tuning.observe_loads,
+                 "no more loads at once than were seen to help");
+}
+
 /// Settings of the product's own: `[placement]` and `[limits]` of the INI file.
 void AddTuning(CLI::App& app, EntryTuning& tuning) {
   PlacementWeights& placement = tuning.placement;
@@ -114,8 +132,6 @@
                  "ms after a naming in which older weights are as good");
   app.add_option("--limits.call-patience", tuning.call_patience,
                  "latency objectives until a call is tried elsewhere");
-  app.add_option("--admission.enabled", tuning.admission.enabled,
-                 "requests for text wait here for room at an engine");
   app.add_option("--admission.full-part", tuning.admission.full_part,
                  "part of the shortest objective that an engine may have to read");
   app.add_option("--admission.late-part", tuning.admission.late_part,
@@ -124,6 +140,9 @@
                  "latency objectives that a request waits for room");
   app.add_option("--limits.stream-patience", tuning.stream_patience,
                  "latency objectives until a stream is tried elsewhere");
+  AddSwitches(app, tuning);
+  app.add_option("--rollout.shortest-drain-ms", tuning.shortest_drain_ms,
+                 "ms that an engine is emptied at least when all are busy");
   app.add_option("--rollout.engines-for-each-load", tuning.engines_for_each_load,
                  "one engine of so many loads weights at a time");
 }
