--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -179,7 +179,7 @@
     options.engines_for_each_load = tuning_.engines_for_each_load;
     options.spare_retries = tuning_.spare_retries;
     options.observe_loads = tuning_.observe_loads;
-    options.shortest_drain = std::chrono::milliseconds(tuning_.shortest_drain_ms);
+    options.shortest_drain = std::chrono::milliseconds{tuning_.shortest_drain_ms};
     return options;
   }
 
--- a/libs/gateway/src/engine_cache.cc
+++ b/libs/gateway/src/engine_cache.cc
@@ -1,8 +1,5 @@
 #include "gateway/engine_cache.h"
 
-#include <algorithm>
-#include <ranges>
-
 namespace ridgehold {
 
 void EngineCache::Use(std::span<const SharedPart> parts, std::uint32_t own_tokens,
@@ -12,7 +9,7 @@
     tokens_ += own_tokens;
   }
   // The beginning comes last: a part is of no use without those before it.
-  for (const SharedPart& part : parts | std::views::reverse) Touch(part, now);
+  for (auto part = parts.rbegin(); part != parts.rend(); ++part) Touch(*part, now);
   Evict(capacity);
 }
 
--- a/programs/ridgehold-model.cc
+++ b/programs/ridgehold-model.cc
@@ -9,11 +9,9 @@
 
 #include "model/patterns.h"
 
+namespace ridgehold::model {
 namespace {
 
-using namespace ridgehold;
-using namespace ridgehold::model;
-
 struct Options {
   std::vector<std::string> patterns;
   std::uint32_t seed = 1;
@@ -48,21 +46,23 @@
 }
 
 }  // namespace
+}  // namespace ridgehold::model
 
 int main(int argc, char** argv) {
-  Options options;
+  using ridgehold::model::AllPatterns;
+  ridgehold::model::Options options;
   CLI::App app("Plays load patterns against modelled engines in virtual time");
-  AddOptions(app, options);
+  ridgehold::model::AddOptions(app, options);
   CLI11_PARSE(app, argc, argv);
   std::cout << "pattern,seed,route,requests,begun,in_time,shared_tokens_read\n";
   if (options.patterns.empty()) {
-    for (const NamedPattern& named : AllPatterns()) options.patterns.emplace_back(named.name);
+    for (const auto& named : AllPatterns()) options.patterns.emplace_back(named.name);
   }
   for (const std::string& name : options.patterns) {
     for (std::uint32_t i = 0; i < options.seeds; ++i) {
-      Pattern pattern = *FindPattern(name);
+      ridgehold::model::Pattern pattern = *ridgehold::model::FindPattern(name);
       pattern.seed = options.seed + i;
-      PlayOne(name, std::move(pattern), options);
+      ridgehold::model::PlayOne(name, std::move(pattern), options);
     }
   }
   return 0;
