--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -1,4 +1,4 @@
-// The decisions of an exchange that need no connection: admission, choice, limits, what is learned.
+// The decisions of an exchange that need no connection: plan, choice, limits, what is learned.
 
 #pragma once
 
