--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -138,6 +138,7 @@
     }
     limits.older_weights = settings.weights_limit - tuning.weights_margin;
     limits.retries = settings.retries;
+    limits.admission = tuning.admission;
     limits.patience_objectives = tuning.call_patience;
     limits.stream_patience_objectives = tuning.stream_patience;
     return limits;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 
+#include "gateway/admission.h"
 #include "gateway/backend_prober.h"
 #include "gateway/placement.h"
 
@@ -16,6 +17,7 @@
   /// Waiting this many latency objectives for an answer's head is enough.
   double call_patience = 3;
   double stream_patience = 8;
+  AdmissionRule admission;
   BackendProber::Options probing;
   bool spare_retries = true;
   bool observe_loads = true;
--- a/libs/gateway/include/gateway/engine_cache.h
+++ b/libs/gateway/include/gateway/engine_cache.h
@@ -20,9 +20,9 @@
 };
 
 /// Evicts as engines do: the parts whose last use is longest ago go when new
-/// ones need room, however much was used again meanwhile. A count of tokens
-/// taken in since a part's last use, which this replaces, took parts for kept
-/// that used ones had outlived. Not thread-safe; time comes in as a value.
+/// ones need room. Use of parts that were there counts like new ones: a mere count
+/// of tokens taken in takes parts for kept that others have outlived. Not
+/// thread-safe; time comes in as a value.
 class EngineCache {
  public:
   /// Bounds what is remembered of an engine whose memory is not known.
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -3,6 +3,9 @@
 #pragma once
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <memory>
 #include <optional>
 #include <set>
@@ -110,7 +113,8 @@
 
   /// Makes one attempt and decides what follows.
   net::awaitable<NextStep> TryOnce() {
-    const auto choice = ChooseFor(state_, plan_, inbound_, tried_, Clock::now());
+    const std::optional<BackendChoice> choice = co_await ChooseInTurn();
+    if (caller_->caller_gone()) co_return NextStep::kDone;
     // What the last attempt has answered is still the best there is.
     if (!choice) co_return StepWithoutRetry(facts_);
     attempt_ = Attempt{};
@@ -126,6 +130,40 @@
     co_return Judge(end);
   }
 
+  /// Chooses an engine and waits, if need be, until it has room.
+  net::awaitable<std::optional<BackendChoice>> ChooseInTurn() {
+    std::optional<BackendChoice> choice = Choose();
+    if (!choice || MaySend(*choice)) co_return choice;
+    DeferredRequests::Ticket ticket(state_.deferred_requests(), plan_.priority.value_or(0));
+    net::steady_timer timer(state_.executor());
+    const TimePoint began = Clock::now();
+    while (!caller_->caller_gone() && Clock::now() + state_.limits().least_time < WaitLimit()) {
+      ErrorCode ignored;
+      timer.expires_after(DeferredRequests::kLook);
+      co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+      const AdmissionQuery place = AdmissionQueryFor(plan_, *choice, Clock::now());
+      if (!Admission::InTime(place)) ticket.SetLate();
+      if (!ticket.MayLook() && !RuleOfAdmission().WaitedEnough(place)) continue;
+      choice = Choose();
+      if (!choice || MaySend(*choice)) break;
+    }
+    record_.deferred = std::chrono::duration_cast<Duration>(Clock::now() - began);
+    co_return choice;
+  }
+
+  Admission RuleOfAdmission() const { return Admission{state_.limits().admission}; }
+
+  std::optional<BackendChoice> Choose() {
+    return ChooseFor(state_, plan_, inbound_, tried_, Clock::now());
+  }
+
+  /// A stream that has begun goes on at once: its caller is reading.
+  bool MaySend(const BackendChoice& choice) const {
+    if (!plan_.chain || begun_) return true;
+    const AdmissionQuery query = AdmissionQueryFor(plan_, choice, Clock::now());
+    return RuleOfAdmission().MaySend(query);
+  }
+
   void NoteChoice(const BackendChoice& choice) {
     const Backend& backend = *choice.backend;
     record_.backend = backend.entry.id;
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -38,6 +38,7 @@
   std::uint32_t known_tokens = 0;     ///< shared tokens taken to be in its cache
   std::uint32_t tokens_to_store = 0;  ///< those, and what is fetched: what its cache takes in
   double expected_ms = 0;             ///< cost that decided, see Placement
+  double ahead_ms = 0;                ///< of that, until what is before it has been read
   double wait_ms = 0;                 ///< of that, until the prompt is read
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address that has shared parts
@@ -56,6 +57,10 @@
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now);
 
+/// What decides whether a request for text is sent to the chosen engine now.
+AdmissionQuery AdmissionQueryFor(const ExchangePlan& plan, const BackendChoice& choice,
+                                 TimePoint now);
+
 /// Whether the attempt may still be sent there: the backend server is not
 /// leaving, and has weights on which the request may begin.
 bool MayStillSend(const GatewayState& state, const InboundRequest& request,
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -12,7 +12,9 @@
 #include <unordered_map>
 
 #include "base/ids.h"
+#include "gateway/admission.h"
 #include "gateway/backend_directory.h"
+#include "gateway/deferred_requests.h"
 #include "gateway/gateway_news.h"
 #include "gateway/named_weights.h"
 #include "gateway/placement.h"
@@ -41,6 +43,7 @@
   double patience_objectives = 3;
   /// The same for resumable streams, which may wait in a queue.
   double stream_patience_objectives = 5;
+  AdmissionRule admission;
   /// An attempt needs at least this much time to be worth making.
   std::chrono::milliseconds least_time{30};
 };
@@ -113,6 +116,7 @@
   NamedWeights& named_weights() { return named_weights_; }
   const NamedWeights& named_weights() const { return named_weights_; }
   WaitingAttempts& waiting_attempts() { return waiting_attempts_; }
+  DeferredRequests& deferred_requests() { return deferred_requests_; }
 
   /// Gateways that are alive, this one included.
   std::uint32_t gateways() const { return gateways_; }
@@ -195,6 +199,7 @@
   std::map<ServiceId, ReadingSpeed> reading_speeds_;
   NamedWeights named_weights_;
   WaitingAttempts waiting_attempts_;
+  DeferredRequests deferred_requests_;
   std::uint32_t gateways_ = 1;
   double heard_gateways_ = 0;
   NewsItems news_;
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -119,7 +119,8 @@
   std::size_t index = 0;
   double cost = 0;                  ///< milliseconds it is expected to take, with prices
   double wait = 0;                  ///< of that, until the prompt is read
-  double tokens_ahead = 0;          ///< that the engine has to read before it
+  double ahead = 0;                 ///< of that, until what was sent before has been read
+  double tokens_ahead = 0;          ///< those tokens
   std::uint32_t cached_tokens = 0;  ///< expected to be in its cache, or fetched into it
   std::uint32_t known_tokens = 0;   ///< of those, what it has without a fetch
   /// Where parts come from that the chosen one lacks.
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -34,6 +34,7 @@
   ServiceId service;
   BackendId backend;  ///< the last one tried
   TimePoint received{};
+  Duration deferred{0};  ///< waited here for room at an engine
   std::optional<TimePoint> first_event;
   std::uint32_t attempts = 0;
   // What decided the last choice of a backend server.
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -193,6 +193,7 @@
   BackendChoice choice;
   choice.backend = candidates[placement.index];
   choice.expected_ms = placement.cost;
+  choice.ahead_ms = placement.ahead;
   choice.wait_ms = placement.wait;
   if (request.generation) {
     choice.tokens_ahead = placement.tokens_ahead;
@@ -207,6 +208,17 @@
   return choice;
 }
 
+AdmissionQuery AdmissionQueryFor(const ExchangePlan& plan, const BackendChoice& choice,
+                                 TimePoint now) {
+  AdmissionQuery query;
+  query.ahead = DurationOf(choice.ahead_ms);
+  query.own = DurationOf(choice.wait_ms - choice.ahead_ms);
+  query.room = plan.snapshot->ShortestObjective(plan.service);
+  query.objective = plan.route->latency_objective;
+  query.age = std::chrono::duration_cast<Duration>(now - plan.received);
+  return query;
+}
+
 bool MayStillSend(const GatewayState& state, const InboundRequest& request,
                   const BackendChoice& choice, TimePoint now) {
   const Backend& backend = *choice.backend;
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -75,8 +75,8 @@
     }
     PriceCache(index, placement);
     placement.tokens_ahead = Together(backend.unprefilled_tokens, backend.peers.unread_tokens);
-    const double ahead = placement.tokens_ahead / TokensPerMs();
-    placement.wait = std::max(ahead, FetchTime(placement)) + OwnReading(placement);
+    placement.ahead = placement.tokens_ahead / TokensPerMs();
+    placement.wait = std::max(placement.ahead, FetchTime(placement)) + OwnReading(placement);
     placement.cost += placement.wait + PriceOfRunning(backend);
     placement.cost += PriceOfWeights(backend);
     return placement;
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -106,6 +106,11 @@
     fields.push_back({"shared", std::to_string(record.shared_tokens)});
     fields.push_back({"known", std::to_string(record.known_tokens)});
   }
+  if (record.deferred > Duration::zero()) {
+    fields.push_back({"deferred_ms", MillisecondsText(record.deferred)});
+    metrics.GetSummary("ridgehold_deferred_seconds")
+        .Observe(std::chrono::duration<double>(record.deferred).count());
+  }
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
   if (record.out_of_retries) fields.push_back({"retry_budget", "spent"});
--- /dev/null
+++ b/libs/gateway/test/admission-test.cc
@@ -0,0 +1,112 @@
+#include "gateway/admission.h"
+
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/deferred_requests.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A long prompt of a service whose shortest objective is 400 ms.
+AdmissionQuery LongPrompt() {
+  AdmissionQuery query;
+  query.own = 220ms;
+  query.room = 400ms;
+  query.objective = 600ms;
+  return query;
+}
+
+const Admission kAdmission{AdmissionRule{}};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(admission)
+
+BOOST_AUTO_TEST_CASE(idle_engine_takes_every_request) {
+  AdmissionQuery query = LongPrompt();
+  query.own = 5s;
+  BOOST_TEST(kAdmission.MaySend(query));
+  query.age = 1s;
+  BOOST_TEST(kAdmission.MaySend(query));
+}
+
+BOOST_AUTO_TEST_CASE(engine_is_filled_up_to_the_shortest_objective) {
+  AdmissionQuery query = LongPrompt();
+  query.ahead = 130ms;
+  BOOST_TEST(kAdmission.MaySend(query));
+  query.ahead = 150ms;
+  BOOST_TEST(Admission::InTime(query));
+  BOOST_TEST(!kAdmission.MaySend(query));
+}
+
+BOOST_AUTO_TEST_CASE(short_prompt_finds_room_where_a_long_one_does_not) {
+  AdmissionQuery query = LongPrompt();
+  query.ahead = 300ms;
+  BOOST_TEST(!kAdmission.MaySend(query));
+  query.own = 20ms;
+  query.objective = 400ms;
+  BOOST_TEST(kAdmission.MaySend(query));
+}
+
+BOOST_AUTO_TEST_CASE(late_request_waits_until_nobody_is_delayed) {
+  AdmissionQuery query = LongPrompt();
+  query.age = 600ms;
+  query.ahead = 101ms;
+  BOOST_TEST(!kAdmission.MaySend(query));
+  query.ahead = 99ms;
+  BOOST_TEST(kAdmission.MaySend(query));
+}
+
+BOOST_AUTO_TEST_CASE(no_request_waits_for_ever) {
+  AdmissionQuery query = LongPrompt();
+  query.ahead = 10s;
+  query.age = 1'800ms;
+  BOOST_TEST(kAdmission.MaySend(query));
+}
+
+BOOST_AUTO_TEST_CASE(rule_is_off_by_its_setting_and_without_objectives) {
+  AdmissionQuery query = LongPrompt();
+  query.ahead = 10s;
+  AdmissionRule off;
+  off.enabled = false;
+  BOOST_TEST(Admission(off).MaySend(query));
+  query.objective = 0ms;
+  BOOST_TEST(kAdmission.MaySend(query));
+}
+
+RC_BOOST_PROP(less_before_a_request_never_keeps_it_back, ()) {
+  AdmissionQuery query;
+  query.ahead = std::chrono::milliseconds(*rc::gen::inRange(0, 2'000));
+  query.own = std::chrono::milliseconds(*rc::gen::inRange(0, 2'000));
+  query.room = std::chrono::milliseconds(*rc::gen::inRange(0, 1'000));
+  query.objective = std::chrono::milliseconds(*rc::gen::inRange(0, 1'000));
+  query.age = std::chrono::milliseconds(*rc::gen::inRange(0, 4'000));
+  if (!kAdmission.MaySend(query)) return;
+  query.ahead /= 2;
+  RC_ASSERT(kAdmission.MaySend(query));
+}
+
+BOOST_AUTO_TEST_CASE(line_goes_by_lateness_urgency_and_arrival) {
+  DeferredRequests line;
+  std::vector<std::unique_ptr<DeferredRequests::Ticket>> others;
+  DeferredRequests::Ticket first(line, 1);
+  for (std::size_t i = 0; i < DeferredRequests::kLooking; ++i) {
+    others.push_back(std::make_unique<DeferredRequests::Ticket>(line, 1));
+  }
+  BOOST_TEST(first.MayLook());
+  BOOST_TEST(!others.back()->MayLook());
+  first.SetLate();
+  BOOST_TEST(!first.MayLook());
+  BOOST_TEST(others.back()->MayLook());
+  DeferredRequests::Ticket urgent(line, 0);
+  BOOST_TEST(urgent.MayLook());
+  BOOST_TEST(!others.back()->MayLook());
+  others.clear();
+  BOOST_TEST(first.MayLook());
+  BOOST_TEST(line.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/model/fleet_model.h
+++ b/model/fleet_model.h
@@ -52,19 +52,16 @@
   double share_in_time() const { return requests == 0 ? 1 : 1.0 * in_time / requests; }
 };
 
-/// Drives the gateway's own choice, with its own picture of caches
+/// Drives the gateway's own choice and admission, with its own picture of caches
 /// and links, through a load pattern; the engines are modelled. The same seed
 /// gives the same result. Runs and streams after the first event are left out.
 class FleetModel {
  public:
-  FleetModel(Pattern pattern, PlacementWeights weights);
+  FleetModel(Pattern pattern, GatewayLimits limits, PlacementWeights weights);
 
   /// Plays the whole pattern; the outcome by the demands' paths.
   std::map<std::string, Outcome> Play();
 
-  /// The speed of the engines as the gateway takes it to be by now.
-  double believed_tokens_per_ms() const;
-
  private:
   struct Arrival {
     TimePoint at{};
@@ -76,6 +73,7 @@
     InboundRequest request;
     ExchangePlan plan;
     std::size_t demand = 0;
+    bool late = false;
     BackendPtr backend;  ///< once it was sent
     double tokens_to_read = 0;
     double tokens_ahead = 0;
@@ -85,7 +83,9 @@
   void Configure();
   std::vector<Arrival> DrawArrivals();
   void Arrive(const Arrival& arrival);
-  void Send(std::uint64_t number, Open& open);
+  /// Sends what may be sent, in the line's order.
+  void SendWaiting();
+  bool TrySend(std::uint64_t number, Open& open);
   void AdvanceEngines();
   void SetEnginesLeft();
   void LoadWeights();
@@ -94,9 +94,11 @@
   boost::asio::io_context io_;
   Metrics metrics_;
   GatewayState state_;
+  Admission admission_;
   TransferLinks links_;  ///< as they really are
   std::map<BackendId, EngineModel> engines_;
   std::map<std::uint64_t, Open> open_;
+  std::vector<std::uint64_t> line_;
   std::map<std::string, Outcome> outcomes_;
   std::mt19937 random_;
   TimePoint start_{};
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -87,6 +87,8 @@
 
 /// Turns single mechanisms off, to see what each is worth.
 void AddSwitches(CLI::App& app, EntryTuning& tuning) {
+  app.add_option("--admission.enabled", tuning.admission.enabled,
+                 "requests for text wait here for room at an engine");
   app.add_option("--placement.observe-speed", tuning.placement.observe_speed,
                  "the speed of engines is taken from first events");
   app.add_option("--placement.engines-as-sources", tuning.placement.engines_as_sources,
@@ -130,6 +132,12 @@
                  "ms after a naming in which older weights are as good");
   app.add_option("--limits.call-patience", tuning.call_patience,
                  "latency objectives until a call is tried elsewhere");
+  app.add_option("--admission.full-part", tuning.admission.full_part,
+                 "part of the shortest objective that an engine may have to read");
+  app.add_option("--admission.late-part", tuning.admission.late_part,
+                 "the same for requests that are late already");
+  app.add_option("--admission.longest-wait", tuning.admission.longest_wait,
+                 "latency objectives that a request waits for room");
   app.add_option("--limits.stream-patience", tuning.stream_patience,
                  "latency objectives until a stream is tried elsewhere");
   AddSwitches(app, tuning);
--- a/programs/ridgehold-model.cc
+++ b/programs/ridgehold-model.cc
@@ -16,12 +16,15 @@
   std::vector<std::string> patterns;
   std::uint32_t seed = 1;
   std::uint32_t seeds = 1;
+  AdmissionRule admission;
   PlacementWeights placement;
 };
 
 void PlayOne(const std::string& name, Pattern pattern, const Options& options) {
+  GatewayLimits limits;
+  limits.admission = options.admission;
   const std::uint32_t seed = pattern.seed;
-  FleetModel fleet(std::move(pattern), options.placement);
+  FleetModel fleet(std::move(pattern), limits, options.placement);
   for (const auto& [path, outcome] : fleet.Play()) {
     std::cout << fmt::format("{},{},{},{},{},{:.4f},{}\n", name, seed, path, outcome.requests,
                              outcome.begun, outcome.share_in_time(), outcome.shared_read);
@@ -36,6 +39,7 @@
   app.add_option("--seed", options.seed, "The first seed");
   app.add_option("--seeds", options.seeds, "So many seeds from there on")
       ->check(CLI::Range(1, 1'000));
+  app.add_option("--admission.enabled", options.admission.enabled, "Requests wait for room");
   app.add_option("--placement.observe-speed", options.placement.observe_speed,
                  "Speed from first events");
   app.add_option("--placement.engines-as-sources", options.placement.engines_as_sources,
