Placement: sources of shared parts are found once a choice; two patterns share their shape

For each candidate the choice went through all others, hashed their addresses and the store's parts anew: the square of the engines, 3,600 at 60. What is the same for all candidates (engines that parts may be fetched from, what the store keeps by weights, the wait of each link) is now found once, and the two prices of a fetch share one function. Ids are hashed by HashOf, as everywhere.

--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 #include <numeric>
 
 namespace ridgehold {
@@ -29,9 +30,11 @@
           const PlacementWeights& weights)
       : query_(query), candidates_(candidates), weights_(weights) {
     for (const BackendPtr& candidate : candidates_) {
-      id_hashes_.push_back(HashText(candidate->entry.id.value()));
+      id_hashes_.push_back(HashOf(candidate->entry.id));
     }
-    if (query_.chain != nullptr) RankHolders();
+    if (query_.chain == nullptr) return;
+    RankHolders();
+    FindSources();
   }
 
   Placement Choose() const {
@@ -59,6 +62,12 @@
     std::uint64_t rank = 0;              ///< of rendezvous hashing
   };
 
+  /// A candidate that parts may be fetched from.
+  struct EngineSource {
+    std::size_t index = 0;
+    double link_wait = 0;  ///< ms
+  };
+
   Placement Price(std::size_t index) const {
     const Backend& backend = *candidates_[index];
     Placement placement;
@@ -105,10 +114,9 @@
   /// them is sooner, or nobody has them.
   std::optional<CacheSource> BestSource(std::size_t index) const {
     std::optional<CacheSource> best = FromStore(index);
-    const bool engines_too = weights_.engines_as_sources || !query_.store;
-    for (std::size_t i = 0; i < candidates_.size(); ++i) {
-      if (!engines_too || !MayFetch(index, i)) continue;
-      const CacheSource source = FromEngine(index, i);
+    for (const EngineSource& engine : engine_sources_) {
+      if (!MayFetch(index, engine.index)) continue;
+      const CacheSource source = FromEngine(index, engine);
       if (!best || SavedBy(index, source) > SavedBy(index, *best)) best = source;
     }
     if (best && SavedBy(index, *best) <= 0) best.reset();
@@ -122,40 +130,66 @@
   }
 
   bool MayFetch(std::size_t to, std::size_t from) const {
-    const Backend& backend = *candidates_[from];
-    return from != to && backend.avoid_until <= query_.now && backend.reachable &&
-           !backend.missing_until && !holdings_[from].doubtful &&
-           holdings_[from].fetchable_tokens > holdings_[to].known_tokens &&
-           WeightsOf(backend) == WeightsOf(*candidates_[to]);
+    return from != to && holdings_[from].fetchable_tokens > holdings_[to].known_tokens &&
+           WeightsOf(*candidates_[from]) == WeightsOf(*candidates_[to]);
   }
 
-  CacheSource FromEngine(std::size_t to, std::size_t from) const {
-    const Backend& backend = *candidates_[from];
-    CacheSource source;
-    source.engine = from;
-    source.tokens = holdings_[from].fetchable_tokens;
+  CacheSource FromEngine(std::size_t to, const EngineSource& engine) const {
     const double token_ms =
         query_.engine_ms_per_token > 0 ? query_.engine_ms_per_token : weights_.fetch_token;
-    const double distance = Distance(backend.entry.zone, to);
-    source.link_ms = distance * token_ms * (source.tokens - holdings_[to].known_tokens);
-    source.ms =
-        source.link_ms + distance * weights_.fetch_call + LinkWait(LinkOf(backend.entry.address));
+    CacheSource source =
+        SourceAt(to, candidates_[engine.index]->entry.zone,
+                 holdings_[engine.index].fetchable_tokens, token_ms, weights_.fetch_call);
+    source.engine = engine.index;
+    source.ms += engine.link_wait;
     return source;
   }
 
   std::optional<CacheSource> FromStore(std::size_t to) const {
     if (!query_.store) return std::nullopt;
-    CacheSource source;
-    source.tokens = TokensInStore(WeightsOf(*candidates_[to]));
-    if (source.tokens <= holdings_[to].known_tokens) return std::nullopt;
+    const std::uint32_t tokens = store_tokens_.at(WeightsOf(*candidates_[to]));
+    if (tokens <= holdings_[to].known_tokens) return std::nullopt;
     const double token_ms =
         query_.store->ms_per_token > 0 ? query_.store->ms_per_token : weights_.store_token;
-    const double distance = Distance(query_.store->zone, to);
-    source.link_ms = distance * token_ms * (source.tokens - holdings_[to].known_tokens);
-    source.ms = source.link_ms + distance * weights_.store_call + LinkWait(query_.store->link);
+    CacheSource source = SourceAt(to, query_.store->zone, tokens, token_ms, weights_.store_call);
+    source.ms += store_wait_;
     return source;
   }
 
+  /// A source whose link is idle.
+  CacheSource SourceAt(std::size_t to, const ZoneId& zone, std::uint32_t tokens, double token_ms,
+                       double call_ms) const {
+    const double distance = candidates_[to]->entry.zone == zone ? 1 : 2;
+    CacheSource source;
+    source.tokens = tokens;
+    source.link_ms = distance * token_ms * (tokens - holdings_[to].known_tokens);
+    source.ms = source.link_ms + distance * call_ms;
+    return source;
+  }
+
+  /// What holds for all candidates alike, so that it is found out once: engines
+  /// that parts may be fetched from, what the store keeps, and their links.
+  void FindSources() {
+    if (query_.chain->shared_tokens < kWorthFetching) return;
+    if (query_.store) LookIntoStore();
+    if (query_.store && !weights_.engines_as_sources) return;
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      const Backend& backend = *candidates_[i];
+      const bool usable = backend.avoid_until <= query_.now && backend.reachable &&
+                          !backend.missing_until && !holdings_[i].doubtful &&
+                          holdings_[i].fetchable_tokens > 0;
+      if (usable) engine_sources_.push_back({i, LinkWait(LinkOf(backend.entry.address))});
+    }
+  }
+
+  void LookIntoStore() {
+    store_wait_ = LinkWait(query_.store->link);
+    for (const BackendPtr& candidate : candidates_) {
+      const auto [entry, is_new] = store_tokens_.try_emplace(WeightsOf(*candidate));
+      if (is_new) entry->second = TokensInStore(entry->first);
+    }
+  }
+
   std::uint32_t TokensInStore(WeightsNumber weights) const {
     // While another engine reads the parts nobody has them to fetch from.
     if (query_.store->kept == nullptr) return being_read_ ? 0 : query_.chain->shared_tokens;
@@ -163,10 +197,6 @@
     return query_.store->kept->Find(parts, weights_.reading_time, query_.now).readable;
   }
 
-  double Distance(const ZoneId& from, std::size_t to) const {
-    return candidates_[to]->entry.zone == from ? 1 : 2;
-  }
-
   double LinkWait(LinkHash link) const {
     if (query_.links == nullptr || !weights_.watch_links) return 0;
     const std::chrono::duration<double, std::milli> wait = query_.links->WaitAt(link, query_.now);
@@ -267,6 +297,9 @@
   const PlacementWeights& weights_;
   std::vector<std::uint64_t> id_hashes_;  ///< by candidate
   std::vector<Holding> holdings_;
+  std::vector<EngineSource> engine_sources_;
+  std::map<WeightsNumber, std::uint32_t> store_tokens_;  ///< of the chain, by weights
+  double store_wait_ = 0;                                ///< ms
   std::size_t home_ = kNone;
   bool being_read_ = false;  ///< an engine on the newest weights reads the parts now
 };
--- a/model/engine_model.h
+++ b/model/engine_model.h
@@ -5,14 +5,11 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
-#include <optional>
-#include <string>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
 #include "gateway/engine_cache.h"
-#include "gateway/placement.h"
 
 namespace ridgehold::model {
 
--- a/model/patterns.cc
+++ b/model/patterns.cc
@@ -11,6 +11,18 @@
 
 Demand ShortPrompts(double per_second) { return {"/short/", per_second, 400ms, 0, 198, 628, 157}; }
 
+/// So many engines are left within the span, and all caches are lost with the others.
+Pattern WithEnginesLost(std::size_t left, std::chrono::milliseconds from,
+                        std::chrono::milliseconds until) {
+  Pattern pattern = RoofSurveys();
+  pattern.length = 12s;
+  pattern.engines_left = left;
+  pattern.lost_from = from;
+  pattern.lost_until = until;
+  pattern.new_weights = true;
+  return pattern;
+}
+
 }  // namespace
 
 Pattern RoofSurveys() {
@@ -20,25 +32,9 @@
   return pattern;
 }
 
-Pattern RolloutUnderLoad() {
-  Pattern pattern = RoofSurveys();
-  pattern.length = 12s;
-  pattern.engines_left = 4;
-  pattern.lost_from = 3s;
-  pattern.lost_until = 8s;
-  pattern.new_weights = true;
-  return pattern;
-}
+Pattern RolloutUnderLoad() { return WithEnginesLost(4, 3s, 8s); }
 
-Pattern EnginesLost() {
-  Pattern pattern = RoofSurveys();
-  pattern.length = 12s;
-  pattern.engines_left = 3;
-  pattern.lost_from = 2s;
-  pattern.lost_until = 6s;
-  pattern.new_weights = true;
-  return pattern;
-}
+Pattern EnginesLost() { return WithEnginesLost(3, 2s, 6s); }
 
 Pattern StoreLinkFull() {
   Pattern pattern = RoofSurveys();
