--- a/libs/control/include/control/held_key.h
+++ b/libs/control/include/control/held_key.h
@@ -3,9 +3,7 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -14,6 +12,7 @@
 #include "base/lease_clock.h"
 #include "control/state_store.h"
 #include "log/log.h"
+#include "net/wait.h"
 
 namespace ridgehold {
 
@@ -55,7 +54,7 @@
         const TimePoint next = Clock::now() + options_.ttl / options_.renewals;
         co_await Renew();
         co_await MarkActing();
-        co_await WaitUntil(next);
+        co_await WaitUntil(timer_, next);
         continue;
       }
       if (options_.exclusive && !looked_for_own_) {
@@ -63,7 +62,7 @@
       } else if (key_is_free_()) {
         co_await Take(StoreRevision(0), options_.separation);
       }
-      if (!lease_) co_await Wait(options_.look);
+      if (!lease_) co_await WaitFor(timer_, options_.look);
     }
   }
 
@@ -178,16 +177,6 @@
     clock_.Drop();
   }
 
-  net::awaitable<void> Wait(std::chrono::milliseconds time) {
-    co_await WaitUntil(Clock::now() + time);
-  }
-
-  net::awaitable<void> WaitUntil(TimePoint moment) {
-    ErrorCode ignored;
-    timer_.expires_at(moment);
-    co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
-  }
-
   Store& store_;
   Options options_;
   std::function<bool()> key_is_free_;
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -5,9 +5,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -23,6 +21,7 @@
 #include "control/rollout_step_log.h"
 #include "gateway/gateway_state.h"
 #include "log/log.h"
+#include "net/wait.h"
 
 namespace ridgehold {
 
@@ -50,7 +49,7 @@
       const TimePoint now = Clock::now();
       NoteMayOrder(duty_.MayAct(now));
       if (MayPrepare(now)) StartSteps(now);
-      co_await Wait(timer_, options_.look);
+      co_await WaitFor(timer_, options_.look);
     }
   }
 
@@ -153,7 +152,7 @@
     net::steady_timer timer(state_.executor());
     StepTimes times;
     times.begun = Clock::now();
-    const auto report = co_await control_.Report(step.engine->entry);
+    const auto report = co_await AskReport(step);
     if (!report) {
       times.outcome = "no_report";
       LeaveAlone(step);
@@ -172,6 +171,22 @@
     steps_.erase(id);
   }
 
+  /// A report of a later process at the address is none of this engine: that one
+  /// counts its orders anew, and its registration is on the way.
+  net::awaitable<std::optional<EngineReport>> AskReport(const RolloutStep& step) {
+    std::optional<EngineReport> report = co_await control_.Report(step.engine->entry);
+    const StartStamp known = step.engine->entry.started;
+    const bool compared = report && known != StartStamp() && report->started != StartStamp();
+    if (compared && report->started != known) {
+      Log(LogLevel::kInfo, "report of another incarnation",
+          {{"backend", step.engine->entry.id.value()},
+           {"started", std::to_string(report->started.value())},
+           {"known", std::to_string(known.value())}});
+      report.reset();
+    }
+    co_return report;
+  }
+
   net::awaitable<void> EmptyAndLoad(const RolloutStep& step, net::steady_timer& timer,
                                     StepTimes& times) {
     co_await Drain(step, timer);
@@ -189,7 +204,7 @@
     bool empty = false;
     while (!empty && !stopped_ && Clock::now() - begun < pace_.DrainTime(step, Clock::now())) {
       KeepHeld(step);
-      co_await Wait(timer, options_.hold_spreads);
+      co_await WaitFor(timer, options_.hold_spreads);
       empty = RolloutPace::Unrepeatable(step) == 0;
     }
   }
@@ -201,7 +216,7 @@
       const TimePoint now = Clock::now();
       if (MayOrder(now) && Loading() < pace_.TurnsFor(Answering(now), now)) break;
       KeepHeld(step);
-      co_await Wait(timer, options_.look);
+      co_await WaitFor(timer, options_.look);
     }
   }
 
@@ -225,7 +240,7 @@
     std::optional<WeightsNumber> ordered;
     std::uint32_t at_once = 0;
     while (Clock::now() < give_up && !stopped_ && !step.engine->removed) {
-      const auto report = co_await control_.Report(step.engine->entry);
+      const auto report = co_await AskReport(step);
       if (!report) {
         times.outcome = "no_report";
         LeaveAlone(step);
@@ -247,7 +262,7 @@
         if (ordered) pause = options_.first_poll;
       }
       KeepHeld(step);
-      co_await Wait(timer, pause);
+      co_await WaitFor(timer, pause);
     }
   }
 
@@ -302,12 +317,6 @@
     return std::chrono::duration_cast<Duration>(Clock::now() - moment);
   }
 
-  static net::awaitable<void> Wait(net::steady_timer& timer, std::chrono::milliseconds time) {
-    ErrorCode ignored;
-    timer.expires_after(time);
-    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
-  }
-
   Control& control_;
   HeldKey<Store>& duty_;
   GatewayState& state_;
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -2,9 +2,7 @@
 
 #pragma once
 
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -18,6 +16,7 @@
 #include "control/store_contact.h"
 #include "control/stored_fact.h"
 #include "log/log.h"
+#include "net/wait.h"
 
 namespace ridgehold {
 
@@ -58,7 +57,7 @@
     while (!stopped_) {
       if (listed_ && options_.follows_peer()) {
         contact_.NoteUnasked();
-        co_await Wait(options_.peer_look);
+        co_await WaitFor(timer_, options_.peer_look);
         continue;
       }
       // No co_await within a condition: g++ 12 miscompiles some of them.
@@ -200,7 +199,7 @@
     const auto late = now - begun - wait;
     const bool waited = answer->events.empty() && late >= Duration::zero() && late <= kPromptAnswer;
     state_.ConfirmSnapshot(waited ? begun + wait : begun);
-    if (!answer->events.empty()) co_await Wait(options_.gather);
+    if (!answer->events.empty()) co_await WaitFor(timer_, options_.gather);
   }
 
   /// When something heard of at `now` was written at the earliest: bounds count
@@ -260,7 +259,10 @@
           take(std::move(fact));
           return {};
         },
-        [&](const Failure& failure) { sink_.Reject(item, failure); });
+        [&](const Failure& failure) {
+          sink_.Reject(item, failure);
+          if (const auto id = Codec::BackendOf(item.key)) sink_.RejectBackend(*id, Clock::now());
+        });
   }
 
   void NoteAnswer() {
@@ -288,13 +290,7 @@
   net::awaitable<void> Pause() {
     const std::chrono::milliseconds pause = pause_;
     pause_ = std::min(pause_ * 2, options_.longest_pause);
-    co_await Wait(pause);
-  }
-
-  net::awaitable<void> Wait(std::chrono::milliseconds time) {
-    ErrorCode ignored;
-    timer_.expires_after(time);
-    co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    co_await WaitFor(timer_, pause);
   }
 
   /// Changes remembered; a large fleet's heartbeats and a rollout make some
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -6,11 +6,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <cstdlib>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -25,6 +24,7 @@
 #include "gateway/caller_server.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
+#include "net/wait.h"
 #include "peers/peer_link.h"
 #include "peers/store_copy.h"
 #include "peers/store_copy_reader.h"
@@ -71,6 +71,11 @@
     return {};
   }
 
+  /// The settings of the product's own that are in force, for `/state`.
+  void ShowSettings(std::map<std::string, std::string> settings) {
+    settings_in_force_ = std::move(settings);
+  }
+
   /// Takes the bounds of settings that were read again. Addresses and names are
   /// those of the start; that another is wanted is logged.
   void Apply(const EntrySettings& settings) {
@@ -320,6 +325,7 @@
     facts.ready = Ready();
     facts.holds_rollout = duty_.Held(Clock::now());
     facts.connections = server_.open_connections();
+    facts.settings = settings_in_force_;
     return DumpState(state_, facts, Clock::now());
   }
 
@@ -336,7 +342,7 @@
         was_ready = ready;
         LogReadiness(ready, now);
       }
-      co_await Wait(tuning_.housekeeping);
+      co_await WaitFor(timer_, tuning_.housekeeping);
     }
   }
 
@@ -346,11 +352,11 @@
     net::steady_timer timer(executor_);
     const TimePoint stop_by = latest - tuning_.longest_load;
     while (duty_.Held(Clock::now()) && !rollout_.finished() && Clock::now() < stop_by) {
-      co_await WaitOn(timer, tuning_.housekeeping / 5);
+      co_await WaitFor(timer, tuning_.housekeeping / 5);
     }
     rollout_.Stop();
     while (!rollout_.idle() && Clock::now() < latest) {
-      co_await WaitOn(timer, tuning_.housekeeping / 5);
+      co_await WaitFor(timer, tuning_.housekeeping / 5);
     }
     co_await duty_.Release();
     duty_handed_over_ = true;
@@ -371,8 +377,8 @@
     net::steady_timer timer(executor_);
     net::co_spawn(executor_, HandOverDuty(latest), net::detached);
     co_await member_.Release();
-    co_await WaitOn(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
-                               begun + tuning_.lame_duck - Clock::now()));
+    co_await WaitFor(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
+                                begun + tuning_.lame_duck - Clock::now()));
     server_.Stop();
     state_.RefuseNewRequests();
     while (Clock::now() < latest) {
@@ -380,7 +386,7 @@
       if (Clock::now() >= state_.last_answers()) server_.AnswerWaiting();
       const bool empty = state_.in_flight() == 0 && server_.open_connections() == 0;
       if (empty && duty_handed_over_) break;
-      co_await WaitOn(timer, tuning_.housekeeping / 5);
+      co_await WaitFor(timer, tuning_.housekeeping / 5);
     }
     Log(LogLevel::kInfo, "stopped", {{"in_flight", std::to_string(state_.in_flight())}});
     done_ = true;
@@ -390,17 +396,10 @@
     done();
   }
 
-  net::awaitable<void> Wait(std::chrono::milliseconds time) { co_await WaitOn(timer_, time); }
-
-  static net::awaitable<void> WaitOn(net::steady_timer& timer, std::chrono::milliseconds time) {
-    ErrorCode ignored;
-    timer.expires_after(time);
-    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
-  }
-
   net::any_io_executor executor_;
   EntrySettings settings_;
   EntryTuning tuning_;
+  std::map<std::string, std::string> settings_in_force_;
   Metrics metrics_;
   mutable GatewayState state_;
   OwnRecords records_;
--- a/libs/entry/include/entry/state_dump.h
+++ b/libs/entry/include/entry/state_dump.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <string>
 
 #include "base/ids.h"
@@ -16,7 +17,8 @@
   DaemonId daemon;
   bool ready = false;
   bool holds_rollout = false;
-  std::size_t connections = 0;  ///< of callers
+  std::size_t connections = 0;                  ///< of callers
+  std::map<std::string, std::string> settings;  ///< in force, by name
 };
 
 /// Returns the state at `now` as JSON text.
--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -10,11 +10,17 @@
 using nlohmann::json;
 
 json Describe(const Backend& backend) {
-  return {{"id", backend.entry.id.value()},     {"service", backend.entry.service.value()},
-          {"address", backend.entry.address},   {"zone", backend.entry.zone.value()},
-          {"draining", backend.entry.draining}, {"missing", backend.missing_until.has_value()},
-          {"in_flight", backend.in_flight},     {"peers_running", backend.peers.running},
-          {"failures", backend.failures},       {"error_rate", backend.error_rate}};
+  return {{"id", backend.entry.id.value()},
+          {"started", backend.entry.started.value()},
+          {"service", backend.entry.service.value()},
+          {"address", backend.entry.address},
+          {"zone", backend.entry.zone.value()},
+          {"draining", backend.entry.draining},
+          {"missing", backend.missing_until.has_value()},
+          {"in_flight", backend.in_flight},
+          {"peers_running", backend.peers.running},
+          {"failures", backend.failures},
+          {"error_rate", backend.error_rate}};
 }
 
 }  // namespace
@@ -34,6 +40,7 @@
                      {"rollout_held", facts.holds_rollout},
                      {"in_flight", state.in_flight()},
                      {"connections", facts.connections},
+                     {"settings", facts.settings},
                      {"backends", backends}};
   return dump.dump(2, ' ', false, json::error_handler_t::replace);
 }
--- /dev/null
+++ b/libs/entry/test/state_dump-test.cc
@@ -0,0 +1,28 @@
+#include "entry/state_dump.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include "gateway/gateway_state.h"
+
+using namespace ridgehold;
+
+BOOST_AUTO_TEST_SUITE(state_dump)
+
+BOOST_AUTO_TEST_CASE(settings_in_force_and_backend_servers_are_shown) {
+  net::io_context io;
+  Metrics metrics;
+  GatewayState state(io.get_executor(), ZoneId("a"), GatewayLimits{}, PlacementWeights{}, metrics);
+  BackendEntry entry;
+  entry.id = BackendId("b");
+  entry.started = StartStamp(17);
+  state.directory().Put(entry);
+  InstanceFacts facts;
+  facts.settings["placement.older-weights"] = "61";
+  const auto dump = nlohmann::json::parse(DumpState(state, facts, Clock::now()));
+  BOOST_TEST(dump["settings"]["placement.older-weights"].get<std::string>() == "61");
+  BOOST_TEST(dump["backends"][0]["started"].get<int>() == 17);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -3,9 +3,7 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <memory>
 #include <optional>
 #include <set>
@@ -21,6 +19,7 @@
 #include "gateway/refusal.h"
 #include "gateway/request_log.h"
 #include "gateway/wire_format.h"
+#include "net/wait.h"
 
 namespace ridgehold {
 
@@ -138,9 +137,7 @@
     net::steady_timer timer(state_.executor());
     const TimePoint began = Clock::now();
     while (!caller_->caller_gone() && Clock::now() + state_.limits().least_time < WaitLimit()) {
-      ErrorCode ignored;
-      timer.expires_after(DeferredRequests::kLook);
-      co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+      co_await WaitFor(timer, DeferredRequests::kLook);
       const AdmissionQuery place = AdmissionQueryFor(plan_, *choice, Clock::now());
       if (!Admission::InTime(place)) ticket.SetLate();
       if (!ticket.MayLook() && !RuleOfAdmission().WaitedEnough(place)) continue;
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -2,21 +2,18 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "log/duration_text.h"
 #include "log/log.h"
+#include "net/wait.h"
 
 namespace ridgehold {
 
 net::awaitable<void> BackendProber::Run() {
   while (options_.enabled) {
     StartProbes(Clock::now());
-    ErrorCode ignored;
-    timer_.expires_after(options_.look);
-    co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    co_await WaitFor(timer_, options_.look);
   }
 }
 
--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -2,9 +2,7 @@
 
 #pragma once
 
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -16,6 +14,7 @@
 #include "gateway/gateway_state.h"
 #include "log/log.h"
 #include "net/http_call.h"
+#include "net/wait.h"
 #include "peers/store_copy.h"
 
 namespace ridgehold {
@@ -72,9 +71,7 @@
       if (relay) co_await Ask(*relay);
       const std::string peer = stale ? AnyPeer() : "";
       if (!peer.empty()) co_await Ask(peer);
-      ErrorCode ignored;
-      timer_.expires_after(relay && !stale ? options_.relay_pause : options_.look);
-      co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
+      co_await WaitFor(timer_, relay && !stale ? options_.relay_pause : options_.look);
     }
   }
 
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "log/log.h"
+#include "net/wait.h"
 #include "peers/news_codec.h"
 
 namespace ridgehold {
@@ -49,9 +50,7 @@
     const TimePoint now = Clock::now();
     loads_.Expire(now);
     if (now >= NextSend(peers.size())) SendNews(peers, now);
-    ErrorCode ignored;
-    timer_.expires_at(NextSend(peers.size()));
-    co_await timer_.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    co_await WaitUntil(timer_, NextSend(peers.size()));
   }
   state_.SetPlacedListener({});
 }
@@ -78,7 +77,7 @@
   std::vector<LoadNews> loads;
   for (const auto& [id, backend] : state_.directory().all()) {
     if (backend->in_flight == 0) continue;
-    loads.push_back({HashOf(id), backend->in_flight,
+    loads.push_back({HashOf(*backend), backend->in_flight,
                      static_cast<std::uint32_t>(std::max(0.0, backend->unprefilled_tokens)),
                      backend->unrepeatable, state_.Uncovered(*backend, Clock::now())});
   }
