Registrations: incarnations by their start, unreadable ones name nothing to use

Cause: a process may start again under its id; the id was taken for the incarnation, so its successor kept pictures, counts and weights of a process that was gone. Registrations need all the fields that the platform names, each of its type; others end their backend server's use at once, in a watch, a list or a peer's copy. Registrations for services that the configuration lacks end nobody at their address and get no orders. Lines about unreadable values are bounded to 20 in 10 s; the metric counts all.

--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -26,6 +26,10 @@
 /// address is told from its predecessor.
 using Incarnation = Strong<struct IncarnationTag, std::string>;
 
+/// When a backend server's process started, as it says itself, in Unix
+/// milliseconds; 0: not known. Of two incarnations with one id the later counts.
+using StartStamp = Strong<struct StartStampTag, std::uint64_t>;
+
 /// The configuration's revision: 0 is empty, and each accepted change adds 1.
 using Revision = Strong<struct RevisionTag, std::uint64_t>;
 
--- a/libs/control/include/control/backend_control.h
+++ b/libs/control/include/control/backend_control.h
@@ -21,6 +21,7 @@
 
 /// What an engine says of itself; some hundred ms old.
 struct EngineReport {
+  StartStamp started;
   std::map<ModelId, WeightsNumber> weights;
   bool busy = false;               ///< an order is being carried out
   std::uint64_t orders_taken = 0;  ///< number of orders accepted since its start
--- a/libs/control/include/control/fact_sink.h
+++ b/libs/control/include/control/fact_sink.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <string>
 
 #include "base/result.h"
@@ -33,6 +34,10 @@
   /// A registration is gone; see BackendDirectory::Remove for `grace`.
   void RemoveBackend(const BackendId& id, Duration grace, TimePoint now);
 
+  /// A registration that cannot be read names nothing to use, whatever it named
+  /// before: no new requests go there from now on.
+  void RejectBackend(const BackendId& id, TimePoint now);
+
   /// All registrations of a full listing.
   void ReplaceBackends(const std::vector<BackendEntry>& entries, Duration grace, TimePoint now);
 
@@ -44,9 +49,17 @@
   void TakeWeights(const WeightsOrder& order, const Writing& writing);
   void TakeBackend(const StoreItem& item, const BackendEntry& entry);
   void CountMembers();
+  /// Whether one more line about an unreadable value may be written: a faulty
+  /// writer could fill the log. All are counted in the metrics.
+  bool MayLogRejection(TimePoint now);
+
+  static constexpr std::chrono::seconds kRejectionWindow{10};
+  static constexpr int kMostRejectionLines = 20;  ///< in one window
 
   GatewayState& state_;
   OwnRecords& records_;
+  TimePoint rejections_since_{};
+  int rejection_lines_ = 0;
 };
 
 }  // namespace ridgehold
--- a/libs/control/src/fact_sink.cc
+++ b/libs/control/src/fact_sink.cc
@@ -1,5 +1,7 @@
 #include "control/fact_sink.h"
 
+#include <set>
+
 #include "log/duration_text.h"
 #include "log/log.h"
 
@@ -22,7 +24,10 @@
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(snapshot, RoutingSnapshot::Create(std::move(parts)));
         const std::size_t routes = snapshot->routes().size();
+        std::set<ServiceId> services;
+        for (const ServiceRule& service : snapshot->services()) services.insert(service.id);
         const bool taken = state_.TakeSnapshot(std::move(snapshot));
+        if (taken) state_.directory().SetServices(std::move(services));
         Log(LogLevel::kInfo, taken ? "configuration taken" : "configuration not newer",
             {{"config", version},
              {"routes", std::to_string(routes)},
@@ -48,10 +53,16 @@
   const bool is_new = known == nullptr;
   const bool drains = entry.draining && (is_new || !known->entry.draining);
   const bool returned = !is_new && known->missing_until.has_value();
-  state_.directory().Put(entry);
-  if (!is_new && !drains && !returned) return;
-  Log(LogLevel::kInfo, drains ? "backend drains" : (is_new ? "backend added" : "backend returned"),
+  const Registration registration = state_.directory().Put(entry);
+  // Its kept connections are the former process's.
+  if (registration == Registration::kRestarted) state_.pool().Forget(entry.address);
+  if (registration == Registration::kChanged && !drains && !returned) return;
+  const char* event = drains ? "backend drains" : (is_new ? "backend added" : "backend returned");
+  if (registration == Registration::kRestarted) event = "backend restarted";
+  if (registration == Registration::kOutdated) event = "outdated registration ignored";
+  Log(LogLevel::kInfo, event,
       {{"backend", entry.id.value()},
+       {"started", std::to_string(entry.started.value())},
        {"service", entry.service.value()},
        {"address", entry.address},
        {"zone", entry.zone.value()},
@@ -75,6 +86,10 @@
   Log(LogLevel::kInfo, "gateways alive", {{"count", std::to_string(members)}});
 }
 
+void FactSink::RejectBackend(const BackendId& id, TimePoint now) {
+  RemoveBackend(id, Duration::zero(), now);
+}
+
 void FactSink::RemoveBackend(const BackendId& id, Duration grace, TimePoint now) {
   const BackendPtr known = state_.directory().Find(id);
   if (!known) return;
@@ -94,8 +109,17 @@
        {"missing_used_on_for_ms", MillisecondsText(grace)}});
 }
 
+bool FactSink::MayLogRejection(TimePoint now) {
+  if (now - rejections_since_ >= kRejectionWindow) {
+    rejections_since_ = now;
+    rejection_lines_ = 0;
+  }
+  return rejection_lines_++ < kMostRejectionLines;
+}
+
 void FactSink::Reject(const StoreItem& item, const Failure& failure) {
   state_.metrics().GetCounter("ridgehold_malformed_facts").Add();
+  if (!MayLogRejection(Clock::now())) return;
   Log(LogLevel::kWarn, "malformed value in the store",
       {{"key", item.key}, {"store_revision", RevisionText(item)}, {"detail", failure.detail}});
 }
--- a/libs/control/src/rollout_plan.cc
+++ b/libs/control/src/rollout_plan.cc
@@ -18,6 +18,7 @@
                                          const NamedWeights& named) {
   std::vector<RolloutStep> steps;
   for (const auto& [id, engine] : directory.all()) {
+    if (!directory.IsServed(engine->entry.service)) continue;
     for (const auto& [model, weights] : engine->weights) {
       if (!IsOutdated(*engine, model, weights, named)) continue;
       steps.push_back({engine, model});
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -140,6 +140,58 @@
   BOOST_TEST(metrics.GetCounter("ridgehold_malformed_facts").value() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(registration_that_cannot_be_read_any_more_names_nothing_to_use) {
+  table.Put("backend/b1", "x");
+  table.Put("backend/b2", "x");
+  Start();
+  BOOST_REQUIRE(Has("b1"));
+  table.Put("backend/b1", "bad");
+  io.run_for(50ms);
+  BOOST_TEST(!Has("b1"));
+  BOOST_TEST(Has("b2"));
+  table.Put("backend/b1", "x");
+  io.run_for(50ms);
+  BOOST_TEST(Has("b1"));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_registration_in_a_list_is_not_used_on) {
+  table.Put("backend/b1", "x");
+  table.Put("backend/b2", "x");
+  Start();
+  store.faults.down = true;
+  io.run_for(StoreContact::kAwayAfter + 200ms);
+  table.Put("backend/b1", "bad");
+  table.ForgetHistory();
+  store.faults.down = false;
+  io.run_for(300ms);
+  BOOST_TEST(!Has("b1"));
+  BOOST_TEST(Has("b2"));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_registration_in_a_peers_copy_is_not_used_on) {
+  table.Put("backend/b1", "x");
+  table.Put("backend/b2", "x");
+  Start();
+  store.faults.down = true;
+  io.run_for(50ms);
+  table.Put("backend/b1", "bad");
+  TakeChangesOfPeer();
+  BOOST_TEST(!Has("b1"));
+  BOOST_TEST(Has("b2"));
+  table.Put("backend/b2", "bad");
+  table.Put("backend/b3", "x");
+  TakeCopyOfPeer();
+  BOOST_TEST(!Has("b2"));
+  BOOST_TEST(Has("b3"));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_values_are_counted_and_their_lines_bounded) {
+  Start();
+  for (int i = 0; i < 60; ++i) table.Put("backend/b" + std::to_string(i), "bad");
+  io.run_for(100ms);
+  BOOST_TEST(metrics.GetCounter("ridgehold_malformed_facts").value() == 60);
+}
+
 BOOST_AUTO_TEST_CASE(forgotten_history_leads_to_a_new_listing) {
   table.Put("backend/b1", "x");
   Start();
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -20,10 +20,11 @@
 
 namespace ridgehold {
 
-/// What a backend server has registered about itself. Its id is new with each
-/// start, so the id is the incarnation as well.
+/// What a backend server has registered about itself. A process that starts
+/// again may do so under the id that it had; `started` then tells the two apart.
 struct BackendEntry {
   BackendId id;
+  StartStamp started;
   ServiceId service;
   std::string address;
   ZoneId zone;
@@ -68,6 +69,17 @@
 
 using BackendPtr = std::shared_ptr<Backend>;
 
+/// Of this incarnation.
+BackendHash HashOf(const Backend& backend);
+
+/// What a registration meant to the directory.
+enum class Registration : std::uint8_t {
+  kAdded,
+  kChanged,
+  kRestarted,  ///< the id is known, from a process that started earlier
+  kOutdated,   ///< of a process that was followed by another; ignored
+};
+
 /// Not thread-safe; time comes in as a value.
 class BackendDirectory {
  public:
@@ -80,8 +92,16 @@
   /// A backend server has registered or changed its entry. A new one at an
   /// address ends those that were there before: their own entries lapse only
   /// seconds later, and each request sent there meanwhile costs a retry (184 in
-  /// 14 s, when a third of the engines crashed three times).
-  void Put(const BackendEntry& entry);
+  /// 14 s, when a third of the engines crashed three times). A later start under
+  /// a known id begins anew: that process holds nothing of what was sent before.
+  Registration Put(const BackendEntry& entry);
+
+  /// The services that the configuration has. Registrations for others are kept,
+  /// in case it comes later, but end nobody and are given nothing.
+  void SetServices(std::set<ServiceId> services);
+  bool IsServed(const ServiceId& service) const {
+    return services_.empty() || services_.contains(service);
+  }
 
   /// An entry is gone. With `grace` above zero the backend server is used on
   /// until it has passed, in case the entry comes back.
@@ -120,12 +140,22 @@
   static void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber weights);
 
  private:
-  void Store(const BackendEntry& entry);
+  /// Restarts remembered for entries that come late; more are forgotten with
+  /// their backend servers.
+  static constexpr std::size_t kMostStarts = 20'000;
+
+  Registration Judge(const BackendEntry& entry) const;
+  /// Puts what Judge has not found outdated, without regard to others.
+  void Store(const BackendEntry& entry, Registration registration);
+  void NoteStart(const BackendEntry& entry);
+  void Drop(const BackendId& id);
   /// Ends those at the address of `newcomer`, if that is not known yet.
   void Supersede(const BackendEntry& newcomer);
 
   std::map<BackendId, BackendPtr> backends_;
   std::unordered_map<BackendHash, BackendPtr> by_hash_;
+  std::unordered_map<BackendId, StartStamp> starts_;  ///< the latest known
+  std::set<ServiceId> services_;                      ///< empty: not known yet
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/gateway_news.h
+++ b/libs/gateway/include/gateway/gateway_news.h
@@ -15,10 +15,12 @@
 
 namespace ridgehold {
 
-/// Stands for a backend server's id between gateways.
+/// Stands for one incarnation of a backend server between gateways.
 using BackendHash = std::uint64_t;
 
-BackendHash HashOf(const BackendId& id);
+/// Differs for two incarnations with the same id, if their starts are known: news
+/// of the former must not count for the latter.
+BackendHash HashOf(const BackendId& id, StartStamp started = StartStamp());
 
 /// One gateway's requests at a backend server.
 struct LoadNews {
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -19,51 +19,91 @@
 
 }  // namespace
 
-void BackendDirectory::Put(const BackendEntry& entry) {
+BackendHash HashOf(const Backend& backend) {
+  return HashOf(backend.entry.id, backend.entry.started);
+}
+
+Registration BackendDirectory::Put(const BackendEntry& entry) {
+  const Registration registration = Judge(entry);
+  if (registration == Registration::kOutdated) return registration;
   Supersede(entry);
-  Store(entry);
+  Store(entry, registration);
+  return registration;
 }
 
-void BackendDirectory::Store(const BackendEntry& entry) {
+Registration BackendDirectory::Judge(const BackendEntry& entry) const {
+  const auto start = starts_.find(entry.id);
+  const bool compared = start != starts_.end() && entry.started != StartStamp();
+  if (compared && entry.started < start->second) return Registration::kOutdated;
+  const auto known = backends_.find(entry.id);
+  if (known == backends_.end()) return Registration::kAdded;
+  const bool later = compared && entry.started > known->second->entry.started;
+  return later ? Registration::kRestarted : Registration::kChanged;
+}
+
+void BackendDirectory::Store(const BackendEntry& entry, Registration registration) {
+  if (registration == Registration::kRestarted) Drop(entry.id);
+  NoteStart(entry);
   BackendPtr& backend = backends_[entry.id];
-  if (!backend) {
-    backend = std::make_shared<Backend>();
-    by_hash_[HashOf(entry.id)] = backend;
-  }
+  if (!backend) backend = std::make_shared<Backend>();
+  by_hash_.erase(HashOf(*backend));
   backend->missing_until.reset();
   backend->removed = false;
   for (const auto& [model, weights] : entry.weights) RaiseWeights(*backend, model, weights);
+  // An entry that does not tell the start is of the process that is known.
+  const StartStamp started = std::max(entry.started, backend->entry.started);
   backend->entry = entry;
+  backend->entry.started = started;
+  by_hash_[HashOf(*backend)] = backend;
+}
+
+void BackendDirectory::NoteStart(const BackendEntry& entry) {
+  if (entry.started == StartStamp()) return;
+  if (starts_.size() >= kMostStarts) {
+    std::erase_if(starts_, [this](const auto& start) { return !backends_.contains(start.first); });
+  }
+  starts_[entry.id] = entry.started;
 }
 
 void BackendDirectory::Supersede(const BackendEntry& newcomer) {
   if (newcomer.address.empty() || backends_.contains(newcomer.id)) return;
+  if (!IsServed(newcomer.service)) return;
   for (const auto& [id, backend] : backends_) {
     if (backend->entry.address == newcomer.address) backend->superseded = true;
   }
 }
 
+void BackendDirectory::SetServices(std::set<ServiceId> services) {
+  services_ = std::move(services);
+}
+
+void BackendDirectory::Drop(const BackendId& id) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  found->second->removed = true;
+  by_hash_.erase(HashOf(*found->second));
+  backends_.erase(found);
+}
+
 void BackendDirectory::Remove(const BackendId& id, Duration grace, TimePoint now) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
+  if (grace <= Duration::zero()) return Drop(id);
   Backend& backend = *found->second;
-  if (grace > Duration::zero()) {
-    if (!backend.missing_until) backend.missing_until = now + grace;
-    return;
-  }
-  backend.removed = true;
-  by_hash_.erase(HashOf(id));
-  backends_.erase(found);
+  if (!backend.missing_until) backend.missing_until = now + grace;
 }
 
 void BackendDirectory::Replace(const std::vector<BackendEntry>& entries, Duration grace,
                                TimePoint now) {
   std::set<BackendId> listed;
   // Which of two at one address is newer, the list does not tell.
-  for (const BackendEntry& entry : entries) Supersede(entry);
+  for (const BackendEntry& entry : entries) {
+    if (Judge(entry) != Registration::kOutdated) Supersede(entry);
+  }
   for (const BackendEntry& entry : entries) {
     listed.insert(entry.id);
-    Store(entry);
+    const Registration registration = Judge(entry);
+    if (registration != Registration::kOutdated) Store(entry, registration);
   }
   std::vector<BackendId> missing;
   for (const auto& [id, backend] : backends_) {
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -7,7 +7,7 @@
 PlacedNews PlacedNewsOf(const ExchangePlan& plan, const InboundRequest& request,
                         const BackendChoice& choice) {
   PlacedNews placed;
-  placed.backend = HashOf(choice.backend->entry.id);
+  placed.backend = HashOf(*choice.backend);
   placed.new_tokens = choice.tokens_to_store + request.generation->max_output_tokens;
   placed.own_tokens = plan.chain->own_tokens() + request.generation->max_output_tokens;
   placed.parts = plan.chain->parts;
--- a/libs/gateway/src/gateway_news.cc
+++ b/libs/gateway/src/gateway_news.cc
@@ -5,8 +5,8 @@
 
 namespace ridgehold {
 
-BackendHash HashOf(const BackendId& id) {
-  return XXH3_64bits(id.value().data(), id.value().size());
+BackendHash HashOf(const BackendId& id, StartStamp started) {
+  return XXH3_64bits_withSeed(id.value().data(), id.value().size(), started.value());
 }
 
 }  // namespace ridgehold
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -70,13 +70,13 @@
 
 void GatewayState::Hold(Backend& backend, std::chrono::milliseconds length, TimePoint now) {
   backend.hold_until = now + length;
-  news_.holds.push_back({HashOf(backend.entry.id), length});
+  news_.holds.push_back({HashOf(backend), length});
 }
 
 void GatewayState::NoteUnreachable(Backend& backend) {
   backend.doubted = true;
   if (!std::exchange(backend.reachable, false)) return;
-  news_.unreachable.push_back(HashOf(backend.entry.id));
+  news_.unreachable.push_back(HashOf(backend));
 }
 
 std::uint32_t GatewayState::Uncovered(const Backend& backend, TimePoint now) {
@@ -91,7 +91,7 @@
   const auto known = backend.weights.find(model);
   if (known != backend.weights.end() && known->second >= number) return;
   BackendDirectory::NoteWeights(backend, model, number);
-  news_.weights.push_back({HashOf(backend.entry.id), model, number});
+  news_.weights.push_back({HashOf(backend), model, number});
 }
 
 }  // namespace ridgehold
--- a/libs/gateway/test/backend_directory-test.cc
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -107,6 +107,83 @@
   BOOST_TEST(directory.Usable(kService, kStart).size() == 2U);
 }
 
+BackendEntry Started(const std::string& id, std::uint64_t started) {
+  BackendEntry entry = Entry(id);
+  entry.started = StartStamp(started);
+  entry.address = "10.0.0.1:1";
+  return entry;
+}
+
+// The pattern: an engine that crashes and starts again under the id that it had.
+BOOST_AUTO_TEST_CASE(later_start_under_a_known_id_begins_anew) {
+  BackendDirectory directory;
+  BOOST_TEST((directory.Put(Started("b", 5)) == Registration::kAdded));
+  const BackendPtr before = directory.Find(BackendId("b"));
+  const SharedPart part{7, 50};
+  before->cache.Use({&part, 1}, 100, 1'000, kStart);
+  before->in_flight = 3;
+  before->peers.running = 4;
+  before->failures = 2;
+  BackendDirectory::NoteWeights(*before, kModel, WeightsNumber(2));
+  BOOST_TEST((directory.Put(Started("b", 6)) == Registration::kRestarted));
+  const BackendPtr after = directory.Find(BackendId("b"));
+  BOOST_TEST(before->removed);
+  BOOST_TEST(!after->removed);
+  BOOST_TEST(after->cache.tokens() == 0U);
+  BOOST_TEST(after->in_flight == 0U);
+  BOOST_TEST(after->peers.running == 0U);
+  BOOST_TEST(after->failures == 0U);
+  BOOST_TEST(after->weights.empty());
+  BOOST_TEST(directory.FindByHash(HashOf(*before)) == nullptr);
+  BOOST_TEST(directory.FindByHash(HashOf(*after)) == after);
+  BOOST_TEST(directory.Usable(kService, kStart).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(earlier_start_that_comes_late_is_ignored) {
+  BackendDirectory directory;
+  directory.Put(Started("b", 6));
+  const BackendPtr known = directory.Find(BackendId("b"));
+  BackendEntry late = Started("b", 5);
+  late.draining = true;
+  BOOST_TEST((directory.Put(late) == Registration::kOutdated));
+  BOOST_TEST(directory.Find(BackendId("b")) == known);
+  BOOST_TEST(!known->entry.draining);
+  directory.Remove(BackendId("b"), Duration::zero(), kStart);
+  BOOST_TEST((directory.Put(late) == Registration::kOutdated));
+  BOOST_TEST(directory.Usable(kService, kStart).empty());
+  BOOST_TEST((directory.Put(Started("b", 6)) == Registration::kAdded));
+}
+
+BOOST_AUTO_TEST_CASE(list_takes_starts_into_account) {
+  BackendDirectory directory;
+  directory.Put(Started("b", 6));
+  const BackendPtr known = directory.Find(BackendId("b"));
+  directory.Replace({Started("b", 5)}, 2s, kStart);
+  BOOST_TEST(directory.Find(BackendId("b")) == known);
+  directory.Replace({Started("b", 7)}, 2s, kStart);
+  BOOST_TEST(directory.Find(BackendId("b")) != known);
+  BOOST_TEST(known->removed);
+}
+
+BOOST_AUTO_TEST_CASE(entry_without_a_start_is_of_the_known_process) {
+  BackendDirectory directory;
+  directory.Put(Started("b", 6));
+  const BackendPtr known = directory.Find(BackendId("b"));
+  BOOST_TEST((directory.Put(Started("b", 0)) == Registration::kChanged));
+  BOOST_TEST(directory.FindByHash(HashOf(*known)) == known);
+  BOOST_TEST((directory.Put(Started("b", 7)) == Registration::kRestarted));
+}
+
+BOOST_AUTO_TEST_CASE(registration_for_an_unknown_service_ends_nobody) {
+  BackendDirectory directory;
+  directory.SetServices({kService});
+  directory.Put(Started("b", 0));
+  BackendEntry foreign = Started("x", 0);
+  foreign.service = ServiceId("nobody's");
+  directory.Put(foreign);
+  BOOST_TEST(directory.Usable(kService, kStart).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(failures_lengthen_the_backoff_up_to_a_limit) {
   BackendDirectory directory;
   directory.Put(Entry("b"));
