--- a/libs/control/include/control/own_records.h
+++ b/libs/control/include/control/own_records.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,6 +22,8 @@
 struct Member {
   std::string address;  ///< without a port
   ZoneId zone;
+
+  bool operator==(const Member&) const = default;
 };
 
 /// The value of a member's key.
@@ -32,9 +35,9 @@
 /// A copy of them as the store last told. Not thread-safe.
 class OwnRecords {
  public:
-  void Put(const StoreItem& item) { items_[item.key] = item; }
-  void Remove(const std::string& key) { items_.erase(key); }
-  void Clear() { items_.clear(); }
+  void Put(const StoreItem& item);
+  void Remove(const std::string& key);
+  void Clear();
 
   /// Returns the item, or null.
   const StoreItem* Find(const std::string& key) const;
@@ -43,14 +46,21 @@
   std::size_t MembersBefore(const std::string& key) const;
 
   /// Gateways that have a member's key, in the order of their names.
-  std::vector<Member> Members() const;
+  const std::vector<Member>& Members() const { return members_; }
+  /// Rises with each change of the members.
+  std::uint64_t members_version() const { return members_version_; }
 
   /// The member of `zone` that asks the store for the others there: the first
   /// by name. Nothing when none is known.
   std::optional<Member> RelayOf(const ZoneId& zone) const;
 
  private:
+  /// Decoded once a change, not with each of the hundreds of looks a second.
+  void ReadMembers();
+
   std::map<std::string, StoreItem> items_;
+  std::vector<Member> members_;
+  std::uint64_t members_version_ = 0;
 };
 
 }  // namespace ridgehold
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -187,10 +187,20 @@
     co_return report;
   }
 
+  /// Brings what all gateways do at the engine up to date.
+  net::awaitable<void> AskLoad(const RolloutStep& step) {
+    if (!state_.asks_first()) co_return;
+    LoadQuestion question;
+    question.backends.push_back(step.engine);
+    question.model = step.model;
+    co_await state_.AskLoads(std::move(question));
+  }
+
   net::awaitable<void> EmptyAndLoad(const RolloutStep& step, net::steady_timer& timer,
                                     StepTimes& times) {
     co_await Drain(step, timer);
     co_await AwaitTurn(step, timer);
+    co_await AskLoad(step);
     times.emptied = Clock::now();
     steps_[step.engine->entry.id].turn = times.emptied;
     co_await Load(step, timer, times);
@@ -205,6 +215,7 @@
     while (!empty && !stopped_ && Clock::now() - begun < pace_.DrainTime(step, Clock::now())) {
       KeepHeld(step);
       co_await WaitFor(timer, options_.hold_spreads);
+      co_await AskLoad(step);
       empty = RolloutPace::Unrepeatable(step) == 0;
     }
   }
--- a/libs/control/src/own_records.cc
+++ b/libs/control/src/own_records.cc
@@ -24,13 +24,30 @@
   return found == items_.end() ? nullptr : &found->second;
 }
 
-std::vector<Member> OwnRecords::Members() const {
+void OwnRecords::Put(const StoreItem& item) {
+  items_[item.key] = item;
+  if (item.key.starts_with(kMemberPrefix)) ReadMembers();
+}
+
+void OwnRecords::Remove(const std::string& key) {
+  items_.erase(key);
+  if (key.starts_with(kMemberPrefix)) ReadMembers();
+}
+
+void OwnRecords::Clear() {
+  items_.clear();
+  ReadMembers();
+}
+
+void OwnRecords::ReadMembers() {
   std::vector<Member> members;
   for (auto at = items_.lower_bound(kMemberPrefix);
        at != items_.end() && at->first.starts_with(kMemberPrefix); ++at) {
     if (auto member = DecodeMember(at->second.value)) members.push_back(std::move(*member));
   }
-  return members;
+  if (members == members_) return;
+  members_ = std::move(members);
+  ++members_version_;
 }
 
 std::size_t OwnRecords::MembersBefore(const std::string& key) const {
@@ -39,9 +56,8 @@
 }
 
 std::optional<Member> OwnRecords::RelayOf(const ZoneId& zone) const {
-  const std::vector<Member> members = Members();
-  const auto relay = std::ranges::find(members, zone, &Member::zone);
-  return relay == members.end() ? std::nullopt : std::optional(*relay);
+  const auto relay = std::ranges::find(members_, zone, &Member::zone);
+  return relay == members_.end() ? std::nullopt : std::optional(*relay);
 }
 
 }  // namespace ridgehold
--- a/libs/control/src/rollout_pace.cc
+++ b/libs/control/src/rollout_pace.cc
@@ -11,6 +11,9 @@
 // goes on under the new weights pauses for the load. The one is as bad as so
 // many of the other.
 constexpr std::uint32_t kLossAgainstPause = 2;
+// What engines that were asked about had to read so long ago still tells how busy
+// they are on the whole; the others are left out.
+constexpr std::chrono::milliseconds kLoadRemembered{1'000};
 
 }  // namespace
 
@@ -53,6 +56,7 @@
   std::uint32_t open = 0;
   for (const BackendPtr& engine : engines) {
     if (engine->hold_until > now || engine->avoid_until > now) continue;
+    if (state_.asks_first() && now - engine->peers_seen > kLoadRemembered) continue;
     unread += engine->unprefilled_tokens + engine->peers.unread_tokens;
     ++open;
   }
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -47,6 +47,7 @@
     BOOST_LEAF_AUTO(acceptor, Listen(executor, settings.caller_address));
     std::unique_ptr<EntryInstance> entry(
         new EntryInstance(executor, std::move(settings), tuning, std::move(acceptor)));
+    entry->state_.SetGatewayHash(LinkOf(entry->settings_.instance_address));
     BOOST_LEAF_CHECK(entry->OpenAdmin());
     BOOST_LEAF_CHECK(entry->OpenPeers());
     return entry;
@@ -223,8 +224,9 @@
     options.self = settings_.daemon;
     options.address = settings_.instance_address;
     options.port = settings_.first_peer_port;
+    options.most_told = tuning_.most_told;
     BOOST_LEAF_ASSIGN(
-        peers_, PeerLink::Create(state_, std::move(options), [this] { return PeerAddresses(); }));
+        peers_, PeerLink::Create(state_, std::move(options), records_, settings_.seed_addresses));
     const std::string address =
         settings_.instance_address + ":" + std::to_string(settings_.first_peer_port);
     BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, PeerPages()));
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -28,6 +28,10 @@
   /// down beyond a fifth of them.
   std::uint32_t engines_for_each_load = 5;
 
+  /// Gateways that tell each other of every request; in larger fleets those that
+  /// track a backend server are told and asked.
+  std::uint32_t most_told = 32;
+
   /// A call to the store takes 4 ms, and 0.4 s when the store is slow.
   std::chrono::milliseconds store_call{1'000};
   std::chrono::milliseconds control_call{800};
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -55,13 +55,15 @@
 
   std::uint32_t in_flight = 0;     ///< requests of this gateway
   std::uint32_t unrepeatable = 0;  ///< those of them that cannot be resumed elsewhere
-  PeerWork peers;
-  TimePoint hold_until{};         ///< to get no new requests before, if others can take them
-  double unprefilled_tokens = 0;  ///< of requests that have no first event yet
-  TimePoint avoid_until{};        ///< after failures, or while it loads weights
-  std::uint32_t failures = 0;     ///< in a row
-  double error_rate = 0;          ///< moving mean of failed answers
-  Duration begin_wait{0};         ///< until the first event, as requests waited lately
+  PeerWork peers;                  ///< of the other gateways, as far as is known
+  PeerWork heard;                  ///< of those that told this gateway themselves
+  TimePoint peers_seen{};          ///< when another gateway last said what `peers` is
+  TimePoint hold_until{};          ///< to get no new requests before, if others can take them
+  double unprefilled_tokens = 0;   ///< of requests that have no first event yet
+  TimePoint avoid_until{};         ///< after failures, or while it loads weights
+  std::uint32_t failures = 0;      ///< in a row
+  double error_rate = 0;           ///< moving mean of failed answers
+  Duration begin_wait{0};          ///< until the first event, as requests waited lately
   TimePoint begin_wait_seen{};
   std::multiset<TimePoint> waiting_since;  ///< of this gateway's requests without an event
   EngineCache cache;                       ///< under the weights it runs now
--- a/libs/gateway/include/gateway/deferred_requests.h
+++ b/libs/gateway/include/gateway/deferred_requests.h
@@ -21,6 +21,8 @@
   static constexpr std::size_t kLooking = 4;
   /// Between two looks: reading a piece of a prompt takes an engine 50 ms.
   static constexpr std::chrono::milliseconds kLook{15};
+  /// The same where a look costs questions to other gateways.
+  static constexpr std::chrono::milliseconds kAskingLook{50};
 
   /// Compares as the turns go.
   struct Place {
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <utility>
 
+#include "gateway/asked_choice.h"
 #include "gateway/attempt_policy.h"
 #include "gateway/backend_load.h"
 #include "gateway/caller_connection.h"
@@ -131,17 +132,18 @@
 
   /// Chooses an engine and waits, if need be, until it has room.
   net::awaitable<std::optional<BackendChoice>> ChooseInTurn() {
-    std::optional<BackendChoice> choice = Choose();
+    std::optional<BackendChoice> choice = co_await Choose();
     if (!choice || MaySend(*choice)) co_return choice;
     DeferredRequests::Ticket ticket(state_.deferred_requests(), plan_.priority.value_or(0));
     net::steady_timer timer(state_.executor());
     const TimePoint began = Clock::now();
     while (!caller_->caller_gone() && Clock::now() + state_.limits().least_time < WaitLimit()) {
-      co_await WaitFor(timer, DeferredRequests::kLook);
+      co_await WaitFor(
+          timer, state_.asks_first() ? DeferredRequests::kAskingLook : DeferredRequests::kLook);
       const AdmissionQuery place = AdmissionQueryFor(plan_, *choice, Clock::now());
       if (!Admission::InTime(place)) ticket.SetLate();
       if (!ticket.MayLook() && !RuleOfAdmission().WaitedEnough(place)) continue;
-      choice = Choose();
+      choice = co_await Choose();
       if (!choice || MaySend(*choice)) break;
     }
     record_.deferred = std::chrono::duration_cast<Duration>(Clock::now() - began);
@@ -150,8 +152,11 @@
 
   Admission RuleOfAdmission() const { return Admission{state_.limits().admission}; }
 
-  std::optional<BackendChoice> Choose() {
-    return ChooseFor(state_, plan_, inbound_, tried_, Clock::now());
+  net::awaitable<std::optional<BackendChoice>> Choose() {
+    if (!state_.asks_first()) co_return ChooseFor(state_, plan_, inbound_, tried_, Clock::now());
+    AskedChoice asked = co_await AskAndChoose(state_, plan_, inbound_, tried_);
+    record_.asking = asked.asking;
+    co_return std::move(asked.choice);
   }
 
   /// A stream that has begun goes on at once: its caller is reading.
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -5,7 +5,9 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "gateway/attempt_messages.h"
@@ -42,6 +44,7 @@
   double wait_ms = 0;                 ///< of that, until the prompt is read
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address that has shared parts
+  BackendPtr fetch_backend;               ///< the engine there; null: a store
   Duration fetch_length{0};               ///< that the link to it is busy
   std::optional<std::string> save_to;     ///< address of a store that is to keep them
   Duration save_length{0};                ///< that its link is busy
@@ -57,6 +60,20 @@
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now);
 
+/// Those that may be given the request at all.
+std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
+                                      const InboundRequest& request,
+                                      const std::set<BackendId>& tried, TimePoint now);
+
+/// The same among `candidates`, which are never none; `answers` is what the
+/// gateways say that track them, null where everything is known here.
+BackendChoice ChooseAmong(GatewayState& state, const ExchangePlan& plan,
+                          const InboundRequest& request, std::span<const BackendPtr> candidates,
+                          const LoadAnswer* answers, TimePoint now);
+
+/// The store that would keep the prompt's shared parts, or null.
+const KvCacheStore* StoreFor(const ExchangePlan& plan);
+
 /// What decides whether a request for text is sent to the chosen engine now.
 AdmissionQuery AdmissionQueryFor(const ExchangePlan& plan, const BackendChoice& choice,
                                  TimePoint now);
--- a/libs/gateway/include/gateway/gateway_news.h
+++ b/libs/gateway/include/gateway/gateway_news.h
@@ -41,6 +41,7 @@
   std::vector<SharedPart> parts;
   WeightsNumber weights;      ///< that the engine runs
   LinkHash fetched_from = 0;  ///< 0: nothing is fetched
+  BackendHash source = 0;     ///< the engine at that link, if it is one; not sent
   Duration fetch_length{0};   ///< that the link is busy
   LinkHash saved_to = 0;      ///< store that gets the parts; 0: none
   Duration save_length{0};    ///< that its link is busy
@@ -78,7 +79,7 @@
   }
 };
 
-/// One message.
+/// One message of news.
 struct GatewayNews {
   DaemonId daemon;
   std::uint64_t incarnation = 0;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 #include "gateway/backend_directory.h"
 #include "gateway/deferred_requests.h"
 #include "gateway/gateway_news.h"
+#include "gateway/load_report.h"
 #include "gateway/named_weights.h"
 #include "gateway/placement.h"
 #include "gateway/prefix_shares.h"
@@ -71,6 +72,9 @@
 
   net::any_io_executor executor() const { return executor_; }
   const ZoneId& zone() const { return zone_; }
+  /// Differs by gateway.
+  std::uint64_t gateway_hash() const { return gateway_hash_; }
+  void SetGatewayHash(std::uint64_t hash) { gateway_hash_ = hash; }
   const GatewayLimits& limits() const { return limits_; }
   /// New limits, for requests that are decided from now on.
   void SetLimits(const GatewayLimits& limits) {
@@ -82,6 +86,7 @@
   Metrics& metrics() { return metrics_; }
   ConnectionPool& pool() { return pool_; }
   BackendDirectory& directory() { return directory_; }
+  const BackendDirectory& directory() const { return directory_; }
   RetryAllowance& retries() { return retries_; }
 
   const std::shared_ptr<const RoutingSnapshot>& snapshot() const { return snapshot_; }
@@ -125,8 +130,32 @@
     retries_.SetGateways(gateways_, now);
   }
 
+  /// Asks the gateways that track backend servers; see SetLoadAsker.
+  using LoadAsker = std::function<net::awaitable<LoadAnswer>(LoadQuestion)>;
+
+  /// Whether others are asked before a request is placed. In a small fleet all
+  /// tell all, so everything is known here.
+  bool asks_first() const { return static_cast<bool>(ask_loads_); }
+  /// From now on others are asked; empty: not any more.
+  void SetLoadAsker(LoadAsker ask) { ask_loads_ = std::move(ask); }
+
+  /// Asks, and takes what is answered into the tables. Only while asks_first().
+  net::awaitable<LoadAnswer> AskLoads(LoadQuestion question);
+
+  /// This gateway's own requests there.
+  LoadNews OwnLoadAt(const Backend& backend, TimePoint now);
+
+  /// The store of kept cache at this link; null if the configuration has none.
+  const KvCacheStore* StoreAt(LinkHash link) const;
+
+  /// What is known here of a backend server, for a gateway that asks. Its own
+  /// requests there are to be taken off `work`, which has those of all others.
+  BackendReport ReportOn(const Backend& backend, const LoadQuestion& question, TimePoint now);
+  StoreReport ReportOn(const AskedStore& store, const LoadQuestion& question, TimePoint now);
+
   /// Other gateways that are alive but tell nothing of their work.
   double unheard_gateways() const {
+    if (asks_first()) return 0;
     return std::max(0.0, static_cast<double>(gateways_) - 1 - heard_gateways_);
   }
   void SetHeardGateways(std::size_t heard) { heard_gateways_ = static_cast<double>(heard); }
@@ -141,6 +170,12 @@
   /// Called after each TellPlaced.
   void SetPlacedListener(std::function<void()> listener) { on_placed_ = std::move(listener); }
 
+  /// Something has changed that a gateway that tracks it is to hear of.
+  void NoteLoadChange() {
+    if (on_load_change_) on_load_change_();
+  }
+  void SetLoadListener(std::function<void()> listener) { on_load_change_ = std::move(listener); }
+
   /// Takes out what is to be told now; of placed requests at most `most_placed`.
   NewsItems TakeNews(std::size_t most_placed);
 
@@ -179,12 +214,12 @@
  private:
   /// Memory of an engine of the service; 0: not known.
   std::uint64_t CacheTokensOf(const ServiceId& service) const;
-  /// Room in the store at this link; 0: not known.
-  std::uint64_t StoreTokensAt(LinkHash link) const;
   void NoteTransfers(const PlacedNews& placed, TimePoint now);
+  void TakeReport(const LoadQuestion& question, const BackendReport& report, TimePoint now);
 
   net::any_io_executor executor_;
   ZoneId zone_;
+  std::uint64_t gateway_hash_ = 0;
   GatewayLimits limits_;
   PlacementWeights placement_weights_;
   Metrics& metrics_;
@@ -204,6 +239,8 @@
   double heard_gateways_ = 0;
   NewsItems news_;
   std::function<void()> on_placed_;
+  std::function<void()> on_load_change_;
+  LoadAsker ask_loads_;
   std::uint32_t in_flight_ = 0;
   std::uint64_t sequence_ = 0;
   TimePoint last_answers_ = TimePoint::max();
--- /dev/null
+++ b/libs/gateway/include/gateway/load_report.h
@@ -0,0 +1,62 @@
+// What a gateway is asked about backend servers that it tracks, and what it answers.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "gateway/backend_directory.h"
+#include "gateway/engine_cache.h"
+#include "gateway/inbound_request.h"
+#include "gateway/transfer_links.h"
+
+namespace ridgehold {
+
+/// A store of kept cache that is asked about.
+struct AskedStore {
+  LinkHash link = 0;
+  ZoneId zone;
+};
+
+/// What is asked before a request is placed.
+struct LoadQuestion {
+  std::vector<BackendPtr> backends;
+  std::vector<SharedPart> parts;  ///< of the prompt; only their hashes are sent
+  ModelId model;
+  WeightsNumber weights;            ///< of the parts in the store
+  std::optional<AskedStore> store;  ///< none: nothing is fetched from one
+};
+
+/// How a backend server is, by the gateway that tracks it.
+struct BackendReport {
+  BackendHash backend = 0;
+  PeerWork work;              ///< of all gateways but the asking one
+  Duration hold{0};           ///< to get no new requests so long
+  WeightsNumber weights;      ///< of the model asked for; 0: not known
+  EngineCache::Holding held;  ///< of the parts asked for
+  Duration link_wait{0};      ///< until its link is free
+  bool reachable = true;      ///< from the gateway that reports
+};
+
+/// How a store of kept cache is.
+struct StoreReport {
+  LinkHash link = 0;
+  std::uint32_t readable_tokens = 0;  ///< of the parts asked for, from the beginning on
+  Duration link_wait{0};
+};
+
+/// The answers that came in time.
+struct LoadAnswer {
+  std::map<BackendHash, BackendReport> backends;
+  std::optional<StoreReport> store;
+
+  /// Null when it was not asked about, or did not answer.
+  const BackendReport* Find(const Backend& backend) const {
+    const auto found = backends.find(HashOf(backend));
+    return found == backends.end() ? nullptr : &found->second;
+  }
+};
+
+}  // namespace ridgehold
--- a/libs/gateway/include/gateway/named_weights.h
+++ b/libs/gateway/include/gateway/named_weights.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -52,6 +53,13 @@
   /// Its moment alone.
   std::optional<TimePoint> OutdatedSince(const ModelId& model, WeightsNumber number) const;
 
+  /// Whether the moment of any naming is a guess, so that others are to be asked.
+  bool guesses() const {
+    return std::ranges::any_of(namings_, [](const auto& model) {
+      return std::ranges::any_of(model.second, &Naming::assumed);
+    });
+  }
+
  private:
   void Changed() const {
     if (on_change_) on_change_();
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "gateway/backend_directory.h"
 #include "gateway/inbound_request.h"
+#include "gateway/load_report.h"
 #include "gateway/prefix_shares.h"
 #include "gateway/transfer_links.h"
 
@@ -31,6 +32,9 @@
   }
 };
 
+/// Fewer shared tokens than this are read again sooner than fetched.
+inline constexpr std::uint32_t kWorthFetching = 256;
+
 /// Figures the choice weighs; each in milliseconds unless it says otherwise.
 struct PlacementWeights {
   /// Speed of an engine until its first answers tell (ReadingSpeed).
@@ -74,6 +78,9 @@
   double doubtful_part = 0.3;
   /// An engine that is to get no new requests is chosen only before none.
   double held = 3'000;
+  /// One whose tracking gateway was asked and gave no answer may have as much to
+  /// read as this: more than an engine has in the mean, less than a full one.
+  double unanswered = 100;
 };
 
 /// The store of kept cache that keeps a prompt's parts.
@@ -98,10 +105,12 @@
   std::uint64_t cache_tokens = 0;         ///< memory of one engine
   std::optional<KvStoreView> store;       ///< of kept cache, if there is one
   const TransferLinks* links = nullptr;   ///< null: taken to be idle
-  double engine_ms_per_token = 0;         ///< over an engine's link; 0: as the weights say
-  CircleSegment segment;                  ///< of the engines that keep the prompt's beginning
-  double unheard_share = 0;               ///< requests of unheard gateways for each own one
-  double tokens_per_ms = 0;               ///< at which engines read; 0: as the weights say
+  /// What the gateways say that track the candidates; null: all is known here.
+  const LoadAnswer* answers = nullptr;
+  double engine_ms_per_token = 0;  ///< over an engine's link; 0: as the weights say
+  CircleSegment segment;           ///< of the engines that keep the prompt's beginning
+  double unheard_share = 0;        ///< requests of unheard gateways for each own one
+  double tokens_per_ms = 0;        ///< at which engines read; 0: as the weights say
   std::uint64_t tie_break = 0;
   TimePoint now{};
 };
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -26,6 +26,13 @@
   bool assumed = false;        ///< the naming's moment was a guess
 };
 
+/// What a choice cost in questions to other gateways.
+struct AskingRecord {
+  std::uint32_t asked = 0;     ///< backend servers
+  std::uint32_t answered = 0;  ///< of them, by the gateways that track them, in time
+  Duration took{0};
+};
+
 /// What is remembered of a request for its line.
 struct RequestRecord {
   RequestId request;
@@ -38,6 +45,7 @@
   std::optional<TimePoint> first_event;
   std::uint32_t attempts = 0;
   // What decided the last choice of a backend server.
+  AskingRecord asking;
   double expected_ms = 0;
   double wait_ms = 0;  ///< expected until the prompt is read
   double tokens_to_read = 0;
--- /dev/null
+++ b/libs/gateway/include/gateway/shortlist.h
@@ -0,0 +1,56 @@
+// The few backend servers that a gateway of a large fleet asks about before it places a request.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+#include "base/ids.h"
+#include "gateway/placement.h"
+
+namespace ridgehold {
+
+/// What the list is made for.
+struct ShortlistQuery {
+  ZoneId own_zone;
+  std::uint64_t gateway = 0;           ///< hash that differs by gateway
+  const PromptChain* chain = nullptr;  ///< null for calls of plain services
+  ModelId model;
+  std::optional<WeightsNumber> newest_weights;
+  std::uint64_t draw = 0;  ///< differs by request
+  TimePoint now{};
+};
+
+/// How many of each kind are asked about. A question costs a datagram each way,
+/// so few; two drawn ones are as good as knowing the least busy of many
+/// (the power of two choices).
+struct ShortlistSizes {
+  std::size_t homes = 2;  ///< of a prompt that shares much, over all zones
+  std::size_t drawn = 2;  ///< of the own zone, beside them
+  /// Engines of the own zone that a gateway uses for prompts that share little
+  /// and for plain calls; so few that connections there are used again before
+  /// servers close them.
+  std::size_t usual = 6;
+  std::size_t asked_usual = 3;  ///< of these, drawn for each request
+  std::size_t widened = 4;      ///< more of all zones, when all of the first are busy
+};
+
+/// Candidates by rank of rendezvous hashing for the prompt, without regard to
+/// weights, the best first: prompts keep their homes while weights are loaded.
+std::vector<BackendPtr> HomesOf(const PromptChain& chain, std::span<const BackendPtr> candidates,
+                                std::size_t count);
+
+/// Whom to ask about first; at least one if there are `candidates`. Those that
+/// are to be avoided as far as is known here only when there are no others. Pure.
+std::vector<BackendPtr> Shortlist(const ShortlistQuery& query,
+                                  std::span<const BackendPtr> candidates,
+                                  const ShortlistSizes& sizes = {});
+
+/// More candidates of all zones, drawn, without those in `listed`. Pure.
+std::vector<BackendPtr> Widen(const ShortlistQuery& query, std::span<const BackendPtr> candidates,
+                              std::span<const BackendPtr> listed, const ShortlistSizes& sizes = {});
+
+}  // namespace ridgehold
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -13,6 +13,7 @@
   placed.parts = plan.chain->parts;
   placed.weights = choice.weights.value_or(WeightsNumber(0));
   if (choice.fetch_from) placed.fetched_from = LinkOf(*choice.fetch_from);
+  if (choice.fetch_backend) placed.source = HashOf(*choice.fetch_backend);
   placed.fetch_length = choice.fetch_length;
   if (choice.save_to) placed.saved_to = LinkOf(*choice.save_to);
   placed.save_length = choice.save_length;
@@ -30,6 +31,7 @@
   ++backend_->in_flight;
   backend_->unprefilled_tokens += unread_tokens_;
   if (unrepeatable_) ++backend_->unrepeatable;
+  state_.NoteLoadChange();
   if (!plan.chain) return;
   waiting_ = backend_->waiting_since.insert(Clock::now());
   state.TellPlaced(PlacedNewsOf(plan, request, choice));
@@ -39,6 +41,7 @@
   EndReading();
   --backend_->in_flight;
   if (unrepeatable_) --backend_->unrepeatable;
+  state_.NoteLoadChange();
 }
 
 void BackendLoad::Begun(TimePoint now) {
@@ -51,6 +54,7 @@
   }
   EndReading();
   BackendDirectory::NoteBegun(*backend_, waited, now);
+  state_.NoteLoadChange();
 }
 
 void BackendLoad::EndReading() {
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -75,13 +75,6 @@
   return outdated ? kReloadPause : kRefusalPause;
 }
 
-/// The store that keeps the prompt's shared parts, or null. Chosen by all of
-/// them: by the first alone, a few common beginnings would fill one store's link.
-const KvCacheStore* StoreFor(const ExchangePlan& plan) {
-  if (plan.chain->parts.empty()) return nullptr;
-  return plan.snapshot->KvStoreFor(plan.chain->parts.back().hash);
-}
-
 const EngineProfile* EngineOf(const ExchangePlan& plan) {
   const ServiceRule* service = plan.snapshot->FindService(plan.service);
   return service != nullptr && service->engine ? &*service->engine : nullptr;
@@ -110,7 +103,8 @@
   if (!placement.lacks_parts && !placement.doubts_parts) return;
   if (placement.source) choice.fetch_length = DurationOf(placement.source->link_ms);
   if (placement.source && placement.source->engine) {
-    choice.fetch_from = candidates[*placement.source->engine]->entry.address;
+    choice.fetch_backend = candidates[*placement.source->engine];
+    choice.fetch_from = choice.fetch_backend->entry.address;
     return;
   }
   const KvCacheStore* store = StoreFor(plan);
@@ -123,18 +117,6 @@
       DurationOf(distance * LinkMsPerToken(plan, store->link_mbps) * plan.chain->shared_tokens);
 }
 
-std::vector<BackendPtr> Candidates(const GatewayState& state, const ExchangePlan& plan,
-                                   const InboundRequest& request, const std::set<BackendId>& tried,
-                                   TimePoint now, BackendDirectory& directory) {
-  std::vector<BackendPtr> candidates = directory.Usable(plan.service, now);
-  std::erase_if(candidates, [&](const BackendPtr& backend) {
-    if (tried.contains(backend->entry.id)) return true;
-    if (!request.generation) return false;
-    return !WeightsAllowed(state, *backend, request.generation->model, now);
-  });
-  return candidates;
-}
-
 }  // namespace
 
 Result<ExchangePlan> PlanExchange(const GatewayState& state, const InboundRequest& request,
@@ -160,17 +142,42 @@
   return plan;
 }
 
+std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
+                                      const InboundRequest& request,
+                                      const std::set<BackendId>& tried, TimePoint now) {
+  std::vector<BackendPtr> candidates = state.directory().Usable(plan.service, now);
+  std::erase_if(candidates, [&](const BackendPtr& backend) {
+    if (tried.contains(backend->entry.id)) return true;
+    if (!request.generation) return false;
+    return !WeightsAllowed(state, *backend, request.generation->model, now);
+  });
+  return candidates;
+}
+
 std::optional<BackendChoice> ChooseFor(GatewayState& state, const ExchangePlan& plan,
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now) {
-  const std::vector<BackendPtr> candidates =
-      Candidates(state, plan, request, tried, now, state.directory());
+  const std::vector<BackendPtr> candidates = CandidatesFor(state, plan, request, tried, now);
   if (candidates.empty()) return std::nullopt;
+  return ChooseAmong(state, plan, request, candidates, nullptr, now);
+}
+
+/// The store that keeps the prompt's shared parts, or null. Chosen by all of
+/// them: by the first alone, a few common beginnings would fill one store's link.
+const KvCacheStore* StoreFor(const ExchangePlan& plan) {
+  if (plan.chain->parts.empty()) return nullptr;
+  return plan.snapshot->KvStoreFor(plan.chain->parts.back().hash);
+}
+
+BackendChoice ChooseAmong(GatewayState& state, const ExchangePlan& plan,
+                          const InboundRequest& request, std::span<const BackendPtr> candidates,
+                          const LoadAnswer* answers, TimePoint now) {
   PlacementQuery query;
   query.own_zone = state.zone();
   query.unheard_share = state.unheard_gateways();
   query.tie_break = state.NextSequence();
   query.now = now;
+  query.answers = answers;
   if (request.generation) {
     query.chain = &*plan.chain;
     query.tokens_per_ms = state.TokensPerMs(plan.service);
@@ -182,7 +189,8 @@
       const double token_ms = LinkMsPerToken(plan, store->link_mbps);
       query.store = KvStoreView{store->zone, link, token_ms, &state.KeptAt(link)};
     }
-    if (!plan.chain->parts.empty()) {
+    // Few hear of a beginning where few are told, so their segments would differ.
+    if (!plan.chain->parts.empty() && answers == nullptr) {
       query.segment = state.prefix_shares().SegmentOf(plan.chain->parts.front().hash);
     }
     query.model = request.generation->model;
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -34,14 +34,18 @@
   return rule != nullptr && rule->engine ? rule->engine->cache_tokens : 0;
 }
 
-std::uint64_t GatewayState::StoreTokensAt(LinkHash link) const {
-  if (!snapshot_) return 0;
+const KvCacheStore* GatewayState::StoreAt(LinkHash link) const {
+  if (!snapshot_) return nullptr;
   for (const ServiceRule& service : snapshot_->services()) {
-    if (service.kv_store && LinkOf(service.kv_store->address) == link) {
-      return service.kv_store->cache_tokens;
-    }
+    if (service.kv_store && LinkOf(service.kv_store->address) == link) return &*service.kv_store;
   }
-  return 0;
+  return nullptr;
+}
+
+LoadNews GatewayState::OwnLoadAt(const Backend& backend, TimePoint now) {
+  return {HashOf(backend), backend.in_flight,
+          static_cast<std::uint32_t>(std::max(0.0, backend.unprefilled_tokens)),
+          backend.unrepeatable, Uncovered(backend, now)};
 }
 
 void GatewayState::NoteTransfers(const PlacedNews& placed, TimePoint now) {
@@ -49,7 +53,8 @@
   if (placed.saved_to == 0) return;
   links_.Add(placed.saved_to, placed.save_length, now);
   const std::vector<SharedPart> parts = KeptParts(placed.parts, placed.weights);
-  kept_[placed.saved_to].Use(parts, 0, StoreTokensAt(placed.saved_to), now);
+  const KvCacheStore* store = StoreAt(placed.saved_to);
+  kept_[placed.saved_to].Use(parts, 0, store != nullptr ? store->cache_tokens : 0, now);
 }
 
 void GatewayState::TakePlaced(const PlacedNews& placed, TimePoint now) {
@@ -68,15 +73,65 @@
   if (on_placed_) on_placed_();
 }
 
+net::awaitable<LoadAnswer> GatewayState::AskLoads(LoadQuestion question) {
+  const LoadQuestion asked = question;
+  LoadAnswer answer = co_await ask_loads_(std::move(question));
+  const TimePoint now = Clock::now();
+  for (const auto& [hash, report] : answer.backends) TakeReport(asked, report, now);
+  co_return answer;
+}
+
+void GatewayState::TakeReport(const LoadQuestion& question, const BackendReport& report,
+                              TimePoint now) {
+  const BackendPtr backend = directory_.FindByHash(report.backend);
+  if (!backend) return;
+  backend->peers = report.work;
+  backend->peers_seen = now;
+  backend->hold_until = now + report.hold;
+  if (!report.reachable) backend->doubted = true;
+  if (report.weights != WeightsNumber()) {
+    BackendDirectory::NoteWeights(*backend, question.model, report.weights);
+  }
+}
+
+BackendReport GatewayState::ReportOn(const Backend& backend, const LoadQuestion& question,
+                                     TimePoint now) {
+  BackendReport report;
+  report.backend = HashOf(backend);
+  const LoadNews own = OwnLoadAt(backend, now);
+  report.work = backend.heard;
+  report.work.running += own.running;
+  report.work.unread_tokens += own.unread_tokens;
+  report.work.unrepeatable += own.unrepeatable;
+  report.work.uncovered += own.uncovered;
+  report.hold =
+      std::max(Duration::zero(), std::chrono::duration_cast<Duration>(backend.hold_until - now));
+  const auto weights = backend.weights.find(question.model);
+  if (weights != backend.weights.end()) report.weights = weights->second;
+  report.held = backend.cache.Find(question.parts, placement_weights_.reading_time, now);
+  report.link_wait = links_.WaitAt(LinkOf(backend.entry.address), now);
+  report.reachable = backend.reachable;
+  return report;
+}
+
+StoreReport GatewayState::ReportOn(const AskedStore& store, const LoadQuestion& question,
+                                   TimePoint now) {
+  const std::vector<SharedPart> parts = KeptParts(question.parts, question.weights);
+  return {store.link, kept_[store.link].Find(parts, placement_weights_.reading_time, now).readable,
+          links_.WaitAt(store.link, now)};
+}
+
 void GatewayState::Hold(Backend& backend, std::chrono::milliseconds length, TimePoint now) {
   backend.hold_until = now + length;
   news_.holds.push_back({HashOf(backend), length});
+  NoteLoadChange();
 }
 
 void GatewayState::NoteUnreachable(Backend& backend) {
   backend.doubted = true;
   if (!std::exchange(backend.reachable, false)) return;
   news_.unreachable.push_back(HashOf(backend));
+  NoteLoadChange();
 }
 
 std::uint32_t GatewayState::Uncovered(const Backend& backend, TimePoint now) {
@@ -92,6 +147,7 @@
   if (known != backend.weights.end() && known->second >= number) return;
   BackendDirectory::NoteWeights(backend, model, number);
   news_.weights.push_back({HashOf(backend), model, number});
+  NoteLoadChange();
 }
 
 }  // namespace ridgehold
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -14,8 +14,6 @@
 
 // A backend server that was just tried without success is chosen last.
 constexpr double kAvoided = 5'000;
-// Fewer shared tokens than this are read again sooner than fetched.
-constexpr std::uint32_t kWorthFetching = 256;
 
 std::uint64_t Hash(std::uint64_t seed, std::uint64_t value) {
   return XXH3_64bits_withSeed(&value, sizeof value, seed);
@@ -77,6 +75,9 @@
     if (backend.avoid_until > query_.now || !backend.reachable) placement.cost += kAvoided;
     if (backend.missing_until) placement.cost += kAvoided / 2;
     if (backend.hold_until > query_.now) placement.cost += weights_.held;
+    if (query_.answers != nullptr && ReportOn(backend) == nullptr) {
+      placement.cost += weights_.unanswered;
+    }
     if (query_.chain == nullptr) {
       placement.cost +=
           weights_.per_running_call * Together(backend.in_flight, backend.peers.running);
@@ -91,6 +92,11 @@
     return placement;
   }
 
+  /// What the gateway that tracks it says; null where that was not asked.
+  const BackendReport* ReportOn(const Backend& backend) const {
+    return query_.answers != nullptr ? query_.answers->Find(backend) : nullptr;
+  }
+
   /// Fills in what will be found in the cache and what fetching costs.
   void PriceCache(std::size_t index, Placement& placement) const {
     const std::uint32_t shared = query_.chain->shared_tokens;
@@ -178,29 +184,50 @@
       const bool usable = backend.avoid_until <= query_.now && backend.reachable &&
                           !backend.missing_until && !holdings_[i].doubtful &&
                           holdings_[i].fetchable_tokens > 0;
-      if (usable) engine_sources_.push_back({i, LinkWait(LinkOf(backend.entry.address))});
+      if (usable) engine_sources_.push_back({i, EngineLinkWait(backend)});
     }
   }
 
   void LookIntoStore() {
     store_wait_ = LinkWait(query_.store->link);
+    if (const StoreReport* report = StoreAnswer()) {
+      store_wait_ = std::max(store_wait_, LinkWait(report->link_wait));
+    }
     for (const BackendPtr& candidate : candidates_) {
       const auto [entry, is_new] = store_tokens_.try_emplace(WeightsOf(*candidate));
       if (is_new) entry->second = TokensInStore(entry->first);
     }
   }
 
+  const StoreReport* StoreAnswer() const {
+    return query_.answers != nullptr && query_.answers->store ? &*query_.answers->store : nullptr;
+  }
+
   std::uint32_t TokensInStore(WeightsNumber weights) const {
+    if (query_.answers != nullptr) {
+      // It was asked about the newest weights only.
+      const bool answered = StoreAnswer() != nullptr && weights == query_.newest_weights;
+      return answered ? std::min(StoreAnswer()->readable_tokens, query_.chain->shared_tokens) : 0;
+    }
     // While another engine reads the parts nobody has them to fetch from.
     if (query_.store->kept == nullptr) return being_read_ ? 0 : query_.chain->shared_tokens;
     const std::vector<SharedPart> parts = KeptParts(query_.chain->parts, weights);
     return query_.store->kept->Find(parts, weights_.reading_time, query_.now).readable;
   }
 
+  double EngineLinkWait(const Backend& backend) const {
+    const BackendReport* report = ReportOn(backend);
+    return report != nullptr ? LinkWait(report->link_wait)
+                             : LinkWait(LinkOf(backend.entry.address));
+  }
+
   double LinkWait(LinkHash link) const {
-    if (query_.links == nullptr || !weights_.watch_links) return 0;
-    const std::chrono::duration<double, std::milli> wait = query_.links->WaitAt(link, query_.now);
-    return wait.count();
+    return query_.links != nullptr ? LinkWait(query_.links->WaitAt(link, query_.now)) : 0;
+  }
+
+  double LinkWait(Duration wait) const {
+    if (!weights_.watch_links) return 0;
+    return std::chrono::duration<double, std::milli>(wait).count();
   }
 
   double TokensPerMs() const {
@@ -272,24 +299,37 @@
     return !query_.newest_weights || WeightsOf(backend) >= *query_.newest_weights;
   }
 
-  /// Engines with newer weights come first: the others lose their cache soon.
+  /// Engines with newer weights come first: the others lose their cache soon. Not
+  /// where a few of many are asked about (HomesOf): all prompts would have their
+  /// homes among the first engines that load.
   bool Before(std::size_t a, std::size_t b) const {
     const WeightsNumber of_a = WeightsOf(*candidates_[a]);
     const WeightsNumber of_b = WeightsOf(*candidates_[b]);
-    if (of_a != of_b) return of_a > of_b;
+    if (query_.answers == nullptr && of_a != of_b) return of_a > of_b;
     if (holdings_[a].in_segment != holdings_[b].in_segment) return holdings_[a].in_segment;
     return holdings_[a].rank > holdings_[b].rank;
   }
 
   /// Fills in which of the chain's parts the backend server has.
   void TakeKnown(const Backend& backend, Holding& holding) const {
-    const auto found = backend.cache.Find(query_.chain->parts, weights_.reading_time, query_.now);
+    const auto found = Held(backend);
     holding.known_tokens = found.tokens;
     holding.fetchable_tokens = found.readable;
     const double safe = (1 - weights_.doubtful_part) * static_cast<double>(query_.cache_tokens);
     holding.doubtful = static_cast<double>(found.used_since) >= safe;
   }
 
+  EngineCache::Holding Held(const Backend& backend) const {
+    if (query_.answers == nullptr) {
+      return backend.cache.Find(query_.chain->parts, weights_.reading_time, query_.now);
+    }
+    const BackendReport* report = ReportOn(backend);
+    EngineCache::Holding held = report != nullptr ? report->held : EngineCache::Holding();
+    // The engine may have loaded other weights since.
+    if (held.tokens > query_.chain->shared_tokens) held = {};
+    return held;
+  }
+
   static constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
 
   const PlacementQuery& query_;
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -98,6 +98,13 @@
                       {"running_there", std::to_string(record.running_there)},
                       {"config", ConfigVersionOf(state)},
                       {"config_age_ms", MillisecondsText(now - state.confirmed_at())}};
+  if (record.asking.asked > 0) {
+    fields.push_back({"asked", std::to_string(record.asking.asked)});
+    fields.push_back({"answered", std::to_string(record.asking.answered)});
+    fields.push_back({"asking_ms", MillisecondsText(record.asking.took)});
+    metrics.GetSummary("ridgehold_asking_seconds")
+        .Observe(std::chrono::duration<double>(record.asking.took).count());
+  }
   if (record.first_event) {
     fields.push_back({"first_event_ms", MillisecondsText(*record.first_event - record.received)});
   }
--- /dev/null
+++ b/libs/gateway/src/shortlist.cc
@@ -0,0 +1,137 @@
+#include "gateway/shortlist.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ridgehold {
+namespace {
+
+using Backends = std::vector<BackendPtr>;
+
+std::uint64_t Hash(std::uint64_t seed, std::uint64_t value) {
+  return XXH3_64bits_withSeed(&value, sizeof value, seed);
+}
+
+/// Salts, so that ranks for different purposes differ.
+constexpr std::uint64_t kUsualSalt = 0x75737561;
+constexpr std::uint64_t kWidenSalt = 0x77696465;
+
+/// The first `count` by rank, the highest first.
+template <class Rank>
+Backends Best(std::span<const BackendPtr> candidates, std::size_t count, Rank&& rank) {
+  using Ranked = std::pair<std::uint64_t, const BackendPtr*>;
+  std::vector<Ranked> ranked;
+  ranked.reserve(candidates.size());
+  for (const BackendPtr& candidate : candidates) ranked.emplace_back(rank(*candidate), &candidate);
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
+  std::partial_sort(ranked.begin(), end, ranked.end(),
+                    [](const Ranked& a, const Ranked& b) { return a.first > b.first; });
+  Backends best;
+  for (auto at = ranked.begin(); at != end; ++at) best.push_back(*at->second);
+  return best;
+}
+
+template <class Condition>
+Backends Those(std::span<const BackendPtr> candidates, Condition&& holds) {
+  Backends chosen;
+  for (const BackendPtr& candidate : candidates) {
+    if (holds(*candidate)) chosen.push_back(candidate);
+  }
+  return chosen;
+}
+
+bool Contains(std::span<const BackendPtr> list, const Backend& backend) {
+  return std::ranges::any_of(list, [&](const BackendPtr& one) { return one.get() == &backend; });
+}
+
+Backends Without(std::span<const BackendPtr> candidates, std::span<const BackendPtr> left_out) {
+  return Those(candidates, [&](const Backend& backend) { return !Contains(left_out, backend); });
+}
+
+void Append(Backends& list, const Backends& more) {
+  list.insert(list.end(), more.begin(), more.end());
+}
+
+/// Drawn evenly, another set for each `draw`.
+Backends Drawn(std::uint64_t draw, std::span<const BackendPtr> candidates, std::size_t count) {
+  return Best(candidates, count,
+              [&](const Backend& backend) { return Hash(draw, HashOf(backend.entry.id)); });
+}
+
+/// What nothing known here speaks against; all, if something does everywhere.
+Backends Sound(const ShortlistQuery& query, std::span<const BackendPtr> candidates) {
+  Backends sound = Those(candidates, [&](const Backend& backend) {
+    return backend.reachable && !backend.missing_until && backend.avoid_until <= query.now &&
+           backend.hold_until <= query.now;
+  });
+  if (sound.empty()) sound.assign(candidates.begin(), candidates.end());
+  return sound;
+}
+
+Backends OfZone(const ZoneId& zone, std::span<const BackendPtr> candidates) {
+  return Those(candidates, [&](const Backend& backend) { return backend.entry.zone == zone; });
+}
+
+bool HasWeights(const Backend& backend, const ModelId& model, WeightsNumber weights) {
+  const auto found = backend.weights.find(model);
+  return found != backend.weights.end() && found->second >= weights;
+}
+
+bool SharesMuch(const ShortlistQuery& query) {
+  return query.chain != nullptr && query.chain->shared_tokens >= kWorthFetching;
+}
+
+Backends ForSharedPrompt(const ShortlistQuery& query, std::span<const BackendPtr> sound,
+                         const ShortlistSizes& sizes) {
+  Backends list = HomesOf(*query.chain, sound, sizes.homes);
+  const auto newest = [&](const Backend& backend) {
+    return !query.newest_weights || HasWeights(backend, query.model, *query.newest_weights);
+  };
+  // While weights are loaded, the first of those that have them is the next home.
+  if (std::ranges::none_of(list, [&](const BackendPtr& home) { return newest(*home); })) {
+    Append(list, HomesOf(*query.chain, Those(sound, newest), 1));
+  }
+  const Backends others = Without(OfZone(query.own_zone, sound), list);
+  Append(list, Drawn(query.draw, others, sizes.drawn));
+  return list;
+}
+
+Backends ForUsual(const ShortlistQuery& query, std::span<const BackendPtr> sound,
+                  const ShortlistSizes& sizes) {
+  const std::uint64_t seed = Hash(query.gateway, kUsualSalt);
+  const auto rank = [&](const Backend& backend) { return Hash(seed, HashOf(backend.entry.id)); };
+  const Backends usual = Best(OfZone(query.own_zone, sound), sizes.usual, rank);
+  Backends list = Drawn(query.draw, usual, sizes.asked_usual);
+  if (list.size() >= sizes.asked_usual) return list;
+  // The own zone has few: the same ones of other zones each time.
+  Append(list, Best(Without(sound, list), sizes.asked_usual - list.size(), rank));
+  return list;
+}
+
+}  // namespace
+
+std::vector<BackendPtr> HomesOf(const PromptChain& chain, std::span<const BackendPtr> candidates,
+                                std::size_t count) {
+  if (chain.parts.empty()) return {};
+  const std::uint64_t subject = chain.parts.back().hash;
+  return Best(candidates, count,
+              [&](const Backend& backend) { return Hash(subject, HashOf(backend.entry.id)); });
+}
+
+std::vector<BackendPtr> Shortlist(const ShortlistQuery& query,
+                                  std::span<const BackendPtr> candidates,
+                                  const ShortlistSizes& sizes) {
+  const Backends sound = Sound(query, candidates);
+  return SharesMuch(query) ? ForSharedPrompt(query, sound, sizes) : ForUsual(query, sound, sizes);
+}
+
+std::vector<BackendPtr> Widen(const ShortlistQuery& query, std::span<const BackendPtr> candidates,
+                              std::span<const BackendPtr> listed, const ShortlistSizes& sizes) {
+  const Backends others = Without(Sound(query, candidates), listed);
+  return Drawn(Hash(query.draw, kWidenSalt), others, sizes.widened);
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/test/shortlist-test.cc
@@ -0,0 +1,169 @@
+#include "gateway/shortlist.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ModelId kModel("m");
+const TimePoint kNow{1h};
+
+/// 240 engines in six zones, as in a fleet of 295 gateways.
+struct Fixture {
+  std::vector<BackendPtr> engines;
+  PromptChain chain;
+  ShortlistQuery query;
+  ShortlistSizes sizes;
+
+  Fixture() {
+    for (int i = 0; i < 240; ++i) {
+      auto engine = std::make_shared<Backend>();
+      engine->entry.id = BackendId("e" + std::to_string(i));
+      engine->entry.zone = ZoneId("z" + std::to_string(i % 6));
+      engine->weights[kModel] = WeightsNumber(1);
+      engines.push_back(std::move(engine));
+    }
+    query.own_zone = ZoneId("z0");
+    query.gateway = 11;
+    query.chain = &chain;
+    query.model = kModel;
+    query.newest_weights = WeightsNumber(1);
+    query.now = kNow;
+    Share(6'300);
+  }
+
+  void Share(std::uint32_t tokens, std::uint64_t subject = 5) {
+    chain.parts = {{subject, tokens}};
+    chain.shared_tokens = tokens;
+    chain.prompt_tokens = tokens + 2'900;
+  }
+
+  std::set<std::string> Ids(const std::vector<BackendPtr>& list) const {
+    std::set<std::string> ids;
+    for (const BackendPtr& engine : list) ids.insert(engine->entry.id.value());
+    return ids;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(shortlist, Fixture)
+
+BOOST_AUTO_TEST_CASE(long_prompt_asks_its_homes_and_drawn_ones_of_the_own_zone) {
+  const auto first = Shortlist(query, engines);
+  BOOST_TEST(first.size() == sizes.homes + sizes.drawn);
+  query.draw = 9;
+  const auto second = Shortlist(query, engines);
+  BOOST_TEST((first[0] == second[0]));
+  BOOST_TEST((first[1] == second[1]));
+  for (std::size_t i = sizes.homes; i < first.size(); ++i) {
+    BOOST_TEST((first[i]->entry.zone == query.own_zone));
+  }
+  BOOST_TEST(Ids(first).size() == first.size());
+}
+
+BOOST_AUTO_TEST_CASE(homes_are_the_same_for_all_gateways_and_spread) {
+  std::map<std::string, int> homes;
+  for (std::uint64_t subject = 0; subject < 2'616; ++subject) {
+    Share(6'300, subject);
+    query.own_zone = ZoneId("z0");
+    query.gateway = 11;
+    const auto here = Shortlist(query, engines);
+    query.own_zone = ZoneId("z4");
+    query.gateway = 12;
+    BOOST_REQUIRE(Shortlist(query, engines)[0] == here[0]);
+    ++homes[here[0]->entry.id.value()];
+  }
+  BOOST_TEST(homes.size() == 240U);
+}
+
+// The pattern: weights are loaded by a fifth of the engines at a time. Homes that
+// follow the newest weights would lead all prompts to the first fifth.
+BOOST_AUTO_TEST_CASE(homes_stay_while_weights_are_loaded) {
+  const auto before = Shortlist(query, engines);
+  query.newest_weights = WeightsNumber(2);
+  for (int i = 0; i < 48; ++i) {
+    const BackendPtr& engine = engines[static_cast<std::size_t>(i)];
+    if (engine != before[0] && engine != before[1]) engine->weights[kModel] = WeightsNumber(2);
+  }
+  const auto during = Shortlist(query, engines);
+  BOOST_TEST((during[0] == before[0]));
+  BOOST_TEST((during[1] == before[1]));
+  BOOST_TEST((during[2]->weights.at(kModel) == WeightsNumber(2)));
+}
+
+BOOST_AUTO_TEST_CASE(short_prompts_and_calls_use_few_engines_of_the_own_zone) {
+  Share(198);
+  std::set<std::string> used;
+  for (query.draw = 0; query.draw < 200; ++query.draw) {
+    const auto list = Shortlist(query, engines);
+    BOOST_TEST(list.size() == sizes.asked_usual);
+    for (const BackendPtr& engine : list) {
+      BOOST_TEST((engine->entry.zone == query.own_zone));
+      used.insert(engine->entry.id.value());
+    }
+  }
+  BOOST_TEST(used.size() == sizes.usual);
+  query.gateway = 12;
+  BOOST_TEST((Ids(Shortlist(query, engines)) != used));
+  query.chain = nullptr;
+  BOOST_TEST(Shortlist(query, engines).size() == sizes.asked_usual);
+}
+
+BOOST_AUTO_TEST_CASE(zone_with_few_engines_asks_others_too) {
+  Share(198);
+  std::erase_if(engines, [&](const BackendPtr& engine) {
+    return engine->entry.zone == query.own_zone && engine->entry.id != BackendId("e0");
+  });
+  const auto list = Shortlist(query, engines);
+  BOOST_TEST(list.size() == sizes.asked_usual);
+  BOOST_TEST(Ids(list).contains("e0"));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_known_to_be_bad_is_asked_only_before_none) {
+  const BackendPtr home = Shortlist(query, engines)[0];
+  home->avoid_until = kNow + 1s;
+  BOOST_TEST(!Ids(Shortlist(query, engines)).contains(home->entry.id.value()));
+  for (const BackendPtr& engine : engines) engine->reachable = false;
+  BOOST_TEST(!Shortlist(query, engines).empty());
+}
+
+BOOST_AUTO_TEST_CASE(widened_list_has_others_of_all_zones) {
+  const auto list = Shortlist(query, engines);
+  std::set<std::string> zones;
+  for (query.draw = 0; query.draw < 50; ++query.draw) {
+    const auto more = Widen(query, engines, list);
+    BOOST_TEST(more.size() == sizes.widened);
+    for (const BackendPtr& engine : more) {
+      BOOST_TEST((std::ranges::find(list, engine) == list.end()));
+      zones.insert(engine->entry.zone.value());
+    }
+  }
+  BOOST_TEST(zones.size() == 6U);
+}
+
+RC_BOOST_FIXTURE_PROP(any_fleet_gives_a_list_without_repeats, Fixture, ()) {
+  engines.resize(*rc::gen::inRange<std::size_t>(1, 30));
+  for (const BackendPtr& engine : engines) {
+    engine->reachable = *rc::gen::arbitrary<bool>();
+    engine->weights[kModel] = WeightsNumber(*rc::gen::inRange<std::uint64_t>(1, 3));
+  }
+  query.newest_weights = WeightsNumber(2);
+  query.draw = *rc::gen::arbitrary<std::uint64_t>();
+  Share(*rc::gen::elementOf(std::vector<std::uint32_t>{0, 198, 6'300}));
+  const auto list = Shortlist(query, engines);
+  RC_ASSERT(!list.empty());
+  RC_ASSERT(Ids(list).size() == list.size());
+  const auto more = Widen(query, engines, list);
+  RC_ASSERT(std::ranges::none_of(more, [&](const BackendPtr& engine) {
+    return std::ranges::find(list, engine) != list.end();
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/peers/include/peers/load_messages.h
@@ -0,0 +1,48 @@
+// Questions to the gateways that track backend servers, and answers, as datagrams.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/result.h"
+#include "gateway/gateway_news.h"
+#include "gateway/load_report.h"
+
+namespace ridgehold {
+
+/// A question to one gateway.
+struct LoadQuestionMessage {
+  DaemonId daemon;       ///< that asks
+  std::uint64_t id = 0;  ///< comes back with the answer
+  std::vector<BackendHash> backends;
+  std::vector<SharedPart> parts;  ///< without tokens
+  ModelId model;
+  WeightsNumber weights;
+  std::optional<LinkHash> store;
+  bool wants_namings = false;
+};
+
+/// Its answer.
+struct LoadAnswerMessage {
+  DaemonId daemon;  ///< that answers
+  std::uint64_t id = 0;
+  std::vector<BackendReport> backends;
+  std::optional<StoreReport> store;
+  std::vector<NamingNews> namings;
+};
+
+/// A datagram between gateways.
+using PeerMessage = std::variant<GatewayNews, LoadQuestionMessage, LoadAnswerMessage>;
+
+std::string Encode(const LoadQuestionMessage& question);
+std::string Encode(const LoadAnswerMessage& answer);
+
+/// Fails with kMalformedPeerMessage.
+Result<PeerMessage> DecodePeerMessage(std::string_view bytes);
+
+}  // namespace ridgehold
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -9,19 +9,25 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/result.h"
 #include "gateway/gateway_state.h"
 #include "net/beast.h"
+#include "peers/load_asker.h"
 #include "peers/peer_loads.h"
+#include "peers/tracked_news.h"
+#include "peers/tracker_map.h"
 
 namespace ridgehold {
 
 /// Best effort: a lost message is made good by the next one. Datagrams, since
 /// late news is worth nothing and a connection to a dead peer would hold up
-/// what follows. Runs on one executor.
+/// what follows. In a small fleet all are told; in a large one those that track
+/// the backend servers concerned (TrackerMap), which are asked before a choice.
+/// Runs on one executor.
 class PeerLink {
  public:
   struct Options {
@@ -39,12 +45,19 @@
     std::chrono::microseconds placed_gap_per_peer{250};
     /// A message goes out at least this often; so often one has the namings.
     std::chrono::milliseconds heartbeat{500};
+    /// With more gateways than this those that track are told and asked: each
+    /// request costs some twenty datagrams then, and one for each gateway else.
+    std::size_t most_told = 32;
+    /// Changes of load within so long go out together.
+    std::chrono::microseconds tracked_gap{1'000};
   };
 
-  /// `peers` tells the addresses, without port, of the other gateways. Fails
+  /// `members` are the gateways that the store names, this one included; before
+  /// the store was read only `seeds` are known, addresses without port. Fails
   /// with kInvalidSettings when the port cannot be had.
   static Result<std::unique_ptr<PeerLink>> Create(GatewayState& state, Options options,
-                                                  std::function<std::vector<std::string>()> peers);
+                                                  const OwnRecords& members,
+                                                  std::vector<std::string> seeds);
 
   net::awaitable<void> Send();
   net::awaitable<void> Receive();
@@ -58,31 +71,41 @@
   /// datagrams are split on the way and lost whole.
   static constexpr std::size_t kMostPlaced = 24;
 
-  PeerLink(GatewayState& state, Options options, std::function<std::vector<std::string>()> peers,
-           net::ip::udp::socket socket);
+  PeerLink(GatewayState& state, Options options, const OwnRecords& members,
+           std::vector<std::string> seeds, net::ip::udp::socket socket);
 
-  /// Sends what there is to tell, if anything or a heartbeat is due.
-  void SendNews(const std::vector<std::string>& peers, TimePoint now);
+  /// Takes changes of the fleet, and with them whether others are asked.
+  void LookAtMembers();
+  /// Sends what there is to tell everybody, if anything or a heartbeat is due.
+  void SendNews(TimePoint now);
+  void SendToTrackers(TimePoint now);
   /// When the next message goes out if nothing more happens.
-  TimePoint NextSend(std::size_t peers) const;
+  TimePoint NextSend() const;
   GatewayNews MakeNews();
+  GatewayNews MakeHead();
   std::vector<LoadNews> OwnLoads() const;
-  std::vector<NamingNews> RecentNamings(TimePoint now) const;
-  void SendToPeers(const std::string& datagram, const std::vector<std::string>& peers);
-  void Take(std::size_t bytes);
+  void SendTo(const net::ip::address& address, const std::string& datagram);
+  void Take(std::size_t bytes, const net::ip::udp::endpoint& sender);
 
   GatewayState& state_;
   Options options_;
-  std::function<std::vector<std::string>()> peers_;
+  const OwnRecords& members_;
+  std::vector<std::string> seeds_;
   net::ip::udp::socket socket_;
   net::steady_timer timer_;
   PeerLoads loads_;
+  TrackerMap trackers_;
+  TrackedNews tracked_news_;
+  LoadAsker asker_;
+  std::vector<net::ip::address> peers_;  ///< all others
+  std::optional<std::uint64_t> members_version_;
   std::uint64_t incarnation_ = 0;
   std::uint64_t sequence_ = 0;
-  TimePoint looked_{};  ///< for something to tell
+  bool changed_ = false;  ///< there is something for a tracker
+  TimePoint looked_{};    ///< for something to tell
   TimePoint last_sent_{};
   TimePoint last_namings_{};
-  std::vector<LoadNews> told_loads_;  ///< of the last message
+  std::vector<LoadNews> told_loads_;  ///< of the last message to all
   bool stopped_ = false;
   std::array<char, kMaxDatagramBytes> buffer_;
 };
--- a/libs/peers/include/peers/peer_loads.h
+++ b/libs/peers/include/peers/peer_loads.h
@@ -27,6 +27,9 @@
   /// Drops gateways that have fallen silent.
   void Expire(TimePoint now);
 
+  /// What `gateway` does at a backend server, as it told last.
+  LoadNews LoadOf(const DaemonId& gateway, BackendHash backend) const;
+
   /// Gateways heard lately.
   std::size_t size() const { return peers_.size(); }
 
--- /dev/null
+++ b/libs/peers/include/peers/recent_namings.h
@@ -0,0 +1,19 @@
+// When weights were named, as gateways tell each other.
+
+#pragma once
+
+#include <vector>
+
+#include "gateway/gateway_news.h"
+#include "gateway/named_weights.h"
+
+namespace ridgehold {
+
+/// The last namings of each model, without those whose moment is a guess: it
+/// would take the place of what others know.
+std::vector<NamingNews> RecentNamings(const NamedWeights& named, TimePoint now);
+
+/// Takes what another gateway tells.
+void TakeNamings(NamedWeights& named, const std::vector<NamingNews>& namings, TimePoint now);
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/peers/src/load_asker.cc
@@ -0,0 +1,113 @@
+#include "peers/load_asker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/wait.h"
+#include "peers/recent_namings.h"
+
+namespace ridgehold {
+
+net::awaitable<LoadAnswer> LoadAsker::Ask(LoadQuestion question) {
+  const TimePoint now = Clock::now();
+  const auto pending = std::make_shared<Pending>(state_.executor());
+  const std::uint64_t id = ++last_question_;
+  for (auto& [address, part] : Divide(question, now)) {
+    if (address == options_.address) {
+      AddTo(pending->answer, Answer(part.message, now));
+      continue;
+    }
+    part.message.id = id;
+    pending->waiting.insert(address);
+    send_(*part.tracker, Encode(part.message));
+  }
+  if (!pending->waiting.empty()) {
+    pending_[id] = pending;
+    co_await WaitUntil(pending->timer, now + options_.limit);
+    pending_.erase(id);
+  }
+  NoteUnanswered(*pending, Clock::now());
+  co_return std::move(pending->answer);
+}
+
+std::map<std::string, LoadAsker::Part> LoadAsker::Divide(const LoadQuestion& question,
+                                                         TimePoint now) const {
+  std::map<std::string, Part> parts;
+  const auto part_for = [&](std::uint64_t hash, const ZoneId& zone) -> LoadQuestionMessage* {
+    const TrackerMap::Gateway* tracker = trackers_.TrackerOf(hash, zone, now);
+    if (tracker == nullptr) return nullptr;
+    Part& part = parts[tracker->address];
+    if (part.tracker == nullptr) {
+      part.tracker = tracker;
+      part.message.daemon = options_.self;
+      part.message.parts = question.parts;
+      part.message.model = question.model;
+      part.message.weights = question.weights;
+      part.message.wants_namings = state_.named_weights().guesses();
+    }
+    return &part.message;
+  };
+  for (const BackendPtr& backend : question.backends) {
+    const BackendHash hash = HashOf(*backend);
+    if (auto* message = part_for(hash, backend->entry.zone)) message->backends.push_back(hash);
+  }
+  if (question.store) {
+    auto* message = part_for(question.store->link, question.store->zone);
+    if (message != nullptr) message->store = question.store->link;
+  }
+  return parts;
+}
+
+LoadAnswerMessage LoadAsker::Answer(const LoadQuestionMessage& question, TimePoint now) const {
+  LoadAnswerMessage answer;
+  answer.daemon = options_.self;
+  answer.id = question.id;
+  LoadQuestion asked;
+  asked.parts = question.parts;
+  asked.model = question.model;
+  asked.weights = question.weights;
+  for (const BackendHash hash : question.backends) {
+    const BackendPtr backend = state_.directory().FindByHash(hash);
+    if (!backend) continue;
+    BackendReport report = state_.ReportOn(*backend, asked, now);
+    const bool own = question.daemon == options_.self;
+    const LoadNews asker =
+        own ? state_.OwnLoadAt(*backend, now) : loads_.LoadOf(question.daemon, hash);
+    PeerWork& work = report.work;
+    work.running -= std::min(work.running, asker.running);
+    work.unread_tokens -= std::min(work.unread_tokens, asker.unread_tokens);
+    work.unrepeatable -= std::min(work.unrepeatable, asker.unrepeatable);
+    work.uncovered -= std::min(work.uncovered, asker.uncovered);
+    answer.backends.push_back(std::move(report));
+  }
+  if (question.store) {
+    answer.store = state_.ReportOn(AskedStore{*question.store, ZoneId()}, asked, now);
+  }
+  if (question.wants_namings) answer.namings = RecentNamings(state_.named_weights(), now);
+  return answer;
+}
+
+void LoadAsker::Take(const LoadAnswerMessage& answer, const std::string& address) {
+  trackers_.NoteHeard(address);
+  TakeNamings(state_.named_weights(), answer.namings, Clock::now());
+  const auto found = pending_.find(answer.id);
+  if (found == pending_.end()) return;  // too late
+  Pending& pending = *found->second;
+  if (pending.waiting.erase(address) == 0) return;
+  AddTo(pending.answer, answer);
+  if (pending.waiting.empty()) pending.timer.cancel();
+}
+
+void LoadAsker::AddTo(LoadAnswer& answer, const LoadAnswerMessage& message) {
+  for (const BackendReport& report : message.backends) answer.backends[report.backend] = report;
+  if (message.store) answer.store = message.store;
+}
+
+void LoadAsker::NoteUnanswered(const Pending& pending, TimePoint now) {
+  state_.metrics().GetCounter("ridgehold_load_questions").Add();
+  if (pending.waiting.empty()) return;
+  state_.metrics().GetCounter("ridgehold_load_questions_unanswered").Add(pending.waiting.size());
+  for (const std::string& address : pending.waiting) trackers_.NoteMiss(address, now);
+}
+
+}  // namespace ridgehold
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gateway.pb.h"
+#include "peers/load_messages.h"
 
 namespace ridgehold {
 namespace {
@@ -41,15 +42,15 @@
 NewsItems DecodeItems(const wire::GatewayNews& message) {
   NewsItems items;
   for (const wire::GatewayPlaced& entry : message.placed()) {
-    PlacedNews placed{entry.backend(),
-                      entry.new_tokens(),
-                      entry.own_tokens(),
-                      {},
-                      WeightsNumber(entry.weights()),
-                      entry.fetched_from(),
-                      Duration(entry.fetch_us()),
-                      entry.saved_to(),
-                      Duration(entry.save_us())};
+    PlacedNews placed;
+    placed.backend = entry.backend();
+    placed.new_tokens = entry.new_tokens();
+    placed.own_tokens = entry.own_tokens();
+    placed.weights = WeightsNumber(entry.weights());
+    placed.fetched_from = entry.fetched_from();
+    placed.fetch_length = Duration(entry.fetch_us());
+    placed.saved_to = entry.saved_to();
+    placed.save_length = Duration(entry.save_us());
     const int parts = std::min(entry.parts_size(), entry.part_tokens_size());
     for (int i = 0; i < parts; ++i) placed.parts.push_back({entry.parts(i), entry.part_tokens(i)});
     items.placed.push_back(std::move(placed));
@@ -65,6 +66,99 @@
   return items;
 }
 
+void EncodeNamings(const std::vector<NamingNews>& namings, wire::GatewayNews& message) {
+  for (const NamingNews& naming : namings) {
+    wire::GatewayNaming& entry = *message.add_namings();
+    entry.set_model(naming.model.value());
+    entry.set_number(naming.number.value());
+    entry.set_age_ms(static_cast<std::uint32_t>(naming.age.count()));
+  }
+}
+
+std::vector<NamingNews> DecodeNamings(const wire::GatewayNews& message) {
+  std::vector<NamingNews> namings;
+  for (const wire::GatewayNaming& entry : message.namings()) {
+    namings.push_back({ModelId(entry.model()), WeightsNumber(entry.number()),
+                       std::chrono::milliseconds(entry.age_ms())});
+  }
+  return namings;
+}
+
+std::uint32_t Microseconds(Duration time) {
+  return static_cast<std::uint32_t>(std::max(time, Duration::zero()).count());
+}
+
+void EncodeReport(const BackendReport& report, wire::BackendReport& entry) {
+  entry.set_backend(report.backend);
+  entry.set_running(report.work.running);
+  entry.set_unread_tokens(report.work.unread_tokens);
+  entry.set_unrepeatable(report.work.unrepeatable);
+  entry.set_uncovered(report.work.uncovered);
+  entry.set_hold_ms(Microseconds(report.hold) / 1'000);
+  entry.set_weights(report.weights.value());
+  entry.set_known_tokens(report.held.tokens);
+  entry.set_readable_tokens(report.held.readable);
+  entry.set_used_since(report.held.used_since);
+  entry.set_link_us(Microseconds(report.link_wait));
+  entry.set_unreachable(!report.reachable);
+}
+
+BackendReport DecodeReport(const wire::BackendReport& entry) {
+  BackendReport report;
+  report.backend = entry.backend();
+  report.work = {entry.running(), entry.unread_tokens(), entry.unrepeatable(), entry.uncovered()};
+  report.hold = std::chrono::milliseconds(entry.hold_ms());
+  report.weights = WeightsNumber(entry.weights());
+  report.held = {entry.known_tokens(), entry.readable_tokens(), entry.used_since()};
+  report.link_wait = Duration(entry.link_us());
+  report.reachable = !entry.unreachable();
+  return report;
+}
+
+GatewayNews DecodeNewsOf(const wire::GatewayNews& message) {
+  GatewayNews news;
+  news.daemon = DaemonId(message.daemon());
+  news.incarnation = message.incarnation();
+  news.sequence = message.sequence();
+  for (const wire::GatewayLoad& entry : message.loads()) {
+    news.loads.push_back({entry.backend(), entry.running(), entry.unread_tokens(),
+                          entry.unrepeatable(), entry.uncovered()});
+  }
+  news.items = DecodeItems(message);
+  news.namings = DecodeNamings(message);
+  return news;
+}
+
+LoadQuestionMessage DecodeQuestion(const wire::GatewayNews& message) {
+  const wire::LoadQuestion& question = message.question();
+  LoadQuestionMessage decoded;
+  decoded.daemon = DaemonId(message.daemon());
+  decoded.id = question.id();
+  decoded.backends.assign(question.backends().begin(), question.backends().end());
+  for (const std::uint64_t part : question.parts()) decoded.parts.push_back({part, 0});
+  decoded.model = ModelId(question.model());
+  decoded.weights = WeightsNumber(question.weights());
+  if (question.stores_size() > 0) decoded.store = question.stores(0);
+  decoded.wants_namings = question.wants_namings();
+  return decoded;
+}
+
+LoadAnswerMessage DecodeAnswer(const wire::GatewayNews& message) {
+  const wire::LoadAnswer& answer = message.answer();
+  LoadAnswerMessage decoded;
+  decoded.daemon = DaemonId(message.daemon());
+  decoded.id = answer.id();
+  for (const wire::BackendReport& entry : answer.backends()) {
+    decoded.backends.push_back(DecodeReport(entry));
+  }
+  if (answer.stores_size() > 0) {
+    const wire::StoreReport& entry = answer.stores(0);
+    decoded.store = StoreReport{entry.store(), entry.readable_tokens(), Duration(entry.link_us())};
+  }
+  decoded.namings = DecodeNamings(message);
+  return decoded;
+}
+
 }  // namespace
 
 std::string EncodeNews(const GatewayNews& news) {
@@ -81,35 +175,55 @@
     entry.set_uncovered(load.uncovered);
   }
   EncodeItems(news.items, message);
-  for (const NamingNews& naming : news.namings) {
-    wire::GatewayNaming& entry = *message.add_namings();
-    entry.set_model(naming.model.value());
-    entry.set_number(naming.number.value());
-    entry.set_age_ms(static_cast<std::uint32_t>(naming.age.count()));
+  EncodeNamings(news.namings, message);
+  return message.SerializeAsString();
+}
+
+std::string Encode(const LoadQuestionMessage& question) {
+  wire::GatewayNews message;
+  message.set_daemon(question.daemon.value());
+  wire::LoadQuestion& body = *message.mutable_question();
+  body.set_id(question.id);
+  for (const BackendHash backend : question.backends) body.add_backends(backend);
+  for (const SharedPart& part : question.parts) body.add_parts(part.hash);
+  body.set_model(question.model.value());
+  body.set_weights(question.weights.value());
+  if (question.store) body.add_stores(*question.store);
+  body.set_wants_namings(question.wants_namings);
+  return message.SerializeAsString();
+}
+
+std::string Encode(const LoadAnswerMessage& answer) {
+  wire::GatewayNews message;
+  message.set_daemon(answer.daemon.value());
+  wire::LoadAnswer& body = *message.mutable_answer();
+  body.set_id(answer.id);
+  for (const BackendReport& report : answer.backends) EncodeReport(report, *body.add_backends());
+  if (answer.store) {
+    wire::StoreReport& entry = *body.add_stores();
+    entry.set_store(answer.store->link);
+    entry.set_readable_tokens(answer.store->readable_tokens);
+    entry.set_link_us(Microseconds(answer.store->link_wait));
   }
+  EncodeNamings(answer.namings, message);
   return message.SerializeAsString();
 }
 
-Result<GatewayNews> DecodeNews(std::string_view bytes) {
+Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
   wire::GatewayNews message;
   const bool parsed = message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
   if (!parsed || message.daemon().empty()) {
     return Fail(ResultCode::kMalformedPeerMessage, "not a gateway's message");
   }
-  GatewayNews news;
-  news.daemon = DaemonId(message.daemon());
-  news.incarnation = message.incarnation();
-  news.sequence = message.sequence();
-  for (const wire::GatewayLoad& entry : message.loads()) {
-    news.loads.push_back({entry.backend(), entry.running(), entry.unread_tokens(),
-                          entry.unrepeatable(), entry.uncovered()});
-  }
-  news.items = DecodeItems(message);
-  for (const wire::GatewayNaming& entry : message.namings()) {
-    news.namings.push_back({ModelId(entry.model()), WeightsNumber(entry.number()),
-                            std::chrono::milliseconds(entry.age_ms())});
-  }
-  return news;
+  if (message.has_question()) return PeerMessage(DecodeQuestion(message));
+  if (message.has_answer()) return PeerMessage(DecodeAnswer(message));
+  return PeerMessage(DecodeNewsOf(message));
+}
+
+Result<GatewayNews> DecodeNews(std::string_view bytes) {
+  BOOST_LEAF_AUTO(message, DecodePeerMessage(bytes));
+  if (auto* news = std::get_if<GatewayNews>(&message)) return std::move(*news);
+  return Fail(ResultCode::kMalformedPeerMessage, "a question or an answer, not news");
 }
 
 }  // namespace ridgehold
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -4,21 +4,18 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <random>
+#include <utility>
 
 #include "log/log.h"
 #include "net/wait.h"
 #include "peers/news_codec.h"
+#include "peers/recent_namings.h"
 
 namespace ridgehold {
-namespace {
 
-// A rollout that is more namings behind has other troubles.
-constexpr std::size_t kMostNamings = 6;
-
-}  // namespace
-
-Result<std::unique_ptr<PeerLink>> PeerLink::Create(
-    GatewayState& state, Options options, std::function<std::vector<std::string>()> peers) {
+Result<std::unique_ptr<PeerLink>> PeerLink::Create(GatewayState& state, Options options,
+                                                   const OwnRecords& members,
+                                                   std::vector<std::string> seeds) {
   ErrorCode error;
   const auto address = net::ip::make_address(options.address, error);
   net::ip::udp::socket socket(state.executor());
@@ -30,98 +27,133 @@
                     std::to_string(options.port) + ": " + error.message());
   }
   return std::unique_ptr<PeerLink>(
-      new PeerLink(state, std::move(options), std::move(peers), std::move(socket)));
+      new PeerLink(state, std::move(options), members, std::move(seeds), std::move(socket)));
 }
 
-PeerLink::PeerLink(GatewayState& state, Options options,
-                   std::function<std::vector<std::string>()> peers, net::ip::udp::socket socket)
+PeerLink::PeerLink(GatewayState& state, Options options, const OwnRecords& members,
+                   std::vector<std::string> seeds, net::ip::udp::socket socket)
     : state_(state),
       options_(std::move(options)),
-      peers_(std::move(peers)),
+      members_(members),
+      seeds_(std::move(seeds)),
       socket_(std::move(socket)),
       timer_(state.executor()),
       loads_(state),
+      tracked_news_(state, options_.address),
+      asker_(state, loads_, trackers_, {options_.self, options_.address},
+             [this](const TrackerMap::Gateway& gateway, const std::string& bytes) {
+               SendTo(gateway.ip, bytes);
+             }),
       incarnation_(std::random_device{}()) {}
 
 net::awaitable<void> PeerLink::Send() {
   state_.SetPlacedListener([this] { timer_.cancel(); });
+  state_.SetLoadListener([this] {
+    if (state_.asks_first() && !std::exchange(changed_, true)) timer_.cancel();
+  });
   while (!stopped_) {
-    const std::vector<std::string> peers = peers_();
+    LookAtMembers();
     const TimePoint now = Clock::now();
     loads_.Expire(now);
-    if (now >= NextSend(peers.size())) SendNews(peers, now);
-    co_await WaitUntil(timer_, NextSend(peers.size()));
+    if (now >= NextSend()) state_.asks_first() ? SendToTrackers(now) : SendNews(now);
+    co_await WaitUntil(timer_, NextSend());
   }
   state_.SetPlacedListener({});
+  state_.SetLoadListener({});
+}
+
+void PeerLink::LookAtMembers() {
+  if (members_version_ == members_.members_version()) return;
+  members_version_ = members_.members_version();
+  trackers_.SetGateways(members_.Members());
+  peers_.clear();
+  const auto add = [this](const std::string& text) {
+    ErrorCode error;
+    const auto address = net::ip::make_address(text, error);
+    if (!error && text != options_.address) peers_.push_back(address);
+  };
+  for (const Member& member : members_.Members()) add(member.address);
+  if (members_.Members().empty()) std::ranges::for_each(seeds_, add);
+  const bool large = members_.Members().size() > options_.most_told;
+  if (large == state_.asks_first()) return;
+  Log(LogLevel::kInfo, large ? "trackers are told and asked" : "all gateways are told",
+      {{"gateways", std::to_string(members_.Members().size())},
+       {"most_told", std::to_string(options_.most_told)}});
+  GatewayState::LoadAsker ask;
+  if (large) ask = [this](LoadQuestion question) { return asker_.Ask(std::move(question)); };
+  state_.SetLoadAsker(std::move(ask));
 }
 
-TimePoint PeerLink::NextSend(std::size_t peers) const {
-  const auto count = static_cast<int>(peers);
+TimePoint PeerLink::NextSend() const {
+  if (state_.asks_first()) {
+    return looked_ + (changed_ ? Duration(options_.tracked_gap) : TrackedNews::kRepeat / 2);
+  }
+  const auto count = static_cast<int>(peers_.size());
   if (!state_.news().placed.empty()) {
     return looked_ + options_.placed_gap + count * options_.placed_gap_per_peer;
   }
   return looked_ + options_.period + count * options_.period_per_peer;
 }
 
-void PeerLink::SendNews(const std::vector<std::string>& peers, TimePoint now) {
+void PeerLink::SendNews(TimePoint now) {
   looked_ = now;
   GatewayNews news = MakeNews();
   const bool due = now - last_sent_ >= options_.heartbeat;
   if (news.items.empty() && news.loads == told_loads_ && !due) return;
   last_sent_ = now;
-  SendToPeers(EncodeNews(news), peers);
+  const std::string datagram = EncodeNews(news);
+  for (const net::ip::address& peer : peers_) SendTo(peer, datagram);
   told_loads_ = std::move(news.loads);
 }
 
+void PeerLink::SendToTrackers(TimePoint now) {
+  looked_ = now;
+  changed_ = false;
+  const NewsItems items = state_.TakeNews(kMostPlaced);
+  for (NewsForTracker& to : tracked_news_.Collect(OwnLoads(), items, trackers_, now)) {
+    GatewayNews news = MakeHead();
+    news.loads = std::move(to.loads);
+    news.items = std::move(to.items);
+    SendTo(to.tracker.ip, EncodeNews(news));
+  }
+  // What was more than one message takes comes next.
+  changed_ = changed_ || !state_.news().placed.empty();
+}
+
 std::vector<LoadNews> PeerLink::OwnLoads() const {
   std::vector<LoadNews> loads;
+  const TimePoint now = Clock::now();
   for (const auto& [id, backend] : state_.directory().all()) {
-    if (backend->in_flight == 0) continue;
-    loads.push_back({HashOf(*backend), backend->in_flight,
-                     static_cast<std::uint32_t>(std::max(0.0, backend->unprefilled_tokens)),
-                     backend->unrepeatable, state_.Uncovered(*backend, Clock::now())});
+    if (backend->in_flight > 0) loads.push_back(state_.OwnLoadAt(*backend, now));
   }
   return loads;
 }
 
-GatewayNews PeerLink::MakeNews() {
+GatewayNews PeerLink::MakeHead() {
   GatewayNews news;
   news.daemon = options_.self;
   news.incarnation = incarnation_;
   news.sequence = ++sequence_;
+  return news;
+}
+
+GatewayNews PeerLink::MakeNews() {
+  GatewayNews news = MakeHead();
   news.loads = OwnLoads();
   news.items = state_.TakeNews(kMostPlaced);
   const TimePoint now = Clock::now();
   if (now - last_namings_ >= options_.heartbeat) {
     last_namings_ = now;
-    news.namings = RecentNamings(now);
+    news.namings = RecentNamings(state_.named_weights(), now);
   }
   return news;
 }
 
-std::vector<NamingNews> PeerLink::RecentNamings(TimePoint now) const {
-  std::vector<NamingNews> recent;
-  for (const auto& [model, namings] : state_.named_weights().all()) {
-    const std::size_t skipped = namings.size() - std::min(namings.size(), kMostNamings);
-    for (std::size_t i = skipped; i < namings.size(); ++i) {
-      // A guess would take the place of what others know.
-      if (namings[i].assumed) continue;
-      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - namings[i].at);
-      recent.push_back({model, namings[i].number, age});
-    }
-  }
-  return recent;
-}
-
-void PeerLink::SendToPeers(const std::string& datagram, const std::vector<std::string>& peers) {
-  for (const std::string& peer : peers) {
-    ErrorCode error;
-    const auto address = net::ip::make_address(peer, error);
-    if (error) continue;
-    socket_.send_to(net::buffer(datagram), {address, options_.port}, 0, error);
-    // A full buffer or an unreachable peer: the next message follows soon.
-    if (error) state_.metrics().GetCounter("ridgehold_peer_messages_dropped").Add();
-  }
+void PeerLink::SendTo(const net::ip::address& address, const std::string& datagram) {
+  ErrorCode error;
+  socket_.send_to(net::buffer(datagram), {address, options_.port}, 0, error);
+  // A full buffer or an unreachable peer: the next message follows soon.
+  if (error) state_.metrics().GetCounter("ridgehold_peer_messages_dropped").Add();
 }
 
 net::awaitable<void> PeerLink::Receive() {
@@ -131,19 +163,23 @@
     const std::size_t bytes = co_await socket_.async_receive_from(
         net::buffer(buffer_), sender, net::redirect_error(net::use_awaitable, error));
     if (error == net::error::operation_aborted) co_return;
-    if (!error) Take(bytes);
+    if (!error) Take(bytes, sender);
   }
 }
 
-void PeerLink::Take(std::size_t bytes) {
+void PeerLink::Take(std::size_t bytes, const net::ip::udp::endpoint& sender) {
   ValueOr(
       [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(news, DecodeNews({buffer_.data(), bytes}));
-        if (news.daemon == options_.self) return {};
+        BOOST_LEAF_AUTO(message, DecodePeerMessage({buffer_.data(), bytes}));
         const TimePoint now = Clock::now();
-        loads_.Take(news, now);
-        for (const NamingNews& naming : news.namings) {
-          state_.named_weights().Take(naming.model, naming.number, now - naming.age);
+        if (const auto* question = std::get_if<LoadQuestionMessage>(&message)) {
+          SendTo(sender.address(), Encode(asker_.Answer(*question, now)));
+        } else if (const auto* answer = std::get_if<LoadAnswerMessage>(&message)) {
+          asker_.Take(*answer, sender.address().to_string());
+        } else if (const auto& news = std::get<GatewayNews>(message);
+                   news.daemon != options_.self) {
+          loads_.Take(news, now);
+          TakeNamings(state_.named_weights(), news.namings, now);
         }
         return {};
       },
--- a/libs/peers/src/peer_loads.cc
+++ b/libs/peers/src/peer_loads.cc
@@ -27,10 +27,12 @@
   for (const LoadNews& load : loads) {
     const BackendPtr backend = state_.directory().FindByHash(load.backend);
     if (!backend) continue;
-    backend->peers.running += load.running;
-    backend->peers.unread_tokens += load.unread_tokens;
-    backend->peers.unrepeatable += load.unrepeatable;
-    backend->peers.uncovered += load.uncovered;
+    PeerWork& work = backend->heard;
+    work.running += load.running;
+    work.unread_tokens += load.unread_tokens;
+    work.unrepeatable += load.unrepeatable;
+    work.uncovered += load.uncovered;
+    backend->peers = work;
   }
 }
 
@@ -39,14 +41,22 @@
     const BackendPtr backend = state_.directory().FindByHash(load.backend);
     if (!backend) continue;
     // A backend server may have been added between; nothing goes below zero.
-    PeerWork& work = backend->peers;
+    PeerWork& work = backend->heard;
     work.running -= std::min(work.running, load.running);
     work.unread_tokens -= std::min(work.unread_tokens, load.unread_tokens);
     work.unrepeatable -= std::min(work.unrepeatable, load.unrepeatable);
     work.uncovered -= std::min(work.uncovered, load.uncovered);
+    backend->peers = work;
   }
 }
 
+LoadNews PeerLoads::LoadOf(const DaemonId& gateway, BackendHash backend) const {
+  const auto peer = peers_.find(gateway);
+  if (peer == peers_.end()) return {};
+  const auto load = std::ranges::find(peer->second.loads, backend, &LoadNews::backend);
+  return load == peer->second.loads.end() ? LoadNews() : *load;
+}
+
 void PeerLoads::TakeItems(const NewsItems& items, TimePoint now) {
   for (const PlacedNews& placed : items.placed) state_.TakePlaced(placed, now);
   for (const HoldNews& hold : items.holds) {
--- /dev/null
+++ b/libs/peers/src/recent_namings.cc
@@ -0,0 +1,33 @@
+#include "peers/recent_namings.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace ridgehold {
+namespace {
+
+// A rollout that is more namings behind has other troubles.
+constexpr std::size_t kMostNamings = 6;
+
+}  // namespace
+
+std::vector<NamingNews> RecentNamings(const NamedWeights& named, TimePoint now) {
+  std::vector<NamingNews> recent;
+  for (const auto& [model, namings] : named.all()) {
+    const std::size_t skipped = namings.size() - std::min(namings.size(), kMostNamings);
+    for (std::size_t i = skipped; i < namings.size(); ++i) {
+      if (namings[i].assumed) continue;
+      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - namings[i].at);
+      recent.push_back({model, namings[i].number, age});
+    }
+  }
+  return recent;
+}
+
+void TakeNamings(NamedWeights& named, const std::vector<NamingNews>& namings, TimePoint now) {
+  for (const NamingNews& naming : namings) {
+    named.Take(naming.model, naming.number, now - naming.age);
+  }
+}
+
+}  // namespace ridgehold
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -2,6 +2,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "peers/load_messages.h"
 #include "peers/news_codec.h"
 #include "peers/peer_loads.h"
 #include "peers/store_copy.h"
@@ -123,8 +124,37 @@
   RC_ASSERT(EncodeNews(*decoded) == EncodeNews(news));
 }
 
+RC_BOOST_PROP(question_and_answer_survive_their_encoding, ()) {
+  LoadQuestionMessage question;
+  question.daemon = DaemonId("d");
+  question.id = *rc::gen::arbitrary<std::uint64_t>();
+  question.backends = *rc::gen::arbitrary<std::vector<std::uint64_t>>();
+  question.parts = {{*rc::gen::arbitrary<std::uint64_t>(), 0}};
+  question.model = kModel;
+  question.weights = WeightsNumber(3);
+  question.store = 9;
+  question.wants_namings = true;
+  const auto read = DecodePeerMessage(Encode(question));
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(Encode(std::get<LoadQuestionMessage>(*read)) == Encode(question));
+  LoadAnswerMessage answer;
+  answer.daemon = DaemonId("d");
+  answer.id = question.id;
+  for (const BackendHash backend : question.backends) {
+    answer.backends.push_back(
+        {backend, {1, 2, 3, 4}, 20ms, WeightsNumber(5), {60, 50, 7}, 8ms, false});
+  }
+  answer.store = StoreReport{9, 100, 3ms};
+  answer.namings = {{kModel, WeightsNumber(5), 7ms}};
+  const auto answered = DecodePeerMessage(Encode(answer));
+  RC_ASSERT(answered.has_value());
+  RC_ASSERT(Encode(std::get<LoadAnswerMessage>(*answered)) == Encode(answer));
+  RC_ASSERT(FailureOf([&] { return DecodeNews(Encode(answer)); }).has_value());
+}
+
 RC_BOOST_PROP(any_bytes_are_read_or_refused, (const std::string& bytes)) {
   FailureOf([&] { return DecodeNews(bytes); });
+  FailureOf([&] { return DecodePeerMessage(bytes); });
   FailureOf([&] { return DecodeStoreCopy(bytes); });
 }
 
--- a/test/peer_link-test.cc
+++ b/test/peer_link-test.cc
@@ -16,9 +16,11 @@
 struct Gateway {
   Metrics metrics;
   GatewayState state;
+  OwnRecords members;
   std::unique_ptr<PeerLink> link;
 
-  Gateway(net::io_context& io, const std::string& address, const std::string& peer)
+  Gateway(net::io_context& io, const std::string& address, const std::string& peer,
+          std::size_t most_told = 32)
       : state(io.get_executor(), ZoneId("a"), GatewayLimits{}, PlacementWeights{}, metrics) {
     BackendEntry entry;
     entry.id = BackendId("b");
@@ -30,8 +32,14 @@
     // So long that only what is told at once can arrive within the test.
     options.period = 5s;
     options.heartbeat = 60s;
-    link = std::move(
-        *PeerLink::Create(state, options, [peer] { return std::vector<std::string>{peer}; }));
+    options.most_told = most_told;
+    for (const std::string& member : {address, peer}) {
+      StoreItem item;
+      item.key = kMemberPrefix + member;
+      item.value = EncodeMember({member, ZoneId("a")});
+      members.Put(item);
+    }
+    link = std::move(*PeerLink::Create(state, options, members, {}));
     net::co_spawn(io, link->Send(), net::detached);
     net::co_spawn(io, link->Receive(), net::detached);
   }
@@ -78,4 +86,88 @@
   BOOST_TEST(!Within(200ms, [&] { return second.backend().peers.running == 0; }));
 }
 
+/// Two gateways of a fleet in which those that track are told and asked.
+struct TrackedFixture {
+  net::io_context io;
+  Gateway first{io, "127.0.0.1", "127.0.0.2", 1};
+  Gateway second{io, "127.0.0.2", "127.0.0.1", 1};
+  Gateway* tracker = nullptr;
+  Gateway* other = nullptr;
+
+  TrackedFixture() {
+    io.run_for(20ms);
+    TrackerMap map;
+    map.SetGateways(first.members.Members());
+    const bool is_first =
+        map.TrackerOf(HashOf(first.backend()), ZoneId(""), Clock::now())->address == "127.0.0.1";
+    tracker = is_first ? &first : &second;
+    other = is_first ? &second : &first;
+  }
+
+  LoadAnswer Ask(Gateway& gateway, std::uint64_t part) {
+    LoadQuestion question;
+    question.backends = {gateway.state.directory().Find(BackendId("b"))};
+    question.parts = {{part, 90}};
+    question.model = ModelId("m");
+    LoadAnswer answer;
+    bool done = false;
+    net::co_spawn(io, gateway.state.AskLoads(question), [&](std::exception_ptr, LoadAnswer got) {
+      answer = std::move(got);
+      done = true;
+    });
+    const TimePoint end = Clock::now() + 1s;
+    while (!done && Clock::now() < end) io.run_for(1ms);
+    return answer;
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(tracker_is_told_and_answers_for_all_but_the_asking_one, TrackedFixture) {
+  BOOST_REQUIRE(other->state.asks_first());
+  other->Place(7);
+  tracker->Place(8);
+  tracker->state.NoteLoadChange();
+  other->state.NoteLoadChange();
+  io.run_for(30ms);
+  BOOST_TEST(tracker->backend().heard.running == 1U);
+  const LoadAnswer answer = Ask(*other, 8);
+  const BackendReport* report = answer.Find(other->backend());
+  BOOST_REQUIRE(report != nullptr);
+  BOOST_TEST(report->work.running == 1U);
+  BOOST_TEST(report->held.tokens == 90U);
+  BOOST_TEST(other->backend().peers.running == 1U);
+  const LoadAnswer own = Ask(*tracker, 7);
+  BOOST_REQUIRE(own.Find(tracker->backend()) != nullptr);
+  BOOST_TEST(own.Find(tracker->backend())->work.running == 1U);
+  BOOST_TEST(own.Find(tracker->backend())->held.tokens == 90U);
+}
+
+BOOST_FIXTURE_TEST_CASE(hold_and_end_of_load_reach_the_tracker, TrackedFixture) {
+  other->Place(7);
+  other->state.NoteLoadChange();
+  io.run_for(30ms);
+  other->state.Hold(other->backend(), 2s, Clock::now());
+  other->backend().in_flight = 0;
+  other->state.NoteLoadChange();
+  io.run_for(30ms);
+  BOOST_TEST(tracker->backend().heard.running == 0U);
+  BOOST_TEST((tracker->backend().hold_until > Clock::now() + 1s));
+  tracker->backend().weights[ModelId("m")] = WeightsNumber(4);
+  const LoadAnswer answer = Ask(*other, 7);
+  BOOST_REQUIRE(answer.Find(other->backend()) != nullptr);
+  BOOST_TEST((answer.Find(other->backend())->hold > 1s));
+  BOOST_TEST((other->backend().weights[ModelId("m")] == WeightsNumber(4)));
+}
+
+BOOST_FIXTURE_TEST_CASE(question_without_an_answer_ends_within_its_limit, TrackedFixture) {
+  tracker->link->Stop();
+  io.run_for(5ms);
+  const TimePoint began = Clock::now();
+  const LoadAnswer answer = Ask(*other, 7);
+  BOOST_TEST(answer.backends.empty());
+  BOOST_TEST((Clock::now() - began < 200ms));
+  Ask(*other, 7);
+  // From then on the other one is the next in rank.
+  BOOST_TEST(Ask(*other, 7).Find(other->backend()) != nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
