Large fleets: who has a prompt is known at its home, one gateway watches the store

Change: the tracker of a prompt's home is told of each placement of the prompt and names engines that have it; those are asked about in a second round and serve as sources. Segments of engines for prompts' beginnings come from samples in the answers (SampledShares). Once half of the engines have loaded newer weights, homes are among these. Zones' relays follow the first gateway of all, silent relays are passed over, a gateway waits 0.5 s for a relay before it watches the store, marks live 15 s with three renewals. Idle connections are kept as long as the server says (20 s at most) where it says so.

--- a/libs/control/include/control/own_records.h
+++ b/libs/control/include/control/own_records.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,12 @@
   /// by name. Nothing when none is known.
   std::optional<Member> RelayOf(const ZoneId& zone) const;
 
+  /// The gateway through which `self` hears of the store: the relay of its zone;
+  /// for that one the first of all gateways by name; nothing for this, which asks
+  /// the store. So one gateway asks, whatever the size of the fleet, and changes
+  /// arrive over two hops. Those in `silent`, by address, are passed over.
+  std::optional<Member> RelayFor(const Member& self, const std::set<std::string>& silent) const;
+
  private:
   /// Decoded once a change, not with each of the hundreds of looks a second.
   void ReadMembers();
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -37,6 +37,9 @@
     /// Whether another gateway's copy is followed now instead of the store.
     std::function<bool()> follows_peer = [] { return false; };
     std::chrono::milliseconds peer_look{100};
+    /// After the first listing the store is not asked for so long while a peer's
+    /// copy may come to be followed.
+    std::chrono::milliseconds relay_patience{0};
     /// What a process finds at its start was written at an unknown time; its
     /// peers tell better if there are any.
     std::chrono::milliseconds unknown_age{5'000};
@@ -65,8 +68,10 @@
         co_await WatchOnce();
         continue;
       }
+      const bool first = !read_once_;
       const bool listed = co_await ListAll();
       if (!listed) co_await Pause();
+      if (listed && first) co_await AwaitRelay();
     }
   }
 
@@ -123,6 +128,13 @@
   bool connected() const { return listed_ && !contact_.failing(); }
 
  private:
+  net::awaitable<void> AwaitRelay() {
+    const TimePoint until = Clock::now() + options_.relay_patience;
+    while (!stopped_ && !options_.follows_peer() && Clock::now() < until) {
+      co_await WaitFor(timer_, options_.peer_look);
+    }
+  }
+
   net::awaitable<bool> ListAll() {
     const TimePoint begun = Clock::now();
     const StoreRevision known = revision_;
--- a/libs/control/src/own_records.cc
+++ b/libs/control/src/own_records.cc
@@ -60,4 +60,17 @@
   return relay == members_.end() ? std::nullopt : std::optional(*relay);
 }
 
+std::optional<Member> OwnRecords::RelayFor(const Member& self,
+                                           const std::set<std::string>& silent) const {
+  const auto usable = [&](const Member& member) {
+    return member.address == self.address || !silent.contains(member.address);
+  };
+  const auto in_zone = std::ranges::find_if(
+      members_, [&](const Member& member) { return member.zone == self.zone && usable(member); });
+  if (in_zone != members_.end() && in_zone->address != self.address) return *in_zone;
+  const auto first = std::ranges::find_if(members_, usable);
+  if (first == members_.end() || first->address == self.address) return std::nullopt;
+  return *first;
+}
+
 }  // namespace ridgehold
--- a/libs/control/test/own_records-test.cc
+++ b/libs/control/test/own_records-test.cc
@@ -37,4 +37,25 @@
   BOOST_TEST(!records.RelayOf(ZoneId("c")).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(one_gateway_asks_the_store_for_all) {
+  OwnRecords records;
+  for (const char* name : {"1", "2", "3", "4"}) PutMember(records, name, name[0] < '3' ? "a" : "b");
+  const auto relay_for = [&](const std::string& name, const std::string& zone,
+                             const std::set<std::string>& silent = {}) {
+    const auto relay = records.RelayFor({"10.0.0." + name, ZoneId(zone)}, silent);
+    return relay ? relay->address : "";
+  };
+  BOOST_TEST(relay_for("1", "a") == "");
+  BOOST_TEST(relay_for("2", "a") == "10.0.0.1");
+  BOOST_TEST(relay_for("3", "b") == "10.0.0.1");
+  BOOST_TEST(relay_for("4", "b") == "10.0.0.3");
+  // Passed over, also by the one that is next.
+  BOOST_TEST(relay_for("4", "b", {"10.0.0.3"}) == "10.0.0.1");
+  BOOST_TEST(relay_for("3", "b", {"10.0.0.1"}) == "10.0.0.2");
+  BOOST_TEST(relay_for("2", "a", {"10.0.0.1"}) == "");
+  BOOST_TEST(relay_for("1", "a", {"10.0.0.1"}) == "");
+  // One that is not known yet follows whom it finds.
+  BOOST_TEST(relay_for("9", "c") == "10.0.0.1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "control/held_key.h"
@@ -130,7 +131,7 @@
         server_(state_, std::move(acceptor), MostConnections(settings_)),
         copy_reader_(
             state_, follower_, CopyOptions(), [this] { return PeerAddresses(); },
-            [this] { return Relay(); }),
+            [this](const std::set<std::string>& passed_over) { return Relay(passed_over); }),
         timer_(executor) {}
 
   using Store = typename Env::Store;
@@ -166,6 +167,7 @@
     options.key = kMemberPrefix + settings_.daemon.value();
     options.value = EncodeMember({settings_.instance_address, settings_.zone});
     options.ttl = std::max(tuning_.member_ttl, settings_.least_lease_ttl);
+    options.renewals = tuning_.member_renewals;
     options.exclusive = false;
     return options;
   }
@@ -267,22 +269,21 @@
   typename Follower::Options FollowerOptions() {
     typename Follower::Options options;
     options.follows_peer = [this] { return FollowsRelay(); };
+    options.watch = tuning_.watch;
+    options.relay_patience = tuning_.relay_patience;
     options.unknown_age = std::max(settings_.weights_limit - tuning_.unknown_weights_use,
                                    std::chrono::milliseconds(0));
     return options;
   }
 
-  /// The other instance of the own zone that asks the store for this one too.
-  std::optional<std::string> Relay() const {
-    const auto relay = records_.RelayOf(settings_.zone);
-    if (!relay || relay->address == settings_.instance_address) return std::nullopt;
-    return relay->address;
+  /// The other instance that keeps this one current with the store.
+  std::optional<std::string> Relay(const std::set<std::string>& passed_over) const {
+    const auto relay = records_.RelayFor({settings_.instance_address, settings_.zone}, passed_over);
+    return relay ? std::optional(relay->address) : std::nullopt;
   }
 
-  /// Whether the relay keeps this instance current; else it asks the store.
-  bool FollowsRelay() const {
-    return Relay().has_value() && copy_reader_.RelayIsCurrent(Clock::now());
-  }
+  /// Whether the relay does so now; else this instance asks the store.
+  bool FollowsRelay() const { return copy_reader_.RelayIsCurrent(Clock::now()); }
 
   typename StoreCopyReader<Follower>::Options CopyOptions() const {
     typename StoreCopyReader<Follower>::Options options;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -45,7 +45,17 @@
   /// taking it takes; after so many turns all may, should those before be cut off.
   std::chrono::milliseconds duty_turn{250};
   std::size_t duty_turns = 6;
-  std::chrono::milliseconds member_ttl{10'000};
+  /// Members' marks are most of the calls in a large fleet. Three renewals in 15 s
+  /// bear two that are lost; an instance that dies is counted for 10 to 15 s, which
+  /// makes the others' shares of the retries smaller by it for so long.
+  std::chrono::milliseconds member_ttl{15'000};
+  int member_renewals = 3;
+  /// One gateway watches the store for all: an empty watch that is shorter than
+  /// the second that a followed copy may be old leaves time for two hops.
+  std::chrono::milliseconds watch{700};
+  /// After the first listing a relay gets so long to show itself: a fleet that
+  /// starts at once would else watch the store one by one.
+  std::chrono::milliseconds relay_patience{500};
   std::chrono::milliseconds housekeeping{500};
   /// The balancer asks once a second and needs two misses. Requests that come
   /// later are refused, so that none is broken off at the end.
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -45,6 +45,7 @@
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address that has shared parts
   BackendPtr fetch_backend;               ///< the engine there; null: a store
+  BackendPtr home;                        ///< of the prompt, in a large fleet; else null
   Duration fetch_length{0};               ///< that the link to it is busy
   std::optional<std::string> save_to;     ///< address of a store that is to keep them
   Duration save_length{0};                ///< that its link is busy
--- a/libs/gateway/include/gateway/gateway_news.h
+++ b/libs/gateway/include/gateway/gateway_news.h
@@ -42,6 +42,7 @@
   WeightsNumber weights;      ///< that the engine runs
   LinkHash fetched_from = 0;  ///< 0: nothing is fetched
   BackendHash source = 0;     ///< the engine at that link, if it is one; not sent
+  BackendHash home = 0;       ///< the prompt's home, whose tracker knows who has it; not sent
   Duration fetch_length{0};   ///< that the link is busy
   LinkHash saved_to = 0;      ///< store that gets the parts; 0: none
   Duration save_length{0};    ///< that its link is busy
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -23,6 +23,7 @@
 #include "gateway/reading_speed.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/routing_snapshot.h"
+#include "gateway/sampled_shares.h"
 #include "gateway/waiting_attempts.h"
 #include "metrics/metrics.h"
 #include "net/connection_pool.h"
@@ -108,6 +109,11 @@
   }
 
   PrefixShares& prefix_shares() { return prefix_shares_; }
+  const SampledShares& sampled_shares() const { return sampled_shares_; }
+  /// What this gateway's own requests tell of a beginning.
+  BeginningSample SampleOf(std::uint64_t first) const {
+    return {own_shares_.TokensOf(first), own_shares_.total()};
+  }
   const TransferLinks& links() const { return links_; }
 
   /// What a store is believed to keep, see KeptPart.
@@ -142,6 +148,11 @@
   /// Asks, and takes what is answered into the tables. Only while asks_first().
   net::awaitable<LoadAnswer> AskLoads(LoadQuestion question);
 
+  /// Engines that are believed to have all these parts, those on the newest weights
+  /// first, a few at most. Only the gateway that tracks the prompt's home is told
+  /// of all of them.
+  std::vector<BackendHash> HoldersOf(const std::vector<SharedPart>& parts, TimePoint now) const;
+
   /// This gateway's own requests there.
   LoadNews OwnLoadAt(const Backend& backend, TimePoint now);
 
@@ -229,6 +240,8 @@
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   TimePoint confirmed_at_{};
   PrefixShares prefix_shares_;
+  PrefixShares own_shares_;       ///< of this gateway's requests
+  SampledShares sampled_shares_;  ///< of all, as answers tell
   TransferLinks links_;
   std::unordered_map<LinkHash, EngineCache> kept_;  ///< by store
   std::map<ServiceId, ReadingSpeed> reading_speeds_;
--- a/libs/gateway/include/gateway/load_report.h
+++ b/libs/gateway/include/gateway/load_report.h
@@ -27,6 +27,7 @@
   ModelId model;
   WeightsNumber weights;            ///< of the parts in the store
   std::optional<AskedStore> store;  ///< none: nothing is fetched from one
+  BackendPtr home;                  ///< whose tracker is asked who has the parts; null: nobody
 };
 
 /// How a backend server is, by the gateway that tracks it.
@@ -47,10 +48,18 @@
   Duration link_wait{0};
 };
 
+/// What one gateway has seen of a prompt's beginning among its own requests.
+struct BeginningSample {
+  double tokens = 0;  ///< brought to caches by prompts that begin so
+  double total = 0;   ///< by all
+};
+
 /// The answers that came in time.
 struct LoadAnswer {
   std::map<BackendHash, BackendReport> backends;
   std::optional<StoreReport> store;
+  std::vector<BackendHash> holders;  ///< engines that are believed to have all parts
+  std::vector<BeginningSample> samples;
 
   /// Null when it was not asked about, or did not answer.
   const BackendReport* Find(const Backend& backend) const {
--- a/libs/gateway/include/gateway/prefix_shares.h
+++ b/libs/gateway/include/gateway/prefix_shares.h
@@ -30,6 +30,10 @@
   /// A request whose prompt begins with `first` brought `tokens` to a cache.
   void Note(std::uint64_t first, double tokens, TimePoint now);
 
+  /// The tokens noted for a beginning, and for all.
+  double TokensOf(std::uint64_t first) const;
+  double total() const { return total_; }
+
   /// Beginnings that were never noted have a segment without length.
   CircleSegment SegmentOf(std::uint64_t first) const;
 
--- a/libs/gateway/include/gateway/shortlist.h
+++ b/libs/gateway/include/gateway/shortlist.h
@@ -20,6 +20,7 @@
   const PromptChain* chain = nullptr;  ///< null for calls of plain services
   ModelId model;
   std::optional<WeightsNumber> newest_weights;
+  CircleSegment segment;   ///< of the engines that keep the prompt's beginning
   std::uint64_t draw = 0;  ///< differs by request
   TimePoint now{};
 };
@@ -40,8 +41,9 @@
 
 /// Candidates by rank of rendezvous hashing for the prompt, without regard to
 /// weights, the best first: prompts keep their homes while weights are loaded.
-std::vector<BackendPtr> HomesOf(const PromptChain& chain, std::span<const BackendPtr> candidates,
-                                std::size_t count);
+/// Those whose hash lies in `segment` come before all others.
+std::vector<BackendPtr> HomesOf(const PromptChain& chain, const CircleSegment& segment,
+                                std::span<const BackendPtr> candidates, std::size_t count);
 
 /// Whom to ask about first; at least one if there are `candidates`. Those that
 /// are to be avoided as far as is known here only when there are no others. Pure.
--- a/libs/gateway/src/asked_choice.cc
+++ b/libs/gateway/src/asked_choice.cc
@@ -1,5 +1,6 @@
 #include "gateway/asked_choice.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -24,6 +25,9 @@
   query.chain = &*plan.chain;
   query.model = request.generation->model;
   query.newest_weights = state.named_weights().Newest(query.model);
+  if (!query.chain->parts.empty()) {
+    query.segment = state.sampled_shares().SegmentOf(query.chain->parts.front().hash);
+  }
   return query;
 }
 
@@ -46,7 +50,91 @@
   return plain_call ? choice.expected_ms > kBusyCallCost : choice.ahead_ms > kBusyAheadMs;
 }
 
-void Add(LoadAnswer& answer, LoadAnswer more) { answer.backends.merge(std::move(more.backends)); }
+/// One request's choice.
+class Asking {
+ public:
+  Asking(GatewayState& state, const ExchangePlan& plan, const InboundRequest& request,
+         std::vector<BackendPtr> candidates)
+      : state_(state),
+        plan_(plan),
+        request_(request),
+        candidates_(std::move(candidates)),
+        query_(QueryFor(state, plan, request, Clock::now())) {
+    if (SharesMuch()) home_ = HomeOfPrompt();
+  }
+
+  net::awaitable<void> Run() {
+    std::vector<BackendPtr> first = Shortlist(query_, candidates_);
+    co_await AskAbout(std::move(first), true);
+    std::vector<BackendPtr> further = Further();
+    if (!further.empty()) co_await AskAbout(std::move(further), false);
+    if (choice_) choice_->home = home_;
+  }
+
+  std::optional<BackendChoice>& choice() { return choice_; }
+  std::uint32_t asked() const { return static_cast<std::uint32_t>(listed_.size()); }
+  std::uint32_t answered() const { return static_cast<std::uint32_t>(answer_.backends.size()); }
+
+ private:
+  bool SharesMuch() const {
+    return query_.chain != nullptr && query_.chain->shared_tokens >= kWorthFetching;
+  }
+
+  /// The same for all gateways, whatever each knows of single engines.
+  BackendPtr HomeOfPrompt() const {
+    const auto engines = state_.directory().Usable(plan_.service, query_.now);
+    const auto homes = HomesOf(*query_.chain, CircleSegment(), engines, 1);
+    return homes.empty() ? nullptr : homes.front();
+  }
+
+  /// Asks about `backends` and chooses among all that were asked about so far.
+  net::awaitable<void> AskAbout(std::vector<BackendPtr> backends, bool first) {
+    listed_.insert(listed_.end(), backends.begin(), backends.end());
+    LoadQuestion question = QuestionAbout(query_, plan_, std::move(backends));
+    if (first) question.home = home_;
+    if (!first) question.store.reset();
+    LoadAnswer answer = co_await state_.AskLoads(std::move(question));
+    answer_.backends.merge(std::move(answer.backends));
+    if (first) answer_.store = answer.store;
+    if (first) answer_.holders = std::move(answer.holders);
+    choice_ = ChooseAmong(state_, plan_, request_, listed_, &answer_, Clock::now());
+  }
+
+  /// Who else is worth a question: engines that have what the chosen one lacks,
+  /// and any others if all so far are busy.
+  std::vector<BackendPtr> Further() const {
+    std::vector<BackendPtr> further;
+    const bool lacks =
+        SharesMuch() && choice_->known_tokens + kWorthFetching < query_.chain->shared_tokens;
+    for (const BackendHash hash : answer_.holders) {
+      const BackendPtr holder = state_.directory().FindByHash(hash);
+      if (lacks && IsCandidate(holder) && !IsListed(holder)) further.push_back(holder);
+    }
+    if (!IsBusy(*choice_, query_.chain == nullptr)) return further;
+    std::vector<BackendPtr> listed = listed_;
+    listed.insert(listed.end(), further.begin(), further.end());
+    const std::vector<BackendPtr> more = Widen(query_, candidates_, listed);
+    further.insert(further.end(), more.begin(), more.end());
+    return further;
+  }
+
+  bool IsCandidate(const BackendPtr& backend) const {
+    return std::ranges::find(candidates_, backend) != candidates_.end();
+  }
+  bool IsListed(const BackendPtr& backend) const {
+    return std::ranges::find(listed_, backend) != listed_.end();
+  }
+
+  GatewayState& state_;
+  const ExchangePlan& plan_;
+  const InboundRequest& request_;
+  std::vector<BackendPtr> candidates_;
+  ShortlistQuery query_;
+  BackendPtr home_;
+  std::vector<BackendPtr> listed_;  ///< asked about
+  LoadAnswer answer_;
+  std::optional<BackendChoice> choice_;
+};
 
 }  // namespace
 
@@ -55,24 +143,13 @@
                                          const std::set<BackendId>& tried) {
   AskedChoice result;
   const TimePoint began = Clock::now();
-  const std::vector<BackendPtr> candidates = CandidatesFor(state, plan, request, tried, began);
+  std::vector<BackendPtr> candidates = CandidatesFor(state, plan, request, tried, began);
   if (candidates.empty()) co_return result;
-  const ShortlistQuery query = QueryFor(state, plan, request, began);
-  std::vector<BackendPtr> listed = Shortlist(query, candidates);
-  LoadQuestion question = QuestionAbout(query, plan, listed);
-  LoadAnswer answer = co_await state.AskLoads(std::move(question));
-  result.choice = ChooseAmong(state, plan, request, listed, &answer, Clock::now());
-  if (IsBusy(*result.choice, query.chain == nullptr)) {
-    std::vector<BackendPtr> more = Widen(query, candidates, listed);
-    listed.insert(listed.end(), more.begin(), more.end());
-    LoadQuestion further = QuestionAbout(query, plan, std::move(more));
-    further.store.reset();
-    LoadAnswer further_answer = co_await state.AskLoads(std::move(further));
-    Add(answer, std::move(further_answer));
-    result.choice = ChooseAmong(state, plan, request, listed, &answer, Clock::now());
-  }
-  result.asking.asked = static_cast<std::uint32_t>(listed.size());
-  result.asking.answered = static_cast<std::uint32_t>(answer.backends.size());
+  Asking asking(state, plan, request, std::move(candidates));
+  co_await asking.Run();
+  result.choice = std::move(asking.choice());
+  result.asking.asked = asking.asked();
+  result.asking.answered = asking.answered();
   result.asking.took = std::chrono::duration_cast<Duration>(Clock::now() - began);
   co_return result;
 }
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -13,6 +13,7 @@
   placed.parts = plan.chain->parts;
   placed.weights = choice.weights.value_or(WeightsNumber(0));
   if (choice.fetch_from) placed.fetched_from = LinkOf(*choice.fetch_from);
+  if (choice.home) placed.home = HashOf(*choice.home);
   if (choice.fetch_backend) placed.source = HashOf(*choice.fetch_backend);
   placed.fetch_length = choice.fetch_length;
   if (choice.save_to) placed.saved_to = LinkOf(*choice.save_to);
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway_state.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -42,6 +43,27 @@
   return nullptr;
 }
 
+std::vector<BackendHash> GatewayState::HoldersOf(const std::vector<SharedPart>& parts,
+                                                 TimePoint now) const {
+  constexpr std::size_t kMostHolders = 2;
+  if (parts.empty()) return {};
+  std::vector<BackendPtr> holders;
+  for (const auto& [id, backend] : directory_.all()) {
+    const bool usable = !backend->superseded && !backend->missing_until && backend->reachable &&
+                        backend->hold_until <= now;
+    if (usable && backend->cache.Contains(parts.back().hash)) holders.push_back(backend);
+  }
+  const auto weights = [](const BackendPtr& backend) {
+    return backend->weights.empty() ? WeightsNumber() : backend->weights.begin()->second;
+  };
+  std::ranges::stable_sort(holders, std::greater(), weights);
+  std::vector<BackendHash> hashes;
+  for (std::size_t i = 0; i < std::min(kMostHolders, holders.size()); ++i) {
+    hashes.push_back(HashOf(*holders[i]));
+  }
+  return hashes;
+}
+
 LoadNews GatewayState::OwnLoadAt(const Backend& backend, TimePoint now) {
   return {HashOf(backend), backend.in_flight,
           static_cast<std::uint32_t>(std::max(0.0, backend.unprefilled_tokens)),
@@ -68,7 +90,9 @@
 }
 
 void GatewayState::TellPlaced(PlacedNews placed) {
-  TakePlaced(placed, Clock::now());
+  const TimePoint now = Clock::now();
+  if (!placed.parts.empty()) own_shares_.Note(placed.parts.front().hash, placed.new_tokens, now);
+  TakePlaced(placed, now);
   news_.placed.push_back(std::move(placed));
   if (on_placed_) on_placed_();
 }
@@ -78,6 +102,10 @@
   LoadAnswer answer = co_await ask_loads_(std::move(question));
   const TimePoint now = Clock::now();
   for (const auto& [hash, report] : answer.backends) TakeReport(asked, report, now);
+  for (const BeginningSample& sample : answer.samples) {
+    if (asked.parts.empty()) break;
+    sampled_shares_.Note(asked.parts.front().hash, sample.tokens, sample.total, now);
+  }
   co_return answer;
 }
 
--- a/libs/gateway/src/prefix_shares.cc
+++ b/libs/gateway/src/prefix_shares.cc
@@ -11,6 +11,11 @@
   total_ += tokens;
 }
 
+double PrefixShares::TokensOf(std::uint64_t first) const {
+  const auto found = tokens_.find(first);
+  return found == tokens_.end() ? 0 : found->second;
+}
+
 CircleSegment PrefixShares::SegmentOf(std::uint64_t first) const {
   if (total_ <= 0) return {};
   double before = 0;
--- a/libs/gateway/src/shortlist.cc
+++ b/libs/gateway/src/shortlist.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <type_traits>
 #include <utility>
 
 namespace ridgehold {
@@ -19,10 +20,18 @@
 constexpr std::uint64_t kUsualSalt = 0x75737561;
 constexpr std::uint64_t kWidenSalt = 0x77696465;
 
+/// Whether the segment has the point that a hash stands for.
+bool IsIn(const CircleSegment& segment, std::uint64_t hash) {
+  constexpr double kHashes = 18'446'744'073'709'551'616.0;  // 2^64
+  double from_begin = static_cast<double>(hash) / kHashes - segment.begin;
+  if (from_begin < 0) from_begin += 1;
+  return from_begin < segment.length;
+}
+
 /// The first `count` by rank, the highest first.
 template <class Rank>
 Backends Best(std::span<const BackendPtr> candidates, std::size_t count, Rank&& rank) {
-  using Ranked = std::pair<std::uint64_t, const BackendPtr*>;
+  using Ranked = std::pair<std::invoke_result_t<Rank, const Backend&>, const BackendPtr*>;
   std::vector<Ranked> ranked;
   ranked.reserve(candidates.size());
   for (const BackendPtr& candidate : candidates) ranked.emplace_back(rank(*candidate), &candidate);
@@ -86,15 +95,17 @@
 
 Backends ForSharedPrompt(const ShortlistQuery& query, std::span<const BackendPtr> sound,
                          const ShortlistSizes& sizes) {
-  Backends list = HomesOf(*query.chain, sound, sizes.homes);
-  const auto newest = [&](const Backend& backend) {
+  const Backends loaded = Those(sound, [&](const Backend& backend) {
     return !query.newest_weights || HasWeights(backend, query.model, *query.newest_weights);
-  };
-  // While weights are loaded, the first of those that have them is the next home.
-  if (std::ranges::none_of(list, [&](const BackendPtr& home) { return newest(*home); })) {
-    Append(list, HomesOf(*query.chain, Those(sound, newest), 1));
-  }
-  const Backends others = Without(OfZone(query.own_zone, sound), list);
+  });
+  // Half of the engines can take all prompts at the usual load, and what is made on
+  // older weights is worth less.
+  const bool most_loaded = 2 * loaded.size() >= sound.size();
+  const std::span<const BackendPtr> pool = most_loaded ? std::span(loaded) : sound;
+  Backends list = HomesOf(*query.chain, query.segment, pool, sizes.homes);
+  // While few have loaded them, the first of those is the next home.
+  if (!most_loaded) Append(list, Without(HomesOf(*query.chain, query.segment, loaded, 1), list));
+  const Backends others = Without(OfZone(query.own_zone, pool), list);
   Append(list, Drawn(query.draw, others, sizes.drawn));
   return list;
 }
@@ -113,12 +124,18 @@
 
 }  // namespace
 
-std::vector<BackendPtr> HomesOf(const PromptChain& chain, std::span<const BackendPtr> candidates,
-                                std::size_t count) {
+std::vector<BackendPtr> HomesOf(const PromptChain& chain, const CircleSegment& segment,
+                                std::span<const BackendPtr> candidates, std::size_t count) {
   if (chain.parts.empty()) return {};
   const std::uint64_t subject = chain.parts.back().hash;
-  return Best(candidates, count,
-              [&](const Backend& backend) { return Hash(subject, HashOf(backend.entry.id)); });
+  // A rare beginning has one engine or two, and not now this, now that one.
+  constexpr double kLeastEngines = 1.5;
+  CircleSegment wide = segment;
+  wide.length = std::max(wide.length, kLeastEngines / static_cast<double>(candidates.size() + 1));
+  return Best(candidates, count, [&](const Backend& backend) {
+    const std::uint64_t hash = HashOf(backend.entry.id);
+    return std::pair(IsIn(wide, hash), Hash(subject, hash));
+  });
 }
 
 std::vector<BackendPtr> Shortlist(const ShortlistQuery& query,
--- /dev/null
+++ b/libs/gateway/test/sampled_shares-test.cc
@@ -0,0 +1,68 @@
+#include "gateway/sampled_shares.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <random>
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{1h};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(sampled_shares)
+
+BOOST_AUTO_TEST_CASE(unknown_beginning_has_the_whole_circle) {
+  const SampledShares shares;
+  BOOST_TEST(shares.SegmentOf(7).begin == 0);
+  BOOST_TEST(shares.SegmentOf(7).length == 1);
+}
+
+BOOST_AUTO_TEST_CASE(segments_lie_side_by_side) {
+  SampledShares shares;
+  shares.Note(1, 100'000, 400'000, kStart);
+  shares.Note(2, 300'000, 400'000, kStart);
+  BOOST_TEST(shares.SegmentOf(1).begin == 0);
+  BOOST_TEST(shares.SegmentOf(1).length == 0.25);
+  BOOST_TEST(shares.SegmentOf(2).begin == 0.25);
+  BOOST_TEST(shares.SegmentOf(2).length == 0.75);
+}
+
+BOOST_AUTO_TEST_CASE(old_samples_fade) {
+  SampledShares shares;
+  shares.Note(1, 400'000, 400'000, kStart);
+  for (int i = 1; i <= 20; ++i) {
+    shares.Note(2, 400'000, 400'000, kStart + i * SampledShares::kHalfLife);
+  }
+  BOOST_TEST(shares.SegmentOf(2).length == 1);
+}
+
+// The pattern: 295 gateways that each see some 35 long prompts in ten seconds, with
+// four beginnings. Two of them agree on the segments by what others tell.
+BOOST_AUTO_TEST_CASE(gateways_that_see_little_agree_by_what_others_tell) {
+  std::minstd_rand random(3);
+  std::vector<PrefixShares> gateways(295);
+  for (PrefixShares& gateway : gateways) {
+    for (int request = 0; request < 35; ++request) gateway.Note(1 + random() % 4, 9'000, kStart);
+  }
+  const auto learn = [&] {
+    SampledShares shares;
+    for (int answer = 0; answer < 200; ++answer) {
+      const PrefixShares& told = gateways[random() % gateways.size()];
+      const std::uint64_t first = 1 + random() % 4;
+      shares.Note(first, told.TokensOf(first), told.total(), kStart);
+    }
+    return shares;
+  };
+  const SampledShares one = learn();
+  const SampledShares other = learn();
+  for (std::uint64_t first = 1; first <= 4; ++first) {
+    BOOST_TEST(std::abs(one.SegmentOf(first).begin - other.SegmentOf(first).begin) < 0.03);
+    BOOST_TEST(std::abs(one.SegmentOf(first).length - 0.25) < 0.03);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/test/shortlist-test.cc
+++ b/libs/gateway/test/shortlist-test.cc
@@ -98,6 +98,36 @@
   BOOST_TEST((during[2]->weights.at(kModel) == WeightsNumber(2)));
 }
 
+BOOST_AUTO_TEST_CASE(homes_are_among_the_loaded_once_these_are_half) {
+  query.newest_weights = WeightsNumber(2);
+  for (std::size_t i = 0; i < 120; ++i) engines[i]->weights[kModel] = WeightsNumber(2);
+  for (std::uint64_t subject = 0; subject < 50; ++subject) {
+    Share(6'300, subject);
+    for (const BackendPtr& engine : Shortlist(query, engines)) {
+      BOOST_TEST((engine->weights.at(kModel) == WeightsNumber(2)));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(homes_lie_in_the_segment_of_the_beginning) {
+  query.segment = {0.5, 0.25};
+  std::set<std::string> homes;
+  for (std::uint64_t subject = 0; subject < 1'000; ++subject) {
+    Share(6'300, subject);
+    homes.insert(Shortlist(query, engines)[0]->entry.id.value());
+  }
+  BOOST_TEST(homes.size() > 35U);
+  BOOST_TEST(homes.size() < 85U);
+  // A rare beginning keeps to very few.
+  query.segment = {0.5, 0};
+  homes.clear();
+  for (std::uint64_t subject = 0; subject < 100; ++subject) {
+    Share(6'300, subject);
+    homes.insert(Shortlist(query, engines)[0]->entry.id.value());
+  }
+  BOOST_TEST(homes.size() <= 6U);
+}
+
 BOOST_AUTO_TEST_CASE(short_prompts_and_calls_use_few_engines_of_the_own_zone) {
   Share(198);
   std::set<std::string> used;
--- a/libs/net/include/net/connection_pool.h
+++ b/libs/net/include/net/connection_pool.h
@@ -25,9 +25,12 @@
 class ConnectionPool {
  public:
   struct Options {
-    /// Kept connections are dropped after this long without use; shorter than
-    /// servers commonly keep theirs.
+    /// Kept connections are dropped after this long without use where the server
+    /// does not say how long it keeps them; shorter than servers commonly do.
     std::chrono::milliseconds idle_limit{4'000};
+    /// The same where it says so: an instance of a large fleet comes back to a
+    /// server every few seconds only.
+    std::chrono::milliseconds named_idle_limit{20'000};
     /// A connection is not reused within this span before the server's own limit.
     std::chrono::milliseconds keep_alive_margin{500};
     /// A packet lost while connecting is sent again by the kernel after 1 s.
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -52,7 +52,7 @@
   auto limit = options_.idle_limit;
   if (const auto named = connection.keep_alive()) {
     const std::chrono::milliseconds usable = *named - options_.keep_alive_margin;
-    limit = std::min(limit, std::max(usable, std::chrono::milliseconds(0)));
+    limit = std::clamp(usable, std::chrono::milliseconds(0), options_.named_idle_limit);
   }
   return now - connection.idle_since() >= limit;
 }
--- a/libs/peers/include/peers/load_messages.h
+++ b/libs/peers/include/peers/load_messages.h
@@ -25,6 +25,7 @@
   WeightsNumber weights;
   std::optional<LinkHash> store;
   bool wants_namings = false;
+  bool wants_holders = false;
 };
 
 /// Its answer.
@@ -33,6 +34,8 @@
   std::uint64_t id = 0;
   std::vector<BackendReport> backends;
   std::optional<StoreReport> store;
+  std::vector<BackendHash> holders;
+  BeginningSample sample;
   std::vector<NamingNews> namings;
 };
 
--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -2,11 +2,14 @@
 
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -49,13 +52,20 @@
     std::chrono::milliseconds current_age{1'300};
     /// A relay that was not current for so long is not relied on.
     std::chrono::milliseconds relay_silence{600};
+    /// It is passed over for so long then; its mark in the store lapses after that.
+    std::chrono::milliseconds passed_over{5'000};
+    /// The same for one that has lost the store, which may be back at once.
+    std::chrono::milliseconds lost_store{1'000};
     /// A peer answers within a round trip, 6 ms between zones.
     std::chrono::milliseconds limit{250};
   };
 
+  /// The address of the relay, if there is one, without those that are given.
+  using RelayChoice =
+      std::function<std::optional<std::string>(const std::set<std::string>& passed_over)>;
+
   StoreCopyReader(GatewayState& state, Follower& follower, Options options,
-                  std::function<std::vector<std::string>()> peers,
-                  std::function<std::optional<std::string>()> relay)
+                  std::function<std::vector<std::string>()> peers, RelayChoice relay)
       : state_(state),
         follower_(follower),
         options_(options),
@@ -67,7 +77,7 @@
   net::awaitable<void> Run() {
     while (!stopped_) {
       const bool stale = Clock::now() - state_.confirmed_at() >= options_.ask_after;
-      const std::optional<std::string> relay = relay_();
+      const std::optional<std::string> relay = CurrentRelay(Clock::now());
       if (relay) co_await Ask(*relay);
       const std::string peer = stale ? AnyPeer() : "";
       if (!peer.empty()) co_await Ask(peer);
@@ -91,10 +101,25 @@
     return peers.empty() ? "" : peers[random_() % peers.size()];
   }
 
+  /// The relay as things are; another than before is not current until it answers.
+  std::optional<std::string> CurrentRelay(TimePoint now) {
+    std::erase_if(passed_over_, [&](const auto& entry) { return entry.second <= now; });
+    std::set<std::string> without;
+    for (const auto& [address, until] : passed_over_) without.insert(address);
+    std::optional<std::string> relay = relay_(without);
+    if (relay != asked_relay_) {
+      asked_relay_ = relay;
+      relay_answered_ = {};
+      relay_since_ = now;
+    }
+    return relay;
+  }
+
   net::awaitable<void> Ask(std::string peer) {
     const TimePoint asked = Clock::now();
     std::optional<StoreCopy> copy = co_await Fetch(peer);
-    if (copy && relay_() == peer) NoteRelay(*copy, asked);
+    if (copy && asked_relay_ == peer) NoteRelay(*copy, asked);
+    if (!copy && asked_relay_ == peer) NoteSilence(peer, Clock::now());
     if (!copy || copy->revision < follower_.revision()) co_return;
     const TimePoint confirmed = asked - copy->age;
     const TimePoint settled = asked + copy->grace;
@@ -117,10 +142,19 @@
   void NoteRelay(const StoreCopy& copy, TimePoint asked) {
     // It cannot keep anybody current; waiting for its copy to grow old would
     // use up the time that changes have.
-    if (copy.store_lost) relay_answered_ = {};
+    if (copy.store_lost) {
+      relay_answered_ = {};
+      passed_over_[*asked_relay_] = asked + options_.lost_store;
+    }
     if (!copy.store_lost && copy.age < options_.current_age) relay_answered_ = asked;
   }
 
+  void NoteSilence(const std::string& relay, TimePoint now) {
+    if (now - std::max(relay_since_, relay_answered_) < options_.relay_silence) return;
+    Log(LogLevel::kInfo, "relay passed over", {{"peer", relay}});
+    passed_over_[relay] = now + options_.passed_over;
+  }
+
   static std::vector<StoreItem> ItemsOf(StoreCopy copy) {
     std::vector<StoreItem> items;
     for (StoreEvent& change : copy.changes) {
@@ -157,7 +191,10 @@
   Follower& follower_;
   Options options_;
   std::function<std::vector<std::string>()> peers_;
-  std::function<std::optional<std::string>()> relay_;
+  RelayChoice relay_;
+  std::map<std::string, TimePoint> passed_over_;  ///< until when
+  std::optional<std::string> asked_relay_;
+  TimePoint relay_since_{};  ///< when it became the relay
   net::steady_timer timer_;
   std::minstd_rand random_;
   TimePoint relay_answered_{};  ///< when it was last asked and was current
--- a/libs/peers/src/load_asker.cc
+++ b/libs/peers/src/load_asker.cc
@@ -51,6 +51,10 @@
     const BackendHash hash = HashOf(*backend);
     if (auto* message = part_for(hash, backend->entry.zone)) message->backends.push_back(hash);
   }
+  if (question.home) {
+    auto* message = part_for(HashOf(*question.home), question.home->entry.zone);
+    if (message != nullptr) message->wants_holders = true;
+  }
   if (question.store) {
     auto* message = part_for(question.store->link, question.store->zone);
     if (message != nullptr) message->store = question.store->link;
@@ -83,6 +87,8 @@
   if (question.store) {
     answer.store = state_.ReportOn(AskedStore{*question.store, ZoneId()}, asked, now);
   }
+  if (!question.parts.empty()) answer.sample = state_.SampleOf(question.parts.front().hash);
+  if (question.wants_holders) answer.holders = state_.HoldersOf(question.parts, now);
   if (question.wants_namings) answer.namings = RecentNamings(state_.named_weights(), now);
   return answer;
 }
@@ -101,6 +107,8 @@
 void LoadAsker::AddTo(LoadAnswer& answer, const LoadAnswerMessage& message) {
   for (const BackendReport& report : message.backends) answer.backends[report.backend] = report;
   if (message.store) answer.store = message.store;
+  answer.samples.push_back(message.sample);
+  answer.holders.insert(answer.holders.end(), message.holders.begin(), message.holders.end());
 }
 
 void LoadAsker::NoteUnanswered(const Pending& pending, TimePoint now) {
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -140,6 +140,7 @@
   decoded.weights = WeightsNumber(question.weights());
   if (question.stores_size() > 0) decoded.store = question.stores(0);
   decoded.wants_namings = question.wants_namings();
+  decoded.wants_holders = question.wants_holders();
   return decoded;
 }
 
@@ -155,6 +156,8 @@
     const wire::StoreReport& entry = answer.stores(0);
     decoded.store = StoreReport{entry.store(), entry.readable_tokens(), Duration(entry.link_us())};
   }
+  decoded.sample = {answer.beginning_tokens(), answer.all_tokens()};
+  decoded.holders.assign(answer.holders().begin(), answer.holders().end());
   decoded.namings = DecodeNamings(message);
   return decoded;
 }
@@ -190,6 +193,7 @@
   body.set_weights(question.weights.value());
   if (question.store) body.add_stores(*question.store);
   body.set_wants_namings(question.wants_namings);
+  body.set_wants_holders(question.wants_holders);
   return message.SerializeAsString();
 }
 
@@ -205,6 +209,9 @@
     entry.set_readable_tokens(answer.store->readable_tokens);
     entry.set_link_us(Microseconds(answer.store->link_wait));
   }
+  for (const BackendHash holder : answer.holders) body.add_holders(holder);
+  body.set_beginning_tokens(static_cast<float>(answer.sample.tokens));
+  body.set_all_tokens(static_cast<float>(answer.sample.total));
   EncodeNamings(answer.namings, message);
   return message.SerializeAsString();
 }
--- a/libs/peers/src/tracked_news.cc
+++ b/libs/peers/src/tracked_news.cc
@@ -66,8 +66,9 @@
 
 void TrackedNews::AddPlaced(const PlacedNews& placed, const TrackerMap& trackers, TimePoint now,
                             ByTracker& news) const {
-  // One gateway may track the engine and what it fetches from.
+  // One gateway may track the engine, the home, and what is fetched from.
   std::set<NewsForTracker*> told = {For(placed.backend, trackers, now, news)};
+  if (placed.home != 0) told.insert(For(placed.home, trackers, now, news));
   if (placed.source != 0) told.insert(For(placed.source, trackers, now, news));
   if (placed.source == 0 && placed.fetched_from != 0) {
     told.insert(ForStore(placed.fetched_from, trackers, now, news));
