Large fleets: two gateways are told for each backend server, a young one is not asked

Change: the first two in rank are told of everything; questions go to the first that answers and whose process is older than 10 s (its mark in the store says when it changed). Whoever is asked is told, also when both are young.

--- a/libs/control/include/control/own_records.h
+++ b/libs/control/include/control/own_records.h
@@ -23,11 +23,12 @@
 struct Member {
   std::string address;  ///< without a port
   ZoneId zone;
+  StoreRevision marked;  ///< when its key was written: anew by each process
 
   bool operator==(const Member&) const = default;
 };
 
-/// The value of a member's key.
+/// The value of a member's key, without the revision.
 std::string EncodeMember(const Member& member);
 
 /// Returns nothing when `value` is not a member's.
--- a/libs/control/src/own_records.cc
+++ b/libs/control/src/own_records.cc
@@ -16,7 +16,7 @@
 std::optional<Member> DecodeMember(const std::string& value) {
   const std::size_t separator = value.find(kSeparator);
   if (separator == std::string::npos || separator == 0) return std::nullopt;
-  return Member{value.substr(0, separator), ZoneId(value.substr(separator + 1))};
+  return Member{value.substr(0, separator), ZoneId(value.substr(separator + 1)), {}};
 }
 
 const StoreItem* OwnRecords::Find(const std::string& key) const {
@@ -43,7 +43,10 @@
   std::vector<Member> members;
   for (auto at = items_.lower_bound(kMemberPrefix);
        at != items_.end() && at->first.starts_with(kMemberPrefix); ++at) {
-    if (auto member = DecodeMember(at->second.value)) members.push_back(std::move(*member));
+    auto member = DecodeMember(at->second.value);
+    if (!member) continue;
+    member->marked = at->second.revision;
+    members.push_back(std::move(*member));
   }
   if (members == members_) return;
   members_ = std::move(members);
--- a/libs/peers/include/peers/tracked_news.h
+++ b/libs/peers/include/peers/tracked_news.h
@@ -43,12 +43,15 @@
   };
   using ByTracker = std::map<std::string, NewsForTracker>;
 
-  /// Where news of the backend server goes; null if this gateway tracks it itself.
-  NewsForTracker* For(BackendHash backend, const TrackerMap& trackers, TimePoint now,
-                      ByTracker& news) const;
-  NewsForTracker* ForStore(LinkHash link, const TrackerMap& trackers, TimePoint now,
-                           ByTracker& news) const;
-  NewsForTracker* ForGateway(const TrackerMap::Gateway* tracker, ByTracker& news) const;
+  using Receivers = std::vector<NewsForTracker*>;
+
+  /// Where news of the backend server goes, this gateway left out.
+  Receivers For(BackendHash backend, const TrackerMap& trackers, TimePoint now,
+                ByTracker& news) const;
+  Receivers ForStore(LinkHash link, const TrackerMap& trackers, TimePoint now,
+                     ByTracker& news) const;
+  Receivers ForAll(const std::vector<const TrackerMap::Gateway*>& trackers, ByTracker& news) const;
+  NewsForTracker* ForGateway(const TrackerMap::Gateway& tracker, ByTracker& news) const;
   void AddPlaced(const PlacedNews& placed, const TrackerMap& trackers, TimePoint now,
                  ByTracker& news) const;
 
--- a/libs/peers/include/peers/tracker_map.h
+++ b/libs/peers/include/peers/tracker_map.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -23,6 +24,12 @@
   static constexpr int kMissesUntilSilent = 2;
   /// For so long; a process that was killed is back within a second.
   static constexpr std::chrono::milliseconds kSilence{1'000};
+  /// A process that started less than this ago has not seen what caches hold: an
+  /// engine's memory turns over in some 2 to 10 s. Until then the next is asked,
+  /// who was told all the while.
+  static constexpr std::chrono::seconds kYouth{10};
+  /// So many are told of what a backend server gets, so that one may die.
+  static constexpr std::size_t kTold = 2;
 
   /// A gateway that may track.
   struct Gateway {
@@ -30,20 +37,26 @@
     net::ip::address ip;  ///< the same
     ZoneId zone;
     std::uint64_t hash = 0;
+    StoreRevision marked;
+    TimePoint young_until{};
     int misses = 0;
     TimePoint silent_until{};
   };
 
   /// All gateways, this one included. Those whose address cannot be read are
   /// left out.
-  void SetGateways(const std::vector<Member>& members);
+  void SetGateways(const std::vector<Member>& members, TimePoint now);
 
   std::size_t size() const { return gateways_.size(); }
 
-  /// The one that tracks what `hash` stands for, which is in `zone`; null only if
-  /// there is none. Silent ones come last.
+  /// The one to ask about what `hash` stands for, which is in `zone`; null only if
+  /// there is none. Silent and young ones come last.
   const Gateway* TrackerOf(std::uint64_t hash, const ZoneId& zone, TimePoint now) const;
 
+  /// Those to tell, young ones like all others; kTold at most.
+  std::vector<const Gateway*> TrackersOf(std::uint64_t hash, const ZoneId& zone,
+                                         TimePoint now) const;
+
   /// Null if it is not among them.
   const Gateway* Find(const std::string& address) const;
 
@@ -52,6 +65,18 @@
   void NoteHeard(const std::string& address);
 
  private:
+  /// Where a gateway comes in the order of those that track; the highest first.
+  struct Place {
+    bool answers = false;
+    bool in_zone = false;
+    bool grown = false;
+    std::uint64_t rank = 0;
+
+    auto operator<=>(const Place&) const = default;
+  };
+
+  static Place PlaceOf(const Gateway& gateway, std::uint64_t hash, const ZoneId& zone,
+                       TimePoint now);
   Gateway* FindOwn(const std::string& address);
 
   std::vector<Gateway> gateways_;
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -65,7 +65,7 @@
 void PeerLink::LookAtMembers() {
   if (members_version_ == members_.members_version()) return;
   members_version_ = members_.members_version();
-  trackers_.SetGateways(members_.Members());
+  trackers_.SetGateways(members_.Members(), Clock::now());
   peers_.clear();
   const auto add = [this](const std::string& text) {
     ErrorCode error;
--- a/libs/peers/src/tracker_map.cc
+++ b/libs/peers/src/tracker_map.cc
@@ -4,7 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <tuple>
+#include <functional>
 #include <utility>
 
 namespace ridgehold {
@@ -16,7 +16,9 @@
 
 }  // namespace
 
-void TrackerMap::SetGateways(const std::vector<Member>& members) {
+void TrackerMap::SetGateways(const std::vector<Member>& members, TimePoint now) {
+  // Of those that are there at the first look nothing is known.
+  const TimePoint young_until = gateways_.empty() ? TimePoint() : now + kYouth;
   std::vector<Gateway> gateways;
   for (const Member& member : members) {
     ErrorCode error;
@@ -26,22 +28,27 @@
     gateway.address = member.address;
     gateway.zone = member.zone;
     gateway.hash = XXH3_64bits(member.address.data(), member.address.size());
-    if (const Gateway* known = Find(member.address)) {
-      gateway.misses = known->misses;
-      gateway.silent_until = known->silent_until;
-    }
+    gateway.marked = member.marked;
+    gateway.young_until = young_until;
+    const Gateway* known = Find(member.address);
+    if (known != nullptr && known->marked == member.marked) gateway = *known;
     gateways.push_back(std::move(gateway));
   }
   gateways_ = std::move(gateways);
 }
 
+TrackerMap::Place TrackerMap::PlaceOf(const Gateway& gateway, std::uint64_t hash,
+                                      const ZoneId& zone, TimePoint now) {
+  return {gateway.silent_until <= now, gateway.zone == zone, gateway.young_until <= now,
+          Rank(gateway.hash, hash)};
+}
+
 const TrackerMap::Gateway* TrackerMap::TrackerOf(std::uint64_t hash, const ZoneId& zone,
                                                  TimePoint now) const {
   const Gateway* best = nullptr;
-  std::tuple<bool, bool, std::uint64_t> best_place;
+  Place best_place;
   for (const Gateway& gateway : gateways_) {
-    const std::tuple place(gateway.silent_until <= now, gateway.zone == zone,
-                           Rank(gateway.hash, hash));
+    const Place place = PlaceOf(gateway, hash, zone, now);
     if (best != nullptr && place <= best_place) continue;
     best = &gateway;
     best_place = place;
@@ -49,6 +56,27 @@
   return best;
 }
 
+std::vector<const TrackerMap::Gateway*> TrackerMap::TrackersOf(std::uint64_t hash,
+                                                               const ZoneId& zone,
+                                                               TimePoint now) const {
+  std::vector<std::pair<Place, const Gateway*>> first;
+  for (const Gateway& gateway : gateways_) {
+    Place place = PlaceOf(gateway, hash, zone, now);
+    place.grown = true;
+    first.emplace_back(place, &gateway);
+    std::ranges::sort(first, std::greater());
+    if (first.size() > kTold) first.pop_back();
+  }
+  std::vector<const Gateway*> trackers;
+  for (const auto& [place, gateway] : first) trackers.push_back(gateway);
+  // With both of them young, whoever is asked instead has to be told, too.
+  const Gateway* asked = TrackerOf(hash, zone, now);
+  if (asked != nullptr && std::ranges::find(trackers, asked) == trackers.end()) {
+    trackers.push_back(asked);
+  }
+  return trackers;
+}
+
 const TrackerMap::Gateway* TrackerMap::Find(const std::string& address) const {
   const auto found = std::ranges::find(gateways_, address, &Gateway::address);
   return found == gateways_.end() ? nullptr : &*found;
--- a/test/peer_link-test.cc
+++ b/test/peer_link-test.cc
@@ -36,7 +36,7 @@
     for (const std::string& member : {address, peer}) {
       StoreItem item;
       item.key = kMemberPrefix + member;
-      item.value = EncodeMember({member, ZoneId("a")});
+      item.value = EncodeMember({member, ZoneId("a"), {}});
       members.Put(item);
     }
     link = std::move(*PeerLink::Create(state, options, members, {}));
@@ -97,7 +97,7 @@
   TrackedFixture() {
     io.run_for(20ms);
     TrackerMap map;
-    map.SetGateways(first.members.Members());
+    map.SetGateways(first.members.Members(), Clock::now());
     const bool is_first =
         map.TrackerOf(HashOf(first.backend()), ZoneId(""), Clock::now())->address == "127.0.0.1";
     tracker = is_first ? &first : &second;
