--- a/libs/entry/include/entry/tuning_options.h
+++ b/libs/entry/include/entry/tuning_options.h
@@ -9,9 +9,8 @@
 #include "base/result.h"
 #include "entry/entry_tuning.h"
 
-namespace CLI {
+namespace CLI {  // NOLINT(readability-identifier-naming): the library's own name
 class App;
-class Option;
 }  // namespace CLI
 
 namespace ridgehold {
--- a/libs/peers/src/load_asker.cc
+++ b/libs/peers/src/load_asker.cc
@@ -82,7 +82,7 @@
     work.unread_tokens -= std::min(work.unread_tokens, asker.unread_tokens);
     work.unrepeatable -= std::min(work.unrepeatable, asker.unrepeatable);
     work.uncovered -= std::min(work.uncovered, asker.uncovered);
-    answer.backends.push_back(std::move(report));
+    answer.backends.push_back(report);
   }
   if (question.store) {
     answer.store = state_.ReportOn(AskedStore{*question.store, ZoneId()}, asked, now);
--- a/libs/peers/src/tracked_news.cc
+++ b/libs/peers/src/tracked_news.cc
@@ -54,8 +54,8 @@
   return ForAll(trackers.TrackersOf(link, store->zone, now), news);
 }
 
-TrackedNews::Receivers TrackedNews::ForAll(
-    const std::vector<const TrackerMap::Gateway*>& trackers, ByTracker& news) const {
+TrackedNews::Receivers TrackedNews::ForAll(const std::vector<const TrackerMap::Gateway*>& trackers,
+                                           ByTracker& news) const {
   Receivers receivers;
   for (const TrackerMap::Gateway* tracker : trackers) {
     if (NewsForTracker* to = ForGateway(*tracker, news)) receivers.push_back(to);
@@ -63,8 +63,7 @@
   return receivers;
 }
 
-NewsForTracker* TrackedNews::ForGateway(const TrackerMap::Gateway& tracker,
-                                        ByTracker& news) const {
+NewsForTracker* TrackedNews::ForGateway(const TrackerMap::Gateway& tracker, ByTracker& news) const {
   if (tracker.address == own_address_) return nullptr;
   NewsForTracker& to = news[tracker.address];
   if (to.tracker.address.empty()) to.tracker = tracker;
--- a/libs/peers/src/tracker_map.cc
+++ b/libs/peers/src/tracker_map.cc
@@ -68,6 +68,7 @@
     if (first.size() > kTold) first.pop_back();
   }
   std::vector<const Gateway*> trackers;
+  trackers.reserve(first.size() + 1);
   for (const auto& [place, gateway] : first) trackers.push_back(gateway);
   // With both of them young, whoever is asked instead has to be told, too.
   const Gateway* asked = TrackerOf(hash, zone, now);
--- a/libs/peers/test/tracker_map-test.cc
+++ b/libs/peers/test/tracker_map-test.cc
@@ -54,8 +54,7 @@
   std::ranges::reverse(members);
   other.SetGateways(members, kStart);
   for (std::uint64_t engine = 0; engine < 50; ++engine) {
-    BOOST_TEST(TrackerOf(engine, "z1") ==
-               other.TrackerOf(engine, ZoneId("z1"), kStart)->address);
+    BOOST_TEST(TrackerOf(engine, "z1") == other.TrackerOf(engine, ZoneId("z1"), kStart)->address);
   }
 }
 
