--- a/libs/gateway/include/gateway/prefix_shares.h
+++ b/libs/gateway/include/gateway/prefix_shares.h
@@ -19,8 +19,9 @@
 /// Prompts that begin alike share their first part; were they spread over all
 /// engines, every engine would keep every beginning, once for each isolated
 /// workspace. So each beginning has a segment of the engines, as long as its
-/// share of the tokens that caches take in. All gateways hear of all placed
-/// requests, so their segments differ by little. Not thread-safe.
+/// share of the tokens that caches take in. In a small fleet all gateways hear of
+/// all placed requests, so their segments differ by little; in a large one see
+/// SampledShares. Not thread-safe.
 class PrefixShares {
  public:
   /// Counts are halved this often: long enough to be steady (a few hundred
--- a/libs/gateway/include/gateway/transfer_links.h
+++ b/libs/gateway/include/gateway/transfer_links.h
@@ -16,7 +16,8 @@
 LinkHash LinkOf(std::string_view address);
 
 /// A link carries one transfer after the other, so what was sent for says when
-/// the next one ends. All gateways tell each other what they send for. Without
+/// the next one ends. Gateways tell each other, or those that track the engines
+/// and stores, what they send for. Without
 /// this, fetches waited up to 2 s behind one store's link while those of the
 /// engines were idle. Not thread-safe; time comes in as a value.
 class TransferLinks {
