Sight: attempts and requests are logged with a fingerprint, probes say whether they were refused

The logs could not tell whether the same request is at all ends of engines, nor whether an engine was gone or its connection just broke. No decision is changed.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -105,6 +105,7 @@
     record_.route = plan_.route->id;
     record_.service = plan_.service;
     if (plan_.workspace != nullptr) record_.workspace = plan_.workspace->id;
+    record_.fingerprint = FingerprintOf(record_.workspace, inbound_, caller_->request());
     relay_ = EventRelay{inbound_.resume_after};
     facts_.may_repeat = plan_.route->MayRepeat();
     facts_.max_runs = plan_.route->max_attempts;
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -11,6 +11,7 @@
 #include "gateway/attempt_policy.h"
 #include "gateway/backend_directory.h"
 #include "gateway/inbound_request.h"
+#include "gateway/request_fingerprint.h"
 
 namespace ridgehold {
 
@@ -39,7 +40,8 @@
   WorkspaceId workspace;
   RuleId route;
   ServiceId service;
-  BackendId backend;  ///< the last one tried
+  RequestFingerprint fingerprint;  ///< zero: the request was refused before its route was known
+  BackendId backend;               ///< the last one tried
   TimePoint received{};
   Duration deferred{0};  ///< waited here for room at an engine
   std::optional<TimePoint> first_event;
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -61,6 +61,7 @@
       {{"backend", backend->entry.id.value()},
        {"address", backend->entry.address},
        {"zone", backend->entry.zone.value()},
+       {"refused", connection->refused() ? "yes" : "no"},
        {"probe_ms", MillisecondsText(Clock::now() - begun)}});
 }
 
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -92,6 +92,7 @@
                       {"backend", record.backend.value()},
                       {"route", record.route.value()},
                       {"workspace", record.workspace.value()},
+                      {"fingerprint", ToText(record.fingerprint)},
                       {"expected_ms", std::to_string(std::lround(record.expected_ms))},
                       {"wait_ms", std::to_string(std::lround(record.wait_ms))},
                       {"to_read", std::to_string(std::lround(record.tokens_to_read))},
@@ -132,6 +133,7 @@
       .Add();
   Log(LogLevel::kWarn, "attempt",
       {{"request", record.request.value()},
+       {"fingerprint", ToText(record.fingerprint)},
        {"backend", backend.entry.id.value()},
        {"address", backend.entry.address},
        {"zone", backend.entry.zone.value()},
--- /dev/null
+++ b/libs/gateway/test/request_fingerprint-test.cc
@@ -0,0 +1,66 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/request_fingerprint.h"
+
+using namespace ridgehold;
+
+namespace {
+
+/// A request as callers send it.
+struct Sample {
+  WorkspaceId workspace{"w"};
+  InboundRequest inbound;
+  RequestMessage message;
+
+  Sample() {
+    inbound.id = RequestId("r1");
+    inbound.host = "h";
+    message.method(http::verb::post);
+    message.target("/gen/x?q=1");
+    message.body() = R"({"prompt":"a"})";
+  }
+
+  RequestFingerprint Make() const { return FingerprintOf(workspace, inbound, message); }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(request_fingerprint)
+
+BOOST_AUTO_TEST_CASE(copies_are_the_same_whatever_their_id_and_deadline) {
+  Sample copy;
+  copy.inbound.id = RequestId("r2");
+  copy.inbound.time_limit = std::chrono::milliseconds(7);
+  copy.message.set("X-Request-Id", "r2");
+  BOOST_TEST(Sample().Make() == copy.Make());
+}
+
+BOOST_AUTO_TEST_CASE(other_workspace_method_host_path_query_or_body_differ) {
+  std::vector<Sample> others(6);
+  others[0].workspace = WorkspaceId("other");
+  others[1].message.method(http::verb::get);
+  others[2].inbound.host = "h2";
+  others[3].message.target("/gen/y?q=1");
+  others[4].message.target("/gen/x?q=2");
+  others[5].message.body() = R"({"prompt":"b"})";
+  std::set<RequestFingerprint> seen = {Sample().Make()};
+  for (const Sample& other : others) seen.insert(other.Make());
+  BOOST_TEST(seen.size() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(text_does_not_move_from_one_field_to_the_next) {
+  Sample longer_path;
+  longer_path.message.target("/gen/x?q=1a");
+  longer_path.message.body() = "b";
+  Sample longer_body;
+  longer_body.message.body() = "ab";
+  BOOST_TEST(longer_path.Make() != longer_body.Make());
+}
+
+BOOST_AUTO_TEST_CASE(a_body_that_differs_in_any_byte_is_another_request) {
+  Sample other;
+  other.message.body() = R"({"prompt": "a"})";
+  BOOST_TEST(Sample().Make() != other.Make());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -55,6 +55,10 @@
   net::awaitable<ExchangeFault> ReadWholeBody(std::string& out, std::size_t most_bytes,
                                               TimePoint limit);
 
+  /// Whether the address answered the last Connect with a refusal: nothing listens
+  /// there, so the process that did is gone.
+  bool refused() const { return refused_; }
+
   bool BodyDone() const { return parser_ && parser_->is_done(); }
 
   /// Ends the running operation; it reports kCancelled.
@@ -100,6 +104,7 @@
   bool timed_out_ = false;
   bool cancelled_ = false;
   bool broken_ = false;
+  bool refused_ = false;
   std::uint64_t limit_generation_ = 0;
   TimePoint idle_since_{};
   std::optional<std::chrono::seconds> keep_alive_;
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -62,6 +62,7 @@
   ArmLimit(limit);
   co_await socket_.async_connect(endpoint, net::redirect_error(net::use_awaitable, error));
   ++limit_generation_;
+  refused_ = error == net::error::connection_refused;
   if (error || timed_out_ || cancelled_) {
     Close();
     co_return cancelled_ ? ExchangeFault::kCancelled : ExchangeFault::kNotSent;
