--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 
+#include "base/clock.h"
 #include "base/strong.h"
 
 namespace ridgehold {
@@ -33,8 +34,6 @@
 /// The configuration's revision: 0 is empty, and each accepted change adds 1.
 using Revision = Strong<struct RevisionTag, std::uint64_t>;
 
-/// Time for decisions; never set back.
-using Clock = std::chrono::steady_clock;
 using TimePoint = Clock::time_point;
 using Duration = std::chrono::microseconds;
 
--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -54,6 +54,7 @@
   kForeignAnswer = 3007,
   kCallerGone = 3008,
   kWeightsPastLimit = 3009,
+  kPoisonRequest = 3010,
   // 4xxx: the platform's key-value service.
   kPlatformUnavailable = 4001,
   kPlatformAnswerLost = 4002,
--- a/libs/base/src/result_code.cc
+++ b/libs/base/src/result_code.cc
@@ -62,6 +62,8 @@
      "The caller closed its connection; shown in logs only."},
     {ResultCode::kWeightsPastLimit, "weights_past_limit", 504, kUnknown, kOnlyIfIdempotent,
      "An engine had not begun the request when its weights were too old to begin on."},
+    {ResultCode::kPoisonRequest, "poison_request", 500, kRan, kNever,
+     "Backend servers ended each time they ran this request; it is not tried again for minutes."},
     {ResultCode::kPlatformUnavailable, "platform_unavailable", 503, kNotRun, kLater,
      "The platform's key-value service is needed and does not answer."},
     {ResultCode::kPlatformAnswerLost, "platform_answer_lost", 503, kUnknown, kLater,
--- a/libs/control/include/control/fact_sink.h
+++ b/libs/control/include/control/fact_sink.h
@@ -49,6 +49,7 @@
   void TakeWeights(const WeightsOrder& order, const Writing& writing);
   void TakeBackend(const StoreItem& item, const BackendEntry& entry);
   void CountMembers();
+  void TakeQuarantine(const StoreItem& item);
   /// Whether one more line about an unreadable value may be written: a faulty
   /// writer could fill the log. All are counted in the metrics.
   bool MayLogRejection(TimePoint now);
--- a/libs/control/include/control/held_key.h
+++ b/libs/control/include/control/held_key.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -180,7 +179,7 @@
   Store& store_;
   Options options_;
   std::function<bool()> key_is_free_;
-  net::steady_timer timer_;
+  Timer timer_;
   std::optional<StoreLeaseId> lease_;
   LeaseClock clock_;
   std::uint64_t fencing_ = 0;
--- /dev/null
+++ b/libs/control/include/control/quarantine_records.h
@@ -0,0 +1,141 @@
+// Keeps quarantined requests in the store, for instances that start later.
+
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "control/own_records.h"
+#include "control/state_store.h"
+#include "gateway/poison_guard.h"
+#include "log/log.h"
+#include "net/wait.h"
+
+namespace ridgehold {
+
+/// Followed by the fingerprint.
+inline constexpr char kQuarantinePrefix[] = "ridgehold/quarantine/";
+
+/// A quarantine's value: who wrote it, and the time of day at which it ends. That may
+/// jump by seconds, which does not matter against minutes.
+std::string EncodeQuarantine(const DaemonId& writer, std::chrono::system_clock::time_point until);
+/// Returns nothing when `value` is not a quarantine's.
+std::optional<std::chrono::system_clock::time_point> DecodeQuarantine(const std::string& value);
+
+/// Nothing when `key` is not a quarantine's.
+std::optional<RequestFingerprint> QuarantinedAt(const std::string& key);
+
+/// Writes what this gateway has decided, under a lease that ends with the quarantine.
+/// The gateway that saw the last end writes at once; should it be gone, another does, the
+/// members in the order of their names, so that a large fleet does not write all at once.
+/// Datagrams tell the living sooner; the store tells those that come later. Runs on one
+/// executor.
+template <StateStore Store>
+class QuarantineRecords {
+ public:
+  struct Options {
+    DaemonId self;
+    std::chrono::milliseconds look{250};
+    /// A change of the store is known everywhere within a second or two.
+    std::chrono::milliseconds first_turn{3'000};
+    std::chrono::milliseconds turn{500};
+    std::size_t most_turns = 20;
+    /// Not worth a write any more.
+    std::chrono::milliseconds least_left{5'000};
+  };
+
+  QuarantineRecords(Store& store, net::any_io_executor executor, PoisonGuard& guard,
+                    const OwnRecords& records, Options options)
+      : store_(store),
+        guard_(guard),
+        records_(records),
+        options_(std::move(options)),
+        timer_(executor) {}
+
+  net::awaitable<void> Run() {
+    while (!stopped_) {
+      co_await EraseReleased();
+      co_await WriteDecided();
+      co_await WaitFor(timer_, options_.look);
+    }
+  }
+
+  void Stop() {
+    stopped_ = true;
+    timer_.cancel();
+  }
+
+ private:
+  static std::string KeyOf(RequestFingerprint request) {
+    return kQuarantinePrefix + ToText(request);
+  }
+
+  net::awaitable<void> WriteDecided() {
+    const TimePoint now = Clock::now();
+    const std::vector<PoisonDetector::Quarantine> decided = guard_.Decided(now);
+    std::erase_if(seen_, [&](const auto& entry) {
+      return std::ranges::find(decided, entry.first, &PoisonDetector::Quarantine::request) ==
+             decided.end();
+    });
+    for (const PoisonDetector::Quarantine& quarantine : decided) {
+      if (IsDue(quarantine, now)) co_await Write(quarantine);
+    }
+  }
+
+  bool IsDue(const PoisonDetector::Quarantine& quarantine, TimePoint now) {
+    if (quarantine.until - now < options_.least_left) return false;
+    if (records_.Find(KeyOf(quarantine.request)) != nullptr) return false;
+    const TimePoint seen = seen_.try_emplace(quarantine.request, now).first->second;
+    if (guard_.DecidedHere(quarantine.request)) return true;
+    const std::size_t before = records_.MembersBefore(kMemberPrefix + options_.self.value());
+    return now - seen >=
+           options_.first_turn + std::min(before, options_.most_turns) * options_.turn;
+  }
+
+  net::awaitable<void> Write(PoisonDetector::Quarantine quarantine) {
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(quarantine.until - Clock::now());
+    const StoreResult<GrantedLease> granted = co_await store_.GrantLease(left);
+    if (granted.has_error()) co_return;
+    StoreTransaction transaction;
+    const std::string key = KeyOf(quarantine.request);
+    transaction.conditions.push_back({key, StoreRevision(0)});
+    transaction.puts.push_back(
+        {key, EncodeQuarantine(options_.self, std::chrono::system_clock::now() + left),
+         granted->id});
+    const StoreResult<StoreRevision> written = co_await store_.Commit(std::move(transaction));
+    if (written.has_value()) co_return;
+    co_await store_.EndLease(granted->id);
+  }
+
+  net::awaitable<void> EraseReleased() {
+    for (const RequestFingerprint request : guard_.TakeReleased()) to_erase_[request] = 0;
+    for (auto at = to_erase_.begin(); at != to_erase_.end();) {
+      StoreTransaction transaction;
+      transaction.removals.push_back(KeyOf(at->first));
+      const StoreResult<StoreRevision> written = co_await store_.Commit(std::move(transaction));
+      const bool done = written.has_value() || ++at->second >= kMostTries;
+      at = done ? to_erase_.erase(at) : std::next(at);
+    }
+  }
+
+  /// A store that is away for longer keeps the key until its lease ends.
+  static constexpr int kMostTries = 40;
+
+  Store& store_;
+  PoisonGuard& guard_;
+  const OwnRecords& records_;
+  Options options_;
+  Timer timer_;
+  std::map<RequestFingerprint, TimePoint> seen_;  ///< since when each is quarantined
+  std::map<RequestFingerprint, int> to_erase_;    ///< with tries so far
+  bool stopped_ = false;
+};
+
+}  // namespace ridgehold
--- a/libs/control/include/control/rollout.h
+++ b/libs/control/include/control/rollout.h
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -149,7 +148,7 @@
   /// Empties one engine, orders it, and waits until it reports the weights.
   net::awaitable<void> BringUp(RolloutStep step) {
     const BackendId id = step.engine->entry.id;
-    net::steady_timer timer(state_.executor());
+    Timer timer(state_.executor());
     StepTimes times;
     times.begun = Clock::now();
     const auto report = co_await AskReport(step);
@@ -196,8 +195,7 @@
     co_await state_.AskLoads(std::move(question));
   }
 
-  net::awaitable<void> EmptyAndLoad(const RolloutStep& step, net::steady_timer& timer,
-                                    StepTimes& times) {
+  net::awaitable<void> EmptyAndLoad(const RolloutStep& step, Timer& timer, StepTimes& times) {
     co_await Drain(step, timer);
     co_await AwaitTurn(step, timer);
     co_await AskLoad(step);
@@ -209,7 +207,7 @@
 
   /// Waits until only requests run there that can be resumed elsewhere, for a
   /// while.
-  net::awaitable<void> Drain(const RolloutStep& step, net::steady_timer& timer) {
+  net::awaitable<void> Drain(const RolloutStep& step, Timer& timer) {
     const TimePoint begun = Clock::now();
     bool empty = false;
     while (!empty && !stopped_ && Clock::now() - begun < pace_.DrainTime(step, Clock::now())) {
@@ -222,7 +220,7 @@
 
   /// Waits until the holder may order, and a load of another engine has ended
   /// where too many run.
-  net::awaitable<void> AwaitTurn(const RolloutStep& step, net::steady_timer& timer) {
+  net::awaitable<void> AwaitTurn(const RolloutStep& step, Timer& timer) {
     while (!stopped_ && duty_.Held(Clock::now())) {
       const TimePoint now = Clock::now();
       if (MayOrder(now) && Loading() < pace_.TurnsFor(Answering(now), now)) break;
@@ -246,7 +244,7 @@
     BackendDirectory::NoteFailure(*step.engine, now);
   }
 
-  net::awaitable<void> Load(const RolloutStep& step, net::steady_timer& timer, StepTimes& times) {
+  net::awaitable<void> Load(const RolloutStep& step, Timer& timer, StepTimes& times) {
     const TimePoint give_up = Clock::now() + options_.patience;
     std::optional<WeightsNumber> ordered;
     std::uint32_t at_once = 0;
@@ -333,7 +331,7 @@
   GatewayState& state_;
   Options options_;
   RolloutPace pace_;
-  net::steady_timer timer_;
+  Timer timer_;
   std::map<BackendId, StepState> steps_;
   std::map<BackendId, TimePoint> left_alone_;  ///< gave no report; until when
   bool may_order_ = false;
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -2,7 +2,6 @@
 
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -319,7 +318,7 @@
   OwnRecords& records_;
   FactSink sink_;
   Options options_;
-  net::steady_timer timer_;
+  Timer timer_;
   StoreContact contact_;
   StoreRevision revision_;
   std::map<std::string, StoreItem> items_;
--- a/libs/control/src/fact_sink.cc
+++ b/libs/control/src/fact_sink.cc
@@ -1,7 +1,9 @@
 #include "control/fact_sink.h"
 
+#include <chrono>
 #include <set>
 
+#include "control/quarantine_records.h"
 #include "log/duration_text.h"
 #include "log/log.h"
 
@@ -72,6 +74,15 @@
 void FactSink::TakeOwn(const StoreItem& item) {
   records_.Put(item);
   CountMembers();
+  TakeQuarantine(item);
+}
+
+void FactSink::TakeQuarantine(const StoreItem& item) {
+  const auto request = QuarantinedAt(item.key);
+  const auto until = DecodeQuarantine(item.value);
+  if (!request || !until) return;
+  const auto left = std::chrono::duration_cast<Duration>(*until - std::chrono::system_clock::now());
+  state_.poison().TakeStored(*request, left, Clock::now());
 }
 
 void FactSink::RemoveOwn(const std::string& key) {
--- a/libs/control/test/memory_store.h
+++ b/libs/control/test/memory_store.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <deque>
@@ -14,6 +13,7 @@
 
 #include "base/ids.h"
 #include "control/state_store.h"
+#include "net/timer.h"
 
 namespace ridgehold::test {
 
@@ -211,7 +211,7 @@
   bool Chance(double part) { return std::uniform_real_distribution<>(0, 1)(random_) < part; }
 
   net::awaitable<void> Pause(std::chrono::milliseconds time) {
-    net::steady_timer timer(table_.executor(), time);
+    Timer timer(table_.executor(), time);
     ErrorCode ignored;
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
   }
--- a/libs/control/test/rollout-test.cc
+++ b/libs/control/test/rollout-test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "memory_store.h"
+#include "net/timer.h"
 
 using namespace ridgehold;
 using namespace ridgehold::test;
@@ -44,7 +45,7 @@
   net::awaitable<std::optional<EngineReport>> Report(const BackendEntry& entry) {
     Engine& engine = engines[entry.id];
     if (engine.silent) {
-      net::steady_timer timer(co_await net::this_coro::executor, call_limit);
+      Timer timer(co_await net::this_coro::executor, call_limit);
       ErrorCode ignored;
       co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
       co_return std::nullopt;
@@ -61,7 +62,7 @@
                                     const MayOrder& may_order) {
     Engine& engine = engines[entry.id];
     if (engine.connecting > 0ms) {
-      net::steady_timer timer(co_await net::this_coro::executor, engine.connecting);
+      Timer timer(co_await net::this_coro::executor, engine.connecting);
       ErrorCode ignored;
       co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
     }
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdlib>
 #include <map>
@@ -15,6 +14,7 @@
 #include <string>
 
 #include "control/held_key.h"
+#include "control/quarantine_records.h"
 #include "control/rollout.h"
 #include "control/state_follower.h"
 #include "entry/admin_server.h"
@@ -60,6 +60,8 @@
     net::co_spawn(executor_, duty_.Run(), net::detached);
     net::co_spawn(executor_, rollout_.Run(), net::detached);
     net::co_spawn(executor_, peers_->Send(), net::detached);
+    net::co_spawn(executor_, peers_->SendPoisonNews(), net::detached);
+    net::co_spawn(executor_, quarantine_.Run(), net::detached);
     net::co_spawn(executor_, peers_->Receive(), net::detached);
     net::co_spawn(executor_, copy_reader_.Run(), net::detached);
     net::co_spawn(executor_, prober_.Run(), net::detached);
@@ -129,10 +131,14 @@
         prober_(state_, tuning.probing),
         rollout_(control_, duty_, state_, RolloutOptions()),
         server_(state_, std::move(acceptor), MostConnections(settings_)),
+        quarantine_(store_, executor, state_.poison(), records_, {settings_.daemon}),
         copy_reader_(
             state_, follower_, CopyOptions(), [this] { return PeerAddresses(); },
             [this](const std::set<std::string>& passed_over) { return Relay(passed_over); }),
-        timer_(executor) {}
+        timer_(executor) {
+    state_.SetEndConfirmer(
+        [this](BackendPtr backend) { return prober_.Confirm(std::move(backend)); });
+  }
 
   using Store = typename Env::Store;
   using Duty = HeldKey<Store>;
@@ -146,6 +152,7 @@
     limits.older_weights = settings.weights_limit - tuning.weights_margin;
     limits.retries = settings.retries;
     limits.admission = tuning.admission;
+    limits.poison = tuning.poison;
     limits.patience_objectives = tuning.call_patience;
     limits.stream_patience_objectives = tuning.stream_patience;
     return limits;
@@ -306,16 +313,32 @@
       SetGauges();
       return AdminPage{http::status::ok, "text/plain; version=0.0.4", metrics_.Print()};
     };
+    pages["/quarantine"] = [this](const std::string& query) { return QuarantinePage(query); };
     pages["/state"] = [this](const std::string& /*query*/) {
       return AdminPage{http::status::ok, "application/json", Dump()};
     };
     return pages;
   }
 
+  /// Lists quarantined requests; `release=FINGERPRINT` in the query lifts one first.
+  AdminPage QuarantinePage(const std::string& query) {
+    const std::string prefix = "release=";
+    if (query.starts_with(prefix)) {
+      const auto request = QuarantinedAt(kQuarantinePrefix + query.substr(prefix.size()));
+      if (!request) return {http::status::bad_request, "text/plain", "not a fingerprint\n"};
+      state_.poison().Release(*request, Clock::now());
+    }
+    return {http::status::ok, "application/json", DumpQuarantine(state_.poison(), Clock::now())};
+  }
+
   void SetGauges() const {
     const TimePoint now = Clock::now();
     Metrics& metrics = state_.metrics();
     metrics.SetGauge("ridgehold_in_flight", "", state_.in_flight());
+    metrics.SetGauge("ridgehold_quarantined_requests", "",
+                     static_cast<double>(state_.poison().Quarantined(now).size()));
+    metrics.SetGauge("ridgehold_suspected_requests", "",
+                     static_cast<double>(state_.poison().suspects()));
     metrics.SetGauge("ridgehold_holds_rollout", "", duty_.Held(now) ? 1 : 0);
     metrics.SetGauge(
         "ridgehold_engines_on_older_weights", "",
@@ -352,7 +375,7 @@
   /// A rollout that has begun is ended first, since the next holder must wait
   /// before it may order; and the duty is not given up with an order unsettled.
   net::awaitable<void> HandOverDuty(TimePoint latest) {
-    net::steady_timer timer(executor_);
+    Timer timer(executor_);
     const TimePoint stop_by = latest - tuning_.longest_load;
     while (duty_.Held(Clock::now()) && !rollout_.finished() && Clock::now() < stop_by) {
       co_await WaitFor(timer, tuning_.housekeeping / 5);
@@ -377,7 +400,7 @@
     const TimePoint begun = Clock::now();
     const TimePoint latest = begun + settings_.shutdown_limit - tuning_.shutdown_margin;
     state_.SetLastAnswers(latest - tuning_.last_answers);
-    net::steady_timer timer(executor_);
+    Timer timer(executor_);
     net::co_spawn(executor_, HandOverDuty(latest), net::detached);
     co_await member_.Release();
     co_await WaitFor(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -396,6 +419,7 @@
     follower_.Stop();
     peers_->Stop();
     copy_reader_.Stop();
+    quarantine_.Stop();
     done();
   }
 
@@ -417,9 +441,10 @@
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<PeerLink> peers_;
   std::unique_ptr<AdminServer> peer_server_;
+  QuarantineRecords<Store> quarantine_;
   StoreCopyReader<Follower> copy_reader_;
   std::unique_ptr<AdminServer> metrics_server_;
-  net::steady_timer timer_;
+  Timer timer_;
   std::optional<TimePoint> duty_free_since_;
   bool duty_handed_over_ = false;
   bool done_ = false;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -8,6 +8,7 @@
 #include "gateway/admission.h"
 #include "gateway/backend_prober.h"
 #include "gateway/placement.h"
+#include "gateway/poison_detector.h"
 
 namespace ridgehold {
 
@@ -18,6 +19,7 @@
   double call_patience = 3;
   double stream_patience = 8;
   AdmissionRule admission;
+  PoisonRule poison;
   BackendProber::Options probing;
   bool spare_retries = true;
   bool observe_loads = true;
--- a/libs/entry/include/entry/state_dump.h
+++ b/libs/entry/include/entry/state_dump.h
@@ -11,6 +11,7 @@
 namespace ridgehold {
 
 class GatewayState;
+class PoisonGuard;
 
 /// What the gateway's own tables do not know.
 struct InstanceFacts {
@@ -24,4 +25,7 @@
 /// Returns the state at `now` as JSON text.
 std::string DumpState(GatewayState& state, const InstanceFacts& facts, TimePoint now);
 
+/// Returns the quarantined requests as JSON text.
+std::string DumpQuarantine(const PoisonGuard& guard, TimePoint now);
+
 }  // namespace ridgehold
--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -45,4 +45,13 @@
   return dump.dump(2, ' ', false, json::error_handler_t::replace);
 }
 
+std::string DumpQuarantine(const PoisonGuard& guard, TimePoint now) {
+  json list = json::array();
+  for (const auto& [request, until] : guard.Quarantined(now)) {
+    const auto left = std::chrono::duration_cast<std::chrono::seconds>(until - now);
+    list.push_back({{"fingerprint", ToText(request)}, {"left_s", left.count()}});
+  }
+  return json{{"quarantined", list}, {"suspects", guard.suspects()}}.dump(2);
+}
+
 }  // namespace ridgehold
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -88,6 +88,8 @@
           "the same for requests that are late already");
   Add("admission.longest-wait", tuning.admission.longest_wait,
       "latency objectives that a request waits for room");
+  Add("poison.most-ends", tuning.poison.most_ends,
+      "servers that end under a request before it is quarantined; 0: none is");
   Add("peers.most-told", tuning.most_told,
       "gateways that all tell each other; in larger fleets those that track are asked");
   Add("probing.enabled", tuning.probing.enabled,
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,6 +52,7 @@
   bool reachable = true;  ///< as of the last probe
   bool doubted = false;   ///< an attempt failed, or a peer cannot reach it: to be probed
   TimePoint probed_at{};
+  bool probing = false;     ///< a probe is on its way
   bool superseded = false;  ///< another incarnation has registered at its address
 
   std::uint32_t in_flight = 0;     ///< requests of this gateway
@@ -105,6 +107,12 @@
     return services_.empty() || services_.contains(service);
   }
 
+  /// Called for each incarnation that is found to be gone and has not announced that
+  /// it leaves.
+  void SetEndListener(std::function<void(const Backend&)> listener) {
+    on_end_ = std::move(listener);
+  }
+
   /// An entry is gone. With `grace` above zero the backend server is used on
   /// until it has passed, in case the entry comes back.
   void Remove(const BackendId& id, Duration grace, TimePoint now);
@@ -151,13 +159,15 @@
   void Store(const BackendEntry& entry, Registration registration);
   void NoteStart(const BackendEntry& entry);
   void Drop(const BackendId& id);
+  void TellEnd(const Backend& backend) const;
   /// Ends those at the address of `newcomer`, if that is not known yet.
   void Supersede(const BackendEntry& newcomer);
 
   std::map<BackendId, BackendPtr> backends_;
   std::unordered_map<BackendHash, BackendPtr> by_hash_;
   std::unordered_map<BackendId, StartStamp> starts_;  ///< the latest known
-  std::set<ServiceId> services_;                      ///< empty: not known yet
+  std::function<void(const Backend&)> on_end_;
+  std::set<ServiceId> services_;  ///< empty: not known yet
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/backend_prober.h
+++ b/libs/gateway/include/gateway/backend_prober.h
@@ -2,12 +2,12 @@
 
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 
 #include "gateway/backend_directory.h"
 #include "gateway/gateway_state.h"
 #include "net/outbound_connection.h"
+#include "net/timer.h"
 
 namespace ridgehold {
 
@@ -32,6 +32,9 @@
     /// Requests that wait so many of the shortest objectives for their first
     /// event are suspicious: engines are given less than one to read.
     double suspicious_objectives = 1.25;
+    /// A request that broke off waits so long for the probe before it is sent on: a
+    /// process that has ended refuses within a round trip, 6 ms between zones.
+    std::chrono::milliseconds confirm_limit{20};
     /// Probes that run at once; the others wait for the next look.
     std::size_t most_at_once = 16;
   };
@@ -41,15 +44,24 @@
 
   net::awaitable<void> Run();
 
+  /// An attempt has broken off there: probes at once, unless that was done lately, and
+  /// waits for the outcome. A refused connection tells that the process has ended,
+  /// 20 to 85 ms sooner than the next look; the copies that arrive meanwhile, and the
+  /// attempt itself, would be sent on without that knowledge.
+  net::awaitable<void> Confirm(BackendPtr backend);
+
  private:
+  void StartProbe(const BackendPtr& backend);
   void StartProbes(TimePoint now);
   bool IsDue(const Backend& backend, TimePoint now) const;
   bool IsSuspicious(const Backend& backend, TimePoint now) const;
   net::awaitable<void> Probe(BackendPtr backend);
+  /// Whether nothing that was open to it is left: a full server refuses, too.
+  bool NothingOpen(const Backend& backend);
 
   GatewayState& state_;
   Options options_;
-  net::steady_timer timer_;
+  Timer timer_;
   std::size_t running_ = 0;
 };
 
--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <functional>
 #include <memory>
@@ -14,6 +13,7 @@
 #include "gateway/routing_snapshot.h"
 #include "gateway/wire_format.h"
 #include "net/beast.h"
+#include "net/timer.h"
 
 namespace ridgehold {
 
@@ -80,8 +80,8 @@
   void Close();
 
   tcp::socket socket_;
-  net::steady_timer limit_timer_;
-  net::steady_timer watch_timer_;
+  Timer limit_timer_;
+  Timer watch_timer_;
   boost::beast::flat_buffer buffer_;
   RequestHead head_;
   RequestMessage request_;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <set>
@@ -60,7 +59,7 @@
     ResponseHead caller_head;
     std::string body;
     bool prefilled = false;
-    bool withdrawn = false;
+    std::optional<ResultCode> withdrawn;  ///< why it was
   };
 
   Exchange(GatewayState& state, std::shared_ptr<CallerConnection> caller)
@@ -105,7 +104,8 @@
     record_.route = plan_.route->id;
     record_.service = plan_.service;
     if (plan_.workspace != nullptr) record_.workspace = plan_.workspace->id;
-    record_.fingerprint = FingerprintOf(record_.workspace, inbound_, caller_->request());
+    plan_.fingerprint = FingerprintOf(record_.workspace, inbound_, caller_->request());
+    record_.fingerprint = plan_.fingerprint;
     relay_ = EventRelay{inbound_.resume_after};
     facts_.may_repeat = plan_.route->MayRepeat();
     facts_.max_runs = plan_.route->max_attempts;
@@ -114,8 +114,10 @@
 
   /// Makes one attempt and decides what follows.
   net::awaitable<NextStep> TryOnce() {
+    if (Quarantined()) co_return StepOfQuarantined();
     const std::optional<BackendChoice> choice = co_await ChooseInTurn();
     if (caller_->caller_gone()) co_return NextStep::kDone;
+    if (Quarantined()) co_return StepOfQuarantined();
     // What the last attempt has answered is still the best there is.
     if (!choice) co_return StepWithoutRetry(facts_);
     attempt_ = Attempt{};
@@ -128,17 +130,36 @@
     load_.emplace(state_, plan_, inbound_, *choice, last_run);
     const AttemptEnd end = co_await RunAttempt(*choice);
     load_.reset();
+    if (end == AttemptEnd::kBroken) co_await NoteBroken();
     co_return Judge(end);
   }
 
+  /// A copy of this request may have ended backend servers anywhere by now.
+  bool Quarantined() const {
+    return state_.poison().SuspicionOf(plan_.fingerprint, Clock::now()) == Suspicion::kQuarantined;
+  }
+
+  NextStep StepOfQuarantined() {
+    last_code_ = ResultCode::kPoisonRequest;
+    return facts_.stream_begun ? NextStep::kBreakOff : NextStep::kFail;
+  }
+
+  /// Before the request is sent on, it is found out whether the backend server has
+  /// ended under it, and others are told.
+  net::awaitable<void> NoteBroken() {
+    state_.poison().NoteBroken(*attempt_.backend, plan_.fingerprint, Clock::now());
+    co_await state_.ConfirmEnd(attempt_.backend);
+  }
+
   /// Chooses an engine and waits, if need be, until it has room.
   net::awaitable<std::optional<BackendChoice>> ChooseInTurn() {
     std::optional<BackendChoice> choice = co_await Choose();
     if (!choice || MaySend(*choice)) co_return choice;
     DeferredRequests::Ticket ticket(state_.deferred_requests(), plan_.priority.value_or(0));
-    net::steady_timer timer(state_.executor());
+    Timer timer(state_.executor());
     const TimePoint began = Clock::now();
-    while (!caller_->caller_gone() && Clock::now() + state_.limits().least_time < WaitLimit()) {
+    while (!caller_->caller_gone() && !Quarantined() &&
+           Clock::now() + state_.limits().least_time < WaitLimit()) {
       co_await WaitFor(
           timer, state_.asks_first() ? DeferredRequests::kAskingLook : DeferredRequests::kLook);
       const AdmissionQuery place = AdmissionQueryFor(plan_, *choice, Clock::now());
@@ -191,7 +212,8 @@
     const bool caller_gone = caller_->CheckCallerGone();
     const TimePoint now = Clock::now();
     const bool too_late = now >= WaitLimit();
-    if (caller_gone || too_late || !MayStillSend(state_, inbound_, choice, now)) {
+    const bool may_send = !Quarantined() && MayStillSend(state_, inbound_, choice, now);
+    if (caller_gone || too_late || !may_send) {
       state_.pool().Release(address, std::move(checkout.connection));
       if (caller_gone) co_return AttemptEnd::kCallerGone;
       last_code_ = ResultCode::kNoBackend;
@@ -204,6 +226,7 @@
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptEnd end = co_await ReadAnswer();
     waiting_.reset();
+    running_.reset();
     state_.pool().Release(address, std::move(attempt_.connection));
     co_return end;
   }
@@ -211,12 +234,25 @@
   /// The bound on older weights is about the moment an engine begins a request,
   /// so one that still waits there then is taken back.
   void WatchBegin() {
+    WatchQuarantine();
     if (!inbound_.generation || !attempt_.expected_weights) return;
     state_.waiting_attempts().Add(waiting_, inbound_.generation->model, *attempt_.expected_weights,
-                                  [this] {
-                                    attempt_.withdrawn = true;
-                                    attempt_.connection->Cancel();
-                                  });
+                                  [this] { Withdraw(ResultCode::kWeightsPastLimit); });
+  }
+
+  /// A copy that engines have not begun is taken back once it is quarantined. One that
+  /// makes events goes on: if it ends well, it was not the cause. So does a call that
+  /// may not run again.
+  void WatchQuarantine() {
+    if (plan_.route->kind == RouteKind::kUnsafe) return;
+    state_.poison().Watch(running_, plan_.fingerprint, [this] {
+      if (!attempt_.prefilled) Withdraw(ResultCode::kPoisonRequest);
+    });
+  }
+
+  void Withdraw(ResultCode reason) {
+    attempt_.withdrawn = reason;
+    attempt_.connection->Cancel();
   }
 
   /// Reads heads until one belongs to this request; answers to others are skipped.
@@ -329,7 +365,7 @@
       case ExchangeFault::kCancelled:
         if (caller_->caller_gone()) return AttemptEnd::kCallerGone;
         if (attempt_.withdrawn) {
-          last_code_ = ResultCode::kWeightsPastLimit;
+          last_code_ = *attempt_.withdrawn;
           return AttemptEnd::kWithdrawn;
         }
         if (Clock::now() < WaitLimit()) break;
@@ -356,8 +392,10 @@
     const TimePoint now = Clock::now();
     facts_.time_left = WaitLimit() - now > state_.limits().least_time;
     NoteOutcome(state_, inbound_, *attempt_.backend, facts_, now);
+    NoteForPoison(end, now);
     tried_.insert(attempt_.backend->entry.id);
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(facts_);
+    if (step == NextStep::kTryAgain && Quarantined()) step = StepOfQuarantined();
     const bool arrived = end != AttemptEnd::kNotSent && end != AttemptEnd::kSkipped;
     if (step == NextStep::kTryAgain && arrived && !state_.retries().Spend(plan_.service, now)) {
       record_.out_of_retries = true;
@@ -369,6 +407,17 @@
     return step;
   }
 
+  /// A whole answer shows that the backend server has survived the request. One that
+  /// fell silent may be found to have ended.
+  void NoteForPoison(AttemptEnd end, TimePoint now) {
+    if (end == AttemptEnd::kTimedOut) {
+      state_.poison().NoteBroken(*attempt_.backend, plan_.fingerprint, now);
+    }
+    const bool survived =
+        end == AttemptEnd::kStreamed || (end == AttemptEnd::kAnswered && !ProvesNotRun(facts_));
+    if (survived) state_.poison().NoteSurvived(plan_.fingerprint, now);
+  }
+
   net::awaitable<void> Finish(NextStep step) {
     switch (step) {
       case NextStep::kDone:
@@ -385,7 +434,8 @@
         co_await RefuseWith(FailedCode(last_code_), kDefaultRetryAfter);
         break;
       case NextStep::kBreakOff:
-        record_.code = ResultCode::kStreamLost;
+        record_.code =
+            last_code_ == ResultCode::kPoisonRequest ? last_code_ : ResultCode::kStreamLost;
         caller_->Abort();
         break;
     }
@@ -430,6 +480,7 @@
   Attempt attempt_;
   std::optional<BackendLoad> load_;
   std::optional<WaitingAttempts::Ticket> waiting_;
+  std::optional<PoisonGuard::Ticket> running_;
   std::set<BackendId> tried_;
   ResultCode last_code_ = ResultCode::kNoBackend;
   RequestRecord record_;
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -25,6 +25,7 @@
   const RouteRule* route = nullptr;
   const WorkspaceRule* workspace = nullptr;  ///< null on public routes
   ServiceId service;
+  RequestFingerprint fingerprint;
   TimePoint received{};
   TimePoint answer_by{};  ///< the caller's limit or the route's, whichever is first
   std::optional<int> priority;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "gateway/load_report.h"
 #include "gateway/named_weights.h"
 #include "gateway/placement.h"
+#include "gateway/poison_guard.h"
 #include "gateway/prefix_shares.h"
 #include "gateway/reading_speed.h"
 #include "gateway/retry_allowance.h"
@@ -46,6 +47,7 @@
   /// The same for resumable streams, which may wait in a queue.
   double stream_patience_objectives = 5;
   AdmissionRule admission;
+  PoisonRule poison;
   /// An attempt needs at least this much time to be worth making.
   std::chrono::milliseconds least_time{30};
 };
@@ -64,8 +66,12 @@
         metrics_(metrics),
         pool_(executor, ConnectionPool::Options{}),
         retries_(limits.retries),
+        poison_(metrics, limits.poison),
         waiting_attempts_(executor, named_weights_, limits.older_weights) {
     named_weights_.SetListener([this] { waiting_attempts_.Review(); });
+    directory_.SetEndListener([this](const Backend& backend) {
+      poison_.NoteEnded(backend, "registration", Clock::now());
+    });
   }
 
   GatewayState(const GatewayState&) = delete;
@@ -127,6 +133,17 @@
   NamedWeights& named_weights() { return named_weights_; }
   const NamedWeights& named_weights() const { return named_weights_; }
   WaitingAttempts& waiting_attempts() { return waiting_attempts_; }
+  PoisonGuard& poison() { return poison_; }
+  const PoisonGuard& poison() const { return poison_; }
+
+  /// Waits until it is known whether the backend server, where an attempt has
+  /// broken off, has ended; a few milliseconds, see BackendProber::Confirm.
+  net::awaitable<void> ConfirmEnd(BackendPtr backend) {
+    if (confirm_end_) co_await confirm_end_(std::move(backend));
+  }
+  using EndConfirmer = std::function<net::awaitable<void>(BackendPtr)>;
+  void SetEndConfirmer(EndConfirmer confirm) { confirm_end_ = std::move(confirm); }
+
   DeferredRequests& deferred_requests() { return deferred_requests_; }
 
   /// Gateways that are alive, this one included.
@@ -246,6 +263,8 @@
   std::unordered_map<LinkHash, EngineCache> kept_;  ///< by store
   std::map<ServiceId, ReadingSpeed> reading_speeds_;
   NamedWeights named_weights_;
+  PoisonGuard poison_;
+  EndConfirmer confirm_end_;
   WaitingAttempts waiting_attempts_;
   DeferredRequests deferred_requests_;
   std::uint32_t gateways_ = 1;
--- a/libs/gateway/include/gateway/waiting_attempts.h
+++ b/libs/gateway/include/gateway/waiting_attempts.h
@@ -2,7 +2,6 @@
 
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -12,6 +11,7 @@
 #include "base/ids.h"
 #include "gateway/named_weights.h"
 #include "net/beast.h"
+#include "net/timer.h"
 
 namespace ridgehold {
 
@@ -68,7 +68,7 @@
 
   const NamedWeights& named_;
   std::chrono::milliseconds limit_;
-  net::steady_timer timer_;
+  Timer timer_;
   std::optional<TimePoint> armed_for_;
   std::map<std::uint64_t, Entry> entries_;
   std::uint64_t last_number_ = 0;
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -69,10 +69,15 @@
   if (newcomer.address.empty() || backends_.contains(newcomer.id)) return;
   if (!IsServed(newcomer.service)) return;
   for (const auto& [id, backend] : backends_) {
-    if (backend->entry.address == newcomer.address) backend->superseded = true;
+    if (backend->entry.address != newcomer.address) continue;
+    if (!std::exchange(backend->superseded, true)) TellEnd(*backend);
   }
 }
 
+void BackendDirectory::TellEnd(const Backend& backend) const {
+  if (on_end_ && !backend.entry.draining) on_end_(backend);
+}
+
 void BackendDirectory::SetServices(std::set<ServiceId> services) {
   services_ = std::move(services);
 }
@@ -81,6 +86,7 @@
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
   found->second->removed = true;
+  TellEnd(*found->second);
   by_hash_.erase(HashOf(*found->second));
   backends_.erase(found);
 }
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -9,6 +9,12 @@
 #include "net/wait.h"
 
 namespace ridgehold {
+namespace {
+
+// Between looks whether a probe has ended; a probe takes 1 to 6 ms.
+constexpr std::chrono::milliseconds kConfirmLook{2};
+
+}  // namespace
 
 net::awaitable<void> BackendProber::Run() {
   while (options_.enabled) {
@@ -20,14 +26,34 @@
 void BackendProber::StartProbes(TimePoint now) {
   for (const auto& [id, backend] : state_.directory().all()) {
     if (running_ >= options_.most_at_once) return;
-    if (!IsDue(*backend, now)) continue;
-    ++running_;
-    net::co_spawn(state_.executor(), Probe(backend), net::detached);
+    if (IsDue(*backend, now)) StartProbe(backend);
   }
 }
 
+void BackendProber::StartProbe(const BackendPtr& backend) {
+  ++running_;
+  backend->probing = true;
+  net::co_spawn(state_.executor(), Probe(backend), net::detached);
+}
+
+net::awaitable<void> BackendProber::Confirm(BackendPtr backend) {
+  const TimePoint begun = Clock::now();
+  if (!options_.enabled || state_.poison().HasEnded(*backend)) co_return;
+  const bool lately = begun - backend->probed_at < options_.pause;
+  if (!lately && !backend->probing && running_ < options_.most_at_once) StartProbe(backend);
+  Timer timer(state_.executor());
+  while (backend->probing && Clock::now() - begun < options_.confirm_limit) {
+    co_await WaitFor(timer, kConfirmLook);
+  }
+}
+
+bool BackendProber::NothingOpen(const Backend& backend) {
+  return backend.in_flight == 0 && !state_.pool().HasOpen(backend.entry.address);
+}
+
 bool BackendProber::IsDue(const Backend& backend, TimePoint now) const {
-  if (backend.superseded || now - backend.probed_at < options_.pause) return false;
+  if (backend.superseded || backend.probing) return false;
+  if (now - backend.probed_at < options_.pause) return false;
   return backend.doubted || IsSuspicious(backend, now);
 }
 
@@ -46,7 +72,11 @@
   const ExchangeFault fault = co_await connection->Connect(endpoint, begun + options_.connect_limit,
                                                            options_.connect_limit);
   --running_;
+  backend->probing = false;
   const bool reached = fault == ExchangeFault::kNone;
+  if (connection->refused() && NothingOpen(*backend)) {
+    state_.poison().NoteEnded(*backend, "refused", Clock::now());
+  }
   if (reached == backend->reachable && !backend->doubted) co_return;
   const bool changed = reached != backend->reachable;
   if (reached) {
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -151,6 +151,10 @@
     if (!request.generation) return false;
     return !WeightsAllowed(state, *backend, request.generation->model, now);
   });
+  const Suspicion suspicion = state.poison().SuspicionOf(plan.fingerprint, now);
+  if (suspicion == Suspicion::kLastTrial && !candidates.empty()) {
+    candidates = {TrialBackend(plan.fingerprint, candidates)};
+  }
   return candidates;
 }
 
--- /dev/null
+++ b/libs/gateway/src/poison_guard.cc
@@ -0,0 +1,177 @@
+#include "gateway/poison_guard.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "log/log.h"
+
+namespace ridgehold {
+namespace {
+
+// Fingerprints on one log line; an engine has up to some hundred requests.
+constexpr std::size_t kMostLogged = 16;
+
+std::string ListOf(std::span<const RequestFingerprint> requests) {
+  std::string list;
+  for (const RequestFingerprint request : requests.first(std::min(requests.size(), kMostLogged))) {
+    if (!list.empty()) list += ",";
+    list += ToText(request);
+  }
+  return list;
+}
+
+std::uint64_t RankOf(RequestFingerprint request, const Backend& backend) {
+  const BackendHash hash = HashOf(backend);
+  return XXH3_64bits_withSeed(&hash, sizeof hash, request.value());
+}
+
+}  // namespace
+
+void PoisonGuard::Watch(std::optional<Ticket>& ticket, RequestFingerprint request,
+                        Withdraw withdraw) {
+  const std::uint64_t number = ++last_number_;
+  running_[number] = {request, std::move(withdraw)};
+  ticket.emplace(*this, number);
+}
+
+void PoisonGuard::NoteBroken(const Backend& backend, RequestFingerprint request, TimePoint now) {
+  const BackendHash hash = HashOf(backend);
+  if (broken_.Note(hash, request, now)) NoteEnd({hash, request}, now);
+}
+
+void PoisonGuard::NoteEnded(const Backend& backend, const char* evidence, TimePoint now) {
+  const BackendHash hash = HashOf(backend);
+  if (broken_.HasEnded(hash)) return;
+  const std::vector<RequestFingerprint> present = broken_.End(hash, now);
+  if (present.empty()) return;
+  metrics_.GetCounter("ridgehold_backend_ends_under_requests").Add();
+  Log(LogLevel::kWarn, "backend ended under requests",
+      {{"backend", backend.entry.id.value()},
+       {"address", backend.entry.address},
+       {"evidence", evidence},
+       {"requests", std::to_string(present.size())},
+       {"fingerprints", ListOf(present)}});
+  for (const RequestFingerprint request : present) NoteEnd({hash, request}, now);
+}
+
+void PoisonGuard::NoteEnd(const EndNews& end, TimePoint now) {
+  news_.ends.push_back(end);
+  const bool decides = detector_.TakeEnd(end.request, end.backend, now);
+  if (!Forgive(end.request, now) && decides) {
+    decided_here_.insert(end.request);
+    news_.quarantined.push_back(end.request);
+    OnQuarantined(end.request, "own");
+  }
+  Tell();
+}
+
+/// Whether the request is none after all: a server has survived it just now. Told where
+/// the others might decide otherwise.
+bool PoisonGuard::Forgive(RequestFingerprint request, TimePoint now) {
+  const Suspicion suspicion = detector_.SuspicionOf(request, now);
+  if (suspicion < Suspicion::kLastTrial || !survivors_.Contains(request, now)) return false;
+  detector_.TakeSurvived(request, now);
+  news_.survived.push_back(request);
+  Tell();
+  return true;
+}
+
+void PoisonGuard::NoteSurvived(RequestFingerprint request, TimePoint now) {
+  survivors_.Add(request, now);
+  if (detector_.suspects() == 0) return;
+  const bool quarantined = detector_.SuspicionOf(request, now) == Suspicion::kQuarantined;
+  if (!detector_.TakeSurvived(request, now)) return;
+  if (quarantined) {
+    Log(LogLevel::kInfo, "quarantine lifted, a backend server survived the request",
+        {{"fingerprint", ToText(request)}});
+    released_.push_back(request);
+  }
+  Forget(request);
+  news_.survived.push_back(request);
+  Tell();
+}
+
+bool PoisonGuard::Release(RequestFingerprint request, TimePoint now) {
+  const bool quarantined = detector_.SuspicionOf(request, now) == Suspicion::kQuarantined;
+  detector_.TakeSurvived(request, now);
+  Log(LogLevel::kInfo, "quarantine lifted by hand",
+      {{"fingerprint", ToText(request)}, {"quarantined", quarantined ? "yes" : "no"}});
+  Forget(request);
+  released_.push_back(request);
+  news_.survived.push_back(request);
+  Tell();
+  return quarantined;
+}
+
+void PoisonGuard::Take(const PoisonNews& news, TimePoint now) {
+  for (const EndNews& end : news.ends) {
+    const bool decides = detector_.TakeEnd(end.request, end.backend, now);
+    if (!Forgive(end.request, now) && decides) OnQuarantined(end.request, "peers");
+  }
+  for (const RequestFingerprint request : news.quarantined) {
+    const bool taken = detector_.TakeQuarantine(request, Duration::max(), now);
+    if (!Forgive(request, now) && taken) OnQuarantined(request, "peer");
+  }
+  for (const RequestFingerprint request : news.survived) {
+    if (detector_.TakeSurvived(request, now)) Forget(request);
+  }
+}
+
+void PoisonGuard::TakeStored(RequestFingerprint request, Duration left, TimePoint now) {
+  if (left <= Duration::zero() || !detector_.TakeQuarantine(request, left, now)) return;
+  from_store_.insert(request);
+  OnQuarantined(request, "store");
+}
+
+std::vector<PoisonDetector::Quarantine> PoisonGuard::Decided(TimePoint now) {
+  const auto is_over = [&](RequestFingerprint request) {
+    return detector_.SuspicionOf(request, now) != Suspicion::kQuarantined;
+  };
+  std::erase_if(decided_here_, is_over);
+  std::erase_if(from_store_, is_over);
+  std::vector<PoisonDetector::Quarantine> decided = detector_.Quarantined(now);
+  std::erase_if(decided, [&](const auto& entry) { return from_store_.contains(entry.request); });
+  return decided;
+}
+
+std::vector<RequestFingerprint> PoisonGuard::TakeReleased() { return std::exchange(released_, {}); }
+
+PoisonNews PoisonGuard::TakeNews() { return std::exchange(news_, {}); }
+
+void PoisonGuard::OnQuarantined(RequestFingerprint request, const char* source) {
+  metrics_.GetCounter("ridgehold_requests_quarantined", "source=\"" + std::string(source) + "\"")
+      .Add();
+  Log(LogLevel::kWarn, "request quarantined",
+      {{"fingerprint", ToText(request)},
+       {"ends", std::to_string(detector_.EndsOf(request))},
+       {"source", source}});
+  // Copies that wait at engines would end these as soon as they are begun.
+  std::vector<std::uint64_t> copies;
+  for (const auto& [number, running] : running_) {
+    if (running.request == request) copies.push_back(number);
+  }
+  for (const std::uint64_t number : copies) {
+    auto copy = running_.extract(number);
+    if (!copy.empty()) copy.mapped().withdraw();
+  }
+}
+
+void PoisonGuard::Forget(RequestFingerprint request) {
+  decided_here_.erase(request);
+  from_store_.erase(request);
+}
+
+void PoisonGuard::Tell() {
+  if (on_news_) on_news_();
+}
+
+BackendPtr TrialBackend(RequestFingerprint request, std::span<const BackendPtr> candidates) {
+  return *std::ranges::max_element(candidates, {}, [&](const BackendPtr& backend) {
+    return std::pair(backend->reachable, RankOf(request, *backend));
+  });
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/test/poison_crowd.cc
@@ -0,0 +1,314 @@
+#include "poison_crowd.h"
+
+#include "gateway/poison_guard.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace ridgehold::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint kStart{1h};
+constexpr Duration kLength = 60s;
+constexpr int kGateways = 8;
+constexpr int kRunning = 8;  // at a server, on average
+constexpr Duration kMeanRun = 700ms;
+constexpr Duration kNewsWay = 6ms;
+constexpr Duration kConfirm = 3ms;  // until a request that broke off is sent on
+constexpr Duration kCallerPause = 200ms;
+constexpr Duration kBack = 3s;  // until an ended server is replaced
+constexpr Duration kFatalAfter = 110ms;
+constexpr int kSends = 2;
+constexpr int kTries = 2;
+constexpr double kPopularPart = 0.1;
+constexpr int kPopular = 5;
+constexpr std::uint64_t kFirstPoison = 1;
+constexpr std::uint64_t kFirstPopular = 100;
+constexpr std::uint64_t kFirstOther = 1'000;
+
+struct Server {
+  BackendPtr backend;  ///< the process; null: none
+  std::set<std::size_t> requests;
+};
+
+struct Request {
+  RequestFingerprint content;
+  std::size_t gateway = 0;
+  int sends = 0;
+  int tries = 1;
+  std::uint64_t run = 0;  ///< rises, so that the end of an earlier run is told from it
+};
+
+class Crowd {
+ public:
+  explicit Crowd(const CrowdPlan& plan)
+      : plan_(plan), random_(plan.seed), servers_(static_cast<std::size_t>(plan.servers)) {
+    for (int i = 0; i < kGateways; ++i) guards_.push_back(MakeGuard(static_cast<std::size_t>(i)));
+    for (Server& server : servers_) server.backend = MakeBackend();
+  }
+
+  CrowdOutcome Play() {
+    Arrive();
+    for (int i = 0; i < plan_.poison_requests; ++i) StartPoison(i);
+    StartTrouble();
+    while (!events_.empty() && now_ < kStart + kLength) {
+      Event event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.action();
+    }
+    for (const auto& [content, ends] : ends_by_) {
+      outcome_.most_ends_by_one = std::max(outcome_.most_ends_by_one, ends);
+    }
+    return outcome_;
+  }
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::uint64_t number = 0;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::pair(at, number) > std::pair(other.at, other.number);
+    }
+  };
+
+  void After(Duration time, std::function<void()> action) {
+    events_.push({now_ + time, ++last_event_, std::move(action)});
+  }
+
+  std::size_t Draw(std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+  }
+  Duration DrawAround(Duration mean) {
+    const auto value = std::exponential_distribution<double>(1.0)(random_);
+    return Duration(1 + static_cast<Duration::rep>(value * static_cast<double>(mean.count())));
+  }
+  bool IsPoison(RequestFingerprint content) const {
+    return content.value() < kFirstPoison + static_cast<std::uint64_t>(plan_.poison_requests);
+  }
+
+  void Arrive() {
+    After(DrawAround(kMeanRun) / (plan_.servers * kRunning), [this] {
+      const bool popular = std::bernoulli_distribution(kPopularPart)(random_);
+      const std::uint64_t content = popular ? kFirstPopular + Draw(kPopular) : ++last_content_;
+      ++outcome_.sound;
+      Start(RequestFingerprint(content));
+      Arrive();
+    });
+  }
+
+  void StartPoison(int number) {
+    const auto content = RequestFingerprint(kFirstPoison + static_cast<std::uint64_t>(number));
+    for (int copy = 0; copy < 45; ++copy) {
+      After(5s + number * 18s + copy * 333ms, [this, content] { Start(content); });
+    }
+  }
+
+  void Start(RequestFingerprint content) {
+    requests_.push_back({content, Draw(kGateways)});
+    Send(requests_.size() - 1);
+  }
+
+  void Send(std::size_t number) {
+    Request& request = requests_[number];
+    const Suspicion suspicion = guards_[request.gateway]->SuspicionOf(request.content, now_);
+    if (suspicion == Suspicion::kQuarantined) {
+      if (!IsPoison(request.content)) ++outcome_.refused;
+      return;
+    }
+    Server* server =
+        suspicion == Suspicion::kLastTrial ? TrialServer(request.content) : AnyServer();
+    if (server == nullptr) return TryAgain(number);
+    ++request.sends;
+    Run(number, *server);
+  }
+
+  Server* AnyServer() {
+    for (int i = 0; i < 4 * plan_.servers; ++i) {
+      Server& server = servers_[Draw(servers_.size())];
+      if (server.backend) return &server;
+    }
+    return nullptr;
+  }
+
+  Server* TrialServer(RequestFingerprint content) {
+    std::vector<BackendPtr> alive;
+    for (const Server& server : servers_) {
+      if (server.backend) alive.push_back(server.backend);
+    }
+    if (alive.empty()) return nullptr;
+    const BackendPtr chosen = TrialBackend(content, alive);
+    return &*std::ranges::find(servers_, chosen, &Server::backend);
+  }
+
+  void Run(std::size_t number, Server& server) {
+    server.requests.insert(number);
+    const std::uint64_t run = ++requests_[number].run;
+    const RequestFingerprint content = requests_[number].content;
+    if (IsPoison(content)) {
+      After(kFatalAfter, [this, &server, content, backend = server.backend] {
+        if (server.backend != backend) return;
+        ++ends_by_[content];
+        End(server);
+      });
+      return;
+    }
+    After(DrawAround(kMeanRun), [this, number, run, &server] {
+      if (requests_[number].run != run || server.requests.erase(number) == 0) return;
+      Survived(number);
+    });
+  }
+
+  void Survived(std::size_t number) {
+    const Request& request = requests_[number];
+    guards_[request.gateway]->NoteSurvived(request.content, now_);
+  }
+
+  void End(Server& server) {
+    ++outcome_.ends;
+    const BackendPtr backend = std::exchange(server.backend, nullptr);
+    const std::set<std::size_t> present = std::exchange(server.requests, {});
+    std::set<std::size_t> gateways;
+    for (const std::size_t number : present) {
+      Request& request = requests_[number];
+      ++request.run;
+      guards_[request.gateway]->NoteBroken(*backend, request.content, now_);
+      gateways.insert(request.gateway);
+      const bool again = request.sends < kSends;
+      After(kConfirm, [this, number, again] { again ? Send(number) : TryAgain(number); });
+    }
+    for (const std::size_t gateway : gateways) {
+      guards_[gateway]->NoteEnded(*backend, "refused", now_);
+    }
+    After(kBack, [this, &server] { server.backend = MakeBackend(); });
+  }
+
+  /// The caller tries once more, at any gateway.
+  void TryAgain(std::size_t number) {
+    if (requests_[number].tries >= kTries) return;
+    After(kCallerPause, [this, number] {
+      Request& request = requests_[number];
+      ++request.tries;
+      request.sends = 0;
+      request.gateway = Draw(kGateways);
+      Send(number);
+    });
+  }
+
+  std::unique_ptr<PoisonGuard> MakeGuard(std::size_t gateway) {
+    auto guard = std::make_unique<PoisonGuard>(metrics_, plan_.rule);
+    guard->SetNewsListener([this, gateway] { Tell(gateway); });
+    return guard;
+  }
+
+  /// Sends what there is after a moment, as the gossip does.
+  void Tell(std::size_t from) {
+    if (!telling_.insert(from).second) return;
+    After(1ms, [this, from] {
+      telling_.erase(from);
+      After(kNewsWay - 1ms, [this, from, news = guards_[from]->TakeNews()] {
+        for (std::size_t i = 0; i < guards_.size(); ++i) {
+          if (i != from) guards_[i]->Take(news, now_);
+        }
+      });
+    });
+  }
+
+  BackendPtr MakeBackend() {
+    auto backend = std::make_shared<Backend>();
+    backend->entry.id = BackendId(std::to_string(++last_server_));
+    return backend;
+  }
+
+  void EndIfAlive(Server& server) {
+    if (server.backend) End(server);
+  }
+
+  void StartTrouble() {
+    switch (plan_.trouble) {
+      case Trouble::kNone:
+        return;
+      case Trouble::kCrashes:
+        for (Server& server : servers_) CrashNow(server, 30s);
+        return;
+      case Trouble::kRelease:
+        return EndInTurn(10s, std::min<Duration>(kBack + 500ms, Duration(30s) / plan_.servers));
+      case Trouble::kCascade:
+        EndInTurn(5s, 500ms);
+        return EndInTurn(35s, 500ms);
+      case Trouble::kZoneLost:
+        for (const Duration at : {20s, 40s}) {
+          for (std::size_t i = 0; i < servers_.size() / 3 + 1; ++i) {
+            After(at, [this, i] { EndIfAlive(servers_[i]); });
+          }
+        }
+        return;
+      case Trouble::kFlapping:
+        for (std::size_t i = 0; i < std::max<std::size_t>(servers_.size() / 4, 1); ++i) {
+          CrashNow(servers_[i], 4s);
+        }
+    }
+  }
+
+  void EndInTurn(Duration first, Duration gap) {
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      After(first + static_cast<int>(i) * gap, [this, i] { EndIfAlive(servers_[i]); });
+    }
+  }
+
+  void CrashNow(Server& server, Duration mean) {
+    After(DrawAround(mean), [this, &server, mean] {
+      EndIfAlive(server);
+      CrashNow(server, mean);
+    });
+  }
+
+  CrowdPlan plan_;
+  std::mt19937_64 random_;
+  TimePoint now_ = kStart;
+  std::vector<Server> servers_;
+  Metrics metrics_;
+  std::vector<std::unique_ptr<PoisonGuard>> guards_;
+  std::set<std::size_t> telling_;
+  std::deque<Request> requests_;
+  std::priority_queue<Event> events_;
+  std::map<RequestFingerprint, std::uint64_t> ends_by_;
+  CrowdOutcome outcome_;
+  std::uint64_t last_event_ = 0;
+  std::uint64_t last_content_ = kFirstOther;
+  int last_server_ = 0;
+};
+
+}  // namespace
+
+std::string_view NameOf(Trouble trouble) {
+  switch (trouble) {
+    case Trouble::kNone:
+      return "no trouble";
+    case Trouble::kCrashes:
+      return "crashes";
+    case Trouble::kRelease:
+      return "release without drains";
+    case Trouble::kCascade:
+      return "cascade";
+    case Trouble::kZoneLost:
+      return "zone lost";
+    case Trouble::kFlapping:
+      return "flapping servers";
+  }
+  return "unknown";
+}
+
+CrowdOutcome PlayCrowd(const CrowdPlan& plan) { return Crowd(plan).Play(); }
+
+}  // namespace ridgehold::test
--- /dev/null
+++ b/libs/gateway/test/poison_detector-test.cc
@@ -0,0 +1,200 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/broken_attempts.h"
+#include "gateway/poison_detector.h"
+#include "poison_crowd.h"
+
+using namespace ridgehold;
+using namespace ridgehold::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{1h};
+const RequestFingerprint kRequest(7);
+constexpr PoisonRule kRule;
+
+/// Three backend servers end under the request, told at `kStart`.
+PoisonDetector Quarantining() {
+  PoisonDetector detector(kRule);
+  for (const BackendHash backend : {1, 2, 3}) detector.TakeEnd(kRequest, backend, kStart);
+  return detector;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(poison_detector)
+
+BOOST_AUTO_TEST_CASE(third_server_that_ends_decides) {
+  PoisonDetector detector(kRule);
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart) == Suspicion::kNone));
+  BOOST_TEST(!detector.TakeEnd(kRequest, 1, kStart));
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart) == Suspicion::kSuspect));
+  BOOST_TEST(!detector.TakeEnd(kRequest, 2, kStart));
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart) == Suspicion::kLastTrial));
+  BOOST_TEST(detector.TakeEnd(kRequest, 3, kStart));
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart) == Suspicion::kQuarantined));
+  BOOST_TEST((detector.SuspicionOf(RequestFingerprint(8), kStart) == Suspicion::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(end_that_several_gateways_tell_counts_once) {
+  PoisonDetector detector(kRule);
+  for (int i = 0; i < 9; ++i) BOOST_TEST(!detector.TakeEnd(kRequest, 1, kStart));
+  BOOST_TEST(detector.EndsOf(kRequest) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(run_that_a_server_survives_clears_the_request) {
+  PoisonDetector detector(kRule);
+  detector.TakeEnd(kRequest, 1, kStart);
+  detector.TakeEnd(kRequest, 2, kStart);
+  BOOST_TEST(detector.TakeSurvived(kRequest, kStart));
+  BOOST_TEST(!detector.TakeSurvived(kRequest, kStart));
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart) == Suspicion::kNone));
+  // News of an end that came before is told again, and counts no more.
+  detector.TakeEnd(kRequest, 1, kStart);
+  BOOST_TEST(detector.EndsOf(kRequest) == 0U);
+  BOOST_TEST(!detector.TakeEnd(kRequest, 3, kStart));
+  BOOST_TEST(detector.EndsOf(kRequest) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(copy_that_ends_well_lifts_the_quarantine) {
+  PoisonDetector detector = Quarantining();
+  BOOST_TEST(detector.TakeSurvived(kRequest, kStart + 1s));
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart + 1s) == Suspicion::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(after_the_quarantine_one_more_end_is_enough) {
+  PoisonDetector detector = Quarantining();
+  const TimePoint over = kStart + kRule.quarantine;
+  BOOST_TEST((detector.SuspicionOf(kRequest, over - 1ms) == Suspicion::kQuarantined));
+  BOOST_TEST((detector.SuspicionOf(kRequest, over) == Suspicion::kLastTrial));
+  BOOST_TEST(detector.TakeEnd(kRequest, 4, over));
+  BOOST_TEST((detector.SuspicionOf(kRequest, over) == Suspicion::kQuarantined));
+}
+
+BOOST_AUTO_TEST_CASE(request_that_was_cured_is_served_like_any_other) {
+  PoisonDetector detector = Quarantining();
+  const TimePoint over = kStart + kRule.quarantine;
+  BOOST_TEST(detector.TakeSurvived(kRequest, over));
+  BOOST_TEST((detector.SuspicionOf(kRequest, over) == Suspicion::kNone));
+  const TimePoint forgotten = over + kRule.memory;
+  BOOST_TEST((Quarantining().SuspicionOf(kRequest, forgotten) == Suspicion::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(quarantine_of_others_lasts_as_long_as_they_say) {
+  PoisonDetector detector(kRule);
+  BOOST_TEST(detector.TakeQuarantine(kRequest, 20s, kStart));
+  BOOST_TEST(!detector.TakeQuarantine(kRequest, 20s, kStart + 1s));
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart + 19s) == Suspicion::kQuarantined));
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart + 20s) == Suspicion::kLastTrial));
+  BOOST_TEST(detector.Quarantined(kStart).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(memory_is_bounded_and_keeps_quarantines_longest) {
+  PoisonRule rule;
+  rule.most_suspects = 100;
+  PoisonDetector detector(rule);
+  for (const BackendHash backend : {1, 2, 3}) detector.TakeEnd(kRequest, backend, kStart);
+  for (std::uint64_t i = 0; i < 10'000; ++i) {
+    detector.TakeEnd(RequestFingerprint(1'000 + i), 4, kStart + std::chrono::milliseconds(i));
+  }
+  BOOST_TEST(detector.suspects() == 100U);
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart + 10s) == Suspicion::kQuarantined));
+}
+
+BOOST_AUTO_TEST_CASE(switched_off_it_suspects_nobody) {
+  PoisonRule rule;
+  rule.most_ends = 0;
+  PoisonDetector detector(rule);
+  for (BackendHash backend = 1; backend < 9; ++backend) {
+    BOOST_TEST(!detector.TakeEnd(kRequest, backend, kStart));
+  }
+  BOOST_TEST((detector.SuspicionOf(kRequest, kStart) == Suspicion::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(break_and_end_belong_together_in_either_order_within_seconds) {
+  BrokenAttempts broken;
+  BOOST_TEST(!broken.Note(1, kRequest, kStart));
+  BOOST_TEST(!broken.Note(2, RequestFingerprint(8), kStart));
+  const auto present = broken.End(1, kStart + 4s);
+  BOOST_REQUIRE(present.size() == 1U);
+  BOOST_TEST(present.front() == kRequest);
+  BOOST_TEST(broken.End(1, kStart + 4s).empty());
+  BOOST_TEST(broken.Note(1, RequestFingerprint(9), kStart + 5s));
+  BOOST_TEST(broken.End(2, kStart + 5s).empty());
+  BOOST_TEST(!broken.Note(1, RequestFingerprint(9), kStart + 10s));
+}
+
+// A crowd of sound requests, each with its retries, and fleets whose servers end for many
+// reasons. What is judged: the part of sound requests that are refused as poison, and how
+// many servers one poison request ends, copies running side by side included.
+
+namespace {
+
+/// Small fleets are played with several seeds, so that each has some ten thousand requests.
+CrowdOutcome PlayFleet(CrowdPlan plan) {
+  const int seeds = plan.servers < 10 ? 40 / plan.servers : 1;
+  CrowdOutcome all;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    plan.seed = static_cast<std::uint64_t>(seed);
+    const CrowdOutcome one = PlayCrowd(plan);
+    all.sound += one.sound;
+    all.refused += one.refused;
+    all.ends += one.ends;
+    all.most_ends_by_one = std::max(all.most_ends_by_one, one.most_ends_by_one);
+  }
+  BOOST_TEST_MESSAGE(plan.servers << " servers, " << NameOf(plan.trouble) << ", "
+                                  << plan.poison_requests << " poison requests: " << all.refused
+                                  << " of " << all.sound << " sound requests refused, " << all.ends
+                                  << " servers ended, most by one " << all.most_ends_by_one);
+  return all;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(few_sound_requests_are_taken_for_poison) {
+  for (const int servers : {4, 9, 60, 240}) {
+    for (const Trouble trouble :
+         {Trouble::kCrashes, Trouble::kRelease, Trouble::kZoneLost, Trouble::kFlapping}) {
+      const CrowdOutcome outcome = PlayFleet({.servers = servers, .trouble = trouble});
+      BOOST_TEST(outcome.sound > 10'000U);
+      BOOST_TEST(outcome.ends > 0U);
+      // Such a request has seen three servers end, so its caller has waited for seconds.
+      BOOST_TEST(outcome.refused * 5'000 <= outcome.sound);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(outage_of_a_small_fleet_makes_few_mistakes) {
+  for (const int servers : {4, 9}) {
+    const CrowdOutcome outcome = PlayFleet({.servers = servers, .trouble = Trouble::kCascade});
+    BOOST_TEST(outcome.refused * 500 <= outcome.sound);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(poison_request_ends_few_servers_whatever_the_fleet) {
+  for (const int servers : {4, 9, 60, 240}) {
+    const CrowdOutcome outcome =
+        PlayFleet({.servers = servers, .trouble = Trouble::kNone, .poison_requests = 3});
+    BOOST_TEST(outcome.most_ends_by_one >= 3U);
+    BOOST_TEST(outcome.most_ends_by_one <= 5U);
+    BOOST_TEST(outcome.refused * 1'000 <= outcome.sound);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(poison_among_other_troubles_is_still_found) {
+  for (const Trouble trouble : {Trouble::kCrashes, Trouble::kZoneLost, Trouble::kFlapping}) {
+    const CrowdOutcome outcome =
+        PlayFleet({.servers = 9, .trouble = trouble, .poison_requests = 3});
+    BOOST_TEST(outcome.most_ends_by_one <= 6U);
+    BOOST_TEST(outcome.refused * 500 <= outcome.sound);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(without_the_rule_poison_ends_server_after_server) {
+  CrowdPlan plan{.servers = 9, .trouble = Trouble::kNone, .poison_requests = 1};
+  plan.rule.most_ends = 0;
+  BOOST_TEST(PlayCrowd(plan).most_ends_by_one > 20U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/gateway/test/poison_guard-test.cc
@@ -0,0 +1,133 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/poison_guard.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{1h};
+const RequestFingerprint kRequest(7);
+
+Backend BackendNamed(const std::string& id) {
+  Backend backend;
+  backend.entry.id = BackendId(id);
+  return backend;
+}
+
+struct Fixture {
+  Metrics metrics;
+  PoisonGuard guard{metrics, PoisonRule{}};
+
+  /// Backend servers with these names end under the request.
+  void End(std::initializer_list<const char*> names, TimePoint now = kStart) {
+    for (const char* name : names) {
+      const Backend backend = BackendNamed(name);
+      guard.NoteBroken(backend, kRequest, now);
+      guard.NoteEnded(backend, "refused", now);
+    }
+  }
+
+  Suspicion Believed(TimePoint now = kStart) const { return guard.SuspicionOf(kRequest, now); }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(poison_guard, Fixture)
+
+BOOST_AUTO_TEST_CASE(broken_connection_alone_is_held_against_nobody) {
+  for (const char* name : {"a", "b", "c", "d"}) {
+    guard.NoteBroken(BackendNamed(name), kRequest, kStart);
+  }
+  BOOST_TEST((Believed() == Suspicion::kNone));
+  BOOST_TEST(guard.TakeNews().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ends_are_told_and_reach_the_same_verdict_elsewhere) {
+  End({"a", "b", "c"});
+  BOOST_TEST((Believed() == Suspicion::kQuarantined));
+  const PoisonNews news = guard.TakeNews();
+  BOOST_TEST(news.ends.size() == 3U);
+  BOOST_TEST(news.quarantined.size() == 1U);
+  PoisonGuard other(metrics, PoisonRule{});
+  PoisonNews ends_only;
+  ends_only.ends = news.ends;
+  other.Take(ends_only, kStart);
+  BOOST_TEST((other.SuspicionOf(kRequest, kStart) == Suspicion::kQuarantined));
+  BOOST_TEST(!other.DecidedHere(kRequest));
+  BOOST_TEST(guard.DecidedHere(kRequest));
+}
+
+BOOST_AUTO_TEST_CASE(ends_seen_by_different_gateways_add_up) {
+  PoisonGuard other(metrics, PoisonRule{});
+  End({"a", "b"});
+  const Backend third = BackendNamed("c");
+  other.NoteBroken(third, kRequest, kStart);
+  other.NoteEnded(third, "refused", kStart);
+  guard.Take(other.TakeNews(), kStart);
+  BOOST_TEST((Believed() == Suspicion::kQuarantined));
+}
+
+BOOST_AUTO_TEST_CASE(copies_that_wait_at_backend_servers_are_withdrawn) {
+  std::optional<PoisonGuard::Ticket> ticket;
+  std::optional<PoisonGuard::Ticket> other;
+  int withdrawn = 0;
+  guard.Watch(ticket, kRequest, [&] {
+    ++withdrawn;
+    ticket.reset();
+  });
+  guard.Watch(other, RequestFingerprint(8), [&] { withdrawn += 100; });
+  End({"a", "b", "c"});
+  BOOST_TEST(withdrawn == 1);
+}
+
+BOOST_AUTO_TEST_CASE(request_that_was_served_just_now_is_not_the_cause) {
+  guard.NoteSurvived(kRequest, kStart - 1s);
+  End({"a", "b", "c"});
+  BOOST_TEST((Believed() == Suspicion::kSuspect));
+  BOOST_TEST(!guard.TakeNews().survived.empty());
+}
+
+BOOST_AUTO_TEST_CASE(gateway_that_saw_it_served_corrects_the_others) {
+  PoisonGuard other(metrics, PoisonRule{});
+  other.NoteSurvived(kRequest, kStart - 1s);
+  End({"a", "b", "c"});
+  other.Take(guard.TakeNews(), kStart);
+  BOOST_TEST((other.SuspicionOf(kRequest, kStart) != Suspicion::kQuarantined));
+  guard.Take(other.TakeNews(), kStart);
+  BOOST_TEST((Believed() == Suspicion::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(release_by_hand_holds_everywhere_and_is_erased_in_the_store) {
+  PoisonGuard other(metrics, PoisonRule{});
+  End({"a", "b", "c"});
+  other.Take(guard.TakeNews(), kStart);
+  BOOST_TEST(guard.Release(kRequest, kStart));
+  BOOST_TEST((Believed() == Suspicion::kNone));
+  BOOST_TEST(guard.TakeReleased().size() == 1U);
+  other.Take(guard.TakeNews(), kStart);
+  BOOST_TEST((other.SuspicionOf(kRequest, kStart) == Suspicion::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(what_the_store_has_is_quarantined_and_not_written_again) {
+  guard.TakeStored(kRequest, 1min, kStart);
+  BOOST_TEST((Believed() == Suspicion::kQuarantined));
+  BOOST_TEST(guard.Decided(kStart).empty());
+  guard.TakeStored(RequestFingerprint(8), -1s, kStart);
+  BOOST_TEST((guard.SuspicionOf(RequestFingerprint(8), kStart) == Suspicion::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(last_trial_goes_to_the_same_server_from_all_gateways) {
+  std::vector<BackendPtr> backends;
+  for (int i = 0; i < 20; ++i) {
+    backends.push_back(std::make_shared<Backend>(BackendNamed("s" + std::to_string(i))));
+  }
+  const BackendPtr chosen = TrialBackend(kRequest, backends);
+  std::ranges::reverse(backends);
+  BOOST_TEST(TrialBackend(kRequest, backends) == chosen);
+  chosen->reachable = false;
+  BOOST_TEST(TrialBackend(kRequest, backends) != chosen);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/net/include/net/connection_pool.h
+++ b/libs/net/include/net/connection_pool.h
@@ -54,6 +54,9 @@
   /// Closes what has been idle too long or was closed by its server.
   void Sweep(TimePoint now);
 
+  /// Whether a kept connection to `address` is still open at the other side.
+  bool HasOpen(const std::string& address);
+
   /// Closes all idle connections to `address`.
   void Forget(const std::string& address) { idle_.erase(address); }
 
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
 #include <optional>
@@ -11,6 +10,7 @@
 
 #include "base/ids.h"
 #include "net/beast.h"
+#include "net/timer.h"
 
 namespace ridgehold {
 
@@ -94,7 +94,7 @@
   void Close();
 
   tcp::socket socket_;
-  net::steady_timer limit_timer_;
+  Timer limit_timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::string outgoing_;
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -48,6 +48,13 @@
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+bool ConnectionPool::HasOpen(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return false;
+  return std::ranges::any_of(found->second,
+                             [](const auto& connection) { return connection->IdleAndOpen(); });
+}
+
 bool ConnectionPool::Expired(const OutboundConnection& connection, TimePoint now) const {
   auto limit = options_.idle_limit;
   if (const auto named = connection.keep_alive()) {
--- a/libs/peers/include/peers/load_asker.h
+++ b/libs/peers/include/peers/load_asker.h
@@ -2,7 +2,6 @@
 
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -11,6 +10,7 @@
 #include <string>
 
 #include "gateway/gateway_state.h"
+#include "net/timer.h"
 #include "peers/load_messages.h"
 #include "peers/peer_loads.h"
 #include "peers/tracker_map.h"
@@ -56,7 +56,7 @@
 
     LoadAnswer answer;
     std::set<std::string> waiting;  ///< addresses
-    net::steady_timer timer;
+    Timer timer;
   };
   /// The parts of a question, by the tracker they go to.
   struct Part {
--- a/libs/peers/include/peers/load_messages.h
+++ b/libs/peers/include/peers/load_messages.h
@@ -12,6 +12,7 @@
 #include "base/result.h"
 #include "gateway/gateway_news.h"
 #include "gateway/load_report.h"
+#include "gateway/poison_news.h"
 
 namespace ridgehold {
 
@@ -40,10 +41,11 @@
 };
 
 /// A datagram between gateways.
-using PeerMessage = std::variant<GatewayNews, LoadQuestionMessage, LoadAnswerMessage>;
+using PeerMessage = std::variant<GatewayNews, LoadQuestionMessage, LoadAnswerMessage, PoisonNews>;
 
 std::string Encode(const LoadQuestionMessage& question);
 std::string Encode(const LoadAnswerMessage& answer);
+std::string Encode(const DaemonId& sender, const PoisonNews& news);
 
 /// Fails with kMalformedPeerMessage.
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes);
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -16,8 +15,10 @@
 #include "base/result.h"
 #include "gateway/gateway_state.h"
 #include "net/beast.h"
+#include "net/timer.h"
 #include "peers/load_asker.h"
 #include "peers/peer_loads.h"
+#include "peers/poison_gossip.h"
 #include "peers/tracked_news.h"
 #include "peers/tracker_map.h"
 
@@ -48,6 +49,11 @@
     /// With more gateways than this those that track are told and asked: each
     /// request costs some twenty datagrams then, and one for each gateway else.
     std::size_t most_told = 32;
+    /// Longer than this without a turn, this process or its machine stood still. What
+    /// lay in the socket meanwhile tells ages that are too young by as much.
+    std::chrono::milliseconds standstill{1'000};
+    /// Emptying the socket takes less.
+    std::chrono::milliseconds stale_after_standstill{100};
     /// Changes of load within so long go out together.
     std::chrono::microseconds tracked_gap{1'000};
   };
@@ -60,6 +66,8 @@
                                                   std::vector<std::string> seeds);
 
   net::awaitable<void> Send();
+  /// Tells all others of requests that may end backend servers.
+  net::awaitable<void> SendPoisonNews();
   net::awaitable<void> Receive();
   void Stop();
 
@@ -86,23 +94,30 @@
   std::vector<LoadNews> OwnLoads() const;
   void SendTo(const net::ip::address& address, const std::string& datagram);
   void Take(std::size_t bytes, const net::ip::udp::endpoint& sender);
+  void TakeMessage(const PeerMessage& message, const net::ip::udp::endpoint& sender, TimePoint now);
+  /// Notes a turn of this process; finds out whether it stood still before.
+  void NoteTurn(TimePoint now);
 
   GatewayState& state_;
   Options options_;
   const OwnRecords& members_;
   std::vector<std::string> seeds_;
   net::ip::udp::socket socket_;
-  net::steady_timer timer_;
+  Timer timer_;
   PeerLoads loads_;
   TrackerMap trackers_;
   TrackedNews tracked_news_;
   LoadAsker asker_;
+  PoisonGossip poison_gossip_;
+  Timer poison_timer_;
   std::vector<net::ip::address> peers_;  ///< all others
   std::optional<std::uint64_t> members_version_;
   std::uint64_t incarnation_ = 0;
   std::uint64_t sequence_ = 0;
   bool changed_ = false;  ///< there is something for a tracker
   TimePoint looked_{};    ///< for something to tell
+  TimePoint last_turn_{};
+  TimePoint stale_until_{};  ///< messages until then may have lain here through a standstill
   TimePoint last_sent_{};
   TimePoint last_namings_{};
   std::vector<LoadNews> told_loads_;  ///< of the last message to all
--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -195,7 +194,7 @@
   std::map<std::string, TimePoint> passed_over_;  ///< until when
   std::optional<std::string> asked_relay_;
   TimePoint relay_since_{};  ///< when it became the relay
-  net::steady_timer timer_;
+  Timer timer_;
   std::minstd_rand random_;
   TimePoint relay_answered_{};  ///< when it was last asked and was current
   bool stopped_ = false;
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -162,6 +162,17 @@
   return decoded;
 }
 
+PoisonNews DecodePoisonNews(const wire::PoisonNews& message) {
+  PoisonNews news;
+  const int ends = std::min(message.ended_backends_size(), message.present_size());
+  for (int i = 0; i < ends; ++i) {
+    news.ends.push_back({message.ended_backends(i), RequestFingerprint(message.present(i))});
+  }
+  for (const std::uint64_t request : message.survived()) news.survived.emplace_back(request);
+  for (const std::uint64_t request : message.quarantined()) news.quarantined.emplace_back(request);
+  return news;
+}
+
 }  // namespace
 
 std::string EncodeNews(const GatewayNews& news) {
@@ -216,6 +227,19 @@
   return message.SerializeAsString();
 }
 
+std::string Encode(const DaemonId& sender, const PoisonNews& news) {
+  wire::GatewayNews message;
+  message.set_daemon(sender.value());
+  wire::PoisonNews& body = *message.mutable_poison();
+  for (const EndNews& end : news.ends) {
+    body.add_ended_backends(end.backend);
+    body.add_present(end.request.value());
+  }
+  for (const RequestFingerprint request : news.survived) body.add_survived(request.value());
+  for (const RequestFingerprint request : news.quarantined) body.add_quarantined(request.value());
+  return message.SerializeAsString();
+}
+
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
   wire::GatewayNews message;
   const bool parsed = message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
@@ -224,6 +248,7 @@
   }
   if (message.has_question()) return PeerMessage(DecodeQuestion(message));
   if (message.has_answer()) return PeerMessage(DecodeAnswer(message));
+  if (message.has_poison()) return PeerMessage(DecodePoisonNews(message.poison()));
   return PeerMessage(DecodeNewsOf(message));
 }
 
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -44,6 +44,7 @@
              [this](const TrackerMap::Gateway& gateway, const std::string& bytes) {
                SendTo(gateway.ip, bytes);
              }),
+      poison_timer_(state.executor()),
       incarnation_(std::random_device{}()) {}
 
 net::awaitable<void> PeerLink::Send() {
@@ -54,6 +55,7 @@
   while (!stopped_) {
     LookAtMembers();
     const TimePoint now = Clock::now();
+    NoteTurn(now);
     loads_.Expire(now);
     if (now >= NextSend()) state_.asks_first() ? SendToTrackers(now) : SendNews(now);
     co_await WaitUntil(timer_, NextSend());
@@ -62,6 +64,22 @@
   state_.SetLoadListener({});
 }
 
+net::awaitable<void> PeerLink::SendPoisonNews() {
+  state_.poison().SetNewsListener([this] { poison_timer_.cancel(); });
+  while (!stopped_) {
+    const TimePoint now = Clock::now();
+    poison_gossip_.Add(state_.poison().TakeNews(), now);
+    const PoisonNews due = poison_gossip_.TakeDue(now);
+    if (!due.empty()) {
+      LookAtMembers();
+      const std::string datagram = Encode(options_.self, due);
+      for (const net::ip::address& peer : peers_) SendTo(peer, datagram);
+    }
+    co_await WaitUntil(poison_timer_, poison_gossip_.NextDue(Clock::now()));
+  }
+  state_.poison().SetNewsListener({});
+}
+
 void PeerLink::LookAtMembers() {
   if (members_version_ == members_.members_version()) return;
   members_version_ = members_.members_version();
@@ -172,15 +190,8 @@
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(message, DecodePeerMessage({buffer_.data(), bytes}));
         const TimePoint now = Clock::now();
-        if (const auto* question = std::get_if<LoadQuestionMessage>(&message)) {
-          SendTo(sender.address(), Encode(asker_.Answer(*question, now)));
-        } else if (const auto* answer = std::get_if<LoadAnswerMessage>(&message)) {
-          asker_.Take(*answer, sender.address().to_string());
-        } else if (const auto& news = std::get<GatewayNews>(message);
-                   news.daemon != options_.self) {
-          loads_.Take(news, now);
-          TakeNamings(state_.named_weights(), news.namings, now);
-        }
+        NoteTurn(now);
+        TakeMessage(message, sender, now);
         return {};
       },
       [&](const Failure& failure) {
@@ -190,11 +201,38 @@
       });
 }
 
+void PeerLink::TakeMessage(const PeerMessage& message, const net::ip::udp::endpoint& sender,
+                           TimePoint now) {
+  // Holds for good, however old.
+  if (const auto* poison = std::get_if<PoisonNews>(&message)) {
+    return state_.poison().Take(*poison, now);
+  }
+  if (now < stale_until_) return;
+  if (const auto* question = std::get_if<LoadQuestionMessage>(&message)) {
+    SendTo(sender.address(), Encode(asker_.Answer(*question, now)));
+  } else if (const auto* answer = std::get_if<LoadAnswerMessage>(&message)) {
+    asker_.Take(*answer, sender.address().to_string());
+  } else if (const auto& news = std::get<GatewayNews>(message); news.daemon != options_.self) {
+    loads_.Take(news, now);
+    TakeNamings(state_.named_weights(), news.namings, now);
+  }
+}
+
+void PeerLink::NoteTurn(TimePoint now) {
+  const TimePoint last = std::exchange(last_turn_, now);
+  if (last == TimePoint() || now - last < options_.standstill) return;
+  stale_until_ = now + options_.stale_after_standstill;
+  const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(now - last);
+  state_.metrics().GetCounter("ridgehold_standstills").Add();
+  Log(LogLevel::kWarn, "stood still", {{"ms", std::to_string(length.count())}});
+}
+
 void PeerLink::Stop() {
   stopped_ = true;
   ErrorCode ignored;
   socket_.close(ignored);
   timer_.cancel();
+  poison_timer_.cancel();
 }
 
 }  // namespace ridgehold
--- /dev/null
+++ b/libs/peers/test/poison_gossip-test.cc
@@ -0,0 +1,65 @@
+#include <boost/test/unit_test.hpp>
+
+#include "peers/load_messages.h"
+#include "peers/poison_gossip.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{1h};
+
+PoisonNews OneEnd() {
+  PoisonNews news;
+  news.ends.push_back({3, RequestFingerprint(7)});
+  return news;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(poison_gossip)
+
+BOOST_AUTO_TEST_CASE(item_is_told_three_times_within_half_a_second) {
+  PoisonGossip gossip;
+  gossip.Add(OneEnd(), kStart);
+  int told = 0;
+  for (TimePoint now = kStart; now < kStart + 2s; now += 1ms) {
+    if (!gossip.TakeDue(now).empty()) ++told;
+  }
+  BOOST_TEST(told == 3);
+  BOOST_TEST((gossip.NextDue(kStart + 2s) > kStart + 3s));
+}
+
+BOOST_AUTO_TEST_CASE(what_comes_up_together_goes_out_together_and_soon) {
+  PoisonGossip gossip;
+  for (int i = 0; i < 5; ++i) gossip.Add(OneEnd(), kStart);
+  BOOST_TEST((gossip.NextDue(kStart) <= kStart + 1ms));
+  BOOST_TEST(gossip.TakeDue(kStart + 1ms).ends.size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(flood_keeps_datagrams_and_memory_bounded) {
+  PoisonGossip gossip;
+  for (int i = 0; i < 50'000; ++i) gossip.Add(OneEnd(), kStart);
+  const PoisonNews due = gossip.TakeDue(kStart + 1ms);
+  BOOST_TEST(due.ends.size() <= PoisonGossip::kMostTold);
+  BOOST_TEST(Encode(DaemonId("d"), due).size() < 60'000U);
+}
+
+BOOST_AUTO_TEST_CASE(news_survives_the_wire) {
+  PoisonNews news = OneEnd();
+  news.survived.emplace_back(8);
+  news.quarantined.emplace_back(9);
+  const std::string bytes = Encode(DaemonId("d"), news);
+  const bool same = ValueOr(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(message, DecodePeerMessage(bytes));
+        const auto* decoded = std::get_if<PoisonNews>(&message);
+        return decoded != nullptr && decoded->ends == news.ends &&
+               decoded->survived == news.survived && decoded->quarantined == news.quarantined;
+      },
+      [](const Failure& /*failure*/) { return false; });
+  BOOST_TEST(same);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -3,7 +3,6 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
 #include <map>
@@ -11,6 +10,7 @@
 
 #include "entry/tuning_options.h"
 #include "log/log.h"
+#include "net/timer.h"
 #include "platform/environment.h"
 #include "platform/instance_settings.h"
 
@@ -45,7 +45,7 @@
 }
 
 /// Reloads when the settings file has changed.
-void WatchSettings(net::steady_timer& timer, Entry& entry, platform::SettingsFile file) {
+void WatchSettings(Timer& timer, Entry& entry, platform::SettingsFile file) {
   timer.expires_after(kSettingsLook);
   timer.async_wait([&timer, &entry, file](const ErrorCode& error) mutable {
     if (error) return;
@@ -82,7 +82,7 @@
   if (options.metrics_port != 0) BOOST_LEAF_CHECK(entry->OpenMetrics(metrics_address));
   net::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   WaitForSignals(signals, io, *entry);
-  net::steady_timer settings_timer(io);
+  Timer settings_timer(io);
   WatchSettings(settings_timer, *entry, platform::SettingsFile());
   entry->Start();
   io.run();
