Soak: a request that ends engines, and machines that are suspended; late gateways are told

A gateway that has missed a verdict is told again by the one that reached it, after its first report.

--- a/libs/gateway/include/gateway/poison_guard.h
+++ b/libs/gateway/include/gateway/poison_guard.h
@@ -90,6 +90,7 @@
 
   void NoteEnd(const EndNews& end, TimePoint now);
   bool Forgive(RequestFingerprint request, TimePoint now);
+  void TellQuarantined(RequestFingerprint request, TimePoint now);
   void OnQuarantined(RequestFingerprint request, const char* source);
   void Forget(RequestFingerprint request);
   void Tell();
--- a/libs/gateway/src/poison_guard.cc
+++ b/libs/gateway/src/poison_guard.cc
@@ -108,6 +108,7 @@
 
 void PoisonGuard::Take(const PoisonNews& news, TimePoint now) {
   for (const EndNews& end : news.ends) {
+    TellQuarantined(end.request, now);
     const bool decides = detector_.TakeEnd(end.request, end.backend, now);
     if (!Forgive(end.request, now) && decides) OnQuarantined(end.request, "peers");
   }
@@ -120,6 +121,16 @@
   }
 }
 
+/// Who tells of an end under a request that was quarantined here before has missed it: it
+/// has just started, and the store is away.
+void PoisonGuard::TellQuarantined(RequestFingerprint request, TimePoint now) {
+  const bool quarantined = detector_.SuspicionOf(request, now) == Suspicion::kQuarantined;
+  if (!quarantined || !DecidedHere(request)) return;
+  if (std::ranges::find(news_.quarantined, request) != news_.quarantined.end()) return;
+  news_.quarantined.push_back(request);
+  Tell();
+}
+
 void PoisonGuard::TakeStored(RequestFingerprint request, Duration left, TimePoint now) {
   if (left <= Duration::zero() || !detector_.TakeQuarantine(request, left, now)) return;
   from_store_.insert(request);
--- a/libs/gateway/test/poison_guard-test.cc
+++ b/libs/gateway/test/poison_guard-test.cc
@@ -110,6 +110,18 @@
   BOOST_TEST((other.SuspicionOf(kRequest, kStart) == Suspicion::kNone));
 }
 
+BOOST_AUTO_TEST_CASE(gateway_that_missed_the_verdict_hears_it_after_one_end_more) {
+  PoisonGuard late(metrics, PoisonRule{});
+  End({"a", "b", "c"});
+  guard.TakeNews();
+  const Backend fourth = BackendNamed("d");
+  late.NoteBroken(fourth, kRequest, kStart);
+  late.NoteEnded(fourth, "refused", kStart);
+  guard.Take(late.TakeNews(), kStart);
+  late.Take(guard.TakeNews(), kStart);
+  BOOST_TEST((late.SuspicionOf(kRequest, kStart) == Suspicion::kQuarantined));
+}
+
 BOOST_AUTO_TEST_CASE(what_the_store_has_is_quarantined_and_not_written_again) {
   guard.TakeStored(kRequest, 1min, kStart);
   BOOST_TEST((Believed() == Suspicion::kQuarantined));
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -9,6 +9,7 @@
 #include "instance_process.h"
 #include "ledger.h"
 #include "operator_log.h"
+#include "poison.h"
 #include "random.h"
 
 namespace ridgehold::soak {
@@ -17,11 +18,12 @@
 class Caller : public std::enable_shared_from_this<Caller> {
  public:
   Caller(std::string name, const InstanceProcess& instance, Ledger& ledger,
-         const OperatorLog& operator_log, Random random)
+         const OperatorLog& operator_log, Poison& poison, Random random)
       : name_(std::move(name)),
         instance_(instance),
         ledger_(ledger),
         operator_(operator_log),
+        poison_(poison),
         random_(random) {}
 
   net::awaitable<void> Run();
@@ -38,6 +40,7 @@
   const InstanceProcess& instance_;
   Ledger& ledger_;
   const OperatorLog& operator_;
+  Poison& poison_;
   Random random_;
   int sent_ = 0;
   bool stopping_ = false;
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -34,12 +34,21 @@
 };
 
 FaultProxy::FaultProxy(net::any_io_executor executor, const std::string& target)
-    : target_(ParseEndpoint(target)), acceptor_(executor, {net::ip::make_address("127.0.0.1"), 0}) {
+    : target_(ParseEndpoint(target)),
+      acceptor_(executor, {net::ip::make_address("127.0.0.1"), 0}),
+      address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())) {
   net::co_spawn(executor, Accept(), net::detached);
 }
 
-std::string FaultProxy::address() const {
-  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+void FaultProxy::Close() {
+  ErrorCode ignored;
+  acceptor_.close(ignored);
+  Reset();
+}
+
+void FaultProxy::Open() {
+  acceptor_ = tcp::acceptor(acceptor_.get_executor(), ParseEndpoint(address_));
+  net::co_spawn(acceptor_.get_executor(), Accept(), net::detached);
 }
 
 void FaultProxy::Reset() {
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -24,10 +24,14 @@
  public:
   FaultProxy(net::any_io_executor executor, const std::string& target);
 
-  std::string address() const;
+  std::string address() const { return address_; }
   void Set(const LinkState& state) { *state_ = state; }
   /// Resets all connections.
   void Reset();
+  /// As when the process behind it ends: connections are reset, new ones refused.
+  void Close();
+  /// Listens again, at the same address.
+  void Open();
 
  private:
   struct Link;
@@ -40,6 +44,7 @@
 
   tcp::endpoint target_;
   tcp::acceptor acceptor_;
+  std::string address_;
   std::shared_ptr<LinkState> state_ = std::make_shared<LinkState>();
   std::vector<std::weak_ptr<Link>> links_;
 };
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -18,6 +18,8 @@
 constexpr double kHolderPart = 0.5;  // of the faults, those that hit the holder of the duty
 // Longer than keys are trusted, so that some instances lose their trust.
 constexpr int kLongestStoreFault = 5'500;  // ms
+constexpr int kLongestSuspension = 4'500;  // ms; longer than keys are trusted
+constexpr int kLongestPoison = 6'000;      // ms; longer than the time of contact
 constexpr double kSeriesPart = 0.4;        // of the faults, those followed at once
 
 net::awaitable<void> WaitForEnd(InstanceProcess& process, std::chrono::milliseconds limit) {
@@ -39,14 +41,19 @@
       {"engine-queue", FaultKind::kEngineQueue},
       {"engine-breaks", FaultKind::kEngineBreaks},
       {"keys", FaultKind::kKeys},
-      {"weights", FaultKind::kWeights}};
+      {"weights", FaultKind::kWeights},
+      {"poison", FaultKind::kPoison},
+      {"suspend", FaultKind::kSuspend}};
   return names;
 }
 
 std::set<FaultKind> FaultScript::Draw() {
   std::set<FaultKind> kinds = {FaultKind::kKeys, FaultKind::kWeights};
+  // Kinds that came later draw from a copy, so that the others stay as each seed had them.
+  Random later = random_;
   for (const auto& [name, kind] : Names()) {
-    if (random_.Chance(kKindPart)) kinds.insert(kind);
+    Random& random = kind >= FaultKind::kPoison ? later : random_;
+    if (random.Chance(kKindPart)) kinds.insert(kind);
   }
   return kinds;
 }
@@ -95,6 +102,10 @@
     case FaultKind::kWeights:
       targets_.operator_log.NameWeights();
       return Sleep(0ms);
+    case FaultKind::kPoison:
+      return SendPoison(random);
+    case FaultKind::kSuspend:
+      return Suspend(random);
   }
   return Sleep(0ms);
 }
@@ -157,6 +168,26 @@
   if (--instance.paused == 0) instance.process->Signal(SIGCONT);
 }
 
+net::awaitable<void> FaultScript::Suspend(Random random) {
+  Instance& instance = PickInstance(random);
+  if (instance.ending || instance.paused > 0) co_return;
+  const Calm::Token token = targets_.calm.Begin(FaultClass::kHeld);
+  ++instance.pauses;
+  ++instance.paused;
+  instance.process->Signal(SIGSTOP);
+  const TimePoint begun = Clock::now();
+  co_await Sleep(random.Milliseconds(200, kLongestSuspension));
+  const auto asleep = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begun);
+  instance.process->Queue(SIGRTMIN, static_cast<int>(asleep.count()));
+  if (--instance.paused == 0) instance.process->Signal(SIGCONT);
+}
+
+net::awaitable<void> FaultScript::SendPoison(Random random) {
+  targets_.poison.Start();
+  co_await Sleep(random.Milliseconds(500, kLongestPoison));
+  targets_.poison.Stop();
+}
+
 net::awaitable<void> FaultScript::HarmLink(FaultProxy& proxy, Random random) {
   const Calm::Token token = targets_.calm.Begin(FaultClass::kHeld);
   LinkState state;
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -41,6 +41,8 @@
   kEngineBreaks,
   kKeys,
   kWeights,
+  kPoison,
+  kSuspend,
 };
 
 /// What the faults work on.
@@ -49,6 +51,7 @@
   std::vector<std::unique_ptr<SoakEngine>>& engines;
   platform::test::StandinStore& store;
   OperatorLog& operator_log;
+  Poison& poison;
   Calm& calm;
   Verdict& verdict;
 };
@@ -73,6 +76,10 @@
   net::awaitable<void> Stop(Random random);
   net::awaitable<void> Kill(Random random);
   net::awaitable<void> Pause(Random random);
+  /// The machine sleeps: the process stops, and its steady clock with it.
+  net::awaitable<void> Suspend(Random random);
+  /// Callers send copies of one request that ends engines.
+  net::awaitable<void> SendPoison(Random random);
   net::awaitable<void> HarmLink(FaultProxy& proxy, Random random);
   net::awaitable<void> StoreDown(Random random);
   net::awaitable<void> ChangeMood(EngineMood mood, Random random);
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -66,6 +66,12 @@
   if (pid_ > 0) ::kill(pid_, signal);
 }
 
+void InstanceProcess::Queue(int signal, int value) const {
+  sigval carried{};
+  carried.sival_int = value;
+  if (pid_ > 0) ::sigqueue(pid_, signal, carried);
+}
+
 bool InstanceProcess::Running() {
   if (pid_ == 0) return false;
   const pid_t ended = ::waitpid(pid_, &status_, WNOHANG);
--- a/soak/instance_process.h
+++ b/soak/instance_process.h
@@ -29,6 +29,8 @@
 
   void Start();
   void Signal(int signal) const;
+  /// A signal that carries a value.
+  void Queue(int signal, int value) const;
   /// Looks whether the process has ended since.
   bool Running();
   /// How the last process ended, as waitpid tells it.
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -22,7 +22,7 @@
   int seconds = 8;
   int instances = 0;
   bool calm = false;
-  std::string program = "build/ridgehold-entry";
+  std::string program = "build/soak/suspendable-entry";
   std::string keep = "build/soak-logs";
   std::string regressions;
   std::vector<std::string> faults;
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -41,7 +41,8 @@
 
 SoakEngine::SoakEngine(net::any_io_executor executor, std::string id, Judges judges,
                        ridgehold::test::MemoryTable& table, Random random)
-    : id_(std::move(id)),
+    : name_(std::move(id)),
+      id_(name_),
       judges_(judges),
       table_(table),
       random_(random),
@@ -138,6 +139,12 @@
   }
   const auto run = judges_.ledger.Begin(request, weights_);
   if (!run) co_return false;
+  if (Poison::Is(request.body())) {
+    judges_.poison.Began(request.body(), std::string(request[field::kWorkspace]));
+    run->broke_off = true;
+    net::co_spawn(acceptor_.get_executor(), End(), net::detached);
+    co_return false;
+  }
   ++active_;
   const bool stream =
       request.target().find("/stream/") == 0 || request.target().find("/resume/") == 0;
@@ -223,6 +230,23 @@
   co_return co_await Write(socket, std::move(answer));
 }
 
+net::awaitable<void> SoakEngine::End() {
+  if (ended_) co_return;
+  ended_ = true;
+  const Calm::Token token = judges_.calm.Begin(FaultClass::kProcess);
+  co_await Sleep(random_.Milliseconds(0, 120));
+  proxy_.Close();
+  ++breaks_;
+  const std::string key = platform::key::kBackendPrefix + id_;
+  co_await Sleep(random_.Milliseconds(500, 2'500));
+  table_.Remove(key);
+  id_ = name_ + "." + std::to_string(++starts_);
+  orders_ = 0;
+  ended_ = false;
+  proxy_.Open();
+  Register();
+}
+
 std::string SoakEngine::Report() const {
   return Json{{"stage", "both"},
               {"models", {{{"name", "m"}, {"version", weights_}, {"adapters", Json::array()}}}},
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -5,9 +5,11 @@
 #include <memory>
 #include <string>
 
+#include "calm.h"
 #include "fault_proxy.h"
 #include "ledger.h"
 #include "order_check.h"
+#include "poison.h"
 #include "random.h"
 #include "standins.h"
 
@@ -27,6 +29,8 @@
   struct Judges {
     Ledger& ledger;
     OrderCheck& orders;
+    Poison& poison;
+    Calm& calm;
   };
 
   SoakEngine(net::any_io_executor executor, std::string id, Judges judges,
@@ -49,12 +53,16 @@
                              const RequestMessage& request, bool not_run);
   net::awaitable<void> WaitInQueue(std::chrono::milliseconds limit);
   http::status TakeOrder(const std::string& body);
+  /// The process ends, and another starts after a while, under another id.
+  net::awaitable<void> End();
   net::awaitable<void> Load(int weights, bool break_runs);
   std::string Report() const;
   std::string Head(const Run& run, const std::string& id, const std::string& framing) const;
   bool MayRun(const RequestMessage& request) const;
 
-  std::string id_;
+  const std::string name_;
+  int starts_ = 0;
+  std::string id_;  ///< of this start
   Judges judges_;
   ridgehold::test::MemoryTable& table_;
   Random random_;
@@ -64,6 +72,7 @@
   int weights_ = 1;
   int orders_ = 0;
   bool busy_ = false;
+  bool ended_ = false;
   int queued_ = 0;
   int active_ = 0;
   int breaks_ = 0;  // grows when all streams are to be broken off
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -16,6 +16,8 @@
 constexpr int kMostInstances = 5;
 constexpr int kCallersEach = 6;  // for each instance
 constexpr std::chrono::milliseconds kLook{20};
+/// A sequence of its own: what seeds drew before there was poison stays as it was.
+constexpr std::uint64_t kPoisonSeed = 0x706f69736f6e;
 constexpr std::size_t kLogLines = 8;  // printed of each instance
 /// Time for what still runs when the faults have ended.
 constexpr std::chrono::milliseconds kSettle{4'500};
@@ -38,11 +40,12 @@
       operator_(store_.table()),
       ledger_(verdict_, calm_, operator_),
       orders_(verdict_, calm_),
-      faults_({instances_, engines_, store_, operator_, calm_, verdict_}, random_.Fork()) {
+      poison_(verdict_, Random(options_.seed ^ kPoisonSeed)),
+      faults_({instances_, engines_, store_, operator_, poison_, calm_, verdict_}, random_.Fork()) {
   for (int i = 0; i < kEngines; ++i) {
-    engines_.push_back(std::make_unique<SoakEngine>(io_.get_executor(), "e" + std::to_string(i),
-                                                    SoakEngine::Judges{ledger_, orders_},
-                                                    store_.table(), random_.Fork()));
+    engines_.push_back(std::make_unique<SoakEngine>(
+        io_.get_executor(), "e" + std::to_string(i),
+        SoakEngine::Judges{ledger_, orders_, poison_, calm_}, store_.table(), random_.Fork()));
     engines_.back()->Register();
   }
   if (options_.instances == 0) {
@@ -71,8 +74,8 @@
   for (const auto& instance : instances_) {
     for (int i = 0; i < kCallersEach; ++i) {
       const std::string name = "r" + std::to_string(callers_.size());
-      callers_.push_back(
-          std::make_shared<Caller>(name, *instance->process, ledger_, operator_, random_.Fork()));
+      callers_.push_back(std::make_shared<Caller>(name, *instance->process, ledger_, operator_,
+                                                  poison_, random_.Fork()));
       net::co_spawn(io_, callers_.back()->Run(), net::detached);
     }
   }
@@ -135,8 +138,9 @@
       "seed " + std::to_string(options_.seed) + ": " + std::to_string(instances_.size()) +
       " instances, " + std::to_string(ledger_.sent()) + " requests, " +
       std::to_string(ledger_.served()) + " served, " + std::to_string(ledger_.lost()) +
-      " cut off, weights " + std::to_string(operator_.weights()) + " (" +
-      std::to_string(orders_.handovers()) + " handovers), " + std::to_string(length.count()) + " s";
+      " cut off, " + std::to_string(poison_.ends()) + " engines ended, weights " +
+      std::to_string(operator_.weights()) + " (" + std::to_string(orders_.handovers()) +
+      " handovers), " + std::to_string(length.count()) + " s";
   const auto& violation = verdict_.first();
   if (!violation) return text + ", all promises kept\n";
   text += "\nBROKEN: " + violation->promise + ": " + violation->request + ": " + violation->detail +
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -50,6 +50,7 @@
   OperatorLog operator_;
   Ledger ledger_;
   OrderCheck orders_;
+  Poison poison_;
   std::vector<std::unique_ptr<SoakEngine>> engines_;
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<std::shared_ptr<Caller>> callers_;
