--- a/soak/poison.cc
+++ b/soak/poison.cc
@@ -1,5 +1,7 @@
 #include "poison.h"
 
+#include <algorithm>
+
 #include "bounds.h"
 
 namespace ridgehold::soak {
@@ -14,6 +16,7 @@
   Record& record = records_[{body, workspace}];
   ++ends_;
   if (++record.ends == kDecisive) record.third = now;
+  most_ends_ = std::max(most_ends_, record.ends);
   if (record.ends > kDecisive && now > record.third + kContact) ++record.late;
   if (record.late > kMostLate) {
     verdict_.Fail("poison request is sent on", body, std::to_string(record.late) + " times more");
--- a/soak/poison.h
+++ b/soak/poison.h
@@ -19,8 +19,8 @@
  public:
   Poison(Verdict& verdict, Random random) : verdict_(verdict), random_(random) {}
 
-  /// Another content from now on, until Stop.
-  void Start() { content_ = "poison-" + std::to_string(++contents_); }
+  /// One of few contents from now on, until Stop: the same come again and again.
+  void Start() { content_ = "poison-" + std::to_string(random_.Between(1, kContents)); }
   void Stop() { content_.reset(); }
 
   /// The content that a caller's next request is to have, if any.
@@ -32,10 +32,13 @@
   void Began(const std::string& body, const std::string& workspace);
 
   int ends() const { return ends_; }
+  /// Under the request that ended most.
+  int most_ends() const { return most_ends_; }
 
  private:
   /// Of all requests while it is active: a few a second.
   static constexpr double kPart = 0.05;
+  static constexpr int kContents = 2;
   static constexpr int kDecisive = 3;
   /// Runs that may come later than the time of contact after the third end.
   static constexpr int kMostLate = 3;
@@ -52,8 +55,8 @@
   Verdict& verdict_;
   Random random_;
   std::optional<std::string> content_;
-  int contents_ = 0;
   int ends_ = 0;
+  int most_ends_ = 0;
   std::map<std::pair<std::string, std::string>, Record> records_;  ///< by content and workspace
 };
 
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -138,7 +138,8 @@
       "seed " + std::to_string(options_.seed) + ": " + std::to_string(instances_.size()) +
       " instances, " + std::to_string(ledger_.sent()) + " requests, " +
       std::to_string(ledger_.served()) + " served, " + std::to_string(ledger_.lost()) +
-      " cut off, " + std::to_string(poison_.ends()) + " engines ended, weights " +
+      " cut off, " + std::to_string(poison_.ends()) + " engines ended (" +
+      std::to_string(poison_.most_ends()) + " by one request), weights " +
       std::to_string(operator_.weights()) + " (" + std::to_string(orders_.handovers()) +
       " handovers), " + std::to_string(length.count()) + " s";
   const auto& violation = verdict_.first();
