A request that was at an end waits for word of copies elsewhere before it is sent on

Three copies at the same moment at three gateways ended six servers each time in the seeded crowd: each was sent on 3 ms later, before the gateways had heard of each other's ends. The crowd sends its copies three at once since now.

--- a/libs/gateway/include/gateway/backend_prober.h
+++ b/libs/gateway/include/gateway/backend_prober.h
@@ -35,6 +35,10 @@
     /// A request that broke off waits so long for the probe before it is sent on: a
     /// process that has ended refuses within a round trip, 6 ms between zones.
     std::chrono::milliseconds confirm_limit{20};
+    /// After an end it waits so long for word of others: copies that ran at the same
+    /// moment have ended other servers, which is told within a millisecond and a way
+    /// of 3 ms. Without it three copies at once ended six servers, with it three.
+    std::chrono::milliseconds word_of_others{10};
     /// Probes that run at once; the others wait for the next look.
     std::size_t most_at_once = 16;
   };
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -38,13 +38,15 @@
 
 net::awaitable<void> BackendProber::Confirm(BackendPtr backend) {
   const TimePoint begun = Clock::now();
-  if (!options_.enabled || state_.poison().HasEnded(*backend)) co_return;
-  const bool lately = begun - backend->probed_at < options_.pause;
-  if (!lately && !backend->probing && running_ < options_.most_at_once) StartProbe(backend);
+  if (!options_.enabled) co_return;
+  const bool known =
+      state_.poison().HasEnded(*backend) || begun - backend->probed_at < options_.pause;
+  if (!known && !backend->probing && running_ < options_.most_at_once) StartProbe(backend);
   Timer timer(state_.executor());
   while (backend->probing && Clock::now() - begun < options_.confirm_limit) {
     co_await WaitFor(timer, kConfirmLook);
   }
+  if (state_.poison().HasEnded(*backend)) co_await WaitFor(timer, options_.word_of_others);
 }
 
 bool BackendProber::NothingOpen(const Backend& backend) {
--- a/libs/gateway/test/poison_crowd.h
+++ b/libs/gateway/test/poison_crowd.h
@@ -25,7 +25,8 @@
 struct CrowdPlan {
   int servers = 9;
   Trouble trouble = Trouble::kNone;
-  /// Contents that end each server that begins them; three copies a second for 15 s.
+  /// Contents that end each server that begins them; three copies at once, each
+  /// second for 15 s.
   int poison_requests = 0;
   PoisonRule rule;
   std::uint64_t seed = 1;
