--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -15,7 +15,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<Clock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true;  // NOLINT: the standard's name for it
 
   static time_point now() noexcept {
     timespec time{};
--- a/libs/control/src/quarantine_records.cc
+++ b/libs/control/src/quarantine_records.cc
@@ -1,21 +1,14 @@
 #include "control/quarantine_records.h"
 
-#include <charconv>
+#include <string_view>
+
+#include "base/parse_number.h"
 
 namespace ridgehold {
 namespace {
 
 constexpr int kHexadecimal = 16;
 
-template <class Number>
-std::optional<Number> Parse(std::string_view text, int base = 10) {
-  Number number = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, number, base);
-  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
-  return number;
-}
-
 }  // namespace
 
 std::string EncodeQuarantine(const DaemonId& writer, std::chrono::system_clock::time_point until) {
@@ -27,7 +20,8 @@
 std::optional<std::chrono::system_clock::time_point> DecodeQuarantine(const std::string& value) {
   const std::size_t separator = value.rfind(' ');
   if (separator == std::string::npos) return std::nullopt;
-  const auto unix_ms = Parse<std::int64_t>(std::string_view(value).substr(separator + 1));
+  const std::string_view text = value;
+  const auto unix_ms = ParseNumber<std::int64_t>(text.substr(separator + 1));
   if (!unix_ms) return std::nullopt;
   return std::chrono::system_clock::time_point(std::chrono::milliseconds(*unix_ms));
 }
@@ -35,7 +29,8 @@
 std::optional<RequestFingerprint> QuarantinedAt(const std::string& key) {
   const std::string_view prefix = kQuarantinePrefix;
   if (!key.starts_with(prefix)) return std::nullopt;
-  const auto hash = Parse<std::uint64_t>(std::string_view(key).substr(prefix.size()), kHexadecimal);
+  const std::string_view text = key;
+  const auto hash = ParseNumber<std::uint64_t>(text.substr(prefix.size()), kHexadecimal);
   return hash ? std::optional(RequestFingerprint(*hash)) : std::nullopt;
 }
 
