Workspace quotas in tokens: shares by zone, borrowed for one request at a time

Change: each availability zone has an equal share of every quota; one instance of the zone holds it under a lease in the store and grants by an exact token bucket that starts empty. Requests ask before their prompt moves or waits; a zone that needs more borrows for one request at a time. What does not run is given back. 429 over_quota with Retry-After from the account, 429 over_burst without, 503 quota_unknown where nobody that counts can be reached. Ruled out: rounding shares down (a quota of one request would never fit), a store call a request.

--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -36,6 +36,7 @@
   kNotFound = 1008,
   kHeaderTooLarge = 1009,
   kRequestTooSlow = 1010,
+  kOverBurst = 1011,
   // 2xxx: refused by admission; nothing was sent to a backend server.
   kOverloaded = 2001,
   kWorkspaceLimit = 2002,
@@ -44,6 +45,8 @@
   kNotReady = 2005,
   kConfigStale = 2006,
   kNotStartedInTime = 2007,
+  kOverQuota = 2008,
+  kQuotaUnknown = 2009,
   // 3xxx: backend servers.
   kNoBackend = 3001,
   kBackendRefused = 3002,
--- a/libs/control/include/control/held_key.h
+++ b/libs/control/include/control/held_key.h
@@ -33,6 +33,9 @@
     bool exclusive = true;
     /// How often a taken key is looked at in the local copy of the store.
     std::chrono::milliseconds look{200};
+    /// Whether a former process of this instance may have left the key, as far as is
+    /// known without a call to the store; empty: the store is asked at the start.
+    std::function<bool()> may_be_own;
     /// Between the acts of two holders.
     std::chrono::milliseconds separation{0};
   };
@@ -56,7 +59,8 @@
         co_await WaitUntil(timer_, next);
         continue;
       }
-      if (options_.exclusive && !looked_for_own_) {
+      const bool asks_store = !options_.may_be_own || options_.may_be_own();
+      if (options_.exclusive && !looked_for_own_ && asks_store) {
         co_await TakeBack();
       } else if (key_is_free_()) {
         co_await Take(StoreRevision(0), options_.separation);
--- a/libs/control/include/control/own_records.h
+++ b/libs/control/include/control/own_records.h
@@ -18,6 +18,8 @@
 inline constexpr char kOwnPrefix[] = "ridgehold/";
 inline constexpr char kMemberPrefix[] = "ridgehold/members/";
 inline constexpr char kRolloutHolderKey[] = "ridgehold/rollout-holder";
+/// Followed by an availability zone: who holds its share of all quotas.
+inline constexpr char kQuotaHolderPrefix[] = "ridgehold/quota-holder/";
 
 /// A gateway that is alive, as its key in the store says.
 struct Member {
@@ -44,6 +46,9 @@
   /// Returns the item, or null.
   const StoreItem* Find(const std::string& key) const;
 
+  /// Items whose keys begin so, in the order of their keys.
+  std::vector<const StoreItem*> ItemsUnder(const std::string& prefix) const;
+
   /// How many members' keys come before `key` by name.
   std::size_t MembersBefore(const std::string& key) const;
 
--- a/libs/control/src/own_records.cc
+++ b/libs/control/src/own_records.cc
@@ -53,6 +53,15 @@
   ++members_version_;
 }
 
+std::vector<const StoreItem*> OwnRecords::ItemsUnder(const std::string& prefix) const {
+  std::vector<const StoreItem*> found;
+  for (auto at = items_.lower_bound(prefix); at != items_.end() && at->first.starts_with(prefix);
+       ++at) {
+    found.push_back(&at->second);
+  }
+  return found;
+}
+
 std::size_t OwnRecords::MembersBefore(const std::string& key) const {
   return static_cast<std::size_t>(
       std::distance(items_.lower_bound(kMemberPrefix), items_.lower_bound(key)));
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -18,8 +18,10 @@
 #include "control/rollout.h"
 #include "control/state_follower.h"
 #include "entry/admin_server.h"
+#include "entry/duty_turn.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_tuning.h"
+#include "entry/quota_duty.h"
 #include "entry/state_dump.h"
 #include "gateway/backend_prober.h"
 #include "gateway/caller_server.h"
@@ -62,6 +64,7 @@
     net::co_spawn(executor_, peers_->Send(), net::detached);
     net::co_spawn(executor_, peers_->SendPoisonNews(), net::detached);
     net::co_spawn(executor_, quarantine_.Run(), net::detached);
+    quota_.Start(*peers_);
     net::co_spawn(executor_, peers_->Receive(), net::detached);
     net::co_spawn(executor_, copy_reader_.Run(), net::detached);
     net::co_spawn(executor_, prober_.Run(), net::detached);
@@ -126,7 +129,10 @@
         store_(executor, metrics_, settings_.store_address, tuning.store_call),
         follower_(store_, state_, records_, FollowerOptions()),
         member_(store_, executor, MemberOptions(), [] { return true; }),
-        duty_(store_, executor, DutyOptions(), [this] { return DutyIsFree(); }),
+        duty_(store_, executor, DutyOptions(), [this] { return MayApplyForDuty(); }),
+        duty_turn_(tuning.duty_turn, tuning.duty_turns),
+        quota_(store_, state_, records_, settings_, tuning_,
+               [this] { return follower_.connected(); }),
         control_(state_.pool(), tuning.control_call),
         prober_(state_, tuning.probing),
         rollout_(control_, duty_, state_, RolloutOptions()),
@@ -199,21 +205,12 @@
     return options;
   }
 
-  /// Whether this instance may apply for the duty: nobody has it as far as is
-  /// known now, and those before it by name have had their turn. Were all to
-  /// apply at once, each but one would spend three calls in vain.
-  bool DutyIsFree() {
+  /// In the order of the members' names.
+  bool MayApplyForDuty() {
     const bool free = !state_.shutting_down() && follower_.connected() &&
                       records_.Find(kRolloutHolderKey) == nullptr;
-    if (!free) {
-      duty_free_since_.reset();
-      return false;
-    }
-    const TimePoint now = Clock::now();
-    if (!duty_free_since_) duty_free_since_ = now;
     const std::size_t before = records_.MembersBefore(kMemberPrefix + settings_.daemon.value());
-    const auto turn = std::min<std::size_t>(before, tuning_.duty_turns);
-    return now - *duty_free_since_ >= turn * tuning_.duty_turn;
+    return duty_turn_.MayApply(free, before, Clock::now());
   }
 
   Result<void> OpenAdmin() {
@@ -313,6 +310,11 @@
       SetGauges();
       return AdminPage{http::status::ok, "text/plain; version=0.0.4", metrics_.Print()};
     };
+    pages["/quotas"] = [this](const std::string& /*query*/) {
+      const auto usages = quota_.Usages();
+      return AdminPage{http::status::ok, "application/json",
+                       DumpQuotas(state_, quota_.HoldersByZone(), usages)};
+    };
     pages["/quarantine"] = [this](const std::string& query) { return QuarantinePage(query); };
     pages["/state"] = [this](const std::string& /*query*/) {
       return AdminPage{http::status::ok, "application/json", Dump()};
@@ -340,6 +342,7 @@
     metrics.SetGauge("ridgehold_suspected_requests", "",
                      static_cast<double>(state_.poison().suspects()));
     metrics.SetGauge("ridgehold_holds_rollout", "", duty_.Held(now) ? 1 : 0);
+    metrics.SetGauge("ridgehold_holds_quota_share", "", quota_.Held(now) ? 1 : 0);
     metrics.SetGauge(
         "ridgehold_engines_on_older_weights", "",
         static_cast<double>(OutdatedEngines(state_.directory(), state_.named_weights()).size()));
@@ -403,6 +406,7 @@
     Timer timer(executor_);
     net::co_spawn(executor_, HandOverDuty(latest), net::detached);
     co_await member_.Release();
+    co_await quota_.Release();
     co_await WaitFor(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
                                 begun + tuning_.lame_duck - Clock::now()));
     server_.Stop();
@@ -420,6 +424,7 @@
     peers_->Stop();
     copy_reader_.Stop();
     quarantine_.Stop();
+    quota_.Stop();
     done();
   }
 
@@ -434,6 +439,8 @@
   Follower follower_;
   Duty member_;
   Duty duty_;
+  DutyTurn duty_turn_;
+  QuotaDuty<Store> quota_;
   typename Env::Control control_;
   BackendProber prober_;
   Rollout<typename Env::Control, Store> rollout_;
@@ -445,7 +452,6 @@
   StoreCopyReader<Follower> copy_reader_;
   std::unique_ptr<AdminServer> metrics_server_;
   Timer timer_;
-  std::optional<TimePoint> duty_free_since_;
   bool duty_handed_over_ = false;
   bool done_ = false;
 };
--- a/libs/entry/include/entry/entry_settings.h
+++ b/libs/entry/include/entry/entry_settings.h
@@ -17,6 +17,8 @@
 struct EntrySettings {
   DaemonId daemon;
   ZoneId zone;
+  /// All availability zones, this one included; each holds a share of every quota.
+  std::vector<ZoneId> zones;
   std::string caller_address;         ///< `address:port` where callers connect
   std::string ready_address;          ///< where the balancer asks for readiness
   std::string instance_address;       ///< without a port; for metrics and peers
--- /dev/null
+++ b/libs/entry/include/entry/quota_duty.h
@@ -0,0 +1,151 @@
+// Holds the own availability zone's share of all quotas when it is this instance's turn.
+
+#pragma once
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "control/held_key.h"
+#include "control/own_records.h"
+#include "entry/duty_turn.h"
+#include "entry/entry_settings.h"
+#include "entry/entry_tuning.h"
+#include "gateway/gateway_state.h"
+#include "peers/peer_link.h"
+#include "peers/quota_codec.h"
+#include "peers/quota_link.h"
+
+namespace ridgehold {
+
+/// One key in the store for each availability zone, held under a lease. Nothing is done
+/// while the configuration has no quota. Runs on one executor.
+template <StateStore Store>
+class QuotaDuty {
+ public:
+  QuotaDuty(Store& store, GatewayState& state, const OwnRecords& records,
+            const EntrySettings& settings, const EntryTuning& tuning,
+            std::function<bool()> store_is_followed)
+      : state_(state),
+        records_(records),
+        settings_(settings),
+        store_is_followed_(std::move(store_is_followed)),
+        turn_(tuning.duty_turn, tuning.duty_turns),
+        key_(store, state.executor(), KeyOptions(tuning), [this] { return MayApply(); }),
+        link_(
+            state.executor(), state.metrics(), LinkOptions(),
+            [this](const std::string& to, const QuotaMessage& message) { Send(to, message); },
+            [this] { return Holders(); }, [this](TimePoint now) { return Fencing(now); }) {}
+
+  void Start(PeerLink& peers) {
+    peers_ = &peers;
+    peers.SetQuotaListener([this](const QuotaMessage& message, const std::string& from) {
+      link_.Take(message, from);
+    });
+    GatewayState::QuotaAsker asker;
+    asker.acquire = [this](QuotaDemand demand) { return link_.Acquire(std::move(demand)); };
+    asker.give_back = [this](const QuotaTicket& ticket) { link_.GiveBack(ticket); };
+    state_.SetQuotaAsker(std::move(asker));
+    net::co_spawn(state_.executor(), key_.Run(), net::detached);
+    net::co_spawn(state_.executor(), link_.Run(), net::detached);
+  }
+
+  /// Gives the share up, so that another instance takes it at once.
+  net::awaitable<void> Release() { return key_.Release(); }
+  void Stop() { link_.Stop(); }
+
+  bool Held(TimePoint now) const { return key_.MayAct(now); }
+  std::vector<QuotaHolder::Usage> Usages() { return link_.Usages(); }
+
+  /// The holders of all shares as the store says, by zone.
+  std::map<ZoneId, std::string> HoldersByZone() const {
+    std::map<ZoneId, std::string> holders;
+    const std::string prefix = kQuotaHolderPrefix;
+    for (const StoreItem* item : records_.ItemsUnder(prefix)) {
+      holders[ZoneId(item->key.substr(prefix.size()))] = AddressIn(item->value);
+    }
+    return holders;
+  }
+
+ private:
+  std::string Key() const { return kQuotaHolderPrefix + settings_.zone.value(); }
+  /// The address tells an instance from a later one of the same name.
+  std::string Value() const { return settings_.daemon.value() + " " + settings_.instance_address; }
+
+  /// The second word.
+  static std::string AddressIn(const std::string& value) {
+    const std::size_t begin = std::min(value.find(' '), value.size() - 1) + 1;
+    return value.substr(begin, value.find(' ', begin) - begin);
+  }
+
+  typename HeldKey<Store>::Options KeyOptions(const EntryTuning& tuning) {
+    typename HeldKey<Store>::Options options;
+    options.key = Key();
+    options.value = Value();
+    options.ttl = std::max(tuning.quota_ttl, settings_.least_lease_ttl);
+    options.may_be_own = [this] {
+      const StoreItem* item = records_.Find(Key());
+      return store_is_followed_() && item != nullptr && item->value.starts_with(Value());
+    };
+    return options;
+  }
+
+  QuotaLink::Options LinkOptions() const {
+    std::random_device random;
+    const std::uint64_t incarnation = (std::uint64_t{random()} << 32U) | random();
+    const auto shares = std::max<std::size_t>(1, settings_.zones.size());
+    return {settings_.instance_address, static_cast<std::uint32_t>(shares), incarnation};
+  }
+
+  bool MayApply() {
+    const bool wanted = state_.snapshot() && state_.snapshot()->has_quotas();
+    const bool free = wanted && !state_.shutting_down() && store_is_followed_() &&
+                      records_.Find(Key()) == nullptr;
+    return turn_.MayApply(free, TurnInZone(), Clock::now());
+  }
+
+  /// The zone's first member by name relays the store already, so the second is first.
+  std::size_t TurnInZone() const {
+    std::size_t before = 0;
+    for (const Member& member : records_.Members()) {
+      if (member.address == settings_.instance_address) break;
+      if (member.zone == settings_.zone) ++before;
+    }
+    return before <= 1 ? 1 - before : before;
+  }
+
+  std::optional<std::uint64_t> Fencing(TimePoint now) const {
+    return key_.MayAct(now) ? std::optional(key_.fencing()) : std::nullopt;
+  }
+
+  QuotaHolders Holders() const {
+    QuotaHolders holders;
+    for (auto& [zone, address] : HoldersByZone()) {
+      if (zone == settings_.zone) {
+        holders.own_zone = address;
+      } else {
+        holders.others.push_back(address);
+      }
+    }
+    return holders;
+  }
+
+  void Send(const std::string& to, const QuotaMessage& message) {
+    peers_->SendTo(to, Encode(settings_.daemon, message));
+  }
+
+  GatewayState& state_;
+  const OwnRecords& records_;
+  const EntrySettings& settings_;
+  std::function<bool()> store_is_followed_;
+  DutyTurn turn_;
+  HeldKey<Store> key_;
+  QuotaLink link_;
+  PeerLink* peers_ = nullptr;
+};
+
+}  // namespace ridgehold
--- a/libs/entry/include/entry/state_dump.h
+++ b/libs/entry/include/entry/state_dump.h
@@ -4,9 +4,11 @@
 
 #include <cstddef>
 #include <map>
+#include <span>
 #include <string>
 
 #include "base/ids.h"
+#include "quota/quota_holder.h"
 
 namespace ridgehold {
 
@@ -25,6 +27,11 @@
 /// Returns the state at `now` as JSON text.
 std::string DumpState(GatewayState& state, const InstanceFacts& facts, TimePoint now);
 
+/// Returns the configured quotas, who holds the shares, and what was used of the share
+/// that this instance holds, as JSON text.
+std::string DumpQuotas(const GatewayState& state, const std::map<ZoneId, std::string>& holders,
+                       std::span<const QuotaHolder::Usage> usages);
+
 /// Returns the quarantined requests as JSON text.
 std::string DumpQuarantine(const PoisonGuard& guard, TimePoint now);
 
--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -45,6 +45,38 @@
   return dump.dump(2, ' ', false, json::error_handler_t::replace);
 }
 
+std::string DumpQuotas(const GatewayState& state, const std::map<ZoneId, std::string>& holders,
+                       std::span<const QuotaHolder::Usage> usages) {
+  json quotas = json::array();
+  const auto snapshot = state.snapshot();
+  for (const WorkspaceRule& workspace :
+       snapshot ? snapshot->workspaces() : std::span<const WorkspaceRule>()) {
+    if (!workspace.quota) continue;
+    const WorkspaceQuota& quota = *workspace.quota;
+    quotas.push_back({{"workspace", workspace.id.value()},
+                      {"unit", quota.unit == QuotaUnit::kTokens ? "tokens" : "requests"},
+                      {"rate_per_s", quota.rate},
+                      {"burst", quota.burst}});
+  }
+  json shares = json::object();
+  for (const auto& [zone, address] : holders) shares[zone.value()] = address;
+  json used = json::array();
+  for (const QuotaHolder::Usage& usage : usages) {
+    used.push_back({{"workspace", usage.workspace.value()},
+                    {"config", usage.terms.config_version},
+                    {"left", usage.level},
+                    {"granted", usage.granted},
+                    {"refused", usage.refused},
+                    {"borrowed_for", usage.borrowed_for},
+                    {"waiting", usage.waiting}});
+  }
+  const json dump = {{"config", snapshot ? snapshot->version().value() : 0},
+                     {"quotas", quotas},
+                     {"holders", shares},
+                     {"own_share", used}};
+  return dump.dump(2, ' ', false, json::error_handler_t::replace);
+}
+
 std::string DumpQuarantine(const PoisonGuard& guard, TimePoint now) {
   json list = json::array();
   for (const auto& [request, until] : guard.Quarantined(now)) {
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -74,11 +74,40 @@
     }
     state_.retries().Earn(plan_.service, Clock::now());
     caller_->WatchCaller([self = this->shared_from_this()] { self->OnCallerGone(); });
+    if (plan_.quota) {
+      const std::optional<ResultCode> refusal = co_await AcquireQuota();
+      if (refusal) {
+        const auto retry_after = RetryAfterQuota();
+        co_await RefuseWith(*refusal, retry_after);
+        co_return;
+      }
+    }
+    co_await Send();
+    const bool unused = record_.quota && !facts_.may_have_run;
+    if (unused) state_.GiveBackQuota(record_.quota->ticket);
+  }
+
+  /// Sends the request to backend servers until one has answered or none may.
+  net::awaitable<void> Send() {
     NextStep step = NextStep::kTryAgain;
     while (step == NextStep::kTryAgain) step = co_await TryOnce();
     co_await Finish(step);
   }
 
+  /// Before the prompt moves anywhere or waits: what is over the quota costs nobody time.
+  net::awaitable<std::optional<ResultCode>> AcquireQuota() {
+    const TimePoint began = Clock::now();
+    record_.quota_tokens = plan_.quota->tokens;
+    record_.quota = co_await state_.AcquireQuota(*plan_.quota);
+    record_.quota_took = std::chrono::duration_cast<Duration>(Clock::now() - began);
+    co_return RefusalOf(record_.quota->verdict);
+  }
+
+  std::chrono::milliseconds RetryAfterQuota() const {
+    const auto known = std::chrono::ceil<std::chrono::milliseconds>(record_.quota->retry_after);
+    return std::max(known, RetryAfterFor(state_, plan_));
+  }
+
   std::optional<Failure> Decode() {
     record_.received = Clock::now();
     std::optional<Failure> failure;
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -16,6 +16,7 @@
 #include "gateway/inbound_request.h"
 #include "gateway/placement.h"
 #include "gateway/request_log.h"
+#include "quota/quota_client.h"
 
 namespace ridgehold {
 
@@ -31,6 +32,7 @@
   std::optional<int> priority;
   std::string cache_scope;  ///< who may share cache entries, without the weights
   std::optional<PromptChain> chain;
+  std::optional<QuotaDemand> quota;  ///< what it takes of its workspace's quota
 };
 
 /// The backend server an attempt goes to.
@@ -124,6 +126,9 @@
 /// The code of a request that may have run.
 ResultCode FailedCode(ResultCode last);
 
+/// Why a request may not go on that has asked for its part of a quota; nothing if it may.
+std::optional<ResultCode> RefusalOf(QuotaVerdict verdict);
+
 /// When a refused caller should come back.
 std::chrono::milliseconds RetryAfterFor(const GatewayState& state, const ExchangePlan& plan);
 
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -28,6 +28,7 @@
 #include "gateway/waiting_attempts.h"
 #include "metrics/metrics.h"
 #include "net/connection_pool.h"
+#include "quota/quota_client.h"
 
 namespace ridgehold {
 
@@ -144,6 +145,18 @@
   using EndConfirmer = std::function<net::awaitable<void>(BackendPtr)>;
   void SetEndConfirmer(EndConfirmer confirm) { confirm_end_ = std::move(confirm); }
 
+  /// Where requests of workspaces with a quota ask for their part of it.
+  struct QuotaAsker {
+    std::function<net::awaitable<QuotaOutcome>(QuotaDemand)> acquire;
+    std::function<void(const QuotaTicket&)> give_back;
+  };
+  void SetQuotaAsker(QuotaAsker asker) { quota_asker_ = std::move(asker); }
+  net::awaitable<QuotaOutcome> AcquireQuota(QuotaDemand demand);
+  /// What was acquired for a request that has not run.
+  void GiveBackQuota(const QuotaTicket& ticket) {
+    if (quota_asker_.give_back) quota_asker_.give_back(ticket);
+  }
+
   DeferredRequests& deferred_requests() { return deferred_requests_; }
 
   /// Gateways that are alive, this one included.
@@ -265,6 +278,7 @@
   NamedWeights named_weights_;
   PoisonGuard poison_;
   EndConfirmer confirm_end_;
+  QuotaAsker quota_asker_;
   WaitingAttempts waiting_attempts_;
   DeferredRequests deferred_requests_;
   std::uint32_t gateways_ = 1;
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -12,6 +12,7 @@
 #include "gateway/backend_directory.h"
 #include "gateway/inbound_request.h"
 #include "gateway/request_fingerprint.h"
+#include "quota/quota_client.h"
 
 namespace ridgehold {
 
@@ -57,7 +58,10 @@
   std::uint32_t running_there = 0;  ///< of all gateways
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
-  int status = 0;  ///< sent to the caller
+  std::optional<QuotaOutcome> quota;  ///< none: the workspace has no quota
+  std::uint64_t quota_tokens = 0;     ///< what the request needs of it
+  Duration quota_took{0};             ///< until it was known
+  int status = 0;                     ///< sent to the caller
   ResultCode code = ResultCode::kOk;
   bool out_of_retries = false;
   std::string detail;
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -13,6 +14,7 @@
 
 #include "base/ids.h"
 #include "base/result.h"
+#include "quota/workspace_quota.h"
 
 namespace ridgehold {
 
@@ -86,6 +88,7 @@
   std::vector<std::string> keys;
   std::optional<int> priority;  ///< goes before the route's
   bool isolated = false;        ///< shares no cache entries with other workspaces
+  std::optional<WorkspaceQuota> quota;
 };
 
 /// What a caller may send and how long it may take.
@@ -133,7 +136,10 @@
   const CallerLimits& limits() const { return parts_.limits; }
   const std::vector<ServiceRule>& services() const { return parts_.services; }
   const std::vector<RouteRule>& routes() const { return parts_.routes; }
+  std::span<const WorkspaceRule> workspaces() const { return parts_.workspaces; }
   bool has_workspaces() const { return !parts_.workspaces.empty(); }
+  /// Whether any workspace has one.
+  bool has_quotas() const { return has_quotas_; }
 
  private:
   explicit RoutingSnapshot(RoutingParts parts) : parts_(std::move(parts)) {}
@@ -145,6 +151,7 @@
   /// Keyed by host, a newline and prefix.
   std::unordered_map<std::string, std::size_t> routes_;
   std::unordered_map<std::string, std::size_t> keys_;
+  bool has_quotas_ = false;
   std::unordered_map<ServiceId, std::size_t> services_;
   std::unordered_map<ServiceId, std::chrono::milliseconds> shortest_objectives_;
 };
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -75,6 +75,19 @@
   return outdated ? kReloadPause : kRefusalPause;
 }
 
+std::optional<QuotaDemand> QuotaDemandOf(const ExchangePlan& plan, const InboundRequest& request) {
+  if (plan.workspace == nullptr || !plan.workspace->quota) return std::nullopt;
+  const WorkspaceQuota& quota = *plan.workspace->quota;
+  std::optional<std::uint64_t> tokens;
+  if (request.generation) {
+    tokens =
+        std::uint64_t{request.generation->prompt_tokens} + request.generation->max_output_tokens;
+  }
+  return QuotaDemand{plan.workspace->id,
+                     quota.CostOf(tokens),
+                     {plan.snapshot->version().value(), quota.rate, quota.burst}};
+}
+
 const EngineProfile* EngineOf(const ExchangePlan& plan) {
   const ServiceRule* service = plan.snapshot->FindService(plan.service);
   return service != nullptr && service->engine ? &*service->engine : nullptr;
@@ -135,6 +148,7 @@
   plan.priority = std::clamp(own_priority ? *plan.workspace->priority : plan.route->priority, 0,
                              kLastQueueRank);
   plan.cache_scope = ScopeOf(plan.workspace);
+  plan.quota = QuotaDemandOf(plan, request);
   if (request.generation) {
     plan.chain = PromptChain::Of(*request.generation,
                                  plan.cache_scope + ":" + request.generation->model.value());
@@ -338,6 +352,20 @@
   return Describe(last).execution == Execution::kNotRun ? ResultCode::kBackendBroken : last;
 }
 
+std::optional<ResultCode> RefusalOf(QuotaVerdict verdict) {
+  switch (verdict) {
+    case QuotaVerdict::kGranted:
+      return std::nullopt;
+    case QuotaVerdict::kOverQuota:
+      return ResultCode::kOverQuota;
+    case QuotaVerdict::kTooLarge:
+      return ResultCode::kOverBurst;
+    case QuotaVerdict::kNotHolder:
+      break;
+  }
+  return ResultCode::kQuotaUnknown;
+}
+
 std::chrono::milliseconds RetryAfterFor(const GatewayState& /*state*/, const ExchangePlan& plan) {
   // A quarter of the objective leaves time to be served within it.
   const auto quarter = plan.route->latency_objective / 4;
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -97,6 +97,13 @@
   if (on_placed_) on_placed_();
 }
 
+net::awaitable<QuotaOutcome> GatewayState::AcquireQuota(QuotaDemand demand) {
+  // A quota that nobody counts lets nothing pass.
+  if (!quota_asker_.acquire) co_return QuotaOutcome();
+  QuotaOutcome outcome = co_await quota_asker_.acquire(std::move(demand));
+  co_return outcome;
+}
+
 net::awaitable<LoadAnswer> GatewayState::AskLoads(LoadQuestion question) {
   const LoadQuestion asked = question;
   LoadAnswer answer = co_await ask_loads_(std::move(question));
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -56,6 +56,32 @@
   return state.snapshot() ? std::to_string(state.snapshot()->version().value()) : "none";
 }
 
+std::string_view NameOf(QuotaVerdict verdict) {
+  switch (verdict) {
+    case QuotaVerdict::kGranted:
+      return "granted";
+    case QuotaVerdict::kOverQuota:
+      return "over_quota";
+    case QuotaVerdict::kTooLarge:
+      return "over_burst";
+    case QuotaVerdict::kNotHolder:
+      break;
+  }
+  return "no_answer";
+}
+
+void AppendQuota(Metrics& metrics, const RequestRecord& record, LogFields& fields) {
+  const std::string verdict(NameOf(record.quota->verdict));
+  metrics.GetCounter("ridgehold_quota_requests", "verdict=\"" + verdict + "\"").Add();
+  fields.push_back({"quota", verdict});
+  fields.push_back({"quota_tokens", std::to_string(record.quota_tokens)});
+  fields.push_back({"quota_holder", record.quota->ticket.holder});
+  fields.push_back({"quota_ms", MillisecondsText(record.quota_took)});
+  fields.push_back({"quota_asked", std::to_string(record.quota->asked)});
+  if (record.quota->retry_after == Duration::zero()) return;
+  fields.push_back({"quota_fits_in_ms", MillisecondsText(record.quota->retry_after)});
+}
+
 void AppendOlderWeights(GatewayState& state, const OlderWeightsUse& use, LogFields& fields) {
   fields.push_back({"weights", std::to_string(use.weights.value())});
   fields.push_back({"newer", std::to_string(use.newer.value())});
@@ -119,6 +145,7 @@
     metrics.GetSummary("ridgehold_deferred_seconds")
         .Observe(std::chrono::duration<double>(record.deferred).count());
   }
+  if (record.quota) AppendQuota(metrics, record, fields);
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
   if (record.out_of_retries) fields.push_back({"retry_budget", "spent"});
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -29,6 +29,7 @@
   for (std::size_t i = 0; i < parts_.services.size(); ++i) services_[parts_.services[i].id] = i;
   for (std::size_t i = 0; i < parts_.workspaces.size(); ++i) {
     for (const std::string& key : parts_.workspaces[i].keys) keys_[key] = i;
+    has_quotas_ = has_quotas_ || parts_.workspaces[i].quota.has_value();
   }
   for (std::size_t i = 0; i < parts_.routes.size(); ++i) {
     const RouteRule& route = parts_.routes[i];
--- a/libs/peers/include/peers/load_messages.h
+++ b/libs/peers/include/peers/load_messages.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway_news.h"
 #include "gateway/load_report.h"
 #include "gateway/poison_news.h"
+#include "quota/quota_messages.h"
 
 namespace ridgehold {
 
@@ -41,7 +42,8 @@
 };
 
 /// A datagram between gateways.
-using PeerMessage = std::variant<GatewayNews, LoadQuestionMessage, LoadAnswerMessage, PoisonNews>;
+using PeerMessage =
+    std::variant<GatewayNews, LoadQuestionMessage, LoadAnswerMessage, PoisonNews, QuotaMessage>;
 
 std::string Encode(const LoadQuestionMessage& question);
 std::string Encode(const LoadAnswerMessage& answer);
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -73,6 +73,13 @@
 
   std::size_t peers_heard() const { return loads_.size(); }
 
+  /// Sends a datagram to the gateway at `address`, without a port.
+  void SendTo(const std::string& address, const std::string& datagram);
+
+  /// Gets the messages about quotas, and the address of who has sent each.
+  using QuotaListener = std::function<void(const QuotaMessage&, const std::string& from)>;
+  void SetQuotaListener(QuotaListener listener) { on_quota_ = std::move(listener); }
+
  private:
   static constexpr std::size_t kMaxDatagramBytes = 60'000;
   /// Above this, news of placed requests wait for the next message: larger
@@ -110,6 +117,7 @@
   LoadAsker asker_;
   PoisonGossip poison_gossip_;
   Timer poison_timer_;
+  QuotaListener on_quota_;
   std::vector<net::ip::address> peers_;  ///< all others
   std::optional<std::uint64_t> members_version_;
   std::uint64_t incarnation_ = 0;
--- /dev/null
+++ b/libs/peers/include/peers/quota_link.h
@@ -0,0 +1,73 @@
+// This instance's part in holding quotas: asks for its own requests, and grants while it
+// holds its zone's share.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "metrics/metrics.h"
+#include "net/timer.h"
+#include "quota/quota_client.h"
+#include "quota/quota_holder.h"
+
+namespace ridgehold {
+
+/// Who holds the shares, as the store says.
+struct QuotaHolders {
+  std::string own_zone;             ///< address; empty: nobody
+  std::vector<std::string> others;  ///< of all other zones
+};
+
+/// Carries the messages of QuotaClient and QuotaHolder. Runs on one executor.
+class QuotaLink {
+ public:
+  struct Options {
+    std::string address;  ///< of this instance, without a port
+    std::uint32_t shares = 1;
+    std::uint64_t incarnation = 0;  ///< differs for each process
+  };
+  using Send = std::function<void(const std::string& address, const QuotaMessage& message)>;
+  using FindHolders = std::function<QuotaHolders()>;
+  /// The revision at which this instance took its zone's key, if it may act on it.
+  using Fencing = std::function<std::optional<std::uint64_t>(TimePoint)>;
+
+  QuotaLink(net::any_io_executor executor, Metrics& metrics, const Options& options, Send send,
+            FindHolders find_holders, Fencing fencing);
+
+  /// Ends within 40 ms for each holder.
+  net::awaitable<QuotaOutcome> Acquire(QuotaDemand demand);
+  void GiveBack(const QuotaTicket& ticket) { Deliver(QuotaClient::GiveBack(ticket)); }
+
+  void Take(const QuotaMessage& message, const std::string& from);
+
+  /// Watches over loans.
+  net::awaitable<void> Run();
+  void Stop();
+
+  std::vector<QuotaHolder::Usage> Usages();
+
+ private:
+  /// Sends what is for others and takes what is for this instance.
+  void Deliver(QuotaOutbox outbox);
+  QuotaOutbox TakeOne(const QuotaMessage& message, const std::string& from);
+  /// The holder's part, as of now.
+  QuotaHolder& Holder(TimePoint now);
+
+  net::any_io_executor executor_;
+  Metrics& metrics_;
+  std::string address_;
+  Send send_;
+  FindHolders find_holders_;
+  Fencing fencing_;
+  QuotaClient client_;
+  QuotaHolder holder_;
+  std::map<std::uint64_t, Timer*> waiting_;  ///< by number of QuotaClient
+  Timer loans_timer_;
+  bool stopped_ = false;
+};
+
+}  // namespace ridgehold
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -5,6 +5,7 @@
 
 #include "gateway.pb.h"
 #include "peers/load_messages.h"
+#include "peers/quota_codec.h"
 
 namespace ridgehold {
 namespace {
@@ -249,6 +250,7 @@
   if (message.has_question()) return PeerMessage(DecodeQuestion(message));
   if (message.has_answer()) return PeerMessage(DecodeAnswer(message));
   if (message.has_poison()) return PeerMessage(DecodePoisonNews(message.poison()));
+  if (auto quota = DecodeQuota(message)) return PeerMessage(std::move(*quota));
   return PeerMessage(DecodeNewsOf(message));
 }
 
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -174,6 +174,12 @@
   if (error) state_.metrics().GetCounter("ridgehold_peer_messages_dropped").Add();
 }
 
+void PeerLink::SendTo(const std::string& address, const std::string& datagram) {
+  ErrorCode error;
+  const auto to = net::ip::make_address(address, error);
+  if (!error) SendTo(to, datagram);
+}
+
 net::awaitable<void> PeerLink::Receive() {
   net::ip::udp::endpoint sender;
   while (!stopped_) {
@@ -203,6 +209,11 @@
 
 void PeerLink::TakeMessage(const PeerMessage& message, const net::ip::udp::endpoint& sender,
                            TimePoint now) {
+  // An old one is told by its number.
+  if (const auto* quota = std::get_if<QuotaMessage>(&message)) {
+    if (on_quota_) on_quota_(*quota, sender.address().to_string());
+    return;
+  }
   // Holds for good, however old.
   if (const auto* poison = std::get_if<PoisonNews>(&message)) {
     return state_.poison().Take(*poison, now);
--- /dev/null
+++ b/libs/quota/include/quota/quota_client.h
@@ -0,0 +1,106 @@
+// Gets tokens for an instance's own requests from whoever holds shares of the quotas.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "quota/quota_messages.h"
+
+namespace ridgehold {
+
+/// What a request needs.
+struct QuotaDemand {
+  WorkspaceId workspace;
+  std::uint64_t tokens = 0;
+  QuotaTerms terms;
+};
+
+/// Tokens that were granted, to be given back if the request does not run.
+struct QuotaTicket {
+  QuotaRequestId id;
+  std::string holder;  ///< address
+};
+
+/// How asking has ended.
+struct QuotaOutcome {
+  QuotaVerdict verdict = QuotaVerdict::kNotHolder;  ///< kNotHolder: nobody has answered
+  QuotaTicket ticket;
+  Duration retry_after{0};
+  int asked = 0;  ///< messages sent
+};
+
+/// Asks the holder of the own zone's share first, and the others if that one is not
+/// known or does not answer. A holder that is given up on is sent a refund, and what it
+/// grants after that is not used.
+///
+/// A state machine: messages and time come in, messages go out. Not thread-safe.
+class QuotaClient {
+ public:
+  struct Options {
+    std::uint32_t shares = 1;  ///< of a quota, one for each availability zone
+    /// An answer within a zone takes 0.2 ms and one between zones up to 6, but an
+    /// instance with an eighth of a core is at another request for some 10 ms. A
+    /// datagram may be lost: the same request is sent again.
+    std::chrono::milliseconds resend{12};
+    /// Then the next holder is asked: a capped core stands still for 90 ms, and plain
+    /// calls have an objective of 100 ms.
+    std::chrono::milliseconds give_up{36};
+    /// One that has not answered is asked last for so long.
+    std::chrono::milliseconds silence{1'000};
+  };
+
+  /// `incarnation` differs for each process.
+  QuotaClient(Options options, std::uint64_t incarnation)
+      : options_(options), scale_(options.shares), incarnation_(incarnation) {}
+
+  /// The holders by zone; `own` is the own zone's, empty if there is none.
+  void SetHolders(std::string own, std::vector<std::string> others);
+
+  /// Begins to ask; returns the number by which it goes on. Done may hold at once.
+  std::uint64_t Begin(const QuotaDemand& demand, TimePoint now, QuotaOutbox& outbox);
+  /// Sends again, or asks the next holder, when it is time.
+  QuotaOutbox Tick(std::uint64_t number, TimePoint now);
+  TimePoint NextTick(std::uint64_t number) const;
+  QuotaOutbox Take(const QuotaReply& reply, const std::string& from, TimePoint now);
+
+  /// The number whose request this was, so that whoever waits for it can be woken.
+  std::optional<std::uint64_t> NumberOf(const QuotaRequestId& id) const;
+  /// How it ended, taken out; nothing while it goes on.
+  std::optional<QuotaOutcome> TakeOutcome(std::uint64_t number);
+
+  /// The request of a ticket has not run and never will.
+  static QuotaOutbox GiveBack(const QuotaTicket& ticket);
+
+ private:
+  struct Asking {
+    QuotaRequest request;
+    std::vector<std::string> holders_left;  ///< the next one is the last
+    std::string holder;
+    TimePoint began{};  ///< to ask this holder
+    TimePoint next{};
+    int sent = 0;
+    std::optional<QuotaOutcome> outcome;
+  };
+
+  void AskNext(Asking& asking, TimePoint now, QuotaOutbox& outbox);
+  static void End(Asking& asking, QuotaOutcome outcome);
+  std::vector<std::string> HoldersInTurn(TimePoint now) const;
+  Asking* Find(const QuotaRequestId& id);
+
+  Options options_;
+  QuotaScale scale_;
+  std::uint64_t incarnation_;
+  std::string own_;
+  std::vector<std::string> others_;
+  std::map<std::string, TimePoint> silent_until_;  ///< by holder
+  std::map<std::uint64_t, Asking> asking_;
+  std::uint64_t last_number_ = 0;
+  std::uint64_t last_request_ = 0;
+};
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/quota/include/quota/token_bucket.h
@@ -0,0 +1,90 @@
+// A token bucket that counts exactly, and holds one of several equal shares of a quota.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "base/ids.h"
+#include "quota/workspace_quota.h"
+
+namespace ridgehold {
+
+/// An amount of tokens, in parts so small that a share of any quota is a whole
+/// number of them; see QuotaScale.
+using QuotaParts = std::int64_t;
+
+/// How many parts a token has: a million for each share. With `n` shares one share
+/// of `r` tokens a second is then `r` parts a microsecond, so nothing is rounded.
+class QuotaScale {
+ public:
+  explicit QuotaScale(std::uint32_t shares) : shares_(shares == 0 ? 1 : shares) {}
+
+  std::uint32_t shares() const { return shares_; }
+  QuotaParts token() const { return kPartsForEachShare * shares_; }
+  QuotaParts Of(std::uint64_t tokens) const;
+
+  /// One share of so many tokens.
+  static QuotaParts ShareOf(std::uint64_t tokens);
+
+ private:
+  static constexpr QuotaParts kPartsForEachShare = 1'000'000;
+
+  std::uint32_t shares_;
+};
+
+/// What was taken at one time.
+struct QuotaTaken {
+  QuotaParts parts = 0;
+  std::uint64_t turn = 0;  ///< counts the takings from a bucket
+
+  bool operator==(const QuotaTaken&) const = default;
+};
+
+/// In any stretch of time `t` no more is taken than `rate * t + burst`, of one
+/// share of each. Not thread-safe; time comes in as a value and only moves forward.
+class TokenBucket {
+ public:
+  /// Nothing is in it at `empty_at`.
+  TokenBucket(const QuotaTerms& terms, TimePoint empty_at);
+
+  /// What is in it beyond the new burst is lost.
+  void SetTerms(const QuotaTerms& terms, TimePoint now);
+
+  QuotaParts Level(TimePoint now);
+
+  /// Takes all of `parts` or nothing.
+  std::optional<QuotaTaken> Take(QuotaParts parts, TimePoint now);
+  /// Takes what is there, at most `parts`.
+  QuotaTaken TakeUpTo(QuotaParts parts, TimePoint now);
+
+  /// Puts back what was taken and not used. The bucket has then what it would have had
+  /// without that taking, and not more: with the tokens left in it, it might have been
+  /// full for a while and have lost what came in. Only since the last change of terms.
+  void PutBack(const QuotaTaken& unused, TimePoint now);
+
+ private:
+  struct Taking {
+    std::uint64_t turn = 0;
+    TimePoint at{};
+    QuotaParts level_before = 0;
+    QuotaParts parts = 0;
+  };
+  /// What was taken before these can't be put back: some 1,000 requests a second for
+  /// the 4 s that a request may wait and still not run.
+  static constexpr std::size_t kMostTakings = 4'096;
+
+  void Fill(TimePoint now);
+  QuotaParts FilledFor(QuotaParts level, TimePoint from, TimePoint to) const;
+
+  QuotaParts parts_each_us_ = 0;
+  QuotaParts most_ = 0;
+  QuotaParts level_ = 0;
+  TimePoint filled_at_{};
+  std::uint64_t turn_ = 0;
+  std::deque<Taking> takings_;  ///< the last ones, in their order
+};
+
+}  // namespace ridgehold
