--- /dev/null
+++ b/model/test/quota_ways-test.cc
@@ -0,0 +1,55 @@
+// A workspace sends eight times its usual while zones, holders and messages are lost: what is
+// allowed in a window holds, and the others do not notice.
+
+#include "model/quota_ways.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace ridgehold::model {
+namespace {
+
+double RefusedPart(const QuotaPlayOutcome& outcome) {
+  return static_cast<double>(outcome.within_refused) / static_cast<double>(outcome.within);
+}
+
+BOOST_AUTO_TEST_SUITE(quota_ways)
+
+BOOST_AUTO_TEST_CASE(shares_by_zone_never_let_through_more_than_allowed) {
+  for (const QuotaTrouble trouble : AllQuotaTroubles()) {
+    for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+      const QuotaPlayOutcome outcome = PlayQuota({QuotaWay::kZones, trouble, 90, seed});
+      BOOST_TEST_CONTEXT(NameOf(trouble) << ", seed " << seed) {
+        BOOST_TEST(outcome.worst_window <= 1);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(workspaces_within_their_quotas_are_not_refused) {
+  constexpr double kWithoutFault = 0.001;
+  constexpr double kWithOne = 0.01;
+  for (const QuotaTrouble trouble : AllQuotaTroubles()) {
+    // Where all four holders end at the same moment nobody counts for 1.5 s.
+    if (trouble == QuotaTrouble::kHalfLosesPower) continue;
+    const bool sound = trouble == QuotaTrouble::kCalm || trouble == QuotaTrouble::kHotWorkspace ||
+                       trouble == QuotaTrouble::kLowered;
+    const QuotaPlayOutcome outcome = PlayQuota({QuotaWay::kZones, trouble, 90, 1});
+    BOOST_TEST_CONTEXT(NameOf(trouble)) {
+      BOOST_TEST(RefusedPart(outcome) < (sound ? kWithoutFault : kWithOne));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(messages_do_not_grow_with_the_fleet) {
+  const auto each = [](std::size_t instances) {
+    const QuotaPlayOutcome outcome =
+        PlayQuota({QuotaWay::kZones, QuotaTrouble::kCalm, instances, 1});
+    return static_cast<double>(outcome.messages) / static_cast<double>(outcome.requests);
+  };
+  BOOST_TEST(each(380) <= 1.1 * each(20));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ridgehold::model
--- /dev/null
+++ b/programs/ridgehold-quota-model.cc
@@ -0,0 +1,50 @@
+// Plays ways of holding quotas against faults in virtual time; writes CSV.
+
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <iostream>
+#include <vector>
+
+#include "model/quota_ways.h"
+
+int main(int argc, char** argv) {
+  using namespace ridgehold::model;
+  std::vector<std::size_t> instances = {90};
+  std::uint32_t seeds = 1;
+  CLI::App app("Plays ways of holding quotas against faults in virtual time");
+  app.add_option("--instances", instances, "Sizes of the fleet")->capture_default_str();
+  app.add_option("--seeds", seeds, "Seeds of each play")->check(CLI::Range(1, 1'000));
+  CLI11_PARSE(app, argc, argv);
+  std::cout << "instances,way,trouble,requests,within_refused_per_mille,worst_window,"
+               "worst_windows_over,asking_median_ms,asking_p99_ms,messages_a_request\n";
+  for (const std::size_t count : instances) {
+    for (const QuotaTrouble trouble : AllQuotaTroubles()) {
+      for (const QuotaWay way : AllQuotaWays()) {
+        QuotaPlayOutcome sum;
+        double worst = 0;
+        std::uint32_t over = 0;
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+          const QuotaPlayOutcome one = PlayQuota({way, trouble, count, seed});
+          sum.requests += one.requests;
+          sum.within += one.within;
+          sum.within_refused += one.within_refused;
+          sum.messages += one.messages;
+          sum.asking_median_ms += one.asking_median_ms / seeds;
+          sum.asking_p99_ms = std::max(sum.asking_p99_ms, one.asking_p99_ms);
+          worst = std::max(worst, one.worst_window);
+          if (one.worst_window > 1) ++over;
+        }
+        std::cout << fmt::format(
+            "{},{},{},{},{:.3f},{:.3f},{},{:.2f},{:.1f},{:.2f}\n", count, NameOf(way),
+            NameOf(trouble), sum.requests,
+            1'000.0 * static_cast<double>(sum.within_refused) / static_cast<double>(sum.within),
+            worst, over, sum.asking_median_ms, sum.asking_p99_ms,
+            static_cast<double>(sum.messages) / static_cast<double>(sum.requests));
+        std::cout.flush();
+      }
+    }
+  }
+  return 0;
+}
