Requests that wait at an engine out of reach go elsewhere at once

Ruled out: a shorter patience for all, which takes requests from engines that are only busy. Change: when a probe does not reach a backend server, attempts there that have no answer and may run again are withdrawn.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -255,6 +255,7 @@
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptEnd end = co_await ReadAnswer();
     waiting_.reset();
+    unanswered_.reset();
     running_.reset();
     state_.pool().Release(address, std::move(attempt_.connection));
     co_return end;
@@ -264,6 +265,10 @@
   /// so one that still waits there then is taken back.
   void WatchBegin() {
     WatchQuarantine();
+    if (facts_.may_repeat && facts_.runs + 1 < facts_.max_runs) {
+      state_.unanswered_attempts().Add(unanswered_, attempt_.backend->entry.id,
+                                       [this] { Withdraw(ResultCode::kBackendUnreachable); });
+    }
     if (!inbound_.generation || !attempt_.expected_weights) return;
     state_.waiting_attempts().Add(waiting_, inbound_.generation->model, *attempt_.expected_weights,
                                   [this] { Withdraw(ResultCode::kWeightsPastLimit); });
@@ -312,7 +317,10 @@
       attempt_.connection->Cancel();
       co_return AttemptEnd::kBroken;
     }
-    if (!attempt_.head.event_stream) waiting_.reset();
+    if (!attempt_.head.event_stream) {
+      waiting_.reset();
+      unanswered_.reset();
+    }
     const bool streams = plan_.route->kind == RouteKind::kStream && attempt_.head.event_stream &&
                          IsSuccess(attempt_.head.status);
     if (streams) co_return co_await RelayStream();
@@ -368,6 +376,7 @@
   /// been named while the request waited there.
   void NoteBegun() {
     waiting_.reset();
+    unanswered_.reset();
     const auto weights = attempt_.head.weights ? attempt_.head.weights : attempt_.expected_weights;
     const auto use = OlderWeightsAt(state_, inbound_, weights, Clock::now());
     if (!use) return;
@@ -439,7 +448,8 @@
   /// A whole answer shows that the backend server has survived the request. One that
   /// fell silent may be found to have ended.
   void NoteForPoison(AttemptEnd end, TimePoint now) {
-    if (end == AttemptEnd::kTimedOut) {
+    const bool unreachable = attempt_.withdrawn == ResultCode::kBackendUnreachable;
+    if (end == AttemptEnd::kTimedOut || unreachable) {
       state_.poison().NoteBroken(*attempt_.backend, plan_.fingerprint, now);
     }
     const bool survived =
@@ -509,6 +519,7 @@
   Attempt attempt_;
   std::optional<BackendLoad> load_;
   std::optional<WaitingAttempts::Ticket> waiting_;
+  std::optional<UnansweredAttempts::Ticket> unanswered_;
   std::optional<PoisonGuard::Ticket> running_;
   std::set<BackendId> tried_;
   ResultCode last_code_ = ResultCode::kNoBackend;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -25,6 +25,7 @@
 #include "gateway/retry_allowance.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/sampled_shares.h"
+#include "gateway/unanswered_attempts.h"
 #include "gateway/waiting_attempts.h"
 #include "metrics/metrics.h"
 #include "net/connection_pool.h"
@@ -135,6 +136,7 @@
   NamedWeights& named_weights() { return named_weights_; }
   const NamedWeights& named_weights() const { return named_weights_; }
   WaitingAttempts& waiting_attempts() { return waiting_attempts_; }
+  UnansweredAttempts& unanswered_attempts() { return unanswered_attempts_; }
   PoisonGuard& poison() { return poison_; }
   const PoisonGuard& poison() const { return poison_; }
 
@@ -281,6 +283,7 @@
   EndConfirmer confirm_end_;
   QuotaAsker quota_asker_;
   WaitingAttempts waiting_attempts_;
+  UnansweredAttempts unanswered_attempts_;
   DeferredRequests deferred_requests_;
   std::uint32_t gateways_ = 1;
   double heard_gateways_ = 0;
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -167,6 +167,7 @@
   if (!std::exchange(backend.reachable, false)) return;
   news_.unreachable.push_back(HashOf(backend));
   NoteLoadChange();
+  unanswered_attempts_.WithdrawFrom(backend.entry.id);
 }
 
 std::uint32_t GatewayState::Uncovered(const Backend& backend, TimePoint now) {
