A lifted quarantine is erased in the store, too

Cause: a correction that came after the verdict was stored, and a stored verdict on a request that was served just now, left the key in the store: the sound request was refused for up to ten minutes at all that started later. Change: one function lifts, for all four ways to it. Two tests first, both red before.

--- a/libs/gateway/include/gateway/poison_guard.h
+++ b/libs/gateway/include/gateway/poison_guard.h
@@ -90,6 +90,8 @@
 
   void NoteEnd(const EndNews& end, TimePoint now);
   bool Forgive(RequestFingerprint request, TimePoint now);
+  bool Lift(RequestFingerprint request, TimePoint now);
+  void NoteReleased(RequestFingerprint request);
   void TellQuarantined(RequestFingerprint request, TimePoint now);
   void OnQuarantined(RequestFingerprint request, const char* source);
   void Forget(RequestFingerprint request);
--- a/libs/gateway/src/poison_guard.cc
+++ b/libs/gateway/src/poison_guard.cc
@@ -73,39 +73,51 @@
 bool PoisonGuard::Forgive(RequestFingerprint request, TimePoint now) {
   const Suspicion suspicion = detector_.SuspicionOf(request, now);
   if (suspicion < Suspicion::kLastTrial || !survivors_.Contains(request, now)) return false;
-  detector_.TakeSurvived(request, now);
+  Lift(request, now);
   news_.survived.push_back(request);
   Tell();
   return true;
 }
 
+/// Returns whether there was anything against the request. What this gateway has written
+/// to the store, or read there, is to be erased: it would hold for all that start later.
+bool PoisonGuard::Lift(RequestFingerprint request, TimePoint now) {
+  const bool quarantined = detector_.SuspicionOf(request, now) == Suspicion::kQuarantined;
+  const bool is_stored = decided_here_.contains(request) || from_store_.contains(request);
+  if (quarantined && is_stored) NoteReleased(request);
+  Forget(request);
+  return detector_.TakeSurvived(request, now);
+}
+
 void PoisonGuard::NoteSurvived(RequestFingerprint request, TimePoint now) {
   survivors_.Add(request, now);
   if (detector_.suspects() == 0) return;
   const bool quarantined = detector_.SuspicionOf(request, now) == Suspicion::kQuarantined;
-  if (!detector_.TakeSurvived(request, now)) return;
+  if (!Lift(request, now)) return;
   if (quarantined) {
     Log(LogLevel::kInfo, "quarantine lifted, a backend server survived the request",
         {{"fingerprint", ToText(request)}});
-    released_.push_back(request);
+    NoteReleased(request);
   }
-  Forget(request);
   news_.survived.push_back(request);
   Tell();
 }
 
 bool PoisonGuard::Release(RequestFingerprint request, TimePoint now) {
   const bool quarantined = detector_.SuspicionOf(request, now) == Suspicion::kQuarantined;
-  detector_.TakeSurvived(request, now);
+  Lift(request, now);
   Log(LogLevel::kInfo, "quarantine lifted by hand",
       {{"fingerprint", ToText(request)}, {"quarantined", quarantined ? "yes" : "no"}});
-  Forget(request);
-  released_.push_back(request);
+  NoteReleased(request);
   news_.survived.push_back(request);
   Tell();
   return quarantined;
 }
 
+void PoisonGuard::NoteReleased(RequestFingerprint request) {
+  if (std::ranges::find(released_, request) == released_.end()) released_.push_back(request);
+}
+
 void PoisonGuard::Take(const PoisonNews& news, TimePoint now) {
   for (const EndNews& end : news.ends) {
     TellQuarantined(end.request, now);
@@ -117,7 +129,7 @@
     if (!Forgive(request, now) && taken) OnQuarantined(request, "peer");
   }
   for (const RequestFingerprint request : news.survived) {
-    if (detector_.TakeSurvived(request, now)) Forget(request);
+    Lift(request, now);
   }
 }
 
@@ -134,7 +146,7 @@
 void PoisonGuard::TakeStored(RequestFingerprint request, Duration left, TimePoint now) {
   if (left <= Duration::zero() || !detector_.TakeQuarantine(request, left, now)) return;
   from_store_.insert(request);
-  OnQuarantined(request, "store");
+  if (!Forgive(request, now)) OnQuarantined(request, "store");
 }
 
 std::vector<PoisonDetector::Quarantine> PoisonGuard::Decided(TimePoint now) {
--- a/libs/gateway/test/poison_guard-test.cc
+++ b/libs/gateway/test/poison_guard-test.cc
@@ -110,6 +110,26 @@
   BOOST_TEST((other.SuspicionOf(kRequest, kStart) == Suspicion::kNone));
 }
 
+// The one that had decided wrote the store a few ms before it was corrected; the key stayed,
+// and the sound request was refused for ten minutes.
+BOOST_AUTO_TEST_CASE(correction_after_the_verdict_was_stored_erases_it) {
+  End({"a", "b", "c"});
+  BOOST_REQUIRE(guard.DecidedHere(kRequest));
+  PoisonNews correction;
+  correction.survived.push_back(kRequest);
+  guard.Take(correction, kStart);
+  BOOST_TEST((Believed() == Suspicion::kNone));
+  const std::vector<RequestFingerprint> released = guard.TakeReleased();
+  BOOST_TEST(released.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(stored_verdict_on_what_was_served_just_now_is_erased) {
+  guard.NoteSurvived(kRequest, kStart);
+  guard.TakeStored(kRequest, 5min, kStart + 1s);
+  BOOST_TEST((Believed(kStart + 1s) == Suspicion::kNone));
+  BOOST_TEST(guard.TakeReleased().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(gateway_that_missed_the_verdict_hears_it_after_one_end_more) {
   PoisonGuard late(metrics, PoisonRule{});
   End({"a", "b", "c"});
