--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -72,7 +72,7 @@
     placement.index = index;
     placement.cost = backend.error_rate * weights_.failing;
     if (backend.entry.zone != query_.own_zone) placement.cost += weights_.other_zone;
-    if (backend.avoid_until > query_.now || !IsReachable(backend)) placement.cost += kAvoided;
+    if (backend.avoid_until > query_.now || !backend.reachable) placement.cost += kAvoided;
     if (backend.missing_until) placement.cost += kAvoided / 2;
     if (backend.hold_until > query_.now) placement.cost += weights_.held;
     if (query_.answers != nullptr && ReportOn(backend) == nullptr) {
@@ -97,13 +97,6 @@
     return query_.answers != nullptr ? query_.answers->Find(backend) : nullptr;
   }
 
-  /// By the last probe of this gateway, and of the one that tracks it: each of ninety would
-  /// else send requests to every engine that has fallen silent, to find out for itself.
-  bool IsReachable(const Backend& backend) const {
-    const BackendReport* report = ReportOn(backend);
-    return backend.reachable && (report == nullptr || report->reachable);
-  }
-
   /// Fills in what will be found in the cache and what fetching costs.
   void PriceCache(std::size_t index, Placement& placement) const {
     const std::uint32_t shared = query_.chain->shared_tokens;
