--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -48,7 +48,7 @@
 std::string DumpQuotas(const GatewayState& state, const std::map<ZoneId, std::string>& holders,
                        std::span<const QuotaHolder::Usage> usages) {
   json quotas = json::array();
-  const auto snapshot = state.snapshot();
+  const auto& snapshot = state.snapshot();
   for (const WorkspaceRule& workspace :
        snapshot ? snapshot->workspaces() : std::span<const WorkspaceRule>()) {
     if (!workspace.quota) continue;
--- a/model/quota_checker.cc
+++ b/model/quota_checker.cc
@@ -332,7 +332,7 @@
   }
 
   static Flying Removed(State& state, std::size_t i) {
-    const Flying message = state.flying[i];
+    Flying message = state.flying[i];
     state.flying.erase(state.flying.begin() + static_cast<std::ptrdiff_t>(i));
     return message;
   }
--- a/programs/ridgehold-quota-model.cc
+++ b/programs/ridgehold-quota-model.cc
@@ -9,8 +9,41 @@
 
 #include "model/quota_ways.h"
 
+namespace ridgehold::model {
+namespace {
+
+/// The sum of one play with all seeds, as a line.
+void PlayAll(std::size_t instances, QuotaTrouble trouble, QuotaWay way, std::uint32_t seeds) {
+  QuotaPlayOutcome sum;
+  std::uint32_t over = 0;
+  for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+    const QuotaPlayOutcome one = PlayQuota({way, trouble, instances, seed});
+    sum.requests += one.requests;
+    sum.within += one.within;
+    sum.within_refused += one.within_refused;
+    sum.messages += one.messages;
+    sum.asking_median_ms += one.asking_median_ms / seeds;
+    sum.asking_p99_ms = std::max(sum.asking_p99_ms, one.asking_p99_ms);
+    sum.worst_window = std::max(sum.worst_window, one.worst_window);
+    if (one.worst_window > 1) ++over;
+  }
+  const double refused =
+      1'000.0 * static_cast<double>(sum.within_refused) / static_cast<double>(sum.within);
+  const double messages = static_cast<double>(sum.messages) / static_cast<double>(sum.requests);
+  std::cout << fmt::format("{},{},{},{},{:.3f},{:.3f},{},{:.2f},{:.1f},{:.2f}\n", instances,
+                           NameOf(way), NameOf(trouble), sum.requests, refused, sum.worst_window,
+                           over, sum.asking_median_ms, sum.asking_p99_ms, messages);
+}
+
+}  // namespace
+}  // namespace ridgehold::model
+
 int main(int argc, char** argv) {
-  using namespace ridgehold::model;
+  using ridgehold::model::AllQuotaTroubles;
+  using ridgehold::model::AllQuotaWays;
+  using ridgehold::model::PlayAll;
+  using ridgehold::model::QuotaTrouble;
+  using ridgehold::model::QuotaWay;
   std::vector<std::size_t> instances = {90};
   std::uint32_t seeds = 1;
   CLI::App app("Plays ways of holding quotas against faults in virtual time");
@@ -22,26 +55,7 @@
   for (const std::size_t count : instances) {
     for (const QuotaTrouble trouble : AllQuotaTroubles()) {
       for (const QuotaWay way : AllQuotaWays()) {
-        QuotaPlayOutcome sum;
-        double worst = 0;
-        std::uint32_t over = 0;
-        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
-          const QuotaPlayOutcome one = PlayQuota({way, trouble, count, seed});
-          sum.requests += one.requests;
-          sum.within += one.within;
-          sum.within_refused += one.within_refused;
-          sum.messages += one.messages;
-          sum.asking_median_ms += one.asking_median_ms / seeds;
-          sum.asking_p99_ms = std::max(sum.asking_p99_ms, one.asking_p99_ms);
-          worst = std::max(worst, one.worst_window);
-          if (one.worst_window > 1) ++over;
-        }
-        std::cout << fmt::format(
-            "{},{},{},{},{:.3f},{:.3f},{},{:.2f},{:.1f},{:.2f}\n", count, NameOf(way),
-            NameOf(trouble), sum.requests,
-            1'000.0 * static_cast<double>(sum.within_refused) / static_cast<double>(sum.within),
-            worst, over, sum.asking_median_ms, sum.asking_p99_ms,
-            static_cast<double>(sum.messages) / static_cast<double>(sum.requests));
+        PlayAll(count, trouble, way, seeds);
         std::cout.flush();
       }
     }
