--- a/model/test/quota_ways-test.cc
+++ b/model/test/quota_ways-test.cc
@@ -25,21 +25,31 @@
   }
 }
 
+void CheckRefused(QuotaTrouble trouble, double bound) {
+  const QuotaPlayOutcome outcome = PlayQuota({QuotaWay::kZones, trouble, 90, 1});
+  BOOST_TEST_CONTEXT(NameOf(trouble)) { BOOST_TEST(RefusedPart(outcome) < bound); }
+}
+
+constexpr double kWithoutFault = 0.001;
+constexpr double kWithFault = 0.01;
+
 BOOST_AUTO_TEST_CASE(workspaces_within_their_quotas_are_not_refused) {
-  constexpr double kWithoutFault = 0.001;
-  constexpr double kWithOne = 0.01;
-  for (const QuotaTrouble trouble : AllQuotaTroubles()) {
-    // Where all four holders end at the same moment nobody counts for 1.5 s.
-    if (trouble == QuotaTrouble::kHalfLosesPower) continue;
-    const bool sound = trouble == QuotaTrouble::kCalm || trouble == QuotaTrouble::kHotWorkspace ||
-                       trouble == QuotaTrouble::kLowered;
-    const QuotaPlayOutcome outcome = PlayQuota({QuotaWay::kZones, trouble, 90, 1});
-    BOOST_TEST_CONTEXT(NameOf(trouble)) {
-      BOOST_TEST(RefusedPart(outcome) < (sound ? kWithoutFault : kWithOne));
-    }
+  for (const QuotaTrouble trouble :
+       {QuotaTrouble::kCalm, QuotaTrouble::kHotWorkspace, QuotaTrouble::kLowered}) {
+    CheckRefused(trouble, kWithoutFault);
+  }
+  for (const QuotaTrouble trouble :
+       {QuotaTrouble::kZoneCut, QuotaTrouble::kHolderKilled, QuotaTrouble::kStoreAway,
+        QuotaTrouble::kLoss, QuotaTrouble::kHolderSuspended}) {
+    CheckRefused(trouble, kWithFault);
   }
 }
 
+// All four holders are in the half that ends, and nobody counts until they are back.
+BOOST_AUTO_TEST_CASE(half_of_the_fleet_loses_power_with_all_holders) {
+  CheckRefused(QuotaTrouble::kHalfLosesPower, kWithFault);
+}
+
 BOOST_AUTO_TEST_CASE(messages_do_not_grow_with_the_fleet) {
   const auto each = [](std::size_t instances) {
     const QuotaPlayOutcome outcome =
