The old daemon's shutdown limit counts time asleep, too

Cause: it measured on a clock that stands still while the machine is suspended; all else runs on Clock. Not measured by a test: the limit is looked at each poll, as before.

--- a/programs/ridgeholdd.cc
+++ b/programs/ridgeholdd.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <thread>
 
+#include "base/clock.h"
 #include "daemon/daemon.h"
 #include "log/log.h"
 #include "settings/settings.h"
@@ -32,10 +33,9 @@
 int Serve(Daemon& daemon, const Settings& settings) {
   while (!stop_requested.load()) std::this_thread::sleep_for(kSignalPoll);
   daemon.BeginShutdown();
-  const auto limit =
-      std::chrono::steady_clock::now() + settings.lame_duck + settings.shutdown_limit;
+  const auto limit = Clock::now() + settings.lame_duck + settings.shutdown_limit;
   while (!daemon.Drained()) {
-    if (std::chrono::steady_clock::now() >= limit) {
+    if (Clock::now() >= limit) {
       Log(LogLevel::kError, "shutdown limit reached with requests in flight");
       return kExitCutOff;
     }
