--- a/programs/ridgeholdd.cc
+++ b/programs/ridgeholdd.cc
@@ -33,9 +33,9 @@
 int Serve(Daemon& daemon, const Settings& settings) {
   while (!stop_requested.load()) std::this_thread::sleep_for(kSignalPoll);
   daemon.BeginShutdown();
-  const auto limit = Clock::now() + settings.lame_duck + settings.shutdown_limit;
+  const auto limit = ridgehold::Clock::now() + settings.lame_duck + settings.shutdown_limit;
   while (!daemon.Drained()) {
-    if (Clock::now() >= limit) {
+    if (ridgehold::Clock::now() >= limit) {
       Log(LogLevel::kError, "shutdown limit reached with requests in flight");
       return kExitCutOff;
     }
