--- a/libs/entry/include/entry/quota_duty.h
+++ b/libs/entry/include/entry/quota_duty.h
@@ -34,6 +34,7 @@
         records_(records),
         settings_(settings),
         store_is_followed_(std::move(store_is_followed)),
+        look_(tuning.quota_look),
         turn_(tuning.duty_turn, tuning.duty_turns),
         key_(store, state.executor(), KeyOptions(tuning), [this] { return MayApply(); }),
         link_(
@@ -51,13 +52,16 @@
     asker.acquire = [this](QuotaDemand demand) { return link_.Acquire(std::move(demand)); };
     asker.give_back = [this](const QuotaTicket& ticket) { link_.GiveBack(ticket); };
     state_.SetQuotaAsker(std::move(asker));
-    net::co_spawn(state_.executor(), key_.Run(), net::detached);
+    net::co_spawn(state_.executor(), HoldKey(), net::detached);
     net::co_spawn(state_.executor(), link_.Run(), net::detached);
   }
 
   /// Gives the share up, so that another instance takes it at once.
   net::awaitable<void> Release() { return key_.Release(); }
-  void Stop() { link_.Stop(); }
+  void Stop() {
+    stopped_ = true;
+    link_.Stop();
+  }
 
   bool Held(TimePoint now) const { return key_.MayAct(now); }
   std::vector<QuotaHolder::Usage> Usages() { return link_.Usages(); }
@@ -73,6 +77,19 @@
   }
 
  private:
+  /// Twenty looks a second, in a fleet that has no quota, would be a fifth of all wake-ups.
+  net::awaitable<void> HoldKey() {
+    constexpr std::chrono::milliseconds kLookForQuota{500};
+    Timer timer(state_.executor());
+    while (!HasQuotas()) {
+      if (stopped_) co_return;
+      co_await WaitFor(timer, state_.snapshot() ? kLookForQuota : look_);
+    }
+    co_await key_.Run();
+  }
+
+  bool HasQuotas() const { return state_.snapshot() && state_.snapshot()->has_quotas(); }
+
   std::string Key() const { return kQuotaHolderPrefix + settings_.zone.value(); }
   /// The address tells an instance from a later one of the same name.
   std::string Value() const { return settings_.daemon.value() + " " + settings_.instance_address; }
@@ -104,8 +121,7 @@
   }
 
   bool MayApply() {
-    const bool wanted = state_.snapshot() && state_.snapshot()->has_quotas();
-    const bool free = wanted && !state_.shutting_down() && store_is_followed_() &&
+    const bool free = HasQuotas() && !state_.shutting_down() && store_is_followed_() &&
                       records_.Find(Key()) == nullptr;
     return turn_.MayApply(free, TurnInZone(), Clock::now());
   }
@@ -162,11 +178,13 @@
   const OwnRecords& records_;
   const EntrySettings& settings_;
   std::function<bool()> store_is_followed_;
+  std::chrono::milliseconds look_;
   DutyTurn turn_;
   HeldKey<Store> key_;
   QuotaLink link_;
   PeerLink* peers_ = nullptr;
   ConfigVersion terms_of_;  ///< that the holder has heard of
+  bool stopped_ = false;
 };
 
 }  // namespace ridgehold
