--- a/libs/quota/src/quota_client.cc
+++ b/libs/quota/src/quota_client.cc
@@ -50,7 +50,8 @@
   for (std::size_t i = 0; i < others_.size(); ++i) {
     holders.push_back(others_[(last_number_ + i) % others_.size()]);
   }
-  std::ranges::stable_partition(holders, [&](const auto& holder) { return !silent(holder); });
+  std::stable_partition(holders.begin(), holders.end(),
+                        [&](const auto& holder) { return !silent(holder); });
   // If all were silent lately, this instance may be cut off: one try is enough.
   if (!holders.empty() && silent(holders.front())) holders.resize(1);
   std::ranges::reverse(holders);
--- a/libs/quota/src/quota_holder.cc
+++ b/libs/quota/src/quota_holder.cc
@@ -237,8 +237,8 @@
   }
   if (lenders.empty()) return lenders;
   // Another one first each time, so that all lend alike.
-  std::ranges::rotate(lenders,
-                      lenders.begin() + static_cast<std::ptrdiff_t>(turn_++ % lenders.size()));
+  const auto first = static_cast<std::ptrdiff_t>(turn_++ % lenders.size());
+  std::rotate(lenders.begin(), lenders.begin() + first, lenders.end());
   return lenders;
 }
 
