Sight: what backend servers say of themselves is read and logged

Cause: a back end says in its answers what it takes (a limit for all instances), that it leaves, and how long it wants rest. The boundary dropped the three, so no log could tell whether an instance that sent too much had been told, or when.

Change: they are decoded into BackendNotice. Nothing decides by it yet.

--- a/libs/base/include/base/parse_number.h
+++ b/libs/base/include/base/parse_number.h
@@ -6,15 +6,22 @@
 #include <optional>
 #include <string_view>
 #include <system_error>
+#include <type_traits>
 
 namespace ridgehold {
 
-/// Returns nothing unless the whole of `text` is one number of this type.
+/// Returns nothing unless the whole of `text` is one number of this type; `base` is for
+/// whole numbers.
 template <class Number>
 std::optional<Number> ParseNumber(std::string_view text, int base = 10) {
   Number number = 0;
   const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, number, base);
+  std::from_chars_result parsed{};
+  if constexpr (std::is_floating_point_v<Number>) {
+    parsed = std::from_chars(text.data(), end, number);
+  } else {
+    parsed = std::from_chars(text.data(), end, number, base);
+  }
   if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
   return number;
 }
--- a/libs/gateway/include/gateway/attempt_messages.h
+++ b/libs/gateway/include/gateway/attempt_messages.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/ids.h"
+#include "gateway/backend_notice.h"
 #include "gateway/inbound_request.h"
 
 namespace ridgehold {
@@ -36,6 +37,7 @@
   RequestId request;  ///< empty: not named
   BackendId backend;  ///< empty: not named
   std::optional<WeightsNumber> weights;
+  BackendNotice notice;
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "gateway/backend_notice.h"
 #include "gateway/engine_cache.h"
 #include "gateway/gateway_news.h"
 #include "gateway/inbound_request.h"
@@ -43,6 +44,13 @@
   std::uint32_t uncovered = 0;  ///< could be resumed, but retries are used up
 };
 
+/// What a backend server has said of itself, as far as this gateway knows.
+struct BackendWord {
+  BackendNotice notice;    ///< its last one to this gateway
+  TimePoint heard_at{};    ///< when that came
+  TimePoint rest_until{};  ///< it wants nothing from this gateway before
+};
+
 /// One backend server. Requests that run there share it with the directory.
 struct Backend {
   BackendEntry entry;
@@ -69,6 +77,7 @@
   TimePoint begin_wait_seen{};
   std::multiset<TimePoint> waiting_since;  ///< of this gateway's requests without an event
   EngineCache cache;                       ///< under the weights it runs now
+  BackendWord word;
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -230,7 +230,9 @@
     }
     record_.running_there = backend.in_flight + backend.peers.running;
     record_.fetched_from = choice.fetch_from.value_or("");
-    record_.older_weights = OlderWeightsAt(state_, inbound_, choice.weights, Clock::now());
+    const TimePoint now = Clock::now();
+    record_.older_weights = OlderWeightsAt(state_, inbound_, choice.weights, now);
+    record_.asked_of_sender = AskedOfSenderBy(backend, now);
   }
 
   net::awaitable<AttemptEnd> RunAttempt(const BackendChoice& choice) {
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -230,6 +230,9 @@
   /// A backend server was seen to run these weights.
   void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber number);
 
+  /// What the backend server has just said of itself to this gateway.
+  void NoteNotice(Backend& backend, const BackendNotice& notice, TimePoint now);
+
   /// A probe of this gateway has not reached it; the others are to look, too.
   void NoteUnreachable(Backend& backend);
 
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -35,6 +35,13 @@
   Duration took{0};
 };
 
+/// What the backend server had asked of this gateway when a request was sent there.
+struct AskedOfSender {
+  BackendNotice notice;
+  Duration age{0};        ///< of the notice
+  Duration rest_left{0};  ///< that it had asked for
+};
+
 /// What is remembered of a request for its line.
 struct RequestRecord {
   RequestId request;
@@ -58,15 +65,19 @@
   std::uint32_t running_there = 0;  ///< of all gateways
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
-  std::optional<QuotaOutcome> quota;  ///< none: the workspace has no quota
-  std::uint64_t quota_tokens = 0;     ///< what the request needs of it
-  Duration quota_took{0};             ///< until it was known
-  int status = 0;                     ///< sent to the caller
+  std::optional<AskedOfSender> asked_of_sender;  ///< none: nothing, as far as is known here
+  std::optional<QuotaOutcome> quota;             ///< none: the workspace has no quota
+  std::uint64_t quota_tokens = 0;                ///< what the request needs of it
+  Duration quota_took{0};                        ///< until it was known
+  int status = 0;                                ///< sent to the caller
   ResultCode code = ResultCode::kOk;
   bool out_of_retries = false;
   std::string detail;
 };
 
+/// Nothing if it has asked for nothing that this gateway has heard of.
+std::optional<AskedOfSender> AskedOfSenderBy(const Backend& backend, TimePoint now);
+
 /// Writes the request's line and counts it.
 void LogRequest(GatewayState& state, const RequestRecord& record);
 
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -318,6 +318,8 @@
 
 void LearnFromHead(GatewayState& state, Backend& backend, const InboundRequest& request,
                    const AnswerHead& head) {
+  // Another incarnation speaks of itself.
+  if (head.status != kMisdirected) state.NoteNotice(backend, head.notice, Clock::now());
   if (!request.generation || !head.weights) return;
   state.NoteWeights(backend, request.generation->model, *head.weights);
 }
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cmath>
 #include <string_view>
 
@@ -96,8 +97,32 @@
   if (late) state.metrics().GetCounter("ridgehold_begun_on_weights_past_limit").Add();
 }
 
+void AppendAsked(const RequestRecord& record, LogFields& fields) {
+  if (!record.asked_of_sender) return;
+  const AskedOfSender& asked = *record.asked_of_sender;
+  const BackendNotice& notice = asked.notice;
+  if (notice.limit) fields.push_back({"limit", fmt::format("{:.3f}", notice.limit->per_second())});
+  if (notice.leaving) fields.push_back({"leaving", "yes"});
+  if (asked.rest_left > Duration::zero()) {
+    fields.push_back({"rest_left_ms", MillisecondsText(asked.rest_left)});
+  }
+  fields.push_back({"notice_age_ms", MillisecondsText(asked.age)});
+}
+
 }  // namespace
 
+std::optional<AskedOfSender> AskedOfSenderBy(const Backend& backend, TimePoint now) {
+  const BackendWord& word = backend.word;
+  AskedOfSender asked;
+  asked.notice = word.notice;
+  asked.age = std::chrono::duration_cast<Duration>(now - word.heard_at);
+  asked.rest_left =
+      std::max(Duration::zero(), std::chrono::duration_cast<Duration>(word.rest_until - now));
+  const bool nothing =
+      !asked.notice.limit && !asked.notice.leaving && asked.rest_left == Duration::zero();
+  return nothing ? std::nullopt : std::optional(asked);
+}
+
 void LogRequest(GatewayState& state, const RequestRecord& record) {
   const std::string code(Describe(record.code).name);
   Metrics& metrics = state.metrics();
@@ -148,6 +173,7 @@
   if (record.quota) AppendQuota(metrics, record, fields);
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
+  AppendAsked(record, fields);
   if (record.out_of_retries) fields.push_back({"retry_budget", "spent"});
   if (!record.detail.empty()) fields.push_back({"detail", record.detail});
   Log(LogLevel::kInfo, "request", fields);
@@ -158,19 +184,20 @@
   state.metrics()
       .GetCounter("ridgehold_attempts_failed", "code=\"" + std::string(Describe(code).name) + "\"")
       .Add();
-  Log(LogLevel::kWarn, "attempt",
-      {{"request", record.request.value()},
-       {"fingerprint", ToText(record.fingerprint)},
-       {"backend", backend.entry.id.value()},
-       {"address", backend.entry.address},
-       {"zone", backend.entry.zone.value()},
-       {"number", std::to_string(record.attempts)},
-       {"end", std::string(NameOf(facts.end))},
-       {"status", std::to_string(facts.status)},
-       {"not_executed", facts.not_executed ? "yes" : "no"},
-       {"code", std::string(Describe(code).name)},
-       {"in_flight", std::to_string(backend.in_flight)},
-       {"next", std::string(NameOf(step))}});
+  LogFields fields = {{"request", record.request.value()},
+                      {"fingerprint", ToText(record.fingerprint)},
+                      {"backend", backend.entry.id.value()},
+                      {"address", backend.entry.address},
+                      {"zone", backend.entry.zone.value()},
+                      {"number", std::to_string(record.attempts)},
+                      {"end", std::string(NameOf(facts.end))},
+                      {"status", std::to_string(facts.status)},
+                      {"not_executed", facts.not_executed ? "yes" : "no"},
+                      {"code", std::string(Describe(code).name)},
+                      {"in_flight", std::to_string(backend.in_flight)},
+                      {"next", std::string(NameOf(step))}};
+  AppendAsked(record, fields);
+  Log(LogLevel::kWarn, "attempt", fields);
 }
 
 }  // namespace ridgehold
