--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -58,6 +58,7 @@
   kCallerGone = 3008,
   kWeightsPastLimit = 3009,
   kPoisonRequest = 3010,
+  kBackendsAtLimit = 3011,
   // 4xxx: the platform's key-value service.
   kPlatformUnavailable = 4001,
   kPlatformAnswerLost = 4002,
--- a/libs/base/src/result_code.cc
+++ b/libs/base/src/result_code.cc
@@ -70,6 +70,8 @@
      "An engine had not begun the request when its weights were too old to begin on."},
     {ResultCode::kPoisonRequest, "poison_request", 500, kRan, kNever,
      "Backend servers ended each time they ran this request; it is not tried again for minutes."},
+    {ResultCode::kBackendsAtLimit, "backends_at_limit", 503, kNotRun, kLater,
+     "Every backend server that could run it has asked for rest or has got what it takes."},
     {ResultCode::kPlatformUnavailable, "platform_unavailable", 503, kNotRun, kLater,
      "The platform's key-value service is needed and does not answer."},
     {ResultCode::kPlatformAnswerLost, "platform_answer_lost", 503, kUnknown, kLater,
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -62,7 +62,7 @@
     net::co_spawn(executor_, duty_.Run(), net::detached);
     net::co_spawn(executor_, rollout_.Run(), net::detached);
     net::co_spawn(executor_, peers_->Send(), net::detached);
-    net::co_spawn(executor_, peers_->SendPoisonNews(), net::detached);
+    net::co_spawn(executor_, peers_->SendGossip(), net::detached);
     net::co_spawn(executor_, quarantine_.Run(), net::detached);
     quota_.Start(*peers_);
     net::co_spawn(executor_, peers_->Receive(), net::detached);
@@ -162,6 +162,7 @@
     limits.retries = settings.retries;
     limits.quota_tolerance = settings.quota_tolerance;
     limits.quota_tolerance.granted_part = tuning.quota_tolerance_part;
+    limits.backend_limits.used_part = tuning.limit_tolerance_part;
     limits.admission = tuning.admission;
     limits.poison = tuning.poison;
     limits.patience_objectives = tuning.call_patience;
@@ -320,6 +321,11 @@
       return AdminPage{http::status::ok, "application/json",
                        DumpQuotas(state_, quota_.HoldersByZone(), usages)};
     };
+    pages["/limits"] = [this](const std::string& /*query*/) {
+      const auto usages = quota_.BackendUsages();
+      return AdminPage{http::status::ok, "application/json",
+                       DumpLimits(state_, quota_.HoldersByZone(), usages, Clock::now())};
+    };
     pages["/quarantine"] = [this](const std::string& query) { return QuarantinePage(query); };
     pages["/state"] = [this](const std::string& /*query*/) {
       return AdminPage{http::status::ok, "application/json", Dump()};
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -49,6 +49,8 @@
   std::size_t duty_turns = 6;
   /// See QuotaTolerance.
   double quota_tolerance_part = QuotaTolerance().granted_part;
+  /// See LimitTolerance.
+  double limit_tolerance_part = LimitTolerance().used_part;
   /// Holders of quotas act for 0.8 of it without the store: longer than keys are trusted
   /// without one, so a store that is away stops nothing by itself. An instance that ends
   /// takes a zone's share along for so long; the others are enough for workspaces that
--- a/libs/entry/include/entry/quota_duty.h
+++ b/libs/entry/include/entry/quota_duty.h
@@ -1,4 +1,5 @@
-// Holds the own availability zone's share of all quotas when it is this instance's turn.
+// Holds the own availability zone's share of all quotas, and counts the requests of its
+// backend servers that name a limit, when it is this instance's turn.
 
 #pragma once
 
@@ -7,8 +8,10 @@
 #include <boost/asio/detached.hpp>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "control/held_key.h"
 #include "control/own_records.h"
@@ -23,7 +26,9 @@
 namespace ridgehold {
 
 /// One key in the store for each availability zone, held under a lease. Nothing is done
-/// while the configuration has no quota. Runs on one executor.
+/// while the configuration has no quota and no backend server names a limit. A backend
+/// server's limit is not shared out: all of it is granted by the holder of its zone, since
+/// a zone that is cut off takes its backend servers along. Runs on one executor.
 template <StateStore Store>
 class QuotaDuty {
  public:
@@ -37,34 +42,39 @@
         look_(tuning.quota_look),
         turn_(tuning.duty_turn, tuning.duty_turns),
         key_(store, state.executor(), KeyOptions(tuning), [this] { return MayApply(); }),
-        link_(
-            state.executor(), state.metrics(), LinkOptions(),
-            [this](const std::string& to, const QuotaMessage& message) { Send(to, message); },
-            [this] { return Holders(); }, [this](TimePoint now) { return Taking(now); },
-            [this] { return TakeNewTerms(); }) {}
+        begin_timer_(state.executor()),
+        workspaces_(state.executor(), state.metrics(), WorkspaceOptions(), WorkspaceLink()),
+        backends_(state.executor(), state.metrics(), BackendOptions(), BackendLink()) {}
 
   void Start(PeerLink& peers) {
     peers_ = &peers;
-    peers.SetQuotaListener([this](const QuotaMessage& message, const std::string& from) {
-      link_.Take(message, from);
-    });
+    peers.SetQuotaListener(
+        [this](const QuotaMessage& message, const std::string& from) { Take(message, from); });
     GatewayState::QuotaAsker asker;
-    asker.acquire = [this](QuotaDemand demand) { return link_.Acquire(std::move(demand)); };
-    asker.give_back = [this](const QuotaTicket& ticket) { link_.GiveBack(ticket); };
+    asker.acquire = [this](QuotaDemand demand) {
+      return LinkFor(demand.subject).Acquire(std::move(demand));
+    };
+    asker.give_back = [this](const QuotaTicket& ticket) { LinkOf(ticket.id).GiveBack(ticket); };
     state_.SetQuotaAsker(std::move(asker));
+    state_.words().SetLimitListener([this] { begin_timer_.cancel(); });
     net::co_spawn(state_.executor(), HoldKey(), net::detached);
-    net::co_spawn(state_.executor(), link_.Run(), net::detached);
+    net::co_spawn(state_.executor(), workspaces_.Run(), net::detached);
+    net::co_spawn(state_.executor(), backends_.Run(), net::detached);
   }
 
   /// Gives the share up, so that another instance takes it at once.
   net::awaitable<void> Release() { return key_.Release(); }
   void Stop() {
     stopped_ = true;
-    link_.Stop();
+    state_.words().SetLimitListener({});
+    begin_timer_.cancel();
+    workspaces_.Stop();
+    backends_.Stop();
   }
 
   bool Held(TimePoint now) const { return key_.MayAct(now); }
-  std::vector<QuotaHolder::Usage> Usages() { return link_.Usages(); }
+  std::vector<QuotaHolder::Usage> Usages() { return workspaces_.Usages(); }
+  std::vector<QuotaHolder::Usage> BackendUsages() { return backends_.Usages(); }
 
   /// The holders of all shares as the store says, by zone.
   std::map<ZoneId, std::string> HoldersByZone() const {
@@ -80,15 +90,38 @@
   /// Twenty looks a second, in a fleet that has no quota, would be a fifth of all wake-ups.
   net::awaitable<void> HoldKey() {
     constexpr std::chrono::milliseconds kLookForQuota{500};
-    Timer timer(state_.executor());
-    while (!HasQuotas()) {
+    while (!HasToCount()) {
       if (stopped_) co_return;
-      co_await WaitFor(timer, state_.snapshot() ? kLookForQuota : look_);
+      co_await WaitFor(begin_timer_, state_.snapshot() ? kLookForQuota : look_);
     }
     co_await key_.Run();
   }
 
-  bool HasQuotas() const { return state_.snapshot() && state_.snapshot()->has_quotas(); }
+  bool HasToCount() const {
+    const bool quotas = state_.snapshot() && state_.snapshot()->has_quotas();
+    return quotas || state_.words().AnyLimit(Clock::now());
+  }
+
+  static bool IsBackend(const QuotaSubject& subject) { return BackendIn(subject).has_value(); }
+  QuotaLink& LinkFor(const QuotaSubject& subject) {
+    return IsBackend(subject) ? backends_ : workspaces_;
+  }
+
+  QuotaLink& LinkOf(const QuotaRequestId& own) {
+    return backends_.IsOwn(own) ? backends_ : workspaces_;
+  }
+
+  void Take(const QuotaMessage& message, const std::string& from) {
+    if (const auto* request = std::get_if<QuotaRequest>(&message)) {
+      return LinkFor(request->subject).Take(message, from);
+    }
+    if (const auto* reply = std::get_if<QuotaReply>(&message)) {
+      return LinkOf(reply->id).Take(message, from);
+    }
+    // A refund names no subject; the holder that did not grant it knows nothing of it.
+    workspaces_.Take(message, from);
+    backends_.Take(message, from);
+  }
 
   std::string Key() const { return kQuotaHolderPrefix + settings_.zone.value(); }
   /// The address tells an instance from a later one of the same name.
@@ -113,15 +146,67 @@
     return options;
   }
 
-  QuotaLink::Options LinkOptions() const {
+  static std::uint64_t DrawIncarnation() {
     std::random_device random;
-    const std::uint64_t incarnation = (std::uint64_t{random()} << 32U) | random();
+    return (std::uint64_t{random()} << 32U) | random();
+  }
+
+  QuotaLink::Options WorkspaceOptions() const {
     const auto shares = std::max<std::size_t>(1, settings_.zones.size());
-    return {settings_.instance_address, static_cast<std::uint32_t>(shares), incarnation};
+    return {"workspaces", settings_.instance_address, static_cast<std::uint32_t>(shares),
+            DrawIncarnation()};
+  }
+  QuotaLink::Options BackendOptions() const {
+    return {"backends", settings_.instance_address, 1, DrawIncarnation()};
+  }
+
+  QuotaLink::Surroundings CommonSurroundings() {
+    QuotaLink::Surroundings surroundings;
+    surroundings.send = [this](const std::string& to, const QuotaMessage& message) {
+      Send(to, message);
+    };
+    surroundings.find_taking = [this](TimePoint now) { return Taking(now); };
+    return surroundings;
+  }
+  QuotaLink::Surroundings WorkspaceLink() {
+    QuotaLink::Surroundings surroundings = CommonSurroundings();
+    surroundings.find_holders = [this](const QuotaSubject& /*subject*/) { return Holders(); };
+    surroundings.find_lenders = [this] { return Holders().others; };
+    surroundings.take_new_terms = [this] { return TakeNewTerms(); };
+    return surroundings;
+  }
+  QuotaLink::Surroundings BackendLink() {
+    QuotaLink::Surroundings surroundings = CommonSurroundings();
+    surroundings.find_holders = [this](const QuotaSubject& subject) {
+      return HolderOfBackend(subject);
+    };
+    surroundings.find_lenders = [] { return std::vector<std::string>(); };
+    surroundings.take_new_terms = [this] { return state_.words().TakeNewTerms(); };
+    return surroundings;
+  }
+
+  /// All instances find the same one: two would grant the limit twice.
+  QuotaHolders HolderOfBackend(const QuotaSubject& subject) const {
+    const BackendPtr backend =
+        state_.directory().FindByHash(BackendIn(subject).value_or(BackendHash{0}));
+    if (!backend) return {};
+    const auto holders = HoldersByZone();
+    const auto found = holders.find(CountingZone(*backend));
+    return {found == holders.end() ? "" : found->second, {}};
+  }
+
+  /// Its own zone; where no instance can be, as the settings have no such zone, the one
+  /// that its hash picks.
+  ZoneId CountingZone(const Backend& backend) const {
+    const std::vector<ZoneId>& zones = settings_.zones;
+    if (zones.empty()) return settings_.zone;
+    if (std::ranges::find(zones, backend.entry.zone) != zones.end()) return backend.entry.zone;
+    std::set<ZoneId> sorted(zones.begin(), zones.end());
+    return *std::next(sorted.begin(), static_cast<std::ptrdiff_t>(HashOf(backend) % sorted.size()));
   }
 
   bool MayApply() {
-    const bool free = HasQuotas() && !state_.shutting_down() && store_is_followed_() &&
+    const bool free = HasToCount() && !state_.shutting_down() && store_is_followed_() &&
                       records_.Find(Key()) == nullptr;
     return turn_.MayApply(free, TurnInZone(), Clock::now());
   }
@@ -145,14 +230,14 @@
     return QuotaHolder::Taking{key_.fencing(), key_.sole_since()};
   }
 
-  std::map<WorkspaceId, QuotaTerms> TakeNewTerms() {
-    std::map<WorkspaceId, QuotaTerms> terms;
+  std::map<QuotaSubject, QuotaTerms> TakeNewTerms() {
+    std::map<QuotaSubject, QuotaTerms> terms;
     const auto& snapshot = state_.snapshot();
     if (!snapshot || snapshot->version() == terms_of_) return terms;
     terms_of_ = snapshot->version();
     for (const WorkspaceRule& workspace : snapshot->workspaces()) {
       if (!workspace.quota) continue;
-      terms[workspace.id] =
+      terms[SubjectOf(workspace.id)] =
           TermsOf(*workspace.quota, state_.limits().quota_tolerance, snapshot->version().value());
     }
     return terms;
@@ -181,7 +266,9 @@
   std::chrono::milliseconds look_;
   DutyTurn turn_;
   HeldKey<Store> key_;
-  QuotaLink link_;
+  Timer begin_timer_;
+  QuotaLink workspaces_;
+  QuotaLink backends_;
   PeerLink* peers_ = nullptr;
   ConfigVersion terms_of_;  ///< that the holder has heard of
   bool stopped_ = false;
--- a/libs/entry/include/entry/state_dump.h
+++ b/libs/entry/include/entry/state_dump.h
@@ -32,6 +32,11 @@
 std::string DumpQuotas(const GatewayState& state, const std::map<ZoneId, std::string>& holders,
                        std::span<const QuotaHolder::Usage> usages);
 
+/// What backend servers have asked for, as this instance knows, and what was granted of
+/// their limits here.
+std::string DumpLimits(const GatewayState& state, const std::map<ZoneId, std::string>& holders,
+                       std::span<const QuotaHolder::Usage> usages, TimePoint now);
+
 /// Returns the quarantined requests as JSON text.
 std::string DumpQuarantine(const PoisonGuard& guard, TimePoint now);
 
--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -1,8 +1,10 @@
 #include "entry/state_dump.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "gateway/gateway_state.h"
+#include "gateway/request_log.h"
 
 namespace ridgehold {
 namespace {
@@ -62,7 +64,7 @@
   for (const auto& [zone, address] : holders) shares[zone.value()] = address;
   json used = json::array();
   for (const QuotaHolder::Usage& usage : usages) {
-    used.push_back({{"workspace", usage.workspace.value()},
+    used.push_back({{"workspace", usage.subject.value()},
                     {"config", usage.terms.config_version},
                     {"left", usage.level},
                     {"granted", usage.granted},
@@ -77,6 +79,38 @@
   return dump.dump(2, ' ', false, json::error_handler_t::replace);
 }
 
+std::string DumpLimits(const GatewayState& state, const std::map<ZoneId, std::string>& holders,
+                       std::span<const QuotaHolder::Usage> usages, TimePoint now) {
+  json words = json::array();
+  for (const auto& [id, backend] : state.directory().all()) {
+    const BackendWord& word = backend->word;
+    const auto asked = AskedOfSenderBy(*backend, now);
+    if (!asked) continue;
+    const auto barred =
+        std::max(Duration::zero(), std::chrono::duration_cast<Duration>(word.barred_until() - now));
+    words.push_back({{"backend", id.value()},
+                     {"number", word.number()},
+                     {"limit", asked->limit ? json(asked->limit->per_second()) : json()},
+                     {"leaving", asked->leaving},
+                     {"rest_left_ms", asked->rest_left.count() / 1'000},
+                     {"barred_ms", barred.count() / 1'000},
+                     {"heard_ms_ago", asked->age.count() / 1'000}});
+  }
+  json counted = json::array();
+  for (const QuotaHolder::Usage& usage : usages) {
+    const BackendPtr backend =
+        state.directory().FindByHash(BackendIn(usage.subject).value_or(BackendHash{0}));
+    counted.push_back({{"backend", backend ? backend->entry.id.value() : "gone"},
+                       {"number", usage.terms.config_version},
+                       {"left", usage.level / static_cast<double>(kTokensOfRequest)},
+                       {"granted", usage.granted},
+                       {"refused", usage.refused}});
+  }
+  json shares = json::object();
+  for (const auto& [zone, address] : holders) shares[zone.value()] = address;
+  return json{{"backends", words}, {"holders", shares}, {"counted_here", counted}}.dump(2);
+}
+
 std::string DumpQuarantine(const PoisonGuard& guard, TimePoint now) {
   json list = json::array();
   for (const auto& [request, until] : guard.Quarantined(now)) {
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -92,6 +92,8 @@
       "servers that end under a request before it is quarantined; 0: none is");
   AddPart("quota.tolerance-part", tuning.quota_tolerance_part,
           "part of the platform's tolerance above a quota that is granted");
+  AddPart("limits.tolerance-part", tuning.limit_tolerance_part,
+          "part of what is tolerated above a server's own limit that is used; 0: the limit alone");
   Add("peers.most-told", tuning.most_told,
       "gateways that all tell each other; in larger fleets those that track are asked");
   Add("probing.enabled", tuning.probing.enabled,
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "gateway/backend_notice.h"
+#include "gateway/backend_word.h"
 #include "gateway/engine_cache.h"
 #include "gateway/gateway_news.h"
 #include "gateway/inbound_request.h"
@@ -44,13 +44,6 @@
   std::uint32_t uncovered = 0;  ///< could be resumed, but retries are used up
 };
 
-/// What a backend server has said of itself, as far as this gateway knows.
-struct BackendWord {
-  BackendNotice notice;    ///< its last one to this gateway
-  TimePoint heard_at{};    ///< when that came
-  TimePoint rest_until{};  ///< it wants nothing from this gateway before
-};
-
 /// One backend server. Requests that run there share it with the directory.
 struct Backend {
   BackendEntry entry;
@@ -160,7 +153,7 @@
 
  private:
   /// Restarts remembered for entries that come late; more are forgotten with
-  /// their backend servers.
+  /// their backend servers. So are words.
   static constexpr std::size_t kMostStarts = 20'000;
 
   Registration Judge(const BackendEntry& entry) const;
@@ -168,6 +161,8 @@
   void Store(const BackendEntry& entry, Registration registration);
   void NoteStart(const BackendEntry& entry);
   void Drop(const BackendId& id);
+  void KeepWord(const Backend& backend);
+  void TakeKeptWord(Backend& backend);
   void TellEnd(const Backend& backend) const;
   /// Ends those at the address of `newcomer`, if that is not known yet.
   void Supersede(const BackendEntry& newcomer);
@@ -175,6 +170,9 @@
   std::map<BackendId, BackendPtr> backends_;
   std::unordered_map<BackendHash, BackendPtr> by_hash_;
   std::unordered_map<BackendId, StartStamp> starts_;  ///< the latest known
+  /// Of backend servers that are gone: a registration that lapses and comes back is of
+  /// the same process, and what that has said holds on.
+  std::unordered_map<BackendHash, BackendWord> words_;
   std::function<void(const Backend&)> on_end_;
   std::set<ServiceId> services_;  ///< empty: not known yet
 };
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include "gateway/asked_choice.h"
 #include "gateway/attempt_policy.h"
 #include "gateway/backend_load.h"
+#include "gateway/backend_permit.h"
 #include "gateway/caller_connection.h"
 #include "gateway/event_relay.h"
 #include "gateway/exchange_plan.h"
@@ -53,6 +54,7 @@
   /// One attempt while it runs.
   struct Attempt {
     BackendPtr backend;
+    TimePoint sent{};
     std::optional<WeightsNumber> expected_weights;
     std::shared_ptr<OutboundConnection> connection;
     AnswerHead head;
@@ -148,7 +150,7 @@
     if (caller_->caller_gone()) co_return NextStep::kDone;
     if (Quarantined()) co_return StepOfQuarantined();
     // What the last attempt has answered is still the best there is.
-    if (!choice) co_return StepWithoutRetry(facts_);
+    if (!choice) co_return StepWithoutChoice();
     attempt_ = Attempt{};
     attempt_.backend = choice->backend;
     attempt_.expected_weights = choice->weights;
@@ -159,6 +161,8 @@
     load_.emplace(state_, plan_, inbound_, *choice, last_run);
     const AttemptEnd end = co_await RunAttempt(*choice);
     load_.reset();
+    const bool unused = end == AttemptEnd::kNotSent || end == AttemptEnd::kSkipped;
+    if (unused && record_.permit.ticket) state_.GiveBackQuota(*record_.permit.ticket);
     if (end == AttemptEnd::kBroken) co_await NoteBroken();
     co_return Judge(end);
   }
@@ -180,25 +184,91 @@
     co_await state_.ConfirmEnd(attempt_.backend);
   }
 
-  /// Chooses an engine and waits, if need be, until it has room.
+  /// In one look. Each costs a round trip to whoever counts.
+  static constexpr int kMostPermitsRefused = 4;
+
+  /// How a look for a backend server has ended.
+  enum class Look : std::uint8_t {
+    kFound,
+    kWait,  ///< for room that there will be
+    kNone,
+  };
+
+  /// Chooses a backend server and waits, if need be, until it has room.
   net::awaitable<std::optional<BackendChoice>> ChooseInTurn() {
-    std::optional<BackendChoice> choice = co_await Choose();
-    if (!choice || MaySend(*choice)) co_return choice;
+    std::optional<BackendChoice> choice;
+    Look look = co_await LookOnce(choice);
+    if (look == Look::kWait) look = co_await WaitForTurn(choice);
+    if (look == Look::kNone) choice.reset();
+    co_return choice;
+  }
+
+  /// Chooses one that takes the request now, and gets the permit that it may need.
+  net::awaitable<Look> LookOnce(std::optional<BackendChoice>& choice) {
+    for (int refused = 0; refused < kMostPermitsRefused; ++refused) {
+      choice = co_await Choose();
+      if (!choice) co_return RoomSoon() ? Look::kWait : Look::kNone;
+      if (!MaySend(*choice)) co_return Look::kWait;
+      record_.permit = co_await AcquirePermit(state_, choice->backend);
+      if (record_.permit.MaySend()) co_return Look::kFound;
+      ++record_.permits_refused;
+    }
+    // Those are barred for others, too: the next look asks few.
+    choice.reset();
+    co_return Look::kWait;
+  }
+
+  net::awaitable<Look> WaitForTurn(std::optional<BackendChoice>& choice) {
     DeferredRequests::Ticket ticket(state_.deferred_requests(), plan_.priority.value_or(0));
     Timer timer(state_.executor());
     const TimePoint began = Clock::now();
-    while (!caller_->caller_gone() && !Quarantined() &&
+    Look look = Look::kWait;
+    while (look == Look::kWait && !caller_->caller_gone() && !Quarantined() &&
            Clock::now() + state_.limits().least_time < WaitLimit()) {
       co_await WaitFor(
           timer, state_.asks_first() ? DeferredRequests::kAskingLook : DeferredRequests::kLook);
-      const AdmissionQuery place = AdmissionQueryFor(plan_, *choice, Clock::now());
-      if (!Admission::InTime(place)) ticket.SetLate();
-      if (!ticket.MayLook() && !RuleOfAdmission().WaitedEnough(place)) continue;
-      choice = co_await Choose();
-      if (!choice || MaySend(*choice)) break;
+      if (MayLook(ticket, choice)) look = co_await LookOnce(choice);
     }
     record_.deferred = std::chrono::duration_cast<Duration>(Clock::now() - began);
-    co_return choice;
+    // At the end of its time a request is sent although the engine is full, but not
+    // without the permit that the engine's own word demands.
+    const bool demands = !choice || choice->backend->word.limit();
+    if (look == Look::kWait) look = demands ? Look::kNone : Look::kFound;
+    co_return look;
+  }
+
+  bool MayLook(DeferredRequests::Ticket& ticket, const std::optional<BackendChoice>& choice) {
+    if (!choice) return ticket.MayLook() || !RoomSoon();
+    const AdmissionQuery place = AdmissionQueryFor(plan_, *choice, Clock::now());
+    if (!Admission::InTime(place)) ticket.SetLate();
+    return ticket.MayLook() || RuleOfAdmission().WaitedEnough(place);
+  }
+
+  std::optional<TimePoint> NextRoom() const {
+    return SoonestRoom(state_, plan_, inbound_, tried_, Clock::now());
+  }
+
+  /// Whether waiting here is better than coming back: the caller's tries are few. The
+  /// caller of a stream that has begun cannot come back, but is still reading.
+  bool RoomSoon() const {
+    const std::optional<TimePoint> room = NextRoom();
+    if (!room) return false;
+    const auto patience = plan_.route->latency_objective / 4;
+    const TimePoint until = begun_ ? plan_.answer_by : TimePoint(plan_.received + patience);
+    return *room < until && Clock::now() < until;
+  }
+
+  /// No backend server takes the request now.
+  NextStep StepWithoutChoice() {
+    const bool nothing_known = last_code_ == ResultCode::kNoBackend;
+    if (nothing_known && NextRoom()) last_code_ = ResultCode::kBackendsAtLimit;
+    return StepWithoutRetry(facts_);
+  }
+
+  std::chrono::milliseconds RetryAfter() const {
+    const std::optional<TimePoint> room = NextRoom();
+    if (!room) return RetryAfterFor(state_, plan_);
+    return RetryAfterRoom(plan_, inbound_, *room, Clock::now());
   }
 
   Admission RuleOfAdmission() const { return Admission{state_.limits().admission}; }
@@ -243,7 +313,10 @@
     const bool caller_gone = caller_->CheckCallerGone();
     const TimePoint now = Clock::now();
     const bool too_late = now >= WaitLimit();
-    const bool may_send = !Quarantined() && MayStillSend(state_, inbound_, choice, now);
+    const bool permitted =
+        !attempt_.backend->word.limit() || record_.permit.verdict != PermitVerdict::kNotNeeded;
+    const bool may_send =
+        !Quarantined() && permitted && MayStillSend(state_, inbound_, choice, now);
     if (caller_gone || too_late || !may_send) {
       state_.pool().Release(address, std::move(checkout.connection));
       if (caller_gone) co_return AttemptEnd::kCallerGone;
@@ -254,6 +327,7 @@
     AttemptDirectives directives = DirectivesFor(state_, plan_, choice, now);
     directives.resume_after = relay_.last_event();
     WatchBegin();
+    attempt_.sent = now;
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptEnd end = co_await ReadAnswer();
     waiting_.reset();
@@ -312,7 +386,7 @@
   }
 
   net::awaitable<AttemptEnd> ReadOwnAnswer() {
-    LearnFromHead(state_, *attempt_.backend, inbound_, attempt_.head);
+    LearnFromHead(state_, *attempt_.backend, inbound_, attempt_.head, attempt_.sent);
     attempt_.caller_head = Wire::MakeCallerHead(attempt_.connection->head());
     if (!IsAcceptable(attempt_.head)) {
       last_code_ = ResultCode::kForeignAnswer;
@@ -469,7 +543,7 @@
         co_await Deliver();
         break;
       case NextStep::kRefuse:
-        co_await RefuseWith(NotRunCode(last_code_, facts_), RetryAfterFor(state_, plan_));
+        co_await RefuseWith(NotRunCode(last_code_, facts_), RetryAfter());
         break;
       case NextStep::kFail:
         co_await RefuseWith(FailedCode(last_code_), kDefaultRetryAfter);
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -69,6 +69,17 @@
                                       const InboundRequest& request,
                                       const std::set<BackendId>& tried, TimePoint now);
 
+/// When the first of those that may be given the request takes one, by its own word; now
+/// or later, nothing if there is none.
+std::optional<TimePoint> SoonestRoom(const GatewayState& state, const ExchangePlan& plan,
+                                     const InboundRequest& request,
+                                     const std::set<BackendId>& tried, TimePoint now);
+
+/// When a caller should come back for which there is room from `room` on. Callers that are
+/// refused at one moment come back at different ones.
+std::chrono::milliseconds RetryAfterRoom(const ExchangePlan& plan, const InboundRequest& request,
+                                         TimePoint room, TimePoint now);
+
 /// The same among `candidates`, which are never none; `answers` is what the
 /// gateways say that track them, null where everything is known here.
 BackendChoice ChooseAmong(GatewayState& state, const ExchangePlan& plan,
@@ -112,9 +123,9 @@
 /// Whether the head is of an answer to an earlier request on the connection.
 bool IsOlderAnswer(const AnswerHead& head);
 
-/// Takes what an answer's head tells of the backend server.
+/// Takes what an answer's head tells of the backend server; the request was sent at `sent`.
 void LearnFromHead(GatewayState& state, Backend& backend, const InboundRequest& request,
-                   const AnswerHead& head);
+                   const AnswerHead& head, TimePoint sent);
 
 /// Takes what an attempt's outcome tells of the backend server.
 void NoteOutcome(const GatewayState& state, const InboundRequest& request, Backend& backend,
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 #include "base/ids.h"
 #include "gateway/admission.h"
 #include "gateway/backend_directory.h"
+#include "gateway/backend_words.h"
 #include "gateway/deferred_requests.h"
 #include "gateway/gateway_news.h"
 #include "gateway/load_report.h"
@@ -42,6 +43,7 @@
   std::chrono::milliseconds older_weights{10'000};
   RetryBound retries;
   QuotaTolerance quota_tolerance;
+  LimitTolerance backend_limits;
   /// Whole answers larger than this are not kept.
   std::size_t max_answer_bytes = std::size_t{16} << 20;
   /// A repeatable call without an answer's head for this many objectives is
@@ -71,6 +73,7 @@
         retries_(limits.retries),
         poison_(metrics, limits.poison),
         waiting_attempts_(executor, named_weights_, limits.older_weights) {
+    words_.SetTolerance(limits.backend_limits);
     named_weights_.SetListener([this] { waiting_attempts_.Review(); });
     directory_.SetEndListener([this](const Backend& backend) {
       poison_.NoteEnded(backend, "registration", Clock::now());
@@ -90,6 +93,7 @@
   void SetLimits(const GatewayLimits& limits) {
     limits_ = limits;
     retries_.SetBound(limits.retries);
+    words_.SetTolerance(limits.backend_limits);
     waiting_attempts_.SetLimit(limits.older_weights);
   }
   const PlacementWeights& weights() const { return placement_weights_; }
@@ -160,6 +164,8 @@
     if (quota_asker_.give_back) quota_asker_.give_back(ticket);
   }
 
+  BackendWords& words() { return words_; }
+
   DeferredRequests& deferred_requests() { return deferred_requests_; }
 
   /// Gateways that are alive, this one included.
@@ -230,9 +236,6 @@
   /// A backend server was seen to run these weights.
   void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber number);
 
-  /// What the backend server has just said of itself to this gateway.
-  void NoteNotice(Backend& backend, const BackendNotice& notice, TimePoint now);
-
   /// A probe of this gateway has not reached it; the others are to look, too.
   void NoteUnreachable(Backend& backend);
 
@@ -272,6 +275,7 @@
   Metrics& metrics_;
   ConnectionPool pool_;
   BackendDirectory directory_;
+  BackendWords words_{directory_};
   RetryAllowance retries_;
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   TimePoint confirmed_at_{};
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -10,6 +10,7 @@
 #include "base/result_code.h"
 #include "gateway/attempt_policy.h"
 #include "gateway/backend_directory.h"
+#include "gateway/backend_permit.h"
 #include "gateway/inbound_request.h"
 #include "gateway/request_fingerprint.h"
 #include "quota/quota_client.h"
@@ -37,9 +38,10 @@
 
 /// What the backend server had asked of this gateway when a request was sent there.
 struct AskedOfSender {
-  BackendNotice notice;
-  Duration age{0};        ///< of the notice
-  Duration rest_left{0};  ///< that it had asked for
+  std::optional<RequestRate> limit;
+  bool leaving = false;
+  Duration rest_left{0};
+  Duration age{0};  ///< of its last notice to this gateway
 };
 
 /// What is remembered of a request for its line.
@@ -66,10 +68,12 @@
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
   std::optional<AskedOfSender> asked_of_sender;  ///< none: nothing, as far as is known here
-  std::optional<QuotaOutcome> quota;             ///< none: the workspace has no quota
-  std::uint64_t quota_tokens = 0;                ///< what the request needs of it
-  Duration quota_took{0};                        ///< until it was known
-  int status = 0;                                ///< sent to the caller
+  Permit permit;                      ///< of the last attempt, if its server names a limit
+  std::uint32_t permits_refused = 0;  ///< by whoever counts, at any server
+  std::optional<QuotaOutcome> quota;  ///< none: the workspace has no quota
+  std::uint64_t quota_tokens = 0;     ///< what the request needs of it
+  Duration quota_took{0};             ///< until it was known
+  int status = 0;                     ///< sent to the caller
   ResultCode code = ResultCode::kOk;
   bool out_of_retries = false;
   std::string detail;
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -45,7 +45,8 @@
   if (registration == Registration::kRestarted) Drop(entry.id);
   NoteStart(entry);
   BackendPtr& backend = backends_[entry.id];
-  if (!backend) backend = std::make_shared<Backend>();
+  const bool is_new = !backend;
+  if (is_new) backend = std::make_shared<Backend>();
   by_hash_.erase(HashOf(*backend));
   backend->missing_until.reset();
   backend->removed = false;
@@ -55,6 +56,20 @@
   backend->entry = entry;
   backend->entry.started = started;
   by_hash_[HashOf(*backend)] = backend;
+  if (is_new) TakeKeptWord(*backend);
+}
+
+void BackendDirectory::KeepWord(const Backend& backend) {
+  const BackendWord& word = backend.word;
+  const bool says_something = word.limit() || word.leaving() || word.rest_until() != TimePoint();
+  if (!says_something) return;
+  if (words_.size() >= kMostStarts) words_.clear();
+  words_[HashOf(backend)] = word;
+}
+
+void BackendDirectory::TakeKeptWord(Backend& backend) {
+  const auto kept = words_.extract(HashOf(backend));
+  if (!kept.empty()) backend.word = kept.mapped();
 }
 
 void BackendDirectory::NoteStart(const BackendEntry& entry) {
@@ -86,6 +101,7 @@
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
   found->second->removed = true;
+  KeepWord(*found->second);
   TellEnd(*found->second);
   by_hash_.erase(HashOf(*found->second));
   backends_.erase(found);
--- /dev/null
+++ b/libs/gateway/src/backend_permit.cc
@@ -0,0 +1,78 @@
+#include "gateway/backend_permit.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include "gateway/gateway_state.h"
+#include "gateway/uncounted_turns.h"
+
+namespace ridgehold {
+namespace {
+
+// A share that nobody held is taken within some 300 ms. The backend server gets what it
+// got before for so long: were all to name limits at once, nothing would be served else.
+constexpr std::chrono::milliseconds kNobodyCountsYet{1'000};
+// Whoever counts may be back by then.
+constexpr std::chrono::milliseconds kAskAgain{250};
+// An answer from another zone takes as long.
+constexpr std::chrono::milliseconds kLeastBar{5};
+
+/// Whether a request may go while nobody who counts has answered.
+bool MayGoUncounted(Backend& backend, bool asked, const PermitAsker& asker, TimePoint now) {
+  BackendWord& word = backend.word;
+  if (!asked && now - word.limited_since() < kNobodyCountsYet) return true;
+  if (word.TakeUncounted(HashOf(backend), asker.gateway, asker.gateways, now)) return true;
+  word.NoteNoPermit(std::min<TimePoint>(UncountedTurns::NextTurn(now), now + kAskAgain));
+  return false;
+}
+
+}  // namespace
+
+PermitVerdict JudgePermit(Backend& backend, const QuotaOutcome& outcome, const PermitAsker& asker,
+                          TimePoint now) {
+  switch (outcome.verdict) {
+    case QuotaVerdict::kGranted:
+      return PermitVerdict::kGranted;
+    case QuotaVerdict::kOverQuota:
+    case QuotaVerdict::kTooLarge:
+      backend.word.NoteNoPermit(now + std::max<Duration>(outcome.retry_after, kLeastBar));
+      return PermitVerdict::kRefused;
+    case QuotaVerdict::kNotHolder:
+      break;
+  }
+  const bool may_go = MayGoUncounted(backend, outcome.asked > 0, asker, now);
+  return may_go ? PermitVerdict::kUncounted : PermitVerdict::kNobodyCounts;
+}
+
+net::awaitable<Permit> AcquirePermit(GatewayState& state, BackendPtr backend) {
+  Permit permit;
+  if (!backend->word.limit()) co_return permit;
+  const TimePoint began = Clock::now();
+  QuotaDemand demand;
+  demand.subject = state.words().SubjectFor(*backend);
+  demand.tokens = kTokensOfRequest;
+  demand.terms = state.words().TermsFor(*backend);
+  const QuotaOutcome outcome = co_await state.AcquireQuota(std::move(demand));
+  const TimePoint now = Clock::now();
+  permit.took = std::chrono::duration_cast<Duration>(now - began);
+  const PermitAsker asker{state.gateway_hash(), state.gateways()};
+  permit.verdict = JudgePermit(*backend, outcome, asker, now);
+  if (permit.verdict == PermitVerdict::kGranted) permit.ticket = outcome.ticket;
+  state.metrics()
+      .GetCounter("ridgehold_permits", "verdict=\"" + std::string(NameOf(permit.verdict)) + "\"")
+      .Add();
+  state.metrics()
+      .GetSummary("ridgehold_permit_seconds")
+      .Observe(std::chrono::duration<double>(permit.took).count());
+  co_return permit;
+}
+
+std::string_view NameOf(PermitVerdict verdict) {
+  constexpr std::array<std::string_view, 5> kNames = {"not_needed", "granted", "uncounted",
+                                                      "refused", "nobody_counts"};
+  return kNames.at(static_cast<std::size_t>(verdict));
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/backend_word.cc
@@ -0,0 +1,76 @@
+#include "gateway/backend_word.h"
+
+#include <algorithm>
+
+#include "gateway/uncounted_turns.h"
+
+namespace ridgehold {
+namespace {
+
+/// Of two words with one number the stricter holds.
+bool IsStricter(const std::optional<RequestRate>& limit, const std::optional<RequestRate>& other) {
+  return limit && (!other || *limit < *other);
+}
+
+}  // namespace
+
+bool BackendWord::TakeNotice(const BackendNotice& notice, TimePoint sent, TimePoint now) {
+  heard_at_ = now;
+  if (notice.rest) rest_until_ = std::max<TimePoint>(rest_until_, now + *notice.rest);
+  bool changed = notice.leaving && !leaving_;
+  leaving_ = leaving_ || notice.leaving;
+  // An answer that was on its way when the limit was heard of says nothing of its end.
+  const bool later = sent > known_at_;
+  if (later && !notice.limit_unreadable && notice.limit != limit_) {
+    SetLimit(notice.limit, now);
+    changed = true;
+  }
+  if (!changed) return false;
+  ++number_;
+  known_at_ = now;
+  return true;
+}
+
+bool BackendWord::TakeNews(const BackendNews& news, TimePoint now) {
+  // That it leaves holds however old the news.
+  const bool newly_leaving = news.leaving && !leaving_;
+  leaving_ = leaving_ || news.leaving;
+  if (newly_leaving) known_at_ = now;
+  if (news.number < number_) return news.limit != limit_ || news.leaving != leaving_;
+  const bool same = news.number == number_;
+  if (same && !IsStricter(news.limit, limit_)) return false;
+  SetLimit(news.limit, now);
+  number_ = news.number;
+  known_at_ = now;
+  return false;
+}
+
+BackendNews BackendWord::News(BackendHash backend) const {
+  return {backend, number_, limit_, leaving_};
+}
+
+void BackendWord::SetLimit(const std::optional<RequestRate>& limit, TimePoint now) {
+  if (!limit_) limited_since_ = now;
+  limit_ = limit;
+  // What was refused a permit was refused it under the former limit.
+  no_permit_until_ = {};
+}
+
+TimePoint BackendWord::barred_until() const {
+  return limit_ ? no_permit_until_ : TimePoint();
+}
+
+void BackendWord::NoteNoPermit(TimePoint until) {
+  no_permit_until_ = std::max(no_permit_until_, until);
+}
+
+bool BackendWord::TakeUncounted(BackendHash backend, std::uint64_t gateway, std::uint32_t gateways,
+                                TimePoint now) {
+  const std::int64_t turn = UncountedTurns::TurnAt(now);
+  const bool mine = limit_ && UncountedTurns::IsDrawn({backend, gateway, gateways, *limit_}, turn);
+  if (!mine || uncounted_turn_ == turn) return false;
+  uncounted_turn_ = turn;
+  return true;
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/gateway/src/backend_words.cc
@@ -0,0 +1,84 @@
+#include "gateway/backend_words.h"
+
+#include <fmt/format.h>
+
+#include <string>
+
+#include "log/log.h"
+
+namespace ridgehold {
+namespace {
+
+// Whoever counts stays ready for so long after a limit was last heard of.
+constexpr std::chrono::seconds kCounted{60};
+
+void LogWord(const char* event, const Backend& backend) {
+  const BackendWord& word = backend.word;
+  const std::string limit =
+      word.limit() ? fmt::format("{:.3f}", word.limit()->per_second()) : "none";
+  Log(LogLevel::kInfo, event,
+      {{"backend", backend.entry.id.value()},
+       {"address", backend.entry.address},
+       {"number", std::to_string(word.number())},
+       {"limit", limit},
+       {"leaving", word.leaving() ? "yes" : "no"}});
+}
+
+}  // namespace
+
+void BackendWords::Note(Backend& backend, const BackendNotice& notice, TimePoint sent,
+                        TimePoint now) {
+  if (notice.rest) {
+    Log(LogLevel::kInfo, "backend rests",
+        {{"backend", backend.entry.id.value()},
+         {"address", backend.entry.address},
+         {"rest_ms", std::to_string(notice.rest->count())}});
+  }
+  const bool changed = backend.word.TakeNotice(notice, sent, now);
+  if (notice.limit) counted_until_ = now + kCounted;
+  if (!changed) return;
+  LogWord("backend notice", backend);
+  news_.items.push_back(backend.word.News(HashOf(backend)));
+  NoteChange(backend, now);
+  if (on_news_) on_news_();
+}
+
+BackendNewsList BackendWords::Take(const BackendNewsList& news, TimePoint now) {
+  BackendNewsList better;
+  for (const BackendNews& item : news.items) {
+    const BackendPtr backend = directory_.FindByHash(item.backend);
+    if (!backend) continue;
+    const BackendNews before = backend->word.News(item.backend);
+    if (backend->word.TakeNews(item, now)) better.items.push_back(before);
+    if (backend->word.News(item.backend) == before) continue;
+    LogWord("backend notice told", *backend);
+    NoteChange(*backend, now);
+  }
+  return better;
+}
+
+BackendNewsList BackendWords::Refreshed(const BackendNewsList& news) const {
+  BackendNewsList refreshed;
+  for (const BackendNews& item : news.items) {
+    const BackendPtr backend = directory_.FindByHash(item.backend);
+    if (backend) refreshed.items.push_back(backend->word.News(item.backend));
+  }
+  return refreshed;
+}
+
+void BackendWords::NoteChange(const Backend& backend, TimePoint now) {
+  if (!backend.word.limit()) return;
+  counted_until_ = now + kCounted;
+  new_terms_[SubjectFor(backend)] = TermsFor(backend);
+  if (on_limit_) on_limit_();
+}
+
+QuotaSubject BackendWords::SubjectFor(const Backend& backend) const {
+  return SubjectOfBackend(HashOf(backend));
+}
+
+QuotaTerms BackendWords::TermsFor(const Backend& backend) const {
+  return TermsOf(*backend.word.limit(), tolerance_, backend.word.number());
+}
+
+}  // namespace ridgehold
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -1,6 +1,10 @@
 #include "gateway/exchange_plan.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cstdint>
 
 namespace ridgehold {
 namespace {
@@ -75,6 +79,12 @@
   return outdated ? kReloadPause : kRefusalPause;
 }
 
+std::chrono::milliseconds LeastRetryAfter(const ExchangePlan& plan) {
+  // A quarter of the objective leaves time to be served within it.
+  const auto quarter = plan.route->latency_objective / 4;
+  return std::max<std::chrono::milliseconds>(quarter, std::chrono::milliseconds(50));
+}
+
 std::optional<QuotaDemand> QuotaDemandOf(const GatewayState& state, const ExchangePlan& plan,
                                          const InboundRequest& request) {
   if (plan.workspace == nullptr || !plan.workspace->quota) return std::nullopt;
@@ -85,7 +95,7 @@
         std::uint64_t{request.generation->prompt_tokens} + request.generation->max_output_tokens;
   }
   QuotaDemand demand;
-  demand.workspace = plan.workspace->id;
+  demand.subject = SubjectOf(plan.workspace->id);
   demand.tokens = quota.CostOf(tokens);
   demand.terms = TermsOf(quota, state.limits().quota_tolerance, plan.snapshot->version().value());
   demand.patience_until = plan.received + plan.route->latency_objective / 4;
@@ -165,7 +175,7 @@
                                       const std::set<BackendId>& tried, TimePoint now) {
   std::vector<BackendPtr> candidates = state.directory().Usable(plan.service, now);
   std::erase_if(candidates, [&](const BackendPtr& backend) {
-    if (tried.contains(backend->entry.id)) return true;
+    if (tried.contains(backend->entry.id) || backend->word.Bars(now)) return true;
     if (!request.generation) return false;
     return !WeightsAllowed(state, *backend, request.generation->model, now);
   });
@@ -176,6 +186,31 @@
   return candidates;
 }
 
+std::optional<TimePoint> SoonestRoom(const GatewayState& state, const ExchangePlan& plan,
+                                     const InboundRequest& request,
+                                     const std::set<BackendId>& tried, TimePoint now) {
+  std::optional<TimePoint> soonest;
+  for (const BackendPtr& backend : state.directory().Usable(plan.service, now)) {
+    const bool may_take =
+        !request.generation || WeightsAllowed(state, *backend, request.generation->model, now);
+    if (tried.contains(backend->entry.id) || !may_take) continue;
+    const TimePoint room = std::max(now, backend->word.barred_until());
+    soonest = soonest ? std::min(*soonest, room) : room;
+  }
+  return soonest;
+}
+
+std::chrono::milliseconds RetryAfterRoom(const ExchangePlan& plan, const InboundRequest& request,
+                                         TimePoint room, TimePoint now) {
+  constexpr double kSpread = 0.5;
+  const std::uint64_t hash = XXH3_64bits(request.id.value().data(), request.id.value().size());
+  const double drawn = static_cast<double>(hash) / static_cast<double>(UINT64_MAX);
+  const auto until = std::chrono::duration<double, std::milli>(room - now);
+  const std::chrono::duration<double, std::milli> least = LeastRetryAfter(plan);
+  const auto wait = std::max(until, least) * (1 + kSpread * drawn);
+  return std::chrono::ceil<std::chrono::milliseconds>(wait);
+}
+
 std::optional<BackendChoice> ChooseFor(GatewayState& state, const ExchangePlan& plan,
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now) {
@@ -317,9 +352,9 @@
 bool IsOlderAnswer(const AnswerHead& head) { return !head.request.value().empty(); }
 
 void LearnFromHead(GatewayState& state, Backend& backend, const InboundRequest& request,
-                   const AnswerHead& head) {
+                   const AnswerHead& head, TimePoint sent) {
   // Another incarnation speaks of itself.
-  if (head.status != kMisdirected) state.NoteNotice(backend, head.notice, Clock::now());
+  if (head.status != kMisdirected) state.words().Note(backend, head.notice, sent, Clock::now());
   if (!request.generation || !head.weights) return;
   state.NoteWeights(backend, request.generation->model, *head.weights);
 }
@@ -373,9 +408,7 @@
 }
 
 std::chrono::milliseconds RetryAfterFor(const GatewayState& /*state*/, const ExchangePlan& plan) {
-  // A quarter of the objective leaves time to be served within it.
-  const auto quarter = plan.route->latency_objective / 4;
-  return std::max<std::chrono::milliseconds>(quarter, std::chrono::milliseconds(50));
+  return LeastRetryAfter(plan);
 }
 
 }  // namespace ridgehold
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -3,24 +3,9 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
-#include <string>
 #include <utility>
 
-#include "log/log.h"
-
 namespace ridgehold {
-namespace {
-
-void LogNotice(const Backend& backend, const BackendNotice& notice) {
-  LogFields fields = {{"backend", backend.entry.id.value()},
-                      {"address", backend.entry.address},
-                      {"leaving", notice.leaving ? "yes" : "no"}};
-  if (notice.limit) fields.push_back({"limit", std::to_string(notice.limit->per_second())});
-  if (notice.rest) fields.push_back({"rest_ms", std::to_string(notice.rest->count())});
-  Log(LogLevel::kInfo, "backend notice", fields);
-}
-
-}  // namespace
 
 ReadingSpeed& GatewayState::reading_speed(const ServiceId& service) {
   return reading_speeds_.try_emplace(service, placement_weights_.prefill_tokens_per_ms)
@@ -177,15 +162,6 @@
   NoteLoadChange();
 }
 
-void GatewayState::NoteNotice(Backend& backend, const BackendNotice& notice, TimePoint now) {
-  BackendWord& word = backend.word;
-  const bool changed = notice.limit != word.notice.limit || notice.leaving != word.notice.leaving;
-  if (changed || notice.rest) LogNotice(backend, notice);
-  word.notice = notice;
-  word.heard_at = now;
-  if (notice.rest) word.rest_until = std::max<TimePoint>(word.rest_until, now + *notice.rest);
-}
-
 void GatewayState::NoteUnreachable(Backend& backend) {
   backend.doubted = true;
   if (!std::exchange(backend.reachable, false)) return;
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -98,11 +98,18 @@
 }
 
 void AppendAsked(const RequestRecord& record, LogFields& fields) {
+  if (record.permits_refused > 0) {
+    fields.push_back({"permits_refused", std::to_string(record.permits_refused)});
+  }
+  if (record.permit.verdict != PermitVerdict::kNotNeeded) {
+    fields.push_back({"permit", std::string(NameOf(record.permit.verdict))});
+    fields.push_back({"permit_ms", MillisecondsText(record.permit.took)});
+    if (record.permit.ticket) fields.push_back({"permit_from", record.permit.ticket->holder});
+  }
   if (!record.asked_of_sender) return;
   const AskedOfSender& asked = *record.asked_of_sender;
-  const BackendNotice& notice = asked.notice;
-  if (notice.limit) fields.push_back({"limit", fmt::format("{:.3f}", notice.limit->per_second())});
-  if (notice.leaving) fields.push_back({"leaving", "yes"});
+  if (asked.limit) fields.push_back({"limit", fmt::format("{:.3f}", asked.limit->per_second())});
+  if (asked.leaving) fields.push_back({"leaving", "yes"});
   if (asked.rest_left > Duration::zero()) {
     fields.push_back({"rest_left_ms", MillisecondsText(asked.rest_left)});
   }
@@ -113,13 +120,10 @@
 
 std::optional<AskedOfSender> AskedOfSenderBy(const Backend& backend, TimePoint now) {
   const BackendWord& word = backend.word;
-  AskedOfSender asked;
-  asked.notice = word.notice;
-  asked.age = std::chrono::duration_cast<Duration>(now - word.heard_at);
-  asked.rest_left =
-      std::max(Duration::zero(), std::chrono::duration_cast<Duration>(word.rest_until - now));
-  const bool nothing =
-      !asked.notice.limit && !asked.notice.leaving && asked.rest_left == Duration::zero();
+  const auto rest = std::chrono::duration_cast<Duration>(word.rest_until() - now);
+  const AskedOfSender asked{word.limit(), word.leaving(), std::max(Duration::zero(), rest),
+                            std::chrono::duration_cast<Duration>(now - word.heard_at())};
+  const bool nothing = !asked.limit && !asked.leaving && asked.rest_left == Duration::zero();
   return nothing ? std::nullopt : std::optional(asked);
 }
 
--- /dev/null
+++ b/libs/gateway/test/backend_word-test.cc
@@ -0,0 +1,139 @@
+// What a backend server asks for, as gateways hear it from answers and from each other.
+
+#include "gateway/backend_word.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "gateway/backend_directory.h"
+#include "gateway/uncounted_turns.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BackendHash kBackend = 5;
+const TimePoint kStart{1h};
+
+BackendNotice Limit(double per_second) {
+  BackendNotice notice;
+  notice.limit = RequestRate::Of(per_second);
+  return notice;
+}
+
+BackendNotice Rest(std::chrono::milliseconds length) {
+  BackendNotice notice;
+  notice.rest = length;
+  return notice;
+}
+
+BackendEntry Entry(const std::string& id) {
+  BackendEntry entry;
+  entry.id = BackendId(id);
+  entry.service = ServiceId("s");
+  entry.address = id + ":1";
+  return entry;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(backend_word)
+
+BOOST_AUTO_TEST_CASE(limit_is_told_once_and_ends_with_an_answer_that_names_none) {
+  BackendWord word;
+  BOOST_TEST(word.TakeNotice(Limit(1.5), kStart, kStart + 10ms));
+  BOOST_TEST(!word.TakeNotice(Limit(1.5), kStart + 20ms, kStart + 30ms));
+  BOOST_TEST((word.limit() == RequestRate::Of(1.5)));
+  BOOST_TEST(word.TakeNotice({}, kStart + 40ms, kStart + 50ms));
+  BOOST_TEST(!word.limit().has_value());
+}
+
+// Answers overtake each other: one that was made before the limit says nothing of its end.
+BOOST_AUTO_TEST_CASE(answer_to_a_request_sent_before_the_limit_was_known_does_not_end_it) {
+  BackendWord word;
+  word.TakeNotice(Limit(1.5), kStart, kStart + 10ms);
+  BOOST_TEST(!word.TakeNotice({}, kStart + 5ms, kStart + 400ms));
+  BOOST_TEST(word.limit().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(limit_that_cannot_be_read_changes_nothing) {
+  BackendWord word;
+  word.TakeNotice(Limit(1.5), kStart, kStart + 10ms);
+  BackendNotice unreadable;
+  unreadable.limit_unreadable = true;
+  BOOST_TEST(!word.TakeNotice(unreadable, kStart + 20ms, kStart + 30ms));
+  BOOST_TEST((word.limit() == RequestRate::Of(1.5)));
+}
+
+BOOST_AUTO_TEST_CASE(later_word_holds_in_whatever_order_news_come) {
+  BackendWord teller;
+  teller.TakeNotice(Limit(1.5), kStart, kStart + 10ms);
+  const BackendNews first = teller.News(kBackend);
+  teller.TakeNotice(Limit(3), kStart + 20ms, kStart + 30ms);
+  const BackendNews second = teller.News(kBackend);
+  BackendWord listener;
+  BOOST_TEST(!listener.TakeNews(second, kStart));
+  // Whoever tells of the first knows less.
+  BOOST_TEST(listener.TakeNews(first, kStart));
+  BOOST_TEST((listener.limit() == RequestRate::Of(3)));
+  BOOST_TEST(!listener.TakeNews(second, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(of_two_words_with_one_number_all_take_the_stricter) {
+  const BackendNews high{kBackend, 1, RequestRate::Of(3), false};
+  const BackendNews low{kBackend, 1, RequestRate::Of(2), false};
+  for (const auto& order : {std::vector{high, low}, std::vector{low, high}}) {
+    BackendWord word;
+    for (const BackendNews& news : order) word.TakeNews(news, kStart);
+    BOOST_TEST((word.limit() == RequestRate::Of(2)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refused_permit_bars_until_there_may_be_one_or_the_limit_changes) {
+  BackendWord word;
+  word.TakeNotice(Limit(1.5), kStart, kStart);
+  word.NoteNoPermit(kStart + 800ms);
+  BOOST_TEST(word.Bars(kStart + 799ms));
+  BOOST_TEST(!word.Bars(kStart + 800ms));
+  BOOST_TEST(word.TakeNotice({}, kStart + 100ms, kStart + 110ms));
+  BOOST_TEST(!word.Bars(kStart + 120ms));
+}
+
+// Without anybody who counts, gateways that cannot hear from each other keep to a part of
+// the limit together, whatever each has to send.
+BOOST_AUTO_TEST_CASE(uncounted_requests_stay_within_what_is_left_beside_those_counted) {
+  constexpr int kTurns = 5'000;
+  constexpr int kWindow = 5;  // turns that 4 s can touch
+  for (const std::uint32_t gateways : {8U, 90U, 300U}) {
+    for (const double limit : {0.2, 1.2, 12.0}) {
+      std::vector<int> sent(kTurns);
+      for (std::uint64_t gateway = 0; gateway < gateways; ++gateway) {
+        BackendWord word;
+        word.TakeNotice(Limit(limit), kStart, kStart);
+        for (int turn = 0; turn < kTurns; ++turn) {
+          const TimePoint now = kStart + turn * 1s;
+          // One a turn, however many it has to send.
+          if (word.TakeUncounted(kBackend, gateway, gateways, now)) ++sent[turn];
+          BOOST_REQUIRE(!word.TakeUncounted(kBackend, gateway, gateways, now + 1ms));
+        }
+      }
+      int most = 0;
+      int all = 0;
+      for (int turn = 0; turn + kWindow < kTurns; ++turn) {
+        int sum = 0;
+        for (int i = 0; i < kWindow; ++i) sum += sent[turn + i];
+        most = std::max(most, sum);
+        all += sent[turn];
+      }
+      BOOST_TEST_CONTEXT(gateways << " gateways, limit " << limit) {
+        BOOST_TEST(most <= 1.5 * 4 * limit + 5);
+        const double part = all / (kTurns * limit);
+        BOOST_TEST(part > 0.8 * std::min(UncountedTurns::kPart, gateways / limit));
+        BOOST_TEST(part < 1.2 * UncountedTurns::kPart);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/peers/include/peers/load_messages.h
+++ b/libs/peers/include/peers/load_messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/result.h"
+#include "gateway/backend_news.h"
 #include "gateway/gateway_news.h"
 #include "gateway/load_report.h"
 #include "gateway/poison_news.h"
@@ -42,12 +43,13 @@
 };
 
 /// A datagram between gateways.
-using PeerMessage =
-    std::variant<GatewayNews, LoadQuestionMessage, LoadAnswerMessage, PoisonNews, QuotaMessage>;
+using PeerMessage = std::variant<GatewayNews, LoadQuestionMessage, LoadAnswerMessage, PoisonNews,
+                                 BackendNewsList, QuotaMessage>;
 
 std::string Encode(const LoadQuestionMessage& question);
 std::string Encode(const LoadAnswerMessage& answer);
 std::string Encode(const DaemonId& sender, const PoisonNews& news);
+std::string Encode(const DaemonId& sender, const BackendNewsList& news);
 
 /// Fails with kMalformedPeerMessage.
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes);
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -16,6 +16,7 @@
 #include "gateway/gateway_state.h"
 #include "net/beast.h"
 #include "net/timer.h"
+#include "peers/backend_gossip.h"
 #include "peers/load_asker.h"
 #include "peers/peer_loads.h"
 #include "peers/poison_gossip.h"
@@ -66,8 +67,9 @@
                                                   std::vector<std::string> seeds);
 
   net::awaitable<void> Send();
-  /// Tells all others of requests that may end backend servers.
-  net::awaitable<void> SendPoisonNews();
+  /// Tells all others of requests that may end backend servers, and what backend servers
+  /// say of themselves.
+  net::awaitable<void> SendGossip();
   net::awaitable<void> Receive();
   void Stop();
 
@@ -102,6 +104,11 @@
   void SendTo(const net::ip::address& address, const std::string& datagram);
   void Take(std::size_t bytes, const net::ip::udp::endpoint& sender);
   void TakeMessage(const PeerMessage& message, const net::ip::udp::endpoint& sender, TimePoint now);
+  void SendToAll(const std::string& datagram);
+  /// Takes other gateways' news of backend servers' words, and tells a sender that is
+  /// behind. Only those do that track the backend server, or hundreds would.
+  void TakeWords(const BackendNewsList& news, const net::ip::address& sender, TimePoint now);
+  bool Tracks(BackendHash backend, TimePoint now) const;
   /// Notes a turn of this process; finds out whether it stood still before.
   void NoteTurn(TimePoint now);
 
@@ -116,7 +123,8 @@
   TrackedNews tracked_news_;
   LoadAsker asker_;
   PoisonGossip poison_gossip_;
-  Timer poison_timer_;
+  BackendGossip backend_gossip_;
+  Timer gossip_timer_;
   QuotaListener on_quota_;
   std::vector<net::ip::address> peers_;  ///< all others
   std::optional<std::uint64_t> members_version_;
--- a/libs/peers/include/peers/quota_link.h
+++ b/libs/peers/include/peers/quota_link.h
@@ -26,25 +26,34 @@
 class QuotaLink {
  public:
   struct Options {
+    std::string name;     ///< of what is counted, for the log
     std::string address;  ///< of this instance, without a port
     std::uint32_t shares = 1;
-    std::uint64_t incarnation = 0;  ///< differs for each process
+    std::uint64_t incarnation = 0;  ///< differs for each process, and for each link of it
+  };
+  /// What a link needs of the instance that it is in.
+  struct Surroundings {
+    std::function<void(const std::string& address, const QuotaMessage& message)> send;
+    /// Who holds the shares of the subject's quota.
+    std::function<QuotaHolders(const QuotaSubject&)> find_holders;
+    /// Who holds the other shares of what this instance has a share of.
+    std::function<std::vector<std::string>()> find_lenders;
+    /// How this instance took its zone's key, if it may act on it.
+    std::function<std::optional<QuotaHolder::Taking>(TimePoint)> find_taking;
+    /// Terms that have changed since the last call.
+    std::function<std::map<QuotaSubject, QuotaTerms>()> take_new_terms;
   };
-  using Send = std::function<void(const std::string& address, const QuotaMessage& message)>;
-  using FindHolders = std::function<QuotaHolders()>;
-  /// Those that have changed since the last call.
-  using TakeNewTerms = std::function<std::map<WorkspaceId, QuotaTerms>()>;
-  /// How this instance took its zone's key, if it may act on it.
-  using FindTaking = std::function<std::optional<QuotaHolder::Taking>(TimePoint)>;
 
-  QuotaLink(net::any_io_executor executor, Metrics& metrics, const Options& options, Send send,
-            FindHolders find_holders, FindTaking find_taking, TakeNewTerms take_new_terms);
+  QuotaLink(net::any_io_executor executor, Metrics& metrics, const Options& options,
+            Surroundings surroundings);
 
   /// Ends within 40 ms for each holder, or at the demand's patience if that is later.
   net::awaitable<QuotaOutcome> Acquire(QuotaDemand demand);
   void GiveBack(const QuotaTicket& ticket) { Deliver(QuotaClient::GiveBack(ticket)); }
 
   void Take(const QuotaMessage& message, const std::string& from);
+  /// Whether the request is one of this link's own.
+  bool IsOwn(const QuotaRequestId& id) const { return id.incarnation == incarnation_; }
 
   /// Watches over loans.
   net::awaitable<void> Run();
@@ -62,11 +71,10 @@
 
   net::any_io_executor executor_;
   Metrics& metrics_;
+  std::string name_;
   std::string address_;
-  Send send_;
-  FindHolders find_holders_;
-  FindTaking find_taking_;
-  TakeNewTerms take_new_terms_;
+  std::uint64_t incarnation_;
+  Surroundings surroundings_;
   QuotaClient client_;
   QuotaHolder holder_;
   std::map<std::uint64_t, Timer*> waiting_;  ///< by number of QuotaClient
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -174,6 +174,16 @@
   return news;
 }
 
+BackendNewsList DecodeWords(const wire::GatewayNews& message) {
+  BackendNewsList news;
+  for (const wire::BackendWord& word : message.words()) {
+    BackendNews item{word.backend(), word.number(), std::nullopt, word.leaving()};
+    if (word.limited()) item.limit = RequestRate::OfThousandths(word.limit());
+    news.items.push_back(item);
+  }
+  return news;
+}
+
 }  // namespace
 
 std::string EncodeNews(const GatewayNews& news) {
@@ -241,6 +251,20 @@
   return message.SerializeAsString();
 }
 
+std::string Encode(const DaemonId& sender, const BackendNewsList& news) {
+  wire::GatewayNews message;
+  message.set_daemon(sender.value());
+  for (const BackendNews& item : news.items) {
+    wire::BackendWord& word = *message.add_words();
+    word.set_backend(item.backend);
+    word.set_number(item.number);
+    word.set_leaving(item.leaving);
+    word.set_limited(item.limit.has_value());
+    if (item.limit) word.set_limit(item.limit->thousandths());
+  }
+  return message.SerializeAsString();
+}
+
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
   wire::GatewayNews message;
   const bool parsed = message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
@@ -250,6 +274,7 @@
   if (message.has_question()) return PeerMessage(DecodeQuestion(message));
   if (message.has_answer()) return PeerMessage(DecodeAnswer(message));
   if (message.has_poison()) return PeerMessage(DecodePoisonNews(message.poison()));
+  if (message.words_size() > 0) return PeerMessage(DecodeWords(message));
   if (auto quota = DecodeQuota(message)) return PeerMessage(std::move(*quota));
   return PeerMessage(DecodeNewsOf(message));
 }
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -44,7 +44,7 @@
              [this](const TrackerMap::Gateway& gateway, const std::string& bytes) {
                SendTo(gateway.ip, bytes);
              }),
-      poison_timer_(state.executor()),
+      gossip_timer_(state.executor()),
       incarnation_(std::random_device{}()) {}
 
 net::awaitable<void> PeerLink::Send() {
@@ -64,20 +64,43 @@
   state_.SetLoadListener({});
 }
 
-net::awaitable<void> PeerLink::SendPoisonNews() {
-  state_.poison().SetNewsListener([this] { poison_timer_.cancel(); });
+net::awaitable<void> PeerLink::SendGossip() {
+  state_.poison().SetNewsListener([this] { gossip_timer_.cancel(); });
+  state_.words().SetNewsListener([this] { gossip_timer_.cancel(); });
   while (!stopped_) {
     const TimePoint now = Clock::now();
     poison_gossip_.Add(state_.poison().TakeNews(), now);
-    const PoisonNews due = poison_gossip_.TakeDue(now);
-    if (!due.empty()) {
-      LookAtMembers();
-      const std::string datagram = Encode(options_.self, due);
-      for (const net::ip::address& peer : peers_) SendTo(peer, datagram);
-    }
-    co_await WaitUntil(poison_timer_, poison_gossip_.NextDue(Clock::now()));
+    backend_gossip_.Add(state_.words().TakeNews(), now);
+    const PoisonNews poison = poison_gossip_.TakeDue(now);
+    const BackendNewsList words = state_.words().Refreshed(backend_gossip_.TakeDue(now));
+    LookAtMembers();
+    if (!poison.empty()) SendToAll(Encode(options_.self, poison));
+    if (!words.empty()) SendToAll(Encode(options_.self, words));
+    const TimePoint next = Clock::now();
+    co_await WaitUntil(gossip_timer_,
+                       std::min(poison_gossip_.NextDue(next), backend_gossip_.NextDue(next)));
   }
   state_.poison().SetNewsListener({});
+  state_.words().SetNewsListener({});
+}
+
+void PeerLink::SendToAll(const std::string& datagram) {
+  for (const net::ip::address& peer : peers_) SendTo(peer, datagram);
+}
+
+void PeerLink::TakeWords(const BackendNewsList& news, const net::ip::address& sender,
+                         TimePoint now) {
+  BackendNewsList better = state_.words().Take(news, now);
+  std::erase_if(better.items, [&](const BackendNews& item) { return !Tracks(item.backend, now); });
+  if (!better.empty()) SendTo(sender, Encode(options_.self, better));
+}
+
+bool PeerLink::Tracks(BackendHash hash, TimePoint now) const {
+  const BackendPtr backend = state_.directory().FindByHash(hash);
+  if (!backend) return false;
+  const auto trackers = trackers_.TrackersOf(hash, backend->entry.zone, now);
+  return std::ranges::find(trackers, options_.address, &TrackerMap::Gateway::address) !=
+         trackers.end();
 }
 
 void PeerLink::LookAtMembers() {
@@ -218,6 +241,10 @@
   if (const auto* poison = std::get_if<PoisonNews>(&message)) {
     return state_.poison().Take(*poison, now);
   }
+  // The number tells an old one.
+  if (const auto* words = std::get_if<BackendNewsList>(&message)) {
+    return TakeWords(*words, sender.address(), now);
+  }
   if (now < stale_until_) return;
   if (const auto* question = std::get_if<LoadQuestionMessage>(&message)) {
     SendTo(sender.address(), Encode(asker_.Answer(*question, now)));
@@ -243,7 +270,7 @@
   ErrorCode ignored;
   socket_.close(ignored);
   timer_.cancel();
-  poison_timer_.cancel();
+  gossip_timer_.cancel();
 }
 
 }  // namespace ridgehold
--- a/libs/peers/src/quota_codec.cc
+++ b/libs/peers/src/quota_codec.cc
@@ -30,7 +30,7 @@
 void EncodeInto(const QuotaRequest& request, wire::GatewayNews& message) {
   wire::QuotaRequest& body = *message.mutable_quota_request();
   EncodeId(request.id, body);
-  body.set_workspace(request.workspace.value());
+  body.set_subject(request.subject.value());
   body.set_parts(static_cast<std::uint64_t>(request.parts));
   body.set_is_loan(request.is_loan);
   body.set_config(request.terms.config_version);
@@ -55,7 +55,7 @@
 QuotaRequest Decode(const wire::QuotaRequest& body) {
   QuotaRequest request;
   request.id = DecodeId(body);
-  request.workspace = WorkspaceId(body.workspace());
+  request.subject = QuotaSubject(body.subject());
   request.parts = PartsOf(body.parts());
   request.is_loan = body.is_loan();
   request.terms = {
--- a/libs/peers/src/quota_link.cc
+++ b/libs/peers/src/quota_link.cc
@@ -32,15 +32,13 @@
 }  // namespace
 
 QuotaLink::QuotaLink(net::any_io_executor executor, Metrics& metrics, const Options& options,
-                     Send send, FindHolders find_holders, FindTaking find_taking,
-                     TakeNewTerms take_new_terms)
+                     Surroundings surroundings)
     : executor_(executor),
       metrics_(metrics),
+      name_(options.name),
       address_(options.address),
-      send_(std::move(send)),
-      find_holders_(std::move(find_holders)),
-      find_taking_(std::move(find_taking)),
-      take_new_terms_(std::move(take_new_terms)),
+      incarnation_(options.incarnation),
+      surroundings_(std::move(surroundings)),
       client_(ClientOptions(options.shares), options.incarnation),
       holder_(HolderOptions(options.shares)),
       loans_timer_(executor) {}
@@ -60,7 +58,7 @@
 }
 
 net::awaitable<QuotaOutcome> QuotaLink::AskOnce(QuotaDemand demand) {
-  QuotaHolders holders = find_holders_();
+  QuotaHolders holders = surroundings_.find_holders(demand.subject);
   client_.SetHolders(std::move(holders.own_zone), std::move(holders.others));
   QuotaOutbox outbox;
   const std::uint64_t number = client_.Begin(demand, Clock::now(), outbox);
@@ -104,7 +102,7 @@
     const QuotaOutgoing next = std::move(left.front());
     left.pop_front();
     if (next.to != address_) {
-      send_(next.to, next.message);
+      surroundings_.send(next.to, next.message);
       continue;
     }
     for (QuotaOutgoing& more : TakeOne(next.message, address_)) left.push_back(std::move(more));
@@ -114,14 +112,16 @@
 
 QuotaHolder& QuotaLink::Holder(TimePoint now) {
   const bool was_holding = holder_.holding();
-  holder_.SetHeld(find_taking_(now));
+  holder_.SetHeld(surroundings_.find_taking(now));
   if (holder_.holding()) {
-    holder_.SetLenders(find_holders_().others);
-    for (const auto& [workspace, terms] : take_new_terms_())
-      holder_.NoteTerms(workspace, terms, now);
+    holder_.SetLenders(surroundings_.find_lenders());
+    for (const auto& [subject, terms] : surroundings_.take_new_terms()) {
+      holder_.NoteTerms(subject, terms, now);
+    }
   }
   if (was_holding != holder_.holding()) {
-    Log(LogLevel::kInfo, holder_.holding() ? "quota share held" : "quota share not held", {});
+    Log(LogLevel::kInfo, holder_.holding() ? "quota share held" : "quota share not held",
+        {{"counts", name_}});
     loans_timer_.cancel();
   }
   return holder_;
--- a/libs/quota/include/quota/grant_ledger.h
+++ b/libs/quota/include/quota/grant_ledger.h
@@ -24,7 +24,7 @@
 
 /// A request that was answered.
 struct QuotaGrant {
-  WorkspaceId workspace;
+  QuotaSubject subject;
   QuotaReply reply;
   QuotaTaken own;  ///< of the holder's own share
   std::vector<QuotaLoan> loans;
--- a/libs/quota/include/quota/quota_client.h
+++ b/libs/quota/include/quota/quota_client.h
@@ -15,7 +15,7 @@
 
 /// What a request needs.
 struct QuotaDemand {
-  WorkspaceId workspace;
+  QuotaSubject subject;
   std::uint64_t tokens = 0;
   QuotaTerms terms;
   /// While no holder answers, asking goes on until then: a share changes hands in some
--- a/libs/quota/include/quota/quota_holder.h
+++ b/libs/quota/include/quota/quota_holder.h
@@ -1,4 +1,4 @@
-// Grants tokens of one share of each workspace's quota, and borrows from the other shares.
+// Grants tokens of one share of each quota, and borrows from the other shares.
 
 #pragma once
 
@@ -39,9 +39,9 @@
     bool operator==(const Options&) const = default;
   };
 
-  /// A workspace's state here, for operators.
+  /// A subject's state here, for operators.
   struct Usage {
-    WorkspaceId workspace;
+    QuotaSubject subject;
     QuotaTerms terms;
     double level = 0;  ///< tokens of this share that are left
     std::uint64_t granted = 0;
@@ -64,9 +64,9 @@
   /// Another taking begins with buckets that were empty when it became the only one.
   void SetHeld(const std::optional<Taking>& taking);
 
-  /// What this instance has heard of the workspace's quota; newer terms are taken, so that
+  /// What this instance has heard of the subject's quota; newer terms are taken, so that
   /// a raised one helps before the next request comes.
-  void NoteTerms(const WorkspaceId& workspace, const QuotaTerms& terms, TimePoint now);
+  void NoteTerms(const QuotaSubject& subject, const QuotaTerms& terms, TimePoint now);
 
   /// The holders of the other shares.
   void SetLenders(std::vector<std::string> addresses) { lenders_ = std::move(addresses); }
@@ -131,9 +131,13 @@
   /// Beyond this many that wait for loans a request is refused: at 10 ms each the
   /// last would wait longer than its caller's patience for a plain call.
   static constexpr std::size_t kMostWaiting = 16;
+  /// Backend servers come and go; above this those that are idle are forgotten.
+  static constexpr std::size_t kMostAccounts = 4'096;
   static constexpr Duration kLongestRetryAfter = std::chrono::seconds(5);
 
   Account& AccountOf(const QuotaRequest& request, TimePoint now);
+  /// Forgets what a new account would be like.
+  void DropIdle(TimePoint now);
   static void TakeTerms(Account& account, const QuotaTerms& terms, TimePoint now);
   QuotaOutbox Decide(const QuotaRequest& request, const std::string& from, TimePoint now);
   bool KnownShort(Account& account, QuotaParts parts, TimePoint now) const;
@@ -159,7 +163,7 @@
   bool acting_ = false;
   std::vector<std::string> lenders_;
   std::map<std::string, TimePoint> silent_until_;  ///< by lender
-  std::map<WorkspaceId, Account> accounts_;
+  std::map<QuotaSubject, Account> accounts_;
   GrantLedger ledger_;
   std::uint64_t last_loan_ = 0;
   std::uint64_t turn_ = 0;
--- a/libs/quota/include/quota/quota_messages.h
+++ b/libs/quota/include/quota/quota_messages.h
@@ -1,4 +1,4 @@
-// Messages by which instances hold a workspace's quota together.
+// Messages by which instances hold a quota together.
 
 #pragma once
 
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "quota/quota_subject.h"
 #include "quota/token_bucket.h"
 #include "quota/workspace_quota.h"
 
@@ -27,7 +28,7 @@
 /// granted once.
 struct QuotaRequest {
   QuotaRequestId id;
-  WorkspaceId workspace;
+  QuotaSubject subject;
   QuotaParts parts = 0;
   /// From the holder of another share, which lacks so much: it takes less, too,
   /// and the one asked borrows nothing for it.
--- a/libs/quota/include/quota/token_bucket.h
+++ b/libs/quota/include/quota/token_bucket.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -55,6 +56,8 @@
 
   /// What may be taken.
   QuotaParts Level(TimePoint now);
+  /// Whether it is as one from which nothing was ever taken.
+  bool IsFull(TimePoint now) const;
 
   /// Takes all of `parts` or nothing.
   std::optional<QuotaTaken> Take(QuotaParts parts, TimePoint now);
@@ -84,8 +87,9 @@
     bool operator==(const Taking&) const = default;
   };
   /// What was taken before these can't be put back: some 1,000 requests a second for
-  /// the 4 s that a request may wait and still not run.
+  /// as long as a request may wait and still not run.
   static constexpr std::size_t kMostTakings = 4'096;
+  static constexpr std::chrono::seconds kPutBackWithin{4};
 
   void Fill(TimePoint now);
   Levels FilledFor(Levels levels, Duration time) const;
--- a/libs/quota/src/quota_client.cc
+++ b/libs/quota/src/quota_client.cc
@@ -13,7 +13,7 @@
 std::uint64_t QuotaClient::Begin(const QuotaDemand& demand, TimePoint now, QuotaOutbox& outbox) {
   const std::uint64_t number = ++last_number_;
   Asking& asking = asking_[number];
-  asking.request = {{}, demand.workspace, scale_.Of(demand.tokens), false, demand.terms};
+  asking.request = {{}, demand.subject, scale_.Of(demand.tokens), false, demand.terms};
   asking.holders_left = HoldersInTurn(now);
   AskNext(asking, now, outbox);
   return number;
--- a/libs/quota/src/quota_holder.cc
+++ b/libs/quota/src/quota_holder.cc
@@ -25,7 +25,7 @@
                                 TimePoint now) {
   Account& account = AccountOf(request, now);
   QuotaGrant grant;
-  grant.workspace = request.workspace;
+  grant.subject = request.subject;
   if (request.is_loan) {
     grant.own = account.bucket.TakeUpTo(request.parts, now);
     grant.reply = {request.id, QuotaVerdict::kGranted, grant.own.parts};
@@ -54,13 +54,20 @@
 }
 
 QuotaHolder::Account& QuotaHolder::AccountOf(const QuotaRequest& request, TimePoint now) {
+  if (accounts_.size() >= kMostAccounts) DropIdle(now);
   // Nothing was granted before, so the bucket has filled since the share was taken.
   Account& account =
-      accounts_.try_emplace(request.workspace, request.terms, taking_->sole_since).first->second;
+      accounts_.try_emplace(request.subject, request.terms, taking_->sole_since).first->second;
   TakeTerms(account, request.terms, now);
   return account;
 }
 
+void QuotaHolder::DropIdle(TimePoint now) {
+  std::erase_if(accounts_, [&](const auto& entry) {
+    return entry.second.waiting.empty() && entry.second.bucket.IsFull(now);
+  });
+}
+
 void QuotaHolder::TakeTerms(Account& account, const QuotaTerms& terms, TimePoint now) {
   if (terms.config_version <= account.terms.config_version) return;
   const bool changed =
@@ -72,8 +79,8 @@
   account.told_until = {};
 }
 
-void QuotaHolder::NoteTerms(const WorkspaceId& workspace, const QuotaTerms& terms, TimePoint now) {
-  const auto account = accounts_.find(workspace);
+void QuotaHolder::NoteTerms(const QuotaSubject& subject, const QuotaTerms& terms, TimePoint now) {
+  const auto account = accounts_.find(subject);
   if (account != accounts_.end()) TakeTerms(account->second, terms, now);
 }
 
@@ -100,7 +107,7 @@
   Borrowing& borrowing = *account.borrowing;
   const QuotaParts lacking = first.request.parts - borrowing.borrowed;
   QuotaGrant grant;
-  grant.workspace = first.request.workspace;
+  grant.subject = first.request.subject;
   if (const auto own = account.bucket.Take(lacking, now)) {
     grant.reply = {first.request.id, QuotaVerdict::kGranted, first.request.parts};
     grant.own = *own;
@@ -127,7 +134,7 @@
   // The key's revision differs by holder and by taking, so no other process uses it.
   borrowing.asked = {taking_->fencing, ++last_loan_};
   borrowing.until = now + options_.loan_patience;
-  const QuotaRequest loan{borrowing.asked, account.waiting.front().request.workspace, missing, true,
+  const QuotaRequest loan{borrowing.asked, account.waiting.front().request.subject, missing, true,
                           account.terms};
   outbox.push_back({borrowing.lender, loan});
   return true;
@@ -152,7 +159,7 @@
 QuotaOutbox QuotaHolder::Take(const QuotaRefund& refund, TimePoint now) {
   QuotaOutbox outbox;
   if (!acting_) return outbox;
-  for (auto& [workspace, account] : accounts_) {
+  for (auto& [subject, account] : accounts_) {
     const auto found = std::ranges::find(account.waiting, refund.id,
                                          [](const Waiting& waiting) { return waiting.request.id; });
     if (found == account.waiting.end()) continue;
@@ -169,7 +176,7 @@
   }
   const auto grant = ledger_.Withdraw(refund.id, now);
   if (!grant || grant->reply.granted == 0) return outbox;
-  const auto account = accounts_.find(grant->workspace);
+  const auto account = accounts_.find(grant->subject);
   if (account == accounts_.end()) return outbox;
   account->second.bucket.PutBack(grant->own, now);
   account->second.shortage.reset();
@@ -180,7 +187,7 @@
 QuotaOutbox QuotaHolder::Tick(TimePoint now) {
   QuotaOutbox outbox;
   if (!acting_) return outbox;
-  for (auto& [workspace, account] : accounts_) {
+  for (auto& [subject, account] : accounts_) {
     if (!account.borrowing || now < account.borrowing->until) continue;
     silent_until_[account.borrowing->lender] = now + options_.lender_silence;
     // It may have granted, and its answer be lost or late.
@@ -193,7 +200,7 @@
 
 std::optional<TimePoint> QuotaHolder::NextTick() const {
   std::optional<TimePoint> next;
-  for (const auto& [workspace, account] : accounts_) {
+  for (const auto& [subject, account] : accounts_) {
     if (!acting_ || !account.borrowing) continue;
     next = next ? std::min(*next, account.borrowing->until) : account.borrowing->until;
   }
@@ -243,7 +250,7 @@
 }
 
 QuotaHolder::Account* QuotaHolder::WaitingFor(const QuotaRequestId& loan) {
-  for (auto& [workspace, account] : accounts_) {
+  for (auto& [subject, account] : accounts_) {
     if (account.borrowing && account.borrowing->asked == loan) return &account;
   }
   return nullptr;
@@ -258,9 +265,9 @@
 
 std::vector<QuotaHolder::Usage> QuotaHolder::Usages(TimePoint now) {
   std::vector<Usage> usages;
-  for (auto& [workspace, account] : accounts_) {
+  for (auto& [subject, account] : accounts_) {
     const double level = static_cast<double>(account.bucket.Level(now)) / scale_.token();
-    usages.push_back({workspace, account.terms, level, account.granted, account.refused,
+    usages.push_back({subject, account.terms, level, account.granted, account.refused,
                       account.borrowed_for, account.waiting.size()});
   }
   return usages;
--- a/libs/quota/src/token_bucket.cc
+++ b/libs/quota/src/token_bucket.cc
@@ -66,6 +66,13 @@
   return std::max({QuotaParts{0}, levels_.bursting, levels_.steady});
 }
 
+bool TokenBucket::IsFull(TimePoint now) const {
+  const auto passed =
+      std::max(Duration::zero(), std::chrono::duration_cast<Duration>(now - filled_at_));
+  const Levels levels = FilledFor(levels_, passed);
+  return levels.bursting == Most(terms_.bursting) && levels.steady == Most(terms_.steady);
+}
+
 std::optional<QuotaTaken> TokenBucket::Take(QuotaParts parts, TimePoint now) {
   if (parts > Level(now)) return std::nullopt;
   return TakeUpTo(parts, now);
@@ -74,7 +81,9 @@
 QuotaTaken TokenBucket::TakeUpTo(QuotaParts parts, TimePoint now) {
   const QuotaParts taken = std::clamp<QuotaParts>(parts, 0, Level(now));
   takings_.push_back({++turn_, filled_at_, levels_, taken});
-  if (takings_.size() > kMostTakings) takings_.pop_front();
+  while (takings_.size() > kMostTakings || takings_.front().at + kPutBackWithin < filled_at_) {
+    takings_.pop_front();
+  }
   Reduce(levels_, taken);
   return {taken, turn_};
 }
--- a/libs/quota/test/quota_holder-test.cc
+++ b/libs/quota/test/quota_holder-test.cc
@@ -28,7 +28,7 @@
 }
 
 QuotaRequest RequestFor(std::uint64_t number, std::uint64_t tokens, QuotaTerms terms = kTerms) {
-  return {{55, number}, WorkspaceId("w"), QuotaScale(2).Of(tokens), false, terms};
+  return {{55, number}, QuotaSubject("w"), QuotaScale(2).Of(tokens), false, terms};
 }
 
 QuotaReply ReplyIn(const QuotaOutbox& outbox) {
@@ -179,7 +179,7 @@
   return client;
 }
 
-const QuotaDemand kDemand{WorkspaceId("w"), 10, kTerms};
+const QuotaDemand kDemand{QuotaSubject("w"), 10, kTerms};
 
 BOOST_AUTO_TEST_CASE(the_own_zone_is_asked_twice_then_another) {
   QuotaClient client = ClientOf(kLenderA, {kLenderB});
--- a/model/quota_checker.cc
+++ b/model/quota_checker.cc
@@ -344,7 +344,7 @@
   void Ask(State& state, std::size_t client, std::uint64_t tokens) {
     QuotaOutbox outbox;
     const std::uint64_t number =
-        state.clients[client].Begin({WorkspaceId("w"), tokens, state.terms}, state.now, outbox);
+        state.clients[client].Begin({QuotaSubject("w"), tokens, state.terms}, state.now, outbox);
     const bool lowered = state.terms == kLowered;
     state.asked.push_back({client, number, tokens, state.now, lowered});
     Post(state, kClients[client], outbox);
--- a/model/quota_ways.cc
+++ b/model/quota_ways.cc
@@ -272,7 +272,7 @@
     clients_[instance].SetHolders(own, others);
     QuotaOutbox outbox;
     const std::uint64_t number = clients_[instance].Begin(
-        {WorkspaceId(std::to_string(request.workspace)), request.tokens, Terms(request.workspace)},
+        {QuotaSubject(std::to_string(request.workspace)), request.tokens, Terms(request.workspace)},
         now_, outbox);
     waiting_[instance][number] = request;
     Post(instance, outbox);
@@ -329,7 +329,7 @@
     wanted += static_cast<std::uint64_t>(ahead);
     batch.asked = true;
     batch.id = {2'000'000 + instance, ++last_batch_};
-    const QuotaRequest loan{batch.id, WorkspaceId(std::to_string(workspace)),
+    const QuotaRequest loan{batch.id, QuotaSubject(std::to_string(workspace)),
                             QuotaScale(1).Of(wanted), true, Terms(workspace)};
     Post(instance, {{NameOfInstance(holder_of_[0]), loan}});
     const QuotaRequestId id = batch.id;
--- a/programs/ridgehold-model.cc
+++ b/programs/ridgehold-model.cc
@@ -1,4 +1,5 @@
-// Plays load patterns against modelled engines in virtual time; writes CSV.
+// Plays load patterns against modelled engines, or fleets before a server that names a
+// limit, in virtual time; writes CSV.
 
 #include <fmt/format.h>
 
@@ -7,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "model/limit_ways.h"
 #include "model/patterns.h"
 
 namespace ridgehold::model {
@@ -18,8 +20,40 @@
   std::uint32_t seeds = 1;
   AdmissionRule admission;
   PlacementWeights placement;
+  bool limits = false;
+  std::vector<std::size_t> instances = {8, 90, 295};
+  double limit = 1.2;
 };
 
+/// All seeds of one trouble, as a line.
+void PlayLimits(std::size_t instances, LimitTrouble trouble, const Options& options) {
+  LimitPlayOutcome sum;
+  std::uint32_t over = 0;
+  for (std::uint32_t i = 0; i < options.seeds; ++i) {
+    const LimitPlayOutcome one = PlayLimit({trouble, instances, options.limit, options.seed + i});
+    sum.worst_window = std::max(sum.worst_window, one.worst_window);
+    sum.used += one.used / options.seeds;
+    sum.all_know_ms = std::max(sum.all_know_ms, one.all_know_ms);
+    sum.untold += one.untold;
+    sum.messages += one.messages;
+    sum.asking_median_ms += one.asking_median_ms / options.seeds;
+    sum.asking_p99_ms = std::max(sum.asking_p99_ms, one.asking_p99_ms);
+    if (one.worst_window > 1) ++over;
+  }
+  std::cout << fmt::format("{},{},{},{:.3f},{},{:.3f},{:.0f},{},{},{:.2f},{:.1f}\n", instances,
+                           NameOf(trouble), options.limit, sum.worst_window, over, sum.used,
+                           sum.all_know_ms, sum.untold, sum.messages / options.seeds,
+                           sum.asking_median_ms, sum.asking_p99_ms);
+}
+
+void PlayAllLimits(const Options& options) {
+  std::cout << "instances,trouble,limit,worst_window,seeds_over,used,all_know_ms,untold,"
+               "messages,asking_median_ms,asking_p99_ms\n";
+  for (const std::size_t instances : options.instances) {
+    for (const LimitTrouble trouble : AllLimitTroubles()) PlayLimits(instances, trouble, options);
+  }
+}
+
 void PlayOne(const std::string& name, Pattern pattern, const Options& options) {
   GatewayLimits limits;
   limits.admission = options.admission;
@@ -46,6 +80,10 @@
                  "Fetch from engines, too");
   app.add_option("--placement.watch-links", options.placement.watch_links,
                  "Fetches wait for those before them");
+  app.add_flag("--limits", options.limits, "Play a server's limit instead of patterns");
+  app.add_option("--instances", options.instances, "Sizes of the fleet, of --limits")
+      ->capture_default_str();
+  app.add_option("--limit", options.limit, "Requests a second, of --limits")->capture_default_str();
   app.set_config("--settings", "", "INI file with these options");
 }
 
@@ -58,6 +96,10 @@
   CLI::App app("Plays load patterns against modelled engines in virtual time");
   ridgehold::model::AddOptions(app, options);
   CLI11_PARSE(app, argc, argv);
+  if (options.limits) {
+    ridgehold::model::PlayAllLimits(options);
+    return 0;
+  }
   std::cout << "pattern,seed,route,requests,begun,in_time,shared_tokens_read\n";
   if (options.patterns.empty()) {
     for (const auto& named : AllPatterns()) options.patterns.emplace_back(named.name);
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -20,7 +20,14 @@
 constexpr int kLongestStoreFault = 5'500;  // ms
 constexpr int kLongestSuspension = 4'500;  // ms; longer than keys are trusted
 constexpr int kLongestPoison = 6'000;      // ms; longer than the time of contact
-constexpr double kSeriesPart = 0.4;        // of the faults, those followed at once
+constexpr int kLongestRest = 3'000;        // ms
+constexpr int kLongestLeaving = 4'000;     // ms; longer than a leaving takes to be heeded
+// Longer than the time of contact, from which on a limit binds.
+constexpr int kShortestLimit = 4'000;  // ms
+constexpr int kLongestLimit = 9'000;   // ms
+constexpr int kLeastLimit = 5;         // tenths of a request a second
+constexpr int kMostLimit = 40;
+constexpr double kSeriesPart = 0.4;  // of the faults, those followed at once
 
 net::awaitable<void> WaitForEnd(InstanceProcess& process, std::chrono::milliseconds limit) {
   const TimePoint end = Clock::now() + limit;
@@ -43,7 +50,10 @@
       {"keys", FaultKind::kKeys},
       {"weights", FaultKind::kWeights},
       {"poison", FaultKind::kPoison},
-      {"suspend", FaultKind::kSuspend}};
+      {"suspend", FaultKind::kSuspend},
+      {"limit", FaultKind::kLimit},
+      {"rest", FaultKind::kRest},
+      {"leave", FaultKind::kLeave}};
   return names;
 }
 
@@ -51,8 +61,11 @@
   std::set<FaultKind> kinds = {FaultKind::kKeys, FaultKind::kWeights};
   // Kinds that came later draw from a copy, so that the others stay as each seed had them.
   Random later = random_;
+  Random latest = Random(random_).Fork();
   for (const auto& [name, kind] : Names()) {
-    Random& random = kind >= FaultKind::kPoison ? later : random_;
+    Random& random = kind >= FaultKind::kLimit    ? latest
+                     : kind >= FaultKind::kPoison ? later
+                                                  : random_;
     if (random.Chance(kKindPart)) kinds.insert(kind);
   }
   return kinds;
@@ -106,6 +119,12 @@
       return SendPoison(random);
     case FaultKind::kSuspend:
       return Suspend(random);
+    case FaultKind::kLimit:
+      return NameLimit(random);
+    case FaultKind::kRest:
+      return ChangeMood({.need = {.rest = random.Milliseconds(300, kLongestRest)}}, random);
+    case FaultKind::kLeave:
+      return Pick(targets_.engines, random).Leave(random.Milliseconds(300, kLongestLeaving));
   }
   return Sleep(0ms);
 }
@@ -211,6 +230,13 @@
   targets_.store.SetDown(false);
 }
 
+net::awaitable<void> FaultScript::NameLimit(Random random) {
+  SoakEngine& engine = Pick(targets_.engines, random);
+  engine.SetMood({.need = {.limit = random.Between(kLeastLimit, kMostLimit) / 10.0}});
+  co_await Sleep(random.Milliseconds(kShortestLimit, kLongestLimit));
+  engine.SetMood({});
+}
+
 net::awaitable<void> FaultScript::ChangeMood(EngineMood mood, Random random) {
   SoakEngine& engine = Pick(targets_.engines, random);
   engine.SetMood(mood);
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -43,6 +43,9 @@
   kWeights,
   kPoison,
   kSuspend,
+  kLimit,
+  kRest,
+  kLeave,
 };
 
 /// What the faults work on.
@@ -82,6 +85,7 @@
   net::awaitable<void> SendPoison(Random random);
   net::awaitable<void> HarmLink(FaultProxy& proxy, Random random);
   net::awaitable<void> StoreDown(Random random);
+  net::awaitable<void> NameLimit(Random random);
   net::awaitable<void> ChangeMood(EngineMood mood, Random random);
 
   /// An instance; often the one that orders weights now.
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -27,6 +27,11 @@
   requests_[id].record = std::move(record);
 }
 
+const RequestRecord* Ledger::Find(const std::string& id) const {
+  const auto found = requests_.find(id);
+  return found == requests_.end() ? nullptr : &found->second.record;
+}
+
 std::shared_ptr<Run> Ledger::Begin(const RequestMessage& request, int weights) {
   const std::string id(request[field::kRequestId]);
   const auto found = requests_.find(id);
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -33,6 +33,8 @@
   /// An engine begins to work on a request; returns null for one nobody sent.
   std::shared_ptr<Run> Begin(const RequestMessage& request, int weights);
   void Ended(const std::string& id, const CallerView& view);
+  /// Null for a request that nobody sent.
+  const RequestRecord* Find(const std::string& id) const;
 
   int sent() const { return static_cast<int>(requests_.size()); }
   int served() const { return served_; }
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -123,6 +123,9 @@
 }
 
 net::awaitable<bool> SoakEngine::Generate(tcp::socket& socket, const RequestMessage& request) {
+  const RequestRecord* record = judges_.ledger.Find(std::string(request[field::kRequestId]));
+  if (record != nullptr) judges_.needs.Arrived(id_, mood_.need, *record);
+  if (mood_.need.rest && record != nullptr) co_return co_await AskForRest(socket, request);
   const std::chrono::milliseconds limit(Number(request[field::kTimeLeftMs]));
   const TimePoint arrived = Clock::now();
   bool may_run = queued_ < kQueuePlaces;
@@ -170,7 +173,7 @@
   const bool chunked = random_.Chance(kChunkedPart);
   const std::string framing = chunked ? "Transfer-Encoding: chunked\r\n"
                                       : "Content-Length: " + std::to_string(body.size()) + "\r\n";
-  std::string answer = Head(run, std::string(request[field::kRequestId]), framing);
+  std::string answer = Head(run, request, framing);
   answer += chunked ? Chunk(body) + "0\r\n\r\n" : body;
   if (breaks)
     answer.resize(
@@ -189,7 +192,8 @@
   run.status = 200;
   co_await Sleep(random_.Milliseconds(2, 60));
   bool written = co_await Write(
-      socket, Head(run, id, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+      socket,
+      Head(run, request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
   for (int i = Number(request[field::kLastEventId]) + 1; i <= count && written; ++i) {
     co_await Sleep(random_.Milliseconds(2, 60));
     while (mood_.silent) co_await Sleep(kLook);
@@ -206,11 +210,46 @@
   co_return co_await Write(socket, "0\r\n\r\n");
 }
 
-std::string SoakEngine::Head(const Run& run, const std::string& id,
+std::string SoakEngine::NeedFields(const RequestMessage& request) const {
+  const RequestRecord* record = judges_.ledger.Find(std::string(request[field::kRequestId]));
+  if (record != nullptr) judges_.needs.Answered(id_, mood_.need, *record);
+  std::string fields;
+  if (mood_.need.limit) {
+    fields += std::string(field::kRequestLimit) + ": " + std::to_string(*mood_.need.limit) + "\r\n";
+  }
+  if (mood_.need.leaving) fields += std::string(field::kLeaving) + ": 1\r\n";
+  return fields;
+}
+
+net::awaitable<bool> SoakEngine::AskForRest(tcp::socket& socket, const RequestMessage& request) {
+  const std::string id(request[field::kRequestId]);
+  const std::chrono::milliseconds rest = *mood_.need.rest;
+  std::string answer = HeadLine(http::status::service_unavailable) + field::kBackend + ": " + id_ +
+                       "\r\n" + field::kRequestId + ": " + id + "\r\n" + field::kNotExecuted +
+                       ": 1\r\n" + NeedFields(request) + "Retry-After: " +
+                       std::to_string(std::chrono::duration<double>(rest).count()) +
+                       "\r\nContent-Length: 0\r\n\r\n";
+  const std::string engine = id_;
+  const bool written = co_await Write(socket, std::move(answer));
+  const RequestRecord* record = judges_.ledger.Find(id);
+  if (written && record != nullptr) judges_.needs.AskedForRest(engine, rest, *record);
+  co_return written;
+}
+
+net::awaitable<void> SoakEngine::Leave(std::chrono::milliseconds length) {
+  if (ended_) co_return;
+  mood_.need.leaving = true;
+  co_await Sleep(length);
+  if (!ended_) co_await End();
+  mood_.need.leaving = false;
+}
+
+std::string SoakEngine::Head(const Run& run, const RequestMessage& request,
                              const std::string& framing) const {
+  const std::string id(request[field::kRequestId]);
   return HeadLine(static_cast<http::status>(run.status)) + field::kRequestId + ": " + id + "\r\n" +
-         field::kSignature + ": " + run.signature + "\r\n" + field::kWeights + ": " +
-         std::to_string(weights_) + "\r\n" + framing + "\r\n";
+         NeedFields(request) + field::kSignature + ": " + run.signature + "\r\n" + field::kWeights +
+         ": " + std::to_string(weights_) + "\r\n" + framing + "\r\n";
 }
 
 net::awaitable<bool> SoakEngine::Write(tcp::socket& socket, std::string bytes) {
@@ -226,6 +265,7 @@
   const std::string id(request[field::kRequestId]);
   if (!id.empty()) answer += std::string(field::kRequestId) + ": " + id + "\r\n";
   if (not_run) answer += std::string(field::kNotExecuted) + ": 1\r\n";
+  answer += NeedFields(request);
   answer += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   co_return co_await Write(socket, std::move(answer));
 }
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -8,6 +8,7 @@
 #include "calm.h"
 #include "fault_proxy.h"
 #include "ledger.h"
+#include "needs.h"
 #include "order_check.h"
 #include "poison.h"
 #include "random.h"
@@ -21,6 +22,7 @@
   std::chrono::milliseconds queue{0};  ///< how long requests wait before they run
   double break_part = 0;               ///< part of the answers that end early
   double error_part = 0;               ///< part of the answers that are failures
+  Need need;
 };
 
 /// An engine of the model `m`; it tells the ledger of each run.
@@ -31,6 +33,7 @@
     OrderCheck& orders;
     Poison& poison;
     Calm& calm;
+    Needs& needs;
   };
 
   SoakEngine(net::any_io_executor executor, std::string id, Judges judges,
@@ -38,6 +41,8 @@
 
   void Register();
   void SetMood(const EngineMood& mood) { mood_ = mood; }
+  /// Says that it leaves for so long, its registration as it was, and ends.
+  net::awaitable<void> Leave(std::chrono::milliseconds length);
   FaultProxy& proxy() { return proxy_; }
 
  private:
@@ -57,8 +62,11 @@
   net::awaitable<void> End();
   net::awaitable<void> Load(int weights, bool break_runs);
   std::string Report() const;
-  std::string Head(const Run& run, const std::string& id, const std::string& framing) const;
+  std::string Head(const Run& run, const RequestMessage& request, const std::string& framing) const;
   bool MayRun(const RequestMessage& request) const;
+  /// What every answer says of the engine; its sender knows it from now on.
+  std::string NeedFields(const RequestMessage& request) const;
+  net::awaitable<bool> AskForRest(tcp::socket& socket, const RequestMessage& request);
 
   const std::string name_;
   int starts_ = 0;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -41,11 +41,13 @@
       ledger_(verdict_, calm_, operator_),
       orders_(verdict_, calm_),
       poison_(verdict_, Random(options_.seed ^ kPoisonSeed)),
+      needs_(verdict_),
       faults_({instances_, engines_, store_, operator_, poison_, calm_, verdict_}, random_.Fork()) {
   for (int i = 0; i < kEngines; ++i) {
-    engines_.push_back(std::make_unique<SoakEngine>(
-        io_.get_executor(), "e" + std::to_string(i),
-        SoakEngine::Judges{ledger_, orders_, poison_, calm_}, store_.table(), random_.Fork()));
+    engines_.push_back(
+        std::make_unique<SoakEngine>(io_.get_executor(), "e" + std::to_string(i),
+                                     SoakEngine::Judges{ledger_, orders_, poison_, calm_, needs_},
+                                     store_.table(), random_.Fork()));
     engines_.back()->Register();
   }
   if (options_.instances == 0) {
@@ -139,7 +141,8 @@
       " instances, " + std::to_string(ledger_.sent()) + " requests, " +
       std::to_string(ledger_.served()) + " served, " + std::to_string(ledger_.lost()) +
       " cut off, " + std::to_string(poison_.ends()) + " engines ended (" +
-      std::to_string(poison_.most_ends()) + " by one request), weights " +
+      std::to_string(poison_.most_ends()) + " by one request), " +
+      std::to_string(needs_.arrived()) + " requests at engines in need, weights " +
       std::to_string(operator_.weights()) + " (" + std::to_string(orders_.handovers()) +
       " handovers), " + std::to_string(length.count()) + " s";
   const auto& violation = verdict_.first();
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -51,6 +51,7 @@
   Ledger ledger_;
   OrderCheck orders_;
   Poison poison_;
+  Needs needs_;
   std::vector<std::unique_ptr<SoakEngine>> engines_;
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<std::shared_ptr<Caller>> callers_;
