A server's rest and its own word that it leaves are bars

Callers saw refusals while other servers had room: attempts and retries went to servers that had said they would not take them; servers that leave got requests until they ended.

Cause: what an answer asks of its sender was dropped at the boundary; a refusal kept an instance off for a fixed time, and that was a cost among costs.

Change: rest and leaving bar a server in the one list that every choice begins with, and are looked at again just before a request is sent. Engines that leave are no part of a rollout, and their end is no request's fault.

--- a/libs/control/src/rollout_plan.cc
+++ b/libs/control/src/rollout_plan.cc
@@ -8,8 +8,8 @@
 
 bool IsOutdated(const Backend& engine, const ModelId& model, WeightsNumber weights,
                 const NamedWeights& named) {
-  return !engine.entry.draining && !engine.missing_until && !engine.superseded &&
-         named.OutdatedSince(model, weights).has_value();
+  return !engine.entry.draining && !engine.word.leaving() && !engine.missing_until &&
+         !engine.superseded && named.OutdatedSince(model, weights).has_value();
 }
 
 }  // namespace
--- a/libs/gateway/include/gateway/backend_word.h
+++ b/libs/gateway/include/gateway/backend_word.h
@@ -38,7 +38,7 @@
 
   /// Nothing is to be sent there before; long past if anything may.
   TimePoint barred_until() const;
-  bool Bars(TimePoint now) const { return now < barred_until(); }
+  bool Bars(TimePoint now) const { return leaving_ || now < barred_until(); }
 
   /// There is no permit before `until`.
   void NoteNoPermit(TimePoint until);
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -90,7 +90,8 @@
 }
 
 void BackendDirectory::TellEnd(const Backend& backend) const {
-  if (on_end_ && !backend.entry.draining) on_end_(backend);
+  const bool announced = backend.entry.draining || backend.word.leaving();
+  if (on_end_ && !announced) on_end_(backend);
 }
 
 void BackendDirectory::SetServices(std::set<ServiceId> services) {
@@ -147,7 +148,7 @@
   std::vector<BackendPtr> usable;
   for (const auto& [id, backend] : backends_) {
     if (backend->entry.service != service || backend->entry.draining) continue;
-    if (backend->superseded) continue;
+    if (backend->superseded || backend->word.leaving()) continue;
     if (backend->missing_until && now >= *backend->missing_until) continue;
     usable.push_back(backend);
   }
--- a/libs/gateway/src/backend_word.cc
+++ b/libs/gateway/src/backend_word.cc
@@ -57,7 +57,7 @@
 }
 
 TimePoint BackendWord::barred_until() const {
-  return limit_ ? no_permit_until_ : TimePoint();
+  return limit_ ? std::max(rest_until_, no_permit_until_) : rest_until_;
 }
 
 void BackendWord::NoteNoPermit(TimePoint until) {
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -289,6 +289,7 @@
   const Backend& backend = *choice.backend;
   if (backend.removed || backend.superseded || backend.entry.draining) return false;
   if (backend.missing_until && now >= *backend.missing_until) return false;
+  if (backend.word.leaving() || now < backend.word.rest_until()) return false;
   return !request.generation || WeightsAllowed(state, backend, request.generation->model, now);
 }
 
--- a/libs/gateway/test/backend_word-test.cc
+++ b/libs/gateway/test/backend_word-test.cc
@@ -90,6 +90,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(rest_bars_until_its_end_and_a_shorter_one_does_not_end_it) {
+  BackendWord word;
+  word.TakeNotice(Rest(3s), kStart, kStart);
+  word.TakeNotice(Rest(200ms), kStart + 1s, kStart + 1s);
+  BOOST_TEST(word.Bars(kStart + 2'999ms));
+  BOOST_TEST(!word.Bars(kStart + 3s));
+  // Asked of this gateway only.
+  BOOST_TEST(word.News(kBackend).number == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(refused_permit_bars_until_there_may_be_one_or_the_limit_changes) {
   BackendWord word;
   word.TakeNotice(Limit(1.5), kStart, kStart);
@@ -100,6 +110,31 @@
   BOOST_TEST(!word.Bars(kStart + 120ms));
 }
 
+BOOST_AUTO_TEST_CASE(leaving_ends_with_the_process_only) {
+  BackendDirectory directory;
+  BackendEntry entry = Entry("x");
+  entry.started = StartStamp(5);
+  directory.Put(entry);
+  BackendNotice leaving;
+  leaving.leaving = true;
+  const BackendPtr backend = directory.Find(BackendId("x"));
+  BOOST_TEST(backend->word.TakeNotice(leaving, kStart, kStart));
+  backend->word.TakeNotice({}, kStart + 1s, kStart + 1s);
+  BOOST_TEST(directory.Usable(ServiceId("s"), kStart).empty());
+  // Its entry lapses and comes back, as after an outage of the store.
+  directory.Remove(BackendId("x"), Duration::zero(), kStart);
+  directory.Put(entry);
+  BOOST_TEST(directory.Usable(ServiceId("s"), kStart).empty());
+  // Another process at the address, and a later start under the id.
+  BackendEntry other = Entry("y");
+  other.address = "x:1";
+  directory.Put(other);
+  BOOST_TEST(directory.Usable(ServiceId("s"), kStart).size() == 1U);
+  entry.started = StartStamp(9);
+  directory.Put(entry);
+  BOOST_TEST(directory.Usable(ServiceId("s"), kStart).size() == 2U);
+}
+
 // Without anybody who counts, gateways that cannot hear from each other keep to a part of
 // the limit together, whatever each has to send.
 BOOST_AUTO_TEST_CASE(uncounted_requests_stay_within_what_is_left_beside_those_counted) {
