Limits of servers are used up by the largest requests; a request's search is a class

Cause: a limit counts requests. Short prompts used the permits up, and the engine without a limit was left with long ones for which its memory and reading have no room.

Change: prompts under half of the service's mean go to servers without a limit, and wait for one, as long as a tenth of the servers has none. Of what is tolerated above a limit three quarters are used (half before), and nobody-to-ask draws an eighth of the limit (a quarter), so that both together stay within it on average.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -9,10 +9,9 @@
 #include <string>
 #include <utility>
 
-#include "gateway/asked_choice.h"
 #include "gateway/attempt_policy.h"
 #include "gateway/backend_load.h"
-#include "gateway/backend_permit.h"
+#include "gateway/backend_search.h"
 #include "gateway/caller_connection.h"
 #include "gateway/event_relay.h"
 #include "gateway/exchange_plan.h"
@@ -65,7 +64,12 @@
   };
 
   Exchange(GatewayState& state, std::shared_ptr<CallerConnection> caller)
-      : state_(state), caller_(std::move(caller)), relay_(std::nullopt) {}
+      : state_(state),
+        caller_(std::move(caller)),
+        relay_(std::nullopt),
+        search_(state, {plan_, inbound_, tried_, record_,
+                        [this] { return caller_->caller_gone() || Quarantined(); },
+                        [this] { return WaitLimit(); }}) {}
 
   net::awaitable<void> Answer() {
     std::optional<Failure> failure = Decode();
@@ -135,6 +139,7 @@
     record_.route = plan_.route->id;
     record_.service = plan_.service;
     if (plan_.workspace != nullptr) record_.workspace = plan_.workspace->id;
+    if (plan_.chain) state_.prompt_sizes().Note(plan_.service, plan_.chain->prompt_tokens);
     plan_.fingerprint = FingerprintOf(record_.workspace, inbound_, caller_->request());
     record_.fingerprint = plan_.fingerprint;
     relay_ = EventRelay{inbound_.resume_after};
@@ -146,7 +151,7 @@
   /// Makes one attempt and decides what follows.
   net::awaitable<NextStep> TryOnce() {
     if (Quarantined()) co_return StepOfQuarantined();
-    const std::optional<BackendChoice> choice = co_await ChooseInTurn();
+    const std::optional<BackendChoice> choice = co_await search_.Find(begun_);
     if (caller_->caller_gone()) co_return NextStep::kDone;
     if (Quarantined()) co_return StepOfQuarantined();
     // What the last attempt has answered is still the best there is.
@@ -184,109 +189,13 @@
     co_await state_.ConfirmEnd(attempt_.backend);
   }
 
-  /// In one look. Each costs a round trip to whoever counts.
-  static constexpr int kMostPermitsRefused = 4;
-
-  /// How a look for a backend server has ended.
-  enum class Look : std::uint8_t {
-    kFound,
-    kWait,  ///< for room that there will be
-    kNone,
-  };
-
-  /// Chooses a backend server and waits, if need be, until it has room.
-  net::awaitable<std::optional<BackendChoice>> ChooseInTurn() {
-    std::optional<BackendChoice> choice;
-    Look look = co_await LookOnce(choice);
-    if (look == Look::kWait) look = co_await WaitForTurn(choice);
-    if (look == Look::kNone) choice.reset();
-    co_return choice;
-  }
-
-  /// Chooses one that takes the request now, and gets the permit that it may need.
-  net::awaitable<Look> LookOnce(std::optional<BackendChoice>& choice) {
-    for (int refused = 0; refused < kMostPermitsRefused; ++refused) {
-      choice = co_await Choose();
-      if (!choice) co_return RoomSoon() ? Look::kWait : Look::kNone;
-      if (!MaySend(*choice)) co_return Look::kWait;
-      record_.permit = co_await AcquirePermit(state_, choice->backend);
-      if (record_.permit.MaySend()) co_return Look::kFound;
-      ++record_.permits_refused;
-    }
-    // Those are barred for others, too: the next look asks few.
-    choice.reset();
-    co_return Look::kWait;
-  }
-
-  net::awaitable<Look> WaitForTurn(std::optional<BackendChoice>& choice) {
-    DeferredRequests::Ticket ticket(state_.deferred_requests(), plan_.priority.value_or(0));
-    Timer timer(state_.executor());
-    const TimePoint began = Clock::now();
-    Look look = Look::kWait;
-    while (look == Look::kWait && !caller_->caller_gone() && !Quarantined() &&
-           Clock::now() + state_.limits().least_time < WaitLimit()) {
-      co_await WaitFor(
-          timer, state_.asks_first() ? DeferredRequests::kAskingLook : DeferredRequests::kLook);
-      if (MayLook(ticket, choice)) look = co_await LookOnce(choice);
-    }
-    record_.deferred = std::chrono::duration_cast<Duration>(Clock::now() - began);
-    // At the end of its time a request is sent although the engine is full, but not
-    // without the permit that the engine's own word demands.
-    const bool demands = !choice || choice->backend->word.limit();
-    if (look == Look::kWait) look = demands ? Look::kNone : Look::kFound;
-    co_return look;
-  }
-
-  bool MayLook(DeferredRequests::Ticket& ticket, const std::optional<BackendChoice>& choice) {
-    if (!choice) return ticket.MayLook() || !RoomSoon();
-    const AdmissionQuery place = AdmissionQueryFor(plan_, *choice, Clock::now());
-    if (!Admission::InTime(place)) ticket.SetLate();
-    return ticket.MayLook() || RuleOfAdmission().WaitedEnough(place);
-  }
-
-  std::optional<TimePoint> NextRoom() const {
-    return SoonestRoom(state_, plan_, inbound_, tried_, Clock::now());
-  }
-
-  /// Whether waiting here is better than coming back: the caller's tries are few. The
-  /// caller of a stream that has begun cannot come back, but is still reading.
-  bool RoomSoon() const {
-    const std::optional<TimePoint> room = NextRoom();
-    if (!room) return false;
-    const auto patience = plan_.route->latency_objective / 4;
-    const TimePoint until = begun_ ? plan_.answer_by : TimePoint(plan_.received + patience);
-    return *room < until && Clock::now() < until;
-  }
-
   /// No backend server takes the request now.
   NextStep StepWithoutChoice() {
     const bool nothing_known = last_code_ == ResultCode::kNoBackend;
-    if (nothing_known && NextRoom()) last_code_ = ResultCode::kBackendsAtLimit;
+    if (nothing_known && search_.NextRoom()) last_code_ = ResultCode::kBackendsAtLimit;
     return StepWithoutRetry(facts_);
   }
 
-  std::chrono::milliseconds RetryAfter() const {
-    const std::optional<TimePoint> room = NextRoom();
-    if (!room) return RetryAfterFor(state_, plan_);
-    return RetryAfterRoom(plan_, inbound_, *room, Clock::now());
-  }
-
-  Admission RuleOfAdmission() const { return Admission{state_.limits().admission}; }
-
-  net::awaitable<std::optional<BackendChoice>> Choose() {
-    if (!state_.asks_first()) co_return ChooseFor(state_, plan_, inbound_, tried_, Clock::now());
-    AskedChoice asked = co_await AskAndChoose(state_, plan_, inbound_, tried_);
-    record_.asking = asked.asking;
-    co_return std::move(asked.choice);
-  }
-
-  /// A stream that has begun goes on at once: its caller is reading.
-  bool MaySend(const BackendChoice& choice) const {
-    if (!plan_.chain || begun_) return true;
-    const AdmissionQuery query = AdmissionQueryFor(plan_, choice, Clock::now());
-    return RuleOfAdmission().MaySend(query);
-  }
-
   void NoteChoice(const BackendChoice& choice) {
     const Backend& backend = *choice.backend;
     record_.backend = backend.entry.id;
@@ -543,7 +452,7 @@
         co_await Deliver();
         break;
       case NextStep::kRefuse:
-        co_await RefuseWith(NotRunCode(last_code_, facts_), RetryAfter());
+        co_await RefuseWith(NotRunCode(last_code_, facts_), search_.RetryAfter());
         break;
       case NextStep::kFail:
         co_await RefuseWith(FailedCode(last_code_), kDefaultRetryAfter);
@@ -601,6 +510,7 @@
   ResultCode last_code_ = ResultCode::kNoBackend;
   RequestRecord record_;
   bool begun_ = false;
+  BackendSearch search_;
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -33,6 +33,7 @@
   std::string cache_scope;  ///< who may share cache entries, without the weights
   std::optional<PromptChain> chain;
   std::optional<QuotaDemand> quota;  ///< what it takes of its workspace's quota
+  bool spares_limited = false;       ///< goes to no backend server with a limit for now
 };
 
 /// The backend server an attempt goes to.
@@ -69,6 +70,10 @@
                                       const InboundRequest& request,
                                       const std::set<BackendId>& tried, TimePoint now);
 
+/// Whether a request leaves backend servers with a limit to others, and rather waits for
+/// one without: a limit counts requests, so it is best used up by the largest.
+bool SparesLimited(const GatewayState& state, const ExchangePlan& plan, TimePoint now);
+
 /// When the first of those that may be given the request takes one, by its own word; now
 /// or later, nothing if there is none.
 std::optional<TimePoint> SoonestRoom(const GatewayState& state, const ExchangePlan& plan,
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -22,6 +22,7 @@
 #include "gateway/placement.h"
 #include "gateway/poison_guard.h"
 #include "gateway/prefix_shares.h"
+#include "gateway/prompt_sizes.h"
 #include "gateway/reading_speed.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/routing_snapshot.h"
@@ -137,6 +138,9 @@
   /// The same in tokens a millisecond; the settings' figure before any answer.
   double TokensPerMs(const ServiceId& service) const;
 
+  PromptSizes& prompt_sizes() { return prompt_sizes_; }
+  const PromptSizes& prompt_sizes() const { return prompt_sizes_; }
+
   NamedWeights& named_weights() { return named_weights_; }
   const NamedWeights& named_weights() const { return named_weights_; }
   WaitingAttempts& waiting_attempts() { return waiting_attempts_; }
@@ -165,6 +169,7 @@
   }
 
   BackendWords& words() { return words_; }
+  const BackendWords& words() const { return words_; }
 
   DeferredRequests& deferred_requests() { return deferred_requests_; }
 
@@ -285,6 +290,7 @@
   TransferLinks links_;
   std::unordered_map<LinkHash, EngineCache> kept_;  ///< by store
   std::map<ServiceId, ReadingSpeed> reading_speeds_;
+  PromptSizes prompt_sizes_;
   NamedWeights named_weights_;
   PoisonGuard poison_;
   EndConfirmer confirm_end_;
--- /dev/null
+++ b/libs/gateway/include/gateway/prompt_sizes.h
@@ -0,0 +1,34 @@
+// How long the prompts of a service's requests are.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "base/ids.h"
+
+namespace ridgehold {
+
+/// A moving mean for each service. Not thread-safe.
+class PromptSizes {
+ public:
+  void Note(const ServiceId& service, std::uint32_t tokens) {
+    const auto [entry, is_new] = means_.try_emplace(service, tokens);
+    if (!is_new) entry->second += kStep * (tokens - entry->second);
+  }
+
+  /// Whether the prompt is far shorter than the mean.
+  bool IsSmall(const ServiceId& service, std::uint32_t tokens) const {
+    const auto found = means_.find(service);
+    return found != means_.end() && tokens < kSmallPart * found->second;
+  }
+
+ private:
+  /// Some fifty requests count.
+  static constexpr double kStep = 0.02;
+  static constexpr double kSmallPart = 0.5;
+
+  std::map<ServiceId, double> means_;
+};
+
+}  // namespace ridgehold
--- a/libs/gateway/include/gateway/uncounted_turns.h
+++ b/libs/gateway/include/gateway/uncounted_turns.h
@@ -19,7 +19,7 @@
   static constexpr std::chrono::seconds kTurn{1};
   /// Of the limit, for all gateways together. The others may be cut off from this one and
   /// go on being granted the whole of it.
-  static constexpr double kPart = 0.25;
+  static constexpr double kPart = 0.125;
 
   struct Draw {
     BackendHash backend = 0;
--- /dev/null
+++ b/libs/gateway/src/backend_search.cc
@@ -0,0 +1,106 @@
+#include "gateway/backend_search.h"
+
+#include <utility>
+
+#include "gateway/asked_choice.h"
+#include "gateway/backend_permit.h"
+#include "net/wait.h"
+
+namespace ridgehold {
+
+net::awaitable<std::optional<BackendChoice>> BackendSearch::Find(bool stream_begun) {
+  stream_begun_ = stream_begun;
+  std::optional<BackendChoice> choice;
+  Look look = co_await LookOnce(choice);
+  if (look == Look::kWait) look = co_await WaitForTurn(choice);
+  if (look == Look::kNone) choice.reset();
+  co_return choice;
+}
+
+net::awaitable<BackendSearch::Look> BackendSearch::LookOnce(std::optional<BackendChoice>& choice) {
+  for (int refused = 0; refused < kMostPermitsRefused; ++refused) {
+    choice = co_await ChooseSparing();
+    if (!choice) co_return RoomSoon() ? Look::kWait : Look::kNone;
+    if (!MaySend(*choice)) co_return Look::kWait;
+    request_.record.permit = co_await AcquirePermit(state_, choice->backend);
+    if (request_.record.permit.MaySend()) co_return Look::kFound;
+    ++request_.record.permits_refused;
+  }
+  // Those are barred for others, too: the next look asks few.
+  choice.reset();
+  co_return Look::kWait;
+}
+
+net::awaitable<BackendSearch::Look> BackendSearch::WaitForTurn(
+    std::optional<BackendChoice>& choice) {
+  DeferredRequests::Ticket ticket(state_.deferred_requests(), request_.plan.priority.value_or(0));
+  Timer timer(state_.executor());
+  const TimePoint began = Clock::now();
+  const auto pause = state_.asks_first() ? DeferredRequests::kAskingLook : DeferredRequests::kLook;
+  Look look = Look::kWait;
+  while (look == Look::kWait && !request_.abandoned() &&
+         Clock::now() + state_.limits().least_time < request_.wait_limit()) {
+    co_await WaitFor(timer, pause);
+    if (MayLook(ticket, choice)) look = co_await LookOnce(choice);
+  }
+  request_.record.deferred = std::chrono::duration_cast<Duration>(Clock::now() - began);
+  // At the end of its time a request is sent although the engine is full, but not
+  // without the permit that the engine's own word demands.
+  const bool demands_permit = !choice || choice->backend->word.limit();
+  if (look == Look::kWait) look = demands_permit ? Look::kNone : Look::kFound;
+  co_return look;
+}
+
+net::awaitable<std::optional<BackendChoice>> BackendSearch::ChooseSparing() {
+  ExchangePlan& plan = request_.plan;
+  plan.spares_limited = SparesLimited(state_, plan, Clock::now());
+  std::optional<BackendChoice> choice = co_await Choose();
+  const bool spared = std::exchange(plan.spares_limited, false);
+  if (spared && !choice) choice = co_await Choose();
+  co_return choice;
+}
+
+net::awaitable<std::optional<BackendChoice>> BackendSearch::Choose() {
+  const auto& [plan, inbound, tried, record, abandoned, wait_limit] = request_;
+  if (!state_.asks_first()) co_return ChooseFor(state_, plan, inbound, tried, Clock::now());
+  AskedChoice asked = co_await AskAndChoose(state_, plan, inbound, tried);
+  record.asking = asked.asking;
+  co_return std::move(asked.choice);
+}
+
+bool BackendSearch::MayLook(DeferredRequests::Ticket& ticket,
+                            const std::optional<BackendChoice>& choice) const {
+  if (!choice) return ticket.MayLook() || !RoomSoon();
+  const AdmissionQuery place = AdmissionQueryFor(request_.plan, *choice, Clock::now());
+  if (!Admission::InTime(place)) ticket.SetLate();
+  return ticket.MayLook() || RuleOfAdmission().WaitedEnough(place);
+}
+
+bool BackendSearch::MaySend(const BackendChoice& choice) const {
+  if (!request_.plan.chain || stream_begun_) return true;
+  const AdmissionQuery query = AdmissionQueryFor(request_.plan, choice, Clock::now());
+  return RuleOfAdmission().MaySend(query);
+}
+
+std::optional<TimePoint> BackendSearch::NextRoom() const {
+  return SoonestRoom(state_, request_.plan, request_.inbound, request_.tried, Clock::now());
+}
+
+/// Whether waiting here is better than coming back: the caller's tries are few. The
+/// caller of a stream that has begun cannot come back, but is still reading.
+bool BackendSearch::RoomSoon() const {
+  const std::optional<TimePoint> room = NextRoom();
+  if (!room) return false;
+  const ExchangePlan& plan = request_.plan;
+  const TimePoint patience = plan.received + plan.route->latency_objective / 4;
+  const TimePoint until = stream_begun_ ? plan.answer_by : patience;
+  return *room < until && Clock::now() < until;
+}
+
+std::chrono::milliseconds BackendSearch::RetryAfter() const {
+  const std::optional<TimePoint> room = NextRoom();
+  if (!room) return RetryAfterFor(state_, request_.plan);
+  return RetryAfterRoom(request_.plan, request_.inbound, *room, Clock::now());
+}
+
+}  // namespace ridgehold
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -176,6 +176,7 @@
   std::vector<BackendPtr> candidates = state.directory().Usable(plan.service, now);
   std::erase_if(candidates, [&](const BackendPtr& backend) {
     if (tried.contains(backend->entry.id) || backend->word.Bars(now)) return true;
+    if (plan.spares_limited && backend->word.limit()) return true;
     if (!request.generation) return false;
     return !WeightsAllowed(state, *backend, request.generation->model, now);
   });
@@ -186,6 +187,18 @@
   return candidates;
 }
 
+bool SparesLimited(const GatewayState& state, const ExchangePlan& plan, TimePoint now) {
+  // Fewer without a limit could not carry all small requests.
+  constexpr double kLeastPart = 0.1;
+  const bool small = plan.chain && state.words().AnyLimit(now) &&
+                     state.prompt_sizes().IsSmall(plan.service, plan.chain->prompt_tokens);
+  if (!small) return false;
+  const std::vector<BackendPtr> usable = state.directory().Usable(plan.service, now);
+  const auto unlimited = std::ranges::count_if(
+      usable, [](const BackendPtr& backend) { return !backend->word.limit(); });
+  return static_cast<double>(unlimited) >= kLeastPart * static_cast<double>(usable.size());
+}
+
 std::optional<TimePoint> SoonestRoom(const GatewayState& state, const ExchangePlan& plan,
                                      const InboundRequest& request,
                                      const std::set<BackendId>& tried, TimePoint now) {
--- a/libs/quota/include/quota/request_limit.h
+++ b/libs/quota/include/quota/request_limit.h
@@ -18,7 +18,7 @@
   double extra = 3;      ///< requests in a few seconds, beyond the first; one more is spare
   /// How much of both is used. Refusing a request that is tolerated helps no caller; the
   /// rest is for requests that are late on their way, and for those that nobody counts.
-  double used_part = 0.5;
+  double used_part = 0.75;
 };
 
 /// What instances grant together. `number` orders the words of one backend server.
--- a/model/fleet_model.cc
+++ b/model/fleet_model.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/backend_permit.h"
+
 namespace ridgehold::model {
 namespace {
 
@@ -78,6 +80,11 @@
     entry.weights[kModel] = WeightsNumber(1);
     state_.directory().Put(entry);
     engines_.emplace(entry.id, EngineModel(pattern_.figures));
+    if (i >= pattern_.engines_limited) continue;
+    Backend& backend = *state_.directory().Find(entry.id);
+    const BackendNotice notice{RequestRate::Of(pattern_.limit), false, false, std::nullopt};
+    state_.words().Note(backend, notice, start_, start_);
+    granted_.emplace(entry.id, TokenBucket(state_.words().TermsFor(backend), start_));
   }
 }
 
@@ -149,6 +156,7 @@
   auto plan = PlanExchange(state_, open.request, now_);
   if (!plan) return;
   open.plan = std::move(*plan);
+  state_.prompt_sizes().Note(open.plan.service, open.plan.chain->prompt_tokens);
   line_.push_back(number);
   open_.emplace(number, std::move(open));
 }
@@ -161,12 +169,39 @@
   std::erase_if(line_, [this](std::uint64_t number) { return TrySend(number, open_.at(number)); });
 }
 
+bool FleetModel::GetPermit(const BackendPtr& backend) {
+  const auto bucket = granted_.find(backend->entry.id);
+  if (bucket == granted_.end()) return true;
+  const QuotaParts needed = QuotaScale(1).Of(kTokensOfRequest);
+  QuotaOutcome outcome;
+  outcome.verdict = QuotaVerdict::kGranted;
+  if (!bucket->second.Take(needed, now_)) {
+    outcome.verdict = QuotaVerdict::kOverQuota;
+    outcome.retry_after = kStep;
+  }
+  return JudgePermit(*backend, outcome, {}, now_) == PermitVerdict::kGranted;
+}
+
+/// As BackendSearch does.
+std::optional<BackendChoice> FleetModel::Choose(Open& open) {
+  for (;;) {
+    open.plan.spares_limited = pattern_.spare_limited && SparesLimited(state_, open.plan, now_);
+    auto choice = ChooseFor(state_, open.plan, open.request, {}, now_);
+    const auto may_send = [&] {
+      return choice && admission_.MaySend(AdmissionQueryFor(open.plan, *choice, now_));
+    };
+    if (std::exchange(open.plan.spares_limited, false) && !choice) {
+      choice = ChooseFor(state_, open.plan, open.request, {}, now_);
+    }
+    if (choice) open.late = !Admission::InTime(AdmissionQueryFor(open.plan, *choice, now_));
+    if (!may_send()) return std::nullopt;
+    if (GetPermit(choice->backend)) return choice;
+  }
+}
+
 bool FleetModel::TrySend(std::uint64_t number, Open& open) {
-  const auto choice = ChooseFor(state_, open.plan, open.request, {}, now_);
+  const auto choice = Choose(open);
   if (!choice) return false;
-  const AdmissionQuery query = AdmissionQueryFor(open.plan, *choice, now_);
-  open.late = !Admission::InTime(query);
-  if (!admission_.MaySend(query)) return false;
   open.backend = choice->backend;
   open.tokens_to_read = choice->tokens_to_read;
   open.tokens_ahead = choice->tokens_ahead;
--- a/model/fleet_model.h
+++ b/model/fleet_model.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "gateway/exchange_plan.h"
 #include "gateway/gateway_state.h"
 #include "model/engine_model.h"
+#include "quota/token_bucket.h"
 
 namespace ridgehold::model {
 
@@ -38,7 +40,11 @@
   std::size_t engines_left = 9;
   std::chrono::milliseconds lost_from{0};
   std::chrono::milliseconds lost_until{0};
-  bool new_weights = false;  ///< at `lost_from` all caches are lost, too
+  /// So many engines, the first ones, name this limit all the time.
+  std::size_t engines_limited = 0;
+  double limit = 0;           ///< requests a second
+  bool spare_limited = true;  ///< whether small requests leave them to large ones
+  bool new_weights = false;   ///< at `lost_from` all caches are lost, too
   std::uint32_t seed = 1;
 };
 
@@ -86,6 +92,8 @@
   /// Sends what may be sent, in the line's order.
   void SendWaiting();
   bool TrySend(std::uint64_t number, Open& open);
+  std::optional<BackendChoice> Choose(Open& open);
+  bool GetPermit(const BackendPtr& backend);
   void AdvanceEngines();
   void SetEnginesLeft();
   void LoadWeights();
@@ -97,6 +105,7 @@
   Admission admission_;
   TransferLinks links_;  ///< as they really are
   std::map<BackendId, EngineModel> engines_;
+  std::map<BackendId, TokenBucket> granted_;  ///< of engines that name a limit
   std::map<std::uint64_t, Open> open_;
   std::vector<std::uint64_t> line_;
   std::map<std::string, Outcome> outcomes_;
--- a/model/patterns.cc
+++ b/model/patterns.cc
@@ -50,12 +50,20 @@
   return pattern;
 }
 
+Pattern MostEnginesLimited() {
+  Pattern pattern;
+  pattern.figures = {56.9, 99'487, 0.0004};
+  pattern.demands = {LongPrompts(18), ShortPrompts(23)};
+  pattern.engines_limited = 8;
+  pattern.limit = 1.4;
+  return pattern;
+}
+
 const std::vector<NamedPattern>& AllPatterns() {
-  static const std::vector<NamedPattern> kAll = {{"roof-surveys", RoofSurveys},
-                                                 {"rollout-under-load", RolloutUnderLoad},
-                                                 {"engines-lost", EnginesLost},
-                                                 {"store-link-full", StoreLinkFull},
-                                                 {"slow-engines", SlowEngines}};
+  static const std::vector<NamedPattern> kAll = {
+      {"roof-surveys", RoofSurveys}, {"rollout-under-load", RolloutUnderLoad},
+      {"engines-lost", EnginesLost}, {"store-link-full", StoreLinkFull},
+      {"slow-engines", SlowEngines}, {"most-engines-limited", MostEnginesLimited}};
   return kAll;
 }
 
--- a/model/patterns.h
+++ b/model/patterns.h
@@ -29,6 +29,10 @@
 /// Engines that read less than half as fast as the settings say.
 Pattern SlowEngines();
 
+/// Eight of nine engines name limits of 1.4 requests a second, a third of what they got
+/// before; the engines and the load are the shift planner's.
+Pattern MostEnginesLimited();
+
 /// A pattern and its name, in ordinary small letters with dashes.
 struct NamedPattern {
   std::string_view name;
--- a/model/test/load_patterns-test.cc
+++ b/model/test/load_patterns-test.cc
@@ -86,6 +86,24 @@
   BOOST_TEST(observed > settings + 0.02);
 }
 
+// Eight of nine engines take a third of the requests that they got before. A limit counts
+// requests, whatever their size: while small ones use it up, the engine without a limit reads
+// more long prompts than it can, and nearly all are late.
+BOOST_AUTO_TEST_CASE(limits_of_engines_are_used_up_by_the_largest_requests) {
+  GatewayLimits limits;
+  limits.backend_limits.used_part = 0;
+  for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+    Pattern pattern = MostEnginesLimited();
+    pattern.seed = seed;
+    const double with = InTime(FleetModel(pattern, limits, {}).Play());
+    pattern.spare_limited = false;
+    const double without = InTime(FleetModel(pattern, limits, {}).Play());
+    BOOST_TEST_INFO("seed " << seed << ": in time " << with << " and " << without);
+    BOOST_TEST(with > 0.9);
+    BOOST_TEST(with > without + 0.3);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(same_seed_gives_the_same_outcome) {
   const auto one = Play(RoofSurveys(), true);
   const auto other = Play(RoofSurveys(), true);
--- a/programs/ridgehold-model.cc
+++ b/programs/ridgehold-model.cc
@@ -20,6 +20,8 @@
   std::uint32_t seeds = 1;
   AdmissionRule admission;
   PlacementWeights placement;
+  bool spare_limited = true;
+  LimitTolerance tolerance;
   bool limits = false;
   std::vector<std::size_t> instances = {8, 90, 295};
   double limit = 1.2;
@@ -57,6 +59,8 @@
 void PlayOne(const std::string& name, Pattern pattern, const Options& options) {
   GatewayLimits limits;
   limits.admission = options.admission;
+  limits.backend_limits.used_part = options.tolerance.used_part;
+  pattern.spare_limited = options.spare_limited;
   const std::uint32_t seed = pattern.seed;
   FleetModel fleet(std::move(pattern), limits, options.placement);
   for (const auto& [path, outcome] : fleet.Play()) {
@@ -80,6 +84,10 @@
                  "Fetch from engines, too");
   app.add_option("--placement.watch-links", options.placement.watch_links,
                  "Fetches wait for those before them");
+  app.add_option("--spare-limited", options.spare_limited,
+                 "Small requests leave engines with a limit to large ones");
+  app.add_option("--limits.tolerance-part", options.tolerance.used_part,
+                 "Of what is tolerated above an engine's limit");
   app.add_flag("--limits", options.limits, "Play a server's limit instead of patterns");
   app.add_option("--instances", options.instances, "Sizes of the fleet, of --limits")
       ->capture_default_str();
