A server's changing limit is told a few times a second; kept terms are bounded

Cause, found by reading the change as a newcomer: a server that names another limit in each answer would have had every change told to all instances three times; terms for whoever counts piled up where nobody counts; every refusal's Retry-After had got a spread, not just those that wait for a server's word.

Change: a telling that is under way carries the word as it is then, and a new one begins after 0.4 s; kept terms are bounded; other refusals are told the same as before.

Measured: backend_word (with a case for it, red by construction without BeginTelling: 1,000 tellings), load_patterns, exchange_plan, asked_choice, limit_ways, request_limit and server_rest without error.

--- a/libs/gateway/include/gateway/backend_word.h
+++ b/libs/gateway/include/gateway/backend_word.h
@@ -26,6 +26,9 @@
   /// Takes what another gateway tells. Returns whether that one knows less than this.
   bool TakeNews(const BackendNews& news, TimePoint now);
   BackendNews News(BackendHash backend) const;
+  /// Whether the others are to be told from now on. Not while they are being told, which
+  /// repeats the word as it is then: some servers change their limit with each answer.
+  bool BeginTelling(TimePoint now);
 
   const std::optional<RequestRate>& limit() const { return limit_; }
   /// When it named its limit first, as far as is known here; only while there is one.
@@ -55,6 +58,7 @@
   std::uint64_t number_ = 0;  ///< of the limit and the leaving
   TimePoint known_at_{};      ///< since when they are known here
   TimePoint limited_since_{};
+  TimePoint told_from_{};
   TimePoint heard_at_{};
   TimePoint rest_until_{};
   TimePoint no_permit_until_{};
--- a/libs/gateway/src/backend_search.cc
+++ b/libs/gateway/src/backend_search.cc
@@ -99,8 +99,9 @@
 
 std::chrono::milliseconds BackendSearch::RetryAfter() const {
   const std::optional<TimePoint> room = NextRoom();
-  if (!room) return RetryAfterFor(state_, request_.plan);
-  return RetryAfterRoom(request_.plan, request_.inbound, *room, Clock::now());
+  const TimePoint now = Clock::now();
+  if (!room || *room <= now) return RetryAfterFor(state_, request_.plan);
+  return RetryAfterRoom(request_.plan, request_.inbound, *room, now);
 }
 
 }  // namespace ridgehold
--- a/libs/gateway/src/backend_word.cc
+++ b/libs/gateway/src/backend_word.cc
@@ -1,6 +1,7 @@
 #include "gateway/backend_word.h"
 
 #include <algorithm>
+#include <chrono>
 
 #include "gateway/uncounted_turns.h"
 
@@ -49,6 +50,14 @@
   return {backend, number_, limit_, leaving_};
 }
 
+bool BackendWord::BeginTelling(TimePoint now) {
+  // Less than the time from the first telling to the last.
+  constexpr std::chrono::milliseconds kTelling{400};
+  if (told_from_ != TimePoint() && now - told_from_ < kTelling) return false;
+  told_from_ = now;
+  return true;
+}
+
 void BackendWord::SetLimit(const std::optional<RequestRate>& limit, TimePoint now) {
   if (!limit_) limited_since_ = now;
   limit_ = limit;
--- a/libs/gateway/src/backend_words.cc
+++ b/libs/gateway/src/backend_words.cc
@@ -11,6 +11,7 @@
 
 // Whoever counts stays ready for so long after a limit was last heard of.
 constexpr std::chrono::seconds kCounted{60};
+constexpr std::size_t kMostNewTerms = 4'096;
 
 void LogWord(const char* event, const Backend& backend) {
   const BackendWord& word = backend.word;
@@ -38,8 +39,9 @@
   if (notice.limit) counted_until_ = now + kCounted;
   if (!changed) return;
   LogWord("backend notice", backend);
-  news_.items.push_back(backend.word.News(HashOf(backend)));
   NoteChange(backend, now);
+  if (!backend.word.BeginTelling(now)) return;
+  news_.items.push_back(backend.word.News(HashOf(backend)));
   if (on_news_) on_news_();
 }
 
@@ -69,6 +71,8 @@
 void BackendWords::NoteChange(const Backend& backend, TimePoint now) {
   if (!backend.word.limit()) return;
   counted_until_ = now + kCounted;
+  // Nobody takes them out where no share is held. Requests bring their terms along.
+  if (new_terms_.size() >= kMostNewTerms) new_terms_.clear();
   new_terms_[SubjectFor(backend)] = TermsFor(backend);
   if (on_limit_) on_limit_();
 }
--- a/libs/gateway/test/backend_word-test.cc
+++ b/libs/gateway/test/backend_word-test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gateway/backend_directory.h"
+#include "gateway/backend_words.h"
 #include "gateway/uncounted_turns.h"
 
 using namespace ridgehold;
@@ -135,6 +136,25 @@
   BOOST_TEST(directory.Usable(ServiceId("s"), kStart).size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(limit_that_changes_with_each_answer_is_told_a_few_times_a_second) {
+  BackendDirectory directory;
+  directory.Put(Entry("x"));
+  const BackendPtr backend = directory.Find(BackendId("x"));
+  BackendWords words(directory);
+  int told = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    const TimePoint sent = kStart + i * 1ms;
+    words.Note(*backend, Limit(1 + i / 100.0), sent, sent + 500us);
+    const BackendNewsList news = words.TakeNews();
+    told += static_cast<int>(news.items.size());
+  }
+  BOOST_TEST(told <= 3);
+  // What is told again is the last word.
+  const BackendNewsList again = words.Refreshed({{{HashOf(*backend), 1, {}, false}}});
+  BOOST_REQUIRE(again.items.size() == 1U);
+  BOOST_TEST((again.items.front().limit == RequestRate::Of(1 + 999 / 100.0)));
+}
+
 // Without anybody who counts, gateways that cannot hear from each other keep to a part of
 // the limit together, whatever each has to send.
 BOOST_AUTO_TEST_CASE(uncounted_requests_stay_within_what_is_left_beside_those_counted) {
