--- a/libs/entry/include/entry/quota_duty.h
+++ b/libs/entry/include/entry/quota_duty.h
@@ -52,7 +52,8 @@
         [this](const QuotaMessage& message, const std::string& from) { Take(message, from); });
     GatewayState::QuotaAsker asker;
     asker.acquire = [this](QuotaDemand demand) {
-      return LinkFor(demand.subject).Acquire(std::move(demand));
+      QuotaLink& link = LinkFor(demand.subject);
+      return link.Acquire(std::move(demand));
     };
     asker.give_back = [this](const QuotaTicket& ticket) { LinkOf(ticket.id).GiveBack(ticket); };
     state_.SetQuotaAsker(std::move(asker));
