Gateway: one class for attempts that can be withdrawn, one Retry-After without state

Cause: three classes had the same ticket, list and way to withdraw (UnansweredAttempts, WaitingAttempts, PoisonGuard); LeastRetryAfter and RetryAfterFor were the same function, one with an unused state; the name of the instance in an answer's head was decoded for nobody. Ruled out: leaving UnansweredAttempts as it was: it called a list of copied callbacks, also those whose ticket one before had dropped. Change: WithdrawableAttempts<Facts>; an attempt whose ticket is gone is not called. RetryAfterFor(plan) serves all. AnswerHead::backend is gone.

--- a/libs/gateway/include/gateway/attempt_messages.h
+++ b/libs/gateway/include/gateway/attempt_messages.h
@@ -35,7 +35,6 @@
   bool has_content_coding = false;  ///< the body is not as the backend server made it
   bool event_stream = false;
   RequestId request;  ///< empty: not named
-  BackendId backend;  ///< empty: not named
   std::optional<WeightsNumber> weights;
   BackendNotice notice;
 };
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -111,7 +111,7 @@
 
   std::chrono::milliseconds RetryAfterQuota() const {
     const auto known = std::chrono::ceil<std::chrono::milliseconds>(record_.quota->retry_after);
-    return std::max(known, RetryAfterFor(state_, plan_));
+    return std::max(known, RetryAfterFor(plan_));
   }
 
   std::optional<Failure> Decode() {
@@ -255,7 +255,8 @@
                                        [this] { Withdraw(ResultCode::kBackendUnreachable); });
     }
     if (!inbound_.generation || !attempt_.expected_weights) return;
-    state_.waiting_attempts().Add(waiting_, inbound_.generation->model, *attempt_.expected_weights,
+    const WeightsAsked asked{inbound_.generation->model, *attempt_.expected_weights};
+    state_.waiting_attempts().Add(waiting_, asked,
                                   [this] { Withdraw(ResultCode::kWeightsPastLimit); });
   }
 
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -80,6 +80,9 @@
                                      const InboundRequest& request,
                                      const std::set<BackendId>& tried, TimePoint now);
 
+/// When a refused caller should come back that nothing is known for.
+std::chrono::milliseconds RetryAfterFor(const ExchangePlan& plan);
+
 /// When a caller should come back for which there is room from `room` on. Callers that are
 /// refused at one moment come back at different ones.
 std::chrono::milliseconds RetryAfterRoom(const ExchangePlan& plan, const InboundRequest& request,
@@ -145,7 +148,4 @@
 /// Why a request may not go on that has asked for its part of a quota; nothing if it may.
 std::optional<ResultCode> RefusalOf(QuotaVerdict verdict);
 
-/// When a refused caller should come back.
-std::chrono::milliseconds RetryAfterFor(const GatewayState& state, const ExchangePlan& plan);
-
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/poison_guard.h
+++ b/libs/gateway/include/gateway/poison_guard.h
@@ -2,12 +2,12 @@
 
 #pragma once
 
-#include <cstdint>
+#include <cstddef>
 #include <functional>
-#include <map>
 #include <optional>
 #include <set>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include "gateway/backend_directory.h"
@@ -15,6 +15,7 @@
 #include "gateway/poison_detector.h"
 #include "gateway/poison_news.h"
 #include "gateway/recent_survivors.h"
+#include "gateway/withdrawable_attempts.h"
 #include "metrics/metrics.h"
 
 namespace ridgehold {
@@ -24,22 +25,9 @@
 /// copies that ran side by side. Runs on one executor; outlives its tickets.
 class PoisonGuard {
  public:
-  /// Ends an attempt whose request is quarantined; its ticket may be dropped within.
-  using Withdraw = std::function<void()>;
-
-  /// An attempt is at a backend server for as long as its ticket lives.
-  class Ticket {
-   public:
-    Ticket(PoisonGuard& guard, std::uint64_t number) : guard_(&guard), number_(number) {}
-    ~Ticket() { guard_->running_.erase(number_); }
-
-    Ticket(const Ticket&) = delete;
-    Ticket& operator=(const Ticket&) = delete;
-
-   private:
-    PoisonGuard* guard_;
-    std::uint64_t number_;
-  };
+  /// Attempts at backend servers, by what they carry.
+  using Attempts = WithdrawableAttempts<RequestFingerprint>;
+  using Ticket = Attempts::Ticket;
 
   PoisonGuard(Metrics& metrics, PoisonRule rule) : metrics_(metrics), detector_(rule) {}
 
@@ -47,8 +35,11 @@
     return detector_.SuspicionOf(request, now);
   }
 
-  /// An attempt is sent. `ticket` is filled.
-  void Watch(std::optional<Ticket>& ticket, RequestFingerprint request, Withdraw withdraw);
+  /// An attempt is sent; it is withdrawn if its request is quarantined. `ticket` is filled.
+  void Watch(std::optional<Ticket>& ticket, RequestFingerprint request,
+             Attempts::Withdraw withdraw) {
+    running_.Add(ticket, request, std::move(withdraw));
+  }
 
   /// An attempt broke off there, or got no answer.
   void NoteBroken(const Backend& backend, RequestFingerprint request, TimePoint now);
@@ -83,11 +74,6 @@
   std::size_t suspects() const { return detector_.suspects(); }
 
  private:
-  struct Running {
-    RequestFingerprint request;
-    Withdraw withdraw;
-  };
-
   void NoteEnd(const EndNews& end, TimePoint now);
   bool Forgive(RequestFingerprint request, TimePoint now);
   bool Lift(RequestFingerprint request, TimePoint now);
@@ -103,8 +89,7 @@
   RecentSurvivors survivors_;
   PoisonNews news_;
   std::function<void()> on_news_;
-  std::map<std::uint64_t, Running> running_;
-  std::uint64_t last_number_ = 0;
+  Attempts running_;
   std::set<RequestFingerprint> decided_here_;
   std::set<RequestFingerprint> from_store_;
   std::vector<RequestFingerprint> released_;
--- a/libs/gateway/src/backend_search.cc
+++ b/libs/gateway/src/backend_search.cc
@@ -100,7 +100,7 @@
 std::chrono::milliseconds BackendSearch::RetryAfter() const {
   const std::optional<TimePoint> room = NextRoom();
   const TimePoint now = Clock::now();
-  if (!room || *room <= now) return RetryAfterFor(state_, request_.plan);
+  if (!room || *room <= now) return RetryAfterFor(request_.plan);
   return RetryAfterRoom(request_.plan, request_.inbound, *room, now);
 }
 
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -79,12 +79,6 @@
   return outdated ? kReloadPause : kRefusalPause;
 }
 
-std::chrono::milliseconds LeastRetryAfter(const ExchangePlan& plan) {
-  // A quarter of the objective leaves time to be served within it.
-  const auto quarter = plan.route->latency_objective / 4;
-  return std::max<std::chrono::milliseconds>(quarter, std::chrono::milliseconds(50));
-}
-
 std::optional<QuotaDemand> QuotaDemandOf(const GatewayState& state, const ExchangePlan& plan,
                                          const InboundRequest& request) {
   if (plan.workspace == nullptr || !plan.workspace->quota) return std::nullopt;
@@ -213,13 +207,19 @@
   return soonest;
 }
 
+std::chrono::milliseconds RetryAfterFor(const ExchangePlan& plan) {
+  // A quarter of the objective leaves time to be served within it.
+  const auto quarter = plan.route->latency_objective / 4;
+  return std::max<std::chrono::milliseconds>(quarter, std::chrono::milliseconds(50));
+}
+
 std::chrono::milliseconds RetryAfterRoom(const ExchangePlan& plan, const InboundRequest& request,
                                          TimePoint room, TimePoint now) {
   constexpr double kSpread = 0.5;
   const std::uint64_t hash = XXH3_64bits(request.id.value().data(), request.id.value().size());
   const double drawn = static_cast<double>(hash) / static_cast<double>(UINT64_MAX);
   const auto until = std::chrono::duration<double, std::milli>(room - now);
-  const std::chrono::duration<double, std::milli> least = LeastRetryAfter(plan);
+  const std::chrono::duration<double, std::milli> least = RetryAfterFor(plan);
   const auto wait = std::max(until, least) * (1 + kSpread * drawn);
   return std::chrono::ceil<std::chrono::milliseconds>(wait);
 }
@@ -421,8 +421,4 @@
   return ResultCode::kQuotaUnknown;
 }
 
-std::chrono::milliseconds RetryAfterFor(const GatewayState& /*state*/, const ExchangePlan& plan) {
-  return LeastRetryAfter(plan);
-}
-
 }  // namespace ridgehold
--- a/libs/gateway/src/poison_guard.cc
+++ b/libs/gateway/src/poison_guard.cc
@@ -30,13 +30,6 @@
 
 }  // namespace
 
-void PoisonGuard::Watch(std::optional<Ticket>& ticket, RequestFingerprint request,
-                        Withdraw withdraw) {
-  const std::uint64_t number = ++last_number_;
-  running_[number] = {request, std::move(withdraw)};
-  ticket.emplace(*this, number);
-}
-
 void PoisonGuard::NoteBroken(const Backend& backend, RequestFingerprint request, TimePoint now) {
   const BackendHash hash = HashOf(backend);
   if (broken_.Note(hash, request, now)) NoteEnd({hash, request}, now);
@@ -172,14 +165,7 @@
        {"ends", std::to_string(detector_.EndsOf(request))},
        {"source", source}});
   // Copies that wait at engines would end these as soon as they are begun.
-  std::vector<std::uint64_t> copies;
-  for (const auto& [number, running] : running_) {
-    if (running.request == request) copies.push_back(number);
-  }
-  for (const std::uint64_t number : copies) {
-    auto copy = running_.extract(number);
-    if (!copy.empty()) copy.mapped().withdraw();
-  }
+  running_.WithdrawIf([&](RequestFingerprint running) { return running == request; });
 }
 
 void PoisonGuard::Forget(RequestFingerprint request) {
