Models: one virtual time serves both fleets

Cause: limit_ways.cc had the events, the order and the chance of quota_ways.cc again. Change: VirtualTime. quota_ways looks at who was down just before a restart instead of setting its clock back.

--- a/model/limit_ways.cc
+++ b/model/limit_ways.cc
@@ -8,12 +8,10 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
-#include <random>
 #include <string>
-#include <tuple>
 
 #include "gateway/backend_permit.h"
+#include "model/virtual_time.h"
 #include "quota/quota_holder.h"
 #include "quota/request_limit.h"
 
@@ -64,7 +62,7 @@
 
 class Fleet {
  public:
-  explicit Fleet(const LimitPlay& play) : play_(play), random_(play.seed) {
+  explicit Fleet(const LimitPlay& play) : play_(play), time_(play.seed, kStart) {
     for (std::size_t i = 0; i < play.instances; ++i) {
       instances_.push_back(std::make_unique<Instance>());
       Begin(i);
@@ -74,42 +72,24 @@
   LimitPlayOutcome Play() {
     ScheduleTrouble();
     for (std::size_t i = 0; i < instances_.size(); ++i) ScheduleNext(i);
-    while (!events_.empty() && events_.top().at < kEnd) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      event.run();
-    }
+    time_.RunUntil(kEnd);
     Judge();
     return outcome_;
   }
 
  private:
-  struct Event {
-    TimePoint at;
-    std::uint64_t number;
-    std::function<void()> run;
-    bool operator<(const Event& other) const {
-      return std::tie(other.at, other.number) < std::tie(at, number);
-    }
-  };
-
-  void At(TimePoint at, std::function<void()> run) {
-    events_.push({at, ++last_event_, std::move(run)});
-  }
-  double Random() { return std::uniform_real_distribution<>(0, 1)(random_); }
-  Duration Exponential(double mean_ms) {
-    return Duration(
-        static_cast<std::int64_t>(std::exponential_distribution<>(1 / (1'000 * mean_ms))(random_)));
-  }
+  TimePoint now() const { return time_.now(); }
+  void At(TimePoint at, std::function<void()> run) { time_.At(at, std::move(run)); }
+  double Random() { return time_.Random(); }
+  Duration Exponential(double mean_ms) { return time_.Exponential(mean_ms); }
   static std::size_t ZoneOf(std::size_t instance) { return instance % kZoneCount; }
   bool During(LimitTrouble trouble) const {
-    return play_.trouble == trouble && now_ >= kTroubleFrom && now_ < kTroubleUntil;
+    return play_.trouble == trouble && now() >= kTroubleFrom && now() < kTroubleUntil;
   }
   bool Down(std::size_t i) const {
-    if (now_ < kTroubleFrom) return false;
+    if (now() < kTroubleFrom) return false;
     if (play_.trouble == LimitTrouble::kHolderLost) return i == 0;
-    if (now_ >= kTroubleFrom + kBack) return false;
+    if (now() >= kTroubleFrom + kBack) return false;
     if (play_.trouble == LimitTrouble::kHolderKilled) return i == 0;
     return play_.trouble == LimitTrouble::kHalfRestarts && i / kZoneCount % 2 == 0;
   }
@@ -134,11 +114,11 @@
 
   /// What the backend server names now.
   std::optional<RequestRate> Named() const {
-    const bool ended = play_.trouble == LimitTrouble::kChanges && now_ >= kStart + seconds(35);
-    if (now_ < kNamedFrom || ended) return std::nullopt;
+    const bool ended = play_.trouble == LimitTrouble::kChanges && now() >= kStart + seconds(35);
+    if (now() < kNamedFrom || ended) return std::nullopt;
     double limit = play_.limit;
-    if (play_.trouble == LimitTrouble::kChanges && now_ >= kTroubleFrom) limit /= 2;
-    if (play_.trouble == LimitTrouble::kChanges && now_ >= kTroubleUntil) limit *= 4;
+    if (play_.trouble == LimitTrouble::kChanges && now() >= kTroubleFrom) limit /= 2;
+    if (play_.trouble == LimitTrouble::kChanges && now() >= kTroubleUntil) limit *= 4;
     return RequestRate::Of(limit);
   }
 
@@ -162,14 +142,14 @@
 
   void TakeShare(std::size_t i) {
     counting_ = i;
-    taking_ = {++last_taking_, now_};
+    taking_ = {++last_taking_, now()};
   }
 
   void ScheduleNext(std::size_t i) {
     const double offered =
         std::max(kLeastOffered, kOfferedEach * static_cast<double>(instances_.size()));
     const double each = offered / static_cast<double>(instances_.size());
-    const TimePoint at = std::max(now_, kStart) + Exponential(1'000 / each);
+    const TimePoint at = std::max(now(), kStart) + Exponential(1'000 / each);
     At(at, [this, i] {
       if (!Down(i) && !Asleep(i)) Arrive(i);
       ScheduleNext(i);
@@ -179,7 +159,7 @@
   void Arrive(std::size_t i) {
     Instance& instance = *instances_[i];
     const BackendWord& word = instance.backend.word;
-    if (Cut(ZoneOf(i), 0) || word.Bars(now_)) return;
+    if (Cut(ZoneOf(i), 0) || word.Bars(now())) return;
     if (!word.limit()) return Send(i);
     const bool known = counting_.has_value();
     instance.client->SetHolders(known ? NameOfInstance(*counting_) : "", {});
@@ -188,8 +168,8 @@
     demand.tokens = kTokensOfRequest;
     demand.terms = TermsOf(*word.limit(), LimitTolerance(), word.number());
     QuotaOutbox outbox;
-    const std::uint64_t number = instance.client->Begin(demand, now_, outbox);
-    instance.asking[number] = now_;
+    const std::uint64_t number = instance.client->Begin(demand, now(), outbox);
+    instance.asking[number] = now();
     Post(i, outbox);
     Watch(i, number);
   }
@@ -199,10 +179,10 @@
     Instance& instance = *instances_[i];
     if (!instance.asking.contains(number)) return;
     const int life = instance.restarts;
-    At(std::max(now_, instance.client->NextTick(number)), [this, i, number, life] {
+    At(std::max(now(), instance.client->NextTick(number)), [this, i, number, life] {
       Instance& asker = *instances_[i];
       if (asker.restarts != life || !asker.asking.contains(number)) return;
-      Post(i, asker.client->Tick(number, now_));
+      Post(i, asker.client->Tick(number, now()));
       Watch(i, number);
     });
   }
@@ -212,24 +192,24 @@
     const auto outcome = instance.client->TakeOutcome(number);
     if (!outcome) return;
     const TimePoint began = instance.asking.extract(number).mapped();
-    asking_ms_.push_back(std::chrono::duration<double, std::milli>(now_ - began).count());
+    asking_ms_.push_back(std::chrono::duration<double, std::milli>(now() - began).count());
     if (Down(i)) return;
     const PermitAsker asker{1'000 + i, static_cast<std::uint32_t>(instances_.size())};
-    const PermitVerdict verdict = JudgePermit(instance.backend, *outcome, asker, now_);
+    const PermitVerdict verdict = JudgePermit(instance.backend, *outcome, asker, now());
     if (Permit{verdict, {}, {}}.MaySend()) Send(i);
   }
 
   void Send(std::size_t i) {
-    const TimePoint sent = now_;
+    const TimePoint sent = now();
     const int life = instances_[i]->restarts;
-    At(now_ + milliseconds(1) + Exponential(2), [this, i, sent, life] {
+    At(now() + milliseconds(1) + Exponential(2), [this, i, sent, life] {
       const Instance& instance = *instances_[i];
-      const bool told = instance.told && *instance.told + kToldBefore <= now_;
+      const bool told = instance.told && *instance.told + kToldBefore <= now();
       const auto limit = Named();
-      arrivals_.push_back(
-          {now_, told, instance.backend.word.limit().has_value(), limit ? limit->per_second() : 0});
+      arrivals_.push_back({now(), told, instance.backend.word.limit().has_value(),
+                           limit ? limit->per_second() : 0});
       const BackendNotice notice{limit, false, false, std::nullopt};
-      At(now_ + milliseconds(20) + Exponential(50), [this, i, sent, life, notice] {
+      At(now() + milliseconds(20) + Exponential(50), [this, i, sent, life, notice] {
         if (!Down(i) && instances_[i]->restarts == life) Answer(i, notice, sent);
       });
     });
@@ -237,13 +217,13 @@
 
   void Answer(std::size_t i, const BackendNotice& notice, TimePoint sent) {
     Instance& instance = *instances_[i];
-    if (notice.limit && !instance.told) instance.told = now_;
-    if (notice.limit && !first_named_) first_named_ = now_;
-    if (!instance.backend.word.TakeNotice(notice, sent, now_)) return;
+    if (notice.limit && !instance.told) instance.told = now();
+    if (notice.limit && !first_named_) first_named_ = now();
+    if (!instance.backend.word.TakeNotice(notice, sent, now())) return;
     NoteKnown(i);
     const int life = instance.restarts;
     for (const milliseconds telling : kTellings) {
-      At(now_ + telling, [this, i, life] {
+      At(now() + telling, [this, i, life] {
         if (!Down(i) && instances_[i]->restarts == life) Tell(i);
       });
     }
@@ -260,7 +240,7 @@
     Carry(from, to, [this, from, to, news] {
       Instance& instance = *instances_[to];
       const BackendNews better = instance.backend.word.News(kBackendHash);
-      const bool behind = instance.backend.word.TakeNews(news, now_);
+      const bool behind = instance.backend.word.TakeNews(news, now());
       NoteKnown(to);
       // As those do that track the backend server.
       if (behind && to < 2 * kZoneCount) TellOne(to, from, better);
@@ -271,12 +251,12 @@
     const bool knows = instances_[i]->backend.word.limit().has_value();
     if (knows && !counting_ && !share_wanted_ && play_.trouble != LimitTrouble::kStoreAway) {
       share_wanted_ = true;
-      At(now_ + kTakingShare, [this] { TakeShare(0); });
+      At(now() + kTakingShare, [this] { TakeShare(0); });
     }
     if (all_know_at_ || !knows) return;
     const bool all = std::ranges::all_of(
         instances_, [](const auto& one) { return one->backend.word.limit().has_value(); });
-    if (all) all_know_at_ = now_;
+    if (all) all_know_at_ = now();
   }
 
   // Messages.
@@ -287,7 +267,7 @@
     if (lost) return;
     const double way_ms = ZoneOf(from) == ZoneOf(to) ? 0.1 : 1.4;
     const auto way = Duration(static_cast<std::int64_t>(1'000 * way_ms)) + Exponential(1.0);
-    DeliverAt(now_ + way, to, std::move(deliver));
+    DeliverAt(now() + way, to, std::move(deliver));
   }
 
   void DeliverAt(TimePoint at, std::size_t to, std::function<void()> deliver) {
@@ -303,7 +283,7 @@
       const std::size_t to = InstanceOf(message.to);
       const auto deliver = [this, from, to, body = message.message] { Take(from, to, body); };
       if (from == to) {
-        DeliverAt(now_, to, deliver);
+        DeliverAt(now(), to, deliver);
       } else {
         Carry(from, to, deliver);
       }
@@ -314,14 +294,14 @@
     Instance& instance = *instances_[to];
     instance.holder->SetHeld(counting_ == to ? std::optional(taking_) : std::nullopt);
     if (const auto* request = std::get_if<QuotaRequest>(&body)) {
-      Post(to, instance.holder->Take(*request, NameOfInstance(from), now_));
+      Post(to, instance.holder->Take(*request, NameOfInstance(from), now()));
     } else if (const auto* refund = std::get_if<QuotaRefund>(&body)) {
-      Post(to, instance.holder->Take(*refund, now_));
+      Post(to, instance.holder->Take(*refund, now()));
     } else {
       const auto& reply = std::get<QuotaReply>(body);
       const auto number = instance.client->NumberOf(reply.id);
       if (!number) return;
-      Post(to, instance.client->Take(reply, NameOfInstance(from), now_));
+      Post(to, instance.client->Take(reply, NameOfInstance(from), now()));
       EndAsked(to, *number);
     }
   }
@@ -367,10 +347,7 @@
   }
 
   LimitPlay play_;
-  std::mt19937_64 random_;
-  TimePoint now_ = kStart;
-  std::priority_queue<Event> events_;
-  std::uint64_t last_event_ = 0;
+  VirtualTime time_;
   std::vector<std::unique_ptr<Instance>> instances_;
   std::optional<std::size_t> counting_;  ///< who holds the zone's share
   QuotaHolder::Taking taking_;
--- a/model/quota_ways.cc
+++ b/model/quota_ways.cc
@@ -6,10 +6,9 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <queue>
-#include <random>
 #include <string>
 
+#include "model/virtual_time.h"
 #include "quota/quota_client.h"
 #include "quota/quota_holder.h"
 
@@ -80,7 +79,9 @@
 class Fleet {
  public:
   explicit Fleet(const QuotaPlay& play)
-      : play_(play), random_(play.seed), shares_(play.way == QuotaWay::kZones ? kZoneCount : 1) {
+      : play_(play),
+        time_(play.seed, kStart),
+        shares_(play.way == QuotaWay::kZones ? kZoneCount : 1) {
     for (std::size_t i = 0; i < play.instances; ++i) {
       QuotaHolder::Options holder;
       holder.shares = shares_;
@@ -101,12 +102,7 @@
   QuotaPlayOutcome Play() {
     ScheduleTrouble();
     for (std::size_t i = 0; i < play_.instances; ++i) ScheduleNext(i, kStart);
-    while (!events_.empty() && events_.top().at < kEnd + seconds(1)) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      event.run();
-    }
+    time_.RunUntil(kEnd + seconds(1));
     outcome_.worst_window = WorstWindow();
     std::ranges::sort(asking_ms_);
     if (!asking_ms_.empty()) {
@@ -117,30 +113,16 @@
   }
 
  private:
-  struct Event {
-    TimePoint at;
-    std::uint64_t number;
-    std::function<void()> run;
-    bool operator<(const Event& other) const {
-      return std::tie(other.at, other.number) < std::tie(at, number);
-    }
-  };
-
-  void At(TimePoint at, std::function<void()> run) {
-    events_.push({at, ++last_event_, std::move(run)});
-  }
-
-  double Random() { return std::uniform_real_distribution<>(0, 1)(random_); }
-  Duration Exponential(double mean_ms) {
-    return Duration(
-        static_cast<std::int64_t>(std::exponential_distribution<>(1 / (1'000 * mean_ms))(random_)));
-  }
+  TimePoint now() const { return time_.now(); }
+  void At(TimePoint at, std::function<void()> run) { time_.At(at, std::move(run)); }
+  double Random() { return time_.Random(); }
+  Duration Exponential(double mean_ms) { return time_.Exponential(mean_ms); }
 
   bool Is(QuotaTrouble trouble) const {
-    return play_.trouble == trouble && now_ >= kTroubleFrom && now_ < kTroubleUntil;
+    return play_.trouble == trouble && now() >= kTroubleFrom && now() < kTroubleUntil;
   }
   bool HotNow() const {
-    return play_.trouble != QuotaTrouble::kCalm && now_ >= kTroubleFrom - seconds(4);
+    return play_.trouble != QuotaTrouble::kCalm && now() >= kTroubleFrom - seconds(4);
   }
 
   void MakeWorkspaces() {
@@ -160,15 +142,16 @@
   QuotaTerms Terms(std::size_t workspace) const {
     WorkspaceQuota quota = quotas_[workspace];
     const bool lowered =
-        play_.trouble == QuotaTrouble::kLowered && workspace == kHot && now_ >= kTroubleFrom;
+        play_.trouble == QuotaTrouble::kLowered && workspace == kHot && now() >= kTroubleFrom;
     if (lowered) quota.rate = quota.burst = quota.rate / 2;
     return TermsOf(quota, kTolerance, lowered ? 2 : 1);
   }
 
   static std::size_t ZoneOf(std::size_t instance) { return instance % kZoneCount; }
 
-  bool Dead(std::size_t instance) const {
-    const bool down = now_ >= kTroubleFrom && now_ < kTroubleFrom + kBack;
+  bool Dead(std::size_t instance) const { return DeadAt(instance, now()); }
+  bool DeadAt(std::size_t instance, TimePoint at) const {
+    const bool down = at >= kTroubleFrom && at < kTroubleFrom + kBack;
     if (!down) return false;
     if (play_.trouble == QuotaTrouble::kHolderKilled) return instance == 0;
     return play_.trouble == QuotaTrouble::kHalfLosesPower && instance / kZoneCount % 2 == 0;
@@ -190,9 +173,7 @@
     if (killed) {
       At(kTroubleFrom + kBack, [this] {
         for (std::uint32_t share = 0; share < shares_; ++share) {
-          now_ -= microseconds(1);
-          const bool was_dead = Dead(holder_of_[share]);
-          now_ += microseconds(1);
+          const bool was_dead = DeadAt(holder_of_[share], now() - microseconds(1));
           if (was_dead) Restart(share);
         }
       });
@@ -203,12 +184,12 @@
     QuotaHolder::Options options;
     options.shares = shares_;
     holders_[holder_of_[share]] = QuotaHolder(options);
-    taken_[share] = {++last_taking_ + 100, now_};
+    taken_[share] = {++last_taking_ + 100, now()};
   }
 
   void Hand(std::uint32_t share, std::size_t to) {
     holder_of_[share] = to;
-    taken_[share] = {++last_taking_ + 100, now_};
+    taken_[share] = {++last_taking_ + 100, now()};
   }
 
   void Touch(std::size_t instance) {
@@ -222,7 +203,7 @@
       }
     }
     // Leases are not renewed while the store is away.
-    const bool lapsed = Is(QuotaTrouble::kStoreAway) && now_ >= kTroubleFrom + kActs;
+    const bool lapsed = Is(QuotaTrouble::kStoreAway) && now() >= kTroubleFrom + kActs;
     holders_[instance].SetHeld(lapsed ? std::nullopt : taking);
     holders_[instance].SetLenders(std::move(lenders));
   }
@@ -233,7 +214,7 @@
     if (at >= kEnd) return;
     At(at, [this, instance] {
       if (!Dead(instance) && !Asleep(instance)) Arrive(instance);
-      ScheduleNext(instance, now_);
+      ScheduleNext(instance, now());
     });
   }
 
@@ -259,7 +240,7 @@
     std::size_t cost = 0;
     while (cost + 1 < kCosts.size() && point >= kCosts[cost].part) point -= kCosts[cost++].part;
     request.tokens = kCosts[cost].tokens;
-    request.sent = now_;
+    request.sent = now();
     ++outcome_.requests;
     if (request.workspace != kHot || play_.trouble == QuotaTrouble::kCalm) ++outcome_.within;
     if (play_.way == QuotaWay::kBatches) return ArriveForBatch(instance, request);
@@ -273,7 +254,7 @@
     QuotaOutbox outbox;
     const std::uint64_t number = clients_[instance].Begin(
         {QuotaSubject(std::to_string(request.workspace)), request.tokens, Terms(request.workspace)},
-        now_, outbox);
+        now(), outbox);
     waiting_[instance][number] = request;
     Post(instance, outbox);
     Watch(instance, number);
@@ -282,9 +263,9 @@
   void Watch(std::size_t instance, std::uint64_t number) {
     EndAsked(instance, number);
     if (!waiting_[instance].contains(number)) return;
-    At(std::max(now_, clients_[instance].NextTick(number)), [this, instance, number] {
+    At(std::max(now(), clients_[instance].NextTick(number)), [this, instance, number] {
       if (!waiting_[instance].contains(number)) return;
-      Post(instance, clients_[instance].Tick(number, now_));
+      Post(instance, clients_[instance].Tick(number, now()));
       Watch(instance, number);
     });
   }
@@ -297,9 +278,9 @@
   }
 
   void End(const Waiting& request, bool granted) {
-    asking_ms_.push_back(std::chrono::duration<double, std::milli>(now_ - request.sent).count());
+    asking_ms_.push_back(std::chrono::duration<double, std::milli>(now() - request.sent).count());
     if (granted) {
-      used_[request.workspace].push_back({request.sent, now_, request.tokens});
+      used_[request.workspace].push_back({request.sent, now(), request.tokens});
     } else if (request.workspace != kHot || play_.trouble == QuotaTrouble::kCalm) {
       ++outcome_.within_refused;
     }
@@ -308,12 +289,12 @@
   // Batches. A request that the batch has no room for waits for the next one.
   void ArriveForBatch(std::size_t instance, const Waiting& request) {
     Batch& batch = batches_[instance][request.workspace];
-    const double passed = std::chrono::duration<double>(now_ - batch.last).count();
+    const double passed = std::chrono::duration<double>(now() - batch.last).count();
     const double kept = std::exp(-std::min(passed, 50.0));
     batch.tokens_each_s = batch.tokens_each_s * kept + static_cast<double>(request.tokens);
-    batch.last = now_;
+    batch.last = now();
     const QuotaParts parts = QuotaScale(1).Of(request.tokens);
-    if (batch.left >= parts && now_ < batch.until) {
+    if (batch.left >= parts && now() < batch.until) {
       batch.left -= parts;
       return End(request, true);
     }
@@ -333,7 +314,7 @@
                             QuotaScale(1).Of(wanted), true, Terms(workspace)};
     Post(instance, {{NameOfInstance(holder_of_[0]), loan}});
     const QuotaRequestId id = batch.id;
-    At(now_ + milliseconds(36), [this, instance, workspace, id] {
+    At(now() + milliseconds(36), [this, instance, workspace, id] {
       if (batches_[instance][workspace].id == id) EndBatch(instance, workspace, 0);
     });
   }
@@ -342,8 +323,8 @@
     Batch& batch = batches_[instance][workspace];
     batch.asked = false;
     batch.id = {};
-    batch.left = (now_ < batch.until ? batch.left : 0) + granted;
-    batch.until = now_ + kBatchLapses;
+    batch.left = (now() < batch.until ? batch.left : 0) + granted;
+    batch.until = now() + kBatchLapses;
     for (const Waiting& one : std::exchange(batch_line_[{instance, workspace}], {})) {
       const QuotaParts parts = QuotaScale(1).Of(one.tokens);
       const bool fits = parts <= batch.left;
@@ -369,7 +350,7 @@
       const double way_ms = from == to ? 0 : ZoneOf(from) == ZoneOf(to) ? 0.1 : 0.9;
       const Duration busy = from == to ? Duration(0) : Exponential(1.0);
       const auto way = Duration(static_cast<std::int64_t>(1'000 * way_ms)) + busy;
-      At(now_ + way, [this, from, to, body = message.message] { Deliver(from, to, body); });
+      At(now() + way, [this, from, to, body = message.message] { Deliver(from, to, body); });
     }
   }
 
@@ -382,24 +363,24 @@
     const std::string sender = NameOfInstance(from);
     Touch(to);
     if (const auto* request = std::get_if<QuotaRequest>(&body)) {
-      Post(to, holders_[to].Take(*request, sender, now_));
+      Post(to, holders_[to].Take(*request, sender, now()));
     } else if (const auto* refund = std::get_if<QuotaRefund>(&body)) {
-      Post(to, holders_[to].Take(*refund, now_));
+      Post(to, holders_[to].Take(*refund, now()));
     } else {
       const auto& reply = std::get<QuotaReply>(body);
       if (play_.way == QuotaWay::kBatches) return TakeBatch(to, reply);
       const auto number = clients_[to].NumberOf(reply.id);
       if (!number) {
-        Post(to, holders_[to].Take(reply, now_));
+        Post(to, holders_[to].Take(reply, now()));
       } else {
-        Post(to, clients_[to].Take(reply, sender, now_));
+        Post(to, clients_[to].Take(reply, sender, now()));
         EndAsked(to, *number);
       }
     }
     if (const auto next = holders_[to].NextTick()) {
       At(*next, [this, to] {
         Touch(to);
-        Post(to, holders_[to].Tick(now_));
+        Post(to, holders_[to].Tick(now()));
       });
     }
   }
@@ -436,11 +417,8 @@
   static constexpr std::size_t kHot = 3;
 
   QuotaPlay play_;
-  std::mt19937_64 random_;
+  VirtualTime time_;
   std::uint32_t shares_;
-  TimePoint now_ = kStart;
-  std::priority_queue<Event> events_;
-  std::uint64_t last_event_ = 0;
   std::vector<QuotaHolder> holders_;
   std::vector<QuotaClient> clients_;
   std::vector<std::size_t> holder_of_;      ///< by share
