Quotas: requests wait for holders that will be back, instead of a refusal

Change: QuotaClient itself asks again, round after round, as QuotaLink did around it; while the holders have been out for under 2 s, for half of the time that the caller waits, else for a quarter of the objective as before. In the 2 s after, a refusal with a Retry-After within that time is waited for, too. A pause voids the id asked last, so that a late grant, already refunded, is not used. The model plays the client's patience, which it lacked. New tests of the client; without the void id one of them fails (run by hand); the model checker's new case does not find that within its bounds.

--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -93,6 +93,7 @@
   demand.tokens = quota.CostOf(tokens);
   demand.terms = TermsOf(quota, state.limits().quota_tolerance, plan.snapshot->version().value());
   demand.patience_until = plan.received + plan.route->latency_objective / 4;
+  demand.long_patience_until = plan.received + (plan.answer_by - plan.received) / 2;
   return demand;
 }
 
--- a/libs/peers/include/peers/quota_link.h
+++ b/libs/peers/include/peers/quota_link.h
@@ -47,7 +47,7 @@
   QuotaLink(net::any_io_executor executor, Metrics& metrics, const Options& options,
             Surroundings surroundings);
 
-  /// Ends within 40 ms for each holder, or at the demand's patience if that is later.
+  /// Ends within 40 ms for each holder after the demand's patience, or at once without it.
   net::awaitable<QuotaOutcome> Acquire(QuotaDemand demand);
   void GiveBack(const QuotaTicket& ticket) { Deliver(QuotaClient::GiveBack(ticket)); }
 
@@ -62,7 +62,8 @@
   std::vector<QuotaHolder::Usage> Usages();
 
  private:
-  net::awaitable<QuotaOutcome> AskOnce(QuotaDemand demand);
+  /// Whom the client asks next.
+  void FindHolders(const QuotaSubject& subject);
   /// Sends what is for others and takes what is for this instance.
   void Deliver(QuotaOutbox outbox);
   QuotaOutbox TakeOne(const QuotaMessage& message, const std::string& from);
--- a/libs/peers/src/quota_link.cc
+++ b/libs/peers/src/quota_link.cc
@@ -14,8 +14,6 @@
 constexpr Duration kNoLoan = std::chrono::seconds(60);
 // A raised quota is in force at its holders within this, beyond the configuration's way.
 constexpr Duration kHolderLook = std::chrono::milliseconds(100);
-// Less than what a share takes to change hands.
-constexpr std::chrono::milliseconds kBetweenAskings{25};
 
 QuotaHolder::Options HolderOptions(std::uint32_t shares) {
   QuotaHolder::Options options;
@@ -45,36 +43,30 @@
 
 net::awaitable<QuotaOutcome> QuotaLink::Acquire(QuotaDemand demand) {
   const TimePoint began = Clock::now();
-  Timer timer(executor_);
-  QuotaOutcome outcome = co_await AskOnce(demand);
-  while (outcome.verdict == QuotaVerdict::kNotHolder &&
-         Clock::now() + kBetweenAskings < demand.patience_until) {
-    co_await WaitFor(timer, kBetweenAskings);
-    outcome = co_await AskOnce(demand);
-  }
-  metrics_.GetSummary("ridgehold_quota_asking_seconds")
-      .Observe(std::chrono::duration<double>(Clock::now() - began).count());
-  co_return outcome;
-}
-
-net::awaitable<QuotaOutcome> QuotaLink::AskOnce(QuotaDemand demand) {
-  QuotaHolders holders = surroundings_.find_holders(demand.subject);
-  client_.SetHolders(std::move(holders.own_zone), std::move(holders.others));
   QuotaOutbox outbox;
-  const std::uint64_t number = client_.Begin(demand, Clock::now(), outbox);
+  FindHolders(demand.subject);
+  const std::uint64_t number = client_.Begin(demand, began, outbox);
   Timer timer(executor_);
   waiting_[number] = &timer;
   Deliver(std::move(outbox));
   std::optional<QuotaOutcome> outcome = client_.TakeOutcome(number);
   while (!outcome) {
     co_await WaitUntil(timer, client_.NextTick(number));
+    FindHolders(demand.subject);
     Deliver(client_.Tick(number, Clock::now()));
     outcome = client_.TakeOutcome(number);
   }
   waiting_.erase(number);
+  metrics_.GetSummary("ridgehold_quota_asking_seconds")
+      .Observe(std::chrono::duration<double>(Clock::now() - began).count());
   co_return std::move(*outcome);
 }
 
+void QuotaLink::FindHolders(const QuotaSubject& subject) {
+  QuotaHolders holders = surroundings_.find_holders(subject);
+  client_.SetHolders(std::move(holders.own_zone), std::move(holders.others));
+}
+
 void QuotaLink::Take(const QuotaMessage& message, const std::string& from) {
   Deliver(TakeOne(message, from));
 }
--- a/libs/quota/include/quota/quota_client.h
+++ b/libs/quota/include/quota/quota_client.h
@@ -21,6 +21,8 @@
   /// While no holder answers, asking goes on until then: a share changes hands in some
   /// 100 ms. Refused at once, callers would come back before that and add to the load.
   TimePoint patience_until{};
+  /// The same while holders may be back soon, see QuotaClient::Options::takeover.
+  TimePoint long_patience_until{};
 };
 
 /// Tokens that were granted, to be given back if the request does not run.
@@ -43,7 +45,8 @@
 
 /// Asks the holder of the own zone's share first, and the others if that one is not
 /// known or does not answer. A holder that is given up on is sent a refund, and what it
-/// grants after that is not used.
+/// grants after that is not used. When none is left, all are asked again for as long as
+/// the demand's patience lasts.
 ///
 /// A state machine: messages and time come in, messages go out. Not thread-safe.
 class QuotaClient {
@@ -59,6 +62,11 @@
     std::chrono::milliseconds give_up{36};
     /// One that has not answered is asked last for so long.
     std::chrono::milliseconds silence{1'000};
+    /// Until all are asked again. Less than what a share takes to change hands.
+    std::chrono::milliseconds between_rounds{25};
+    /// A holder that was killed is back within this and takes its own share. Nobody else
+    /// can have it before a lease has ended, which takes longer than callers wait.
+    std::chrono::milliseconds takeover{2'000};
 
     bool operator==(const Options&) const = default;
   };
@@ -90,9 +98,11 @@
  private:
   struct Asking {
     QuotaRequest request;
+    TimePoint patience_until{};
+    TimePoint long_patience_until{};
     std::vector<std::string> holders_left;  ///< the next one is the last
-    std::string holder;
-    TimePoint began{};  ///< to ask this holder
+    std::string holder;                     ///< empty between two rounds
+    TimePoint began{};                      ///< to ask this holder
     TimePoint next{};
     int sent = 0;
     std::optional<QuotaOutcome> outcome;
@@ -101,6 +111,12 @@
   };
 
   void AskNext(Asking& asking, TimePoint now, QuotaOutbox& outbox);
+  /// Nobody is left to be asked in this round.
+  void EndRound(Asking& asking, TimePoint now);
+  /// Holders that are back begin with empty buckets, and what waited for them comes at
+  /// once: a refusal then does not mean that the workspace is over its quota.
+  bool MayWaitForTokens(const Asking& asking, const QuotaReply& reply, TimePoint now) const;
+  void Pause(Asking& asking, TimePoint until);
   static void End(Asking& asking, QuotaOutcome outcome);
   std::vector<std::string> HoldersInTurn(TimePoint now) const;
   Asking* Find(const QuotaRequestId& id);
@@ -111,6 +127,8 @@
   std::string own_;
   std::vector<std::string> others_;
   std::map<std::string, TimePoint> silent_until_;  ///< by holder
+  std::optional<TimePoint> out_since_;             ///< nobody has answered a round since then
+  std::optional<TimePoint> back_since_;            ///< the first answer after that
   std::map<std::uint64_t, Asking> asking_;
   std::uint64_t last_number_ = 0;
   std::uint64_t last_request_ = 0;
--- a/libs/quota/src/quota_client.cc
+++ b/libs/quota/src/quota_client.cc
@@ -14,16 +14,15 @@
   const std::uint64_t number = ++last_number_;
   Asking& asking = asking_[number];
   asking.request = {{}, demand.subject, scale_.Of(demand.tokens), false, demand.terms};
+  asking.patience_until = demand.patience_until;
+  asking.long_patience_until = std::max(demand.patience_until, demand.long_patience_until);
   asking.holders_left = HoldersInTurn(now);
   AskNext(asking, now, outbox);
   return number;
 }
 
 void QuotaClient::AskNext(Asking& asking, TimePoint now, QuotaOutbox& outbox) {
-  if (asking.holders_left.empty()) {
-    End(asking, {});
-    return;
-  }
+  if (asking.holders_left.empty()) return EndRound(asking, now);
   asking.holder = std::move(asking.holders_left.back());
   asking.holders_left.pop_back();
   // Anew for each holder, so that a late answer of another one is told apart.
@@ -34,6 +33,29 @@
   outbox.push_back({asking.holder, asking.request});
 }
 
+void QuotaClient::EndRound(Asking& asking, TimePoint now) {
+  if (!out_since_) out_since_ = now;
+  const bool may_be_back = now - *out_since_ < options_.takeover;
+  const TimePoint until = may_be_back ? asking.long_patience_until : asking.patience_until;
+  const TimePoint next = now + options_.between_rounds;
+  if (next < until) return Pause(asking, next);
+  End(asking, {});
+}
+
+bool QuotaClient::MayWaitForTokens(const Asking& asking, const QuotaReply& reply,
+                                   TimePoint now) const {
+  const bool recovering = back_since_ && now - *back_since_ < options_.takeover;
+  return reply.verdict == QuotaVerdict::kOverQuota && recovering &&
+         now + reply.retry_after < asking.long_patience_until;
+}
+
+void QuotaClient::Pause(Asking& asking, TimePoint until) {
+  asking.holder.clear();
+  // A late answer to what was asked last is not taken: its refund is on the way.
+  asking.request.id = {incarnation_, ++last_request_};
+  asking.next = until;
+}
+
 void QuotaClient::End(Asking& asking, QuotaOutcome outcome) {
   outcome.asked = asking.sent;
   asking.outcome = std::move(outcome);
@@ -63,6 +85,11 @@
   const auto found = asking_.find(number);
   if (found == asking_.end() || found->second.outcome || now < found->second.next) return outbox;
   Asking& asking = found->second;
+  if (asking.holder.empty()) {
+    asking.holders_left = HoldersInTurn(now);
+    AskNext(asking, now, outbox);
+    return outbox;
+  }
   if (now - asking.began < options_.give_up) {
     asking.next = now + options_.resend;
     ++asking.sent;
@@ -83,6 +110,10 @@
 QuotaOutbox QuotaClient::Take(const QuotaReply& reply, const std::string& from, TimePoint now) {
   QuotaOutbox outbox;
   silent_until_.erase(from);
+  if (reply.verdict != QuotaVerdict::kNotHolder && out_since_) {
+    out_since_.reset();
+    back_since_ = now;
+  }
   Asking* asking = Find(reply.id);
   // One that was given up on has had a refund sent after it.
   if (asking == nullptr || asking->outcome) return outbox;
@@ -90,6 +121,11 @@
     AskNext(*asking, now, outbox);
     return outbox;
   }
+  if (MayWaitForTokens(*asking, reply, now)) {
+    const auto least = std::chrono::duration_cast<Duration>(options_.between_rounds);
+    Pause(*asking, now + std::max(reply.retry_after, least));
+    return outbox;
+  }
   End(*asking, {reply.verdict, {reply.id, from}, reply.retry_after, 0});
   return outbox;
 }
--- a/libs/quota/test/quota_holder-test.cc
+++ b/libs/quota/test/quota_holder-test.cc
@@ -234,6 +234,94 @@
   BOOST_TEST((ask() == milliseconds(36)));
 }
 
+/// Asks with patience of 100 ms, and of 3 s while holders may be back soon.
+QuotaDemand PatientDemand(TimePoint now) {
+  QuotaDemand demand = kDemand;
+  demand.patience_until = now + milliseconds(100);
+  demand.long_patience_until = now + seconds(3);
+  return demand;
+}
+
+/// Asks until it has ended, or until `end`; nobody answers.
+std::optional<QuotaOutcome> AskInVain(QuotaClient& client, std::uint64_t number, TimePoint end) {
+  for (TimePoint now = client.NextTick(number); now < end; now = client.NextTick(number)) {
+    client.Tick(number, now);
+    if (auto outcome = client.TakeOutcome(number)) return outcome;
+  }
+  return std::nullopt;
+}
+
+QuotaRequest RequestIn(const QuotaOutbox& outbox) {
+  BOOST_REQUIRE(!outbox.empty());
+  return std::get<QuotaRequest>(outbox.back().message);
+}
+
+/// All holders were killed at kStart, and are back 1.5 s later.
+struct HoldersOut {
+  QuotaClient client = ClientOf(kLenderA, {kLenderB});
+  TimePoint back = kStart + milliseconds(1'500);
+  std::uint64_t number = 0;
+  QuotaRequest asked;
+
+  HoldersOut() {
+    QuotaOutbox sent;
+    number = client.Begin(PatientDemand(kStart), kStart, sent);
+    BOOST_TEST(!AskInVain(client, number, back).has_value());
+    sent.clear();
+    while (sent.empty() || !std::holds_alternative<QuotaRequest>(sent.back().message)) {
+      back = client.NextTick(number);
+      sent = client.Tick(number, back);
+    }
+    asked = RequestIn(sent);
+  }
+
+  void Answer(QuotaVerdict verdict, Duration retry_after = {}) {
+    client.Take(QuotaReply{asked.id, verdict, asked.parts, retry_after}, kLenderA, back);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(requests_wait_for_holders_that_are_back_soon, HoldersOut) {
+  Answer(QuotaVerdict::kGranted);
+  const auto outcome = client.TakeOutcome(number);
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST((outcome->verdict == QuotaVerdict::kGranted));
+}
+
+BOOST_FIXTURE_TEST_CASE(holders_that_stay_away_are_not_waited_for, HoldersOut) {
+  const TimePoint takeover = kStart + seconds(2) + milliseconds(200);
+  BOOST_TEST(AskInVain(client, number, takeover).has_value());
+  QuotaOutbox sent;
+  const std::uint64_t later = client.Begin(PatientDemand(takeover), takeover, sent);
+  // Its patience, and a round that may have begun just before.
+  BOOST_TEST(AskInVain(client, later, takeover + milliseconds(100 + 2 * 36)).has_value());
+}
+
+// The buckets begin empty: what waited is not over its quota because of that.
+BOOST_FIXTURE_TEST_CASE(holders_that_are_back_are_asked_again_for_tokens, HoldersOut) {
+  Answer(QuotaVerdict::kOverQuota, milliseconds(300));
+  BOOST_TEST(!client.TakeOutcome(number).has_value());
+  BOOST_TEST((client.NextTick(number) == back + milliseconds(300)));
+  // An answer to what was asked before is void.
+  Answer(QuotaVerdict::kGranted);
+  BOOST_TEST(!client.TakeOutcome(number).has_value());
+  back = client.NextTick(number);
+  asked = RequestIn(client.Tick(number, back));
+  // Longer than the caller waits.
+  Answer(QuotaVerdict::kOverQuota, seconds(2));
+  const auto outcome = client.TakeOutcome(number);
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST((outcome->verdict == QuotaVerdict::kOverQuota));
+}
+
+BOOST_AUTO_TEST_CASE(over_the_quota_is_refused_at_once) {
+  QuotaClient client = ClientOf(kLenderA, {kLenderB});
+  QuotaOutbox sent;
+  const std::uint64_t number = client.Begin(PatientDemand(kStart), kStart, sent);
+  const QuotaReply refusal{RequestIn(sent).id, QuotaVerdict::kOverQuota, 0, milliseconds(50)};
+  client.Take(refusal, kLenderA, kStart + milliseconds(1));
+  BOOST_TEST(client.TakeOutcome(number).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/model/quota_checker.cc
+++ b/model/quota_checker.cc
@@ -39,6 +39,7 @@
   options.shares = kShares;
   options.resend = kTick;
   options.give_up = 2 * kTick;
+  options.between_rounds = kTick;
   return options;
 }
 
@@ -343,8 +344,9 @@
 
   void Ask(State& state, std::size_t client, std::uint64_t tokens) {
     QuotaOutbox outbox;
-    const std::uint64_t number =
-        state.clients[client].Begin({QuotaSubject("w"), tokens, state.terms}, state.now, outbox);
+    QuotaDemand demand{QuotaSubject("w"), tokens, state.terms, {}, {}};
+    demand.long_patience_until = state.now + bounds_.patience * kTick;
+    const std::uint64_t number = state.clients[client].Begin(demand, state.now, outbox);
     const bool lowered = state.terms == kLowered;
     state.asked.push_back({client, number, tokens, state.now, lowered});
     Post(state, kClients[client], outbox);
--- a/model/quota_checker.h
+++ b/model/quota_checker.h
@@ -35,6 +35,7 @@
   int handovers = 2;  ///< times at which another instance takes a share
   int lowerings = 1;  ///< of the quota
   int sleeps = 1;     ///< steps of time that one process does not see
+  int patience = 0;   ///< steps of time for which clients ask again that nobody answers
 
   bool operator==(const CheckerBounds&) const = default;
 };
--- a/model/quota_ways.cc
+++ b/model/quota_ways.cc
@@ -38,6 +38,9 @@
 constexpr milliseconds kActs{6'400};
 // A process is back this long after it was killed, and has its own share then.
 constexpr milliseconds kBack{1'500};
+// Of callers: a quarter of a stream's objective, and half of the time that it is waited for.
+constexpr milliseconds kPatience{200};
+constexpr milliseconds kLongPatience{3'200};
 // A batch: the tokens of so long, which lapse after the next span.
 constexpr milliseconds kBatchOf{200};
 constexpr milliseconds kBatchLapses{1'000};
@@ -252,9 +255,13 @@
     }
     clients_[instance].SetHolders(own, others);
     QuotaOutbox outbox;
-    const std::uint64_t number = clients_[instance].Begin(
-        {QuotaSubject(std::to_string(request.workspace)), request.tokens, Terms(request.workspace)},
-        now(), outbox);
+    QuotaDemand demand;
+    demand.subject = QuotaSubject(std::to_string(request.workspace));
+    demand.tokens = request.tokens;
+    demand.terms = Terms(request.workspace);
+    demand.patience_until = now() + kPatience;
+    demand.long_patience_until = now() + kLongPatience;
+    const std::uint64_t number = clients_[instance].Begin(demand, now(), outbox);
     waiting_[instance][number] = request;
     Post(instance, outbox);
     Watch(instance, number);
--- a/model/test/quota_checker-test.cc
+++ b/model/test/quota_checker-test.cc
@@ -88,6 +88,17 @@
   CheckNeeded(LeftOut::kRefundUnusedOnly, InTurn(3, 1, 0));
 }
 
+// Whoever was given up on may grant while the client rests, and be asked again after that.
+BOOST_AUTO_TEST_CASE(asking_goes_on_while_nobody_answers) {
+  CheckerBounds bounds = InTurn(3, 7, 1);
+  bounds.clients = 1;
+  bounds.late_ticks = 7;
+  bounds.losses = 1;
+  bounds.restarts = 1;
+  bounds.patience = 8;
+  CheckNeverMore(bounds);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
