--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -1,12 +1,12 @@
 #include "soak_run.h"
 
 #include <sys/wait.h>
-#include <unistd.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include "bounds.h"
+#include "test/own_address.h"
 
 namespace ridgehold::soak {
 namespace {
@@ -23,11 +23,9 @@
 constexpr std::chrono::milliseconds kSettle{4'500};
 constexpr double kServedCalm = 0.95;  // least part that is served without faults
 
-/// Loopback addresses that soaks at work at the same time do not share.
 std::string AddressOf(int instance) {
-  const int pid = ::getpid();
-  return "127." + std::to_string(64 + pid / 256 % 128) + "." + std::to_string(pid % 256) + "." +
-         std::to_string(10 + instance);
+  constexpr int kFirst = 10;
+  return ridgehold::test::OwnAddress(kFirst + instance);
 }
 
 }  // namespace
--- a/test/peer_link-test.cc
+++ b/test/peer_link-test.cc
@@ -6,12 +6,16 @@
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/gateway_state.h"
+#include "own_address.h"
 
 using namespace ridgehold;
 using namespace std::chrono_literals;
 
 namespace {
 
+const std::string kFirst = test::OwnAddress(1);
+const std::string kSecond = test::OwnAddress(2);
+
 /// A gateway on a loopback address of its own.
 struct Gateway {
   Metrics metrics;
@@ -54,8 +58,8 @@
 
 struct Fixture {
   net::io_context io;
-  Gateway first{io, "127.0.0.1", "127.0.0.2"};
-  Gateway second{io, "127.0.0.2", "127.0.0.1"};
+  Gateway first{io, kFirst, kSecond};
+  Gateway second{io, kSecond, kFirst};
 
   template <class Condition>
   bool Within(std::chrono::milliseconds limit, Condition condition) {
@@ -89,8 +93,8 @@
 /// Two gateways of a fleet in which those that track are told and asked.
 struct TrackedFixture {
   net::io_context io;
-  Gateway first{io, "127.0.0.1", "127.0.0.2", 1};
-  Gateway second{io, "127.0.0.2", "127.0.0.1", 1};
+  Gateway first{io, kFirst, kSecond, 1};
+  Gateway second{io, kSecond, kFirst, 1};
   Gateway* tracker = nullptr;
   Gateway* other = nullptr;
 
@@ -99,7 +103,7 @@
     TrackerMap map;
     map.SetGateways(first.members.Members(), Clock::now());
     const bool is_first =
-        map.TrackerOf(HashOf(first.backend()), ZoneId(""), Clock::now())->address == "127.0.0.1";
+        map.TrackerOf(HashOf(first.backend()), ZoneId(""), Clock::now())->address == kFirst;
     tracker = is_first ? &first : &second;
     other = is_first ? &second : &first;
   }
--- a/test/store_copy_reader-test.cc
+++ b/test/store_copy_reader-test.cc
@@ -6,12 +6,15 @@
 #include <boost/test/unit_test.hpp>
 
 #include "entry/admin_server.h"
+#include "own_address.h"
 
 using namespace ridgehold;
 using namespace std::chrono_literals;
 
 namespace {
 
+const std::string kRelay = test::OwnAddress(31);
+
 /// Keeps what it was given last.
 struct Taker {
   StoreRevision known;
@@ -43,7 +46,7 @@
   std::unique_ptr<StoreCopyReader<Taker>> reader;
 
   Fixture() {
-    const std::string address = "127.0.0.31";
+    const std::string address = kRelay;
     StoreCopyReader<Taker>::Options options;
     options.port = 23'452;
     AdminServer::Pages pages;
@@ -95,7 +98,7 @@
   status = http::status::service_unavailable;
   io.run_for(1'200ms);
   BOOST_TEST(!reader->RelayIsCurrent(Clock::now()));
-  BOOST_TEST(asked_without.contains("127.0.0.31"));
+  BOOST_TEST(asked_without.contains(kRelay));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
