--- a/model/quota_checker.cc
+++ b/model/quota_checker.cc
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTick{10};
-constexpr std::uint32_t kShares = 2;
 // Tokens a second and at once.
 constexpr QuotaTerms kTerms{1, {100, 2}, {150, 1}};
 constexpr QuotaTerms kLowered{2, {50, 1}, {50, 1}};
@@ -27,16 +26,16 @@
 constexpr std::size_t kFirstOfOtherZone = 2;
 constexpr std::array<const char*, 2> kClients = {"c1", "c2"};
 
-QuotaHolder::Options HolderOptions() {
+QuotaHolder::Options HolderOptions(std::uint32_t shares) {
   QuotaHolder::Options options;
-  options.shares = kShares;
+  options.shares = shares;
   options.loan_patience = kTick;
   return options;
 }
 
-QuotaClient::Options ClientOptions() {
+QuotaClient::Options ClientOptions(std::uint32_t shares) {
   QuotaClient::Options options;
-  options.shares = kShares;
+  options.shares = shares;
   options.resend = kTick;
   options.give_up = 2 * kTick;
   options.between_rounds = kTick;
@@ -82,13 +81,23 @@
 };
 
 struct State {
-  State() : holders(kHolders.size(), QuotaHolder(HolderOptions())) {
+  explicit State(const CheckerBounds& bounds)
+      : holders(kHolders.size(), QuotaHolder(HolderOptions(bounds.shares))), left(bounds) {
     for (std::size_t i = 0; i < kClients.size(); ++i) {
-      clients.emplace_back(ClientOptions(), 1'000 + i);
-      clients.back().SetHolders(kHolders[0], {kHolders[kFirstOfOtherZone]});
+      clients.emplace_back(ClientOptions(bounds.shares), 1'000 + i);
+      TellHolder(i, kHolders[0]);
     }
   }
 
+  bool HasOtherShare() const { return left.shares > 1; }
+
+  /// Who holds the first zone's share.
+  void TellHolder(std::size_t client, const char* holder) {
+    std::vector<std::string> others;
+    if (HasOtherShare()) others.emplace_back(kHolders[kFirstOfOtherZone]);
+    clients[client].SetHolders(holder, std::move(others));
+  }
+
   std::vector<QuotaHolder> holders;
   std::vector<QuotaClient> clients;
   std::vector<Flying> flying;
@@ -133,15 +142,13 @@
   Explorer(const CheckerBounds& bounds, LeftOut left_out) : bounds_(bounds), left_out_(left_out) {}
 
   CheckerResult Explore() {
-    State first;
-    first.left = bounds_;
+    State first(bounds_);
     // Long enough ago for full buckets.
     first.now = kStart - std::chrono::seconds(1);
-    for (std::size_t i = 0; i < kHolders.size(); ++i) {
-      if (i != 1) Take(first, i);
-    }
+    Take(first, 0);
+    if (first.HasOtherShare()) Take(first, kFirstOfOtherZone);
     first.now = kStart;
-    Visit(std::move(first), 0, "both shares are held");
+    Visit(std::move(first), 0, "all shares are held");
     for (std::size_t at = 0; at < states_.size() && !violation_; ++at) {
       if (states_.size() >= bounds_.most_states) break;
       current_ = at;
@@ -220,6 +227,7 @@
     if (left_out_ == LeftOut::kNewTaking && taking) taking->fencing = i + 1;
     if (left_out_ == LeftOut::kLeaseEnds && !taking && state.holders[i].holding()) return;
     state.holders[i].SetHeld(taking);
+    if (!state.HasOtherShare()) return;
     const bool first_zone = i < kFirstOfOtherZone;
     state.holders[i].SetLenders(
         {first_zone ? kHolders[kFirstOfOtherZone] : kHolders[state.holder_of_first]});
@@ -301,15 +309,17 @@
           next.holder_of_first = to;
           Take(next, to);
           // The other client has not heard of it.
-          next.clients[0].SetHolders(kHolders[to], {kHolders[kFirstOfOtherZone]});
+          next.TellHolder(0, kHolders[to]);
         });
   }
 
   void ExpandRestarts(const State& state) {
-    for (const std::size_t i : {state.holder_of_first, kFirstOfOtherZone}) {
+    std::vector<std::size_t> holders = {state.holder_of_first};
+    if (state.HasOtherShare()) holders.push_back(kFirstOfOtherZone);
+    for (const std::size_t i : holders) {
       Try(state, fmt::format("{} starts again", kHolders[i]), [&](State& next) {
         --next.left.restarts;
-        next.holders[i] = QuotaHolder(HolderOptions());
+        next.holders[i] = QuotaHolder(HolderOptions(bounds_.shares));
         Take(next, i);
       });
     }
--- a/model/quota_checker.h
+++ b/model/quota_checker.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,6 +24,8 @@
 struct CheckerBounds {
   std::size_t most_states = 60'000;
   int asks = 3;  ///< requests that clients send
+  /// Of the quota; 1 as for a backend server's limit, which one zone grants alone.
+  std::uint32_t shares = 2;
   std::size_t clients = 2;
   /// Nothing else happens while messages are on their way, and they go in turn: fewer
   /// ways, and so longer ones. Late ticks are the exception.
@@ -48,8 +51,9 @@
   std::optional<std::vector<std::string>> violation;
 };
 
-/// Two availability zones and a workspace whose quota is a token each 10 ms, with a burst
-/// of two. The classes that run in an instance are explored themselves.
+/// Two availability zones and a quota of a token each 10 ms, with a burst of two: of a
+/// workspace, or with one share of a backend server's requests. The classes that run in an
+/// instance are explored themselves.
 CheckerResult CheckQuota(const CheckerBounds& bounds, LeftOut left_out);
 
 }  // namespace ridgehold::model
--- a/model/test/quota_checker-test.cc
+++ b/model/test/quota_checker-test.cc
@@ -99,6 +99,38 @@
   CheckNeverMore(bounds);
 }
 
+/// As for a backend server that names a limit: its zone's holder grants all of it.
+CheckerBounds OneShare(CheckerBounds bounds) {
+  bounds.shares = 1;
+  return bounds;
+}
+
+BOOST_AUTO_TEST_CASE(limit_of_a_server_with_messages_lost_repeated_reordered_and_late) {
+  CheckerBounds bounds;
+  bounds.asks = 3;
+  bounds.ticks = 2;
+  bounds.handovers = 1;
+  CheckNeverMore(OneShare(bounds));
+}
+
+BOOST_AUTO_TEST_CASE(limit_of_a_server_that_is_lowered_while_holders_restart) {
+  CheckerBounds bounds = InTurn(6, 4, 2);
+  bounds.restarts = 1;
+  bounds.lowerings = 1;
+  bounds.sleeps = 1;
+  CheckNeverMore(OneShare(bounds));
+}
+
+BOOST_AUTO_TEST_CASE(limit_of_a_server_needs_each_rule) {
+  CheckNeeded(LeftOut::kLeaseEnds, OneShare(InTurn(5, 3, 1)));
+  CheckNeeded(LeftOut::kNewTaking, OneShare(InTurn(4, 3, 2)));
+  CheckNeeded(LeftOut::kRefundUnusedOnly, OneShare(InTurn(3, 1, 0)));
+  CheckerBounds late = OneShare(InTurn(3, 3, 0));
+  late.clients = 1;
+  late.late_ticks = 2;
+  CheckNeeded(LeftOut::kLateIsVoid, late);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
