Rests asked of two instances are known to all: the others choose that server last

Change: a rest is told with what is left of it, unless two others were known to be asked; a server that has asked two others is chosen last, not barred, for 5 s at most, until it answers here without asking for rest. Only the length is told, so news after a standstill is passed over.

--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -78,6 +78,11 @@
 /// Of this incarnation.
 BackendHash HashOf(const Backend& backend);
 
+/// Whether it is to be chosen last: it failed or refused here, or others say so.
+inline bool IsAvoided(const Backend& backend, TimePoint now) {
+  return backend.avoid_until > now || backend.word.doubted_until() > now;
+}
+
 /// What a registration meant to the directory.
 enum class Registration : std::uint8_t {
   kAdded,
--- a/libs/gateway/include/gateway/backend_news.h
+++ b/libs/gateway/include/gateway/backend_news.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include <cstddef>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -19,6 +19,8 @@
   std::uint64_t number = 0;
   std::optional<RequestRate> limit;  ///< none: it names none any more
   bool leaving = false;
+  /// Of the rest that it has asked the teller for; none: it has asked for none.
+  std::optional<std::chrono::milliseconds> rest_left{};
 
   bool operator==(const BackendNews&) const = default;
 };
--- a/libs/gateway/include/gateway/backend_word.h
+++ b/libs/gateway/include/gateway/backend_word.h
@@ -8,13 +8,15 @@
 #include "base/ids.h"
 #include "gateway/backend_news.h"
 #include "gateway/backend_notice.h"
+#include "gateway/rests_of_others.h"
 
 namespace ridgehold {
 
 /// Of one incarnation of a backend server, as one gateway knows it. A limit binds all
-/// gateways together and a leaving each of them, so those are told to others; a rest is
-/// asked of one. None of it lapses by itself but a rest: where a limit is known each
-/// request needs a permit, and its answer tells whether the limit holds on.
+/// gateways together and a leaving each of them, so those are told to others; a rest binds
+/// the one that it was asked of, and others prefer to heed it. None of it lapses by itself but a
+/// rest: where a limit is known each request needs a permit, and its answer tells whether the limit
+/// holds on.
 ///
 /// Not thread-safe; time comes in as a value.
 class BackendWord {
@@ -26,6 +28,15 @@
   /// Takes what another gateway tells. Returns whether that one knows less than this.
   bool TakeNews(const BackendNews& news, TimePoint now);
   BackendNews News(BackendHash backend) const;
+
+  /// It has asked another gateway for rest until then. Returns whether it is doubted anew.
+  bool NoteRestOfOther(std::uint64_t gateway, TimePoint until, TimePoint now);
+  /// It is chosen last before: it has asked several others for rest, and this gateway has
+  /// seen no other answer since.
+  TimePoint doubted_until() const { return others_.TwoUntil(); }
+  /// Whether others should hear of the rest asked of this gateway.
+  bool TellsRest(TimePoint now) const { return now < rest_until_ && now >= doubted_until(); }
+
   /// Whether the others are to be told from now on. Not while they are being told, which
   /// repeats the word as it is then: some servers change their limit with each answer.
   bool BeginTelling(TimePoint now);
@@ -61,6 +72,8 @@
   TimePoint told_from_{};
   TimePoint heard_at_{};
   TimePoint rest_until_{};
+  RestsOfOthers others_;
+  TimePoint others_heard_at_{};
   TimePoint no_permit_until_{};
   std::int64_t uncounted_turn_ = -1;  ///< the last one used
 };
--- a/libs/gateway/include/gateway/backend_words.h
+++ b/libs/gateway/include/gateway/backend_words.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <utility>
@@ -25,12 +26,12 @@
   void Note(Backend& backend, const BackendNotice& notice, TimePoint sent, TimePoint now);
 
   /// Takes what another gateway tells. Returns the words of which that one knows less.
-  BackendNewsList Take(const BackendNewsList& news, TimePoint now);
+  BackendNewsList Take(const BackendNewsList& news, std::uint64_t gateway, TimePoint now);
 
   /// Takes out what is to be told.
   BackendNewsList TakeNews() { return std::exchange(news_, {}); }
   /// The same words as they are now; those of backend servers that are gone are left out.
-  BackendNewsList Refreshed(const BackendNewsList& news) const;
+  BackendNewsList Refreshed(const BackendNewsList& news, TimePoint now) const;
   /// Called when there is something to tell.
   void SetNewsListener(std::function<void()> listener) { on_news_ = std::move(listener); }
 
@@ -49,6 +50,9 @@
   std::map<QuotaSubject, QuotaTerms> TakeNewTerms() { return std::exchange(new_terms_, {}); }
 
  private:
+  static BackendNews NewsOf(const Backend& backend, TimePoint now);
+  static void TakeRest(Backend& backend, const BackendNews& news, std::uint64_t gateway,
+                       TimePoint now);
   void NoteChange(const Backend& backend, TimePoint now);
 
   BackendDirectory& directory_;
--- a/libs/gateway/src/backend_word.cc
+++ b/libs/gateway/src/backend_word.cc
@@ -18,6 +18,8 @@
 bool BackendWord::TakeNotice(const BackendNotice& notice, TimePoint sent, TimePoint now) {
   heard_at_ = now;
   if (notice.rest) rest_until_ = std::max<TimePoint>(rest_until_, now + *notice.rest);
+  // It serves this gateway, whatever it says to others.
+  if (!notice.rest && sent > others_heard_at_) others_.Clear();
   bool changed = notice.leaving && !leaving_;
   leaving_ = leaving_ || notice.leaving;
   // An answer that was on its way when the limit was heard of says nothing of its end.
@@ -50,6 +52,13 @@
   return {backend, number_, limit_, leaving_};
 }
 
+bool BackendWord::NoteRestOfOther(std::uint64_t gateway, TimePoint until, TimePoint now) {
+  const bool doubted = doubted_until() > now;
+  others_.Note(gateway, until);
+  others_heard_at_ = now;
+  return !doubted && doubted_until() > now;
+}
+
 bool BackendWord::BeginTelling(TimePoint now) {
   // Less than the time from the first telling to the last.
   constexpr std::chrono::milliseconds kTelling{400};
--- a/libs/gateway/src/backend_words.cc
+++ b/libs/gateway/src/backend_words.cc
@@ -12,6 +12,8 @@
 // Whoever counts stays ready for so long after a limit was last heard of.
 constexpr std::chrono::seconds kCounted{60};
 constexpr std::size_t kMostNewTerms = 4'096;
+// What others were told does not bind this gateway: after so long it tries by itself.
+constexpr std::chrono::milliseconds kLongestDoubt{5'000};
 
 void LogWord(const char* event, const Backend& backend) {
   const BackendWord& word = backend.word;
@@ -37,19 +39,43 @@
   }
   const bool changed = backend.word.TakeNotice(notice, sent, now);
   if (notice.limit) counted_until_ = now + kCounted;
-  if (!changed) return;
-  LogWord("backend notice", backend);
-  NoteChange(backend, now);
-  if (!backend.word.BeginTelling(now)) return;
-  news_.items.push_back(backend.word.News(HashOf(backend)));
+  if (changed) {
+    LogWord("backend notice", backend);
+    NoteChange(backend, now);
+  }
+  const bool tells = changed || (notice.rest && backend.word.TellsRest(now));
+  if (!tells || !backend.word.BeginTelling(now)) return;
+  news_.items.push_back(NewsOf(backend, now));
   if (on_news_) on_news_();
 }
 
-BackendNewsList BackendWords::Take(const BackendNewsList& news, TimePoint now) {
+BackendNews BackendWords::NewsOf(const Backend& backend, TimePoint now) {
+  BackendNews news = backend.word.News(HashOf(backend));
+  const TimePoint rest_until = backend.word.rest_until();
+  if (now < rest_until) {
+    news.rest_left = std::chrono::ceil<std::chrono::milliseconds>(rest_until - now);
+  }
+  return news;
+}
+
+void BackendWords::TakeRest(Backend& backend, const BackendNews& news, std::uint64_t gateway,
+                            TimePoint now) {
+  if (!news.rest_left) return;
+  const TimePoint until = now + std::min(*news.rest_left, kLongestDoubt);
+  if (!backend.word.NoteRestOfOther(gateway, until, now)) return;
+  Log(LogLevel::kInfo, "backend rests for others",
+      {{"backend", backend.entry.id.value()},
+       {"address", backend.entry.address},
+       {"rest_ms", std::to_string(news.rest_left->count())}});
+}
+
+BackendNewsList BackendWords::Take(const BackendNewsList& news, std::uint64_t gateway,
+                                   TimePoint now) {
   BackendNewsList better;
   for (const BackendNews& item : news.items) {
     const BackendPtr backend = directory_.FindByHash(item.backend);
     if (!backend) continue;
+    TakeRest(*backend, item, gateway, now);
     const BackendNews before = backend->word.News(item.backend);
     if (backend->word.TakeNews(item, now)) better.items.push_back(before);
     if (backend->word.News(item.backend) == before) continue;
@@ -59,11 +85,11 @@
   return better;
 }
 
-BackendNewsList BackendWords::Refreshed(const BackendNewsList& news) const {
+BackendNewsList BackendWords::Refreshed(const BackendNewsList& news, TimePoint now) const {
   BackendNewsList refreshed;
   for (const BackendNews& item : news.items) {
     const BackendPtr backend = directory_.FindByHash(item.backend);
-    if (backend) refreshed.items.push_back(backend->word.News(item.backend));
+    if (backend) refreshed.items.push_back(NewsOf(*backend, now));
   }
   return refreshed;
 }
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -72,7 +72,7 @@
     placement.index = index;
     placement.cost = backend.error_rate * weights_.failing;
     if (backend.entry.zone != query_.own_zone) placement.cost += weights_.other_zone;
-    if (backend.avoid_until > query_.now || !backend.reachable) placement.cost += kAvoided;
+    if (IsAvoided(backend, query_.now) || !backend.reachable) placement.cost += kAvoided;
     if (backend.missing_until) placement.cost += kAvoided / 2;
     if (backend.hold_until > query_.now) placement.cost += weights_.held;
     if (query_.answers != nullptr && ReportOn(backend) == nullptr) {
@@ -181,7 +181,7 @@
     if (query_.store && !weights_.engines_as_sources) return;
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
       const Backend& backend = *candidates_[i];
-      const bool usable = backend.avoid_until <= query_.now && backend.reachable &&
+      const bool usable = !IsAvoided(backend, query_.now) && backend.reachable &&
                           !backend.missing_until && !holdings_[i].doubtful &&
                           holdings_[i].fetchable_tokens > 0;
       if (usable) engine_sources_.push_back({i, EngineLinkWait(backend)});
--- a/libs/gateway/src/shortlist.cc
+++ b/libs/gateway/src/shortlist.cc
@@ -73,7 +73,7 @@
 /// What nothing known here speaks against; all, if something does everywhere.
 Backends Sound(const ShortlistQuery& query, std::span<const BackendPtr> candidates) {
   Backends sound = Those(candidates, [&](const Backend& backend) {
-    return backend.reachable && !backend.missing_until && backend.avoid_until <= query.now &&
+    return backend.reachable && !backend.missing_until && !IsAvoided(backend, query.now) &&
            backend.hold_until <= query.now;
   });
   if (sound.empty()) sound.assign(candidates.begin(), candidates.end());
--- a/libs/gateway/test/backend_word-test.cc
+++ b/libs/gateway/test/backend_word-test.cc
@@ -82,8 +82,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(of_two_words_with_one_number_all_take_the_stricter) {
-  const BackendNews high{kBackend, 1, RequestRate::Of(3), false};
-  const BackendNews low{kBackend, 1, RequestRate::Of(2), false};
+  const BackendNews high{kBackend, 1, RequestRate::Of(3), false, {}};
+  const BackendNews low{kBackend, 1, RequestRate::Of(2), false, {}};
   for (const auto& order : {std::vector{high, low}, std::vector{low, high}}) {
     BackendWord word;
     for (const BackendNews& news : order) word.TakeNews(news, kStart);
@@ -101,6 +101,63 @@
   BOOST_TEST(word.News(kBackend).number == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(server_is_doubted_while_the_rests_of_two_others_last) {
+  BackendWord word;
+  BOOST_TEST(!word.NoteRestOfOther(1, kStart + 3s, kStart));
+  BOOST_TEST(!word.NoteRestOfOther(1, kStart + 4s, kStart));
+  BOOST_TEST((word.doubted_until() <= kStart));
+  BOOST_TEST(word.NoteRestOfOther(2, kStart + 2s, kStart));
+  BOOST_TEST(!word.NoteRestOfOther(3, kStart + 1s, kStart));
+  BOOST_TEST((word.doubted_until() == kStart + 2s));
+  // It is not barred: who has no other server tries it.
+  BOOST_TEST(!word.Bars(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(answer_that_asks_for_no_rest_ends_the_doubt) {
+  BackendWord word;
+  for (const std::uint64_t other : {1, 2}) word.NoteRestOfOther(other, kStart + 3s, kStart);
+  // It was sent before this gateway heard of the rests.
+  word.TakeNotice({}, kStart - 10ms, kStart + 10ms);
+  BOOST_TEST((word.doubted_until() == kStart + 3s));
+  word.TakeNotice({}, kStart + 20ms, kStart + 30ms);
+  BOOST_TEST((word.doubted_until() <= kStart));
+}
+
+/// One backend server's words at a gateway.
+struct WordsOfOne {
+  BackendDirectory directory;
+  BackendWords words{directory};
+  BackendPtr backend;
+
+  WordsOfOne() {
+    directory.Put(Entry("x"));
+    backend = directory.Find(BackendId("x"));
+  }
+
+  BackendNewsList Turned(TimePoint at) {
+    words.Note(*backend, Rest(3s), at, at);
+    return words.TakeNews();
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(rest_is_told_with_what_is_left_of_it, WordsOfOne) {
+  const BackendNewsList news = Turned(kStart);
+  BOOST_REQUIRE(news.items.size() == 1U);
+  BOOST_TEST((news.items.front().rest_left == 3'000ms));
+  BOOST_TEST((words.Refreshed(news, kStart + 500ms).items.front().rest_left == 2'500ms));
+  BOOST_TEST(!words.Refreshed(news, kStart + 3s).items.front().rest_left.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(rest_that_two_others_were_asked_for_is_not_told, WordsOfOne) {
+  BackendNews news = backend->word.News(HashOf(*backend));
+  news.rest_left = 60s;
+  for (const std::uint64_t other : {1, 2}) words.Take({{news}}, other, kStart);
+  BOOST_TEST(IsAvoided(*backend, kStart));
+  BOOST_TEST(Turned(kStart + 1s).empty());
+  // However long a rest the others were asked for, this gateway tries again.
+  BOOST_TEST(!IsAvoided(*backend, kStart + 5s));
+}
+
 BOOST_AUTO_TEST_CASE(refused_permit_bars_until_there_may_be_one_or_the_limit_changes) {
   BackendWord word;
   word.TakeNotice(Limit(1.5), kStart, kStart);
@@ -150,7 +207,8 @@
   }
   BOOST_TEST(told <= 3);
   // What is told again is the last word.
-  const BackendNewsList again = words.Refreshed({{{HashOf(*backend), 1, {}, false}}});
+  const BackendNewsList again =
+      words.Refreshed({{{HashOf(*backend), 1, {}, false, {}}}}, kStart + 1s);
   BOOST_REQUIRE(again.items.size() == 1U);
   BOOST_TEST((again.items.front().limit == RequestRate::Of(1 + 999 / 100.0)));
 }
--- a/libs/gateway/test/placement-test.cc
+++ b/libs/gateway/test/placement-test.cc
@@ -161,6 +161,15 @@
   BOOST_TEST(ChooseBackend(query, backends, weights).index == 1);
 }
 
+BOOST_AUTO_TEST_CASE(doubted_backend_servers_are_chosen_last) {
+  Bring(backends[1], 1s);
+  for (const std::uint64_t other : {1, 2})
+    backends[1]->word.NoteRestOfOther(other, kNow + 1s, kNow);
+  BOOST_TEST(ChooseBackend(query, backends, weights).index != 1);
+  const std::vector<BackendPtr> alone = {backends[1]};
+  BOOST_TEST(ChooseBackend(query, alone, weights).index == 0);
+}
+
 BOOST_AUTO_TEST_CASE(newest_weights_are_preferred_once_older_ones_are_old_news) {
   query.newest_weights = WeightsNumber(2);
   backends[2]->weights[kModel] = WeightsNumber(2);
--- a/libs/gateway/test/shortlist-test.cc
+++ b/libs/gateway/test/shortlist-test.cc
@@ -160,6 +160,9 @@
   const BackendPtr home = Shortlist(query, engines)[0];
   home->avoid_until = kNow + 1s;
   BOOST_TEST(!Ids(Shortlist(query, engines)).contains(home->entry.id.value()));
+  const BackendPtr next = Shortlist(query, engines)[0];
+  for (const std::uint64_t other : {1, 2}) next->word.NoteRestOfOther(other, kNow + 1s, kNow);
+  BOOST_TEST(!Ids(Shortlist(query, engines)).contains(next->entry.id.value()));
   for (const BackendPtr& engine : engines) engine->reachable = false;
   BOOST_TEST(!Shortlist(query, engines).empty());
 }
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -107,7 +107,7 @@
   void SendToAll(const std::string& datagram);
   /// Takes other gateways' news of backend servers' words, and tells a sender that is
   /// behind. Only those do that track the backend server, or hundreds would.
-  void TakeWords(const BackendNewsList& news, const net::ip::address& sender, TimePoint now);
+  void TakeWords(BackendNewsList news, const net::ip::address& sender, TimePoint now);
   bool Tracks(BackendHash backend, TimePoint now) const;
   /// Notes a turn of this process; finds out whether it stood still before.
   void NoteTurn(TimePoint now);
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -177,8 +177,9 @@
 BackendNewsList DecodeWords(const wire::GatewayNews& message) {
   BackendNewsList news;
   for (const wire::BackendWord& word : message.words()) {
-    BackendNews item{word.backend(), word.number(), std::nullopt, word.leaving()};
+    BackendNews item{word.backend(), word.number(), std::nullopt, word.leaving(), std::nullopt};
     if (word.limited()) item.limit = RequestRate::OfThousandths(word.limit());
+    if (word.rest_left_ms() > 0) item.rest_left = std::chrono::milliseconds(word.rest_left_ms());
     news.items.push_back(item);
   }
   return news;
@@ -261,6 +262,7 @@
     word.set_leaving(item.leaving);
     word.set_limited(item.limit.has_value());
     if (item.limit) word.set_limit(item.limit->thousandths());
+    if (item.rest_left) word.set_rest_left_ms(static_cast<std::uint32_t>(item.rest_left->count()));
   }
   return message.SerializeAsString();
 }
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -72,7 +72,7 @@
     poison_gossip_.Add(state_.poison().TakeNews(), now);
     backend_gossip_.Add(state_.words().TakeNews(), now);
     const PoisonNews poison = poison_gossip_.TakeDue(now);
-    const BackendNewsList words = state_.words().Refreshed(backend_gossip_.TakeDue(now));
+    const BackendNewsList words = state_.words().Refreshed(backend_gossip_.TakeDue(now), now);
     LookAtMembers();
     if (!poison.empty()) SendToAll(Encode(options_.self, poison));
     if (!words.empty()) SendToAll(Encode(options_.self, words));
@@ -88,9 +88,13 @@
   for (const net::ip::address& peer : peers_) SendTo(peer, datagram);
 }
 
-void PeerLink::TakeWords(const BackendNewsList& news, const net::ip::address& sender,
-                         TimePoint now) {
-  BackendNewsList better = state_.words().Take(news, now);
+void PeerLink::TakeWords(BackendNewsList news, const net::ip::address& sender, TimePoint now) {
+  // Of a rest only its length is told, which an old message has wrong.
+  if (now < stale_until_) {
+    for (BackendNews& item : news.items) item.rest_left.reset();
+  }
+  const std::uint64_t gateway = std::hash<std::string>{}(sender.to_string());
+  BackendNewsList better = state_.words().Take(news, gateway, now);
   std::erase_if(better.items, [&](const BackendNews& item) { return !Tracks(item.backend, now); });
   if (!better.empty()) SendTo(sender, Encode(options_.self, better));
 }
@@ -241,7 +245,7 @@
   if (const auto* poison = std::get_if<PoisonNews>(&message)) {
     return state_.poison().Take(*poison, now);
   }
-  // The number tells an old one.
+  // The number tells an old one, but for rests.
   if (const auto* words = std::get_if<BackendNewsList>(&message)) {
     return TakeWords(*words, sender.address(), now);
   }
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -80,6 +80,17 @@
   BOOST_TEST(backend().peers.running == 0);
 }
 
+BOOST_AUTO_TEST_CASE(words_of_backend_servers_are_whole_after_the_way) {
+  BackendNewsList sent;
+  sent.items.push_back({5, 3, RequestRate::Of(1.2), true, std::chrono::milliseconds(2'500)});
+  sent.items.push_back({6, 1, std::nullopt, false, std::nullopt});
+  const auto decoded = DecodePeerMessage(Encode(DaemonId("d1"), sent));
+  BOOST_REQUIRE(static_cast<bool>(decoded));
+  const auto* news = std::get_if<BackendNewsList>(&*decoded);
+  BOOST_REQUIRE(news != nullptr);
+  BOOST_TEST((news->items == sent.items));
+}
+
 BOOST_AUTO_TEST_CASE(news_of_unknown_backend_servers_is_passed_over) {
   GatewayNews news = News("d1", 1, 3);
   news.loads[0].backend = 77;
