--- a/programs/ridgehold-model.cc
+++ b/programs/ridgehold-model.cc
@@ -1,5 +1,5 @@
-// Plays load patterns against modelled engines, or fleets before a server that names a
-// limit, in virtual time; writes CSV.
+// Plays load patterns against modelled engines, or fleets before servers that name a limit
+// or ask for rest, in virtual time; writes CSV.
 
 #include <fmt/format.h>
 
@@ -10,6 +10,7 @@
 
 #include "model/limit_ways.h"
 #include "model/patterns.h"
+#include "model/rest_ways.h"
 
 namespace ridgehold::model {
 namespace {
@@ -23,6 +24,7 @@
   bool spare_limited = true;
   LimitTolerance tolerance;
   bool limits = false;
+  bool rests = false;
   std::vector<std::size_t> instances = {8, 90, 295};
   double limit = 1.2;
 };
@@ -56,6 +58,37 @@
   }
 }
 
+/// All seeds of one way and trouble, as a line.
+void PlayRests(std::size_t instances, RestTrouble trouble, RestWay way, const Options& options) {
+  constexpr double kThousand = 1'000;
+  RestPlayOutcome sum;
+  for (std::uint32_t i = 0; i < options.seeds; ++i) {
+    const RestPlayOutcome one = PlayRest({way, trouble, instances, options.seed + i});
+    sum.requests += one.requests;
+    sum.turned_away += one.turned_away;
+    sum.refused += one.refused;
+    sum.messages += one.messages;
+    sum.begun_mean_ms += one.begun_mean_ms / options.seeds;
+    sum.begun_p99_ms += one.begun_p99_ms / options.seeds;
+  }
+  const double each = kThousand / static_cast<double>(sum.requests);
+  std::cout << fmt::format("{},{},{},{},{:.2f},{:.2f},{},{:.2f},{:.1f}\n", instances,
+                           NameOf(trouble), NameOf(way), sum.requests,
+                           static_cast<double>(sum.turned_away) * each,
+                           static_cast<double>(sum.refused) * each, sum.messages / options.seeds,
+                           sum.begun_mean_ms, sum.begun_p99_ms);
+}
+
+void PlayAllRests(const Options& options) {
+  std::cout << "instances,turned_away_are,way,requests,turned_away_per_mille,refused_per_mille,"
+               "messages,begun_mean_ms,begun_p99_ms\n";
+  for (const std::size_t instances : options.instances) {
+    for (const RestTrouble trouble : AllRestTroubles()) {
+      for (const RestWay way : AllRestWays()) PlayRests(instances, trouble, way, options);
+    }
+  }
+}
+
 void PlayOne(const std::string& name, Pattern pattern, const Options& options) {
   GatewayLimits limits;
   limits.admission = options.admission;
@@ -89,7 +122,8 @@
   app.add_option("--limits.tolerance-part", options.tolerance.used_part,
                  "Of what is tolerated above an engine's limit");
   app.add_flag("--limits", options.limits, "Play a server's limit instead of patterns");
-  app.add_option("--instances", options.instances, "Sizes of the fleet, of --limits")
+  app.add_flag("--rests", options.rests, "Play servers that ask for rest instead of patterns");
+  app.add_option("--instances", options.instances, "Sizes of the fleet, of --limits and --rests")
       ->capture_default_str();
   app.add_option("--limit", options.limit, "Requests a second, of --limits")->capture_default_str();
   app.set_config("--settings", "", "INI file with these options");
@@ -108,6 +142,10 @@
     ridgehold::model::PlayAllLimits(options);
     return 0;
   }
+  if (options.rests) {
+    ridgehold::model::PlayAllRests(options);
+    return 0;
+  }
   std::cout << "pattern,seed,route,requests,begun,in_time,shared_tokens_read\n";
   if (options.patterns.empty()) {
     for (const auto& named : AllPatterns()) options.patterns.emplace_back(named.name);
