Gateway: probes and load updates look at the servers in use only

Cause: the prober walked all backend servers 20 times a second, each load update and the expiry of lapsed ones walked them, too, and a newcomer compared its address with all. With 10,000 servers that is most of what an instance with an eighth of a core does. Ruled out: longer intervals (a server out of reach would be found later) and walking a part at a time (the same work).

Change: the directory lists the servers that this gateway has requests at or probes, indexes addresses and services, and remembers which are in their grace period. Tests: only_servers_in_use_are_active, and a changed address and service.

--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -55,6 +55,7 @@
   TimePoint probed_at{};
   bool probing = false;     ///< a probe is in flight
   bool superseded = false;  ///< another incarnation has registered at its address
+  bool active = false;      ///< listed in BackendDirectory::Active()
 
   std::uint32_t in_flight = 0;     ///< requests of this gateway
   std::uint32_t unrepeatable = 0;  ///< of these, requests that cannot be resumed elsewhere
@@ -134,6 +135,14 @@
   /// The backend servers of `service` that may get new requests.
   std::vector<BackendPtr> Usable(const ServiceId& service, TimePoint now) const;
 
+  /// Lists the backend server in Active(), because this gateway has requests there or will probe
+  /// it.
+  void MarkActive(const BackendPtr& backend);
+
+  /// The backend servers with requests of this gateway, or that it probes: a few dozen, whatever
+  /// the size of the fleet. Drops those that have neither any more.
+  const std::vector<BackendPtr>& Active();
+
   BackendPtr Find(const BackendId& id) const;
   BackendPtr FindByHash(BackendHash hash) const;
   const std::map<BackendId, BackendPtr>& all() const { return backends_; }
@@ -170,8 +179,16 @@
   void NotifyTermination(const Backend& backend) const;
   /// Supersedes the backend servers at the address of `newcomer`, unless it is already known.
   void Supersede(const BackendEntry& newcomer);
+  /// Maintains the indexes over `backends_`.
+  void AddToIndexes(const BackendPtr& backend);
+  void RemoveFromIndexes(const BackendPtr& backend);
 
   std::map<BackendId, BackendPtr> backends_;
+  std::unordered_multimap<std::string, BackendPtr> by_address_;
+  /// In the order of their ids.
+  std::unordered_map<ServiceId, std::vector<BackendPtr>> by_service_;
+  std::vector<BackendPtr> active_;
+  std::set<BackendId> in_grace_;  ///< some may have returned or have been removed since
   std::unordered_map<BackendHash, BackendPtr> by_hash_;
   std::unordered_map<BackendId, StartStamp> starts_;  ///< latest known start of each id
   /// Notices of backend servers that are gone. A registration that lapses and comes back is of the
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -140,7 +140,7 @@
                      const BackendResponseHead& head, TimePoint sent);
 
 /// Updates the backend server's state from an attempt's outcome.
-void RecordOutcome(const GatewayState& state, const InboundRequest& request, Backend& backend,
+void RecordOutcome(GatewayState& state, const InboundRequest& request, Backend& backend,
                    const RetryDecisionInput& facts, TimePoint now);
 
 /// The result code of a request that has not run.
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -9,6 +9,13 @@
 // An observed wait older than this says nothing about an engine's current queue.
 constexpr std::chrono::milliseconds kWaitSampleTtl{3'000};
 
+const BackendId& IdOf(const BackendPtr& backend) { return backend->entry.id; }
+
+bool IsIdle(const BackendPtr& backend) {
+  return backend->in_flight == 0 && backend->waiting_since.empty() && !backend->needs_probe &&
+         !backend->probing;
+}
+
 /// Weights only advance; a lower number is an outdated report.
 void AdvanceWeights(Backend& backend, const ModelId& model, WeightsNumber weights) {
   WeightsNumber& known = backend.weights[model];
@@ -47,7 +54,7 @@
   BackendPtr& backend = backends_[entry.id];
   const bool is_new = !backend;
   if (is_new) backend = std::make_shared<Backend>();
-  by_hash_.erase(HashOf(*backend));
+  RemoveFromIndexes(backend);
   backend->grace_until.reset();
   backend->removed = false;
   for (const auto& [model, weights] : entry.weights) AdvanceWeights(*backend, model, weights);
@@ -55,10 +62,28 @@
   const StartStamp started = std::max(entry.started, backend->entry.started);
   backend->entry = entry;
   backend->entry.started = started;
-  by_hash_[HashOf(*backend)] = backend;
+  AddToIndexes(backend);
   if (is_new) RestoreNotice(*backend);
 }
 
+void BackendDirectory::AddToIndexes(const BackendPtr& backend) {
+  by_hash_[HashOf(*backend)] = backend;
+  by_address_.emplace(backend->entry.address, backend);
+  std::vector<BackendPtr>& service = by_service_[backend->entry.service];
+  service.insert(std::ranges::lower_bound(service, backend->entry.id, {}, IdOf), backend);
+}
+
+void BackendDirectory::RemoveFromIndexes(const BackendPtr& backend) {
+  by_hash_.erase(HashOf(*backend));
+  const auto [first, last] = by_address_.equal_range(backend->entry.address);
+  const auto entry =
+      std::find_if(first, last, [&](const auto& item) { return item.second == backend; });
+  if (entry != last) by_address_.erase(entry);
+  std::vector<BackendPtr>& service = by_service_[backend->entry.service];
+  const auto at = std::ranges::lower_bound(service, backend->entry.id, {}, IdOf);
+  if (at != service.end() && *at == backend) service.erase(at);
+}
+
 void BackendDirectory::SaveNotice(const Backend& backend) {
   const PushbackState& notice = backend.notice_state;
   const bool has_content =
@@ -84,10 +109,10 @@
 void BackendDirectory::Supersede(const BackendEntry& newcomer) {
   if (newcomer.address.empty() || backends_.contains(newcomer.id)) return;
   if (!IsServed(newcomer.service)) return;
-  for (const auto& [id, backend] : backends_) {
-    if (backend->entry.address != newcomer.address) continue;
-    if (!std::exchange(backend->superseded, true)) NotifyTermination(*backend);
-  }
+  const auto [first, last] = by_address_.equal_range(newcomer.address);
+  std::for_each(first, last, [this](const auto& entry) {
+    if (!std::exchange(entry.second->superseded, true)) NotifyTermination(*entry.second);
+  });
 }
 
 void BackendDirectory::NotifyTermination(const Backend& backend) const {
@@ -105,7 +130,7 @@
   found->second->removed = true;
   SaveNotice(*found->second);
   NotifyTermination(*found->second);
-  by_hash_.erase(HashOf(*found->second));
+  RemoveFromIndexes(found->second);
   backends_.erase(found);
 }
 
@@ -115,6 +140,7 @@
   if (grace <= Duration::zero()) return Drop(id);
   Backend& backend = *found->second;
   if (!backend.grace_until) backend.grace_until = now + grace;
+  in_grace_.insert(id);
 }
 
 void BackendDirectory::Replace(const std::vector<BackendEntry>& entries, Duration grace,
@@ -139,24 +165,43 @@
 
 std::vector<BackendId> BackendDirectory::Expire(TimePoint now) {
   std::vector<BackendId> expired;
-  for (const auto& [id, backend] : backends_) {
-    if (backend->grace_until && now >= *backend->grace_until) expired.push_back(id);
-  }
+  std::erase_if(in_grace_, [&](const BackendId& id) {
+    const BackendPtr backend = Find(id);
+    const bool waits = backend && backend->grace_until;
+    if (waits && now < *backend->grace_until) return false;
+    if (waits) expired.push_back(id);
+    return true;
+  });
   for (const BackendId& id : expired) Remove(id, Duration::zero(), now);
   return expired;
 }
 
 std::vector<BackendPtr> BackendDirectory::Usable(const ServiceId& service, TimePoint now) const {
   std::vector<BackendPtr> usable;
-  for (const auto& [id, backend] : backends_) {
-    if (backend->entry.service != service || backend->entry.draining) continue;
-    if (backend->superseded || backend->notice_state.leaving()) continue;
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return usable;
+  usable.reserve(found->second.size());
+  for (const BackendPtr& backend : found->second) {
+    if (backend->entry.draining || backend->superseded || backend->notice_state.leaving()) continue;
     if (backend->grace_until && now >= *backend->grace_until) continue;
     usable.push_back(backend);
   }
   return usable;
 }
 
+void BackendDirectory::MarkActive(const BackendPtr& backend) {
+  if (!std::exchange(backend->active, true)) active_.push_back(backend);
+}
+
+const std::vector<BackendPtr>& BackendDirectory::Active() {
+  std::erase_if(active_, [](const BackendPtr& backend) {
+    if (!backend->removed && !IsIdle(backend)) return false;
+    backend->active = false;
+    return true;
+  });
+  return active_;
+}
+
 BackendPtr BackendDirectory::Find(const BackendId& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : found->second;
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -30,6 +30,7 @@
       unprefilled_tokens_(choice.tokens_to_prefill),
       unrepeatable_(last_run || !plan.route->MayRepeat()) {
   ++backend_->in_flight;
+  state_.directory().MarkActive(backend_);
   backend_->unprefilled_tokens += unprefilled_tokens_;
   if (unrepeatable_) ++backend_->unrepeatable;
   state_.NotifyLoadChanged();
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -24,7 +24,7 @@
 }
 
 void BackendProber::StartProbes(TimePoint now) {
-  for (const auto& [id, backend] : state_.directory().all()) {
+  for (const BackendPtr& backend : state_.directory().Active()) {
     if (running_ >= options_.max_concurrent) return;
     if (IsDue(*backend, now)) StartProbe(backend);
   }
@@ -33,6 +33,7 @@
 void BackendProber::StartProbe(const BackendPtr& backend) {
   ++running_;
   backend->probing = true;
+  state_.directory().MarkActive(backend);
   net::co_spawn(state_.executor(), Probe(backend), net::detached);
 }
 
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -81,6 +81,13 @@
   return outdated ? kReloadBackoff : kRefusalBackoff;
 }
 
+/// Records a failed attempt, after which the backend server is probed.
+void RecordFailure(GatewayState& state, Backend& backend, TimePoint now) {
+  BackendDirectory::RecordFailure(backend, now);
+  const BackendPtr known = state.directory().FindByHash(HashOf(backend));
+  if (known) state.directory().MarkActive(known);
+}
+
 std::optional<QuotaDemand> QuotaDemandOf(const GatewayState& state, const ExchangePlan& plan,
                                          const InboundRequest& request) {
   if (plan.workspace == nullptr || !plan.workspace->quota) return std::nullopt;
@@ -384,7 +391,7 @@
   state.NoteWeights(backend, request.generation->model, *head.weights);
 }
 
-void RecordOutcome(const GatewayState& state, const InboundRequest& request, Backend& backend,
+void RecordOutcome(GatewayState& state, const InboundRequest& request, Backend& backend,
                    const RetryDecisionInput& facts, TimePoint now) {
   switch (facts.outcome) {
     case AttemptOutcome::kStreamed:
@@ -394,7 +401,7 @@
     case AttemptOutcome::kNotSent:
     case AttemptOutcome::kInterrupted:
     case AttemptOutcome::kTimedOut:
-      return BackendDirectory::RecordFailure(backend, now);
+      return RecordFailure(state, backend, now);
     case AttemptOutcome::kCallerGone:
     case AttemptOutcome::kSkipped:
     case AttemptOutcome::kCancelled:
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -126,7 +126,10 @@
   backend->peers = report.work;
   backend->peers_updated_at = now;
   backend->hold_until = now + report.hold;
-  if (!report.reachable) backend->needs_probe = true;
+  if (!report.reachable) {
+    backend->needs_probe = true;
+    directory_.MarkActive(backend);
+  }
   if (report.weights != WeightsNumber()) {
     BackendDirectory::RecordWeights(*backend, question.model, report.weights);
   }
--- a/libs/gateway/test/backend_directory-test.cc
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -197,4 +197,47 @@
   BOOST_TEST(backend.failures == 0);
 }
 
+// The load: nearly 10,000 engines, of which a gateway uses a few at a time.
+BOOST_AUTO_TEST_CASE(only_servers_in_use_are_active) {
+  BackendDirectory directory;
+  for (int i = 0; i < 1'000; ++i) directory.Put(Entry("b" + std::to_string(i)));
+  BOOST_TEST(directory.Active().empty());
+  const BackendPtr used = directory.Find(BackendId("b7"));
+  const BackendPtr failed = directory.Find(BackendId("b8"));
+  ++used->in_flight;
+  BackendDirectory::RecordFailure(*failed, kStart);
+  for (const BackendPtr& backend : {used, failed, used}) directory.MarkActive(backend);
+  BOOST_TEST(directory.Active().size() == 2U);
+  --used->in_flight;
+  BOOST_TEST(directory.Active().size() == 1U);
+  BackendDirectory::RecordReachable(*failed);
+  BOOST_TEST(directory.Active().empty());
+  directory.MarkActive(used);
+  ++used->in_flight;
+  BOOST_TEST(directory.Active().size() == 1U);
+  directory.Remove(BackendId("b7"), Duration::zero(), kStart);
+  BOOST_TEST(directory.Active().empty());
+}
+
+BOOST_AUTO_TEST_CASE(changed_address_and_service_are_found) {
+  BackendDirectory directory;
+  BackendEntry entry = Entry("b");
+  entry.address = "10.0.0.1:80";
+  directory.Put(entry);
+  entry.address = "10.0.0.2:80";
+  entry.service = ServiceId("other");
+  directory.Put(entry);
+  BOOST_TEST(directory.Usable(kService, kStart).empty());
+  BOOST_TEST(directory.Usable(ServiceId("other"), kStart).size() == 1U);
+  // A newcomer at the former address supersedes nobody, one at the present address does.
+  BackendEntry newcomer = Entry("n1");
+  newcomer.address = "10.0.0.1:80";
+  directory.Put(newcomer);
+  BOOST_TEST(!directory.Find(BackendId("b"))->superseded);
+  newcomer = Entry("n2");
+  newcomer.address = "10.0.0.2:80";
+  directory.Put(newcomer);
+  BOOST_TEST(directory.Find(BackendId("b"))->superseded);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -174,7 +174,7 @@
 std::vector<LoadUpdate> PeerLink::OwnLoads() const {
   std::vector<LoadUpdate> loads;
   const TimePoint now = Clock::now();
-  for (const auto& [id, backend] : state_.directory().all()) {
+  for (const BackendPtr& backend : state_.directory().Active()) {
     if (backend->in_flight > 0) loads.push_back(state_.LocalLoadAt(*backend, now));
   }
   return loads;
--- a/test/peer_link-test.cc
+++ b/test/peer_link-test.cc
@@ -52,6 +52,7 @@
 
   void Place(std::uint64_t part) {
     ++backend().in_flight;
+    state.directory().MarkActive(state.directory().Find(BackendId("b")));
     state.PublishPlacement({HashOf(BackendId("b")), 100, 10, {{part, 90}}});
   }
 };
