Members and trackers: a change costs as much as it changes

Cause: each member's key decoded all of them again, and each change of the members compared each gateway with all others: with the square, over a start of all with the cube of the fleet. Trackers were ranked among all gateways though one of the zone always wins.

Change: members by key, their list made when asked for; gateways found by address and ranked within their zone. Tests: 100,000 members one by one and ten changes of 25,000 within 20 s; the former code needs minutes (computed from the number of comparisons, not run).

--- a/libs/control/include/control/instance_records.h
+++ b/libs/control/include/control/instance_records.h
@@ -54,8 +54,8 @@
   /// Returns the number of members' keys that sort before `key`.
   std::size_t MemberRank(const std::string& key) const;
 
-  /// Members in the order of their keys.
-  const std::vector<Member>& Members() const { return members_; }
+  /// Members in the order of their keys. The reference is valid until the next change.
+  const std::vector<Member>& Members() const;
   /// Incremented with each change of the members.
   std::uint64_t members_version() const { return members_version_; }
 
@@ -72,11 +72,14 @@
                                       const std::set<std::string>& unresponsive) const;
 
  private:
-  /// Decodes the members once per change, since Members() is called hundreds of times per second.
-  void DecodeMembers();
+  void PutMember(const StoreItem& item);
+  void RemoveMember(const std::string& key);
 
   std::map<std::string, StoreItem> items_;
-  std::vector<Member> members_;
+  std::map<std::string, Member> members_by_key_;
+  /// Cached result of Members(), which is called hundreds of times per second; empty after a
+  /// change.
+  mutable std::optional<std::vector<Member>> members_;
   std::uint64_t members_version_ = 0;
 };
 
--- a/libs/control/src/instance_records.cc
+++ b/libs/control/src/instance_records.cc
@@ -26,33 +26,48 @@
 
 void InstanceRecords::Put(const StoreItem& item) {
   items_[item.key] = item;
-  if (item.key.starts_with(kMemberPrefix)) DecodeMembers();
+  if (item.key.starts_with(kMemberPrefix)) PutMember(item);
 }
 
 void InstanceRecords::Remove(const std::string& key) {
   items_.erase(key);
-  if (key.starts_with(kMemberPrefix)) DecodeMembers();
+  RemoveMember(key);
 }
 
 void InstanceRecords::Clear() {
   items_.clear();
-  DecodeMembers();
+  if (members_by_key_.empty()) return;
+  members_by_key_.clear();
+  members_.reset();
+  ++members_version_;
 }
 
-void InstanceRecords::DecodeMembers() {
-  std::vector<Member> members;
-  for (auto at = items_.lower_bound(kMemberPrefix);
-       at != items_.end() && at->first.starts_with(kMemberPrefix); ++at) {
-    auto member = DecodeMember(at->second.value);
-    if (!member) continue;
-    member->key_revision = at->second.revision;
-    members.push_back(std::move(*member));
-  }
-  if (members == members_) return;
-  members_ = std::move(members);
+void InstanceRecords::PutMember(const StoreItem& item) {
+  auto member = DecodeMember(item.value);
+  if (!member) return RemoveMember(item.key);
+  member->key_revision = item.revision;
+  const auto [entry, is_new] = members_by_key_.try_emplace(item.key, *member);
+  if (!is_new && entry->second == *member) return;
+  entry->second = std::move(*member);
+  members_.reset();
+  ++members_version_;
+}
+
+void InstanceRecords::RemoveMember(const std::string& key) {
+  if (members_by_key_.erase(key) == 0) return;
+  members_.reset();
   ++members_version_;
 }
 
+const std::vector<Member>& InstanceRecords::Members() const {
+  if (!members_) {
+    members_.emplace();
+    members_->reserve(members_by_key_.size());
+    for (const auto& [key, member] : members_by_key_) members_->push_back(member);
+  }
+  return *members_;
+}
+
 std::vector<const StoreItem*> InstanceRecords::ItemsWithPrefix(const std::string& prefix) const {
   std::vector<const StoreItem*> found;
   for (auto at = items_.lower_bound(prefix); at != items_.end() && at->first.starts_with(prefix);
@@ -68,20 +83,22 @@
 }
 
 std::optional<Member> InstanceRecords::ZoneRelay(const ZoneId& zone) const {
-  const auto relay = std::ranges::find(members_, zone, &Member::zone);
-  return relay == members_.end() ? std::nullopt : std::optional(*relay);
+  const std::vector<Member>& members = Members();
+  const auto relay = std::ranges::find(members, zone, &Member::zone);
+  return relay == members.end() ? std::nullopt : std::optional(*relay);
 }
 
 std::optional<Member> InstanceRecords::UpstreamRelay(
     const Member& self, const std::set<std::string>& unresponsive) const {
+  const std::vector<Member>& members = Members();
   const auto usable = [&](const Member& member) {
     return member.address == self.address || !unresponsive.contains(member.address);
   };
   const auto in_zone = std::ranges::find_if(
-      members_, [&](const Member& member) { return member.zone == self.zone && usable(member); });
-  if (in_zone != members_.end() && in_zone->address != self.address) return *in_zone;
-  const auto first = std::ranges::find_if(members_, usable);
-  if (first == members_.end() || first->address == self.address) return std::nullopt;
+      members, [&](const Member& member) { return member.zone == self.zone && usable(member); });
+  if (in_zone != members.end() && in_zone->address != self.address) return *in_zone;
+  const auto first = std::ranges::find_if(members, usable);
+  if (first == members.end() || first->address == self.address) return std::nullopt;
   return *first;
 }
 
--- a/libs/control/test/instance_records-test.cc
+++ b/libs/control/test/instance_records-test.cc
@@ -58,4 +58,26 @@
   BOOST_TEST(relay_for("9", "c") == "10.0.0.1");
 }
 
+BOOST_AUTO_TEST_CASE(version_changes_only_with_the_members) {
+  InstanceRecords records;
+  PutMember(records, "1", "a");
+  const std::uint64_t version = records.members_version();
+  PutMember(records, "1", "a");
+  records.Put({kRolloutHolderKey, "1", StoreRevision(2), StoreLeaseId(2)});
+  records.Remove(kRolloutHolderKey);
+  BOOST_TEST(records.members_version() == version);
+  records.Put({std::string(kMemberPrefix) + "1", "malformed", StoreRevision(3), StoreLeaseId(1)});
+  BOOST_TEST(records.members_version() != version);
+  BOOST_TEST(records.Members().empty());
+}
+
+// The load: a start of all, when each of a thousand members registers. Work that grows with the
+// square of the members takes minutes at this number.
+BOOST_AUTO_TEST_CASE(many_members_register_one_by_one, *boost::unit_test::timeout(20)) {
+  constexpr std::size_t kMembers = 100'000;
+  InstanceRecords records;
+  for (std::size_t i = 0; i < kMembers; ++i) PutMember(records, std::to_string(i), "a");
+  BOOST_TEST(records.Members().size() == kMembers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/peers/include/peers/tracker_map.h
+++ b/libs/peers/include/peers/tracker_map.h
@@ -5,7 +5,10 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -75,11 +78,19 @@
     auto operator<=>(const Priority&) const = default;
   };
 
+  using Ranked = std::pair<Priority, const Gateway*>;
+  enum class Warmup : std::uint8_t { kConsidered, kIgnored };
+
   static Priority PriorityOf(const Gateway& gateway, std::uint64_t hash, const ZoneId& zone,
                              TimePoint now);
+  /// Returns the `count` gateways of the highest priority, in descending order.
+  std::vector<Ranked> Best(std::size_t count, std::uint64_t hash, const ZoneId& zone, TimePoint now,
+                           Warmup warmup) const;
   Gateway* FindMutable(const std::string& address);
 
   std::vector<Gateway> gateways_;
+  std::unordered_map<std::string, std::size_t> by_address_;  ///< indexes into `gateways_`
+  std::map<ZoneId, std::vector<std::size_t>> by_zone_;       ///< indexes into `gateways_`
 };
 
 }  // namespace ridgehold
--- a/libs/peers/test/tracker_map-test.cc
+++ b/libs/peers/test/tracker_map-test.cc
@@ -141,4 +141,36 @@
   BOOST_TEST(TrackerOf(7, "z0") == "10.0.0.0");
 }
 
+// Gateways of other zones are used when too few of the zone's own respond, as while all of them
+// restart.
+BOOST_AUTO_TEST_CASE(unresponsive_zone_is_tracked_by_others) {
+  map.SetGateways(Members(2, 3), kStart);
+  for (int i = 0; i < 3; ++i) {
+    for (int miss = 0; miss < TrackerMap::kMaxMisses; ++miss) {
+      map.RecordMiss("10.0.0." + std::to_string(i), kStart);
+    }
+  }
+  BOOST_TEST(TrackerOf(7, "z0").starts_with("10.1."));
+  for (const auto* tracker : map.TrackersOf(7, ZoneId("z0"), kStart)) {
+    BOOST_TEST(tracker->address.starts_with("10.1."));
+  }
+  map.RecordAnswer("10.0.0.1");
+  BOOST_TEST(TrackerOf(7, "z0") == "10.0.0.1");
+  const auto updated = map.TrackersOf(7, ZoneId("z0"), kStart);
+  BOOST_REQUIRE(updated.size() == TrackerMap::kTrackersPerBackend);
+  BOOST_TEST(updated[0]->address == "10.0.0.1");
+  BOOST_TEST(updated[1]->address.starts_with("10.1."));
+}
+
+// The load: a start of all, with one change of the members after the other. Work that grows with
+// the square of the members takes minutes at this number.
+BOOST_AUTO_TEST_CASE(changes_of_many_members_are_cheap, *boost::unit_test::timeout(20)) {
+  std::vector<Member> members = Members(100, 250);
+  for (int change = 0; change < 10; ++change) {
+    members.back().key_revision = StoreRevision(2 + change);
+    map.SetGateways(members, kStart);
+  }
+  BOOST_TEST(map.size() == members.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
