Store copy: a follower is told each key once, however far back it is

Cause: the last 1,000 changes were kept, and forgotten with each new listing. 6 % of the engines of a large fleet are 585 changes at once, and a compacted history sent every follower to a whole copy at the same moment.

Change: the latest change of each key by revision. A new listing is told as its difference to the former one.

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -3,14 +3,15 @@
 #pragma once
 
 #include <chrono>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "control/decoded_item.h"
+#include "control/key_changes.h"
 #include "control/state_store.h"
 #include "control/store_connectivity.h"
 #include "control/store_item_applier.h"
@@ -85,14 +86,11 @@
   const std::map<std::string, StoreItem>& items() const { return items_; }
   StoreRevision revision() const { return revision_; }
 
-  /// Returns the changes after `revision`, or nullopt if some of them are no longer kept.
+  /// Returns the latest change of each key that changed after `revision`, in the order of the
+  /// changes; nullopt if some removals are no longer known. Never larger than a full copy.
   std::optional<std::vector<StoreEvent>> ChangesAfter(StoreRevision revision) const {
-    if (!listed_ || revision < oldest_kept_revision_ || revision > revision_) return std::nullopt;
-    std::vector<StoreEvent> changes;
-    for (const StoreEvent& event : recent_changes_) {
-      if (event.revision > revision) changes.push_back(event);
-    }
-    return changes;
+    if (!listed_ || revision > revision_) return std::nullopt;
+    return changes_.After(revision, items_);
   }
 
   /// Applies changes from a peer, which continue from this copy's revision. For `settled` see
@@ -112,9 +110,7 @@
     if (revision < revision_) return;
     connectivity_.ExtendGrace(settled);
     if (revision > revision_) {
-      ApplyListing(items);
-      revision_ = revision;
-      ClearChanges();
+      ApplyListing(items, revision);
       listed_ = true;
       loaded_ = true;
     }
@@ -157,26 +153,25 @@
     RecordSuccess();
     // Changes from a peer that arrived while the pages were read take precedence if they are newer.
     const bool superseded = revision_ > std::max(known, *first_revision);
-    if (!superseded) {
-      ApplyListing(items);
-      revision_ = *first_revision;
-      ClearChanges();
-    }
+    if (!superseded) ApplyListing(items, *first_revision);
     state_.ConfirmSnapshot(start);
     listed_ = true;
     loaded_ = true;
     co_return true;
   }
 
-  void ApplyListing(const std::vector<StoreItem>& items) {
+  /// Replaces the local copy by `items`, which include all changes up to `revision`.
+  void ApplyListing(const std::vector<StoreItem>& items, StoreRevision revision) {
     const TimePoint now = Clock::now();
     const StoreItemApplier::WriteTime written = EarliestWriteTime(now);
     std::vector<BackendEntry> backends;
     records_.Clear();
-    items_.clear();
-    ClearChanges();
+    std::map<std::string, StoreItem> former = std::exchange(items_, {});
+    if (!loaded_) changes_.StartAt(revision);
     for (const StoreItem& item : items) {
       items_[item.key] = item;
+      changes_.RecordPut(item.key, item.revision);
+      former.erase(item.key);
       if (item.key.starts_with(kInstanceKeyPrefix)) {
         applier_.ApplyInstanceKey(item);
         continue;
@@ -186,7 +181,10 @@
         applier_.Apply(item, std::move(decoded), written);
       });
     }
+    for (const auto& [key, item] : former) changes_.RecordRemoval(key, revision);
     applier_.ReplaceBackends(backends, connectivity_.GraceForMissing(now), now);
+    applier_.UpdateMemberCount();
+    revision_ = revision;
   }
 
   net::awaitable<void> WatchOnce() {
@@ -237,39 +235,28 @@
     for (const StoreEvent& event : events) {
       if (event.revision > revision_) ApplyEvent(event, now, written);
     }
+    applier_.UpdateMemberCount();
     revision_ = std::max(revision_, revision);
   }
 
   void ApplyEvent(const StoreEvent& event, TimePoint now,
                   const StoreItemApplier::WriteTime& written) {
-    KeepChange(event);
-    items_.erase(event.key);
     if (event.item) {
       items_[event.key] = *event.item;
+      changes_.RecordPut(event.key, event.revision);
       if (event.key.starts_with(kInstanceKeyPrefix)) return applier_.ApplyInstanceKey(*event.item);
       return Decode(*event.item, [&](DecodedItem decoded) {
         applier_.Apply(*event.item, std::move(decoded), written);
       });
     }
+    items_.erase(event.key);
+    changes_.RecordRemoval(event.key, event.revision);
     if (event.key.starts_with(kInstanceKeyPrefix)) return applier_.RemoveInstanceKey(event.key);
     if (const auto id = Codec::BackendOf(event.key)) {
       applier_.RemoveBackend(*id, connectivity_.GraceForMissing(now), now);
     }
   }
 
-  /// Keeps a change for peers that follow this instance.
-  void KeepChange(const StoreEvent& event) {
-    recent_changes_.push_back(event);
-    if (recent_changes_.size() <= kMaxRecentChanges) return;
-    oldest_kept_revision_ = recent_changes_.front().revision;
-    recent_changes_.pop_front();
-  }
-
-  void ClearChanges() {
-    recent_changes_.clear();
-    oldest_kept_revision_ = revision_;
-  }
-
   template <class Callback>
   void Decode(const StoreItem& item, Callback&& apply) {
     ValueOr(
@@ -312,9 +299,6 @@
     co_await WaitFor(timer_, backoff);
   }
 
-  /// Number of changes kept for peers. Heartbeats of a large fleet and a rollout together cause
-  /// about a hundred within the half second between two requests of a peer.
-  static constexpr std::size_t kMaxRecentChanges = 1'000;
   /// The store answers in 4 ms. The answer to a full-length watch that arrives later than this
   /// after its end may have been created early and delayed in transit.
   static constexpr std::chrono::milliseconds kMaxAnswerDelay{100};
@@ -330,8 +314,7 @@
   StoreConnectivity connectivity_;
   StoreRevision revision_;
   std::map<std::string, StoreItem> items_;
-  std::deque<StoreEvent> recent_changes_;
-  StoreRevision oldest_kept_revision_;
+  KeyChanges changes_;
   std::chrono::milliseconds backoff_{50};
   bool listed_ = false;
   bool loaded_ = false;
--- a/libs/control/include/control/store_item_applier.h
+++ b/libs/control/include/control/store_item_applier.h
@@ -31,6 +31,8 @@
   /// Applies a key that the instances write themselves (kInstanceKeyPrefix).
   void ApplyInstanceKey(const StoreItem& item);
   void RemoveInstanceKey(const std::string& key);
+  /// Updates the number of live instances after a batch of changes.
+  void UpdateMemberCount();
 
   /// Handles a removed registration. The backend server stays in use for `grace`; see
   /// BackendDirectory::Remove.
@@ -51,7 +53,6 @@
   void ApplyConfig(const StoreItem& item, RoutingConfig parts);
   void ApplyWeights(const DesiredWeights& order, const WriteTime& written);
   void ApplyBackend(const StoreItem& item, const BackendEntry& entry);
-  void UpdateMemberCount();
   void ApplyQuarantine(const StoreItem& item);
   /// Returns whether another malformed value may be logged. A faulty writer could fill the log; the
   /// metrics count every value.
--- a/libs/control/src/store_item_applier.cc
+++ b/libs/control/src/store_item_applier.cc
@@ -74,7 +74,6 @@
 
 void StoreItemApplier::ApplyInstanceKey(const StoreItem& item) {
   records_.Put(item);
-  UpdateMemberCount();
   ApplyQuarantine(item);
 }
 
@@ -87,10 +86,7 @@
   state_.poison().ApplyStored(*request, remaining, Clock::now());
 }
 
-void StoreItemApplier::RemoveInstanceKey(const std::string& key) {
-  records_.Remove(key);
-  UpdateMemberCount();
-}
+void StoreItemApplier::RemoveInstanceKey(const std::string& key) { records_.Remove(key); }
 
 void StoreItemApplier::UpdateMemberCount() {
   const auto members = std::max(static_cast<std::uint32_t>(records_.Members().size()), 1U);
