Store copy: a tree of relays, answered when there is news, and few listings

Cause: at a start of all each instance listed the whole store (at 986 instances some 3 GB through its link), and asked random ones for whole copies five times a second that were encoded anew each time and given up on after 250 ms. One relay a zone answered hundreds of followers every 150 ms. Without a current relay all turned to the store at once, and from rank 7 on all applied for a free lease.

Ways weighed: parts of the copy from several peers by hash (more messages, each has to be whole again after a change), own zone only (a zone that loses its engines has no others), a tree. Kept: a tree in each zone of four followers an instance in the order of the keys, hence without cycles whatever each knows; requests that wait up to 0.4 s for a change or a newer confirmation; copies compressed once for several readers; a starting instance reads the members' keys and waits for the copy of one before it. Deeper levels turn to the store later than those above them, and those far from the store call it more rarely while it is down. Leases: groups of doubling size.

Tests: fan-out and depth at 30 to 3,840 instances, who lists at starts of 40, 160 and 640, groups of candidates, answers held and confirmations passed on.

--- a/libs/control/include/control/instance_records.h
+++ b/libs/control/include/control/instance_records.h
@@ -32,6 +32,12 @@
   bool operator==(const Member&) const = default;
 };
 
+/// The place of an instance in the tree along which updates of the store travel.
+struct RelayPosition {
+  std::optional<Member> upstream;  ///< nullopt for the root, which watches the store
+  std::size_t depth = 0;           ///< instances between it and the store
+};
+
 /// Encodes the value of a member's key; the revision is not part of it.
 std::string EncodeMember(const Member& member);
 
@@ -63,13 +69,16 @@
   /// name. nullopt if none is known.
   std::optional<Member> ZoneRelay(const ZoneId& zone) const;
 
-  /// Returns the instance from which `self` receives store updates: the relay of its zone or, for
-  /// that relay, the first of all instances by name. Returns nullopt for that first instance, which
-  /// watches the store itself. Thus only one instance watches the store, whatever the size of the
-  /// fleet, and updates reach the others over at most two hops. Members whose address is in
-  /// `unresponsive` are skipped.
-  std::optional<Member> UpstreamRelay(const Member& self,
-                                      const std::set<std::string>& unresponsive) const;
+  /// Most instances that follow one relay of their zone. Each change leaves a relay this many
+  /// times, so its link bears a copy of the store however large the zone is.
+  static constexpr std::size_t kRelayFanOut = 4;
+
+  /// Returns the place of the instance with the member key `key`. The members of a zone form a tree
+  /// in the order of their keys; its root follows the first of all instances, which alone watches
+  /// the store. Members whose address is in `unresponsive` are left out. An upstream precedes all
+  /// that follow it, so there are no cycles, whatever each instance knows and leaves out.
+  RelayPosition RelayPositionOf(const std::string& key, const ZoneId& zone,
+                                const std::set<std::string>& unresponsive) const;
 
  private:
   void PutMember(const StoreItem& item);
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -38,6 +38,10 @@
     /// Returns whether updates currently come from a peer's copy of the store instead of the store
     /// itself.
     std::function<bool()> follows_peer = [] { return false; };
+    /// Returns whether to wait for a peer's copy at the start instead of listing the store.
+    std::function<bool()> awaits_copy = [] { return false; };
+    /// Called after the local copy has changed, was confirmed, or has lost the store.
+    std::function<void()> on_update = [] {};
     std::chrono::milliseconds peer_poll_interval{100};
     /// Maximum time after the first listing for which the store is not called, to wait for a peer
     /// whose copy can be followed.
@@ -48,6 +52,12 @@
     /// Delay between failed calls, doubled up to `max_backoff`.
     std::chrono::milliseconds min_backoff{50};
     std::chrono::milliseconds max_backoff{400};
+    /// Factor of `max_backoff`. The calls of a large fleet to a store that is down cost as much as
+    /// successful ones, and the few instances closest to the store notice its return for all.
+    std::function<double()> backoff_scale = [] { return 1.0; };
+    /// A listing that fails continues at the failed page for this long, which is less than the time
+    /// for which the store keeps the changes made meanwhile.
+    std::chrono::milliseconds max_listing_time{8'000};
   };
 
   StateFollower(Store& store, GatewayState& state, InstanceRecords& records, Options options)
@@ -60,8 +70,9 @@
 
   net::awaitable<void> Run() {
     while (!stopped_) {
-      if (listed_ && options_.follows_peer()) {
-        connectivity_.ResetFailures();
+      const bool follows = loaded_ && options_.follows_peer();
+      if (follows) connectivity_.ResetFailures();
+      if (follows || (!loaded_ && options_.awaits_copy())) {
         co_await WaitFor(timer_, options_.peer_poll_interval);
         continue;
       }
@@ -99,7 +110,8 @@
                     TimePoint confirmed, TimePoint settled = {}) {
     connectivity_.ExtendGrace(settled);
     ApplyEvents(changes, revision);
-    state_.ConfirmSnapshot(confirmed);
+    listed_ = loaded_;
+    Confirm(confirmed);
   }
 
   /// Applies a peer's copy of the store unless it is older than the local one. The peer's
@@ -114,7 +126,7 @@
       listed_ = true;
       loaded_ = true;
     }
-    state_.ConfirmSnapshot(confirmed);
+    Confirm(confirmed);
   }
 
   /// Returns whether the store has been read completely once.
@@ -132,6 +144,12 @@
     }
   }
 
+  /// Records that the copy was the newest at `moment`.
+  void Confirm(TimePoint moment) {
+    state_.ConfirmSnapshot(moment);
+    options_.on_update();
+  }
+
   net::awaitable<bool> ListAll() {
     const TimePoint start = Clock::now();
     const StoreRevision known = revision_;
@@ -142,7 +160,9 @@
       const StoreResult<StorePage> page = co_await store_.List("", after);
       if (page.has_error()) {
         RecordFailure("list", page.error(), start);
-        co_return false;
+        if (stopped_ || Clock::now() - start >= options_.max_listing_time) co_return false;
+        co_await BackOff();
+        continue;
       }
       // The pages are not one snapshot, so the watch starts from the revision of the first.
       if (!first_revision) first_revision = page->revision;
@@ -154,9 +174,9 @@
     // Changes from a peer that arrived while the pages were read take precedence if they are newer.
     const bool superseded = revision_ > std::max(known, *first_revision);
     if (!superseded) ApplyListing(items, *first_revision);
-    state_.ConfirmSnapshot(start);
     listed_ = true;
     loaded_ = true;
+    Confirm(start);
     co_return true;
   }
 
@@ -212,7 +232,7 @@
     const auto excess = now - start - wait;
     const bool ran_full_length =
         answer->events.empty() && excess >= Duration::zero() && excess <= kMaxAnswerDelay;
-    state_.ConfirmSnapshot(ran_full_length ? start + wait : start);
+    Confirm(ran_full_length ? start + wait : start);
     if (!answer->events.empty()) co_await WaitFor(timer_, options_.batch_delay);
   }
 
@@ -290,12 +310,15 @@
       return;
     }
     if (!connectivity_.RecordFailure(start)) return;
+    options_.on_update();
     Log(LogLevel::kWarn, "store lost", {{"call", call}, {"fault", std::string(NameOf(fault))}});
   }
 
   net::awaitable<void> BackOff() {
     const std::chrono::milliseconds backoff = backoff_;
-    backoff_ = std::min(backoff_ * 2, options_.max_backoff);
+    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(
+        options_.max_backoff * options_.backoff_scale());
+    backoff_ = std::min(backoff_ * 2, longest);
     co_await WaitFor(timer_, backoff);
   }
 
--- a/libs/control/include/control/state_store.h
+++ b/libs/control/include/control/state_store.h
@@ -96,12 +96,18 @@
   std::chrono::milliseconds ttl{0};
 };
 
+/// Whether a listing must be current.
+enum class ReadConsistency : std::uint8_t {
+  kLatest,
+  kStale,  ///< may be seconds old; costs the store a tenth
+};
+
 /// A client of the store. Each call is a coroutine that completes within its time limit.
 template <class Store>
 concept StateStore = requires(Store& store, const std::string& text, StoreRevision revision,
                               std::chrono::milliseconds time, const StoreTransaction& transaction,
-                              StoreLeaseId lease) {
-  { store.List(text, text) } -> std::same_as<net::awaitable<StoreResult<StorePage>>>;
+                              StoreLeaseId lease, ReadConsistency consistency) {
+  { store.List(text, text, consistency) } -> std::same_as<net::awaitable<StoreResult<StorePage>>>;
   { store.Watch(text, revision, time) } -> std::same_as<net::awaitable<StoreResult<WatchResult>>>;
   { store.Commit(transaction) } -> std::same_as<net::awaitable<StoreResult<StoreRevision>>>;
   { store.GrantLease(time) } -> std::same_as<net::awaitable<StoreResult<LeaseGrant>>>;
--- a/libs/control/src/instance_records.cc
+++ b/libs/control/src/instance_records.cc
@@ -88,18 +88,23 @@
   return relay == members.end() ? std::nullopt : std::optional(*relay);
 }
 
-std::optional<Member> InstanceRecords::UpstreamRelay(
-    const Member& self, const std::set<std::string>& unresponsive) const {
-  const std::vector<Member>& members = Members();
-  const auto usable = [&](const Member& member) {
-    return member.address == self.address || !unresponsive.contains(member.address);
-  };
-  const auto in_zone = std::ranges::find_if(
-      members, [&](const Member& member) { return member.zone == self.zone && usable(member); });
-  if (in_zone != members.end() && in_zone->address != self.address) return *in_zone;
-  const auto first = std::ranges::find_if(members, usable);
-  if (first == members.end() || first->address == self.address) return std::nullopt;
-  return *first;
+RelayPosition InstanceRecords::RelayPositionOf(const std::string& key, const ZoneId& zone,
+                                               const std::set<std::string>& unresponsive) const {
+  const Member* first = nullptr;
+  std::vector<const Member*> earlier_in_zone;
+  for (auto at = members_by_key_.begin(); at != members_by_key_.lower_bound(key); ++at) {
+    const Member& member = at->second;
+    if (unresponsive.contains(member.address)) continue;
+    if (first == nullptr) first = &member;
+    if (member.zone == zone) earlier_in_zone.push_back(&member);
+  }
+  if (first == nullptr) return {};
+  if (earlier_in_zone.empty()) return {*first, 1};
+  const auto parent_of = [](std::size_t index) { return (index - 1) / kRelayFanOut; };
+  RelayPosition position{*earlier_in_zone[parent_of(earlier_in_zone.size())], 0};
+  for (std::size_t i = earlier_in_zone.size(); i > 0; i = parent_of(i)) ++position.depth;
+  if (earlier_in_zone.front() != first) ++position.depth;
+  return position;
 }
 
 }  // namespace ridgehold
--- a/libs/control/test/instance_records-test.cc
+++ b/libs/control/test/instance_records-test.cc
@@ -1,6 +1,9 @@
 #include "control/instance_records.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <map>
 
 using namespace ridgehold;
 
@@ -42,7 +45,8 @@
   for (const char* name : {"1", "2", "3", "4"}) PutMember(records, name, name[0] < '3' ? "a" : "b");
   const auto relay_for = [&](const std::string& name, const std::string& zone,
                              const std::set<std::string>& unresponsive = {}) {
-    const auto relay = records.UpstreamRelay({"10.0.0." + name, ZoneId(zone)}, unresponsive);
+    const auto relay =
+        records.RelayPositionOf(kMemberPrefix + name, ZoneId(zone), unresponsive).upstream;
     return relay ? relay->address : "";
   };
   BOOST_TEST(relay_for("1", "a") == "");
@@ -58,6 +62,34 @@
   BOOST_TEST(relay_for("9", "c") == "10.0.0.1");
 }
 
+// The load: every instance of a fleet follows the store at the same time. What a relay sends and
+// how long a change travels must not grow with the fleet, or only with its logarithm.
+BOOST_AUTO_TEST_CASE(load_of_a_relay_does_not_grow_with_the_fleet) {
+  constexpr int kZones = 6;
+  for (const int size : {30, 240, 960, 3'840}) {
+    InstanceRecords records;
+    for (int i = 0; i < size; ++i) {
+      PutMember(records, std::to_string(10'000 + i), "z" + std::to_string(i % kZones));
+    }
+    std::map<std::string, std::size_t> followers;
+    std::size_t max_depth = 0;
+    std::size_t roots = 0;
+    for (int i = 0; i < size; ++i) {
+      const std::string key = kMemberPrefix + std::to_string(10'000 + i);
+      const RelayPosition position =
+          records.RelayPositionOf(key, ZoneId("z" + std::to_string(i % kZones)), {});
+      max_depth = std::max(max_depth, position.depth);
+      if (!position.upstream) ++roots;
+      if (position.upstream) ++followers[position.upstream->address];
+    }
+    BOOST_TEST(roots == 1U);
+    for (const auto& [relay, count] : followers) {
+      BOOST_TEST(count <= InstanceRecords::kRelayFanOut + kZones - 1);
+    }
+    BOOST_TEST(max_depth <= 1 + std::ceil(std::log2(size / kZones)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(version_changes_only_with_the_members) {
   InstanceRecords records;
   PutMember(records, "1", "a");
--- a/libs/control/test/memory_store.h
+++ b/libs/control/test/memory_store.h
@@ -139,13 +139,19 @@
   MemoryStore(MemoryTable& table, std::uint32_t seed) : table_(table), random_(seed) {}
 
   StoreFaults faults;
-  int watches = 0;  ///< number of Watch() calls
+  int watches = 0;   ///< number of Watch() calls
+  int listings = 0;  ///< number of List() calls
 
-  net::awaitable<StoreResult<StorePage>> List(std::string /*prefix*/, std::string /*after*/) {
+  net::awaitable<StoreResult<StorePage>> List(
+      std::string prefix, std::string /*after*/,
+      ReadConsistency /*consistency*/ = ReadConsistency::kLatest) {
+    ++listings;
     co_await Pause(std::chrono::milliseconds(1));
     if (faults.down) co_return StoreError::kUnavailable;
     StorePage page;
-    for (const auto& [key, item] : table_.items()) page.items.push_back(item);
+    for (const auto& [key, item] : table_.items()) {
+      if (key.starts_with(prefix)) page.items.push_back(item);
+    }
     page.revision = StoreRevision(table_.revision());
     co_await Pause(faults.late_reads);
     co_return page;
--- a/libs/entry/include/entry/admin_server.h
+++ b/libs/entry/include/entry/admin_server.h
@@ -25,23 +25,31 @@
  public:
   /// Page handlers by path. Each receives the query string without its question mark.
   using Pages = std::map<std::string, std::function<AdminPage(const std::string& query)>>;
+  /// The same for pages that may take some time.
+  using DelayedPages =
+      std::map<std::string, std::function<net::awaitable<AdminPage>(std::string query)>>;
 
   /// Listens on `address:port`. Fails with kInvalidSettings.
   static Result<std::unique_ptr<AdminServer>> Create(net::any_io_executor executor,
-                                                     const std::string& address, Pages pages);
+                                                     const std::string& address, Pages pages,
+                                                     DelayedPages delayed_pages = {});
 
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
  private:
-  AdminServer(tcp::acceptor acceptor, Pages pages)
-      : acceptor_(std::move(acceptor)), pages_(std::move(pages)) {}
+  AdminServer(tcp::acceptor acceptor, Pages pages, DelayedPages delayed_pages)
+      : acceptor_(std::move(acceptor)),
+        pages_(std::move(pages)),
+        delayed_pages_(std::move(delayed_pages)) {}
 
   net::awaitable<void> Accept();
   net::awaitable<void> Serve(tcp::socket socket);
-  ResponseMessage Respond(const RequestMessage& request) const;
+  net::awaitable<ResponseMessage> Respond(const RequestMessage& request) const;
+  net::awaitable<AdminPage> MakePage(std::string path, std::string query) const;
 
   tcp::acceptor acceptor_;
   Pages pages_;
+  DelayedPages delayed_pages_;
 };
 
 /// Opens a listening socket on `address:port`. Fails with kInvalidSettings.
--- a/libs/entry/include/entry/election_stagger.h
+++ b/libs/entry/include/entry/election_stagger.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include <algorithm>
+#include <bit>
 #include <cstddef>
 #include <optional>
 
@@ -11,8 +11,10 @@
 namespace ridgehold {
 
 /// Instances apply one after the other, by rank: if all applied at once, each but one would waste
-/// three calls to the store. From the maximum rank on all may apply at once, in case the instances
-/// of lower rank are partitioned off. Not thread-safe; the caller passes the time in.
+/// three calls to the store. Above the maximum rank they apply in groups that double in size, in
+/// case the instances of lower rank are partitioned off: a thousand are through after ten groups,
+/// and while the store is slow most of them never begin. Not thread-safe; the caller passes the
+/// time in.
 class ElectionStagger {
  public:
   /// `stagger` is the delay from one rank to the next, longer than acquiring the lease takes.
@@ -27,10 +29,14 @@
       return false;
     }
     if (!vacant_since_) vacant_since_ = now;
-    return now - *vacant_since_ >= stagger_ * static_cast<int>(std::min(rank, max_rank_));
+    return now - *vacant_since_ >= stagger_ * static_cast<int>(TurnOf(rank));
   }
 
  private:
+  std::size_t TurnOf(std::size_t rank) const {
+    return rank <= max_rank_ ? rank : max_rank_ + std::bit_width(rank - max_rank_);
+  }
+
   Duration stagger_;
   std::size_t max_rank_;
   std::optional<TimePoint> vacant_since_;
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -7,7 +7,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,15 +20,16 @@
 #include "entry/election_stagger.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_tuning.h"
+#include "entry/peer_discovery.h"
 #include "entry/quota_coordinator.h"
 #include "entry/state_dump.h"
+#include "entry/store_copy_server.h"
 #include "gateway/backend_prober.h"
 #include "gateway/caller_server.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
 #include "net/wait.h"
 #include "peers/peer_link.h"
-#include "peers/store_copy.h"
 #include "peers/store_copy_reader.h"
 
 namespace ridgehold {
@@ -58,8 +58,9 @@
   }
 
   void Start() {
-    net::co_spawn(executor_, follower_.Run(), net::detached);
     net::co_spawn(executor_, membership_.Run(), net::detached);
+    net::co_spawn(executor_, discovery_.Run(), net::detached);
+    net::co_spawn(executor_, follower_.Run(), net::detached);
     net::co_spawn(executor_, rollout_lease_.Run(), net::detached);
     net::co_spawn(executor_, rollout_.Run(), net::detached);
     net::co_spawn(executor_, peers_->Send(), net::detached);
@@ -135,6 +136,10 @@
                metrics_),
         store_(executor, metrics_, settings_.store_address, tuning.store_call_timeout),
         follower_(store_, state_, records_, FollowerOptions()),
+        copy_server_(state_, follower_),
+        discovery_(
+            store_, executor, records_, {}, [this] { return RelayPositionWithout({}); },
+            [this] { return follower_.ready(); }),
         membership_(store_, executor, MembershipOptions(), [] { return true; }),
         rollout_lease_(store_, executor, RolloutLeaseOptions(),
                        [this] { return MayAcquireRolloutLease(); }),
@@ -201,6 +206,10 @@
     options.key = kRolloutHolderKey;
     // The address distinguishes this instance from a later one with the same name.
     options.value = settings_.daemon.value() + " " + settings_.instance_address;
+    options.predecessor_may_hold = [this, holder = options.value] {
+      const StoreItem* item = records_.Find(kRolloutHolderKey);
+      return follower_.connected() && item != nullptr && item->value.starts_with(holder);
+    };
     options.handover_delay = settings_.lease_handover_delay;
     options.ttl = std::max(tuning_.rollout_lease_ttl, settings_.min_lease_ttl);
     return options;
@@ -246,44 +255,25 @@
         peers_, PeerLink::Create(state_, std::move(options), records_, settings_.seed_addresses));
     const std::string address =
         settings_.instance_address + ":" + std::to_string(settings_.first_peer_port);
-    BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, PeerPages()));
+    BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, {}, PeerPages()));
     return {};
   }
 
-  /// Pages for other instances, which are unavailable until the store has been read.
-  AdminServer::Pages PeerPages() {
-    AdminServer::Pages pages;
-    pages[kStoreCopyPath] = [this](const std::string& query) { return StoreCopyPage(query); };
+  /// Pages for other instances.
+  AdminServer::DelayedPages PeerPages() {
+    AdminServer::DelayedPages pages;
+    pages[kStoreCopyPath] = [this](std::string query) {
+      return copy_server_.Respond(std::move(query));
+    };
     return pages;
   }
 
-  /// Returns the changes since the revision in the query, or all items if these are not known.
-  AdminPage StoreCopyPage(const std::string& query) const {
-    if (!follower_.ready()) return {http::status::service_unavailable, "text/plain", ""};
-    StoreCopy copy;
-    copy.revision = follower_.revision();
-    copy.age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - state_.confirmed_at());
-    // Rounded up: the copy must not look newer than it is.
-    copy.age += std::chrono::milliseconds(1);
-    copy.grace = std::chrono::duration_cast<std::chrono::milliseconds>(
-        follower_.connectivity().RemainingGrace(Clock::now()));
-    copy.store_unreachable = follower_.connectivity().failing();
-    auto changes = follower_.ChangesAfter(StoreRevision(std::strtoull(query.c_str(), nullptr, 10)));
-    copy.is_snapshot = !changes.has_value();
-    if (changes) {
-      copy.changes = std::move(*changes);
-    } else {
-      for (const auto& [key, item] : follower_.items()) {
-        copy.changes.push_back({key, item.revision, item});
-      }
-    }
-    return {http::status::ok, "application/x-protobuf", EncodeStoreCopy(copy)};
-  }
-
   typename Follower::Options FollowerOptions() {
     typename Follower::Options options;
     options.follows_peer = [this] { return FollowsRelay(); };
+    options.awaits_copy = [this] { return discovery_.AwaitsCopy(Clock::now()); };
+    options.on_update = [this] { copy_server_.NotifyUpdated(); };
+    options.backoff_scale = [this] { return StoreBackoffScale(); };
     options.watch_timeout = tuning_.watch_timeout;
     options.relay_wait = tuning_.relay_wait;
     options.assumed_age = std::max(settings_.max_weights_staleness - tuning_.unknown_weights_grace,
@@ -291,11 +281,25 @@
     return options;
   }
 
+  /// Returns this instance's place in the tree of relays if the members at these addresses are left
+  /// out.
+  RelayPosition RelayPositionWithout(const std::set<std::string>& excluded) const {
+    return records_.RelayPositionOf(kMemberPrefix + settings_.daemon.value(), settings_.zone,
+                                    excluded);
+  }
+
   /// Returns the address of the instance from which this one follows the store.
   std::optional<std::string> FindRelay(const std::set<std::string>& excluded) const {
-    const auto relay =
-        records_.UpstreamRelay({settings_.instance_address, settings_.zone}, excluded);
-    return relay ? std::optional(relay->address) : std::nullopt;
+    const RelayPosition position = RelayPositionWithout(excluded);
+    return position.upstream ? std::optional(position.upstream->address) : std::nullopt;
+  }
+
+  /// Instances that are not next to the store call it more rarely while it does not answer, so that
+  /// all together cause no more calls than a fleet of this size would.
+  double StoreBackoffScale() const {
+    constexpr double kUnscaledFleet = 64;
+    if (RelayPositionWithout({}).depth <= 1) return 1;
+    return std::max(1.0, static_cast<double>(records_.Members().size()) / kUnscaledFleet);
   }
 
   /// Returns whether the relay's copy is current. Otherwise this instance watches the store itself.
@@ -304,6 +308,7 @@
   typename StoreCopyReader<Follower>::Options CopyOptions() const {
     typename StoreCopyReader<Follower>::Options options;
     options.port = settings_.first_peer_port;
+    options.depth = [this] { return RelayPositionWithout({}).depth; };
     return options;
   }
 
@@ -454,6 +459,8 @@
   InstanceRecords records_;
   Store store_;
   Follower follower_;
+  StoreCopyServer<Follower> copy_server_;
+  PeerDiscovery<Store> discovery_;
   Lease membership_;
   Lease rollout_lease_;
   ElectionStagger election_stagger_;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -51,7 +51,8 @@
   /// Instances apply for a free lease in the order of their names, each this long after the
   /// previous one. Longer than acquiring the lease takes.
   std::chrono::milliseconds election_stagger{250};
-  /// Instances from this rank on all apply at once, in case those before them are partitioned off.
+  /// Above this rank instances apply in groups, in case those before them are partitioned off; see
+  /// ElectionStagger.
   std::size_t max_election_rank = 6;
   /// See QuotaTolerance.
   double quota_tolerance_fraction = QuotaTolerance().granted_fraction;
--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -26,9 +26,11 @@
 }
 
 Result<std::unique_ptr<AdminServer>> AdminServer::Create(net::any_io_executor executor,
-                                                         const std::string& address, Pages pages) {
+                                                         const std::string& address, Pages pages,
+                                                         DelayedPages delayed_pages) {
   BOOST_LEAF_AUTO(acceptor, Listen(executor, address));
-  std::unique_ptr<AdminServer> server(new AdminServer(std::move(acceptor), std::move(pages)));
+  std::unique_ptr<AdminServer> server(
+      new AdminServer(std::move(acceptor), std::move(pages), std::move(delayed_pages)));
   net::co_spawn(executor, server->Accept(), net::detached);
   return server;
 }
@@ -54,26 +56,34 @@
     co_await http::async_read(socket, buffer, request,
                               net::redirect_error(net::use_awaitable, error));
     if (error) break;
-    ResponseMessage response = Respond(request);
+    ResponseMessage response = co_await Respond(request);
     http::response_serializer<http::string_body> serializer(response);
     co_await http::async_write(socket, serializer, net::redirect_error(net::use_awaitable, error));
     if (!response.keep_alive()) break;
   }
 }
 
-ResponseMessage AdminServer::Respond(const RequestMessage& request) const {
+net::awaitable<AdminPage> AdminServer::MakePage(std::string path, std::string query) const {
+  if (const auto page = pages_.find(path); page != pages_.end()) co_return page->second(query);
+  const auto delayed = delayed_pages_.find(path);
+  if (delayed == delayed_pages_.end()) {
+    co_return AdminPage{http::status::not_found, "text/plain", "not found\n"};
+  }
+  AdminPage page = co_await delayed->second(std::move(query));
+  co_return page;
+}
+
+net::awaitable<ResponseMessage> AdminServer::Respond(const RequestMessage& request) const {
   const std::string target(request.target());
   const std::size_t query_begin = target.find('?');
-  const std::string query = query_begin == std::string::npos ? "" : target.substr(query_begin + 1);
-  const auto handler = pages_.find(target.substr(0, query_begin));
-  AdminPage page{http::status::not_found, "text/plain", "not found\n"};
-  if (handler != pages_.end()) page = handler->second(query);
+  std::string query = query_begin == std::string::npos ? "" : target.substr(query_begin + 1);
+  AdminPage page = co_await MakePage(target.substr(0, query_begin), std::move(query));
   ResponseMessage response(page.status, request.version());
   response.set(http::field::content_type, page.content_type);
   response.keep_alive(request.keep_alive());
   response.body() = std::move(page.body);
   response.prepare_payload();
-  return response;
+  co_return response;
 }
 
 }  // namespace ridgehold
--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -31,9 +31,10 @@
   follower.ApplyChanges(changes, revision, confirmed, settled);
 };
 
-/// Polls the zone's relay, and any peer once the configuration was not confirmed for a while. An
-/// answer's age counts from before the request was sent, so a late answer never looks fresher than
-/// it is. Runs on one executor.
+/// Asks the relay for news, which answers once it has some, and any peer once the configuration was
+/// not confirmed for a while. An answer's age counts from before the request was sent, plus the
+/// time for which the relay says it held the request, so a late answer never looks fresher than it
+/// is. Runs on one executor.
 template <CopySink Follower>
 class StoreCopyReader {
  public:
@@ -43,13 +44,21 @@
     /// second.
     std::chrono::milliseconds stale_after{1'500};
     std::chrono::milliseconds poll_interval{200};
-    /// Interval between polls of the relay. Until a change arrives, requests go to backend servers
-    /// that are gone.
-    std::chrono::milliseconds relay_poll_interval{150};
+    /// Minimum interval between requests to the relay, so that several changes arrive together.
+    std::chrono::milliseconds relay_poll_interval{100};
+    /// The relay answers after this at the latest, which shows that it is alive.
+    std::chrono::milliseconds relay_hold{400};
     /// A relay with a working watch is never older than the watch interval of 1 s.
     std::chrono::milliseconds max_relay_age{1'300};
     /// The reader gives up a relay whose copy has not been current for this long.
     std::chrono::milliseconds relay_timeout{600};
+    /// Added to `stale_after`, `max_relay_age` and `relay_timeout` for each level below the second
+    /// in the tree of relays: if a relay far up fails, those next to it find another one before the
+    /// hundreds behind them turn to the store.
+    std::chrono::milliseconds tolerance_per_level{400};
+    std::chrono::milliseconds max_tolerance{1'000};
+    /// Returns how many instances are between this one and the store.
+    std::function<std::size_t()> depth = [] { return std::size_t{1}; };
     /// Time for which a relay is not asked after it was given up; its registration in the store
     /// expires later.
     std::chrono::milliseconds relay_cooldown{5'000};
@@ -58,6 +67,8 @@
     std::chrono::milliseconds store_lost_cooldown{1'000};
     /// A peer answers within a round trip, which takes 6 ms between zones.
     std::chrono::milliseconds timeout{250};
+    /// The same for a copy of everything: a megabyte over the slowest link, which several share.
+    std::chrono::milliseconds copy_timeout{4'000};
   };
 
   /// Returns the address of a relay that is not in `excluded`, if there is one.
@@ -75,14 +86,18 @@
         random_(std::random_device{}()) {}
 
   net::awaitable<void> Run() {
+    const TimePoint started = Clock::now();
     while (!stopped_) {
-      const bool stale = Clock::now() - state_.confirmed_at() >= options_.stale_after;
-      const std::optional<std::string> relay = SelectRelay(Clock::now());
-      if (relay) co_await Poll(*relay);
+      const TimePoint now = Clock::now();
+      tolerance_ = Tolerance();
+      const TimePoint current = std::max(state_.confirmed_at(), started);
+      const bool stale = now - current >= options_.stale_after + tolerance_;
+      const std::optional<std::string> relay = SelectRelay(now);
+      if (relay) co_await Poll(*relay, stale ? std::chrono::milliseconds(0) : options_.relay_hold);
       const std::string peer = stale ? AnyPeer() : "";
-      if (!peer.empty()) co_await Poll(peer);
-      co_await WaitFor(timer_,
-                       relay && !stale ? options_.relay_poll_interval : options_.poll_interval);
+      if (!peer.empty()) co_await Poll(peer, std::chrono::milliseconds(0));
+      const auto interval = relay && !stale ? options_.relay_poll_interval : options_.poll_interval;
+      co_await WaitUntil(timer_, now + interval);
     }
   }
 
@@ -93,10 +108,18 @@
 
   /// Returns whether the relay answers, reaches the store and is itself current.
   bool RelayIsCurrent(TimePoint now) const {
-    return now - relay_current_at_ < options_.relay_timeout;
+    return now - relay_current_at_ < options_.relay_timeout + tolerance_;
   }
 
  private:
+  std::chrono::milliseconds Tolerance() const {
+    constexpr std::size_t kFirstTolerantLevel = 3;
+    const std::size_t depth = options_.depth();
+    if (depth < kFirstTolerantLevel) return std::chrono::milliseconds(0);
+    const auto levels = static_cast<int>(depth - kFirstTolerantLevel + 1);
+    return std::min(levels * options_.tolerance_per_level, options_.max_tolerance);
+  }
+
   std::string AnyPeer() {
     const std::vector<std::string> peers = peers_();
     return peers.empty() ? "" : peers[random_() % peers.size()];
@@ -116,11 +139,15 @@
     return relay;
   }
 
-  net::awaitable<void> Poll(std::string peer) {
-    const TimePoint asked_at = Clock::now();
-    std::optional<StoreCopy> copy = co_await Fetch(peer);
+  net::awaitable<void> Poll(std::string peer, std::chrono::milliseconds hold) {
+    const TimePoint sent_at = Clock::now();
+    std::optional<StoreCopy> copy = co_await Fetch(peer, hold);
+    // The answer was made no earlier than this.
+    const TimePoint asked_at = sent_at + (copy ? copy->held : std::chrono::milliseconds(0));
     if (copy && current_relay_ == peer) RecordRelayAnswer(*copy, asked_at);
-    if (!copy && current_relay_ == peer) RecordRelayTimeout(peer, Clock::now());
+    // A relay that starts together with this instance has nothing yet, but will soon.
+    const bool starts_too = peer_is_starting_ && follower_.revision() == StoreRevision();
+    if (!copy && current_relay_ == peer && !starts_too) RecordRelayTimeout(peer, Clock::now());
     if (!copy || copy->revision < follower_.revision()) co_return;
     const TimePoint confirmed = asked_at - copy->age;
     const TimePoint settled = asked_at + copy->grace;
@@ -147,11 +174,13 @@
       relay_current_at_ = {};
       cooldown_until_[*current_relay_] = asked_at + options_.store_lost_cooldown;
     }
-    if (!copy.store_unreachable && copy.age < options_.max_relay_age) relay_current_at_ = asked_at;
+    const bool current = copy.age < options_.max_relay_age + tolerance_;
+    if (!copy.store_unreachable && current) relay_current_at_ = asked_at;
   }
 
   void RecordRelayTimeout(const std::string& relay, TimePoint now) {
-    if (now - std::max(relay_selected_at_, relay_current_at_) < options_.relay_timeout) return;
+    const TimePoint current = std::max(relay_selected_at_, relay_current_at_);
+    if (now - current < options_.relay_timeout + tolerance_) return;
     Log(LogLevel::kInfo, "relay not current; asking another one", {{"peer", relay}});
     cooldown_until_[relay] = now + options_.relay_cooldown;
   }
@@ -164,15 +193,18 @@
     return items;
   }
 
-  net::awaitable<std::optional<StoreCopy>> Fetch(std::string peer) {
+  net::awaitable<std::optional<StoreCopy>> Fetch(std::string peer, std::chrono::milliseconds hold) {
     constexpr unsigned kHttp11 = 11;
-    const std::string target =
-        kStoreCopyPath + std::string("?") + std::to_string(follower_.revision().value());
+    const StoreCopyRequest wanted = MakeRequest(hold);
+    const std::string target = kStoreCopyPath + std::string("?") + wanted.ToQuery();
     RequestMessage request(http::verb::get, target, kHttp11);
     request.set(http::field::host, peer);
     const std::string address = peer + ":" + std::to_string(options_.port);
-    const CallResult outcome =
-        co_await Call(state_.pool(), address, std::move(request), options_.timeout);
+    const bool wants_all = wanted.revision == StoreRevision();
+    const auto timeout = hold + (wants_all ? options_.copy_timeout : options_.timeout);
+    const CallResult outcome = co_await Call(state_.pool(), address, std::move(request), timeout);
+    peer_is_starting_ = outcome.fault == ExchangeFault::kNone &&
+                        outcome.response.result() == http::status::service_unavailable;
     if (outcome.fault != ExchangeFault::kNone || outcome.response.result() != http::status::ok) {
       co_return std::nullopt;
     }
@@ -188,6 +220,18 @@
         });
   }
 
+  StoreCopyRequest MakeRequest(std::chrono::milliseconds hold) const {
+    StoreCopyRequest request;
+    request.revision = follower_.revision();
+    request.wait = hold;
+    request.accepts_deflate = true;
+    if (state_.confirmed_at() != TimePoint()) {
+      request.age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                                          state_.confirmed_at());
+    }
+    return request;
+  }
+
   GatewayState& state_;
   Follower& follower_;
   Options options_;
@@ -199,6 +243,8 @@
   Timer timer_;
   std::minstd_rand random_;
   TimePoint relay_current_at_{};  ///< last poll that found it current
+  std::chrono::milliseconds tolerance_{0};
+  bool peer_is_starting_ = false;  ///< by the last answer, it has no copy yet
   bool stopped_ = false;
 };
 
--- a/libs/peers/src/store_copy.cc
+++ b/libs/peers/src/store_copy.cc
@@ -1,10 +1,26 @@
 #include "peers/store_copy.h"
 
+#include <charconv>
+
 #include "gateway.pb.h"
+#include "net/deflate.h"
 
 namespace ridgehold {
 namespace {
 
+constexpr std::string_view kWaitField = "wait=";
+constexpr std::string_view kAgeField = "age=";
+constexpr std::string_view kDeflateField = "deflate";
+/// A copy of 20,000 backend servers takes some 8 MB.
+constexpr std::size_t kMaxInflatedBytes = std::size_t{64} << 20;
+
+void EncodeChange(const StoreEvent& change, wire::StoredItem& entry) {
+  entry.set_key(change.key);
+  entry.set_revision(change.revision.value());
+  entry.set_removed(!change.item.has_value());
+  if (change.item) entry.set_value(change.item->value);
+}
+
 StoreEvent DecodeChange(const wire::StoredItem& entry) {
   StoreEvent change;
   change.key = entry.key();
@@ -18,8 +34,51 @@
   return change;
 }
 
+Result<void> UnpackItems(const std::string& packed, std::vector<StoreEvent>& changes) {
+  const auto bytes = Inflate(packed, kMaxInflatedBytes);
+  wire::StoredItems message;
+  if (!bytes || !message.ParseFromString(*bytes)) {
+    return Fail(ResultCode::kMalformedPeerMessage, "items of a store copy cannot be unpacked");
+  }
+  changes.reserve(static_cast<std::size_t>(message.items_size()));
+  for (const wire::StoredItem& entry : message.items()) changes.push_back(DecodeChange(entry));
+  return {};
+}
+
+/// Returns 0 if `text` does not begin with a number.
+std::uint64_t ParseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
 }  // namespace
 
+std::string StoreCopyRequest::ToQuery() const {
+  std::string query = std::to_string(revision.value());
+  if (wait.count() > 0) query += "&" + std::string(kWaitField) + std::to_string(wait.count());
+  if (age) query += "&" + std::string(kAgeField) + std::to_string(age->count());
+  if (accepts_deflate) query += "&" + std::string(kDeflateField);
+  return query;
+}
+
+StoreCopyRequest StoreCopyRequest::FromQuery(std::string_view query) {
+  StoreCopyRequest request;
+  request.revision = StoreRevision(ParseNumber(query));
+  while (!query.empty()) {
+    const std::string_view field = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(field.size() + 1, query.size()));
+    if (field.starts_with(kWaitField)) {
+      request.wait = std::chrono::milliseconds(ParseNumber(field.substr(kWaitField.size())));
+    } else if (field.starts_with(kAgeField)) {
+      request.age = std::chrono::milliseconds(ParseNumber(field.substr(kAgeField.size())));
+    } else if (field == kDeflateField) {
+      request.accepts_deflate = true;
+    }
+  }
+  return request;
+}
+
 std::string EncodeStoreCopy(const StoreCopy& copy) {
   wire::StoreCopy message;
   message.set_revision(copy.revision.value());
@@ -27,13 +86,9 @@
   message.set_whole(copy.is_snapshot);
   message.set_grace_ms(static_cast<std::uint32_t>(copy.grace.count()));
   message.set_store_lost(copy.store_unreachable);
-  for (const StoreEvent& change : copy.changes) {
-    wire::StoredItem& entry = *message.add_items();
-    entry.set_key(change.key);
-    entry.set_revision(change.revision.value());
-    entry.set_removed(!change.item.has_value());
-    if (change.item) entry.set_value(change.item->value);
-  }
+  message.set_held_ms(static_cast<std::uint32_t>(copy.held.count()));
+  message.set_deflated_items(copy.packed_changes);
+  for (const StoreEvent& change : copy.changes) EncodeChange(change, *message.add_items());
   return message.SerializeAsString();
 }
 
@@ -48,10 +103,22 @@
   copy.is_snapshot = message.whole();
   copy.grace = std::chrono::milliseconds(message.grace_ms());
   copy.store_unreachable = message.store_lost();
+  copy.held = std::chrono::milliseconds(message.held_ms());
   for (const wire::StoredItem& entry : message.items()) {
     copy.changes.push_back(DecodeChange(entry));
   }
+  if (!message.deflated_items().empty()) {
+    BOOST_LEAF_CHECK(UnpackItems(message.deflated_items(), copy.changes));
+  }
   return copy;
 }
 
+std::string PackItems(const std::map<std::string, StoreItem>& items) {
+  wire::StoredItems message;
+  for (const auto& [key, item] : items) {
+    EncodeChange({key, item.revision, item}, *message.add_items());
+  }
+  return Deflate(message.SerializeAsString());
+}
+
 }  // namespace ridgehold
