Placement: a zone or region that suffices keeps its requests

Cause: prompts had their homes anywhere. With two regions half of the requests and of what they fetch crossed 40 ms and a narrow link; with 9,756 engines a choice ranked all of them, and a cut between zones cut five of six prompts off from their homes. Transfers between regions were counted as those between zones, and stores of kept cache were chosen in either region.

Change: a gateway places requests in its zone from 256 healthy servers on, else in its region if the platform's settings name several, else anywhere; others are considered when these are busy. Costs of another region for requests (80 ms) and transfers (tenfold). Regions are read from the settings; nearness is NOT learnt from observed times.

--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -19,6 +19,8 @@
 using RuleId = Strong<struct RuleIdTag, std::string>;
 using ServiceId = Strong<struct ServiceIdTag, std::string>;
 using ZoneId = Strong<struct ZoneIdTag, std::string>;
+/// A group of availability zones that are close to each other.
+using RegionId = Strong<struct RegionIdTag, std::string>;
 using DaemonId = Strong<struct DaemonIdTag, std::string>;
 using RequestId = Strong<struct RequestIdTag, std::string>;
 using ChangeId = Strong<struct ChangeIdTag, std::string>;
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -52,6 +52,7 @@
     std::unique_ptr<EntryInstance> entry(
         new EntryInstance(executor, std::move(settings), tuning, std::move(acceptor)));
     entry->state_.SetGatewayHash(LinkOf(entry->settings_.instance_address));
+    entry->state_.SetTopology(entry->settings_.topology);
     BOOST_LEAF_CHECK(entry->OpenAdmin());
     BOOST_LEAF_CHECK(entry->OpenPeers());
     return entry;
--- a/libs/entry/include/entry/entry_settings.h
+++ b/libs/entry/include/entry/entry_settings.h
@@ -19,6 +19,7 @@
   ZoneId zone;
   /// All availability zones, this one included; each holds a share of every quota.
   std::vector<ZoneId> zones;
+  ZoneTopology topology;              ///< the regions of these zones
   std::string caller_address;         ///< `address:port` of the listener for callers
   std::string ready_address;          ///< `address:port` of the balancer's readiness check
   std::string instance_address;       ///< without a port; for metrics and peers
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -53,6 +53,10 @@
       "Wait in ms that each running request adds");
   Add("placement.other-zone", placement.cross_zone,
       "Cost in ms of sending a request to another zone");
+  Add("placement.other-region", placement.cross_region,
+      "Cost in ms of sending a request to another region");
+  Add("placement.zone-servers", placement.min_zone_servers,
+      "Healthy servers of a zone from which on its gateways place requests only there");
   Add("placement.fetch-call", placement.fetch_call,
       "Cost in ms of fetching cached prompt parts from another engine");
   Add("placement.fetch-token", placement.fetch_token,
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -16,6 +16,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/inbound_request.h"
 #include "gateway/placement.h"
+#include "gateway/placement_scope.h"
 #include "gateway/request_log.h"
 #include "quota/quota_client.h"
 
@@ -68,10 +69,16 @@
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now);
 
-/// The backend servers that may get the request.
+/// The backend servers that may get the request, of those in `scope`.
 std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
                                       const InboundRequest& request,
-                                      const std::set<BackendId>& tried, TimePoint now);
+                                      const std::set<BackendId>& tried, TimePoint now,
+                                      PlacementScope scope = PlacementScope::kAll);
+
+/// The scope in which this gateway places the requests for a service.
+PlacementScope ScopeFor(const GatewayState& state, const ServiceId& service, TimePoint now);
+/// This gateway's query about scopes, see placement_scope.h.
+ScopeQuery ScopeQueryFor(const GatewayState& state, TimePoint now);
 
 /// Whether a request avoids backend servers with a rate limit. A rate limit counts requests, so it
 /// is best spent on the largest ones.
@@ -92,6 +99,9 @@
                                              const InboundRequest& request, TimePoint capacity_at,
                                              TimePoint now);
 
+/// Whether the chosen backend server is so loaded that others should be considered.
+bool IsBusy(const BackendChoice& choice, bool plain_call);
+
 /// Like ChooseFor, among `candidates`, which must not be empty. `answers` are the reports of the
 /// gateways that track them; null if they were not queried.
 BackendChoice ChooseAmong(GatewayState& state, const ExchangePlan& plan,
@@ -99,7 +109,7 @@
                           const LoadAnswer* answers, TimePoint now);
 
 /// The store responsible for the prompt's shared parts, or null.
-const KvCacheStore* KvStoreForPrompt(const ExchangePlan& plan);
+const KvCacheStore* KvStoreForPrompt(const GatewayState& state, const ExchangePlan& plan);
 
 /// The input of admission control for a generation request on the chosen engine.
 AdmissionQuery AdmissionQueryFor(const ExchangePlan& plan, const BackendChoice& choice,
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -29,6 +29,7 @@
 #include "gateway/sliding_retry_budget.h"
 #include "gateway/unanswered_attempts.h"
 #include "gateway/weights_history.h"
+#include "gateway/zone_topology.h"
 #include "metrics/metrics.h"
 #include "net/connection_pool.h"
 #include "quota/quota_client.h"
@@ -86,6 +87,8 @@
 
   net::any_io_executor executor() const { return executor_; }
   const ZoneId& zone() const { return zone_; }
+  const ZoneTopology& topology() const { return topology_; }
+  void SetTopology(ZoneTopology topology) { topology_ = std::move(topology); }
   /// Unique for each gateway.
   std::uint64_t gateway_hash() const { return gateway_hash_; }
   void SetGatewayHash(std::uint64_t hash) { gateway_hash_ = hash; }
@@ -275,6 +278,7 @@
 
   net::any_io_executor executor_;
   ZoneId zone_;
+  ZoneTopology topology_;
   std::uint64_t gateway_hash_ = 0;
   GatewayLimits limits_;
   PlacementCosts placement_weights_;
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -15,6 +15,7 @@
 #include "gateway/load_report.h"
 #include "gateway/prefix_shares.h"
 #include "gateway/transfer_links.h"
+#include "gateway/zone_topology.h"
 
 namespace ridgehold {
 
@@ -44,6 +45,10 @@
   /// Cost of a backend server in another zone: the round trip and the price of traffic between
   /// zones.
   double cross_zone = 6;
+  /// The same in another region: the round trip and that of a new connection.
+  double cross_region = 80;
+  /// See ScopeQuery.
+  std::size_t min_zone_servers = 256;
   /// Cost of fetching shared parts from another engine, for each call and each token; doubled if it
   /// is in another zone.
   double fetch_call = 8;
@@ -86,6 +91,9 @@
   double no_report_penalty = 100;
 };
 
+/// How much longer a transfer of KV cache takes than within a zone.
+double TransferFactor(ZoneDistance distance);
+
 /// The KV cache store responsible for a prompt's parts.
 struct KvStoreView {
   ZoneId zone;
@@ -101,7 +109,8 @@
 /// The request and the state that a placement is chosen for.
 struct PlacementQuery {
   ZoneId own_zone;
-  const PromptChain* chain = nullptr;  ///< null for calls to plain services
+  const ZoneTopology* topology = nullptr;  ///< null: all zones are in one region
+  const PromptChain* chain = nullptr;      ///< null for calls to plain services
   ModelId model;
   std::optional<WeightsNumber> newest_weights;
   std::optional<TimePoint> newest_announced_at;  ///< when they were announced
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -15,6 +15,7 @@
 
 #include "base/ids.h"
 #include "base/result.h"
+#include "gateway/zone_topology.h"
 #include "quota/workspace_quota.h"
 
 namespace ridgehold {
@@ -125,9 +126,11 @@
   const ServiceRule* FindService(const ServiceId& id) const;
 
   /// Returns the store for the KV cache of the prompt parts with this hash, or null if there is no
-  /// store. All gateways pick the same store by rendezvous hashing, so adding or removing a store
-  /// moves only that store's share.
-  const KvCacheStore* KvStoreFor(std::uint64_t parts) const;
+  /// store. All gateways of a region pick the same store of that region by rendezvous hashing, so
+  /// adding or removing a store moves only that store's share. Without a store in the region of
+  /// `zone` they pick among all.
+  const KvCacheStore* KvStoreFor(std::uint64_t parts, const ZoneId& zone = {},
+                                 const ZoneTopology& topology = {}) const;
 
   /// The shortest latency objective of the streaming routes to a service; zero if none has one.
   std::chrono::milliseconds ShortestObjective(const ServiceId& service) const;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -19,6 +19,12 @@
 constexpr std::chrono::milliseconds kMaxStreamSilence{3'000};
 // Largest queue priority of a request; 0 is the most urgent.
 constexpr int kMaxQueuePriority = 9;
+// If the best server of a scope has a longer queue than this, others are considered. An engine
+// prefills about one and a half long prompts in this time, and objectives are 400 ms and more.
+constexpr double kBusyQueueMs = 100;
+// The corresponding threshold for calls to plain services, as a placement cost: two running calls
+// and a round trip to another zone.
+constexpr double kBusyCallCost = 50;
 constexpr int kMisdirected = 421;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -129,8 +135,9 @@
 /// Parts that the chosen engine lacks, or may lack, are fetched from the fastest source and saved
 /// in the store after the prefill. A source that has nothing costs 1 ms, so the store is queried
 /// even when it is not known to have the parts.
-void ChooseCacheSource(const ExchangePlan& plan, std::span<const BackendPtr> candidates,
-                       const Placement& placement, BackendChoice& choice) {
+void ChooseCacheSource(const GatewayState& state, const ExchangePlan& plan,
+                       std::span<const BackendPtr> candidates, const Placement& placement,
+                       BackendChoice& choice) {
   if (!placement.lacks_parts && !placement.may_lack_parts) return;
   if (placement.source) choice.fetch_duration = DurationOf(placement.source->link_ms);
   if (placement.source && placement.source->engine) {
@@ -138,12 +145,13 @@
     choice.fetch_from = choice.fetch_backend->entry.address;
     return;
   }
-  const KvCacheStore* store = KvStoreForPrompt(plan);
+  const KvCacheStore* store = KvStoreForPrompt(state, plan);
   if (store == nullptr) return;
   choice.fetch_from = store->address;
   choice.save_to = store->address;
   if (placement.source) return;
-  const double distance = choice.backend->entry.zone == store->zone ? 1 : 2;
+  const double distance =
+      TransferFactor(state.topology().Between(choice.backend->entry.zone, store->zone));
   choice.save_duration =
       DurationOf(distance * LinkMsPerToken(plan, store->link_mbps) * plan.chain->shared_tokens);
 }
@@ -178,9 +186,12 @@
 
 std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
                                       const InboundRequest& request,
-                                      const std::set<BackendId>& tried, TimePoint now) {
+                                      const std::set<BackendId>& tried, TimePoint now,
+                                      PlacementScope scope) {
+  const ScopeQuery scope_query = ScopeQueryFor(state, now);
   std::vector<BackendPtr> candidates = state.directory().Usable(plan.service, now);
   std::erase_if(candidates, [&](const BackendPtr& backend) {
+    if (!IsInScope(scope_query, scope, *backend)) return true;
     if (tried.contains(backend->entry.id) || backend->notice_state.BlocksRequests(now)) return true;
     if (plan.avoid_rate_limited && backend->notice_state.limit()) return true;
     if (!request.generation) return false;
@@ -193,6 +204,14 @@
   return candidates;
 }
 
+ScopeQuery ScopeQueryFor(const GatewayState& state, TimePoint now) {
+  return {state.zone(), state.topology(), state.weights().min_zone_servers, now};
+}
+
+PlacementScope ScopeFor(const GatewayState& state, const ServiceId& service, TimePoint now) {
+  return ScopeFor(ScopeQueryFor(state, now), state.directory().Usable(service, now));
+}
+
 bool AvoidsRateLimited(const GatewayState& state, const ExchangePlan& plan, TimePoint now) {
   // If a smaller fraction of the backend servers had no rate limit, they could not carry all small
   // requests.
@@ -242,16 +261,26 @@
 std::optional<BackendChoice> ChooseFor(GatewayState& state, const ExchangePlan& plan,
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now) {
-  const std::vector<BackendPtr> candidates = CandidatesFor(state, plan, request, tried, now);
-  if (candidates.empty()) return std::nullopt;
-  return ChooseAmong(state, plan, request, candidates, nullptr, now);
+  const PlacementScope scope = ScopeFor(state, plan.service, now);
+  const std::vector<BackendPtr> near = CandidatesFor(state, plan, request, tried, now, scope);
+  std::optional<BackendChoice> choice;
+  if (!near.empty()) choice = ChooseAmong(state, plan, request, near, nullptr, now);
+  const bool suffices = choice && !IsBusy(*choice, !request.generation);
+  if (suffices || scope == PlacementScope::kAll) return choice;
+  const std::vector<BackendPtr> all = CandidatesFor(state, plan, request, tried, now);
+  if (all.empty()) return std::nullopt;
+  return ChooseAmong(state, plan, request, all, nullptr, now);
+}
+
+bool IsBusy(const BackendChoice& choice, bool plain_call) {
+  return plain_call ? choice.expected_ms > kBusyCallCost : choice.queue_ms > kBusyQueueMs;
 }
 
 /// The store is chosen by all shared parts. If it were chosen by the first part alone, a few common
 /// first parts would saturate one store's link.
-const KvCacheStore* KvStoreForPrompt(const ExchangePlan& plan) {
+const KvCacheStore* KvStoreForPrompt(const GatewayState& state, const ExchangePlan& plan) {
   if (plan.chain->parts.empty()) return nullptr;
-  return plan.snapshot->KvStoreFor(plan.chain->parts.back().hash);
+  return plan.snapshot->KvStoreFor(plan.chain->parts.back().hash, state.zone(), state.topology());
 }
 
 BackendChoice ChooseAmong(GatewayState& state, const ExchangePlan& plan,
@@ -259,6 +288,7 @@
                           const LoadAnswer* answers, TimePoint now) {
   PlacementQuery query;
   query.own_zone = state.zone();
+  query.topology = &state.topology();
   query.unheard_gateway_ratio = state.silent_gateways();
   query.tie_break = state.NextSequence();
   query.now = now;
@@ -269,7 +299,7 @@
     if (const EngineProfile* engine = ProfileOf(plan)) query.cache_tokens = engine->cache_tokens;
     query.links = &state.links();
     query.engine_ms_per_token = LinkMsPerToken(plan, EngineLinkMbps(plan));
-    if (const KvCacheStore* store = KvStoreForPrompt(plan)) {
+    if (const KvCacheStore* store = KvStoreForPrompt(state, plan)) {
       const LinkHash link = LinkOf(store->address);
       const double token_ms = LinkMsPerToken(plan, store->link_mbps);
       query.store = KvStoreView{store->zone, link, token_ms, &state.StoreContents(link)};
@@ -297,7 +327,7 @@
     choice.tokens_to_cache =
         plan.chain->prompt_tokens - std::min(placement.known_tokens, plan.chain->prompt_tokens);
     choice.weights = WeightsOf(*choice.backend, request.generation->model);
-    ChooseCacheSource(plan, candidates, placement, choice);
+    ChooseCacheSource(state, plan, candidates, placement, choice);
   }
   return choice;
 }
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -21,6 +21,22 @@
 
 std::uint64_t HashText(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
+}  // namespace
+
+double TransferFactor(ZoneDistance distance) {
+  switch (distance) {
+    case ZoneDistance::kSameZone:
+      return 1;
+    case ZoneDistance::kSameRegion:
+      return 2;
+    case ZoneDistance::kOtherRegion:
+      break;
+  }
+  return 10;
+}
+
+namespace {
+
 /// Chooses among one set of candidates.
 class Chooser {
  public:
@@ -71,7 +87,7 @@
     Placement placement;
     placement.index = index;
     placement.cost = backend.error_rate * costs_.error_penalty;
-    if (backend.entry.zone != query_.own_zone) placement.cost += costs_.cross_zone;
+    placement.cost += DistanceCost(backend.entry.zone);
     if (IsAvoided(backend, query_.now) || !backend.reachable) placement.cost += kAvoidPenalty;
     if (backend.grace_until) placement.cost += kAvoidPenalty / 2;
     if (backend.hold_until > query_.now) placement.cost += costs_.hold_penalty;
@@ -93,6 +109,23 @@
     return placement;
   }
 
+  ZoneDistance Distance(const ZoneId& a, const ZoneId& b) const {
+    if (query_.topology != nullptr) return query_.topology->Between(a, b);
+    return a == b ? ZoneDistance::kSameZone : ZoneDistance::kSameRegion;
+  }
+
+  double DistanceCost(const ZoneId& zone) const {
+    switch (Distance(query_.own_zone, zone)) {
+      case ZoneDistance::kSameZone:
+        return 0;
+      case ZoneDistance::kSameRegion:
+        return costs_.cross_zone;
+      case ZoneDistance::kOtherRegion:
+        break;
+    }
+    return costs_.cross_region;
+  }
+
   /// The report of the gateway that tracks the backend server; null if it was not queried or did
   /// not answer.
   const BackendReport* ReportOn(const Backend& backend) const {
@@ -168,7 +201,7 @@
   /// Returns a source with its transfer times, assuming that its link is idle.
   CacheSource SourceAt(std::size_t to, const ZoneId& zone, std::uint32_t tokens, double token_ms,
                        double call_ms) const {
-    const double distance = candidates_[to]->entry.zone == zone ? 1 : 2;
+    const double distance = TransferFactor(Distance(candidates_[to]->entry.zone, zone));
     CacheSource source;
     source.tokens = tokens;
     source.link_ms = distance * token_ms * (tokens - cache_estimates_[to].known_tokens);
--- a/libs/gateway/src/polled_choice.cc
+++ b/libs/gateway/src/polled_choice.cc
@@ -7,14 +7,6 @@
 namespace ridgehold {
 namespace {
 
-// If the best of the first candidates has a longer queue than this, more candidates are polled. An
-// engine prefills about one and a half long prompts in this time, and objectives are 400 ms and
-// more.
-constexpr double kBusyQueueMs = 100;
-// The corresponding threshold for calls to plain services, as a placement cost: two running calls
-// and a round trip to another zone.
-constexpr double kBusyCallCost = 50;
-
 ShortlistQuery QueryFor(GatewayState& state, const ExchangePlan& plan,
                         const InboundRequest& request, TimePoint now) {
   ShortlistQuery query;
@@ -32,8 +24,8 @@
   return query;
 }
 
-LoadQuestion MakeLoadQuestion(const ShortlistQuery& query, const ExchangePlan& plan,
-                              std::vector<BackendPtr> backends) {
+LoadQuestion MakeLoadQuestion(const GatewayState& state, const ShortlistQuery& query,
+                              const ExchangePlan& plan, std::vector<BackendPtr> backends) {
   LoadQuestion question;
   question.backends = std::move(backends);
   if (query.chain == nullptr) return question;
@@ -41,24 +33,23 @@
   question.weights = query.newest_weights.value_or(WeightsNumber());
   if (query.chain->shared_tokens < kMinFetchTokens) return question;
   question.parts = query.chain->parts;
-  if (const KvCacheStore* store = KvStoreForPrompt(plan)) {
+  if (const KvCacheStore* store = KvStoreForPrompt(state, plan)) {
     question.store = StoreQuery{LinkOf(store->address), store->zone};
   }
   return question;
 }
 
-bool IsBusy(const BackendChoice& choice, bool plain_call) {
-  return plain_call ? choice.expected_ms > kBusyCallCost : choice.queue_ms > kBusyQueueMs;
-}
-
 /// Polls candidates and chooses among them, for one request.
 class CandidatePoll {
  public:
   CandidatePoll(GatewayState& state, const ExchangePlan& plan, const InboundRequest& request,
+                const std::set<BackendId>& tried, PlacementScope scope,
                 std::vector<BackendPtr> candidates)
       : state_(state),
         plan_(plan),
         request_(request),
+        tried_(tried),
+        scope_(scope),
         candidates_(std::move(candidates)),
         query_(QueryFor(state, plan, request, Clock::now())) {
     if (HasLongPrefix()) home_ = HomeOfPrompt();
@@ -81,10 +72,14 @@
     return query_.chain != nullptr && query_.chain->shared_tokens >= kMinFetchTokens;
   }
 
-  /// The prompt's home: the same engine for all gateways, whatever each knows of individual
-  /// engines.
+  /// The prompt's home: the same engine for all gateways with the same scope, whatever each knows
+  /// of individual engines.
   BackendPtr HomeOfPrompt() const {
-    const auto engines = state_.directory().Usable(plan_.service, query_.now);
+    const ScopeQuery scope_query = ScopeQueryFor(state_, query_.now);
+    std::vector<BackendPtr> engines = state_.directory().Usable(plan_.service, query_.now);
+    std::erase_if(engines, [&](const BackendPtr& engine) {
+      return !IsInScope(scope_query, scope_, *engine);
+    });
     const auto homes = HomesOf(*query_.chain, RingSegment(), engines, 1);
     return homes.empty() ? nullptr : homes.front();
   }
@@ -92,7 +87,7 @@
   /// Queries the load of `backends` and chooses among all candidates polled so far.
   net::awaitable<void> Poll(std::vector<BackendPtr> backends, bool first) {
     polled_.insert(polled_.end(), backends.begin(), backends.end());
-    LoadQuestion question = MakeLoadQuestion(query_, plan_, std::move(backends));
+    LoadQuestion question = MakeLoadQuestion(state_, query_, plan_, std::move(backends));
     if (first) question.home = home_;
     if (!first) question.store.reset();
     LoadAnswer answer = co_await state_.QueryLoads(std::move(question));
@@ -115,11 +110,17 @@
     if (!IsBusy(*choice_, query_.chain == nullptr)) return follow_up;
     std::vector<BackendPtr> polled = polled_;
     polled.insert(polled.end(), follow_up.begin(), follow_up.end());
-    const std::vector<BackendPtr> extension = ExtendShortlist(query_, candidates_, polled);
+    const std::vector<BackendPtr> extension = ExtendShortlist(query_, AllCandidates(), polled);
     follow_up.insert(follow_up.end(), extension.begin(), extension.end());
     return follow_up;
   }
 
+  /// The candidates of any scope.
+  std::vector<BackendPtr> AllCandidates() const {
+    if (scope_ == PlacementScope::kAll) return candidates_;
+    return CandidatesFor(state_, plan_, request_, tried_, query_.now);
+  }
+
   bool IsCandidate(const BackendPtr& backend) const {
     return std::ranges::find(candidates_, backend) != candidates_.end();
   }
@@ -130,7 +131,9 @@
   GatewayState& state_;
   const ExchangePlan& plan_;
   const InboundRequest& request_;
-  std::vector<BackendPtr> candidates_;
+  const std::set<BackendId>& tried_;
+  PlacementScope scope_;
+  std::vector<BackendPtr> candidates_;  ///< of the scope
   ShortlistQuery query_;
   BackendPtr home_;
   std::vector<BackendPtr> polled_;  ///< candidates polled so far
@@ -145,9 +148,14 @@
                                            const std::set<BackendId>& tried) {
   PolledChoice result;
   const TimePoint start = Clock::now();
-  std::vector<BackendPtr> candidates = CandidatesFor(state, plan, request, tried, start);
+  PlacementScope scope = ScopeFor(state, plan.service, start);
+  std::vector<BackendPtr> candidates = CandidatesFor(state, plan, request, tried, start, scope);
+  if (candidates.empty()) {
+    scope = PlacementScope::kAll;
+    candidates = CandidatesFor(state, plan, request, tried, start);
+  }
   if (candidates.empty()) co_return result;
-  CandidatePoll candidate_poll(state, plan, request, std::move(candidates));
+  CandidatePoll candidate_poll(state, plan, request, tried, scope, std::move(candidates));
   co_await candidate_poll.Run();
   result.choice = std::move(candidate_poll.choice());
   result.poll.asked = candidate_poll.asked();
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <numeric>
+#include <utility>
 
 namespace ridgehold {
 namespace {
@@ -87,13 +88,16 @@
   }
 }
 
-const KvCacheStore* RoutingSnapshot::KvStoreFor(std::uint64_t parts) const {
+const KvCacheStore* RoutingSnapshot::KvStoreFor(std::uint64_t parts, const ZoneId& zone,
+                                                const ZoneTopology& topology) const {
+  using Rank = std::pair<bool, std::uint64_t>;
   const KvCacheStore* chosen = nullptr;
-  std::uint64_t highest = 0;
+  Rank highest;
   for (const ServiceRule& service : parts_.services) {
     if (!service.kv_store) continue;
     const std::string& name = service.id.value();
-    const std::uint64_t rank = XXH3_64bits_withSeed(name.data(), name.size(), parts);
+    const bool near = topology.Between(zone, service.kv_store->zone) != ZoneDistance::kOtherRegion;
+    const Rank rank(near, XXH3_64bits_withSeed(name.data(), name.size(), parts));
     if (chosen != nullptr && rank <= highest) continue;
     chosen = &*service.kv_store;
     highest = rank;
--- a/libs/gateway/test/routing_snapshot-test.cc
+++ b/libs/gateway/test/routing_snapshot-test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <set>
 
 using namespace ridgehold;
 
@@ -95,4 +96,29 @@
   BOOST_TEST(with_stores(0)->KvStoreFor(1) == nullptr);
 }
 
+// A transfer between regions takes ten times as long, over a link that all their traffic shares.
+BOOST_AUTO_TEST_CASE(parts_are_kept_in_a_store_of_the_own_region_if_there_is_one) {
+  RoutingConfig parts = Parts({});
+  for (const char* zone : {"w1", "w2", "e1"}) {
+    ServiceRule store;
+    store.id = ServiceId(std::string("store-") + zone);
+    store.kv_store = KvCacheStore{zone, ZoneId(zone)};
+    parts.services.push_back(store);
+  }
+  const auto snapshot = *RoutingSnapshot::Create(std::move(parts));
+  ZoneTopology topology;
+  for (const char* zone : {"w1", "w2"}) topology.SetRegion(ZoneId(zone), RegionId("west"));
+  for (const char* zone : {"e1", "e2"}) topology.SetRegion(ZoneId(zone), RegionId("east"));
+  topology.SetRegion(ZoneId("n1"), RegionId("north"));
+  std::set<std::string> used;
+  for (std::uint64_t part = 0; part < 100; ++part) {
+    BOOST_TEST(snapshot->KvStoreFor(part, ZoneId("e2"), topology)->address == "e1");
+    used.insert(snapshot->KvStoreFor(part, ZoneId("w1"), topology)->address);
+    BOOST_TEST(snapshot->KvStoreFor(part, ZoneId("w1"), topology) ==
+               snapshot->KvStoreFor(part, ZoneId("w2"), topology));
+    BOOST_TEST(snapshot->KvStoreFor(part, ZoneId("n1"), topology) == snapshot->KvStoreFor(part));
+  }
+  BOOST_TEST(used.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
