Regions: questions have time to be answered; unknown load is not aborted

It asked their trackers what runs there, with a limit of 15 ms where a round trip takes 40; without an answer each engine looked idle, and its load aborted streams that nobody can resume. Ruled out: crashes (none then), the engines' memory.

Change: trackers in another region have 120 ms. An engine whose load is not known keeps its requests over a load, whatever the reason for the silence.

--- a/libs/control/include/control/rollout_pace.h
+++ b/libs/control/include/control/rollout_pace.h
@@ -41,7 +41,8 @@
   /// Chooses how the load treats the running requests. If all of them are resumable, they are
   /// aborted and resume at other engines, as long as most of them have retry budget. Otherwise they
   /// finish first if that is expected to be short and there is time for the worst case. Otherwise
-  /// they continue with the new weights, so that no caller loses a response. When retry budgets
+  /// they continue with the new weights, so that no caller loses a response. They also continue if
+  /// the tracker of the engine did not tell what runs there. When retry budgets
   /// were ignored, three rollouts within 9 s aborted 100 of 250 streams that could not be resumed
   /// any more.
   ReloadMode ModeFor(const RolloutStep& step, TimePoint now) const;
@@ -62,6 +63,9 @@
   }
 
  private:
+  /// Whether the requests of other instances at the engine are known.
+  bool IsLoadKnown(const Backend& engine, TimePoint now) const;
+
   /// Longest drain under the current load, regardless of the deadline.
   Duration MaxDrainTime(const RolloutStep& step, TimePoint now) const;
 
--- a/libs/control/src/rollout_pace.cc
+++ b/libs/control/src/rollout_pace.cc
@@ -10,7 +10,7 @@
 // A stream that is aborted and not resumed is lost to its caller; one that continues with the new
 // weights only pauses for the load. One lost stream weighs as much as this many paused ones.
 constexpr std::uint32_t kPausesPerLoss = 2;
-// Engines whose queue lengths are older than this are left out of the load estimate.
+// Loads that peers reported longer ago than this are unknown.
 constexpr std::chrono::milliseconds kMaxLoadAge{1'000};
 
 }  // namespace
@@ -58,7 +58,7 @@
   std::uint32_t available = 0;
   for (const BackendPtr& engine : engines) {
     if (engine->hold_until > now || engine->avoid_until > now) continue;
-    if (state_.queries_peers() && now - engine->peers_updated_at > kMaxLoadAge) continue;
+    if (!IsLoadKnown(*engine, now)) continue;
     queued_tokens += engine->unprefilled_tokens + engine->peers.unread_tokens;
     ++available;
   }
@@ -68,7 +68,13 @@
   return std::clamp(queue_ms / objective_ms.count(), 0.0, 1.0);
 }
 
+bool RolloutPace::IsLoadKnown(const Backend& engine, TimePoint now) const {
+  return !state_.queries_peers() || now - engine.peers_updated_at <= kMaxLoadAge;
+}
+
 ReloadMode RolloutPace::ModeFor(const RolloutStep& step, TimePoint now) const {
+  // Other instances may have streams there that cannot be resumed.
+  if (!IsLoadKnown(*step.engine, now)) return ReloadMode::kContinueRequests;
   if (Unrepeatable(step) == 0) {
     const std::uint32_t lost = options_.preserve_retry_budget ? Uncovered(step, now) : 0;
     const bool most_resumed = kPausesPerLoss * lost <= Running(step);
--- a/libs/peers/include/peers/load_query_service.h
+++ b/libs/peers/include/peers/load_query_service.h
@@ -27,6 +27,8 @@
     /// A round trip between zones takes 2 to 6 ms, and a gateway limited to an eighth of a core may
     /// be busy with a request for about 10 ms. This is a tenth of what a call may take in total.
     std::chrono::milliseconds timeout{15};
+    /// The same if a tracker in another region is queried, where a round trip takes 40 ms.
+    std::chrono::milliseconds other_region_timeout{120};
   };
 
   /// Sends a datagram to a gateway.
@@ -64,6 +66,8 @@
   };
 
   std::map<std::string, Part> SplitByTracker(const LoadQuestion& question, TimePoint now) const;
+  /// How long to wait for the answers of the trackers that `parts` go to.
+  std::chrono::milliseconds TimeoutFor(const std::map<std::string, Part>& parts) const;
   static void MergeInto(LoadAnswer& answer, const LoadAnswerMessage& message);
   void RecordUnanswered(const Pending& pending, TimePoint now);
 
--- a/libs/peers/src/load_query_service.cc
+++ b/libs/peers/src/load_query_service.cc
@@ -12,7 +12,9 @@
   const TimePoint now = Clock::now();
   const auto pending = std::make_shared<Pending>(state_.executor());
   const std::uint64_t id = ++last_question_;
-  for (auto& [address, part] : SplitByTracker(question, now)) {
+  std::map<std::string, Part> parts = SplitByTracker(question, now);
+  const TimePoint limit = now + TimeoutFor(parts);
+  for (auto& [address, part] : parts) {
     if (address == options_.address) {
       MergeInto(pending->answer, Answer(part.message, now));
       continue;
@@ -23,13 +25,22 @@
   }
   if (!pending->waiting.empty()) {
     pending_[id] = pending;
-    co_await WaitUntil(pending->timer, now + options_.timeout);
+    co_await WaitUntil(pending->timer, limit);
     pending_.erase(id);
   }
   RecordUnanswered(*pending, Clock::now());
   co_return std::move(pending->answer);
 }
 
+std::chrono::milliseconds LoadQueryService::TimeoutFor(
+    const std::map<std::string, Part>& parts) const {
+  const bool any_far = std::ranges::any_of(parts, [&](const auto& entry) {
+    return state_.topology().Between(state_.zone(), entry.second.tracker->zone) ==
+           ZoneDistance::kOtherRegion;
+  });
+  return any_far ? options_.other_region_timeout : options_.timeout;
+}
+
 std::map<std::string, LoadQueryService::Part> LoadQueryService::SplitByTracker(
     const LoadQuestion& question, TimePoint now) const {
   std::map<std::string, Part> parts;
--- /dev/null
+++ b/libs/peers/test/load_query_service-test.cc
@@ -0,0 +1,95 @@
+#include "peers/load_query_service.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "net/wait.h"
+#include "peers/news_codec.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ZoneId kOwnZone("a");
+const ZoneId kFarZone("z");
+
+/// A gateway that asks the only other one about an engine in `zone`, and gets the answer after
+/// `round_trip`.
+struct Fixture {
+  net::io_context io;
+  Metrics metrics;
+  GatewayState state{io.get_executor(), kOwnZone, {}, {}, metrics};
+  PeerLoads loads{state};
+  TrackerMap trackers;
+  std::chrono::milliseconds round_trip{0};
+  LoadQueryService service{state,
+                           loads,
+                           trackers,
+                           {DaemonId("self"), "10.0.0.1"},
+                           [this](const TrackerMap::Gateway& to, const std::string& bytes) {
+                             net::co_spawn(io, Answer(to.address, bytes), net::detached);
+                           }};
+
+  Fixture() {
+    ZoneTopology topology;
+    topology.SetRegion(kOwnZone, RegionId("west"));
+    topology.SetRegion(kFarZone, RegionId("east"));
+    state.SetTopology(topology);
+  }
+
+  net::awaitable<void> Answer(std::string address, std::string bytes) {
+    Timer timer(io.get_executor());
+    co_await WaitFor(timer, round_trip);
+    const auto question = std::get<LoadQuestionMessage>(*DecodePeerMessage(bytes));
+    LoadAnswerMessage answer;
+    answer.id = question.id;
+    for (const BackendHash hash : question.backends) {
+      BackendReport report;
+      report.backend = hash;
+      answer.backends.push_back(report);
+    }
+    service.HandleAnswer(answer, address);
+  }
+
+  /// Returns whether the question about an engine in `zone` was answered.
+  bool IsAnswered(const ZoneId& zone) {
+    trackers.SetGateways({{"10.0.0.2", zone, StoreRevision(1)}}, Clock::now());
+    BackendEntry entry;
+    entry.id = BackendId("e");
+    entry.zone = zone;
+    state.directory().Put(entry);
+    LoadQuestion question;
+    question.backends = {state.directory().Find(entry.id)};
+    bool answered = false;
+    net::co_spawn(io, service.Query(question), [&](std::exception_ptr, const LoadAnswer& answer) {
+      answered = answer.Find(*question.backends.front()) != nullptr;
+    });
+    io.restart();
+    io.run_for(300ms);
+    return answered;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(load_query_service, Fixture)
+
+// The pattern: two regions with a round trip of 40 ms. With the limit of one region no question to
+// the other is ever answered, all its engines look idle, and their trackers count as gone.
+BOOST_AUTO_TEST_CASE(tracker_in_another_region_has_time_to_answer) {
+  round_trip = 45ms;
+  BOOST_TEST(IsAnswered(kFarZone));
+  BOOST_TEST(metrics.GetCounter("ridgehold_load_questions_unanswered").value() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(tracker_nearby_is_not_waited_for_as_long) {
+  round_trip = 45ms;
+  BOOST_TEST(!IsAnswered(kOwnZone));
+  round_trip = 2ms;
+  BOOST_TEST(IsAnswered(kOwnZone));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
