Entry: the routing state outlives requests in progress

Cause, by valgrind on that case: 19 errors; a request in progress is destroyed with the executor, after the instance, and its tickets then remove themselves from registries of the destroyed state. The program ends in the same order, so a process could abort as it stopped.

Change: exchanges share the state's ownership, and an instance that ends detaches its callbacks. Test: state_outlives_the_requests_in_progress.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -58,6 +58,11 @@
     return entry;
   }
 
+  ~EntryInstance() { state_.DetachListeners(); }
+
+  EntryInstance(const EntryInstance&) = delete;
+  EntryInstance& operator=(const EntryInstance&) = delete;
+
   void Start() {
     net::co_spawn(executor_, membership_.Run(), net::detached);
     net::co_spawn(executor_, discovery_.Run(), net::detached);
@@ -133,8 +138,10 @@
       : executor_(executor),
         settings_(std::move(settings)),
         tuning_(tuning),
-        state_(executor, settings_.zone, LimitsOf(settings_, tuning), PlacementCostsOf(tuning),
-               metrics_),
+        state_owner_(std::make_shared<GatewayState>(executor, settings_.zone,
+                                                    LimitsOf(settings_, tuning),
+                                                    PlacementCostsOf(tuning), metrics_)),
+        state_(*state_owner_),
         store_(executor, metrics_, settings_.store_address, tuning.store_call_timeout),
         follower_(store_, state_, records_, FollowerOptions()),
         copy_server_(state_, follower_),
@@ -456,7 +463,8 @@
   EntryTuning tuning_;
   std::map<std::string, std::string> effective_settings_;
   Metrics metrics_;
-  mutable GatewayState state_;
+  std::shared_ptr<GatewayState> state_owner_;  ///< shared with the exchanges in progress
+  GatewayState& state_;
   InstanceRecords records_;
   Store store_;
   Follower follower_;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -64,7 +64,8 @@
   };
 
   Exchange(GatewayState& state, std::shared_ptr<CallerConnection> caller)
-      : state_(state),
+      : state_owner_(state.weak_from_this().lock()),
+        state_(state),
         caller_(std::move(caller)),
         relay_(std::nullopt),
         search_(state, {plan_, inbound_, tried_, record_,
@@ -503,6 +504,8 @@
     if (may_cancel && attempt_.connection) attempt_.connection->Cancel();
   }
 
+  /// The tickets and loads below refer to the state when they are destroyed.
+  std::shared_ptr<GatewayState> state_owner_;
   GatewayState& state_;
   std::shared_ptr<CallerConnection> caller_;
   InboundRequest inbound_;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -61,8 +61,9 @@
 
 static_assert(SlidingRetryBudget::kMaxConnectDelay >= ConnectionPool::Options{}.connect_timeout);
 
-/// Runs on one executor; not thread-safe. Must outlive all exchanges.
-class GatewayState {
+/// Runs on one executor; not thread-safe. Must outlive all exchanges, which share its ownership if
+/// it is owned by a shared pointer.
+class GatewayState : public std::enable_shared_from_this<GatewayState> {
  public:
   GatewayState(net::any_io_executor executor, ZoneId zone, GatewayLimits limits,
                PlacementCosts weights, Metrics& metrics)
@@ -267,6 +268,19 @@
   void OnRequestStarted() { ++in_flight_; }
   void OnRequestFinished() { --in_flight_; }
 
+  /// Drops all callbacks. Call when their receivers end: exchanges that are still in progress then
+  /// are destroyed with the executor, after the receivers.
+  void DetachListeners() {
+    on_placement_ = nullptr;
+    on_load_change_ = nullptr;
+    confirm_crash_ = nullptr;
+    query_loads_ = nullptr;
+    quota_handlers_ = {};
+    poison_.SetUpdateListener({});
+    pushback_.SetUpdateListener({});
+    pushback_.SetLimitListener({});
+  }
+
   /// Sequence number for round-robin selection among equal backend servers.
   std::uint64_t NextSequence() { return ++sequence_; }
 
