Placement: holders of a prompt are found beyond the scope

Cause: with homes by region or zone each of them reads a prompt once more. Change: the tracker of the home among all engines is still told of and asked for holders; one in another zone or region takes the request, or is fetched from, where that is cheaper than reading again.

--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -69,6 +69,11 @@
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now);
 
+/// Whether a usable backend server may get the request.
+bool MayGetRequest(const GatewayState& state, const ExchangePlan& plan,
+                   const InboundRequest& request, const std::set<BackendId>& tried,
+                   const Backend& backend, TimePoint now);
+
 /// The backend servers that may get the request, of those in `scope`.
 std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
                                       const InboundRequest& request,
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -184,6 +184,14 @@
   return plan;
 }
 
+bool MayGetRequest(const GatewayState& state, const ExchangePlan& plan,
+                   const InboundRequest& request, const std::set<BackendId>& tried,
+                   const Backend& backend, TimePoint now) {
+  if (tried.contains(backend.entry.id) || backend.notice_state.BlocksRequests(now)) return false;
+  if (plan.avoid_rate_limited && backend.notice_state.limit()) return false;
+  return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
+}
+
 std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
                                       const InboundRequest& request,
                                       const std::set<BackendId>& tried, TimePoint now,
@@ -191,11 +199,8 @@
   const ScopeQuery scope_query = ScopeQueryFor(state, now);
   std::vector<BackendPtr> candidates = state.directory().Usable(plan.service, now);
   std::erase_if(candidates, [&](const BackendPtr& backend) {
-    if (!IsInScope(scope_query, scope, *backend)) return true;
-    if (tried.contains(backend->entry.id) || backend->notice_state.BlocksRequests(now)) return true;
-    if (plan.avoid_rate_limited && backend->notice_state.limit()) return true;
-    if (!request.generation) return false;
-    return !MayStartOnWeights(state, *backend, request.generation->model, now);
+    return !IsInScope(scope_query, scope, *backend) ||
+           !MayGetRequest(state, plan, request, tried, *backend, now);
   });
   const Suspicion suspicion = state.poison().SuspicionOf(plan.fingerprint, now);
   if (suspicion == Suspicion::kLastTrial && !candidates.empty()) {
--- a/libs/gateway/src/polled_choice.cc
+++ b/libs/gateway/src/polled_choice.cc
@@ -72,14 +72,10 @@
     return query_.chain != nullptr && query_.chain->shared_tokens >= kMinFetchTokens;
   }
 
-  /// The prompt's home: the same engine for all gateways with the same scope, whatever each knows
-  /// of individual engines.
+  /// The prompt's home: the same engine for all gateways, whatever their scope and whatever each
+  /// knows of individual engines. Its tracker knows which engines of any scope hold the prompt.
   BackendPtr HomeOfPrompt() const {
-    const ScopeQuery scope_query = ScopeQueryFor(state_, query_.now);
-    std::vector<BackendPtr> engines = state_.directory().Usable(plan_.service, query_.now);
-    std::erase_if(engines, [&](const BackendPtr& engine) {
-      return !IsInScope(scope_query, scope_, *engine);
-    });
+    const auto engines = state_.directory().Usable(plan_.service, query_.now);
     const auto homes = HomesOf(*query_.chain, RingSegment(), engines, 1);
     return homes.empty() ? nullptr : homes.front();
   }
@@ -105,7 +101,7 @@
         HasLongPrefix() && choice_->known_tokens + kMinFetchTokens < query_.chain->shared_tokens;
     for (const BackendHash hash : answer_.holders) {
       const BackendPtr holder = state_.directory().FindByHash(hash);
-      if (lacks_prefix && IsCandidate(holder) && !IsPolled(holder)) follow_up.push_back(holder);
+      if (lacks_prefix && MayTake(holder) && !IsPolled(holder)) follow_up.push_back(holder);
     }
     if (!IsBusy(*choice_, query_.chain == nullptr)) return follow_up;
     std::vector<BackendPtr> polled = polled_;
@@ -121,8 +117,11 @@
     return CandidatesFor(state_, plan_, request_, tried_, query_.now);
   }
 
-  bool IsCandidate(const BackendPtr& backend) const {
-    return std::ranges::find(candidates_, backend) != candidates_.end();
+  /// Whether the request may be sent to the backend server, in whatever scope.
+  bool MayTake(const BackendPtr& backend) const {
+    const bool usable = backend && !backend->entry.draining && !backend->superseded &&
+                        !backend->notice_state.leaving();
+    return usable && MayGetRequest(state_, plan_, request_, tried_, *backend, query_.now);
   }
   bool IsPolled(const BackendPtr& backend) const {
     return std::ranges::find(polled_, backend) != polled_.end();
