--- a/libs/gateway/src/placement_scope.cc
+++ b/libs/gateway/src/placement_scope.cc
@@ -14,17 +14,11 @@
   std::size_t in_region = 0;
   std::size_t elsewhere = 0;
   for (const BackendPtr& server : servers) {
-    if (!IsHealthy(*server, query.now)) continue;
-    switch (query.topology.Between(query.own_zone, server->entry.zone)) {
-      case ZoneDistance::kSameZone:
-        ++in_zone;
-        break;
-      case ZoneDistance::kSameRegion:
-        ++in_region;
-        break;
-      case ZoneDistance::kOtherRegion:
-        ++elsewhere;
-        break;
+    const ZoneDistance distance = query.topology.Between(query.own_zone, server->entry.zone);
+    if (distance == ZoneDistance::kOtherRegion) {
+      ++elsewhere;
+    } else if (IsHealthy(*server, query.now)) {
+      ++(distance == ZoneDistance::kSameZone ? in_zone : in_region);
     }
   }
   if (in_zone >= query.min_zone_servers) return PlacementScope::kZone;
