Ordered releases get no requests; packed copies carry what changed since

Roll-outs of a service (op/rollout) were not read at all: servers of the target release got their even share at once, where a bad release may get a tenth. Until something moves traffic step by step, requests are withheld from them as long as there are others. So no bad release is exposed, and no good one comes into force: the contract is NOT built, only its bound is kept. Tests in backend_directory and state_follower.

--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -16,6 +16,8 @@
 /// Operator-assigned name of a version of a model's weights, including its adapter.
 using WeightsVersion = Strong<struct WeightsVersionTag, std::string>;
 using BackendId = Strong<struct BackendIdTag, std::string>;
+/// Version of the software that a backend server runs.
+using ReleaseId = Strong<struct ReleaseIdTag, std::string>;
 using RuleId = Strong<struct RuleIdTag, std::string>;
 using ServiceId = Strong<struct ServiceIdTag, std::string>;
 using ZoneId = Strong<struct ZoneIdTag, std::string>;
--- a/libs/control/include/control/decoded_item.h
+++ b/libs/control/include/control/decoded_item.h
@@ -22,11 +22,18 @@
   WeightsNumber number;
 };
 
+/// The operator's order to move a service to backend servers of another release.
+struct ReleaseOrder {
+  ServiceId service;
+  ReleaseId target;
+};
+
 /// An item that entry instances do not use.
 struct IgnoredItem {};
 
 /// The decoded content of an item.
-using DecodedItem = std::variant<IgnoredItem, RoutingConfig, DesiredWeights, BackendEntry>;
+using DecodedItem =
+    std::variant<IgnoredItem, RoutingConfig, DesiredWeights, ReleaseOrder, BackendEntry>;
 
 /// Decodes keys and values of the store. Stateless.
 template <class Codec>
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -186,6 +186,7 @@
     const StoreItemApplier::WriteTime written = EarliestWriteTime(now);
     std::vector<BackendEntry> backends;
     records_.Clear();
+    applier_.ClearReleaseOrders();
     std::map<std::string, StoreItem> former = std::exchange(items_, {});
     if (!loaded_) changes_.StartAt(revision);
     for (const StoreItem& item : items) {
@@ -273,8 +274,9 @@
     changes_.RecordRemoval(event.key, event.revision);
     if (event.key.starts_with(kInstanceKeyPrefix)) return applier_.RemoveInstanceKey(event.key);
     if (const auto id = Codec::BackendOf(event.key)) {
-      applier_.RemoveBackend(*id, connectivity_.GraceForMissing(now), now);
+      return applier_.RemoveBackend(*id, connectivity_.GraceForMissing(now), now);
     }
+    applier_.RemoveOrder(event.key);
   }
 
   template <class Callback>
--- a/libs/control/include/control/store_item_applier.h
+++ b/libs/control/include/control/store_item_applier.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <string>
 
 #include "base/result.h"
@@ -34,6 +35,11 @@
   /// Updates the number of live instances after a batch of changes.
   void UpdateMemberCount();
 
+  /// Handles a removed key that is neither a registration nor an instance's.
+  void RemoveOrder(const std::string& key);
+  /// Drops all release orders, before a full listing is applied.
+  void ClearReleaseOrders();
+
   /// Handles a removed registration. The backend server stays in use for `grace`; see
   /// BackendDirectory::Remove.
   void RemoveBackend(const BackendId& id, Duration grace, TimePoint now);
@@ -52,6 +58,9 @@
  private:
   void ApplyConfig(const StoreItem& item, RoutingConfig parts);
   void ApplyWeights(const DesiredWeights& order, const WriteTime& written);
+  /// Keeps requests away from the target release: whether it works is not known, and nothing yet
+  /// moves the traffic step by step.
+  void ApplyRelease(const StoreItem& item, const ReleaseOrder& order);
   void ApplyBackend(const StoreItem& item, const BackendEntry& entry);
   void ApplyQuarantine(const StoreItem& item);
   /// Returns whether another malformed value may be logged. A faulty writer could fill the log; the
@@ -63,6 +72,7 @@
 
   GatewayState& state_;
   InstanceRecords& records_;
+  std::map<std::string, ServiceId> release_orders_;  ///< by key
   TimePoint rejection_window_start_{};
   int logged_rejections_ = 0;
 };
--- a/libs/control/src/store_item_applier.cc
+++ b/libs/control/src/store_item_applier.cc
@@ -17,6 +17,7 @@
 void StoreItemApplier::Apply(const StoreItem& item, DecodedItem value, const WriteTime& written) {
   if (auto* parts = std::get_if<RoutingConfig>(&value)) return ApplyConfig(item, std::move(*parts));
   if (const auto* order = std::get_if<DesiredWeights>(&value)) return ApplyWeights(*order, written);
+  if (const auto* order = std::get_if<ReleaseOrder>(&value)) return ApplyRelease(item, *order);
   if (const auto* entry = std::get_if<BackendEntry>(&value)) ApplyBackend(item, *entry);
 }
 
@@ -50,6 +51,29 @@
        {"age_is", written.assumed ? "assumed" : "known"}});
 }
 
+void StoreItemApplier::ApplyRelease(const StoreItem& item, const ReleaseOrder& order) {
+  release_orders_[item.key] = order.service;
+  state_.directory().Withhold(order.service, order.target);
+  Log(LogLevel::kWarn, "release ordered; requests are withheld from its servers",
+      {{"service", order.service.value()},
+       {"release", order.target.value()},
+       {"store_revision", RevisionText(item)}});
+}
+
+void StoreItemApplier::RemoveOrder(const std::string& key) {
+  const auto order = release_orders_.find(key);
+  if (order == release_orders_.end()) return;
+  state_.directory().Withhold(order->second, std::nullopt);
+  release_orders_.erase(order);
+}
+
+void StoreItemApplier::ClearReleaseOrders() {
+  for (const auto& [key, service] : release_orders_) {
+    state_.directory().Withhold(service, std::nullopt);
+  }
+  release_orders_.clear();
+}
+
 void StoreItemApplier::ApplyBackend(const StoreItem& item, const BackendEntry& entry) {
   const BackendPtr known = state_.directory().Find(entry.id);
   const bool is_new = known == nullptr;
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// Keys are `config`, `weights` and `backend/ID`. The value `bad` is malformed; a backend server's
-/// value may be `draining`.
+/// Keys are `config`, `weights`, `release` and `backend/ID`. The value `bad` is malformed; a
+/// backend server's value is `draining`, or its release.
 struct TestCodec {
   static Result<DecodedItem> Decode(const StoreItem& item) {
     if (item.value == "bad") return Fail(ResultCode::kPlatformMalformed, "bad");
@@ -26,10 +26,14 @@
     if (item.key == "weights") {
       return DecodedItem(DesiredWeights{ModelId("m"), WeightsNumber(std::stoull(item.value))});
     }
+    if (item.key == "release") {
+      return DecodedItem(ReleaseOrder{ServiceId("s"), ReleaseId(item.value)});
+    }
     if (const auto id = BackendOf(item.key)) {
       BackendEntry entry;
       entry.id = *id;
       entry.service = ServiceId("s");
+      entry.release = ReleaseId(item.value);
       entry.draining = item.value == "draining";
       return DecodedItem(entry);
     }
@@ -493,4 +497,22 @@
   BOOST_TEST(changes->size() == 2U);
 }
 
+// A release that the operator has ordered may be bad, and no more than a tenth of a service's
+// requests may reach a bad one.
+BOOST_AUTO_TEST_CASE(ordered_release_gets_no_requests_until_the_order_is_withdrawn) {
+  table.Put("backend/b1", "v1");
+  table.Put("backend/b2", "v2");
+  Start();
+  const auto usable = [&] { return state.directory().Usable(ServiceId("s"), Clock::now()).size(); };
+  BOOST_TEST(usable() == 2U);
+  table.Put("release", "v2");
+  io.run_for(50ms);
+  BOOST_TEST(usable() == 1U);
+  ApplyCopyOfPeer();
+  BOOST_TEST(usable() == 1U);
+  table.Remove("release");
+  io.run_for(50ms);
+  BOOST_TEST(usable() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/entry/include/entry/store_copy_server.h
+++ b/libs/entry/include/entry/store_copy_server.h
@@ -57,7 +57,6 @@
   /// A compressed copy of all items, made for several readers.
   struct PackedCopy {
     StoreRevision revision;
-    TimePoint confirmed_at{};
     TimePoint made_at{};
     std::string items;
   };
@@ -91,15 +90,16 @@
     return copy;
   }
 
-  /// Adds a packed copy that may be slightly older; the reader gets the difference next.
+  /// Adds a packed copy that may be slightly older, and the changes since.
   void AddPacked(StoreCopy& copy) {
     const TimePoint now = Clock::now();
-    if (now - packed_.made_at > kMaxPackedAge) {
-      packed_ = {follower_.revision(), state_.confirmed_at(), now, PackItems(follower_.items())};
+    auto changes = follower_.ChangesAfter(packed_.revision);
+    if (!changes || now - packed_.made_at > kMaxPackedAge) {
+      packed_ = {follower_.revision(), now, PackItems(follower_.items())};
+      changes.emplace();
     }
-    copy.revision = packed_.revision;
-    copy.age = AgeOf(packed_.confirmed_at);
-    copy.packed_changes = packed_.items;
+    copy.packed_items = packed_.items;
+    copy.changes = std::move(*changes);
   }
 
   /// Rounded up: a copy must not look newer than it is.
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -30,6 +30,7 @@
   ServiceId service;
   std::string address;
   ZoneId zone;
+  ReleaseId release;
   std::uint32_t slots = 1;
   bool draining = false;
   std::chrono::milliseconds warm_up_left{0};
@@ -116,6 +117,10 @@
     return services_.empty() || services_.contains(service);
   }
 
+  /// Withholds requests from a service's backend servers of `release`, as long as it has others.
+  /// nullopt withholds none.
+  void Withhold(const ServiceId& service, std::optional<ReleaseId> release);
+
   /// Sets the function that is called for each incarnation that ended without having announced its
   /// shutdown.
   void SetTerminationListener(std::function<void(const Backend&)> listener) {
@@ -132,7 +137,8 @@
   /// Drops backend servers whose grace period is over. Returns their ids.
   std::vector<BackendId> Expire(TimePoint now);
 
-  /// The backend servers of `service` that may get new requests.
+  /// The backend servers of `service` that may get new requests; those of a withheld release only
+  /// if there are no others.
   std::vector<BackendPtr> Usable(const ServiceId& service, TimePoint now) const;
 
   /// Lists the backend server in Active(), because this gateway has requests there or will probe
@@ -169,6 +175,8 @@
   /// Bounds `starts_`, which rejects registrations that arrive late, and `saved_notices_`.
   static constexpr std::size_t kMaxRememberedStarts = 20'000;
 
+  std::vector<BackendPtr> Usable(const ServiceId& service, const std::optional<ReleaseId>& withheld,
+                                 TimePoint now) const;
   Registration Classify(const BackendEntry& entry) const;
   /// Applies a registration that Classify did not find stale, without superseding others.
   void Store(const BackendEntry& entry, Registration registration);
@@ -195,6 +203,7 @@
   /// same process, so its notices still hold.
   std::unordered_map<BackendHash, PushbackState> saved_notices_;
   std::function<void(const Backend&)> on_termination_;
+  std::unordered_map<ServiceId, ReleaseId> withheld_releases_;
   std::set<ServiceId> services_;  ///< empty until the configuration is known
 };
 
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -176,13 +176,28 @@
   return expired;
 }
 
+void BackendDirectory::Withhold(const ServiceId& service, std::optional<ReleaseId> release) {
+  withheld_releases_.erase(service);
+  if (release) withheld_releases_.emplace(service, std::move(*release));
+}
+
 std::vector<BackendPtr> BackendDirectory::Usable(const ServiceId& service, TimePoint now) const {
+  const auto withheld = withheld_releases_.find(service);
+  if (withheld == withheld_releases_.end()) return Usable(service, std::nullopt, now);
+  std::vector<BackendPtr> usable = Usable(service, withheld->second, now);
+  return usable.empty() ? Usable(service, std::nullopt, now) : usable;
+}
+
+std::vector<BackendPtr> BackendDirectory::Usable(const ServiceId& service,
+                                                 const std::optional<ReleaseId>& withheld,
+                                                 TimePoint now) const {
   std::vector<BackendPtr> usable;
   const auto found = by_service_.find(service);
   if (found == by_service_.end()) return usable;
   usable.reserve(found->second.size());
   for (const BackendPtr& backend : found->second) {
     if (backend->entry.draining || backend->superseded || backend->notice_state.leaving()) continue;
+    if (withheld && backend->entry.release == *withheld) continue;
     if (backend->grace_until && now >= *backend->grace_until) continue;
     usable.push_back(backend);
   }
--- a/libs/gateway/test/backend_directory-test.cc
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -197,6 +197,22 @@
   BOOST_TEST(backend.failures == 0);
 }
 
+BOOST_AUTO_TEST_CASE(withheld_release_is_used_only_if_there_is_no_other) {
+  BackendDirectory directory;
+  BackendEntry newer = Entry("new");
+  newer.release = ReleaseId("v2");
+  directory.Put(Entry("old"));
+  directory.Put(newer);
+  directory.Withhold(kService, ReleaseId("v2"));
+  BOOST_REQUIRE(directory.Usable(kService, kStart).size() == 1U);
+  BOOST_TEST((directory.Usable(kService, kStart)[0]->entry.id == BackendId("old")));
+  directory.Remove(BackendId("old"), Duration::zero(), kStart);
+  BOOST_TEST(directory.Usable(kService, kStart).size() == 1U);
+  directory.Put(Entry("old"));
+  directory.Withhold(kService, std::nullopt);
+  BOOST_TEST(directory.Usable(kService, kStart).size() == 2U);
+}
+
 // The load: nearly 10,000 engines, of which a gateway uses a few at a time.
 BOOST_AUTO_TEST_CASE(only_servers_in_use_are_active) {
   BackendDirectory directory;
--- a/libs/peers/include/peers/store_copy.h
+++ b/libs/peers/include/peers/store_copy.h
@@ -32,11 +32,13 @@
 
 /// A gateway's view of the store.
 struct StoreCopy {
-  StoreRevision revision;              ///< all changes up to this one are included
-  std::chrono::milliseconds age{0};    ///< since this was known to be the newest revision
-  bool is_snapshot = false;            ///< `changes` is a snapshot, not a delta
-  std::vector<StoreEvent> changes;     ///< since the requested revision
-  std::string packed_changes;          ///< from PackItems(), instead of `changes`
+  StoreRevision revision;            ///< all changes up to this one are included
+  std::chrono::milliseconds age{0};  ///< since this was known to be the newest revision
+  bool is_snapshot = false;          ///< `changes` is a snapshot, not a delta
+  std::vector<StoreEvent> changes;   ///< since the requested revision
+  /// From PackItems(): a snapshot to which `changes` are applied; empty in a decoded copy, where
+  /// `changes` has the result.
+  std::string packed_items;
   std::chrono::milliseconds grace{0};  ///< missing registrations are ignored for this long
   bool store_unreachable = false;      ///< the sender's calls to the store fail
   std::chrono::milliseconds held{0};   ///< the answer was made this long after its request came
