Start: a store of one page is listed at once

Change: only if the first page is not the last does an instance look for peers and wait for their copy.

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -38,7 +38,9 @@
     /// Returns whether updates currently come from a peer's copy of the store instead of the store
     /// itself.
     std::function<bool()> follows_peer = [] { return false; };
-    /// Returns whether to wait for a peer's copy at the start instead of listing the store.
+    /// Called at the start if the store has more than one page, before awaits_copy().
+    std::function<void()> on_large_store = [] {};
+    /// Returns whether to wait for a peer's copy instead of listing a store of several pages.
     std::function<bool()> awaits_copy = [] { return false; };
     /// Called after the local copy has changed, was confirmed, or has lost the store.
     std::function<void()> on_update = [] {};
@@ -72,7 +74,8 @@
     while (!stopped_) {
       const bool follows = loaded_ && options_.follows_peer();
       if (follows) connectivity_.ResetFailures();
-      if (follows || (!loaded_ && options_.awaits_copy())) {
+      const bool awaits_copy = !loaded_ && store_is_large_ && options_.awaits_copy();
+      if (follows || awaits_copy) {
         co_await WaitFor(timer_, options_.peer_poll_interval);
         continue;
       }
@@ -82,8 +85,10 @@
         continue;
       }
       const bool first = !loaded_;
+      const bool was_known_large = store_is_large_;
       const bool listed = co_await ListAll();
-      if (!listed) co_await BackOff();
+      const bool found_large = !was_known_large && store_is_large_;
+      if (!listed && !found_large) co_await BackOff();
       if (listed && first) co_await WaitForRelay();
     }
   }
@@ -166,6 +171,10 @@
       }
       // The pages are not one snapshot, so the watch starts from the revision of the first.
       if (!first_revision) first_revision = page->revision;
+      if (!loaded_ && page->has_more && !std::exchange(store_is_large_, true)) {
+        options_.on_large_store();
+        if (options_.awaits_copy()) co_return false;
+      }
       items.insert(items.end(), page->items.begin(), page->items.end());
       more = page->has_more && !page->items.empty();
       if (more) after = page->items.back().key;
@@ -341,6 +350,7 @@
   std::map<std::string, StoreItem> items_;
   KeyChanges changes_;
   std::chrono::milliseconds backoff_{50};
+  bool store_is_large_ = false;  ///< its first page, read at the start, was not the last
   bool listed_ = false;
   bool loaded_ = false;
   bool stopped_ = false;
--- a/libs/control/test/memory_store.h
+++ b/libs/control/test/memory_store.h
@@ -141,16 +141,20 @@
   StoreFaults faults;
   int watches = 0;   ///< number of Watch() calls
   int listings = 0;  ///< number of List() calls
+  std::size_t page_size = 100'000;
 
   net::awaitable<StoreResult<StorePage>> List(
-      std::string prefix, std::string /*after*/,
+      std::string prefix, std::string after,
       ReadConsistency /*consistency*/ = ReadConsistency::kLatest) {
     ++listings;
     co_await Pause(std::chrono::milliseconds(1));
     if (faults.down) co_return StoreError::kUnavailable;
     StorePage page;
     for (const auto& [key, item] : table_.items()) {
-      if (key.starts_with(prefix)) page.items.push_back(item);
+      if (!key.starts_with(prefix) || key <= after) continue;
+      page.has_more = page.items.size() == page_size;
+      if (page.has_more) break;
+      page.items.push_back(item);
     }
     page.revision = StoreRevision(table_.revision());
     co_await Pause(faults.late_reads);
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -515,4 +515,48 @@
   BOOST_TEST(usable() == 2U);
 }
 
+// The load: hundreds of instances that start together, and thousands of registrations.
+BOOST_AUTO_TEST_CASE(store_of_several_pages_is_left_to_peers_while_they_may_have_a_copy) {
+  for (int i = 0; i < 10; ++i) table.Put("backend/b" + std::to_string(i), "x");
+  store.page_size = 4;
+  bool awaits_copy = true;
+  int found_large = 0;
+  options.peer_poll_interval = 5ms;
+  options.awaits_copy = [&] { return awaits_copy; };
+  options.on_large_store = [&] { ++found_large; };
+  Start();
+  io.run_for(200ms);
+  BOOST_TEST(found_large == 1);
+  BOOST_TEST(store.listings == 1);
+  BOOST_TEST(!follower->ready());
+  awaits_copy = false;
+  io.run_for(200ms);
+  BOOST_TEST(follower->ready());
+  BOOST_TEST(store.listings == 4);
+  BOOST_TEST(state.directory().all().size() == 10U);
+}
+
+// A small fleet gains nothing by waiting for each other, and is back sooner after a power loss.
+BOOST_AUTO_TEST_CASE(store_of_one_page_is_listed_at_once) {
+  table.Put("config", "3");
+  options.awaits_copy = [] { return true; };
+  Start();
+  BOOST_TEST(follower->ready());
+  BOOST_TEST(store.listings == 1);
+}
+
+// Each page that fails is read again by itself.
+BOOST_AUTO_TEST_CASE(listing_continues_at_the_page_that_failed) {
+  for (int i = 0; i < 10; ++i) table.Put("backend/b" + std::to_string(i), "x");
+  store.page_size = 4;
+  options.on_large_store = [&] { store.faults.down = true; };
+  Start();
+  io.run_for(100ms);
+  BOOST_TEST(!follower->ready());
+  store.faults.down = false;
+  io.run_for(200ms);
+  BOOST_TEST(follower->ready());
+  BOOST_TEST(state.directory().all().size() == 10U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -65,7 +65,6 @@
 
   void Start() {
     net::co_spawn(executor_, membership_.Run(), net::detached);
-    net::co_spawn(executor_, discovery_.Run(), net::detached);
     net::co_spawn(executor_, follower_.Run(), net::detached);
     net::co_spawn(executor_, rollout_lease_.Run(), net::detached);
     net::co_spawn(executor_, rollout_.Run(), net::detached);
@@ -279,6 +278,7 @@
   typename Follower::Options FollowerOptions() {
     typename Follower::Options options;
     options.follows_peer = [this] { return FollowsRelay(); };
+    options.on_large_store = [this] { net::co_spawn(executor_, discovery_.Run(), net::detached); };
     options.awaits_copy = [this] { return discovery_.AwaitsCopy(Clock::now()); };
     options.on_update = [this] { copy_server_.NotifyUpdated(); };
     options.backoff_scale = [this] { return StoreBackoffScale(); };
--- a/libs/entry/include/entry/peer_discovery.h
+++ b/libs/entry/include/entry/peer_discovery.h
@@ -14,10 +14,10 @@
 
 namespace ridgehold {
 
-/// Listing everything is for few: thousands of registrations, read by each of hundreds of instances
-/// that start together, take the store's link longer than the start may. A starting instance reads
-/// only the members' keys and then waits for the copy of one that precedes it; the first instance,
-/// and any whose wait ends in vain, list the store. Runs on one executor.
+/// Listing a large store is for few: thousands of registrations, read by each of hundreds of
+/// instances that start together, take the store's link longer than the start may. A starting
+/// instance reads only the members' keys and then waits for the copy of one that precedes it; the
+/// first instance, and any whose wait ends in vain, list the store. Runs on one executor.
 template <StateStore Store>
 class PeerDiscovery {
  public:
