--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -302,8 +302,9 @@
     return position.upstream ? std::optional(position.upstream->address) : std::nullopt;
   }
 
-  /// Instances that are not next to the store call it more rarely while it does not answer, so that
-  /// all together cause no more calls than a fleet of this size would.
+  /// Returns how much more rarely this instance calls a store that does not answer. The calls of a
+  /// large fleet then cost no more than those of kUnscaledFleet instances; the instances next to
+  /// the store in the tree of relays call it as often as ever and tell the others when it is back.
   double StoreBackoffScale() const {
     constexpr double kUnscaledFleet = 64;
     if (RelayPositionWithout({}).depth <= 1) return 1;
