Store copy: a relay that is not known to be current answers at once

An instance that has listed the store waits 0.5 s for its relay, whose first answer could be held for 0.4 s, and then watches the store by itself.

Change: requests may be held only once the relay has answered and was current. Test: relay_is_not_waited_for_before_it_is_known_to_be_current.

--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -93,7 +93,7 @@
       const TimePoint current = std::max(state_.confirmed_at(), started);
       const bool stale = now - current >= options_.stale_after + tolerance_;
       const std::optional<std::string> relay = SelectRelay(now);
-      if (relay) co_await Poll(*relay, stale ? std::chrono::milliseconds(0) : options_.relay_hold);
+      if (relay) co_await Poll(*relay, HoldFor(now, stale));
       const std::string peer = stale ? AnyPeer() : "";
       if (!peer.empty()) co_await Poll(peer, std::chrono::milliseconds(0));
       const auto interval = relay && !stale ? options_.relay_poll_interval : options_.poll_interval;
@@ -112,6 +112,13 @@
   }
 
  private:
+  /// How long the relay may hold the next request. A relay that is not known to be current answers
+  /// at once: until then this instance calls the store.
+  std::chrono::milliseconds HoldFor(TimePoint now, bool stale) const {
+    const bool at_once = stale || !RelayIsCurrent(now);
+    return at_once ? std::chrono::milliseconds(0) : options_.relay_hold;
+  }
+
   std::chrono::milliseconds Tolerance() const {
     constexpr std::size_t kFirstTolerantLevel = 3;
     const std::size_t depth = options_.depth();
--- a/test/store_copy_reader-test.cc
+++ b/test/store_copy_reader-test.cc
@@ -43,6 +43,7 @@
   http::status status = http::status::ok;
   std::unique_ptr<AdminServer> relay;
   std::set<std::string> asked_without;
+  std::vector<std::chrono::milliseconds> holds;  ///< allowed by the requests to the relay
   std::unique_ptr<StoreCopyReader<Taker>> reader;
 
   Fixture() {
@@ -50,7 +51,8 @@
     StoreCopyReader<Taker>::Options options;
     options.port = 23'452;
     AdminServer::Pages pages;
-    pages[kStoreCopyPath] = [this](const std::string& /*query*/) {
+    pages[kStoreCopyPath] = [this](const std::string& query) {
+      holds.push_back(StoreCopyRequest::FromQuery(query).wait);
       return AdminPage{status, "application/x-protobuf", EncodeStoreCopy(told)};
     };
     const std::string listen = address + ":" + std::to_string(options.port);
@@ -101,4 +103,13 @@
   BOOST_TEST(asked_without.contains(kRelay));
 }
 
+// While a relay holds its first request, the instance would watch the store by itself, as would
+// each of a fleet that starts together.
+BOOST_AUTO_TEST_CASE(relay_is_not_waited_for_before_it_is_known_to_be_current) {
+  io.run_for(300ms);
+  BOOST_REQUIRE(holds.size() >= 2U);
+  BOOST_TEST((holds[0] == 0ms));
+  BOOST_TEST((holds[1] > 0ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
