--- a/libs/entry/include/entry/peer_discovery.h
+++ b/libs/entry/include/entry/peer_discovery.h
@@ -41,7 +41,7 @@
         options_(options),
         position_(std::move(position)),
         has_copy_(std::move(has_copy)),
-        timer_(std::move(executor)),
+        timer_(executor),
         started_(Clock::now()) {}
 
   /// Reads the members until there is one to follow.
