Placement: a request on its last trial goes to the same server from every zone

An engine that gave no report to the rollout was marked for a probe, but not listed among the servers that the prober looks at.

Change: a request on its last trial ignores scopes and holders; RecordFailure and RequestProbe list the server as active; a listing of the store says whether it failed or was left to peers; IsUsable and IsHeldBy replace conditions that stood twice.

--- a/libs/control/include/control/instance_records.h
+++ b/libs/control/include/control/instance_records.h
@@ -54,6 +54,9 @@
   /// Returns nullptr if there is no such key.
   const StoreItem* Find(const std::string& key) const;
 
+  /// Whether there is such a key, and its value begins with `holder`.
+  bool IsHeldBy(const std::string& key, const std::string& holder) const;
+
   /// Returns the items whose keys start with `prefix`, in the order of the keys.
   std::vector<const StoreItem*> ItemsWithPrefix(const std::string& prefix) const;
 
--- a/libs/control/include/control/rollout_controller.h
+++ b/libs/control/include/control/rollout_controller.h
@@ -243,7 +243,7 @@
     backed_off_[step.engine->entry.id] = now + options_.unresponsive_backoff;
     // Possibly only the pooled connections are unresponsive, and the engine accepts new ones.
     state_.pool().CloseIdle(step.engine->entry.address);
-    BackendDirectory::RecordFailure(*step.engine, now);
+    state_.directory().RecordFailure(step.engine, now);
   }
 
   net::awaitable<void> Load(const RolloutStep& step, Timer& timer, StepTimes& times) {
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -85,11 +86,9 @@
         continue;
       }
       const bool first = !loaded_;
-      const bool was_known_large = store_is_large_;
-      const bool listed = co_await ListAll();
-      const bool found_large = !was_known_large && store_is_large_;
-      if (!listed && !found_large) co_await BackOff();
-      if (listed && first) co_await WaitForRelay();
+      const Listing listing = co_await ListAll();
+      if (listing == Listing::kFailed) co_await BackOff();
+      if (listing == Listing::kComplete && first) co_await WaitForRelay();
     }
   }
 
@@ -142,6 +141,12 @@
   bool connected() const { return listed_ && !connectivity_.failing(); }
 
  private:
+  enum class Listing : std::uint8_t {
+    kComplete,
+    kFailed,
+    kLeftToPeers,  ///< the store is large, and a peer may provide its copy
+  };
+
   net::awaitable<void> WaitForRelay() {
     const TimePoint until = Clock::now() + options_.relay_wait;
     while (!stopped_ && !options_.follows_peer() && Clock::now() < until) {
@@ -155,7 +160,7 @@
     options_.on_update();
   }
 
-  net::awaitable<bool> ListAll() {
+  net::awaitable<Listing> ListAll() {
     const TimePoint start = Clock::now();
     const StoreRevision known = revision_;
     std::vector<StoreItem> items;
@@ -165,7 +170,9 @@
       const StoreResult<StorePage> page = co_await store_.List("", after);
       if (page.has_error()) {
         RecordFailure("list", page.error(), start);
-        if (stopped_ || Clock::now() - start >= options_.max_listing_time) co_return false;
+        if (stopped_ || Clock::now() - start >= options_.max_listing_time) {
+          co_return Listing::kFailed;
+        }
         co_await BackOff();
         continue;
       }
@@ -173,7 +180,7 @@
       if (!first_revision) first_revision = page->revision;
       if (!loaded_ && page->has_more && !std::exchange(store_is_large_, true)) {
         options_.on_large_store();
-        if (options_.awaits_copy()) co_return false;
+        if (options_.awaits_copy()) co_return Listing::kLeftToPeers;
       }
       items.insert(items.end(), page->items.begin(), page->items.end());
       more = page->has_more && !page->items.empty();
@@ -186,7 +193,7 @@
     listed_ = true;
     loaded_ = true;
     Confirm(start);
-    co_return true;
+    co_return Listing::kComplete;
   }
 
   /// Replaces the local copy by `items`, which include all changes up to `revision`.
--- a/libs/control/src/instance_records.cc
+++ b/libs/control/src/instance_records.cc
@@ -24,6 +24,11 @@
   return found == items_.end() ? nullptr : &found->second;
 }
 
+bool InstanceRecords::IsHeldBy(const std::string& key, const std::string& holder) const {
+  const StoreItem* item = Find(key);
+  return item != nullptr && item->value.starts_with(holder);
+}
+
 void InstanceRecords::Put(const StoreItem& item) {
   items_[item.key] = item;
   if (item.key.starts_with(kMemberPrefix)) PutMember(item);
@@ -92,7 +97,8 @@
                                                const std::set<std::string>& unresponsive) const {
   const Member* first = nullptr;
   std::vector<const Member*> earlier_in_zone;
-  for (auto at = members_by_key_.begin(); at != members_by_key_.lower_bound(key); ++at) {
+  const auto own = members_by_key_.lower_bound(key);
+  for (auto at = members_by_key_.begin(); at != own; ++at) {
     const Member& member = at->second;
     if (unresponsive.contains(member.address)) continue;
     if (first == nullptr) first = &member;
--- a/libs/control/test/rollout_controller-test.cc
+++ b/libs/control/test/rollout_controller-test.cc
@@ -1,5 +1,6 @@
 #include "control/rollout_controller.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -379,6 +380,20 @@
   CheckResponsiveOrderedBy(named_at + 800ms);
 }
 
+// Without an entry in the list of active servers, nobody would look after the engine again.
+BOOST_AUTO_TEST_CASE(engine_without_a_report_is_probed) {
+  engines.call_timeout = 1ms;
+  Start(2);
+  Silence({"e1"});
+  io.run_for(50ms);
+  NameWeights(2);
+  io.run_for(100ms);
+  BOOST_TEST(Engine("e1").needs_probe);
+  const auto& active = state.directory().Active();
+  const BackendPtr silent = state.directory().Find(BackendId("e1"));
+  BOOST_TEST((std::ranges::find(active, silent) != active.end()));
+}
+
 // Requests that do not end must not delay the order beyond the deadline.
 BOOST_AUTO_TEST_CASE(engine_that_does_not_drain_is_ordered_before_the_deadline) {
   options.max_drain = 800ms;
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -214,8 +214,7 @@
     // The address distinguishes this instance from a later one with the same name.
     options.value = settings_.daemon.value() + " " + settings_.instance_address;
     options.predecessor_may_hold = [this, holder = options.value] {
-      const StoreItem* item = records_.Find(kRolloutHolderKey);
-      return follower_.connected() && item != nullptr && item->value.starts_with(holder);
+      return follower_.connected() && records_.IsHeldBy(kRolloutHolderKey, holder);
     };
     options.handover_delay = settings_.lease_handover_delay;
     options.ttl = std::max(tuning_.rollout_lease_ttl, settings_.min_lease_ttl);
--- a/libs/entry/include/entry/quota_coordinator.h
+++ b/libs/entry/include/entry/quota_coordinator.h
@@ -150,8 +150,7 @@
     options.ttl = std::max(tuning.quota_lease_ttl, settings_.min_lease_ttl);
     options.poll_interval = tuning.quota_poll_interval;
     options.predecessor_may_hold = [this] {
-      const StoreItem* item = records_.Find(LeaseKey());
-      return store_connected_() && item != nullptr && item->value.starts_with(LeaseValue());
+      return store_connected_() && records_.IsHeldBy(LeaseKey(), LeaseValue());
     };
     return options;
   }
--- a/libs/entry/include/entry/store_copy_server.h
+++ b/libs/entry/include/entry/store_copy_server.h
@@ -93,8 +93,9 @@
   /// Adds a packed copy that may be slightly older, and the changes since.
   void AddPacked(StoreCopy& copy) {
     const TimePoint now = Clock::now();
-    auto changes = follower_.ChangesAfter(packed_.revision);
-    if (!changes || now - packed_.made_at > kMaxPackedAge) {
+    std::optional<std::vector<StoreEvent>> changes;
+    if (now - packed_.made_at <= kMaxPackedAge) changes = follower_.ChangesAfter(packed_.revision);
+    if (!changes) {
       packed_ = {follower_.revision(), now, PackItems(follower_.items())};
       changes.emplace();
     }
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -86,6 +86,9 @@
   return backend.avoid_until > now || backend.notice_state.deprioritized_until() > now;
 }
 
+/// Whether the backend server may get new requests, by its registration and its own notices.
+bool IsUsable(const Backend& backend, TimePoint now);
+
 /// How a registration changed the directory.
 enum class Registration : std::uint8_t {
   kAdded,
@@ -141,9 +144,10 @@
   /// if there are no others.
   std::vector<BackendPtr> Usable(const ServiceId& service, TimePoint now) const;
 
-  /// Lists the backend server in Active(), because this gateway has requests there or will probe
-  /// it.
+  /// Lists the backend server in Active(), because this gateway has requests there or probes it.
   void MarkActive(const BackendPtr& backend);
+  /// Has the backend server probed, because it may be unreachable.
+  void RequestProbe(const BackendPtr& backend);
 
   /// The backend servers with requests of this gateway, or that it probes: a few dozen, whatever
   /// the size of the fleet. Drops those that have neither any more.
@@ -164,8 +168,9 @@
   static void RecordReachable(Backend& backend);
 
   static void RecordSuccess(Backend& backend);
-  /// Records that the backend server could not be reached or broke the connection.
-  static void RecordFailure(Backend& backend, TimePoint now);
+  /// Records that the backend server could not be reached or broke the connection, and has it
+  /// probed.
+  void RecordFailure(const BackendPtr& backend, TimePoint now);
   /// Records an answer that reports a server error.
   static void RecordErrorResponse(Backend& backend);
   /// Records the weights that the backend server runs. Newer weights empty its cache.
@@ -175,8 +180,8 @@
   /// Bounds `starts_`, which rejects registrations that arrive late, and `saved_notices_`.
   static constexpr std::size_t kMaxRememberedStarts = 20'000;
 
-  std::vector<BackendPtr> Usable(const ServiceId& service, const std::optional<ReleaseId>& withheld,
-                                 TimePoint now) const;
+  /// Whether requests are withheld from the backend server, see Withhold().
+  bool IsWithheld(const Backend& backend) const;
   Registration Classify(const BackendEntry& entry) const;
   /// Applies a registration that Classify did not find stale, without superseding others.
   void Store(const BackendEntry& entry, Registration registration);
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -422,7 +422,7 @@
     }
     const TimePoint now = Clock::now();
     retry_input_.time_left = WaitLimit() - now > state_.limits().min_attempt_time;
-    RecordOutcome(state_, inbound_, *attempt_.backend, retry_input_, now);
+    RecordOutcome(state_, inbound_, attempt_.backend, retry_input_, now);
     UpdatePoisonGuard(outcome, now);
     tried_.insert(attempt_.backend->entry.id);
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(retry_input_);
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -74,16 +74,26 @@
                    const InboundRequest& request, const std::set<BackendId>& tried,
                    const Backend& backend, TimePoint now);
 
-/// The backend servers that may get the request, of those in `scope`.
+/// Whether one more crash quarantines the request, so that only one backend server may get it, the
+/// same for all gateways; see TrialBackend().
+bool IsOnLastTrial(const GatewayState& state, const ExchangePlan& plan, TimePoint now);
+
+/// The backend servers that may get the request, wherever they are.
 std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
                                       const InboundRequest& request,
-                                      const std::set<BackendId>& tried, TimePoint now,
-                                      PlacementScope scope = PlacementScope::kAll);
+                                      const std::set<BackendId>& tried, TimePoint now);
+
+/// Backend servers that may get a request, and the scope that they are from.
+struct ScopedCandidates {
+  PlacementScope scope = PlacementScope::kAll;
+  std::vector<BackendPtr> backends;
+};
 
-/// The scope in which this gateway places the requests for a service.
-PlacementScope ScopeFor(const GatewayState& state, const ServiceId& service, TimePoint now);
-/// This gateway's query about scopes, see placement_scope.h.
-ScopeQuery ScopeQueryFor(const GatewayState& state, TimePoint now);
+/// The backend servers that may get the request, of the smallest scope that suffices; of all if
+/// none of that scope may, or if the request is on its last trial.
+ScopedCandidates NearCandidatesFor(const GatewayState& state, const ExchangePlan& plan,
+                                   const InboundRequest& request, const std::set<BackendId>& tried,
+                                   TimePoint now);
 
 /// Whether a request avoids backend servers with a rate limit. A rate limit counts requests, so it
 /// is best spent on the largest ones.
@@ -155,7 +165,7 @@
                      const BackendResponseHead& head, TimePoint sent);
 
 /// Updates the backend server's state from an attempt's outcome.
-void RecordOutcome(GatewayState& state, const InboundRequest& request, Backend& backend,
+void RecordOutcome(GatewayState& state, const InboundRequest& request, const BackendPtr& backend,
                    const RetryDecisionInput& facts, TimePoint now);
 
 /// The result code of a request that has not run.
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -247,7 +247,7 @@
 
   /// Marks a backend server unreachable after a failed probe of this gateway, and prompts peers to
   /// probe it.
-  void ReportUnreachable(Backend& backend);
+  void ReportUnreachable(const BackendPtr& backend);
 
   /// Number of this gateway's requests there that the retry budget would not cover if all were
   /// interrupted at once.
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -1,6 +1,7 @@
 #include "gateway/backend_directory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ridgehold {
@@ -30,6 +31,12 @@
   return HashOf(backend.entry.id, backend.entry.started);
 }
 
+bool IsUsable(const Backend& backend, TimePoint now) {
+  const bool leaving = backend.entry.draining || backend.notice_state.leaving();
+  const bool lapsed = backend.grace_until && now >= *backend.grace_until;
+  return !leaving && !lapsed && !backend.superseded;
+}
+
 Registration BackendDirectory::Put(const BackendEntry& entry) {
   const Registration registration = Classify(entry);
   if (registration == Registration::kStale) return registration;
@@ -181,33 +188,34 @@
   if (release) withheld_releases_.emplace(service, std::move(*release));
 }
 
-std::vector<BackendPtr> BackendDirectory::Usable(const ServiceId& service, TimePoint now) const {
-  const auto withheld = withheld_releases_.find(service);
-  if (withheld == withheld_releases_.end()) return Usable(service, std::nullopt, now);
-  std::vector<BackendPtr> usable = Usable(service, withheld->second, now);
-  return usable.empty() ? Usable(service, std::nullopt, now) : usable;
+bool BackendDirectory::IsWithheld(const Backend& backend) const {
+  const auto withheld = withheld_releases_.find(backend.entry.service);
+  return withheld != withheld_releases_.end() && withheld->second == backend.entry.release;
 }
 
-std::vector<BackendPtr> BackendDirectory::Usable(const ServiceId& service,
-                                                 const std::optional<ReleaseId>& withheld,
-                                                 TimePoint now) const {
-  std::vector<BackendPtr> usable;
+std::vector<BackendPtr> BackendDirectory::Usable(const ServiceId& service, TimePoint now) const {
   const auto found = by_service_.find(service);
-  if (found == by_service_.end()) return usable;
+  if (found == by_service_.end()) return {};
+  std::vector<BackendPtr> usable;
   usable.reserve(found->second.size());
-  for (const BackendPtr& backend : found->second) {
-    if (backend->entry.draining || backend->superseded || backend->notice_state.leaving()) continue;
-    if (withheld && backend->entry.release == *withheld) continue;
-    if (backend->grace_until && now >= *backend->grace_until) continue;
-    usable.push_back(backend);
-  }
-  return usable;
+  std::ranges::copy_if(found->second, std::back_inserter(usable),
+                       [&](const BackendPtr& backend) { return IsUsable(*backend, now); });
+  if (!withheld_releases_.contains(service)) return usable;
+  std::vector<BackendPtr> others;
+  std::ranges::copy_if(usable, std::back_inserter(others),
+                       [&](const BackendPtr& backend) { return !IsWithheld(*backend); });
+  return others.empty() ? usable : others;
 }
 
 void BackendDirectory::MarkActive(const BackendPtr& backend) {
   if (!std::exchange(backend->active, true)) active_.push_back(backend);
 }
 
+void BackendDirectory::RequestProbe(const BackendPtr& backend) {
+  backend->needs_probe = true;
+  MarkActive(backend);
+}
+
 const std::vector<BackendPtr>& BackendDirectory::Active() {
   std::erase_if(active_, [](const BackendPtr& backend) {
     if (!backend->removed && !IsIdle(backend)) return false;
@@ -260,13 +268,13 @@
   backend.error_rate *= 1 - kErrorRateStep;
 }
 
-void BackendDirectory::RecordFailure(Backend& backend, TimePoint now) {
-  const auto doubled = kInitialBackoff * (1U << std::min(backend.failures, 4U));
-  backend.avoid_until = std::max(backend.avoid_until,
-                                 now + std::min<std::chrono::milliseconds>(doubled, kMaxBackoff));
-  ++backend.failures;
-  backend.needs_probe = true;
-  RecordErrorResponse(backend);
+void BackendDirectory::RecordFailure(const BackendPtr& backend, TimePoint now) {
+  const auto doubled = kInitialBackoff * (1U << std::min(backend->failures, 4U));
+  backend->avoid_until = std::max(backend->avoid_until,
+                                  now + std::min<std::chrono::milliseconds>(doubled, kMaxBackoff));
+  ++backend->failures;
+  RequestProbe(backend);
+  RecordErrorResponse(*backend);
 }
 
 void BackendDirectory::RecordErrorResponse(Backend& backend) {
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -86,7 +86,7 @@
     BackendDirectory::RecordReachable(*backend);
   } else {
     state_.pool().CloseIdle(backend->entry.address);  // idle pooled connections are broken as well
-    state_.ReportUnreachable(*backend);
+    state_.ReportUnreachable(backend);
   }
   if (!changed) co_return;
   state_.metrics().GetCounter("ridgehold_backend_reachability_changes").Add();
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -87,13 +87,6 @@
   return outdated ? kReloadBackoff : kRefusalBackoff;
 }
 
-/// Records a failed attempt, after which the backend server is probed.
-void RecordFailure(GatewayState& state, Backend& backend, TimePoint now) {
-  BackendDirectory::RecordFailure(backend, now);
-  const BackendPtr known = state.directory().FindByHash(HashOf(backend));
-  if (known) state.directory().MarkActive(known);
-}
-
 std::optional<QuotaDemand> QuotaDemandOf(const GatewayState& state, const ExchangePlan& plan,
                                          const InboundRequest& request) {
   if (plan.workspace == nullptr || !plan.workspace->quota) return std::nullopt;
@@ -192,29 +185,38 @@
   return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
 }
 
+bool IsOnLastTrial(const GatewayState& state, const ExchangePlan& plan, TimePoint now) {
+  return state.poison().SuspicionOf(plan.fingerprint, now) == Suspicion::kLastTrial;
+}
+
 std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
                                       const InboundRequest& request,
-                                      const std::set<BackendId>& tried, TimePoint now,
-                                      PlacementScope scope) {
-  const ScopeQuery scope_query = ScopeQueryFor(state, now);
+                                      const std::set<BackendId>& tried, TimePoint now) {
   std::vector<BackendPtr> candidates = state.directory().Usable(plan.service, now);
   std::erase_if(candidates, [&](const BackendPtr& backend) {
-    return !IsInScope(scope_query, scope, *backend) ||
-           !MayGetRequest(state, plan, request, tried, *backend, now);
+    return !MayGetRequest(state, plan, request, tried, *backend, now);
   });
-  const Suspicion suspicion = state.poison().SuspicionOf(plan.fingerprint, now);
-  if (suspicion == Suspicion::kLastTrial && !candidates.empty()) {
+  if (IsOnLastTrial(state, plan, now) && !candidates.empty()) {
     candidates = {TrialBackend(plan.fingerprint, candidates)};
   }
   return candidates;
 }
 
-ScopeQuery ScopeQueryFor(const GatewayState& state, TimePoint now) {
-  return {state.zone(), state.topology(), state.weights().min_zone_servers, now};
-}
-
-PlacementScope ScopeFor(const GatewayState& state, const ServiceId& service, TimePoint now) {
-  return ScopeFor(ScopeQueryFor(state, now), state.directory().Usable(service, now));
+ScopedCandidates NearCandidatesFor(const GatewayState& state, const ExchangePlan& plan,
+                                   const InboundRequest& request, const std::set<BackendId>& tried,
+                                   TimePoint now) {
+  ScopedCandidates near;
+  if (!IsOnLastTrial(state, plan, now)) {
+    const ScopeQuery query{state.zone(), state.topology(), state.weights().min_zone_servers, now};
+    near.backends = state.directory().Usable(plan.service, now);
+    near.scope = ScopeFor(query, near.backends);
+    std::erase_if(near.backends, [&](const BackendPtr& backend) {
+      return !IsInScope(query, near.scope, *backend) ||
+             !MayGetRequest(state, plan, request, tried, *backend, now);
+    });
+  }
+  if (!near.backends.empty()) return near;
+  return {PlacementScope::kAll, CandidatesFor(state, plan, request, tried, now)};
 }
 
 bool AvoidsRateLimited(const GatewayState& state, const ExchangePlan& plan, TimePoint now) {
@@ -266,14 +268,11 @@
 std::optional<BackendChoice> ChooseFor(GatewayState& state, const ExchangePlan& plan,
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now) {
-  const PlacementScope scope = ScopeFor(state, plan.service, now);
-  const std::vector<BackendPtr> near = CandidatesFor(state, plan, request, tried, now, scope);
-  std::optional<BackendChoice> choice;
-  if (!near.empty()) choice = ChooseAmong(state, plan, request, near, nullptr, now);
-  const bool suffices = choice && !IsBusy(*choice, !request.generation);
-  if (suffices || scope == PlacementScope::kAll) return choice;
+  const ScopedCandidates near = NearCandidatesFor(state, plan, request, tried, now);
+  if (near.backends.empty()) return std::nullopt;
+  BackendChoice choice = ChooseAmong(state, plan, request, near.backends, nullptr, now);
+  if (near.scope == PlacementScope::kAll || !IsBusy(choice, !request.generation)) return choice;
   const std::vector<BackendPtr> all = CandidatesFor(state, plan, request, tried, now);
-  if (all.empty()) return std::nullopt;
   return ChooseAmong(state, plan, request, all, nullptr, now);
 }
 
@@ -351,9 +350,8 @@
 bool MayStillSend(const GatewayState& state, const InboundRequest& request,
                   const BackendChoice& choice, TimePoint now) {
   const Backend& backend = *choice.backend;
-  if (backend.removed || backend.superseded || backend.entry.draining) return false;
-  if (backend.grace_until && now >= *backend.grace_until) return false;
-  if (backend.notice_state.leaving() || now < backend.notice_state.backoff_until()) return false;
+  if (backend.removed || !IsUsable(backend, now)) return false;
+  if (now < backend.notice_state.backoff_until()) return false;
   return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
 }
 
@@ -426,29 +424,29 @@
   state.NoteWeights(backend, request.generation->model, *head.weights);
 }
 
-void RecordOutcome(GatewayState& state, const InboundRequest& request, Backend& backend,
+void RecordOutcome(GatewayState& state, const InboundRequest& request, const BackendPtr& backend,
                    const RetryDecisionInput& facts, TimePoint now) {
   switch (facts.outcome) {
     case AttemptOutcome::kStreamed:
-      return BackendDirectory::RecordSuccess(backend);
+      return BackendDirectory::RecordSuccess(*backend);
     case AttemptOutcome::kAnswered:
       break;
     case AttemptOutcome::kNotSent:
     case AttemptOutcome::kInterrupted:
     case AttemptOutcome::kTimedOut:
-      return RecordFailure(state, backend, now);
+      return state.directory().RecordFailure(backend, now);
     case AttemptOutcome::kCallerGone:
     case AttemptOutcome::kSkipped:
     case AttemptOutcome::kCancelled:
       return;
   }
   if (ProvesNotExecuted(facts)) {
-    const auto backoff = BackoffAfterRefusal(state, request, backend, facts);
-    backend.avoid_until = std::max<TimePoint>(backend.avoid_until, now + backoff);
+    const auto backoff = BackoffAfterRefusal(state, request, *backend, facts);
+    backend->avoid_until = std::max<TimePoint>(backend->avoid_until, now + backoff);
     return;
   }
-  if (facts.status >= kFirstServerError) return BackendDirectory::RecordErrorResponse(backend);
-  BackendDirectory::RecordSuccess(backend);
+  if (facts.status >= kFirstServerError) return BackendDirectory::RecordErrorResponse(*backend);
+  BackendDirectory::RecordSuccess(*backend);
 }
 
 ResultCode NotRunCode(ResultCode last, const RetryDecisionInput& facts) {
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -126,10 +126,7 @@
   backend->peers = report.work;
   backend->peers_updated_at = now;
   backend->hold_until = now + report.hold;
-  if (!report.reachable) {
-    backend->needs_probe = true;
-    directory_.MarkActive(backend);
-  }
+  if (!report.reachable) directory_.RequestProbe(backend);
   if (report.weights != WeightsNumber()) {
     BackendDirectory::RecordWeights(*backend, question.model, report.weights);
   }
@@ -169,12 +166,12 @@
   NotifyLoadChanged();
 }
 
-void GatewayState::ReportUnreachable(Backend& backend) {
-  backend.needs_probe = true;
-  if (!std::exchange(backend.reachable, false)) return;
-  pending_updates_.unreachable.push_back(HashOf(backend));
+void GatewayState::ReportUnreachable(const BackendPtr& backend) {
+  directory_.RequestProbe(backend);
+  if (!std::exchange(backend->reachable, false)) return;
+  pending_updates_.unreachable.push_back(HashOf(*backend));
   NotifyLoadChanged();
-  unanswered_attempts_.CancelAt(backend.entry.id);
+  unanswered_attempts_.CancelAt(backend->entry.id);
 }
 
 std::uint32_t GatewayState::Uncovered(const Backend& backend, TimePoint now) {
--- a/libs/gateway/src/polled_choice.cc
+++ b/libs/gateway/src/polled_choice.cc
@@ -43,20 +43,18 @@
 class CandidatePoll {
  public:
   CandidatePoll(GatewayState& state, const ExchangePlan& plan, const InboundRequest& request,
-                const std::set<BackendId>& tried, PlacementScope scope,
-                std::vector<BackendPtr> candidates)
+                const std::set<BackendId>& tried, ScopedCandidates candidates)
       : state_(state),
         plan_(plan),
         request_(request),
         tried_(tried),
-        scope_(scope),
         candidates_(std::move(candidates)),
         query_(QueryFor(state, plan, request, Clock::now())) {
     if (HasLongPrefix()) home_ = HomeOfPrompt();
   }
 
   net::awaitable<void> Run() {
-    std::vector<BackendPtr> first = Shortlist(query_, candidates_);
+    std::vector<BackendPtr> first = Shortlist(query_, candidates_.backends);
     co_await Poll(std::move(first), true);
     std::vector<BackendPtr> follow_up = FollowUpCandidates();
     if (!follow_up.empty()) co_await Poll(std::move(follow_up), false);
@@ -113,15 +111,15 @@
 
   /// The candidates of any scope.
   std::vector<BackendPtr> AllCandidates() const {
-    if (scope_ == PlacementScope::kAll) return candidates_;
+    if (candidates_.scope == PlacementScope::kAll) return candidates_.backends;
     return CandidatesFor(state_, plan_, request_, tried_, query_.now);
   }
 
-  /// Whether the request may be sent to the backend server, in whatever scope.
+  /// Whether the request may be sent to the backend server, in whatever scope. On its last trial,
+  /// the request has its only candidate already.
   bool MayTake(const BackendPtr& backend) const {
-    const bool usable = backend && !backend->entry.draining && !backend->superseded &&
-                        !backend->notice_state.leaving();
-    return usable && MayGetRequest(state_, plan_, request_, tried_, *backend, query_.now);
+    return backend && IsUsable(*backend, query_.now) && !IsOnLastTrial(state_, plan_, query_.now) &&
+           MayGetRequest(state_, plan_, request_, tried_, *backend, query_.now);
   }
   bool IsPolled(const BackendPtr& backend) const {
     return std::ranges::find(polled_, backend) != polled_.end();
@@ -131,8 +129,7 @@
   const ExchangePlan& plan_;
   const InboundRequest& request_;
   const std::set<BackendId>& tried_;
-  PlacementScope scope_;
-  std::vector<BackendPtr> candidates_;  ///< of the scope
+  ScopedCandidates candidates_;
   ShortlistQuery query_;
   BackendPtr home_;
   std::vector<BackendPtr> polled_;  ///< candidates polled so far
@@ -147,14 +144,9 @@
                                            const std::set<BackendId>& tried) {
   PolledChoice result;
   const TimePoint start = Clock::now();
-  PlacementScope scope = ScopeFor(state, plan.service, start);
-  std::vector<BackendPtr> candidates = CandidatesFor(state, plan, request, tried, start, scope);
-  if (candidates.empty()) {
-    scope = PlacementScope::kAll;
-    candidates = CandidatesFor(state, plan, request, tried, start);
-  }
-  if (candidates.empty()) co_return result;
-  CandidatePoll candidate_poll(state, plan, request, tried, scope, std::move(candidates));
+  ScopedCandidates candidates = NearCandidatesFor(state, plan, request, tried, start);
+  if (candidates.backends.empty()) co_return result;
+  CandidatePoll candidate_poll(state, plan, request, tried, std::move(candidates));
   co_await candidate_poll.Run();
   result.choice = std::move(candidate_poll.choice());
   result.poll.asked = candidate_poll.asked();
--- a/libs/gateway/test/backend_directory-test.cc
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -188,12 +188,13 @@
 BOOST_AUTO_TEST_CASE(failures_lengthen_the_backoff_up_to_a_limit) {
   BackendDirectory directory;
   directory.Put(Entry("b"));
-  Backend& backend = *directory.Find(BackendId("b"));
-  BackendDirectory::RecordFailure(backend, kStart);
+  const BackendPtr found = directory.Find(BackendId("b"));
+  const Backend& backend = *found;
+  directory.RecordFailure(found, kStart);
   BOOST_TEST((backend.avoid_until == kStart + BackendDirectory::kInitialBackoff));
-  for (int i = 0; i < 10; ++i) BackendDirectory::RecordFailure(backend, kStart);
+  for (int i = 0; i < 10; ++i) directory.RecordFailure(found, kStart);
   BOOST_TEST((backend.avoid_until == kStart + BackendDirectory::kMaxBackoff));
-  BackendDirectory::RecordSuccess(backend);
+  BackendDirectory::RecordSuccess(*found);
   BOOST_TEST(backend.failures == 0);
 }
 
@@ -221,7 +222,7 @@
   const BackendPtr used = directory.Find(BackendId("b7"));
   const BackendPtr failed = directory.Find(BackendId("b8"));
   ++used->in_flight;
-  BackendDirectory::RecordFailure(*failed, kStart);
+  directory.RecordFailure(failed, kStart);
   for (const BackendPtr& backend : {used, failed, used}) directory.MarkActive(backend);
   BOOST_TEST(directory.Active().size() == 2U);
   --used->in_flight;
--- a/libs/gateway/test/exchange_plan-test.cc
+++ b/libs/gateway/test/exchange_plan-test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <set>
 
 #include "gateway/backend_load.h"
 #include "gateway/gateway_state.h"
@@ -52,21 +53,32 @@
   InboundRequest request;
 
   Fixture() {
-    for (const char* id : {"x", "y", "z"}) {
-      BackendEntry entry;
-      entry.id = BackendId(id);
-      entry.service = kEngines;
-      entry.address = std::string(id) + ":2";
-      entry.zone = ZoneId("a");
-      entry.weights[kModel] = WeightsNumber(1);
-      state.directory().Put(entry);
-    }
+    for (const char* id : {"x", "y", "z"}) state.directory().Put(Engine(id, "a"));
     request.id = RequestId("q");
     request.host = "h";
     request.path = "/p";
     request.received = Clock::now();
   }
 
+  static BackendEntry Engine(const std::string& id, const std::string& zone) {
+    BackendEntry entry;
+    entry.id = BackendId(id);
+    entry.service = kEngines;
+    entry.address = id + ":2";
+    entry.zone = ZoneId(zone);
+    entry.weights[kModel] = WeightsNumber(1);
+    return entry;
+  }
+
+  /// Reports as many crashes as leave the request one trial.
+  static void SetOnLastTrial(GatewayState& gateway, RequestFingerprint fingerprint) {
+    PoisonUpdate crashes;
+    for (BackendHash crashed = 1; crashed < PoisonOptions{}.max_crashes; ++crashed) {
+      crashes.crashes.push_back({crashed, fingerprint});
+    }
+    gateway.poison().ApplyUpdate(crashes, Clock::now());
+  }
+
   void Configure(const std::vector<std::string>& stores) {
     state.TakeSnapshot(*RoutingSnapshot::Create(Parts(stores)));
   }
@@ -142,4 +154,24 @@
   BOOST_TEST(choice.backend->cache.tokens() == kShared + kOwn + 10);
 }
 
+// If each zone chose among its own engines, copies of the request would crash one engine of each.
+BOOST_AUTO_TEST_CASE(last_trial_uses_the_same_server_in_all_zones) {
+  PlacementCosts zonal;
+  zonal.min_zone_servers = 1;
+  for (std::uint64_t number = 0; number < 20; ++number) {
+    std::set<BackendId> chosen;
+    for (const char* zone : {"a", "b"}) {
+      GatewayState gateway{io.get_executor(), ZoneId(zone), GatewayLimits{}, zonal, metrics};
+      gateway.TakeSnapshot(*RoutingSnapshot::Create(Parts({})));
+      for (const char* id : {"x", "y", "z"}) gateway.directory().Put(Engine(id, "a"));
+      for (const char* id : {"v", "w"}) gateway.directory().Put(Engine(id, "b"));
+      ExchangePlan plan = *PlanExchange(gateway, request, Clock::now());
+      plan.fingerprint = RequestFingerprint(number);
+      SetOnLastTrial(gateway, plan.fingerprint);
+      chosen.insert(ChooseFor(gateway, plan, request, {}, Clock::now())->backend->entry.id);
+    }
+    BOOST_TEST(chosen.size() == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/test/polled_choice-test.cc
+++ b/libs/gateway/test/polled_choice-test.cc
@@ -124,15 +124,18 @@
     }
   }
 
-  void Place(std::uint64_t subject) {
-    GatewayState& state = *gateways[random() % gateways.size()];
+  static InboundRequest RequestAbout(std::uint64_t subject) {
     InboundRequest request;
     request.host = "h";
     request.path = "/p";
     request.received = Clock::now();
     request.generation =
         GenerationRequest{kModel, kShared + kOwn, 3, {{subject, kShared}, {0, kOwn}}};
-    const ExchangePlan plan = *PlanExchange(state, request, Clock::now());
+    return request;
+  }
+
+  BackendChoice Choose(GatewayState& state, const ExchangePlan& plan,
+                       const InboundRequest& request) {
     std::optional<BackendChoice> choice;
     net::co_spawn(io, PollAndChoose(state, plan, request, tried),
                   [&](const std::exception_ptr& /*error*/, PolledChoice asked) {
@@ -141,9 +144,17 @@
     io.restart();
     io.run();
     BOOST_REQUIRE(choice.has_value());
-    Engine& engine = engines[HashOf(*choice->backend)];
+    return *choice;
+  }
+
+  void Place(std::uint64_t subject) {
+    GatewayState& state = *gateways[random() % gateways.size()];
+    const InboundRequest request = RequestAbout(subject);
+    const ExchangePlan plan = *PlanExchange(state, request, Clock::now());
+    const BackendChoice choice = Choose(state, plan, request);
+    Engine& engine = engines[HashOf(*choice.backend)];
     const std::uint64_t hash = plan.chain->parts.back().hash;
-    const bool cached = engine.HasCached(hash) || choice->fetch_backend != nullptr;
+    const bool cached = engine.HasCached(hash) || choice.fetch_backend != nullptr;
     const double tokens = kOwn + (cached ? 0 : kShared);
     engine.queued_tokens += tokens;
     engine.Use(hash);
@@ -195,6 +206,26 @@
   BOOST_TEST(without_answers < with_answers.WithinObjective());
 }
 
+// An engine that holds the prompt must not get a request which only the trial server may get.
+BOOST_AUTO_TEST_CASE(last_trial_ignores_the_holders_of_the_prompt) {
+  SetTrackersAnswer(true);
+  GatewayState& state = *gateways[0];
+  const InboundRequest request = RequestAbout(1);
+  ExchangePlan plan = *PlanExchange(state, request, Clock::now());
+  plan.fingerprint = RequestFingerprint(5);
+  PoisonUpdate crashes;
+  for (BackendHash crashed = 1; crashed < PoisonOptions{}.max_crashes; ++crashed) {
+    crashes.crashes.push_back({crashed, plan.fingerprint});
+  }
+  state.poison().ApplyUpdate(crashes, Clock::now());
+  const auto usable = state.directory().Usable(kService, Clock::now());
+  const BackendPtr trial = TrialBackend(plan.fingerprint, usable);
+  for (const BackendPtr& backend : usable) {
+    if (backend != trial) engines[HashOf(*backend)].Use(plan.chain->parts.back().hash);
+  }
+  BOOST_TEST((Choose(state, plan, request).backend == trial));
+}
+
 BOOST_AUTO_TEST_CASE(no_candidate_gives_no_choice) {
   SetTrackersAnswer(true);
   GatewayState& state = *gateways[0];
--- a/libs/peers/src/peer_loads.cc
+++ b/libs/peers/src/peer_loads.cc
@@ -66,8 +66,7 @@
   }
   for (const BackendHash backend_hash : items.unreachable) {
     if (const BackendPtr backend = state_.directory().FindByHash(backend_hash)) {
-      backend->needs_probe = true;
-      state_.directory().MarkActive(backend);
+      state_.directory().RequestProbe(backend);
     }
   }
   for (const WeightsUpdate& weights : items.weights) {
--- a/test/backend_prober-test.cc
+++ b/test/backend_prober-test.cc
@@ -61,9 +61,10 @@
   }
 
   void Listen() { acceptor.emplace(io, endpoint); }
+  BackendPtr Find() { return state.directory().Find(BackendId("b")); }
   /// The backend server, listed as active like any that has a request or is to be probed.
   Backend& backend() {
-    const BackendPtr found = state.directory().Find(BackendId("b"));
+    const BackendPtr found = Find();
     state.directory().MarkActive(found);
     return *found;
   }
@@ -83,7 +84,7 @@
 // The pattern: a backend server out of reach for a while, under steady traffic.
 BOOST_AUTO_TEST_CASE(server_out_of_reach_is_left_alone_until_a_probe_reaches_it) {
   acceptor->close();
-  BackendDirectory::RecordFailure(backend(), Clock::now());
+  state.directory().RecordFailure(Find(), Clock::now());
   BOOST_TEST(Within(2s, [&] { return !backend().reachable; }));
   BOOST_TEST(state.pending_updates().unreachable.size() == 1U);
   io.run_for(100ms);
@@ -104,7 +105,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(failure_of_a_server_that_is_there_keeps_its_backoff) {
-  BackendDirectory::RecordFailure(backend(), Clock::now() + 1h);
+  state.directory().RecordFailure(Find(), Clock::now() + 1h);
   BOOST_TEST(Within(2s, [&] { return !backend().needs_probe; }));
   BOOST_TEST(backend().reachable);
   BOOST_TEST((backend().avoid_until > Clock::now() + 30min));
