--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -20,6 +20,8 @@
   /// The same for streaming calls, also in latency objectives.
   double stream_timeout_objectives = 8;
   AdmissionOptions admission;
+  /// See GatewayLimits::strict_pause.
+  std::uint32_t strict_pause_ms = 0;
   PoisonOptions poison;
   BackendProber::Options probing;
   /// Whether running requests are aborted for a weights load only while the retry budget allows.
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -18,6 +18,7 @@
 #include "gateway/placement.h"
 #include "gateway/placement_scope.h"
 #include "gateway/request_log.h"
+#include "groups/request_group.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -35,6 +36,8 @@
   /// Identifies the requests that may share cache entries if they run on the same weights.
   std::string cache_scope;
   std::optional<PromptChain> chain;
+  /// Set for generation requests where GatewayState::HasStrictPauses().
+  std::optional<RequestGroup> group;
   std::optional<QuotaDemand> quota;  ///< how much of its workspace's quota the request uses
   bool avoid_rate_limited = false;   ///< excludes backend servers with a rate limit
 };
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -55,6 +55,8 @@
   double stream_timeout_objectives = 5;
   AdmissionOptions admission;
   PoisonOptions poison;
+  /// Longest pause objective that counts as strict, see HasStrictPauses(); zero: none.
+  std::chrono::milliseconds strict_pause{0};
   /// Minimum remaining time for another attempt.
   std::chrono::milliseconds min_attempt_time{30};
 };
@@ -193,6 +195,10 @@
   /// Enables queries to peers; an empty function disables them.
   void SetLoadAsker(LoadAsker query) { query_loads_ = std::move(query); }
 
+  /// Whether pauses of the service's streams matter for placement: the shortest pause objective of
+  /// its routes is strict, and gateways query each other.
+  bool HasStrictPauses(const ServiceId& service) const;
+
   /// Queries peers and applies their reports. Requires queries_peers().
   net::awaitable<LoadAnswer> QueryLoads(LoadQuestion question);
 
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -134,6 +134,10 @@
 
   /// The shortest latency objective of the streaming routes to a service; zero if none has one.
   std::chrono::milliseconds ShortestObjective(const ServiceId& service) const;
+  /// The longest one; zero if none has one.
+  std::chrono::milliseconds LongestObjective(const ServiceId& service) const;
+  /// The shortest pause objective of the streaming routes to a service; zero if none has one.
+  std::chrono::milliseconds ShortestPause(const ServiceId& service) const;
 
   ConfigVersion version() const { return parts_.version; }
   const CallerLimits& limits() const { return parts_.limits; }
@@ -147,8 +151,16 @@
  private:
   explicit RoutingSnapshot(RoutingConfig parts) : parts_(std::move(parts)) {}
 
+  /// The objectives of the streaming routes to one service; zero if none has one.
+  struct StreamObjectives {
+    std::chrono::milliseconds shortest{0};
+    std::chrono::milliseconds longest{0};
+    std::chrono::milliseconds shortest_pause{0};
+  };
+
   Result<void> Index();
-  void IndexObjective(const RouteRule& route);
+  void IndexObjectives(const RouteRule& route);
+  StreamObjectives ObjectivesOf(const ServiceId& service) const;
 
   RoutingConfig parts_;
   /// Keyed by host, newline and prefix.
@@ -156,7 +168,7 @@
   std::unordered_map<std::string, std::size_t> keys_;
   bool has_quotas_ = false;
   std::unordered_map<ServiceId, std::size_t> services_;
-  std::unordered_map<ServiceId, std::chrono::milliseconds> shortest_objectives_;
+  std::unordered_map<ServiceId, StreamObjectives> stream_objectives_;
 };
 
 /// Picks one of a route's services by weight; equal request ids get the same one.
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -173,6 +173,10 @@
   if (request.generation) {
     plan.chain = PromptChain::Of(*request.generation,
                                  plan.cache_scope + ":" + request.generation->model.value());
+    if (state.HasStrictPauses(plan.service)) {
+      plan.group = Classify(plan.chain->prompt_tokens, state.TokensPerMs(plan.service),
+                            plan.snapshot->ShortestPause(plan.service));
+    }
   }
   return plan;
 }
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -19,6 +19,12 @@
   return observed ? found->second.tokens_per_ms() : placement_weights_.prefill_tokens_per_ms;
 }
 
+bool GatewayState::HasStrictPauses(const ServiceId& service) const {
+  if (!queries_peers() || !snapshot_) return false;
+  const auto pause = snapshot_->ShortestPause(service);
+  return pause.count() > 0 && pause <= limits_.strict_pause;
+}
+
 GossipItems GatewayState::TakePendingUpdates(std::size_t max_placements) {
   GossipItems taken;
   std::swap(taken.holds, pending_updates_.holds);
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -47,7 +47,7 @@
     if (!added) {
       return Fail(ResultCode::kInvalidCommand, "two routes for " + route.host + route.path_prefix);
     }
-    IndexObjective(route);
+    IndexObjectives(route);
   }
   return {};
 }
@@ -74,17 +74,34 @@
   return found == services_.end() ? nullptr : &parts_.services[found->second];
 }
 
+RoutingSnapshot::StreamObjectives RoutingSnapshot::ObjectivesOf(const ServiceId& service) const {
+  const auto found = stream_objectives_.find(service);
+  return found == stream_objectives_.end() ? StreamObjectives() : found->second;
+}
+
 std::chrono::milliseconds RoutingSnapshot::ShortestObjective(const ServiceId& service) const {
-  const auto found = shortest_objectives_.find(service);
-  return found == shortest_objectives_.end() ? std::chrono::milliseconds(0) : found->second;
+  return ObjectivesOf(service).shortest;
+}
+
+std::chrono::milliseconds RoutingSnapshot::LongestObjective(const ServiceId& service) const {
+  return ObjectivesOf(service).longest;
+}
+
+std::chrono::milliseconds RoutingSnapshot::ShortestPause(const ServiceId& service) const {
+  return ObjectivesOf(service).shortest_pause;
 }
 
-void RoutingSnapshot::IndexObjective(const RouteRule& route) {
-  if (route.kind != RouteKind::kStream || route.latency_objective.count() <= 0) return;
+void RoutingSnapshot::IndexObjectives(const RouteRule& route) {
+  if (route.kind != RouteKind::kStream) return;
+  const auto lower = [](std::chrono::milliseconds& shortest, std::chrono::milliseconds objective) {
+    if (objective.count() <= 0) return;
+    shortest = shortest.count() > 0 ? std::min(shortest, objective) : objective;
+  };
   for (const WeightedTarget& target : route.targets) {
-    std::chrono::milliseconds& shortest =
-        shortest_objectives_.try_emplace(target.service, route.latency_objective).first->second;
-    shortest = std::min(shortest, route.latency_objective);
+    StreamObjectives& objectives = stream_objectives_[target.service];
+    lower(objectives.shortest, route.latency_objective);
+    lower(objectives.shortest_pause, route.pause_objective);
+    objectives.longest = std::max(objectives.longest, route.latency_objective);
   }
 }
 
--- a/libs/gateway/test/routing_snapshot-test.cc
+++ b/libs/gateway/test/routing_snapshot-test.cc
@@ -121,4 +121,25 @@
   BOOST_TEST(used.size() == 2U);
 }
 
+// A route without an objective must not make the objective of the others zero.
+BOOST_AUTO_TEST_CASE(objectives_of_a_service_cover_its_streaming_routes) {
+  const auto stream = [](const std::string& id, int objective, int pause) {
+    RouteRule route = Route(id, "/" + id + "/");
+    route.kind = RouteKind::kStream;
+    route.latency_objective = std::chrono::milliseconds(objective);
+    route.pause_objective = std::chrono::milliseconds(pause);
+    return route;
+  };
+  RouteRule plain = Route("plain", "/plain/");
+  plain.latency_objective = std::chrono::milliseconds(10);
+  const auto snapshot = RoutingSnapshot::Create(
+      Parts({stream("a", 1'000, 300), stream("b", 250, 0), stream("c", 0, 0), plain}));
+  BOOST_REQUIRE(snapshot);
+  const ServiceId service("s");
+  BOOST_TEST(snapshot.value()->ShortestObjective(service).count() == 250);
+  BOOST_TEST(snapshot.value()->LongestObjective(service).count() == 1'000);
+  BOOST_TEST(snapshot.value()->ShortestPause(service).count() == 300);
+  BOOST_TEST(snapshot.value()->ShortestPause(ServiceId("other")).count() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
