--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -181,6 +181,7 @@
     limits.quota_tolerance.granted_fraction = tuning.quota_tolerance_fraction;
     limits.backend_limits.used_fraction = tuning.limit_tolerance_fraction;
     limits.admission = tuning.admission;
+    limits.strict_pause = std::chrono::milliseconds(tuning.strict_pause_ms);
     limits.poison = tuning.poison;
     limits.response_timeout_objectives = tuning.call_timeout_objectives;
     limits.stream_timeout_objectives = tuning.stream_timeout_objectives;
@@ -214,8 +215,7 @@
     // The address distinguishes this instance from a later one with the same name.
     options.value = settings_.daemon.value() + " " + settings_.instance_address;
     options.predecessor_may_hold = [this, holder = options.value] {
-      const StoreItem* item = records_.Find(kRolloutHolderKey);
-      return follower_.connected() && item != nullptr && item->value.starts_with(holder);
+      return follower_.connected() && records_.IsHeldBy(kRolloutHolderKey, holder);
     };
     options.handover_delay = settings_.lease_handover_delay;
     options.ttl = std::max(tuning_.rollout_lease_ttl, settings_.min_lease_ttl);
