Gateway: share the observed speed of engines through their trackers

Cause: each gateway sees an engine a few times a second, too rarely to tell a slow engine from a slow moment.

Change: GatewayState records pauses and waits for first events, normalized by PerformanceMeter. Impossible sums are dropped as malformed. Settings performance.enabled and performance.late-pause; /state shows the values of each engine. Nothing is recorded where no pause objective is strict or gateways broadcast.

--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -11,7 +11,7 @@
 
 using nlohmann::json;
 
-json Describe(const Backend& backend) {
+json Describe(const Backend& backend, TimePoint now) {
   return {{"id", backend.entry.id.value()},
           {"started", backend.entry.started.value()},
           {"service", backend.entry.service.value()},
@@ -22,14 +22,19 @@
           {"in_flight", backend.in_flight},
           {"peers_running", backend.peers.running},
           {"failures", backend.failures},
-          {"error_rate", backend.error_rate}};
+          {"error_rate", backend.error_rate},
+          {"slowness", backend.reported_performance.SlownessAt(now)},
+          {"home_weight", backend.reported_performance.HomeWeightAt(now)},
+          {"observed_slowness", backend.performance.slowness()}};
 }
 
 }  // namespace
 
 std::string DumpState(GatewayState& state, const InstanceStatus& status, TimePoint now) {
   json backends = json::array();
-  for (const auto& [id, backend] : state.directory().all()) backends.push_back(Describe(*backend));
+  for (const auto& [id, backend] : state.directory().all()) {
+    backends.push_back(Describe(*backend, now));
+  }
   const auto age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - state.confirmed_at());
   const json dump = {{"daemon", status.daemon.value()},
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -101,6 +101,10 @@
       "Maximum queueing time of a request, in latency objectives");
   Add("streams.strict-pause", tuning.strict_pause_ms,
       "Longest pause objective in ms for which streams are kept apart from prefill; 0: none");
+  Add("performance.enabled", tuning.performance.enabled,
+      "Learn the speed of each engine where pause objectives are strict, and place requests by it");
+  Add("performance.late-pause", tuning.performance.late_pause_ms,
+      "Highest cost in ms of an engine where a stream is expected to pause for too long");
   Add("poison.most-ends", tuning.poison.max_crashes,
       "Backend servers that crash while running a request before it is quarantined; 0: never");
   AddFraction("quota.tolerance-part", tuning.quota_tolerance_fraction,
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -19,6 +19,8 @@
 #include "gateway/gateway_gossip.h"
 #include "gateway/inbound_request.h"
 #include "gateway/pushback_state.h"
+#include "performance/engine_performance.h"
+#include "performance/known_performance.h"
 
 namespace ridgehold {
 
@@ -73,6 +75,9 @@
   std::multiset<TimePoint> waiting_since;  ///< send times of requests without a first event
   EngineCache cache;                       ///< estimated, for the weights it runs now
   PushbackState notice_state;
+  /// Learned from the gateways that report directly to this one, if it is a tracker.
+  EnginePerformance performance;
+  KnownPerformance reported_performance;  ///< as last reported by a tracker
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
--- a/libs/gateway/include/gateway/gateway_gossip.h
+++ b/libs/gateway/include/gateway/gateway_gossip.h
@@ -12,6 +12,7 @@
 #include "gateway/engine_cache.h"
 #include "gateway/inbound_request.h"
 #include "gateway/transfer_links.h"
+#include "performance/performance_update.h"
 
 namespace ridgehold {
 
@@ -74,6 +75,8 @@
   std::vector<HoldUpdate> holds;
   std::vector<WeightsUpdate> weights;
   std::vector<BackendHash> unreachable;  ///< cannot be reached by the sender; receivers probe them
+  /// Sent with a message that is due anyway, so not counted by empty().
+  std::vector<PerformanceUpdate> performance;
 
   bool empty() const {
     return placed.empty() && holds.empty() && weights.empty() && unreachable.empty();
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -32,6 +32,9 @@
 #include "gateway/zone_topology.h"
 #include "metrics/metrics.h"
 #include "net/connection_pool.h"
+#include "performance/pending_performance.h"
+#include "performance/performance_meter.h"
+#include "performance/performance_options.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -57,6 +60,7 @@
   PoisonOptions poison;
   /// Longest pause objective that counts as strict, see HasStrictPauses(); zero: none.
   std::chrono::milliseconds strict_pause{0};
+  PerformanceOptions performance;
   /// Minimum remaining time for another attempt.
   std::chrono::milliseconds min_attempt_time{30};
 };
@@ -199,6 +203,18 @@
   /// its routes is strict, and gateways query each other.
   bool HasStrictPauses(const ServiceId& service) const;
 
+  /// Whether the speed of each engine of the service is learned and considered in placement.
+  bool UsesPerformance(const ServiceId& service) const {
+    return limits_.performance.enabled && HasStrictPauses(service);
+  }
+  /// Average pause of the service's interactive streams at this gateway in ms; 0 if not known.
+  double AveragePause(const ServiceId& service) const;
+  /// Records a pause between two events that an engine sent. Requires UsesPerformance().
+  void RecordPause(Backend& backend, RequestGroup group, Duration pause);
+  /// Records that a first event came `waited` after its request was sent to an engine with `tokens`
+  /// left to prefill. Requires UsesPerformance().
+  void RecordFirstEventWait(Backend& backend, RequestGroup group, double tokens, Duration waited);
+
   /// Queries peers and applies their reports. Requires queries_peers().
   net::awaitable<LoadAnswer> QueryLoads(LoadQuestion question);
 
@@ -294,6 +310,8 @@
   /// KV cache capacity of the service's engines in tokens; 0: unknown.
   std::uint64_t CacheTokensOf(const ServiceId& service) const;
   void NoteTransfers(const PlacementUpdate& placed, TimePoint now);
+  /// Adds a sample to this gateway's view, and queues it for the engine's trackers.
+  void PublishPerformance(Backend& backend, const std::optional<PerformanceSample>& sample);
   void TakeReport(const LoadQuestion& question, const BackendReport& report, TimePoint now);
 
   net::any_io_executor executor_;
@@ -315,6 +333,8 @@
   TransferLinks links_;
   std::unordered_map<LinkHash, EngineCache> store_contents_;  ///< by store
   std::map<ServiceId, PrefillRateEstimator> prefill_rate_estimators_;
+  std::map<ServiceId, PerformanceMeter> performance_meters_;
+  PendingPerformance pending_performance_;
   PromptSizes prompt_sizes_;
   WeightsHistory named_weights_;
   PoisonGuard poison_;
--- a/libs/gateway/include/gateway/load_report.h
+++ b/libs/gateway/include/gateway/load_report.h
@@ -11,6 +11,7 @@
 #include "gateway/engine_cache.h"
 #include "gateway/inbound_request.h"
 #include "gateway/transfer_links.h"
+#include "performance/performance_update.h"
 
 namespace ridgehold {
 
@@ -39,6 +40,7 @@
   EngineCache::PrefixMatch prefix_match;  ///< cached prefix of the queried parts
   Duration link_wait{0};                  ///< time until its link is free
   bool reachable = true;                  ///< as seen by the reporting gateway
+  PerformanceReport performance{};
 };
 
 /// The state of a KV cache store.
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -25,11 +25,42 @@
   return pause.count() > 0 && pause <= limits_.strict_pause;
 }
 
+double GatewayState::AveragePause(const ServiceId& service) const {
+  const auto found = performance_meters_.find(service);
+  return found == performance_meters_.end()
+             ? 0
+             : found->second.AveragePause(RequestGroup::kInteractive);
+}
+
+void GatewayState::RecordPause(Backend& backend, RequestGroup group, Duration pause) {
+  PerformanceMeter& meter = performance_meters_[backend.entry.service];
+  PublishPerformance(backend, meter.RecordPause(group, pause));
+}
+
+void GatewayState::RecordFirstEventWait(Backend& backend, RequestGroup group, double tokens,
+                                        Duration waited) {
+  const std::chrono::duration<double, std::milli> prefill(tokens /
+                                                          TokensPerMs(backend.entry.service));
+  const auto expected =
+      std::chrono::duration_cast<Duration>(prefill + PrefillRateEstimator::kFixedOverhead);
+  PerformanceMeter& meter = performance_meters_[backend.entry.service];
+  PublishPerformance(backend, meter.RecordFirstEvent(group, expected, waited));
+}
+
+void GatewayState::PublishPerformance(Backend& backend,
+                                      const std::optional<PerformanceSample>& sample) {
+  if (!sample) return;
+  // If this gateway tracks the engine, it gets no message from itself.
+  backend.performance.Add(*sample);
+  pending_performance_.Add({HashOf(backend), *sample});
+}
+
 GossipItems GatewayState::TakePendingUpdates(std::size_t max_placements) {
   GossipItems taken;
   std::swap(taken.holds, pending_updates_.holds);
   std::swap(taken.weights, pending_updates_.weights);
   std::swap(taken.unreachable, pending_updates_.unreachable);
+  taken.performance = pending_performance_.Take();
   const auto end =
       pending_updates_.placed.begin() +
       static_cast<std::ptrdiff_t>(std::min(max_placements, pending_updates_.placed.size()));
@@ -132,6 +163,7 @@
   backend->peers = report.work;
   backend->peers_updated_at = now;
   backend->hold_until = now + report.hold;
+  backend->reported_performance.Update(report.performance, now);
   if (!report.reachable) directory_.RequestProbe(backend);
   if (report.weights != WeightsNumber()) {
     BackendDirectory::RecordWeights(*backend, question.model, report.weights);
@@ -155,6 +187,7 @@
   report.prefix_match = backend.cache.Find(question.parts, placement_weights_.prefill_delay, now);
   report.link_wait = links_.QueueDelay(LinkOf(backend.entry.address), now);
   report.reachable = backend.reachable;
+  report.performance = backend.performance.Report();
   return report;
 }
 
--- a/libs/peers/include/peers/tracked_news.h
+++ b/libs/peers/include/peers/tracked_news.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway_gossip.h"
 #include "gateway/gateway_state.h"
 #include "peers/tracker_map.h"
+#include "performance/pending_performance.h"
 
 namespace ridgehold {
 
@@ -60,6 +61,9 @@
   GatewayState& state_;
   std::string own_address_;
   std::map<std::string, LastSent> last_sent_;  ///< by address
+  /// Samples that wait for the next message to a tracker, by address. They cause no message: an
+  /// engine with requests has one within kRepeatInterval.
+  std::map<std::string, PendingPerformance> performance_;
 };
 
 }  // namespace ridgehold
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -38,6 +38,22 @@
     entry.set_model(weights.model.value());
     entry.set_number(weights.number.value());
   }
+  for (const PerformanceUpdate& update : items.performance) {
+    wire::GatewayPerformance& entry = *message.add_performance();
+    entry.set_backend(update.backend);
+    entry.set_expected_ms(static_cast<float>(update.sample.expected_ms));
+    entry.set_observed_ms(static_cast<float>(update.sample.observed_ms));
+  }
+}
+
+PerformanceUpdate DecodePerformance(const wire::GatewayPerformance& entry) {
+  return {entry.backend(), {entry.expected_ms(), entry.observed_ms()}};
+}
+
+bool HasValidPerformance(const wire::GatewayNews& message) {
+  return std::ranges::all_of(message.performance(), [](const wire::GatewayPerformance& entry) {
+    return IsValid(DecodePerformance(entry).sample);
+  });
 }
 
 GossipItems DecodeItems(const wire::GatewayNews& message) {
@@ -64,6 +80,9 @@
     items.weights.push_back(
         {entry.backend(), ModelId(entry.model()), WeightsNumber(entry.number())});
   }
+  for (const wire::GatewayPerformance& entry : message.performance()) {
+    items.performance.push_back(DecodePerformance(entry));
+  }
   return items;
 }
 
@@ -102,6 +121,8 @@
   entry.set_used_since(report.prefix_match.used_since);
   entry.set_link_us(Microseconds(report.link_wait));
   entry.set_unreachable(!report.reachable);
+  entry.set_slowness(report.performance.slowness);
+  entry.set_home_weight(report.performance.home_weight);
 }
 
 BackendReport DecodeReport(const wire::BackendReport& entry) {
@@ -113,6 +134,7 @@
   report.prefix_match = {entry.known_tokens(), entry.readable_tokens(), entry.used_since()};
   report.link_wait = Duration(entry.link_us());
   report.reachable = !entry.unreachable();
+  report.performance = {entry.slowness(), entry.home_weight()};
   return report;
 }
 
@@ -275,6 +297,9 @@
     return Fail(ResultCode::kMalformedPeerMessage,
                 "not a gateway message: parse error or sender missing");
   }
+  if (!HasValidPerformance(message)) {
+    return Fail(ResultCode::kMalformedPeerMessage, "waits at an engine that cannot have occurred");
+  }
   if (message.has_question()) return PeerMessage(DecodeQuestion(message));
   if (message.has_answer()) return PeerMessage(DecodeAnswer(message));
   if (message.has_poison()) return PeerMessage(DecodePoisonNews(message.poison()));
--- a/libs/peers/src/peer_loads.cc
+++ b/libs/peers/src/peer_loads.cc
@@ -74,6 +74,11 @@
       BackendDirectory::RecordWeights(*backend, weights.model, weights.number);
     }
   }
+  for (const PerformanceUpdate& update : items.performance) {
+    if (const BackendPtr backend = state_.directory().FindByHash(update.backend)) {
+      backend->performance.Add(update.sample);
+    }
+  }
 }
 
 }  // namespace ridgehold
--- a/libs/peers/src/tracked_news.cc
+++ b/libs/peers/src/tracked_news.cc
@@ -26,6 +26,10 @@
     for (auto* to : ReceiversFor(backend, trackers, now, news))
       to->items.unreachable.push_back(backend);
   }
+  for (const PerformanceUpdate& update : items.performance) {
+    for (auto* to : ReceiversFor(update.backend, trackers, now, news))
+      performance_[to->tracker.address].Add(update);
+  }
   // Trackers whose last update reported load that has since ended need an update as well.
   for (const auto& [address, last_sent] : last_sent_) {
     const TrackerMap::Gateway* gateway = trackers.Find(address);
@@ -37,9 +41,13 @@
     const bool changed = !to.items.empty() || to.loads != last_sent.loads;
     if (!changed && now - last_sent.at < kRepeatInterval) continue;
     last_sent = {to.loads, now};
+    if (auto waiting = performance_.extract(address))
+      to.items.performance = waiting.mapped().Take();
     due.push_back(std::move(to));
   }
   std::erase_if(last_sent_, [](const auto& entry) { return entry.second.loads.empty(); });
+  // A tracker without an entry in `news` has no load to be told of; what waits for it is dropped.
+  std::erase_if(performance_, [&](const auto& entry) { return !news.contains(entry.first); });
   return due;
 }
 
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -1,6 +1,7 @@
 #include <rapidcheck/boost_test.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 
 #include "peers/load_messages.h"
 #include "peers/news_codec.h"
@@ -130,6 +131,7 @@
     news.items.holds.push_back({any, 5ms});
     news.items.weights.push_back({any, kModel, WeightsNumber(any)});
     news.namings.push_back({kModel, WeightsNumber(any), 7ms});
+    news.items.performance.push_back({any, {50, 61.5}});
   }
   const auto decoded = DecodeNews(EncodeNews(news));
   RC_ASSERT(decoded.has_value());
@@ -154,7 +156,7 @@
   answer.id = question.id;
   for (const BackendHash backend : question.backends) {
     answer.backends.push_back(
-        {backend, {1, 2, 3, 4}, 20ms, WeightsNumber(5), {60, 50, 7}, 8ms, false});
+        {backend, {1, 2, 3, 4}, 20ms, WeightsNumber(5), {60, 50, 7}, 8ms, false, {1'700, 500}});
   }
   answer.store = StoreReport{9, 100, 3ms};
   answer.namings = {{kModel, WeightsNumber(5), 7ms}};
@@ -170,6 +172,30 @@
   FailureOf([&] { return DecodeStoreCopy(bytes); });
 }
 
+BOOST_AUTO_TEST_CASE(observed_waits_make_the_reported_slowness) {
+  GossipMessage news = News("d1", 1, 0);
+  BOOST_TEST(state.ReportOn(backend(), {}, kStart).performance.slowness == 0U);
+  news.items.performance = {{HashOf(BackendId("b")), {100'000, 180'000}}, {77, {100, 100}}};
+  loads.Apply(*DecodeNews(EncodeNews(news)), kStart);
+  const PerformanceReport report = state.ReportOn(backend(), {}, kStart).performance;
+  BOOST_TEST(report.slowness == 1'800U);
+  BOOST_TEST(report.home_weight == 500U);
+}
+
+BOOST_AUTO_TEST_CASE(impossible_waits_are_rejected) {
+  for (const PerformanceSample sample :
+       {PerformanceSample{0, 0}, {-1, 1}, {100, 401}, {100, -1}, {INFINITY, 1}, {100, NAN}}) {
+    GossipMessage news = News("d1", 1, 0);
+    news.items.performance = {{HashOf(BackendId("b")), sample}};
+    const auto failure = FailureOf([&]() -> Result<void> {
+      BOOST_LEAF_CHECK(DecodeNews(EncodeNews(news)));
+      return {};
+    });
+    BOOST_REQUIRE(failure.has_value());
+    BOOST_TEST((failure->code == ResultCode::kMalformedPeerMessage));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(store_copy_round_trips) {
   StoreCopy copy;
   copy.revision = StoreRevision(9);
