Placement: consider the speed of engines and expected pauses

Cause: slow engines get as many prompts as fast ones, and a stream may be placed behind queued prefill that makes it pause.

Change: where pause objectives are strict, queue, prefill and running requests cost as much more as the engine is slower; the expected pause beyond half of the pause objective costs up to performance.late-pause ms; homes are weighted rendezvous hashing. The home whose tracker knows a prompt's holders stays unweighted, because gateways learn of a changed weight at different times. Ranks of engines of weight 1 are unchanged bit for bit, and so are costs where the part is inactive.

--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -52,6 +52,8 @@
   double expected_ms = 0;             ///< cost of the placement, see Placement
   double queue_ms = 0;                ///< of that, until queued prompts are prefilled
   double first_event_ms = 0;          ///< of that, until this prompt is prefilled
+  /// Of the engine, see EnginePerformance; none if speeds are not considered.
+  std::optional<double> slowness;
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address to fetch shared parts from
   BackendPtr fetch_backend;               ///< the engine at that address; null: a store
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -16,6 +16,7 @@
 #include "gateway/prefix_shares.h"
 #include "gateway/transfer_links.h"
 #include "gateway/zone_topology.h"
+#include "performance/pause_cost.h"
 
 namespace ridgehold {
 
@@ -123,6 +124,8 @@
   RingSegment segment;               ///< engines responsible for the prompt's first part
   double unheard_gateway_ratio = 0;  ///< requests of gateways without reports per own request
   double tokens_per_ms = 0;          ///< prefill rate of the engines; 0: use PlacementCosts
+  bool uses_performance = false;     ///< whether the speed of each engine is considered
+  PauseCost pause_cost;              ///< if so, of the request's pauses
   std::uint64_t tie_break = 0;
   TimePoint now{};
 };
@@ -142,6 +145,7 @@
   double first_event_ms = 0;        ///< of that, until the prompt is prefilled
   double queue_ms = 0;              ///< of that, until previously sent prompts are prefilled
   double queued_tokens = 0;         ///< tokens in those prompts
+  double slowness = 1;              ///< of the engine, see EnginePerformance
   std::uint32_t cached_tokens = 0;  ///< expected in its cache, including fetched parts
   std::uint32_t known_tokens = 0;   ///< of these, tokens held without a fetch
   /// Where to fetch the parts that the chosen candidate lacks.
--- a/libs/gateway/include/gateway/shortlist.h
+++ b/libs/gateway/include/gateway/shortlist.h
@@ -22,6 +22,7 @@
   std::optional<WeightsNumber> newest_weights;
   RingSegment segment;            ///< engines responsible for the prompt's first part
   std::uint64_t random_seed = 0;  ///< differs for each request
+  bool weighs_homes = false;      ///< whether homes depend on the speed of the engines
   TimePoint now{};
 };
 
@@ -40,9 +41,11 @@
 
 /// The first `count` candidates in the order of rendezvous hashing for the prompt. Weights are
 /// ignored, so that prompts keep their homes while weights are loaded. Candidates whose hash lies
-/// in `segment` precede all others.
+/// in `segment` precede all others. With `weighed_at`, engines are homes of prompts in proportion
+/// to the home weights known at that time.
 std::vector<BackendPtr> HomesOf(const PromptChain& chain, const RingSegment& segment,
-                                std::span<const BackendPtr> candidates, std::size_t count);
+                                std::span<const BackendPtr> candidates, std::size_t count,
+                                std::optional<TimePoint> weighed_at = std::nullopt);
 
 /// The candidates to poll first; at least one if `candidates` is not empty. Candidates known to be
 /// unhealthy are used only if there are no others. Pure.
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -125,6 +125,12 @@
   return engine->token_bytes * kBitsPerByte / (link_mbps * kBitsPerMsAtOneMbps);
 }
 
+PauseCost PauseCostFor(const GatewayState& state, const ExchangePlan& plan) {
+  return {state.AveragePause(plan.service),
+          static_cast<double>(plan.route->pause_objective.count()),
+          state.limits().performance.late_pause_ms};
+}
+
 /// Parts that the chosen engine lacks, or may lack, are fetched from the fastest source and saved
 /// in the store after the prefill. A source that has nothing costs 1 ms, so the store is queried
 /// even when it is not known to have the parts.
@@ -304,6 +310,8 @@
   if (request.generation) {
     query.chain = &*plan.chain;
     query.tokens_per_ms = state.TokensPerMs(plan.service);
+    query.uses_performance = state.UsesPerformance(plan.service);
+    if (query.uses_performance) query.pause_cost = PauseCostFor(state, plan);
     if (const EngineProfile* engine = ProfileOf(plan)) query.cache_tokens = engine->cache_tokens;
     query.links = &state.links();
     query.engine_ms_per_token = LinkMsPerToken(plan, EngineLinkMbps(plan));
@@ -327,6 +335,7 @@
   choice.expected_ms = placement.cost;
   choice.queue_ms = placement.queue_ms;
   choice.first_event_ms = placement.first_event_ms;
+  if (query.uses_performance) choice.slowness = placement.slowness;
   if (request.generation) {
     choice.queued_tokens = placement.queued_tokens;
     choice.known_tokens = placement.known_tokens;
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -9,6 +9,8 @@
 #include <map>
 #include <numeric>
 
+#include "performance/weighted_rank.h"
+
 namespace ridgehold {
 namespace {
 
@@ -101,10 +103,14 @@
     }
     EvaluateCache(index, placement);
     placement.queued_tokens = FleetTotal(backend.unprefilled_tokens, backend.peers.unread_tokens);
-    placement.queue_ms = placement.queued_tokens / TokensPerMs();
+    placement.slowness = SlownessOf(backend);
+    placement.queue_ms = PrefillTime(backend, placement.queued_tokens);
     placement.first_event_ms =
-        std::max(placement.queue_ms, FetchTime(placement)) + OwnPrefillTime(placement);
+        std::max(placement.queue_ms, FetchTime(placement)) + OwnPrefillTime(backend, placement);
     placement.cost += placement.first_event_ms + RunningCost(backend);
+    if (query_.uses_performance) {
+      placement.cost += query_.pause_cost.Of(placement.slowness, placement.queue_ms);
+    }
     placement.cost += OlderWeightsCost(backend);
     return placement;
   }
@@ -167,7 +173,7 @@
   /// Milliseconds saved by fetching from the source instead of recomputing.
   double SavedMs(std::size_t index, const CacheSource& source) const {
     const std::uint32_t tokens = source.tokens - cache_estimates_[index].known_tokens;
-    return costs_.reprefill_factor * tokens / TokensPerMs() - source.ms;
+    return PrefillTime(*candidates_[index], costs_.reprefill_factor * tokens) - source.ms;
   }
 
   bool MayFetch(std::size_t to, std::size_t from) const {
@@ -272,9 +278,17 @@
     return query_.tokens_per_ms > 0 ? query_.tokens_per_ms : costs_.prefill_tokens_per_ms;
   }
 
-  double OwnPrefillTime(const Placement& placement) const {
+  double SlownessOf(const Backend& backend) const {
+    return query_.uses_performance ? backend.reported_performance.SlownessAt(query_.now) : 1;
+  }
+
+  double PrefillTime(const Backend& backend, double tokens) const {
+    return SlownessOf(backend) * tokens / TokensPerMs();
+  }
+
+  double OwnPrefillTime(const Backend& backend, const Placement& placement) const {
     const std::uint32_t prompt = query_.chain->prompt_tokens;
-    return (prompt - std::min(placement.cached_tokens, prompt)) / TokensPerMs();
+    return PrefillTime(backend, prompt - std::min(placement.cached_tokens, prompt));
   }
 
   static double FetchTime(const Placement& placement) {
@@ -282,7 +296,8 @@
   }
 
   double RunningCost(const Backend& backend) const {
-    return costs_.per_running_request * FleetTotal(backend.in_flight, backend.peers.running);
+    return SlownessOf(backend) * costs_.per_running_request *
+           FleetTotal(backend.in_flight, backend.peers.running);
   }
 
   /// The load of all gateways. Gateways that do not report their load are assumed to send as many
@@ -313,7 +328,8 @@
     MarkSegment();
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
       EstimateCache(*candidates_[i], cache_estimates_[i]);
-      cache_estimates_[i].rank = Hash(subject, id_hashes_[i]);
+      cache_estimates_[i].rank =
+          WeightedRank(Hash(subject, id_hashes_[i]), HomeWeightOf(*candidates_[i]));
       const bool better = home_ == kNone || RanksBefore(i, home_);
       if (better) home_ = i;
       const bool prefilling =
@@ -322,6 +338,10 @@
     }
   }
 
+  double HomeWeightOf(const Backend& backend) const {
+    return query_.uses_performance ? backend.reported_performance.HomeWeightAt(query_.now) : 1;
+  }
+
   /// Marks the candidates in the prompt's segment, at least one. The ring is divided evenly among
   /// the candidates, in the order of their ids' hashes.
   void MarkSegment() {
--- a/libs/gateway/src/polled_choice.cc
+++ b/libs/gateway/src/polled_choice.cc
@@ -14,6 +14,7 @@
   query.gateway = state.gateway_hash();
   query.random_seed = state.gateway_hash() + state.NextSequence();
   query.now = now;
+  query.weighs_homes = state.UsesPerformance(plan.service);
   if (!request.generation) return query;
   query.chain = &*plan.chain;
   query.model = request.generation->model;
@@ -71,7 +72,8 @@
   }
 
   /// The prompt's home: the same engine for all gateways, whatever their scope and whatever each
-  /// knows of individual engines. Its tracker knows which engines of any scope hold the prompt.
+  /// knows of individual engines, such as their home weights. Its tracker knows which engines of
+  /// any scope hold the prompt.
   BackendPtr HomeOfPrompt() const {
     const auto engines = state_.directory().Usable(plan_.service, query_.now);
     const auto homes = HomesOf(*query_.chain, RingSegment(), engines, 1);
--- a/libs/gateway/src/shortlist.cc
+++ b/libs/gateway/src/shortlist.cc
@@ -7,6 +7,8 @@
 #include <type_traits>
 #include <utility>
 
+#include "performance/weighted_rank.h"
+
 namespace ridgehold {
 namespace {
 
@@ -104,10 +106,13 @@
   // worth less.
   const bool half_loaded = 2 * loaded.size() >= healthy.size();
   const std::span<const BackendPtr> pool = half_loaded ? std::span(loaded) : healthy;
-  Backends list = HomesOf(*query.chain, query.segment, pool, sizes.homes);
+  const auto weighed_at = query.weighs_homes ? std::optional(query.now) : std::nullopt;
+  Backends list = HomesOf(*query.chain, query.segment, pool, sizes.homes, weighed_at);
   // While fewer than half have loaded the newest weights, the best-ranked one of those is added as
   // one more home.
-  if (!half_loaded) Append(list, Excluding(HomesOf(*query.chain, query.segment, loaded, 1), list));
+  if (!half_loaded) {
+    Append(list, Excluding(HomesOf(*query.chain, query.segment, loaded, 1, weighed_at), list));
+  }
   const Backends others = Excluding(OfZone(query.own_zone, pool), list);
   Append(list, Sample(query.random_seed, others, sizes.random_picks));
   return list;
@@ -128,7 +133,8 @@
 }  // namespace
 
 std::vector<BackendPtr> HomesOf(const PromptChain& chain, const RingSegment& segment,
-                                std::span<const BackendPtr> candidates, std::size_t count) {
+                                std::span<const BackendPtr> candidates, std::size_t count,
+                                std::optional<TimePoint> weighed_at) {
   if (chain.parts.empty()) return {};
   const std::uint64_t subject = chain.parts.back().hash;
   // Prompts with a rare first part stay on one or two engines instead of alternating between
@@ -139,7 +145,8 @@
       std::max(widened.length, kMinEngines / static_cast<double>(candidates.size() + 1));
   return TopRanked(candidates, count, [&](const Backend& backend) {
     const std::uint64_t hash = HashOf(backend.entry.id);
-    return std::pair(IsInSegment(widened, hash), Hash(subject, hash));
+    const double weight = weighed_at ? backend.reported_performance.HomeWeightAt(*weighed_at) : 1;
+    return std::pair(IsInSegment(widened, hash), WeightedRank(Hash(subject, hash), weight));
   });
 }
 
--- a/libs/gateway/test/placement-test.cc
+++ b/libs/gateway/test/placement-test.cc
@@ -215,6 +215,34 @@
   BOOST_TEST(ChooseBackend(query, backends, costs).index == 2);
 }
 
+// The pattern: a quarter of the engines is less than half as fast as the others.
+BOOST_AUTO_TEST_CASE(slow_engine_counts_as_longer_queued_where_performance_is_used) {
+  for (const BackendPtr& backend : backends) AddToCache(backend, 1s);
+  backends[1]->unprefilled_tokens = backends[2]->unprefilled_tokens = 5'000;
+  backends[0]->reported_performance.Update({3'500, 250}, kNow);
+  const Placement slow = ChooseBackend(query, backends, costs);
+  BOOST_TEST(slow.index == 0);
+  query.uses_performance = true;
+  BOOST_TEST(ChooseBackend(query, backends, costs).index != 0);
+  const std::vector<BackendPtr> alone = {backends[0]};
+  BOOST_TEST(ChooseBackend(query, alone, costs).first_event_ms == 3.5 * slow.first_event_ms,
+             boost::test_tools::tolerance(1e-9));
+}
+
+// A stream loses less by more tokens to prefill elsewhere than by a pause behind a queue.
+BOOST_AUTO_TEST_CASE(stream_avoids_queued_prefill_that_would_make_it_pause) {
+  query.uses_performance = true;
+  AddToCache(backends[1], 1s);
+  backends[1]->unprefilled_tokens = 5'000;
+  costs.copy_token = 0;
+  costs.fetch_call = 1'000;
+  BOOST_TEST(ChooseBackend(query, backends, costs).index == 1);
+  query.pause_cost = {.average_pause_ms = 60, .objective_ms = 200, .max_cost_ms = 100};
+  BOOST_TEST(ChooseBackend(query, backends, costs).index != 1);
+  query.pause_cost.max_cost_ms = 0;
+  BOOST_TEST(ChooseBackend(query, backends, costs).index == 1);
+}
+
 RC_BOOST_FIXTURE_PROP(all_gateways_agree_on_the_home_of_a_new_prompt, Fixture, ()) {
   GenerationRequest request = Generation();
   request.parts[1].id = *rc::gen::arbitrary<std::uint64_t>();
--- a/libs/gateway/test/polled_choice-test.cc
+++ b/libs/gateway/test/polled_choice-test.cc
@@ -23,7 +23,6 @@
 constexpr double kTokensPerMs = 57;  // prefill rate of the engines in the large deployment
 constexpr std::uint32_t kShared = 6'300;
 constexpr std::uint32_t kOwn = 2'900;
-constexpr double kObjectiveMs = 600;
 
 RoutingConfig Parts() {
   RoutingConfig parts;
@@ -40,6 +39,7 @@
   route.is_public = true;
   route.timeout = 4s;
   route.latency_objective = 600ms;
+  route.pause_objective = 300ms;
   route.targets = {{kService, 1}};
   parts.routes.push_back(route);
   return parts;
@@ -49,6 +49,7 @@
 /// used first. Running requests take up half of its memory.
 struct Engine {
   double queued_tokens = 0;
+  double speed = 1;  ///< relative to nominal
   std::deque<std::uint64_t> subjects;
 
   static constexpr std::size_t kMaxSubjects = 8;
@@ -75,6 +76,8 @@
   int within_objective = 0;
   int placed = 0;
   double prefilled_tokens = 0;
+  bool speeds_are_known = false;
+  double objective_ms = 600;
 
   Fixture() {
     for (int g = 0; g < kGateways; ++g) {
@@ -97,6 +100,17 @@
 
   static ZoneId ZoneOf(int number) { return ZoneId("z" + std::to_string(number % 4)); }
 
+  /// A quarter of the engines runs at 0.55 of nominal speed, the others at 1.2.
+  void MakeUneven() {
+    int number = 0;
+    for (const auto& [id, backend] : gateways[0]->directory().all()) {
+      engines[HashOf(*backend)].speed = number++ % 4 == 0 ? 0.55 : 1.2;
+    }
+    GatewayLimits limits;
+    limits.strict_pause = 300ms;
+    for (auto& state : gateways) state->SetLimits(limits);
+  }
+
   /// Sets whether the trackers answer the load queries of all gateways.
   void SetTrackersAnswer(bool answered) {
     for (auto& state : gateways) {
@@ -114,6 +128,10 @@
       BackendReport report;
       report.backend = HashOf(*backend);
       report.work.unread_tokens = static_cast<std::uint32_t>(engine.queued_tokens);
+      if (speeds_are_known) {
+        report.performance =
+            engine.speed < 1 ? PerformanceReport{1'680, 500} : PerformanceReport{770, 1'000};
+      }
       const bool held = !question.parts.empty() && engine.HasCached(question.parts.back().hash);
       if (held) report.prefix_match = {kShared, kShared, 0};
       answer.backends[report.backend] = report;
@@ -160,17 +178,18 @@
     engine.Use(hash);
     prefilled_tokens += tokens;
     ++placed;
-    if (engine.queued_tokens / kTokensPerMs <= kObjectiveMs) ++within_objective;
+    if (engine.queued_tokens / (kTokensPerMs * engine.speed) <= objective_ms) ++within_objective;
   }
 
-  /// Simulates 1.5 s of arrivals.
-  void RunArrivals() {
-    constexpr double kRequestsPerMs = 0.75 * kEngines * kTokensPerMs / (kShared + kOwn);
+  /// Simulates 1.5 s of arrivals; `load` relative to what the engines could prefill with empty
+  /// caches.
+  void RunArrivals(double load = 0.75) {
+    const double requests_per_ms = load * kEngines * kTokensPerMs / (kShared + kOwn);
     double due = 0;
     for (int ms = 0; ms < 1'500; ++ms) {
-      for (due += kRequestsPerMs; due >= 1; due -= 1) Place(random() % 300);
+      for (due += requests_per_ms; due >= 1; due -= 1) Place(random() % 300);
       for (auto& [hash, engine] : engines)
-        engine.queued_tokens = std::max(0.0, engine.queued_tokens - kTokensPerMs);
+        engine.queued_tokens = std::max(0.0, engine.queued_tokens - kTokensPerMs * engine.speed);
     }
   }
 
@@ -206,6 +225,25 @@
   BOOST_TEST(without_answers < with_answers.WithinObjective());
 }
 
+// The pattern: a quarter of the engines at less than half the speed of the others. Prompts that are
+// placed as if all were equally fast wait too long at the slow ones.
+BOOST_AUTO_TEST_CASE(fewer_prompts_are_late_at_uneven_engines_if_trackers_report_their_speed) {
+  constexpr double kLoad = 1.5;
+  objective_ms = 400;
+  SetTrackersAnswer(true);
+  MakeUneven();
+  RunArrivals(kLoad);
+  Fixture informed;
+  informed.SetTrackersAnswer(true);
+  informed.MakeUneven();
+  informed.speeds_are_known = true;
+  informed.objective_ms = objective_ms;
+  informed.RunArrivals(kLoad);
+  BOOST_TEST_MESSAGE("on time: " << WithinObjective() << " without, " << informed.WithinObjective()
+                                 << " with reported speeds");
+  BOOST_TEST(1 - informed.WithinObjective() < 0.5 * (1 - WithinObjective()));
+}
+
 // An engine that holds the prompt must not get a request which only the trial server may get.
 BOOST_AUTO_TEST_CASE(last_trial_ignores_the_holders_of_the_prompt) {
   SetTrackersAnswer(true);
--- a/libs/gateway/test/shortlist-test.cc
+++ b/libs/gateway/test/shortlist-test.cc
@@ -98,6 +98,27 @@
   BOOST_TEST((during[2]->weights.at(kModel) == WeightsNumber(2)));
 }
 
+// Slow engines must lose prompts in proportion, and no other engine may: each move costs a prefill.
+BOOST_AUTO_TEST_CASE(home_weights_move_only_prompts_of_slow_engines) {
+  constexpr int kSubjects = 4'000;
+  std::set<BackendPtr> slow;
+  for (std::size_t i = 0; i < engines.size(); i += 4) {
+    engines[i]->reported_performance.Update({2'500, 250}, kNow);
+    slow.insert(engines[i]);
+  }
+  int at_slow = 0;
+  for (std::uint64_t subject = 0; subject < kSubjects; ++subject) {
+    SetPrompt(6'300, subject);
+    query.weighs_homes = false;
+    const BackendPtr before = Shortlist(query, engines)[0];
+    query.weighs_homes = true;
+    const BackendPtr after = Shortlist(query, engines)[0];
+    BOOST_REQUIRE((after == before || slow.contains(before)));
+    at_slow += slow.contains(after) ? 1 : 0;
+  }
+  BOOST_TEST(at_slow == 0.25 / 3.25 * kSubjects, boost::test_tools::tolerance(0.1));
+}
+
 BOOST_AUTO_TEST_CASE(homes_move_to_loaded_engines_once_half_have_loaded) {
   query.newest_weights = WeightsNumber(2);
   for (std::size_t i = 0; i < 120; ++i) engines[i]->weights[kModel] = WeightsNumber(2);
