Request log: longest pause and lateness of streams

Change: the request line has longest_pause_ms, late (no, first_event, pause) and, where speeds are used, slowness; ridgehold_streams counts complete streams by end. Pauses are measured where events are relayed and exclude the time of a slow caller; they and the waits for first events feed the learning of engine speeds.

--- a/libs/gateway/include/gateway/backend_load.h
+++ b/libs/gateway/include/gateway/backend_load.h
@@ -33,6 +33,7 @@
 
   GatewayState& state_;
   BackendPtr backend_;
+  std::optional<RequestGroup> group_;  ///< none if the speed of engines is not learned
   double queued_tokens_ = 0;
   bool fetches_ = false;
   double unprefilled_tokens_ = 0;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -20,6 +20,7 @@
 #include "gateway/request_log.h"
 #include "gateway/wire_format.h"
 #include "net/wait.h"
+#include "performance/stream_timing.h"
 
 namespace ridgehold {
 
@@ -40,6 +41,7 @@
     state_.OnRequestStarted();
     co_await Respond();
     state_.OnRequestFinished();
+    RecordPunctuality();
     LogRequest(state_, record_);
   }
 
@@ -204,6 +206,7 @@
     record_.backend = backend.entry.id;
     record_.expected_ms = choice.expected_ms;
     record_.first_event_ms = choice.first_event_ms;
+    record_.slowness = choice.slowness;
     record_.tokens_to_prefill = choice.tokens_to_prefill;
     if (plan_.chain && !plan_.chain->parts.empty()) {
       record_.shared_parts = plan_.chain->parts.back().hash;
@@ -283,6 +286,7 @@
   /// skipped.
   net::awaitable<AttemptOutcome> ReadResponse() {
     relay_.StartAttempt();
+    timing_.StartAttempt();
     for (int foreign = 0; foreign <= OutboundConnection::kMaxStaleResponses; ++foreign) {
       const TimePoint limit = HeadDeadline(state_, plan_, retry_input_, Clock::now());
       ExchangeFault fault = co_await attempt_.connection->ReadHead(limit);
@@ -329,7 +333,9 @@
       const ExchangeFault fault = co_await attempt_.connection->ReadBody(bytes, limit);
       const std::string events = relay_.Feed(bytes);
       if (!events.empty()) {
+        RecordEvents(Clock::now());
         const bool forwarded = co_await Forward(events);
+        timing_.RecordDelivery(Clock::now());
         if (!forwarded) co_return AttemptOutcome::kCallerGone;
       }
       if (fault != ExchangeFault::kNone) co_return OutcomeOf(fault);
@@ -341,6 +347,23 @@
     co_return AttemptOutcome::kStreamed;
   }
 
+  /// Records the arrival of events that are new to the caller.
+  void RecordEvents(TimePoint now) {
+    const std::optional<Duration> pause = timing_.RecordArrival(now);
+    if (!pause || !plan_.group || !state_.UsesPerformance(plan_.service)) return;
+    state_.RecordPause(*attempt_.backend, *plan_.group, *pause);
+  }
+
+  /// Determines whether a stream that has begun kept its route's objectives.
+  void RecordPunctuality() {
+    if (!record_.first_event) return;
+    const auto first_event =
+        std::chrono::duration_cast<Duration>(*record_.first_event - record_.received);
+    record_.longest_pause = timing_.longest_pause();
+    record_.punctuality = PunctualityOf(first_event, plan_.route->latency_objective,
+                                        record_.longest_pause, plan_.route->pause_objective);
+  }
+
   net::awaitable<bool> Forward(std::string events) {
     OnPrefilled();
     const bool started = co_await BeginResponse();
@@ -511,6 +534,7 @@
   InboundRequest inbound_;
   ExchangePlan plan_;
   EventRelay relay_;
+  StreamTiming timing_;
   RetryDecisionInput retry_input_;
   Attempt attempt_;
   std::optional<BackendLoad> load_;
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -13,6 +13,7 @@
 #include "gateway/backend_permit.h"
 #include "gateway/inbound_request.h"
 #include "gateway/request_fingerprint.h"
+#include "performance/stream_timing.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -55,6 +56,8 @@
   TimePoint received{};
   Duration deferred{0};  ///< time spent waiting for capacity
   std::optional<TimePoint> first_event;
+  std::optional<StreamPunctuality> punctuality;  ///< of a stream with a first event
+  Duration longest_pause{0};                     ///< between its events
   std::uint32_t attempts = 0;
   // The estimates behind the last placement.
   PollRecord poll;
@@ -65,6 +68,7 @@
   std::uint32_t known_tokens = 0;        ///< of these, tokens expected in the engine's cache
   std::uint64_t shared_parts = 0;        ///< hash of the shared parts; 0: none
   std::uint32_t running_at_backend = 0;  ///< requests of all gateways on that backend server
+  std::optional<double> slowness;        ///< of that engine, see BackendChoice
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
   std::optional<NoticeRecord> backend_notice;  ///< none if no notice is known here
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -33,6 +33,7 @@
   state_.directory().MarkActive(backend_);
   backend_->unprefilled_tokens += unprefilled_tokens_;
   if (unrepeatable_) ++backend_->unrepeatable;
+  if (state_.UsesPerformance(plan.service)) group_ = plan.group;
   state_.NotifyLoadChanged();
   if (!plan.chain) return;
   waiting_entry_ = backend_->waiting_since.insert(Clock::now());
@@ -52,6 +53,9 @@
   // A wait that includes a fetch does not measure prefill.
   if (!fetches_) {
     const double tokens = queued_tokens_ + unprefilled_tokens_;
+    if (group_ && unprefilled_tokens_ >= PerformanceMeter::kMinPrefillTokens) {
+      state_.RecordFirstEventWait(*backend_, *group_, tokens, waited);
+    }
     state_.prefill_rate_estimator(backend_->entry.service).Record(tokens, waited);
   }
   EndPrefill();
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -71,6 +71,39 @@
   return "no_answer";
 }
 
+std::string_view NameOf(StreamPunctuality punctuality) {
+  switch (punctuality) {
+    case StreamPunctuality::kOnTime:
+      return "no";
+    case StreamPunctuality::kLateFirstEvent:
+      return "first_event";
+    case StreamPunctuality::kLatePause:
+      return "pause";
+  }
+  return "unknown";
+}
+
+std::string_view StreamEndOf(StreamPunctuality punctuality) {
+  switch (punctuality) {
+    case StreamPunctuality::kOnTime:
+      return "on_time";
+    case StreamPunctuality::kLateFirstEvent:
+      return "late_first_event";
+    case StreamPunctuality::kLatePause:
+      return "late_pause";
+  }
+  return "unknown";
+}
+
+/// Streams that broke off or lost their caller are not counted: their later events are not known.
+void AppendStream(Metrics& metrics, const RequestRecord& record, LogFields& fields) {
+  fields.push_back({"longest_pause_ms", MillisecondsText(record.longest_pause)});
+  fields.push_back({"late", std::string(NameOf(*record.punctuality))});
+  if (record.code != ResultCode::kOk) return;
+  const std::string end(StreamEndOf(*record.punctuality));
+  metrics.GetCounter("ridgehold_streams", "end=\"" + end + "\"").Add();
+}
+
 void AppendQuota(Metrics& metrics, const RequestRecord& record, LogFields& fields) {
   const std::string verdict(NameOf(record.quota->verdict));
   metrics.GetCounter("ridgehold_quota_requests", "verdict=\"" + verdict + "\"").Add();
@@ -166,6 +199,8 @@
   if (record.first_event) {
     fields.push_back({"first_event_ms", MillisecondsText(*record.first_event - record.received)});
   }
+  if (record.punctuality) AppendStream(metrics, record, fields);
+  if (record.slowness) fields.push_back({"slowness", fmt::format("{:.2f}", *record.slowness)});
   if (record.shared_parts != 0) {
     fields.push_back({"shared_parts", fmt::format("{:x}", record.shared_parts)});
     fields.push_back({"shared", std::to_string(record.shared_tokens)});
