Result code 2011, wait_too_long

Cause: a request that would wait for longer than its caller does needs a code of its own. overloaded (2001) says that an instance has no room, and numbers never change their meaning.

Change: 2011, 503, not run, retry later.

Measured: the test that compares the code with docs/RESULT-CODES.md.

--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -47,6 +47,7 @@
   kNotStartedInTime = 2007,
   kOverQuota = 2008,
   kQuotaUnknown = 2009,
+  kWaitTooLong = 2011,
   // 3xxx: errors of, or on the way to, backend servers.
   kNoBackend = 3001,
   kBackendRefused = 3002,
--- a/libs/base/src/result_code.cc
+++ b/libs/base/src/result_code.cc
@@ -50,6 +50,8 @@
      "The workspace has used its quota; Retry-After tells when this request fits."},
     {ResultCode::kQuotaUnknown, "quota_unknown", 503, kNotRun, kLater,
      "No instance that keeps count of the workspace's quota can be reached."},
+    {ResultCode::kWaitTooLong, "wait_too_long", 503, kNotRun, kLater,
+     "The request would wait for a backend server for longer than its caller does."},
     {ResultCode::kNoBackend, "no_backend", 503, kNotRun, kLater,
      "No live backend server can take the request."},
     {ResultCode::kBackendRefused, "backend_refused", 503, kNotRun, kLater,
