Order requests by urgency and workspace shares where objectives differ

Cause: admission holds all requests to one limit on an engine's prefill work, so patient prompts fill the engines to the limit of the urgent ones, at every gateway.

Load questions name the workspace, answers carry the tokens seen of it; requests over their share wait behind the others and have half of the limits. Elsewhere ExchangePlan::order is empty and nothing changes.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -181,6 +181,7 @@
     limits.quota_tolerance.granted_fraction = tuning.quota_tolerance_fraction;
     limits.backend_limits.used_fraction = tuning.limit_tolerance_fraction;
     limits.admission = tuning.admission;
+    limits.priority = tuning.priority;
     limits.strict_pause = std::chrono::milliseconds(tuning.strict_pause_ms);
     limits.poison = tuning.poison;
     limits.response_timeout_objectives = tuning.call_timeout_objectives;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -9,6 +9,7 @@
 #include "gateway/backend_prober.h"
 #include "gateway/placement.h"
 #include "gateway/poison_detector.h"
+#include "priority/urgency.h"
 
 namespace ridgehold {
 
@@ -22,6 +23,7 @@
   AdmissionOptions admission;
   /// See GatewayLimits::strict_pause.
   std::uint32_t strict_pause_ms = 0;
+  PriorityOptions priority;
   PoisonOptions poison;
   BackendProber::Options probing;
   /// Whether running requests are aborted for a weights load only while the retry budget allows.
--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/gateway_state.h"
 #include "gateway/request_log.h"
+#include "gateway/request_ordering.h"
 
 namespace ridgehold {
 namespace {
@@ -25,6 +26,31 @@
           {"error_rate", backend.error_rate}};
 }
 
+/// The shares of the configuration's workspaces that are known here, and the waiting requests.
+json DescribePriority(const GatewayState& state, TimePoint now) {
+  const WorkspaceShares& shares = state.priority().shares;
+  json workspaces = json::array();
+  for (const WorkspaceRule& workspace :
+       state.snapshot() ? state.snapshot()->workspaces() : std::span<const WorkspaceRule>()) {
+    const WorkspaceHash hash = WorkspaceHashOf(workspace.id);
+    const auto share = shares.ShareOf(hash, now);
+    if (!share) continue;
+    workspaces.push_back({{"workspace", workspace.id.value()},
+                          {"share", *share},
+                          {"over_share", shares.IsOverShare(hash, now)}});
+  }
+  json waiting = json::object();
+  for (const auto& [service, forecast] : state.priority().forecasts) {
+    waiting[service.value()] = {{"urgent", forecast.Waiting(Urgency::kUrgent)},
+                                {"patient", forecast.Waiting(Urgency::kPatient)}};
+  }
+  return {{"workspaces", workspaces},
+          {"fair_share", shares.fair_level() ? json(*shares.fair_level()) : json()},
+          {"capacity", shares.CapacityFraction(now)},
+          {"waiting", waiting},
+          {"refused_lately", state.priority().refusals.size()}};
+}
+
 }  // namespace
 
 std::string DumpState(GatewayState& state, const InstanceStatus& status, TimePoint now) {
@@ -42,6 +68,7 @@
                      {"rollout_held", status.holds_rollout},
                      {"in_flight", state.in_flight()},
                      {"connections", status.connections},
+                     {"priority", DescribePriority(state, now)},
                      {"settings", status.settings},
                      {"backends", backends}};
   return dump.dump(2, ' ', false, json::error_handler_t::replace);
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -24,6 +24,13 @@
   return fits ? "" : text + " is not a non-negative number";
 }
 
+/// A factor below one would also apply to services whose objectives are all equal.
+std::string CheckRatio(const std::string& text) {
+  double value = 0;
+  const bool fits = CLI::detail::lexical_cast(text, value) && (value == 0 || value >= 1);
+  return fits ? "" : text + " is neither 0 nor at least 1";
+}
+
 }  // namespace
 
 TuningOptions TuningOptions::Create(CLI::App& app, EntryTuning& tuning) {
@@ -101,6 +108,11 @@
       "Maximum queueing time of a request, in latency objectives");
   Add("streams.strict-pause", tuning.strict_pause_ms,
       "Longest pause objective in ms for which streams are kept apart from prefill; 0: none");
+  Add("priority.enabled", tuning.priority.enabled,
+      "Order requests by urgency and by the shares of their workspaces");
+  Add("priority.min-objective-ratio", tuning.priority.min_objective_ratio,
+      "Order requests where the latency objectives of a service differ by this factor; 0: nowhere");
+  app_.get_option("--priority.min-objective-ratio")->check(CheckRatio);
   Add("poison.most-ends", tuning.poison.max_crashes,
       "Backend servers that crash while running a request before it is quarantined; 0: never");
   AddFraction("quota.tolerance-part", tuning.quota_tolerance_fraction,
--- a/libs/entry/test/state_dump-test.cc
+++ b/libs/entry/test/state_dump-test.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gateway/gateway_state.h"
+#include "gateway/request_ordering.h"
 
 using namespace ridgehold;
 
@@ -25,4 +26,21 @@
   BOOST_TEST(dump["backends"][0]["started"].get<int>() == 17);
 }
 
+BOOST_AUTO_TEST_CASE(shares_of_workspaces_are_dumped) {
+  net::io_context io;
+  Metrics metrics;
+  GatewayState state(io.get_executor(), ZoneId("a"), GatewayLimits{}, PlacementCosts{}, metrics);
+  RoutingConfig parts;
+  parts.version = ConfigVersion(1);
+  parts.workspaces = {{.id = WorkspaceId("seen")}, {.id = WorkspaceId("unseen")}};
+  state.TakeSnapshot(*RoutingSnapshot::Create(std::move(parts)));
+  const TimePoint now = Clock::now();
+  state.priority().shares.RecordSample(WorkspaceHashOf(WorkspaceId("seen")), 1, {1, 4}, now);
+  const auto dump = nlohmann::json::parse(DumpState(state, InstanceStatus(), now));
+  const auto& workspaces = dump["priority"]["workspaces"];
+  BOOST_REQUIRE(workspaces.size() == 1U);
+  BOOST_TEST(workspaces[0]["workspace"].get<std::string>() == "seen");
+  BOOST_TEST(workspaces[0]["share"].get<double>() == 0.25);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/entry/test/tuning_options-test.cc
+++ b/libs/entry/test/tuning_options-test.cc
@@ -73,9 +73,11 @@
 BOOST_AUTO_TEST_CASE(invalid_values_are_reported_with_their_lines) {
   const std::string text =
       "[placement]\nolder-weights = abc\nother-zone = -1\ndoubtful-part = 1.5\n"
-      "[rollout]\nengines-for-each-load = 0\nspare-retries = perhaps\n";
-  for (const char* error : {":2: older-weights", ":3: other-zone", ":4: doubtful-part",
-                            ":6: engines-for-each-load", ":7: spare-retries"}) {
+      "[rollout]\nengines-for-each-load = 0\nspare-retries = perhaps\n"
+      "[priority]\nmin-objective-ratio = 0.5\n";
+  for (const char* error :
+       {":2: older-weights", ":3: other-zone", ":4: doubtful-part", ":6: engines-for-each-load",
+        ":7: spare-retries", ":9: min-objective-ratio"}) {
     Fixture().ExpectRejected(text, error);
   }
 }
--- a/libs/gateway/include/gateway/backend_search.h
+++ b/libs/gateway/include/gateway/backend_search.h
@@ -62,7 +62,6 @@
   bool MayRetry(DeferredRequests::Ticket& ticket, const std::optional<BackendChoice>& choice) const;
   bool MaySend(const BackendChoice& choice) const;
   bool HasCapacitySoon() const;
-  Admission AdmissionOptions() const { return Admission{state_.limits().admission}; }
 
   GatewayState& state_;
   Request request_;
--- a/libs/gateway/include/gateway/deferred_requests.h
+++ b/libs/gateway/include/gateway/deferred_requests.h
@@ -12,7 +12,8 @@
 
 namespace ridgehold {
 
-/// Ordered by whether the request can still meet its objective, then by priority, then by arrival.
+/// Ordered by whether the request can still meet its objective, then by whether its workspace is
+/// within its share, then by priority, then by arrival.
 /// Runs on one executor; must outlive its tickets.
 class DeferredRequests {
  public:
@@ -27,6 +28,7 @@
   /// Sort key; smaller is served first.
   struct Position {
     bool late = false;
+    bool over_share = false;
     int priority = 0;
     std::uint64_t number = 0;
 
@@ -36,7 +38,7 @@
   /// Holds a position in the queue while it lives.
   class Ticket {
    public:
-    Ticket(DeferredRequests& queue, int priority);
+    Ticket(DeferredRequests& queue, int priority, bool over_share = false);
     ~Ticket();
 
     Ticket(const Ticket&) = delete;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -18,6 +18,7 @@
 #include "gateway/exchange_plan.h"
 #include "gateway/gateway_state.h"
 #include "gateway/request_log.h"
+#include "gateway/request_ordering.h"
 #include "gateway/wire_format.h"
 #include "net/wait.h"
 
@@ -79,6 +80,11 @@
       co_await Refuse(std::move(*failure), kDefaultRetryAfter);
       co_return;
     }
+    const auto wait_before_retry = RefuseOnArrival(state_, plan_, inbound_, record_, Clock::now());
+    if (wait_before_retry) {
+      co_await RefuseWith(ResultCode::kWaitTooLong, *wait_before_retry);
+      co_return;
+    }
     state_.retries().RecordRequest(plan_.service, Clock::now());
     caller_->WatchCaller([self = this->shared_from_this()] { self->OnCallerGone(); });
     if (plan_.quota) {
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -19,6 +19,7 @@
 #include "gateway/placement_scope.h"
 #include "gateway/request_log.h"
 #include "groups/request_group.h"
+#include "priority/urgency.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -38,6 +39,8 @@
   std::optional<PromptChain> chain;
   /// Set for generation requests where GatewayState::HasStrictPauses().
   std::optional<RequestGroup> group;
+  /// Set where requests are ordered by urgency, see OrderOf().
+  std::optional<RequestOrder> order;
   std::optional<QuotaDemand> quota;  ///< how much of its workspace's quota the request uses
   bool avoid_rate_limited = false;   ///< excludes backend servers with a rate limit
 };
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -32,6 +32,8 @@
 #include "gateway/zone_topology.h"
 #include "metrics/metrics.h"
 #include "net/connection_pool.h"
+#include "priority/priority_state.h"
+#include "priority/urgency.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -57,6 +59,7 @@
   PoisonOptions poison;
   /// Longest pause objective that counts as strict, see HasStrictPauses(); zero: none.
   std::chrono::milliseconds strict_pause{0};
+  PriorityOptions priority;
   /// Minimum remaining time for another attempt.
   std::chrono::milliseconds min_attempt_time{30};
 };
@@ -179,6 +182,9 @@
 
   DeferredRequests& deferred_requests() { return deferred_requests_; }
 
+  PriorityState& priority() { return priority_; }
+  const PriorityState& priority() const { return priority_; }
+
   /// Number of live gateways, including this one.
   std::uint32_t gateways() const { return gateways_; }
   void SetGateways(std::uint32_t gateways, TimePoint now) {
@@ -199,6 +205,10 @@
   /// its routes is strict, and gateways query each other.
   bool HasStrictPauses(const ServiceId& service) const;
 
+  /// Whether the service's requests are ordered by urgency and workspace shares: its objectives
+  /// differ enough, and gateways query each other.
+  bool OrdersRequests(const ServiceId& service) const;
+
   /// Queries peers and applies their reports. Requires queries_peers().
   net::awaitable<LoadAnswer> QueryLoads(LoadQuestion question);
 
@@ -323,6 +333,7 @@
   QueuedAttempts queued_attempts_;
   UnansweredAttempts unanswered_attempts_;
   DeferredRequests deferred_requests_;
+  PriorityState priority_;
   std::uint32_t gateways_ = 1;
   double reporting_gateways_ = 0;
   GossipItems pending_updates_;
--- a/libs/gateway/include/gateway/load_report.h
+++ b/libs/gateway/include/gateway/load_report.h
@@ -11,6 +11,7 @@
 #include "gateway/engine_cache.h"
 #include "gateway/inbound_request.h"
 #include "gateway/transfer_links.h"
+#include "priority/workspace_shares.h"
 
 namespace ridgehold {
 
@@ -28,6 +29,8 @@
   WeightsNumber weights;            ///< weights under which the store's parts were computed
   std::optional<StoreQuery> store;  ///< none: nothing is fetched from a store
   BackendPtr home;                  ///< its tracker reports who holds the parts; null: none
+  WorkspaceHash workspace = 0;      ///< whose share of the load is asked for; 0: none
+  double workspace_weight = 1;      ///< of that workspace; not sent
 };
 
 /// The state of a backend server, reported by the gateway that tracks it.
@@ -60,6 +63,7 @@
   std::optional<StoreReport> store;
   std::vector<BackendHash> holders;  ///< engines estimated to have all parts
   std::vector<PrefixSample> samples;
+  std::vector<WorkspaceSample> workspace_samples;
 
   /// Null if it was not queried or did not answer.
   const BackendReport* Find(const Backend& backend) const {
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -13,6 +13,7 @@
 #include "gateway/backend_permit.h"
 #include "gateway/inbound_request.h"
 #include "gateway/request_fingerprint.h"
+#include "priority/urgency.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -53,7 +54,9 @@
   RequestFingerprint fingerprint;  ///< zero if the request was refused before its route was known
   BackendId backend;               ///< of the last attempt
   TimePoint received{};
-  Duration deferred{0};  ///< time spent waiting for capacity
+  Duration deferred{0};               ///< time spent waiting for capacity
+  std::optional<RequestOrder> order;  ///< none: requests of the service are not ordered
+  Duration forecast{0};               ///< of the wait for capacity, on arrival
   std::optional<TimePoint> first_event;
   std::uint32_t attempts = 0;
   // The estimates behind the last placement.
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -145,6 +145,9 @@
   const std::vector<RouteRule>& routes() const { return parts_.routes; }
   std::span<const WorkspaceRule> workspaces() const { return parts_.workspaces; }
   bool has_workspaces() const { return !parts_.workspaces.empty(); }
+  /// The workspace's weight in shares of the load: the rate of its quota, or 1 if any workspace has
+  /// no quota or quotas have different units.
+  double ShareWeightOf(const WorkspaceRule& workspace) const;
   /// Whether any workspace has a quota.
   bool has_quotas() const { return has_quotas_; }
 
@@ -167,6 +170,7 @@
   std::unordered_map<std::string, std::size_t> routes_;
   std::unordered_map<std::string, std::size_t> keys_;
   bool has_quotas_ = false;
+  bool comparable_quotas_ = true;  ///< all workspaces have a quota, in the same unit
   std::unordered_map<ServiceId, std::size_t> services_;
   std::unordered_map<ServiceId, StreamObjectives> stream_objectives_;
 };
--- a/libs/gateway/src/backend_search.cc
+++ b/libs/gateway/src/backend_search.cc
@@ -4,16 +4,22 @@
 
 #include "gateway/backend_permit.h"
 #include "gateway/polled_choice.h"
+#include "gateway/request_ordering.h"
 #include "net/wait.h"
 
 namespace ridgehold {
 
 net::awaitable<std::optional<BackendChoice>> BackendSearch::Find(bool stream_begun) {
   stream_begun_ = stream_begun;
+  const bool first_attempt = request_.record.attempts == 0;
+  if (first_attempt) RecordArrival(state_, request_.plan, request_.inbound, Clock::now());
   std::optional<BackendChoice> choice;
   Outcome outcome = co_await TryOnce(choice);
   if (outcome == Outcome::kWait) outcome = co_await WaitForCapacity(choice);
   if (outcome == Outcome::kNone) choice.reset();
+  if (choice && first_attempt) {
+    RecordAdmission(state_, request_.plan, request_.inbound, request_.record, Clock::now());
+  }
   co_return choice;
 }
 
@@ -35,7 +41,15 @@
 
 net::awaitable<BackendSearch::Outcome> BackendSearch::WaitForCapacity(
     std::optional<BackendChoice>& choice) {
-  DeferredRequests::Ticket ticket(state_.deferred_requests(), request_.plan.priority.value_or(0));
+  const ExchangePlan& plan = request_.plan;
+  const bool is_ordered = plan.order && !stream_begun_;
+  DeferredRequests::Ticket ticket(state_.deferred_requests(), plan.priority.value_or(0),
+                                  is_ordered && plan.order->over_share);
+  std::optional<WaitForecast::Ticket> forecast_ticket;
+  if (is_ordered) {
+    WaitForecast& forecast = state_.priority().forecasts[plan.service];
+    forecast_ticket.emplace(forecast, *plan.order, plan.received);
+  }
   Timer timer(state_.executor());
   const TimePoint began = Clock::now();
   const auto pause = state_.queries_peers() ? DeferredRequests::kPeerPollInterval
@@ -76,13 +90,12 @@
   if (!choice) return ticket.MayPoll() || !HasCapacitySoon();
   const AdmissionQuery place = AdmissionQueryFor(request_.plan, *choice, Clock::now());
   if (!Admission::MeetsObjective(place)) ticket.MarkLate();
-  return ticket.MayPoll() || AdmissionOptions().WaitExpired(place);
+  return ticket.MayPoll() || AdmissionFor(state_, request_.plan).WaitExpired(place);
 }
 
 bool BackendSearch::MaySend(const BackendChoice& choice) const {
   if (!request_.plan.chain || stream_begun_) return true;
-  const AdmissionQuery query = AdmissionQueryFor(request_.plan, choice, Clock::now());
-  return AdmissionOptions().MaySend(query);
+  return IsAdmitted(state_, request_.plan, choice, Clock::now());
 }
 
 std::optional<TimePoint> BackendSearch::NextCapacity() const {
--- a/libs/gateway/src/deferred_requests.cc
+++ b/libs/gateway/src/deferred_requests.cc
@@ -5,8 +5,8 @@
 
 namespace ridgehold {
 
-DeferredRequests::Ticket::Ticket(DeferredRequests& queue, int priority)
-    : queue_(queue), position_{false, priority, ++queue.last_number_} {
+DeferredRequests::Ticket::Ticket(DeferredRequests& queue, int priority, bool over_share)
+    : queue_(queue), position_{false, over_share, priority, ++queue.last_number_} {
   queue_.positions_.insert(position_);
 }
 
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cstdint>
 
+#include "gateway/request_ordering.h"
+
 namespace ridgehold {
 namespace {
 
@@ -177,6 +179,7 @@
       plan.group = Classify(plan.chain->prompt_tokens, state.TokensPerMs(plan.service),
                             plan.snapshot->ShortestPause(plan.service));
     }
+    plan.order = OrderOf(state, plan, now);
   }
   return plan;
 }
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -25,6 +25,12 @@
   return pause.count() > 0 && pause <= limits_.strict_pause;
 }
 
+bool GatewayState::OrdersRequests(const ServiceId& service) const {
+  if (!queries_peers() || !snapshot_) return false;
+  return ridgehold::OrdersRequests(limits_.priority, snapshot_->ShortestObjective(service),
+                                   snapshot_->LongestObjective(service));
+}
+
 GossipItems GatewayState::TakePendingUpdates(std::size_t max_placements) {
   GossipItems taken;
   std::swap(taken.holds, pending_updates_.holds);
@@ -122,6 +128,9 @@
     if (asked.parts.empty()) break;
     sampled_shares_.Record(asked.parts.front().hash, sample.tokens, sample.total, now);
   }
+  for (const WorkspaceSample& sample : answer.workspace_samples) {
+    priority_.shares.RecordSample(asked.workspace, asked.workspace_weight, sample, now);
+  }
   co_return answer;
 }
 
--- a/libs/gateway/src/polled_choice.cc
+++ b/libs/gateway/src/polled_choice.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "gateway/request_ordering.h"
+
 namespace ridgehold {
 namespace {
 
@@ -31,6 +33,10 @@
   if (query.chain == nullptr) return question;
   question.model = query.model;
   question.weights = query.newest_weights.value_or(WeightsNumber());
+  if (plan.order && plan.workspace != nullptr) {
+    question.workspace = WorkspaceHashOf(plan);
+    question.workspace_weight = plan.snapshot->ShareWeightOf(*plan.workspace);
+  }
   if (query.chain->shared_tokens < kMinFetchTokens) return question;
   question.parts = query.chain->parts;
   if (const KvCacheStore* store = KvStoreForPrompt(state, plan)) {
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -83,6 +83,12 @@
   fields.push_back({"quota_fits_in_ms", MillisecondsText(record.quota->retry_after)});
 }
 
+void AppendOrder(const RequestRecord& record, LogFields& fields) {
+  fields.push_back({"urgency", std::string(ToString(record.order->urgency))});
+  fields.push_back({"over_share", record.order->over_share ? "yes" : "no"});
+  fields.push_back({"forecast_ms", MillisecondsText(record.forecast)});
+}
+
 void AppendOlderWeights(GatewayState& state, const OlderWeightsUse& use, LogFields& fields) {
   fields.push_back({"weights", std::to_string(use.weights.value())});
   fields.push_back({"newer", std::to_string(use.newer.value())});
@@ -176,6 +182,7 @@
     metrics.GetSummary("ridgehold_deferred_seconds")
         .Observe(std::chrono::duration<double>(record.deferred).count());
   }
+  if (record.order) AppendOrder(record, fields);
   if (record.quota) AppendQuota(metrics, record, fields);
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -30,7 +30,10 @@
   for (std::size_t i = 0; i < parts_.services.size(); ++i) services_[parts_.services[i].id] = i;
   for (std::size_t i = 0; i < parts_.workspaces.size(); ++i) {
     for (const std::string& key : parts_.workspaces[i].keys) keys_[key] = i;
-    has_quotas_ = has_quotas_ || parts_.workspaces[i].quota.has_value();
+    const auto& quota = parts_.workspaces[i].quota;
+    has_quotas_ = has_quotas_ || quota.has_value();
+    comparable_quotas_ = comparable_quotas_ && quota && quota->rate > 0 &&
+                         quota->unit == parts_.workspaces.front().quota->unit;
   }
   for (std::size_t i = 0; i < parts_.routes.size(); ++i) {
     const RouteRule& route = parts_.routes[i];
@@ -91,6 +94,10 @@
   return ObjectivesOf(service).shortest_pause;
 }
 
+double RoutingSnapshot::ShareWeightOf(const WorkspaceRule& workspace) const {
+  return comparable_quotas_ && workspace.quota ? static_cast<double>(workspace.quota->rate) : 1;
+}
+
 void RoutingSnapshot::IndexObjectives(const RouteRule& route) {
   if (route.kind != RouteKind::kStream) return;
   const auto lower = [](std::chrono::milliseconds& shortest, std::chrono::milliseconds objective) {
--- a/libs/gateway/test/admission-test.cc
+++ b/libs/gateway/test/admission-test.cc
@@ -109,4 +109,17 @@
   BOOST_TEST(queue.size() == 2U);
 }
 
+// Requests of a workspace that sends several times its load would otherwise be first by number.
+BOOST_AUTO_TEST_CASE(request_over_its_share_waits_behind_all_that_are_not_late) {
+  DeferredRequests queue;
+  DeferredRequests::Ticket over_share(queue, 0, true);
+  std::vector<std::unique_ptr<DeferredRequests::Ticket>> others;
+  for (std::size_t i = 0; i < DeferredRequests::kMaxPolling; ++i) {
+    others.push_back(std::make_unique<DeferredRequests::Ticket>(queue, 9));
+  }
+  BOOST_TEST(!over_share.MayPoll());
+  others.back()->MarkLate();
+  BOOST_TEST(over_share.MayPoll());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/peers/include/peers/load_messages.h
+++ b/libs/peers/include/peers/load_messages.h
@@ -29,6 +29,7 @@
   std::optional<LinkHash> store;
   bool wants_namings = false;
   bool wants_holders = false;
+  WorkspaceHash workspace = 0;
 };
 
 /// The answer to a LoadQuestionMessage.
@@ -39,6 +40,7 @@
   std::optional<StoreReport> store;
   std::vector<BackendHash> holders;
   PrefixSample sample;
+  WorkspaceSample workspace_sample;
   std::vector<AnnouncementUpdate> namings;
 };
 
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -142,6 +142,7 @@
   if (question.stores_size() > 0) decoded.store = question.stores(0);
   decoded.wants_namings = question.wants_namings();
   decoded.wants_holders = question.wants_holders();
+  decoded.workspace = question.workspace();
   return decoded;
 }
 
@@ -158,6 +159,7 @@
     decoded.store = StoreReport{entry.store(), entry.readable_tokens(), Duration(entry.link_us())};
   }
   decoded.sample = {answer.beginning_tokens(), answer.all_tokens()};
+  decoded.workspace_sample = {answer.workspace_tokens(), answer.workspace_total()};
   decoded.holders.assign(answer.holders().begin(), answer.holders().end());
   decoded.namings = DecodeNamings(message);
   return decoded;
@@ -217,6 +219,7 @@
   if (question.store) body.add_stores(*question.store);
   body.set_wants_namings(question.wants_namings);
   body.set_wants_holders(question.wants_holders);
+  body.set_workspace(question.workspace);
   return message.SerializeAsString();
 }
 
@@ -235,6 +238,8 @@
   for (const BackendHash holder : answer.holders) body.add_holders(holder);
   body.set_beginning_tokens(static_cast<float>(answer.sample.tokens));
   body.set_all_tokens(static_cast<float>(answer.sample.total));
+  body.set_workspace_tokens(static_cast<float>(answer.workspace_sample.tokens));
+  body.set_workspace_total(static_cast<float>(answer.workspace_sample.total));
   EncodeNamings(answer.namings, message);
   return message.SerializeAsString();
 }
@@ -276,7 +281,13 @@
                 "not a gateway message: parse error or sender missing");
   }
   if (message.has_question()) return PeerMessage(DecodeQuestion(message));
-  if (message.has_answer()) return PeerMessage(DecodeAnswer(message));
+  if (message.has_answer()) {
+    LoadAnswerMessage answer = DecodeAnswer(message);
+    if (!answer.workspace_sample.IsValid()) {
+      return Fail(ResultCode::kMalformedPeerMessage, "a load answer with impossible shares");
+    }
+    return PeerMessage(std::move(answer));
+  }
   if (message.has_poison()) return PeerMessage(DecodePoisonNews(message.poison()));
   if (message.words_size() > 0) return PeerMessage(DecodeWords(message));
   if (auto quota = DecodeQuota(message)) return PeerMessage(std::move(*quota));
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -1,6 +1,7 @@
 #include <rapidcheck/boost_test.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 #include "peers/load_messages.h"
 #include "peers/news_codec.h"
@@ -146,6 +147,7 @@
   question.weights = WeightsNumber(3);
   question.store = 9;
   question.wants_namings = true;
+  question.workspace = *rc::gen::arbitrary<std::uint64_t>();
   const auto read = DecodePeerMessage(Encode(question));
   RC_ASSERT(read.has_value());
   RC_ASSERT(Encode(std::get<LoadQuestionMessage>(*read)) == Encode(question));
@@ -158,12 +160,28 @@
   }
   answer.store = StoreReport{9, 100, 3ms};
   answer.namings = {{kModel, WeightsNumber(5), 7ms}};
+  answer.workspace_sample = {3, 7};
   const auto answered = DecodePeerMessage(Encode(answer));
   RC_ASSERT(answered.has_value());
   RC_ASSERT(Encode(std::get<LoadAnswerMessage>(*answered)) == Encode(answer));
   RC_ASSERT(FailureOf([&] { return DecodeNews(Encode(answer)); }).has_value());
 }
 
+// A share above one, or one that is not a number, would mark workspaces as over their shares.
+BOOST_AUTO_TEST_CASE(answer_with_impossible_shares_is_rejected) {
+  LoadAnswerMessage answer;
+  answer.daemon = DaemonId("d");
+  answer.workspace_sample = {7, 7};
+  BOOST_TEST(DecodePeerMessage(Encode(answer)).has_value());
+  for (const WorkspaceSample sample :
+       {WorkspaceSample{8, 7}, {-1, 7}, {1, std::numeric_limits<double>::quiet_NaN()}}) {
+    answer.workspace_sample = sample;
+    const auto failure = FailureOf([&] { return DecodePeerMessage(Encode(answer)); });
+    BOOST_REQUIRE(failure.has_value());
+    BOOST_TEST((failure->code == ResultCode::kMalformedPeerMessage));
+  }
+}
+
 RC_BOOST_PROP(any_bytes_are_decoded_or_rejected, (const std::string& bytes)) {
   FailureOf([&] { return DecodeNews(bytes); });
   FailureOf([&] { return DecodePeerMessage(bytes); });
