--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -10,6 +10,7 @@
 #include "gateway/placement.h"
 #include "gateway/poison_detector.h"
 #include "performance/performance_options.h"
+#include "priority/urgency.h"
 
 namespace ridgehold {
 
@@ -24,6 +25,7 @@
   /// See GatewayLimits::strict_pause.
   std::uint32_t strict_pause_ms = 0;
   PerformanceOptions performance;
+  PriorityOptions priority;
   PoisonOptions poison;
   BackendProber::Options probing;
   /// Whether running requests are aborted for a weights load only while the retry budget allows.
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -35,6 +35,8 @@
 #include "performance/pending_performance.h"
 #include "performance/performance_meter.h"
 #include "performance/performance_options.h"
+#include "priority/priority_state.h"
+#include "priority/urgency.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -61,6 +63,7 @@
   /// Longest pause objective that counts as strict, see HasStrictPauses(); zero: none.
   std::chrono::milliseconds strict_pause{0};
   PerformanceOptions performance;
+  PriorityOptions priority;
   /// Minimum remaining time for another attempt.
   std::chrono::milliseconds min_attempt_time{30};
 };
@@ -183,6 +186,9 @@
 
   DeferredRequests& deferred_requests() { return deferred_requests_; }
 
+  PriorityState& priority() { return priority_; }
+  const PriorityState& priority() const { return priority_; }
+
   /// Number of live gateways, including this one.
   std::uint32_t gateways() const { return gateways_; }
   void SetGateways(std::uint32_t gateways, TimePoint now) {
@@ -214,6 +220,9 @@
   /// Records that a first event came `waited` after its request was sent to an engine with `tokens`
   /// left to prefill. Requires UsesPerformance().
   void RecordFirstEventWait(Backend& backend, RequestGroup group, double tokens, Duration waited);
+  /// Whether the service's requests are ordered by urgency and workspace shares: its objectives
+  /// differ enough, and gateways query each other.
+  bool OrdersRequests(const ServiceId& service) const;
 
   /// Queries peers and applies their reports. Requires queries_peers().
   net::awaitable<LoadAnswer> QueryLoads(LoadQuestion question);
@@ -343,6 +352,7 @@
   QueuedAttempts queued_attempts_;
   UnansweredAttempts unanswered_attempts_;
   DeferredRequests deferred_requests_;
+  PriorityState priority_;
   std::uint32_t gateways_ = 1;
   double reporting_gateways_ = 0;
   GossipItems pending_updates_;
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -14,6 +14,7 @@
 #include "gateway/inbound_request.h"
 #include "gateway/request_fingerprint.h"
 #include "performance/stream_timing.h"
+#include "priority/urgency.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -54,7 +55,9 @@
   RequestFingerprint fingerprint;  ///< zero if the request was refused before its route was known
   BackendId backend;               ///< of the last attempt
   TimePoint received{};
-  Duration deferred{0};  ///< time spent waiting for capacity
+  Duration deferred{0};               ///< time spent waiting for capacity
+  std::optional<RequestOrder> order;  ///< none: requests of the service are not ordered
+  Duration forecast{0};               ///< of the wait for capacity, on arrival
   std::optional<TimePoint> first_event;
   std::optional<StreamPunctuality> punctuality;  ///< of a stream with a first event
   Duration longest_pause{0};                     ///< between its events
