Gateway: interactive and bulk requests are placed on different engines

Each request with a pause objective updates the group of its service and is polled in its part of the engines: short prompts at members of the interactive group, long ones at the others. An interactive request leaves the group when all polled members are busy; a bulk request only when no other engine may take it. Load queries name the service, and answers carry the answering gateway's own demand; impossible values are dropped as malformed. The request log has group and left_group.

--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -57,6 +57,8 @@
   bool probing = false;     ///< a probe is in flight
   bool superseded = false;  ///< another incarnation has registered at its address
   bool active = false;      ///< listed in BackendDirectory::Active()
+  /// Member of its service's interactive group, see UpdateEngineGroup().
+  bool in_interactive_group = false;
 
   std::uint32_t in_flight = 0;     ///< requests of this gateway
   std::uint32_t unrepeatable = 0;  ///< of these, requests that cannot be resumed elsewhere
@@ -144,6 +146,13 @@
   /// if there are no others.
   std::vector<BackendPtr> Usable(const ServiceId& service, TimePoint now) const;
 
+  /// All registered backend servers of `service`, in the order of their ids.
+  std::span<const BackendPtr> OfService(const ServiceId& service) const;
+  /// Increases with each registration that is added, changed or dropped.
+  std::uint64_t version() const { return version_; }
+  /// Whether requests are withheld from the backend server, see Withhold().
+  bool IsWithheld(const Backend& backend) const;
+
   /// Lists the backend server in Active(), because this gateway has requests there or probes it.
   void MarkActive(const BackendPtr& backend);
   /// Has the backend server probed, because it may be unreachable.
@@ -180,8 +189,6 @@
   /// Bounds `starts_`, which rejects registrations that arrive late, and `saved_notices_`.
   static constexpr std::size_t kMaxRememberedStarts = 20'000;
 
-  /// Whether requests are withheld from the backend server, see Withhold().
-  bool IsWithheld(const Backend& backend) const;
   Registration Classify(const BackendEntry& entry) const;
   /// Applies a registration that Classify did not find stale, without superseding others.
   void Store(const BackendEntry& entry, Registration registration);
@@ -200,6 +207,7 @@
   std::unordered_multimap<std::string, BackendPtr> by_address_;
   /// In the order of their ids.
   std::unordered_map<ServiceId, std::vector<BackendPtr>> by_service_;
+  std::uint64_t version_ = 0;
   std::vector<BackendPtr> active_;
   std::set<BackendId> in_grace_;  ///< some may have returned or have been removed since
   std::unordered_map<BackendHash, BackendPtr> by_hash_;
--- a/libs/gateway/include/gateway/backend_load.h
+++ b/libs/gateway/include/gateway/backend_load.h
@@ -30,6 +30,7 @@
 
  private:
   void EndPrefill();
+  void CountDemand(const ExchangePlan& plan);
 
   GatewayState& state_;
   BackendPtr backend_;
@@ -38,6 +39,8 @@
   double unprefilled_tokens_ = 0;
   std::optional<std::multiset<TimePoint>::iterator> waiting_entry_;
   bool unrepeatable_ = false;
+  GroupDemand* demand_ = nullptr;  ///< null: the engines are not divided into groups
+  RequestGroup group_ = RequestGroup::kInteractive;
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -30,6 +30,7 @@
 #include "gateway/unanswered_attempts.h"
 #include "gateway/weights_history.h"
 #include "gateway/zone_topology.h"
+#include "groups/service_groups.h"
 #include "metrics/metrics.h"
 #include "net/connection_pool.h"
 #include "quota/quota_client.h"
@@ -57,12 +58,17 @@
   PoisonOptions poison;
   /// Longest pause objective that counts as strict, see HasStrictPauses(); zero: none.
   std::chrono::milliseconds strict_pause{0};
+  /// Whether short prompts with streams get engines of their own, see EngineGroupsOf().
+  bool groups_enabled = true;
   /// Minimum remaining time for another attempt.
   std::chrono::milliseconds min_attempt_time{30};
 };
 
 static_assert(SlidingRetryBudget::kMaxConnectDelay >= ConnectionPool::Options{}.connect_timeout);
 
+/// Identifies a service in messages between gateways.
+std::uint64_t HashOf(const ServiceId& service);
+
 /// Runs on one executor; not thread-safe. Must outlive all exchanges, which share its ownership if
 /// it is owned by a shared pointer.
 class GatewayState : public std::enable_shared_from_this<GatewayState> {
@@ -199,6 +205,14 @@
   /// its routes is strict, and gateways query each other.
   bool HasStrictPauses(const ServiceId& service) const;
 
+  /// The engine groups of a service with strict pauses; null if engines are not divided into
+  /// groups.
+  ServiceGroups* EngineGroupsOf(const ServiceId& service);
+  const std::map<ServiceId, ServiceGroups>& engine_groups() const { return engine_groups_; }
+  /// This gateway's own demand for the engines of the service with this hash, see HashOf(); nothing
+  /// if its engines are not divided into groups.
+  std::optional<DemandSample> OwnDemandFor(std::uint64_t service, TimePoint now);
+
   /// Queries peers and applies their reports. Requires queries_peers().
   net::awaitable<LoadAnswer> QueryLoads(LoadQuestion question);
 
@@ -315,6 +329,7 @@
   TransferLinks links_;
   std::unordered_map<LinkHash, EngineCache> store_contents_;  ///< by store
   std::map<ServiceId, PrefillRateEstimator> prefill_rate_estimators_;
+  std::map<ServiceId, ServiceGroups> engine_groups_;
   PromptSizes prompt_sizes_;
   WeightsHistory named_weights_;
   PoisonGuard poison_;
--- a/libs/gateway/include/gateway/load_report.h
+++ b/libs/gateway/include/gateway/load_report.h
@@ -11,6 +11,7 @@
 #include "gateway/engine_cache.h"
 #include "gateway/inbound_request.h"
 #include "gateway/transfer_links.h"
+#include "groups/group_demand.h"
 
 namespace ridgehold {
 
@@ -28,6 +29,7 @@
   WeightsNumber weights;            ///< weights under which the store's parts were computed
   std::optional<StoreQuery> store;  ///< none: nothing is fetched from a store
   BackendPtr home;                  ///< its tracker reports who holds the parts; null: none
+  ServiceId service;                ///< asks for the demand for its engines; empty: none
 };
 
 /// The state of a backend server, reported by the gateway that tracks it.
@@ -60,6 +62,7 @@
   std::optional<StoreReport> store;
   std::vector<BackendHash> holders;  ///< engines estimated to have all parts
   std::vector<PrefixSample> samples;
+  std::vector<DemandSample> demands;  ///< of the answering gateways, for the service
 
   /// Null if it was not queried or did not answer.
   const BackendReport* Find(const Backend& backend) const {
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -13,6 +13,7 @@
 #include "gateway/backend_permit.h"
 #include "gateway/inbound_request.h"
 #include "gateway/request_fingerprint.h"
+#include "groups/request_group.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -34,6 +35,8 @@
   std::uint32_t asked = 0;     ///< backend servers queried
   std::uint32_t answered = 0;  ///< of these, answered in time by the gateways that track them
   Duration took{0};
+  std::optional<RequestGroup> group;  ///< nothing: the engines were not divided into groups
+  bool left_group = false;            ///< placed on an engine of the other group
 };
 
 /// What the backend server had requested of this gateway, in its notices, when an attempt was sent.
--- a/libs/gateway/include/gateway/shortlist.h
+++ b/libs/gateway/include/gateway/shortlist.h
@@ -10,6 +10,7 @@
 
 #include "base/ids.h"
 #include "gateway/placement.h"
+#include "groups/request_group.h"
 
 namespace ridgehold {
 
@@ -23,6 +24,9 @@
   RingSegment segment;            ///< engines responsible for the prompt's first part
   std::uint64_t random_seed = 0;  ///< differs for each request
   TimePoint now{};
+  /// How the request is placed; nothing if the engines are not divided into groups. A request that
+  /// finds no candidate in its group uses any.
+  std::optional<RequestGroup> group;
 };
 
 /// How many candidates of each kind are polled. A query costs one datagram each way, so the numbers
@@ -36,6 +40,7 @@
   std::size_t subset_size = 6;
   std::size_t subset_sample = 3;  ///< of these, polled for each request
   std::size_t extension = 4;      ///< of any zone, if all of the first ones are busy
+  std::size_t members = 3;        ///< random members of the interactive group
 };
 
 /// The first `count` candidates in the order of rendezvous hashing for the prompt. Weights are
@@ -50,7 +55,11 @@
                                   std::span<const BackendPtr> candidates,
                                   const ShortlistSizes& sizes = {});
 
-/// More random candidates of any zone, without those in `polled`. Pure.
+/// Whether the backend server is in the part of the engines that requests of the group are placed
+/// on; true if they are not divided.
+bool IsOfGroup(const std::optional<RequestGroup>& group, const Backend& backend);
+
+/// More random candidates of any zone and of the request's group, without those in `polled`. Pure.
 std::vector<BackendPtr> ExtendShortlist(const ShortlistQuery& query,
                                         std::span<const BackendPtr> candidates,
                                         std::span<const BackendPtr> polled,
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -74,6 +74,7 @@
 }
 
 void BackendDirectory::AddToIndexes(const BackendPtr& backend) {
+  ++version_;
   by_hash_[HashOf(*backend)] = backend;
   by_address_.emplace(backend->entry.address, backend);
   std::vector<BackendPtr>& service = by_service_[backend->entry.service];
@@ -81,6 +82,7 @@
 }
 
 void BackendDirectory::RemoveFromIndexes(const BackendPtr& backend) {
+  ++version_;
   by_hash_.erase(HashOf(*backend));
   const auto [first, last] = by_address_.equal_range(backend->entry.address);
   const auto entry =
@@ -207,6 +209,12 @@
   return others.empty() ? usable : others;
 }
 
+std::span<const BackendPtr> BackendDirectory::OfService(const ServiceId& service) const {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return {};
+  return found->second;
+}
+
 void BackendDirectory::MarkActive(const BackendPtr& backend) {
   if (!std::exchange(backend->active, true)) active_.push_back(backend);
 }
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -34,6 +34,7 @@
   backend_->unprefilled_tokens += unprefilled_tokens_;
   if (unrepeatable_) ++backend_->unrepeatable;
   state_.NotifyLoadChanged();
+  CountDemand(plan);
   if (!plan.chain) return;
   waiting_entry_ = backend_->waiting_since.insert(Clock::now());
   state.PublishPlacement(PlacementUpdateOf(plan, request, choice));
@@ -41,6 +42,7 @@
 
 BackendLoad::~BackendLoad() {
   EndPrefill();
+  if (demand_ != nullptr) demand_->OnEnd(group_, Clock::now());
   --backend_->in_flight;
   if (unrepeatable_) --backend_->unrepeatable;
   state_.NotifyLoadChanged();
@@ -59,6 +61,14 @@
   state_.NotifyLoadChanged();
 }
 
+void BackendLoad::CountDemand(const ExchangePlan& plan) {
+  ServiceGroups* groups = plan.group ? state_.EngineGroupsOf(plan.service) : nullptr;
+  if (groups == nullptr) return;
+  demand_ = &groups->own_demand;
+  group_ = *plan.group;
+  demand_->OnStart(group_, unprefilled_tokens_, Clock::now());
+}
+
 void BackendLoad::EndPrefill() {
   backend_->unprefilled_tokens -= std::exchange(unprefilled_tokens_, 0);
   if (waiting_entry_) backend_->waiting_since.erase(*waiting_entry_);
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -1,5 +1,8 @@
 #include "gateway/gateway_state.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <functional>
 #include <iterator>
@@ -7,6 +10,10 @@
 
 namespace ridgehold {
 
+std::uint64_t HashOf(const ServiceId& service) {
+  return XXH3_64bits(service.value().data(), service.value().size());
+}
+
 PrefillRateEstimator& GatewayState::prefill_rate_estimator(const ServiceId& service) {
   return prefill_rate_estimators_.try_emplace(service, placement_weights_.prefill_tokens_per_ms)
       .first->second;
@@ -25,6 +32,21 @@
   return pause.count() > 0 && pause <= limits_.strict_pause;
 }
 
+ServiceGroups* GatewayState::EngineGroupsOf(const ServiceId& service) {
+  if (!limits_.groups_enabled || !HasStrictPauses(service)) return nullptr;
+  return &engine_groups_[service];
+}
+
+std::optional<DemandSample> GatewayState::OwnDemandFor(std::uint64_t service, TimePoint now) {
+  if (service == 0 || !snapshot_) return std::nullopt;
+  for (const ServiceRule& rule : snapshot_->services()) {
+    if (HashOf(rule.id) != service) continue;
+    const ServiceGroups* groups = EngineGroupsOf(rule.id);
+    return groups != nullptr ? std::optional(groups->own_demand.Sample(now)) : std::nullopt;
+  }
+  return std::nullopt;
+}
+
 GossipItems GatewayState::TakePendingUpdates(std::size_t max_placements) {
   GossipItems taken;
   std::swap(taken.holds, pending_updates_.holds);
@@ -122,6 +144,9 @@
     if (asked.parts.empty()) break;
     sampled_shares_.Record(asked.parts.front().hash, sample.tokens, sample.total, now);
   }
+  if (ServiceGroups* groups = EngineGroupsOf(asked.service)) {
+    for (const DemandSample& demand : answer.demands) groups->peer_demand.Record(demand, now);
+  }
   co_return answer;
 }
 
--- a/libs/gateway/src/polled_choice.cc
+++ b/libs/gateway/src/polled_choice.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "gateway/engine_grouping.h"
+
 namespace ridgehold {
 namespace {
 
@@ -14,6 +16,7 @@
   query.gateway = state.gateway_hash();
   query.random_seed = state.gateway_hash() + state.NextSequence();
   query.now = now;
+  query.group = PlacementGroupOf(state, plan, now);
   if (!request.generation) return query;
   query.chain = &*plan.chain;
   query.model = request.generation->model;
@@ -29,6 +32,7 @@
   LoadQuestion question;
   question.backends = std::move(backends);
   if (query.chain == nullptr) return question;
+  if (plan.group && state.limits().groups_enabled) question.service = plan.service;
   question.model = query.model;
   question.weights = query.newest_weights.value_or(WeightsNumber());
   if (query.chain->shared_tokens < kMinFetchTokens) return question;
@@ -50,6 +54,7 @@
         tried_(tried),
         candidates_(std::move(candidates)),
         query_(QueryFor(state, plan, request, Clock::now())) {
+    group_ = query_.group;
     if (HasLongPrefix()) home_ = HomeOfPrompt();
   }
 
@@ -58,10 +63,16 @@
     co_await Poll(std::move(first), true);
     std::vector<BackendPtr> follow_up = FollowUpCandidates();
     if (!follow_up.empty()) co_await Poll(std::move(follow_up), false);
+    if (MayLeaveGroup()) {
+      query_.group.reset();
+      follow_up = FollowUpCandidates();
+      if (!follow_up.empty()) co_await Poll(std::move(follow_up), false);
+    }
     if (choice_) choice_->home = home_;
   }
 
   std::optional<BackendChoice>& choice() { return choice_; }
+  const std::optional<RequestGroup>& group() const { return group_; }
   std::uint32_t asked() const { return static_cast<std::uint32_t>(polled_.size()); }
   std::uint32_t answered() const { return static_cast<std::uint32_t>(answer_.backends.size()); }
 
@@ -99,7 +110,8 @@
         HasLongPrefix() && choice_->known_tokens + kMinFetchTokens < query_.chain->shared_tokens;
     for (const BackendHash hash : answer_.holders) {
       const BackendPtr holder = state_.directory().FindByHash(hash);
-      if (lacks_prefix && MayTake(holder) && !IsPolled(holder)) follow_up.push_back(holder);
+      const bool may_take = MayTake(holder) && IsOfGroup(query_.group, *holder);
+      if (lacks_prefix && may_take && !IsPolled(holder)) follow_up.push_back(holder);
     }
     if (!IsBusy(*choice_, query_.chain == nullptr)) return follow_up;
     std::vector<BackendPtr> polled = polled_;
@@ -109,6 +121,12 @@
     return follow_up;
   }
 
+  /// Whether the request may be placed outside its group, because all members polled are busy. Bulk
+  /// requests may not: each of them would delay many streams.
+  bool MayLeaveGroup() const {
+    return query_.group == RequestGroup::kInteractive && IsBusy(*choice_, false);
+  }
+
   /// The candidates of any scope.
   std::vector<BackendPtr> AllCandidates() const {
     if (candidates_.scope == PlacementScope::kAll) return candidates_.backends;
@@ -131,6 +149,7 @@
   const std::set<BackendId>& tried_;
   ScopedCandidates candidates_;
   ShortlistQuery query_;
+  std::optional<RequestGroup> group_;
   BackendPtr home_;
   std::vector<BackendPtr> polled_;  ///< candidates polled so far
   LoadAnswer answer_;
@@ -149,6 +168,8 @@
   CandidatePoll candidate_poll(state, plan, request, tried, std::move(candidates));
   co_await candidate_poll.Run();
   result.choice = std::move(candidate_poll.choice());
+  result.poll.group = candidate_poll.group();
+  result.poll.left_group = result.choice && !IsOfGroup(result.poll.group, *result.choice->backend);
   result.poll.asked = candidate_poll.asked();
   result.poll.answered = candidate_poll.answered();
   result.poll.took = std::chrono::duration_cast<Duration>(Clock::now() - start);
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -160,6 +160,11 @@
     fields.push_back({"asked", std::to_string(record.poll.asked)});
     fields.push_back({"answered", std::to_string(record.poll.answered)});
     fields.push_back({"asking_ms", MillisecondsText(record.poll.took)});
+    if (record.poll.group) {
+      const bool bulk = record.poll.group == RequestGroup::kBulk;
+      fields.push_back({"group", bulk ? "bulk" : "interactive"});
+      fields.push_back({"left_group", record.poll.left_group ? "yes" : "no"});
+    }
     metrics.GetSummary("ridgehold_asking_seconds")
         .Observe(std::chrono::duration<double>(record.poll.took).count());
   }
--- a/libs/gateway/src/shortlist.cc
+++ b/libs/gateway/src/shortlist.cc
@@ -95,6 +95,24 @@
   return query.chain != nullptr && query.chain->shared_tokens >= kMinFetchTokens;
 }
 
+/// The candidates of the request's group; all of them if it has none.
+Backends OfGroup(const ShortlistQuery& query, Backends candidates) {
+  if (!query.group) return candidates;
+  Backends own =
+      Filter(candidates, [&](const Backend& backend) { return IsOfGroup(query.group, backend); });
+  return own.empty() ? candidates : own;
+}
+
+/// The interactive group is small and its prompts are short, so that spreading the load evenly
+/// matters more than cached parts. Members of other zones are added if the own zone has too few.
+Backends ForInteractive(const ShortlistQuery& query, std::span<const BackendPtr> members,
+                        const ShortlistSizes& sizes) {
+  Backends list = Sample(query.random_seed, OfZone(query.own_zone, members), sizes.members);
+  if (list.size() >= sizes.members) return list;
+  Append(list, Sample(query.random_seed, Excluding(members, list), sizes.members - list.size()));
+  return list;
+}
+
 Backends ForLongPrefix(const ShortlistQuery& query, std::span<const BackendPtr> healthy,
                        const ShortlistSizes& sizes) {
   const Backends loaded = Filter(healthy, [&](const Backend& backend) {
@@ -143,10 +161,18 @@
   });
 }
 
+bool IsOfGroup(const std::optional<RequestGroup>& group, const Backend& backend) {
+  return !group || backend.in_interactive_group == (*group == RequestGroup::kInteractive);
+}
+
 std::vector<BackendPtr> Shortlist(const ShortlistQuery& query,
                                   std::span<const BackendPtr> candidates,
                                   const ShortlistSizes& sizes) {
-  const Backends healthy = Healthy(query, candidates);
+  const Backends healthy = OfGroup(query, Healthy(query, candidates));
+  const bool interactive = query.group == RequestGroup::kInteractive;
+  if (interactive && !healthy.empty() && IsOfGroup(query.group, *healthy.front())) {
+    return ForInteractive(query, healthy, sizes);
+  }
   return HasLongPrefix(query) ? ForLongPrefix(query, healthy, sizes)
                               : ForSubset(query, healthy, sizes);
 }
@@ -155,7 +181,7 @@
                                         std::span<const BackendPtr> candidates,
                                         std::span<const BackendPtr> polled,
                                         const ShortlistSizes& sizes) {
-  const Backends others = Excluding(Healthy(query, candidates), polled);
+  const Backends others = Excluding(OfGroup(query, Healthy(query, candidates)), polled);
   return Sample(Hash(query.random_seed, kExtensionSalt), others, sizes.extension);
 }
 
--- a/libs/gateway/test/polled_choice-test.cc
+++ b/libs/gateway/test/polled_choice-test.cc
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 
+#include "gateway/engine_grouping.h"
 #include "gateway/gateway_state.h"
 
 using namespace ridgehold;
@@ -40,6 +41,7 @@
   route.is_public = true;
   route.timeout = 4s;
   route.latency_objective = 600ms;
+  route.pause_objective = 600ms;
   route.targets = {{kService, 1}};
   parts.routes.push_back(route);
   return parts;
@@ -246,4 +248,29 @@
   BOOST_TEST(!chosen);
 }
 
+// The failure: all members of the interactive group are busy. The stream must not wait behind them,
+// while a long prompt keeps away from them even then.
+BOOST_AUTO_TEST_CASE(only_interactive_requests_leave_a_busy_group) {
+  SetTrackersAnswer(true);
+  GatewayState& state = *gateways[0];
+  GatewayLimits limits;
+  limits.strict_pause = 600ms;
+  state.SetLimits(limits);
+  const InboundRequest request = RequestAbout(1);
+  ExchangePlan plan = *PlanExchange(state, request, Clock::now());
+  BOOST_REQUIRE((plan.group == RequestGroup::kBulk));
+  ServiceGroups& groups = *state.EngineGroupsOf(kService);
+  groups.peer_demand.Record({1, 1'000, 100'000}, Clock::now());
+  UpdateEngineGroup(state, groups, plan, Clock::now());
+  for (const BackendPtr& backend : state.directory().Usable(kService, Clock::now())) {
+    const bool loaded = backend->in_interactive_group;
+    engines[HashOf(*backend)].queued_tokens = loaded ? 0 : 200 * kTokensPerMs;
+  }
+  BOOST_TEST(!Choose(state, plan, request).backend->in_interactive_group);
+  for (auto& [hash, engine] : engines)
+    engine.queued_tokens = 200 * kTokensPerMs - engine.queued_tokens;
+  plan.group = RequestGroup::kInteractive;
+  BOOST_TEST(!Choose(state, plan, request).backend->in_interactive_group);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/test/shortlist-test.cc
+++ b/libs/gateway/test/shortlist-test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck/boost_test.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <set>
@@ -200,4 +201,40 @@
   }));
 }
 
+// The pattern: short prompts with streams beside long prompts whose prefill delays them.
+BOOST_AUTO_TEST_CASE(requests_are_polled_in_their_group) {
+  for (int i = 0; i < 24; ++i) engines[static_cast<std::size_t>(i)]->in_interactive_group = true;
+  const auto all_members = [](const std::vector<BackendPtr>& list) {
+    return std::ranges::all_of(list,
+                               [](const BackendPtr& one) { return one->in_interactive_group; });
+  };
+  const auto any_member = [](const std::vector<BackendPtr>& list) {
+    return std::ranges::any_of(list,
+                               [](const BackendPtr& one) { return one->in_interactive_group; });
+  };
+  for (query.random_seed = 0; query.random_seed < 50; ++query.random_seed) {
+    SetPrompt(6'300, query.random_seed);
+    query.group = RequestGroup::kBulk;
+    const auto bulk = Shortlist(query, engines);
+    BOOST_TEST(!any_member(bulk));
+    BOOST_TEST(!any_member(ExtendShortlist(query, engines, bulk)));
+    query.group = RequestGroup::kInteractive;
+    const auto first = Shortlist(query, engines);
+    BOOST_TEST(first.size() == sizes.members);
+    BOOST_TEST((all_members(first) && first.front()->entry.zone == query.own_zone));
+    const auto more = ExtendShortlist(query, engines, first);
+    BOOST_TEST(more.size() == sizes.extension);
+    BOOST_TEST(all_members(more));
+  }
+}
+
+// The failure: no engine of a request's group may take it. It must not wait for one.
+BOOST_AUTO_TEST_CASE(any_engine_is_polled_if_the_group_has_no_candidate) {
+  query.group = RequestGroup::kInteractive;
+  BOOST_TEST(Shortlist(query, engines).size() == sizes.homes + sizes.random_picks);
+  for (const BackendPtr& engine : engines) engine->in_interactive_group = true;
+  query.group = RequestGroup::kBulk;
+  BOOST_TEST(Shortlist(query, engines).size() == sizes.homes + sizes.random_picks);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/peers/include/peers/load_messages.h
+++ b/libs/peers/include/peers/load_messages.h
@@ -29,6 +29,7 @@
   std::optional<LinkHash> store;
   bool wants_namings = false;
   bool wants_holders = false;
+  std::uint64_t service = 0;  ///< hash of the service whose demand is wanted; 0: none
 };
 
 /// The answer to a LoadQuestionMessage.
@@ -39,6 +40,7 @@
   std::optional<StoreReport> store;
   std::vector<BackendHash> holders;
   PrefixSample sample;
+  std::optional<DemandSample> demand;  ///< the sender's own
   std::vector<AnnouncementUpdate> namings;
 };
 
--- a/libs/peers/src/load_query_service.cc
+++ b/libs/peers/src/load_query_service.cc
@@ -54,6 +54,7 @@
       part.message.parts = question.parts;
       part.message.model = question.model;
       part.message.weights = question.weights;
+      if (!question.service.value().empty()) part.message.service = HashOf(question.service);
       part.message.wants_namings = state_.named_weights().has_assumed_times();
     }
     return &part.message;
@@ -100,6 +101,7 @@
     answer.store = state_.ReportOn(StoreQuery{*question.store, ZoneId()}, asked, now);
   }
   if (!question.parts.empty()) answer.sample = state_.SampleOf(question.parts.front().hash);
+  if (question.daemon != options_.self) answer.demand = state_.OwnDemandFor(question.service, now);
   if (question.wants_holders) answer.holders = state_.HoldersOf(question.parts, now);
   if (question.wants_namings) answer.namings = RecentNamings(state_.named_weights(), now);
   return answer;
@@ -120,6 +122,7 @@
   for (const BackendReport& report : message.backends) answer.backends[report.backend] = report;
   if (message.store) answer.store = message.store;
   answer.samples.push_back(message.sample);
+  if (message.demand) answer.demands.push_back(*message.demand);
   answer.holders.insert(answer.holders.end(), message.holders.begin(), message.holders.end());
 }
 
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -142,9 +142,14 @@
   if (question.stores_size() > 0) decoded.store = question.stores(0);
   decoded.wants_namings = question.wants_namings();
   decoded.wants_holders = question.wants_holders();
+  decoded.service = question.service();
   return decoded;
 }
 
+DemandSample DecodeDemand(const wire::LoadAnswer& answer) {
+  return {answer.interactive_running(), answer.interactive_rate(), answer.bulk_rate()};
+}
+
 LoadAnswerMessage DecodeAnswer(const wire::GatewayNews& message) {
   const wire::LoadAnswer& answer = message.answer();
   LoadAnswerMessage decoded;
@@ -158,6 +163,7 @@
     decoded.store = StoreReport{entry.store(), entry.readable_tokens(), Duration(entry.link_us())};
   }
   decoded.sample = {answer.beginning_tokens(), answer.all_tokens()};
+  if (answer.has_demand()) decoded.demand = DecodeDemand(answer);
   decoded.holders.assign(answer.holders().begin(), answer.holders().end());
   decoded.namings = DecodeNamings(message);
   return decoded;
@@ -217,6 +223,7 @@
   if (question.store) body.add_stores(*question.store);
   body.set_wants_namings(question.wants_namings);
   body.set_wants_holders(question.wants_holders);
+  body.set_service(question.service);
   return message.SerializeAsString();
 }
 
@@ -235,6 +242,12 @@
   for (const BackendHash holder : answer.holders) body.add_holders(holder);
   body.set_beginning_tokens(static_cast<float>(answer.sample.tokens));
   body.set_all_tokens(static_cast<float>(answer.sample.total));
+  if (answer.demand) {
+    body.set_has_demand(true);
+    body.set_interactive_running(static_cast<float>(answer.demand->interactive_running));
+    body.set_interactive_rate(static_cast<float>(answer.demand->interactive_rate));
+    body.set_bulk_rate(static_cast<float>(answer.demand->bulk_rate));
+  }
   EncodeNamings(answer.namings, message);
   return message.SerializeAsString();
 }
@@ -275,6 +288,9 @@
     return Fail(ResultCode::kMalformedPeerMessage,
                 "not a gateway message: parse error or sender missing");
   }
+  if (message.answer().has_demand() && !IsPlausible(DecodeDemand(message.answer()))) {
+    return Fail(ResultCode::kMalformedPeerMessage, "demand out of range");
+  }
   if (message.has_question()) return PeerMessage(DecodeQuestion(message));
   if (message.has_answer()) return PeerMessage(DecodeAnswer(message));
   if (message.has_poison()) return PeerMessage(DecodePoisonNews(message.poison()));
--- a/libs/peers/test/load_query_service-test.cc
+++ b/libs/peers/test/load_query_service-test.cc
@@ -92,4 +92,31 @@
   BOOST_TEST(IsAnswered(kOwnZone));
 }
 
+// The pattern: a gateway sizes the engine groups by the demand of others, which it must not count
+// twice, and which a gateway without groups does not know.
+BOOST_AUTO_TEST_CASE(answer_has_the_demand_for_the_service_if_its_engines_are_divided) {
+  RoutingConfig parts;
+  parts.version = ConfigVersion(1);
+  parts.services.push_back({ServiceId("s")});
+  RouteRule route;
+  route.kind = RouteKind::kStream;
+  route.pause_objective = 200ms;
+  route.targets = {{ServiceId("s"), 1}};
+  parts.routes.push_back(route);
+  state.TakeSnapshot(*RoutingSnapshot::Create(parts));
+  state.SetLoadAsker([](LoadQuestion) -> net::awaitable<LoadAnswer> { co_return LoadAnswer(); });
+  LoadQuestionMessage question;
+  question.daemon = DaemonId("other");
+  question.service = HashOf(ServiceId("s"));
+  BOOST_TEST(!service.Answer(question, Clock::now()).demand.has_value());
+  GatewayLimits limits;
+  limits.strict_pause = 300ms;
+  state.SetLimits(limits);
+  const TimePoint now = Clock::now();
+  state.EngineGroupsOf(ServiceId("s"))->own_demand.OnStart(RequestGroup::kBulk, 3'000, now);
+  BOOST_TEST(service.Answer(question, now).demand->bulk_rate > 500);
+  question.daemon = DaemonId("self");
+  BOOST_TEST(!service.Answer(question, now).demand.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -146,6 +146,7 @@
   question.weights = WeightsNumber(3);
   question.store = 9;
   question.wants_namings = true;
+  question.service = 8;
   const auto read = DecodePeerMessage(Encode(question));
   RC_ASSERT(read.has_value());
   RC_ASSERT(Encode(std::get<LoadQuestionMessage>(*read)) == Encode(question));
@@ -158,12 +159,24 @@
   }
   answer.store = StoreReport{9, 100, 3ms};
   answer.namings = {{kModel, WeightsNumber(5), 7ms}};
+  answer.demand = DemandSample{2.5, 100, 0};
   const auto answered = DecodePeerMessage(Encode(answer));
   RC_ASSERT(answered.has_value());
   RC_ASSERT(Encode(std::get<LoadAnswerMessage>(*answered)) == Encode(answer));
   RC_ASSERT(FailureOf([&] { return DecodeNews(Encode(answer)); }).has_value());
 }
 
+// A number that no fleet reaches would outweigh the samples of all other gateways.
+BOOST_AUTO_TEST_CASE(answer_with_an_impossible_demand_is_dropped) {
+  LoadAnswerMessage answer;
+  answer.daemon = DaemonId("d");
+  for (const double rate : {-1.0, 1e30}) {
+    answer.demand = DemandSample{0, rate, 0};
+    BOOST_TEST((FailureOf([&] { return DecodePeerMessage(Encode(answer)); })->code ==
+                ResultCode::kMalformedPeerMessage));
+  }
+}
+
 RC_BOOST_PROP(any_bytes_are_decoded_or_rejected, (const std::string& bytes)) {
   FailureOf([&] { return DecodeNews(bytes); });
   FailureOf([&] { return DecodePeerMessage(bytes); });
