--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -26,6 +26,7 @@
 #include "entry/store_copy_server.h"
 #include "gateway/backend_prober.h"
 #include "gateway/caller_server.h"
+#include "gateway/engine_grouping.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
 #include "net/wait.h"
@@ -182,6 +183,7 @@
     limits.backend_limits.used_fraction = tuning.limit_tolerance_fraction;
     limits.admission = tuning.admission;
     limits.strict_pause = std::chrono::milliseconds(tuning.strict_pause_ms);
+    limits.groups_enabled = tuning.groups_enabled;
     limits.poison = tuning.poison;
     limits.response_timeout_objectives = tuning.call_timeout_objectives;
     limits.stream_timeout_objectives = tuning.stream_timeout_objectives;
@@ -377,6 +379,7 @@
     metrics.SetGauge(
         "ridgehold_engines_on_older_weights", "",
         static_cast<double>(OutdatedEngines(state_.directory(), state_.named_weights()).size()));
+    UpdateGroupGauges(state_);
   }
 
   std::string Dump() const {
--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -11,12 +11,14 @@
 
 using nlohmann::json;
 
-json Describe(const Backend& backend) {
+json Describe(GatewayState& state, const Backend& backend) {
+  const bool has_groups = state.EngineGroupsOf(backend.entry.service) != nullptr;
   return {{"id", backend.entry.id.value()},
           {"started", backend.entry.started.value()},
           {"service", backend.entry.service.value()},
           {"address", backend.entry.address},
           {"zone", backend.entry.zone.value()},
+          {"in_interactive_group", has_groups && backend.in_interactive_group},
           {"draining", backend.entry.draining},
           {"missing", backend.grace_until.has_value()},
           {"in_flight", backend.in_flight},
@@ -25,11 +27,26 @@
           {"error_rate", backend.error_rate}};
 }
 
+json DescribeGroups(GatewayState& state) {
+  json groups = json::array();
+  for (const auto& [service, group] : state.engine_groups()) {
+    if (state.EngineGroupsOf(service) == nullptr) continue;
+    groups.push_back({{"service", service.value()},
+                      {"size", group.sizer.size()},
+                      {"demand",
+                       {{"interactive_running", group.fleet_demand.interactive_running},
+                        {"interactive_rate", group.fleet_demand.interactive_rate},
+                        {"bulk_rate", group.fleet_demand.bulk_rate}}}});
+  }
+  return groups;
+}
+
 }  // namespace
 
 std::string DumpState(GatewayState& state, const InstanceStatus& status, TimePoint now) {
   json backends = json::array();
-  for (const auto& [id, backend] : state.directory().all()) backends.push_back(Describe(*backend));
+  for (const auto& [id, backend] : state.directory().all())
+    backends.push_back(Describe(state, *backend));
   const auto age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - state.confirmed_at());
   const json dump = {{"daemon", status.daemon.value()},
@@ -43,6 +60,7 @@
                      {"in_flight", state.in_flight()},
                      {"connections", status.connections},
                      {"settings", status.settings},
+                     {"engine_groups", DescribeGroups(state)},
                      {"backends", backends}};
   return dump.dump(2, ' ', false, json::error_handler_t::replace);
 }
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -101,6 +101,8 @@
       "Maximum queueing time of a request, in latency objectives");
   Add("streams.strict-pause", tuning.strict_pause_ms,
       "Longest pause objective in ms for which streams are kept apart from prefill; 0: none");
+  Add("groups.enabled", tuning.groups_enabled,
+      "Keep short prompts and prompts that delay streams on different engines");
   Add("poison.most-ends", tuning.poison.max_crashes,
       "Backend servers that crash while running a request before it is quarantined; 0: never");
   AddFraction("quota.tolerance-part", tuning.quota_tolerance_fraction,
