--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -26,6 +26,8 @@
   std::uint32_t strict_pause_ms = 0;
   PerformanceOptions performance;
   PriorityOptions priority;
+  /// See GatewayLimits::groups_enabled.
+  bool groups_enabled = true;
   PoisonOptions poison;
   BackendProber::Options probing;
   /// Whether running requests are aborted for a weights load only while the retry budget allows.
--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -12,12 +12,14 @@
 
 using nlohmann::json;
 
-json Describe(const Backend& backend, TimePoint now) {
+json Describe(GatewayState& state, const Backend& backend, TimePoint now) {
+  const bool has_groups = state.EngineGroupsOf(backend.entry.service) != nullptr;
   return {{"id", backend.entry.id.value()},
           {"started", backend.entry.started.value()},
           {"service", backend.entry.service.value()},
           {"address", backend.entry.address},
           {"zone", backend.entry.zone.value()},
+          {"in_interactive_group", has_groups && backend.in_interactive_group},
           {"draining", backend.entry.draining},
           {"missing", backend.grace_until.has_value()},
           {"in_flight", backend.in_flight},
@@ -54,12 +56,26 @@
           {"refused_lately", state.priority().refusals.size()}};
 }
 
+json DescribeGroups(GatewayState& state) {
+  json groups = json::array();
+  for (const auto& [service, group] : state.engine_groups()) {
+    if (state.EngineGroupsOf(service) == nullptr) continue;
+    groups.push_back({{"service", service.value()},
+                      {"size", group.sizer.size()},
+                      {"demand",
+                       {{"interactive_running", group.fleet_demand.interactive_running},
+                        {"interactive_rate", group.fleet_demand.interactive_rate},
+                        {"bulk_rate", group.fleet_demand.bulk_rate}}}});
+  }
+  return groups;
+}
+
 }  // namespace
 
 std::string DumpState(GatewayState& state, const InstanceStatus& status, TimePoint now) {
   json backends = json::array();
   for (const auto& [id, backend] : state.directory().all()) {
-    backends.push_back(Describe(*backend, now));
+    backends.push_back(Describe(state, *backend, now));
   }
   const auto age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - state.confirmed_at());
@@ -75,6 +91,7 @@
                      {"connections", status.connections},
                      {"priority", DescribePriority(state, now)},
                      {"settings", status.settings},
+                     {"engine_groups", DescribeGroups(state)},
                      {"backends", backends}};
   return dump.dump(2, ' ', false, json::error_handler_t::replace);
 }
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -117,6 +117,8 @@
   Add("priority.min-objective-ratio", tuning.priority.min_objective_ratio,
       "Order requests where the latency objectives of a service differ by this factor; 0: nowhere");
   app_.get_option("--priority.min-objective-ratio")->check(CheckRatio);
+  Add("groups.enabled", tuning.groups_enabled,
+      "Keep short prompts and prompts that delay streams on different engines");
   Add("poison.most-ends", tuning.poison.max_crashes,
       "Backend servers that crash while running a request before it is quarantined; 0: never");
   AddFraction("quota.tolerance-part", tuning.quota_tolerance_fraction,
--- a/libs/gateway/include/gateway/backend_load.h
+++ b/libs/gateway/include/gateway/backend_load.h
@@ -30,15 +30,17 @@
 
  private:
   void EndPrefill();
+  void CountDemand(const ExchangePlan& plan);
 
   GatewayState& state_;
   BackendPtr backend_;
-  std::optional<RequestGroup> group_;  ///< none if the speed of engines is not learned
+  std::optional<RequestGroup> group_;  ///< see ExchangePlan::group
   double queued_tokens_ = 0;
   bool fetches_ = false;
   double unprefilled_tokens_ = 0;
   std::optional<std::multiset<TimePoint>::iterator> waiting_entry_;
   bool unrepeatable_ = false;
+  GroupDemand* demand_ = nullptr;  ///< null: the engines are not divided into groups
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/load_report.h
+++ b/libs/gateway/include/gateway/load_report.h
@@ -11,6 +11,7 @@
 #include "gateway/engine_cache.h"
 #include "gateway/inbound_request.h"
 #include "gateway/transfer_links.h"
+#include "groups/group_demand.h"
 #include "performance/performance_update.h"
 #include "priority/workspace_shares.h"
 
@@ -32,6 +33,7 @@
   BackendPtr home;                  ///< its tracker reports who holds the parts; null: none
   WorkspaceHash workspace = 0;      ///< whose share of the load is asked for; 0: none
   double workspace_weight = 1;      ///< of that workspace; not sent
+  ServiceId service;                ///< asks for the demand for its engines; empty: none
 };
 
 /// The state of a backend server, reported by the gateway that tracks it.
@@ -66,6 +68,7 @@
   std::vector<BackendHash> holders;  ///< engines estimated to have all parts
   std::vector<PrefixSample> samples;
   std::vector<WorkspaceSample> workspace_samples;
+  std::vector<DemandSample> demands;  ///< of the answering gateways, for the service
 
   /// Null if it was not queried or did not answer.
   const BackendReport* Find(const Backend& backend) const {
--- a/libs/gateway/include/gateway/request_ordering.h
+++ b/libs/gateway/include/gateway/request_ordering.h
@@ -39,7 +39,7 @@
                      const RequestRecord& record, TimePoint now);
 
 /// Whether the backend server belongs to the engine group for short prompts.
-GroupMembership GroupMembershipOf(const GatewayState& state, const Backend& backend);
+GroupMembership GroupMembershipOf(GatewayState& state, const Backend& backend);
 
 /// The rules of admission control for the request.
 Admission AdmissionFor(GatewayState& state, const ExchangePlan& plan);
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -25,6 +25,7 @@
                          const InboundRequest& request, const BackendChoice& choice, bool last_run)
     : state_(state),
       backend_(choice.backend),
+      group_(plan.group),
       queued_tokens_(choice.queued_tokens),
       fetches_(choice.fetch_from.has_value()),
       unprefilled_tokens_(choice.tokens_to_prefill),
@@ -33,8 +34,8 @@
   state_.directory().MarkActive(backend_);
   backend_->unprefilled_tokens += unprefilled_tokens_;
   if (unrepeatable_) ++backend_->unrepeatable;
-  if (state_.UsesPerformance(plan.service)) group_ = plan.group;
   state_.NotifyLoadChanged();
+  CountDemand(plan);
   if (!plan.chain) return;
   waiting_entry_ = backend_->waiting_since.insert(Clock::now());
   state.PublishPlacement(PlacementUpdateOf(plan, request, choice));
@@ -42,6 +43,7 @@
 
 BackendLoad::~BackendLoad() {
   EndPrefill();
+  if (demand_ != nullptr) demand_->OnEnd(*group_, Clock::now());
   --backend_->in_flight;
   if (unrepeatable_) --backend_->unrepeatable;
   state_.NotifyLoadChanged();
@@ -53,7 +55,8 @@
   // A wait that includes a fetch does not measure prefill.
   if (!fetches_) {
     const double tokens = queued_tokens_ + unprefilled_tokens_;
-    if (group_ && unprefilled_tokens_ >= PerformanceMeter::kMinPrefillTokens) {
+    const bool learns_speed = group_ && state_.UsesPerformance(backend_->entry.service);
+    if (learns_speed && unprefilled_tokens_ >= PerformanceMeter::kMinPrefillTokens) {
       state_.RecordFirstEventWait(*backend_, *group_, tokens, waited);
     }
     state_.prefill_rate_estimator(backend_->entry.service).Record(tokens, waited);
@@ -63,6 +66,13 @@
   state_.NotifyLoadChanged();
 }
 
+void BackendLoad::CountDemand(const ExchangePlan& plan) {
+  ServiceGroups* groups = group_ ? state_.EngineGroupsOf(plan.service) : nullptr;
+  if (groups == nullptr) return;
+  demand_ = &groups->own_demand;
+  demand_->OnStart(*group_, unprefilled_tokens_, Clock::now());
+}
+
 void BackendLoad::EndPrefill() {
   backend_->unprefilled_tokens -= std::exchange(unprefilled_tokens_, 0);
   if (waiting_entry_) backend_->waiting_since.erase(*waiting_entry_);
--- a/libs/gateway/src/request_ordering.cc
+++ b/libs/gateway/src/request_ordering.cc
@@ -92,8 +92,10 @@
   state.priority().shares.RecordInTime(TokensOf(request), now);
 }
 
-GroupMembership GroupMembershipOf(const GatewayState& /*state*/, const Backend& /*backend*/) {
-  return GroupMembership::kNoGroup;
+GroupMembership GroupMembershipOf(GatewayState& state, const Backend& backend) {
+  const ServiceGroups* groups = state.EngineGroupsOf(backend.entry.service);
+  if (groups == nullptr || groups->sizer.size() == 0) return GroupMembership::kNoGroup;
+  return backend.in_interactive_group ? GroupMembership::kMember : GroupMembership::kNotMember;
 }
 
 Admission AdmissionFor(GatewayState& state, const ExchangePlan& plan) {
--- a/libs/peers/include/peers/load_messages.h
+++ b/libs/peers/include/peers/load_messages.h
@@ -30,6 +30,7 @@
   bool wants_namings = false;
   bool wants_holders = false;
   WorkspaceHash workspace = 0;
+  std::uint64_t service = 0;  ///< hash of the service whose demand is wanted; 0: none
 };
 
 /// The answer to a LoadQuestionMessage.
@@ -41,6 +42,7 @@
   std::vector<BackendHash> holders;
   PrefixSample sample;
   WorkspaceSample workspace_sample;
+  std::optional<DemandSample> demand;  ///< the sender's own
   std::vector<AnnouncementUpdate> namings;
 };
 
--- a/libs/peers/src/load_query_service.cc
+++ b/libs/peers/src/load_query_service.cc
@@ -55,6 +55,7 @@
       part.message.model = question.model;
       part.message.weights = question.weights;
       part.message.workspace = question.workspace;
+      if (!question.service.value().empty()) part.message.service = HashOf(question.service);
       part.message.wants_namings = state_.named_weights().has_assumed_times();
     }
     return &part.message;
@@ -104,6 +105,7 @@
   if (question.workspace != 0) {
     answer.workspace_sample = state_.priority().shares.OwnSample(question.workspace, now);
   }
+  if (question.daemon != options_.self) answer.demand = state_.OwnDemandFor(question.service, now);
   if (question.wants_holders) answer.holders = state_.HoldersOf(question.parts, now);
   if (question.wants_namings) answer.namings = RecentNamings(state_.named_weights(), now);
   return answer;
@@ -125,6 +127,7 @@
   if (message.store) answer.store = message.store;
   answer.samples.push_back(message.sample);
   answer.workspace_samples.push_back(message.workspace_sample);
+  if (message.demand) answer.demands.push_back(*message.demand);
   answer.holders.insert(answer.holders.end(), message.holders.begin(), message.holders.end());
 }
 
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -165,9 +165,14 @@
   decoded.wants_namings = question.wants_namings();
   decoded.wants_holders = question.wants_holders();
   decoded.workspace = question.workspace();
+  decoded.service = question.service();
   return decoded;
 }
 
+DemandSample DecodeDemand(const wire::LoadAnswer& answer) {
+  return {answer.interactive_running(), answer.interactive_rate(), answer.bulk_rate()};
+}
+
 LoadAnswerMessage DecodeAnswer(const wire::GatewayNews& message) {
   const wire::LoadAnswer& answer = message.answer();
   LoadAnswerMessage decoded;
@@ -182,6 +187,7 @@
   }
   decoded.sample = {answer.beginning_tokens(), answer.all_tokens()};
   decoded.workspace_sample = {answer.workspace_tokens(), answer.workspace_total()};
+  if (answer.has_demand()) decoded.demand = DecodeDemand(answer);
   decoded.holders.assign(answer.holders().begin(), answer.holders().end());
   decoded.namings = DecodeNamings(message);
   return decoded;
@@ -242,6 +248,7 @@
   body.set_wants_namings(question.wants_namings);
   body.set_wants_holders(question.wants_holders);
   body.set_workspace(question.workspace);
+  body.set_service(question.service);
   return message.SerializeAsString();
 }
 
@@ -262,6 +269,12 @@
   body.set_all_tokens(static_cast<float>(answer.sample.total));
   body.set_workspace_tokens(static_cast<float>(answer.workspace_sample.tokens));
   body.set_workspace_total(static_cast<float>(answer.workspace_sample.total));
+  if (answer.demand) {
+    body.set_has_demand(true);
+    body.set_interactive_running(static_cast<float>(answer.demand->interactive_running));
+    body.set_interactive_rate(static_cast<float>(answer.demand->interactive_rate));
+    body.set_bulk_rate(static_cast<float>(answer.demand->bulk_rate));
+  }
   EncodeNamings(answer.namings, message);
   return message.SerializeAsString();
 }
@@ -305,6 +318,9 @@
   if (!HasValidPerformance(message)) {
     return Fail(ResultCode::kMalformedPeerMessage, "waits at an engine that cannot have occurred");
   }
+  if (message.answer().has_demand() && !IsPlausible(DecodeDemand(message.answer()))) {
+    return Fail(ResultCode::kMalformedPeerMessage, "demand out of range");
+  }
   if (message.has_question()) return PeerMessage(DecodeQuestion(message));
   if (message.has_answer()) {
     LoadAnswerMessage answer = DecodeAnswer(message);
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -150,6 +150,7 @@
   question.store = 9;
   question.wants_namings = true;
   question.workspace = *rc::gen::arbitrary<std::uint64_t>();
+  question.service = 8;
   const auto read = DecodePeerMessage(Encode(question));
   RC_ASSERT(read.has_value());
   RC_ASSERT(Encode(std::get<LoadQuestionMessage>(*read)) == Encode(question));
@@ -163,6 +164,7 @@
   answer.store = StoreReport{9, 100, 3ms};
   answer.namings = {{kModel, WeightsNumber(5), 7ms}};
   answer.workspace_sample = {3, 7};
+  answer.demand = DemandSample{2.5, 100, 0};
   const auto answered = DecodePeerMessage(Encode(answer));
   RC_ASSERT(answered.has_value());
   RC_ASSERT(Encode(std::get<LoadAnswerMessage>(*answered)) == Encode(answer));
@@ -184,6 +186,17 @@
   }
 }
 
+// A number that no fleet reaches would outweigh the samples of all other gateways.
+BOOST_AUTO_TEST_CASE(answer_with_an_impossible_demand_is_dropped) {
+  LoadAnswerMessage answer;
+  answer.daemon = DaemonId("d");
+  for (const double rate : {-1.0, 1e30}) {
+    answer.demand = DemandSample{0, rate, 0};
+    BOOST_TEST((FailureOf([&] { return DecodePeerMessage(Encode(answer)); })->code ==
+                ResultCode::kMalformedPeerMessage));
+  }
+}
+
 RC_BOOST_PROP(any_bytes_are_decoded_or_rejected, (const std::string& bytes)) {
   FailureOf([&] { return DecodeNews(bytes); });
   FailureOf([&] { return DecodePeerMessage(bytes); });
