Memory of engines: gateways report the memory that their requests hold

Cause: no gateway knows how much memory the requests of all gateways hold at an engine.

Change: GatewayLoad.memory_tokens (6) is the sum over a gateway's requests at an engine, BackendReport.memory_tokens (15) that over all other gateways'. Loads are sent as a whole, so the account is right again after a lost message, and a silent gateway is dropped from it. 0 stands for not known. Nothing sets the sums yet. New result code prompt_too_large (1012) for requests that no engine can run.

Measured: unit test of a lost message and a silent gateway (peers).

--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -37,6 +37,7 @@
   kHeaderTooLarge = 1009,
   kRequestTooSlow = 1010,
   kOverBurst = 1011,
+  kPromptTooLarge = 1012,
   // 2xxx: rejected by admission control; nothing was sent to a backend server.
   kOverloaded = 2001,
   kWorkspaceLimit = 2002,
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -43,6 +43,8 @@
   std::uint32_t unread_tokens = 0;
   std::uint32_t unrepeatable = 0;
   std::uint32_t uncovered = 0;  ///< could be resumed, but their retries are used up
+  /// Tokens of KV cache that the requests hold, see RequestMemory.
+  std::uint64_t memory_tokens = 0;
 };
 
 /// One backend server. Shared between the directory and the requests that run on it.
@@ -73,6 +75,8 @@
   std::multiset<TimePoint> waiting_since;  ///< send times of requests without a first event
   EngineCache cache;                       ///< estimated, for the weights it runs now
   PushbackState notice_state;
+  /// Tokens of KV cache that requests of this gateway hold, see RequestMemory.
+  std::uint64_t memory_tokens = 0;
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
--- a/libs/gateway/include/gateway/gateway_gossip.h
+++ b/libs/gateway/include/gateway/gateway_gossip.h
@@ -29,6 +29,7 @@
   std::uint32_t unread_tokens = 0;  ///< prompt tokens of requests without a first event
   std::uint32_t unrepeatable = 0;   ///< requests that cannot be resumed elsewhere
   std::uint32_t uncovered = 0;      ///< resumable requests whose retries are used up
+  std::uint64_t memory_tokens = 0;  ///< KV cache that its requests hold, see RequestMemory
 
   bool operator==(const LoadUpdate&) const = default;
 };
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -57,6 +57,8 @@
   PoisonOptions poison;
   /// Longest pause objective that counts as strict, see HasStrictPauses(); zero: none.
   std::chrono::milliseconds strict_pause{0};
+  /// Whether requests wait for room in an engine's memory, see GatewayState::LimitsMemory().
+  bool memory_enabled = true;
   /// Minimum remaining time for another attempt.
   std::chrono::milliseconds min_attempt_time{30};
 };
@@ -199,6 +201,12 @@
   /// its routes is strict, and gateways query each other.
   bool HasStrictPauses(const ServiceId& service) const;
 
+  /// Whether requests are sent only to engines with room in their memory: a preempted stream misses
+  /// its pause objective.
+  bool LimitsMemory(const ServiceId& service) const {
+    return limits_.memory_enabled && HasStrictPauses(service);
+  }
+
   /// Queries peers and applies their reports. Requires queries_peers().
   net::awaitable<LoadAnswer> QueryLoads(LoadQuestion question);
 
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -74,9 +74,12 @@
 }
 
 LoadUpdate GatewayState::LocalLoadAt(const Backend& backend, TimePoint now) {
-  return {HashOf(backend), backend.in_flight,
+  return {HashOf(backend),
+          backend.in_flight,
           static_cast<std::uint32_t>(std::max(0.0, backend.unprefilled_tokens)),
-          backend.unrepeatable, Uncovered(backend, now)};
+          backend.unrepeatable,
+          Uncovered(backend, now),
+          backend.memory_tokens};
 }
 
 void GatewayState::NoteTransfers(const PlacementUpdate& placed, TimePoint now) {
@@ -148,6 +151,7 @@
   report.work.unread_tokens += own.unread_tokens;
   report.work.unrepeatable += own.unrepeatable;
   report.work.uncovered += own.uncovered;
+  report.work.memory_tokens += own.memory_tokens;
   report.hold =
       std::max(Duration::zero(), std::chrono::duration_cast<Duration>(backend.hold_until - now));
   const auto weights = backend.weights.find(question.model);
--- a/libs/peers/src/load_query_service.cc
+++ b/libs/peers/src/load_query_service.cc
@@ -94,6 +94,7 @@
     work.unread_tokens -= std::min(work.unread_tokens, sender_load.unread_tokens);
     work.unrepeatable -= std::min(work.unrepeatable, sender_load.unrepeatable);
     work.uncovered -= std::min(work.uncovered, sender_load.uncovered);
+    work.memory_tokens -= std::min(work.memory_tokens, sender_load.memory_tokens);
     answer.backends.push_back(report);
   }
   if (question.store) {
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -95,6 +95,7 @@
   entry.set_unread_tokens(report.work.unread_tokens);
   entry.set_unrepeatable(report.work.unrepeatable);
   entry.set_uncovered(report.work.uncovered);
+  entry.set_memory_tokens(report.work.memory_tokens);
   entry.set_hold_ms(Microseconds(report.hold) / 1'000);
   entry.set_weights(report.weights.value());
   entry.set_known_tokens(report.prefix_match.tokens);
@@ -107,7 +108,8 @@
 BackendReport DecodeReport(const wire::BackendReport& entry) {
   BackendReport report;
   report.backend = entry.backend();
-  report.work = {entry.running(), entry.unread_tokens(), entry.unrepeatable(), entry.uncovered()};
+  report.work = {entry.running(), entry.unread_tokens(), entry.unrepeatable(), entry.uncovered(),
+                 entry.memory_tokens()};
   report.hold = std::chrono::milliseconds(entry.hold_ms());
   report.weights = WeightsNumber(entry.weights());
   report.prefix_match = {entry.known_tokens(), entry.readable_tokens(), entry.used_since()};
@@ -123,7 +125,7 @@
   news.sequence = message.sequence();
   for (const wire::GatewayLoad& entry : message.loads()) {
     news.loads.push_back({entry.backend(), entry.running(), entry.unread_tokens(),
-                          entry.unrepeatable(), entry.uncovered()});
+                          entry.unrepeatable(), entry.uncovered(), entry.memory_tokens()});
   }
   news.items = DecodeItems(message);
   news.namings = DecodeNamings(message);
@@ -199,6 +201,7 @@
     entry.set_unread_tokens(load.unread_tokens);
     entry.set_unrepeatable(load.unrepeatable);
     entry.set_uncovered(load.uncovered);
+    entry.set_memory_tokens(load.memory_tokens);
   }
   EncodeItems(news.items, message);
   EncodeNamings(news.namings, message);
--- a/libs/peers/src/peer_loads.cc
+++ b/libs/peers/src/peer_loads.cc
@@ -32,6 +32,7 @@
     work.unread_tokens += load.unread_tokens;
     work.unrepeatable += load.unrepeatable;
     work.uncovered += load.uncovered;
+    work.memory_tokens += load.memory_tokens;
     backend->peers = work;
   }
 }
@@ -46,6 +47,7 @@
     work.unread_tokens -= std::min(work.unread_tokens, load.unread_tokens);
     work.unrepeatable -= std::min(work.unrepeatable, load.unrepeatable);
     work.uncovered -= std::min(work.uncovered, load.uncovered);
+    work.memory_tokens -= std::min(work.memory_tokens, load.memory_tokens);
     backend->peers = work;
   }
 }
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -80,6 +80,27 @@
   BOOST_TEST(backend().peers.running == 0);
 }
 
+// A message that is lost, or a gateway that falls silent, must not leave an engine without room.
+BOOST_AUTO_TEST_CASE(account_of_memory_is_right_after_lost_messages_and_silence) {
+  const auto hear = [this](const std::string& daemon, std::uint64_t sequence, std::uint64_t held) {
+    GossipMessage news = News(daemon, sequence, 1);
+    news.loads[0].memory_tokens = held;
+    loads.Apply(*DecodeNews(EncodeNews(news)), kStart + sequence * 1s);
+  };
+  hear("d1", 1, 9'000);
+  hear("d2", 1, 6'000);
+  BOOST_TEST(backend().peers.memory_tokens == 15'000);
+  hear("d2", 3, 500);  // the second message was lost
+  BOOST_TEST(backend().peers.memory_tokens == 9'500);
+  loads.Expire(kStart + 4s);
+  BOOST_TEST(backend().peers.memory_tokens == 500);
+  LoadAnswerMessage answer;
+  answer.daemon = DaemonId("d1");
+  answer.backends.push_back(state.ReportOn(backend(), LoadQuestion(), kStart));
+  const auto decoded = std::get<LoadAnswerMessage>(*DecodePeerMessage(Encode(answer)));
+  BOOST_TEST(decoded.backends[0].work.memory_tokens == 500);
+}
+
 BOOST_AUTO_TEST_CASE(backend_notices_round_trip) {
   PushbackUpdateList sent;
   sent.items.push_back(
