Memory of engines: requests are sent where their KV cache fits

Cause: requests are placed by prefill work alone. An engine whose memory is used up accepts one more and preempts running streams, which then pause.

Change: for services with strict pauses in fleets that query trackers, an engine without room costs memory.no-room (400 ms) more. If the chosen one has no room, four more are polled; if none has, the request waits at its gateway until its longest wait and is then sent regardless. Without a report the request is assumed to fit. A request larger than an engine's memory is refused at once. Log fields memory_held and fits, counter ridgehold_placed_without_room, memory_held in /state, setting memory.enabled.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -182,6 +182,7 @@
     limits.backend_limits.used_fraction = tuning.limit_tolerance_fraction;
     limits.admission = tuning.admission;
     limits.strict_pause = std::chrono::milliseconds(tuning.strict_pause_ms);
+    limits.memory_enabled = tuning.memory_enabled;
     limits.poison = tuning.poison;
     limits.response_timeout_objectives = tuning.call_timeout_objectives;
     limits.stream_timeout_objectives = tuning.stream_timeout_objectives;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -22,6 +22,8 @@
   AdmissionOptions admission;
   /// See GatewayLimits::strict_pause.
   std::uint32_t strict_pause_ms = 0;
+  /// See GatewayLimits::memory_enabled.
+  bool memory_enabled = true;
   PoisonOptions poison;
   BackendProber::Options probing;
   /// Whether running requests are aborted for a weights load only while the retry budget allows.
--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -21,6 +21,7 @@
           {"missing", backend.grace_until.has_value()},
           {"in_flight", backend.in_flight},
           {"peers_running", backend.peers.running},
+          {"memory_held", backend.memory_tokens + backend.peers.memory_tokens},
           {"failures", backend.failures},
           {"error_rate", backend.error_rate}};
 }
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -101,6 +101,10 @@
       "Maximum queueing time of a request, in latency objectives");
   Add("streams.strict-pause", tuning.strict_pause_ms,
       "Longest pause objective in ms for which streams are kept apart from prefill; 0: none");
+  Add("memory.enabled", tuning.memory_enabled,
+      "Send requests of services with strict pauses only to engines with room in their memory");
+  Add("memory.no-room", tuning.placement.no_room_penalty,
+      "Cost in ms of an engine whose memory has no room for the request");
   Add("poison.most-ends", tuning.poison.max_crashes,
       "Backend servers that crash while running a request before it is quarantined; 0: never");
   AddFraction("quota.tolerance-part", tuning.quota_tolerance_fraction,
--- a/libs/gateway/include/gateway/admission.h
+++ b/libs/gateway/include/gateway/admission.h
@@ -48,6 +48,11 @@
   /// Whether the request has waited for the maximum time and is sent regardless of load.
   bool WaitExpired(const AdmissionQuery& query) const;
 
+  /// Whether a request that an engine has no room for waits at the gateway.
+  bool WaitsForRoom(const AdmissionQuery& query) const {
+    return options_.enabled && !WaitExpired(query);
+  }
+
   /// Whether the request can still meet its objective if it is sent now.
   static bool MeetsObjective(const AdmissionQuery& query);
 
--- a/libs/gateway/include/gateway/backend_load.h
+++ b/libs/gateway/include/gateway/backend_load.h
@@ -36,6 +36,7 @@
   double queued_tokens_ = 0;
   bool fetches_ = false;
   double unprefilled_tokens_ = 0;
+  std::uint64_t memory_tokens_ = 0;
   std::optional<std::multiset<TimePoint>::iterator> waiting_entry_;
   bool unrepeatable_ = false;
 };
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -211,6 +211,8 @@
       record_.known_tokens = choice.known_tokens;
     }
     record_.running_at_backend = backend.in_flight + backend.peers.running;
+    if (plan_.memory) record_.memory = MemoryRecord{choice.memory_held, choice.fits};
+    if (!choice.fits) state_.metrics().GetCounter("ridgehold_placed_without_room").Add();
     record_.fetched_from = choice.fetch_from.value_or("");
     const TimePoint now = Clock::now();
     record_.older_weights = OlderWeightsAt(state_, inbound_, choice.weights, now);
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -19,6 +19,7 @@
 #include "gateway/placement_scope.h"
 #include "gateway/request_log.h"
 #include "groups/request_group.h"
+#include "memory/memory_fit.h"
 #include "quota/quota_client.h"
 
 namespace ridgehold {
@@ -38,6 +39,9 @@
   std::optional<PromptChain> chain;
   /// Set for generation requests where GatewayState::HasStrictPauses().
   std::optional<RequestGroup> group;
+  /// Set for generation requests where GatewayState::LimitsMemory() and an engine's memory is
+  /// known.
+  std::optional<MemoryFit> memory;
   std::optional<QuotaDemand> quota;  ///< how much of its workspace's quota the request uses
   bool avoid_rate_limited = false;   ///< excludes backend servers with a rate limit
 };
@@ -52,6 +56,8 @@
   double expected_ms = 0;             ///< cost of the placement, see Placement
   double queue_ms = 0;                ///< of that, until queued prompts are prefilled
   double first_event_ms = 0;          ///< of that, until this prompt is prefilled
+  std::uint64_t memory_held = 0;      ///< tokens that its running requests hold
+  bool fits = true;                   ///< the request fits into its memory beside them
   std::optional<WeightsNumber> weights;
   std::optional<std::string> fetch_from;  ///< address to fetch shared parts from
   BackendPtr fetch_backend;               ///< the engine at that address; null: a store
--- a/libs/gateway/include/gateway/placement.h
+++ b/libs/gateway/include/gateway/placement.h
@@ -16,6 +16,7 @@
 #include "gateway/prefix_shares.h"
 #include "gateway/transfer_links.h"
 #include "gateway/zone_topology.h"
+#include "memory/memory_fit.h"
 
 namespace ridgehold {
 
@@ -89,6 +90,10 @@
   /// Cost of an engine whose tracking gateway did not answer the load query. Its prefill queue is
   /// assumed to take this long: longer than the average engine's and shorter than a full one's.
   double no_report_penalty = 100;
+  /// Cost of an engine whose memory has no room for the request. Exceeds the longest queue that
+  /// admission allows and the prefill of a long prompt together (225 ms and 162 ms with an
+  /// objective of 250 ms), so that an engine with room is chosen even if it has nothing cached.
+  double no_room_penalty = 400;
 };
 
 /// How much longer a transfer of KV cache takes than within a zone.
@@ -124,6 +129,7 @@
   double unheard_gateway_ratio = 0;  ///< requests of gateways without reports per own request
   double tokens_per_ms = 0;          ///< prefill rate of the engines; 0: use PlacementCosts
   std::uint64_t tie_break = 0;
+  std::optional<MemoryFit> memory;  ///< none: every request is assumed to fit
   TimePoint now{};
 };
 
@@ -148,6 +154,10 @@
   std::optional<CacheSource> source;
   bool lacks_parts = false;     ///< not all shared parts are expected in its cache
   bool may_lack_parts = false;  ///< they are expected, but may have been evicted
+  /// Tokens of KV cache that its running requests hold.
+  std::uint64_t memory_held = 0;
+  /// Whether the request fits into its memory beside them.
+  bool fits = true;
 };
 
 /// Returns the candidate with the lowest cost. `candidates` must not be empty. Pure.
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -44,6 +44,12 @@
   Duration age{0};  ///< age of its last notice to this gateway
 };
 
+/// The memory of the engine that a request was placed on.
+struct MemoryRecord {
+  std::uint64_t held = 0;  ///< tokens held by the requests that ran there
+  bool fits = true;        ///< the request fitted beside them
+};
+
 /// The data of a request that its log line shows.
 struct RequestRecord {
   RequestId request;
@@ -65,6 +71,7 @@
   std::uint32_t known_tokens = 0;        ///< of these, tokens expected in the engine's cache
   std::uint64_t shared_parts = 0;        ///< hash of the shared parts; 0: none
   std::uint32_t running_at_backend = 0;  ///< requests of all gateways on that backend server
+  std::optional<MemoryRecord> memory;    ///< none: not limited
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
   std::optional<NoticeRecord> backend_notice;  ///< none if no notice is known here
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -28,10 +28,12 @@
       queued_tokens_(choice.queued_tokens),
       fetches_(choice.fetch_from.has_value()),
       unprefilled_tokens_(choice.tokens_to_prefill),
+      memory_tokens_(plan.memory ? plan.memory->request.own : 0),
       unrepeatable_(last_run || !plan.route->MayRepeat()) {
   ++backend_->in_flight;
   state_.directory().MarkActive(backend_);
   backend_->unprefilled_tokens += unprefilled_tokens_;
+  backend_->memory_tokens += memory_tokens_;
   if (unrepeatable_) ++backend_->unrepeatable;
   state_.NotifyLoadChanged();
   if (!plan.chain) return;
@@ -42,6 +44,7 @@
 BackendLoad::~BackendLoad() {
   EndPrefill();
   --backend_->in_flight;
+  backend_->memory_tokens -= memory_tokens_;
   if (unrepeatable_) --backend_->unrepeatable;
   state_.NotifyLoadChanged();
 }
--- a/libs/gateway/src/backend_search.cc
+++ b/libs/gateway/src/backend_search.cc
@@ -82,6 +82,7 @@
 bool BackendSearch::MaySend(const BackendChoice& choice) const {
   if (!request_.plan.chain || stream_begun_) return true;
   const AdmissionQuery query = AdmissionQueryFor(request_.plan, choice, Clock::now());
+  if (!choice.fits && AdmissionOptions().WaitsForRoom(query)) return false;
   return AdmissionOptions().MaySend(query);
 }
 
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -111,6 +111,26 @@
   return service != nullptr && service->engine ? &*service->engine : nullptr;
 }
 
+/// The room that the request needs in an engine's memory; nothing where that is not limited. Fails
+/// if no engine can run the request.
+Result<std::optional<MemoryFit>> MemoryNeededBy(const GatewayState& state, const ExchangePlan& plan,
+                                                const GenerationRequest& request) {
+  const EngineProfile* engine = ProfileOf(plan);
+  if (engine == nullptr || engine->cache_tokens == 0 || !state.LimitsMemory(plan.service)) {
+    return std::optional<MemoryFit>();
+  }
+  RequestSize size;
+  size.prompt_tokens = request.prompt_tokens;
+  size.max_output_tokens = request.max_output_tokens;
+  size.shared_parts = static_cast<std::uint32_t>(plan.chain->parts.size());
+  if (size.shared_parts > 0) size.first_part_tokens = plan.chain->parts.front().tokens;
+  const MemoryFit memory{RequestMemory::Of(size), engine->slots, engine->cache_tokens};
+  if (memory.EverFits()) return std::optional(memory);
+  return Fail(ResultCode::kPromptTooLarge,
+              "the prompt with its longest output takes " + std::to_string(memory.request.total) +
+                  " tokens of memory; an engine has " + std::to_string(memory.capacity));
+}
+
 double EngineLinkMbps(const ExchangePlan& plan) {
   const EngineProfile* engine = ProfileOf(plan);
   return engine != nullptr ? engine->link_mbps : 0;
@@ -177,6 +197,7 @@
       plan.group = Classify(plan.chain->prompt_tokens, state.TokensPerMs(plan.service),
                             plan.snapshot->ShortestPause(plan.service));
     }
+    BOOST_LEAF_ASSIGN(plan.memory, MemoryNeededBy(state, plan, *request.generation));
   }
   return plan;
 }
@@ -281,6 +302,7 @@
 }
 
 bool IsBusy(const BackendChoice& choice, bool plain_call) {
+  if (!choice.fits) return true;
   return plain_call ? choice.expected_ms > kBusyCallCost : choice.queue_ms > kBusyQueueMs;
 }
 
@@ -306,6 +328,7 @@
     query.tokens_per_ms = state.TokensPerMs(plan.service);
     if (const EngineProfile* engine = ProfileOf(plan)) query.cache_tokens = engine->cache_tokens;
     query.links = &state.links();
+    query.memory = plan.memory;
     query.engine_ms_per_token = LinkMsPerToken(plan, EngineLinkMbps(plan));
     if (const KvCacheStore* store = KvStoreForPrompt(state, plan)) {
       const LinkHash link = LinkOf(store->address);
@@ -327,6 +350,8 @@
   choice.expected_ms = placement.cost;
   choice.queue_ms = placement.queue_ms;
   choice.first_event_ms = placement.first_event_ms;
+  choice.memory_held = placement.memory_held;
+  choice.fits = placement.fits;
   if (request.generation) {
     choice.queued_tokens = placement.queued_tokens;
     choice.known_tokens = placement.known_tokens;
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -106,6 +106,7 @@
         std::max(placement.queue_ms, FetchTime(placement)) + OwnPrefillTime(placement);
     placement.cost += placement.first_event_ms + RunningCost(backend);
     placement.cost += OlderWeightsCost(backend);
+    EvaluateMemory(backend, placement);
     return placement;
   }
 
@@ -281,6 +282,17 @@
     return placement.source ? placement.source->ms : 0;
   }
 
+  /// Sets whether the request fits into the engine's memory, and adds the cost if it does not. It
+  /// is assumed to fit if nobody reported what the engine holds.
+  void EvaluateMemory(const Backend& backend, Placement& placement) const {
+    if (!query_.memory) return;
+    placement.memory_held = backend.memory_tokens + backend.peers.memory_tokens;
+    if (query_.answers != nullptr && ReportOn(backend) == nullptr) return;
+    const std::uint32_t running = backend.in_flight + backend.peers.running;
+    placement.fits = query_.memory->Fits(placement.memory_held, running);
+    if (!placement.fits) placement.cost += costs_.no_room_penalty;
+  }
+
   double RunningCost(const Backend& backend) const {
     return costs_.per_running_request * FleetTotal(backend.in_flight, backend.peers.running);
   }
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -176,6 +176,10 @@
     metrics.GetSummary("ridgehold_deferred_seconds")
         .Observe(std::chrono::duration<double>(record.deferred).count());
   }
+  if (record.memory) {
+    fields.push_back({"memory_held", std::to_string(record.memory->held)});
+    fields.push_back({"fits", record.memory->fits ? "yes" : "no"});
+  }
   if (record.quota) AppendQuota(metrics, record, fields);
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
