--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -28,6 +28,8 @@
   PriorityOptions priority;
   /// See GatewayLimits::groups_enabled.
   bool groups_enabled = true;
+  /// See GatewayLimits::memory_enabled.
+  bool memory_enabled = true;
   PoisonOptions poison;
   BackendProber::Options probing;
   /// Whether running requests are aborted for a weights load only while the retry budget allows.
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -119,6 +119,10 @@
   app_.get_option("--priority.min-objective-ratio")->check(CheckRatio);
   Add("groups.enabled", tuning.groups_enabled,
       "Keep short prompts and prompts that delay streams on different engines");
+  Add("memory.enabled", tuning.memory_enabled,
+      "Send requests of services with strict pauses only to engines with room in their memory");
+  Add("memory.no-room", tuning.placement.no_room_penalty,
+      "Cost in ms of an engine whose memory has no room for the request");
   Add("poison.most-ends", tuning.poison.max_crashes,
       "Backend servers that crash while running a request before it is quarantined; 0: never");
   AddFraction("quota.tolerance-part", tuning.quota_tolerance_fraction,
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -45,6 +45,8 @@
   std::uint32_t unread_tokens = 0;
   std::uint32_t unrepeatable = 0;
   std::uint32_t uncovered = 0;  ///< could be resumed, but their retries are used up
+  /// Tokens of KV cache that the requests hold, see RequestMemory.
+  std::uint64_t memory_tokens = 0;
 };
 
 /// One backend server. Shared between the directory and the requests that run on it.
@@ -80,6 +82,8 @@
   /// Learned from the gateways that report directly to this one, if it is a tracker.
   EnginePerformance performance;
   KnownPerformance reported_performance;  ///< as last reported by a tracker
+  /// Tokens of KV cache that requests of this gateway hold, see RequestMemory.
+  std::uint64_t memory_tokens = 0;
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -67,6 +67,8 @@
   PriorityOptions priority;
   /// Whether short prompts with streams get engines of their own, see EngineGroupsOf().
   bool groups_enabled = true;
+  /// Whether requests wait for room in an engine's memory, see GatewayState::LimitsMemory().
+  bool memory_enabled = true;
   /// Minimum remaining time for another attempt.
   std::chrono::milliseconds min_attempt_time{30};
 };
@@ -236,6 +238,11 @@
   /// This gateway's own demand for the engines of the service with this hash, see HashOf(); nothing
   /// if its engines are not divided into groups.
   std::optional<DemandSample> OwnDemandFor(std::uint64_t service, TimePoint now);
+  /// Whether requests are sent only to engines with room in their memory: a preempted stream misses
+  /// its pause objective.
+  bool LimitsMemory(const ServiceId& service) const {
+    return limits_.memory_enabled && HasStrictPauses(service);
+  }
 
   /// Queries peers and applies their reports. Requires queries_peers().
   net::awaitable<LoadAnswer> QueryLoads(LoadQuestion question);
--- a/libs/gateway/src/backend_search.cc
+++ b/libs/gateway/src/backend_search.cc
@@ -95,7 +95,11 @@
 
 bool BackendSearch::MaySend(const BackendChoice& choice) const {
   if (!request_.plan.chain || stream_begun_) return true;
-  return IsAdmitted(state_, request_.plan, choice, Clock::now());
+  const TimePoint now = Clock::now();
+  const bool waits_for_room =
+      !choice.fits && AdmissionFor(state_, request_.plan)
+                          .WaitsForRoom(AdmissionQueryFor(request_.plan, choice, now));
+  return !waits_for_room && IsAdmitted(state_, request_.plan, choice, now);
 }
 
 std::optional<TimePoint> BackendSearch::NextCapacity() const {
