--- a/libs/gateway/src/engine_grouping.cc
+++ b/libs/gateway/src/engine_grouping.cc
@@ -88,9 +88,10 @@
 
 void UpdateGroupGauges(GatewayState& state) {
   for (const auto& [service, groups] : state.engine_groups()) {
-    const std::string label = "service=\"" + service.value() + "\"";
+    const std::string label = fmt::format("service=\"{}\"", service.value());
     const auto set_demand = [&](const std::string& kind, double value) {
-      state.metrics().SetGauge("ridgehold_group_demand", label + ",kind=\"" + kind + "\"", value);
+      state.metrics().SetGauge("ridgehold_group_demand", fmt::format("{},kind=\"{}\"", label, kind),
+                               value);
     };
     state.metrics().SetGauge("ridgehold_engine_group_size", label,
                              static_cast<double>(groups.sizer.size()));
