Engine groups: at most an eighth of the engines, a third for urgent requests

Urgent requests waited for up to their callers' patience and were then too late for the engine.

Change: a cap of an eighth, and of a third where priority says that the interactive requests are more urgent; averages count since the first request; max_wait_objectives still bounds the wait.

--- a/libs/gateway/src/engine_grouping.cc
+++ b/libs/gateway/src/engine_grouping.cc
@@ -60,6 +60,7 @@
   GroupCapacity capacity;
   capacity.slots = SlotsOf(plan);
   capacity.tokens_per_ms = state.TokensPerMs(plan.service);
+  capacity.interactive_is_urgent = state.OrdersRequests(plan.service);
   std::vector<bool> healthy(engines.size());
   for (std::size_t i = 0; i < engines.size(); ++i) {
     healthy[i] = MayBeMember(directory, *engines[i], now);
--- a/libs/gateway/src/request_ordering.cc
+++ b/libs/gateway/src/request_ordering.cc
@@ -102,7 +102,9 @@
   AdmissionOptions options = state.limits().admission;
   if (plan.order) {
     const std::chrono::duration<double> max_wait = plan.order->max_wait;
-    options.max_wait_objectives = max_wait / Duration(plan.route->latency_objective);
+    // A late answer is better than none: an engine that gets a late request still has time for it.
+    options.max_wait_objectives =
+        std::min(options.max_wait_objectives, max_wait / Duration(plan.route->latency_objective));
     const double factor = LoadLimits::FactorFor(IsRestricted(state, *plan.order));
     options.max_load_fraction *= factor;
     options.late_load_fraction *= factor;
--- a/libs/groups/include/groups/group_demand.h
+++ b/libs/groups/include/groups/group_demand.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "base/ids.h"
 #include "groups/request_group.h"
@@ -35,6 +36,7 @@
   /// Records that a request recorded by OnStart has ended.
   void OnEnd(RequestGroup group, TimePoint now);
 
+  /// The averages since the first request, over a second at least.
   DemandSample Sample(TimePoint now) const;
 
  private:
@@ -42,6 +44,7 @@
 
   DemandSample average_;  ///< at `advanced_at_`
   std::uint32_t running_ = 0;
+  std::optional<TimePoint> started_at_;  ///< of the first request
   TimePoint advanced_at_{};
 };
 
--- a/libs/groups/include/groups/group_size.h
+++ b/libs/groups/include/groups/group_size.h
@@ -13,11 +13,14 @@
 /// The healthy engines of a service.
 struct GroupCapacity {
   std::size_t engines = 0;
-  std::uint32_t slots = 0;   ///< of each engine; 0: not known
-  double tokens_per_ms = 0;  ///< prefill rate of each engine
-
-  /// At least half of the engines stay with the bulk requests.
-  std::size_t max_group_size() const { return engines / 2; }
+  std::uint32_t slots = 0;             ///< of each engine; 0: not known
+  double tokens_per_ms = 0;            ///< prefill rate of each engine
+  bool interactive_is_urgent = false;  ///< interactive requests are more urgent than bulk ones
+
+  /// Each engine that bulk requests lose also loses their cached prompts, which are then read again
+  /// elsewhere. The group may therefore have a third of the engines only if its requests are more
+  /// urgent, and an eighth otherwise; what does not fit runs beside bulk requests.
+  std::size_t max_group_size() const { return engines / (interactive_is_urgent ? 3 : 8); }
 };
 
 /// The size of the interactive group that the fleet's demand requires, so that short prompts with
--- a/libs/groups/src/group_demand.cc
+++ b/libs/groups/src/group_demand.cc
@@ -18,6 +18,7 @@
 
 void GroupDemand::OnStart(RequestGroup group, double tokens_to_prefill, TimePoint now) {
   Advance(now);
+  if (!started_at_) started_at_ = now;
   constexpr double kPerSecond =
       std::numbers::ln2 / std::chrono::duration<double>(kHalfLife).count();
   const double rate = std::max(tokens_to_prefill, 0.0) * kPerSecond;
@@ -37,7 +38,15 @@
 DemandSample GroupDemand::Sample(TimePoint now) const {
   GroupDemand advanced = *this;
   advanced.Advance(now);
-  return advanced.average_;
+  DemandSample sample = advanced.average_;
+  if (!started_at_) return sample;
+  // Otherwise a fleet that starts would have too small a group for the first half-lives.
+  const TimePoint counted_to = std::max(now, *started_at_ + std::chrono::seconds(1));
+  const double counted = 1 - DecayFactor(*started_at_, counted_to, kHalfLife);
+  sample.interactive_running /= counted;
+  sample.interactive_rate /= counted;
+  sample.bulk_rate /= counted;
+  return sample;
 }
 
 void GroupDemand::Advance(TimePoint now) {
