--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -185,7 +185,7 @@
     limits.priority = tuning.priority;
     limits.strict_pause = std::chrono::milliseconds(tuning.strict_pause_ms);
     limits.performance = tuning.performance;
-    limits.groups_enabled = tuning.groups_enabled;
+    limits.groups = tuning.groups;
     limits.memory_enabled = tuning.memory_enabled;
     limits.poison = tuning.poison;
     limits.response_timeout_objectives = tuning.call_timeout_objectives;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -9,6 +9,7 @@
 #include "gateway/backend_prober.h"
 #include "gateway/placement.h"
 #include "gateway/poison_detector.h"
+#include "groups/group_size.h"
 #include "performance/performance_options.h"
 #include "priority/urgency.h"
 
@@ -26,8 +27,7 @@
   std::uint32_t strict_pause_ms = 0;
   PerformanceOptions performance;
   PriorityOptions priority;
-  /// See GatewayLimits::groups_enabled.
-  bool groups_enabled = true;
+  GroupLimits groups;
   /// See GatewayLimits::memory_enabled.
   bool memory_enabled = true;
   PoisonOptions poison;
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -117,8 +117,12 @@
   Add("priority.min-objective-ratio", tuning.priority.min_objective_ratio,
       "Order requests where the latency objectives of a service differ by this factor; 0: nowhere");
   app_.get_option("--priority.min-objective-ratio")->check(CheckRatio);
-  Add("groups.enabled", tuning.groups_enabled,
+  Add("groups.enabled", tuning.groups.enabled,
       "Keep short prompts and prompts that delay streams on different engines");
+  AddFraction("groups.urgent-part", tuning.groups.max_urgent_part,
+              "Largest part of the engines for short prompts that are more urgent than long ones");
+  AddFraction("groups.equal-part", tuning.groups.max_equal_part,
+              "The same for short prompts that are equally urgent; 0: none of their own");
   Add("memory.enabled", tuning.memory_enabled,
       "Send requests of services with strict pauses only to engines with room in their memory");
   Add("memory.no-room", tuning.placement.no_room_penalty,
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -30,6 +30,7 @@
 #include "gateway/unanswered_attempts.h"
 #include "gateway/weights_history.h"
 #include "gateway/zone_topology.h"
+#include "groups/group_size.h"
 #include "groups/service_groups.h"
 #include "metrics/metrics.h"
 #include "net/connection_pool.h"
@@ -65,8 +66,7 @@
   std::chrono::milliseconds strict_pause{0};
   PerformanceOptions performance;
   PriorityOptions priority;
-  /// Whether short prompts with streams get engines of their own, see EngineGroupsOf().
-  bool groups_enabled = true;
+  GroupLimits groups;
   /// Whether requests wait for room in an engine's memory, see GatewayState::LimitsMemory().
   bool memory_enabled = true;
   /// Minimum remaining time for another attempt.
--- a/libs/gateway/src/engine_grouping.cc
+++ b/libs/gateway/src/engine_grouping.cc
@@ -60,7 +60,9 @@
   GroupCapacity capacity;
   capacity.slots = SlotsOf(plan);
   capacity.tokens_per_ms = state.TokensPerMs(plan.service);
-  capacity.interactive_is_urgent = state.OrdersRequests(plan.service);
+  const GroupLimits& limits = state.limits().groups;
+  capacity.max_part =
+      state.OrdersRequests(plan.service) ? limits.max_urgent_part : limits.max_equal_part;
   std::vector<bool> healthy(engines.size());
   for (std::size_t i = 0; i < engines.size(); ++i) {
     healthy[i] = MayBeMember(directory, *engines[i], now);
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -69,7 +69,7 @@
 }
 
 ServiceGroups* GatewayState::EngineGroupsOf(const ServiceId& service) {
-  if (!limits_.groups_enabled || !HasStrictPauses(service)) return nullptr;
+  if (!limits_.groups.enabled || !HasStrictPauses(service)) return nullptr;
   return &engine_groups_[service];
 }
 
--- a/libs/gateway/src/polled_choice.cc
+++ b/libs/gateway/src/polled_choice.cc
@@ -34,7 +34,7 @@
   LoadQuestion question;
   question.backends = std::move(backends);
   if (query.chain == nullptr) return question;
-  if (plan.group && state.limits().groups_enabled) question.service = plan.service;
+  if (plan.group && state.limits().groups.enabled) question.service = plan.service;
   question.model = query.model;
   question.weights = query.newest_weights.value_or(WeightsNumber());
   if (plan.order && plan.workspace != nullptr) {
--- a/libs/gateway/test/engine_grouping-test.cc
+++ b/libs/gateway/test/engine_grouping-test.cc
@@ -183,7 +183,7 @@
   Start();
   BOOST_TEST(RunArrivals(true) < 0.03);
   Fixture without;
-  without.limits.groups_enabled = false;
+  without.limits.groups.enabled = false;
   without.Start();
   BOOST_TEST(without.RunArrivals(true) > 0.2);
 }
--- a/libs/groups/include/groups/group_size.h
+++ b/libs/groups/include/groups/group_size.h
@@ -10,17 +10,27 @@
 
 namespace ridgehold {
 
+/// Bounds on the interactive group. Each engine that bulk requests lose also loses their cached
+/// prompts, which are then read again elsewhere. Requests that do not fit into the group run beside
+/// bulk requests.
+struct GroupLimits {
+  bool enabled = true;
+  /// Largest part of the engines, if interactive requests are more urgent than bulk ones.
+  double max_urgent_part = 1.0 / 3;
+  /// The same if both are equally urgent; 0: no group.
+  double max_equal_part = 0.125;
+};
+
 /// The healthy engines of a service.
 struct GroupCapacity {
   std::size_t engines = 0;
-  std::uint32_t slots = 0;             ///< of each engine; 0: not known
-  double tokens_per_ms = 0;            ///< prefill rate of each engine
-  bool interactive_is_urgent = false;  ///< interactive requests are more urgent than bulk ones
-
-  /// Each engine that bulk requests lose also loses their cached prompts, which are then read again
-  /// elsewhere. The group may therefore have a third of the engines only if its requests are more
-  /// urgent, and an eighth otherwise; what does not fit runs beside bulk requests.
-  std::size_t max_group_size() const { return engines / (interactive_is_urgent ? 3 : 8); }
+  std::uint32_t slots = 0;   ///< of each engine; 0: not known
+  double tokens_per_ms = 0;  ///< prefill rate of each engine
+  double max_part = 0;       ///< part of the engines that the group may have, up to 1
+
+  std::size_t max_group_size() const {
+    return static_cast<std::size_t>(max_part * static_cast<double>(engines));
+  }
 };
 
 /// The size of the interactive group that the fleet's demand requires, so that short prompts with
--- a/libs/groups/test/group_size-test.cc
+++ b/libs/groups/test/group_size-test.cc
@@ -13,7 +13,7 @@
 
 /// 112 engines with 12 slots that prefill 110 tokens/ms, and the demand of 149 short streams per
 /// second that run 0.4 s each beside 395 long prompts per second.
-constexpr GroupCapacity kCapacity{112, 12, 110, false};
+constexpr GroupCapacity kCapacity{112, 12, 110, 0.125};
 constexpr DemandSample kDemand{60, 149 * 628, 395 * 2'890};
 
 DemandSample WithBulkRate(double rate) {
@@ -44,10 +44,11 @@
 }
 
 // Otherwise a flood of short prompts would leave the long ones without engines.
-BOOST_AUTO_TEST_CASE(group_is_at_most_an_eighth_or_a_third_of_the_engines) {
+BOOST_AUTO_TEST_CASE(group_has_at_most_its_part_of_the_engines) {
   BOOST_TEST(*RequiredGroupSize({1e5, 1e9, 1e6}, kCapacity) == 14);
-  BOOST_TEST(*RequiredGroupSize({1e5, 1e9, 1e6}, {112, 12, 110, true}) == 37);
-  BOOST_TEST(*RequiredGroupSize(kDemand, {7, 12, 110, false}) == 0);
+  BOOST_TEST(*RequiredGroupSize({1e5, 1e9, 1e6}, {112, 12, 110, 1.0 / 3}) == 37);
+  BOOST_TEST(*RequiredGroupSize(kDemand, {7, 12, 110, 0.125}) == 0);
+  BOOST_TEST(*RequiredGroupSize(kDemand, {112, 12, 110, 0}) == 0);
 }
 
 BOOST_AUTO_TEST_CASE(group_grows_at_once_and_shrinks_slowly) {
