Attempt log: whether the backend server was known to be unreachable

Callers of an instance that is cut off get 503 after seconds; the attempt lines did not say by themselves whether it sent to servers that it knew to be out of reach. Change: field reachable in the attempt line, gauge ridgehold_unreachable_backends. No decision changes.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -373,6 +373,8 @@
     const TimePoint now = Clock::now();
     Metrics& metrics = state_.metrics();
     metrics.SetGauge("ridgehold_in_flight", "", state_.in_flight());
+    metrics.SetGauge("ridgehold_unreachable_backends", "",
+                     static_cast<double>(state_.directory().UnreachableCount()));
     metrics.SetGauge("ridgehold_quarantined_requests", "",
                      static_cast<double>(state_.poison().Quarantines(now).size()));
     metrics.SetGauge("ridgehold_suspected_requests", "",
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -171,6 +171,9 @@
   /// the size of the fleet. Drops those that have neither any more.
   const std::vector<BackendPtr>& Active();
 
+  /// Number of backend servers whose last probe by this gateway failed.
+  std::size_t UnreachableCount() const;
+
   BackendPtr Find(const BackendId& id) const;
   BackendPtr FindByHash(BackendHash hash) const;
   const std::map<BackendId, BackendPtr>& all() const { return backends_; }
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -233,6 +233,11 @@
   return active_;
 }
 
+std::size_t BackendDirectory::UnreachableCount() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      backends_, [](const auto& entry) { return !entry.second->reachable; }));
+}
+
 BackendPtr BackendDirectory::Find(const BackendId& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : found->second;
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -246,6 +246,7 @@
                       {"backend", backend.entry.id.value()},
                       {"address", backend.entry.address},
                       {"zone", backend.entry.zone.value()},
+                      {"reachable", backend.reachable ? "yes" : "no"},
                       {"number", std::to_string(record.attempts)},
                       {"end", std::string(NameOf(facts.outcome))},
                       {"status", std::to_string(facts.status)},
