--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -163,6 +163,9 @@
             state_, follower_, CopyOptions(), [this] { return PeerAddresses(); },
             [this](const std::set<std::string>& excluded) { return FindRelay(excluded); }),
         timer_(executor) {
+    ErrorCode error;
+    const auto egress = net::ip::make_address(tuning_.egress_address, error);
+    if (!error) state_.pool().SetEgressAddress(egress);
     state_.SetCrashConfirmer(
         [this](BackendPtr backend) { return prober_.ConfirmCrash(std::move(backend)); });
   }
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 #include "gateway/admission.h"
 #include "gateway/backend_prober.h"
@@ -32,6 +33,9 @@
   bool memory_enabled = true;
   PoisonOptions poison;
   BackendProber::Options probing;
+  /// Connections to backend servers go to this IP address, at the port of the backend server;
+  /// empty: to the backend server itself.
+  std::string egress_address;
   /// Whether running requests are aborted for a weights load only while the retry budget allows.
   bool preserve_retry_budget = true;
   /// Whether concurrent loads are limited to as many as help, judged by measured load durations.
--- a/libs/entry/src/tuning_options.cc
+++ b/libs/entry/src/tuning_options.cc
@@ -44,7 +44,8 @@
 template <class Field>
 void TuningOptions::Add(const std::string& name, Field& field, const std::string& help) {
   CLI::Option* option = app_.add_option("--" + name, field, help)->capture_default_str();
-  if constexpr (!std::same_as<Field, bool>) option->check(CheckNotNegative);
+  constexpr bool kIsNumber = !std::same_as<Field, bool> && !std::same_as<Field, std::string>;
+  if constexpr (kIsNumber) option->check(CheckNotNegative);
   value_getters_[name] = [&field] { return fmt::format("{}", field); };
 }
 
@@ -136,6 +137,9 @@
       "Fraction of the tolerance above a backend server's limit that is used; 0: the limit alone");
   Add("peers.most-told", tuning.max_broadcast_peers,
       "Largest fleet that broadcasts every request; in larger ones, tracking gateways are queried");
+  Add("network.egress-address", tuning.egress_address,
+      "IP address to which connections to backend servers go instead; empty: none");
+  app_.get_option("--network.egress-address")->check(CLI::ValidIPV4);
   Add("probing.enabled", tuning.probing.enabled,
       "Probe backend servers that may be unreachable by opening connections");
 }
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -71,7 +71,7 @@
   const TimePoint start = Clock::now();
   backend->probed_at = start;
   const auto connection = OutboundConnection::Create(state_.executor());
-  const tcp::endpoint endpoint = ParseEndpoint(backend->entry.address);
+  const tcp::endpoint endpoint = state_.pool().EndpointOf(backend->entry.address);
   const ExchangeFault fault = co_await connection->Connect(endpoint, start + options_.connect_limit,
                                                            options_.connect_limit);
   --running_;
--- a/libs/net/include/net/connection_pool.h
+++ b/libs/net/include/net/connection_pool.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -44,6 +45,14 @@
   ConnectionPool(net::any_io_executor executor, Options options)
       : executor_(std::move(executor)), options_(options) {}
 
+  /// Sends all connections to this address, at the port of the server. For instances that reach the
+  /// servers through a forwarder of their own.
+  void SetEgressAddress(const net::ip::address& address) { egress_address_ = address; }
+
+  /// The endpoint to which connections to the server at `address` are opened; its port is 0 if
+  /// `address` is malformed.
+  tcp::endpoint EndpointOf(const std::string& address) const;
+
   /// Returns an idle connection to `address`, or opens a new one. Returns kNotSent if `address`
   /// is malformed or connecting fails.
   net::awaitable<Checkout> Acquire(std::string address, TimePoint deadline);
@@ -71,6 +80,7 @@
 
   net::any_io_executor executor_;
   Options options_;
+  std::optional<net::ip::address> egress_address_;
   std::unordered_map<std::string, Idle> idle_;
   std::uint64_t opened_ = 0;
 };
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -4,6 +4,12 @@
 
 namespace ridgehold {
 
+tcp::endpoint ConnectionPool::EndpointOf(const std::string& address) const {
+  tcp::endpoint endpoint = ParseEndpoint(address);
+  if (egress_address_ && endpoint.port() != 0) endpoint.address(*egress_address_);
+  return endpoint;
+}
+
 net::awaitable<Checkout> ConnectionPool::Acquire(std::string address, TimePoint deadline) {
   const TimePoint now = Clock::now();
   Checkout checkout;
@@ -16,7 +22,7 @@
     co_return checkout;
   }
   checkout.fresh = true;
-  const tcp::endpoint endpoint = ParseEndpoint(address);
+  const tcp::endpoint endpoint = EndpointOf(address);
   if (endpoint.port() == 0) {
     checkout.fault = ExchangeFault::kNotSent;
     co_return checkout;
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -34,21 +34,60 @@
 };
 
 FaultProxy::FaultProxy(net::any_io_executor executor, const std::string& target)
-    : target_(ParseEndpoint(target)),
-      acceptor_(executor, {net::ip::make_address("127.0.0.1"), 0}),
-      address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())) {
-  net::co_spawn(executor, Accept(), net::detached);
+    : FaultProxy(std::move(executor), target, {net::ip::make_address("127.0.0.1"), 0}) {}
+
+FaultProxy::FaultProxy(net::any_io_executor executor, const std::string& target,
+                       const tcp::endpoint& listen)
+    : target_(ParseEndpoint(target)), acceptor_(executor, listen) {
+  const tcp::endpoint bound = acceptor_.local_endpoint();
+  address_ = bound.address().to_string() + ":" + std::to_string(bound.port());
+  net::co_spawn(executor, Accept(generation_), net::detached);
 }
 
-void FaultProxy::Close() {
+void FaultProxy::StopListening() {
   ErrorCode ignored;
   acceptor_.close(ignored);
+  ++generation_;
+  fillers_.clear();
+}
+
+void FaultProxy::Listen() {
+  StopListening();
+  acceptor_ = tcp::acceptor(acceptor_.get_executor(), ParseEndpoint(address_));
+}
+
+void FaultProxy::Close() {
+  StopListening();
   Reset();
 }
 
+void FaultProxy::RefuseNew() { StopListening(); }
+
+void FaultProxy::Silence() {
+  constexpr int kFillers = 3;
+  state_->hold_to_server = true;
+  state_->hold_to_client = true;
+  StopListening();
+  const tcp::endpoint endpoint = ParseEndpoint(address_);
+  acceptor_ = tcp::acceptor(acceptor_.get_executor());
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(0);
+  for (int i = 0; i < kFillers; ++i) {
+    fillers_.push_back(std::make_shared<tcp::socket>(acceptor_.get_executor()));
+    fillers_.back()->async_connect(endpoint, [filler = fillers_.back()](const ErrorCode&) {});
+  }
+}
+
 void FaultProxy::Open() {
-  acceptor_ = tcp::acceptor(acceptor_.get_executor(), ParseEndpoint(address_));
-  net::co_spawn(acceptor_.get_executor(), Accept(), net::detached);
+  Listen();
+  net::co_spawn(acceptor_.get_executor(), Accept(generation_), net::detached);
+}
+
+void FaultProxy::Restore() {
+  *state_ = {};
+  Open();
 }
 
 void FaultProxy::Reset() {
@@ -58,12 +97,12 @@
   links_.clear();
 }
 
-net::awaitable<void> FaultProxy::Accept() {
-  for (;;) {
+net::awaitable<void> FaultProxy::Accept(int generation) {
+  while (generation == generation_) {
     ErrorCode error;
     tcp::socket socket =
         co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
-    if (error) co_return;
+    if (error || generation != generation_) co_return;
     if (state_->refuse_new) {
       ResetSocket(socket);
       continue;
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -22,7 +22,10 @@
 /// Passes connections on to one address.
 class FaultProxy {
  public:
+  /// Listens on a free port of 127.0.0.1.
   FaultProxy(net::any_io_executor executor, const std::string& target);
+  /// Listens on `listen`.
+  FaultProxy(net::any_io_executor executor, const std::string& target, const tcp::endpoint& listen);
 
   std::string address() const { return address_; }
   void Set(const LinkState& state) { *state_ = state; }
@@ -30,14 +33,22 @@
   void Reset();
   /// As when the process behind it ends: connections are reset, new ones refused.
   void Close();
+  /// Refuses new connections; those that are open go on.
+  void RefuseNew();
+  /// As when packets are lost: connections hang, and new ones are not accepted.
+  void Silence();
   /// Listens again, at the same address.
   void Open();
+  /// Ends what the others brought about.
+  void Restore();
 
  private:
   struct Link;
   using Sockets = std::shared_ptr<Link>;
 
-  net::awaitable<void> Accept();
+  net::awaitable<void> Accept(int generation);
+  void Listen();
+  void StopListening();
   static net::awaitable<void> Connect(Sockets link, tcp::endpoint target);
   static net::awaitable<void> Pump(Sockets link, tcp::socket& from, tcp::socket& to,
                                    bool LinkState::*held);
@@ -47,6 +58,9 @@
   std::string address_;
   std::shared_ptr<LinkState> state_ = std::make_shared<LinkState>();
   std::vector<std::weak_ptr<Link>> links_;
+  int generation_ = 0;  ///< counts the times that it stopped listening
+  /// Fill the queue of connections that wait to be accepted, so that the kernel drops further ones.
+  std::vector<std::shared_ptr<tcp::socket>> fillers_;
 };
 
 }  // namespace ridgehold::soak
