Requests of an instance without a path go through its peers

Cause: an instance judges servers by its own links alone. It found all of them unreachable, had no other way, and went on sending to servers that it knew to be unreachable, with 700 ms for each connect. Class: 'I cannot reach it' taken for 'it is gone'. Evidence: 560 of 561 attempts after the first 3 s ended not_sent at servers logged as unreachable before; the failing test isolated_instance/*. Change: new library tunnel. ContactMonitor tells an isolated instance from lost servers and has a few others probed when it cannot tell; TunnelPeers spreads tunnels over the peers; TunnelServer connects a peer to a registered backend server and copies bytes. All decisions (keys, limits, retries, deadline) stay with the instance that has the request, so each counts once, a tunnel that does not open proves 'not run', and a reset of one side resets the other. A server that no peer reaches fails at once instead of after 700 ms. A refused connection counts as a crash only if the instance is not isolated, or a peer is refused as well; servers that refuse only new connections keep those that are open. Measured: isolated_instance/* 0 of 20 served before, 20 of 20 after, silent and reset. Why it works: the peers' paths are sound by definition of the fault, and only bytes pass through them.

--- a/libs/entry/include/entry/admin_server.h
+++ b/libs/entry/include/entry/admin_server.h
@@ -29,6 +29,11 @@
   using DelayedPages =
       std::map<std::string, std::function<net::awaitable<AdminPage>(std::string query)>>;
 
+  /// Takes over a connection on which a CONNECT request was received.
+  using ConnectHandler = std::function<net::awaitable<void>(tcp::socket, RequestMessage)>;
+  /// Without a handler, CONNECT is answered with 404.
+  void SetConnectHandler(ConnectHandler handler) { connect_handler_ = std::move(handler); }
+
   /// Listens on `address:port`. Fails with kInvalidSettings.
   static Result<std::unique_ptr<AdminServer>> Create(net::any_io_executor executor,
                                                      const std::string& address, Pages pages,
@@ -50,6 +55,7 @@
   tcp::acceptor acceptor_;
   Pages pages_;
   DelayedPages delayed_pages_;
+  ConnectHandler connect_handler_;
 };
 
 /// Opens a listening socket on `address:port`. Fails with kInvalidSettings.
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -32,6 +32,8 @@
 #include "net/wait.h"
 #include "peers/peer_link.h"
 #include "peers/store_copy_reader.h"
+#include "tunnel/peer_paths.h"
+#include "tunnel/tunnel_server.h"
 
 namespace ridgehold {
 
@@ -113,6 +115,7 @@
   void BeginShutdown(std::function<void()> done) {
     if (state_.shutting_down()) return;
     state_.BeginShutdown();
+    tunnel_server_.Stop();
     Log(LogLevel::kInfo, "shutting down",
         {{"in_flight", std::to_string(state_.in_flight())},
          {"connections", std::to_string(server_.open_connections())}});
@@ -121,6 +124,7 @@
 
   bool Ready() const {
     if (state_.shutting_down() || !follower_.ready() || !state_.snapshot()) return false;
+    if (LacksPaths(Clock::now())) return false;
     if (!settings_.strict_revocation) return true;
     const auto max_age = settings_.max_revocation_delay * tuning_.ready_fraction;
     return Clock::now() - state_.confirmed_at() < max_age;
@@ -162,7 +166,19 @@
         copy_reader_(
             state_, follower_, CopyOptions(), [this] { return PeerAddresses(); },
             [this](const std::set<std::string>& excluded) { return FindRelay(excluded); }),
+        tunnel_server_(
+            TunnelServerOptions(), [this](const BackendId& id) { return ResolveTunnel(id); },
+            [this](const BackendId& id, TunnelResult result) { OnTunnelConnect(id, result); },
+            metrics_),
+        peer_paths_(executor, PeerPathOptions(),
+                    TunnelPeers(settings_.topology.RegionOf(settings_.zone),
+                                LinkOf(settings_.instance_address), TunnelPeers::Options()),
+                    metrics_),
         timer_(executor) {
+    peer_paths_.SetPeerSource([this](TunnelPeers& peers) { UpdateTunnelPeers(peers); });
+    state_.SetPeerPathOpener([this](BackendPtr backend, TimePoint deadline) {
+      return OpenPeerPath(std::move(backend), deadline);
+    });
     ErrorCode error;
     const auto egress = net::ip::make_address(tuning_.egress_address, error);
     if (!error) state_.pool().SetEgressAddress(egress);
@@ -271,9 +287,81 @@
     const std::string address =
         settings_.instance_address + ":" + std::to_string(settings_.first_peer_port);
     BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, {}, PeerPages()));
+    peer_server_->SetConnectHandler([this](tcp::socket socket, RequestMessage request) {
+      return tunnel_server_.Serve(std::move(socket), std::move(request));
+    });
     return {};
   }
 
+  static constexpr TcpLiveness kTunnelLiveness{std::chrono::milliseconds(2'500),
+                                               std::chrono::seconds(1)};
+
+  TunnelServer::Options TunnelServerOptions() const {
+    // A tunnel takes two descriptors, and memory for two buffers.
+    constexpr std::size_t kDescriptorsPerTunnel = 16;
+    TunnelServer::Options options;
+    options.max_tunnels =
+        std::min(options.max_tunnels, settings_.max_descriptors / kDescriptorsPerTunnel);
+    options.liveness = kTunnelLiveness;
+    return options;
+  }
+
+  PeerPaths::Options PeerPathOptions() const {
+    PeerPaths::Options options;
+    options.port = settings_.first_peer_port;
+    options.liveness = kTunnelLiveness;
+    return options;
+  }
+
+  /// Where a tunnel of a peer to a backend server leads.
+  TunnelServer::Destination ResolveTunnel(const BackendId& id) const {
+    constexpr std::chrono::milliseconds kProbeTtl{500};
+    const TimePoint now = Clock::now();
+    const BackendPtr backend = state_.directory().Find(id);
+    if (!backend) return {TunnelResult::kUnknownBackend, {}};
+    if (!IsUsable(*backend, now) || backend->notice_state.leaving()) {
+      return {TunnelResult::kLeaving, {}};
+    }
+    if (state_.IsIsolated(now)) return {TunnelResult::kIsolated, {}};
+    const bool lost = !backend->reachable && now - backend->probed_at < kProbeTtl;
+    if (lost) return {TunnelResult::kUnreachable, {}};
+    return {TunnelResult::kOpen, state_.pool().EndpointOf(backend->entry.address)};
+  }
+
+  void OnTunnelConnect(const BackendId& id, TunnelResult result) {
+    const BackendPtr backend = state_.directory().Find(id);
+    if (result == TunnelResult::kOpen) return state_.RecordContact();
+    if (!backend) return;
+    state_.RecordLoss(backend);
+    state_.directory().RequestProbe(backend);
+  }
+
+  void UpdateTunnelPeers(TunnelPeers& peers) {
+    if (tunnel_members_version_ == records_.members_version()) return;
+    tunnel_members_version_ = records_.members_version();
+    std::vector<TunnelPeer> known;
+    for (const Member& member : records_.Members()) {
+      if (member.address == settings_.instance_address) continue;
+      known.push_back({member.address, settings_.topology.RegionOf(member.zone)});
+    }
+    peers.SetPeers(std::move(known));
+  }
+
+  net::awaitable<PeerPath> OpenPeerPath(BackendPtr backend, TimePoint deadline) {
+    TunnelTarget target{backend->entry.id, settings_.topology.RegionOf(backend->entry.zone)};
+    PeerPath path = co_await peer_paths_.Open(std::move(target), deadline);
+    if (path.connection) last_peer_path_at_ = Clock::now();
+    co_return path;
+  }
+
+  /// Whether the instance has reached no backend server for some time, neither directly nor through
+  /// a peer.
+  bool LacksPaths(TimePoint now) const {
+    constexpr std::chrono::milliseconds kPatience{2'000};
+    if (!state_.IsIsolated(now)) return false;
+    return now - std::max(state_.isolated_since(), last_peer_path_at_) >= kPatience;
+  }
+
   /// Pages for other instances.
   AdminServer::DelayedPages PeerPages() {
     AdminServer::DelayedPages pages;
@@ -378,6 +466,9 @@
     metrics.SetGauge("ridgehold_in_flight", "", state_.in_flight());
     metrics.SetGauge("ridgehold_unreachable_backends", "",
                      static_cast<double>(state_.directory().UnreachableCount()));
+    metrics.SetGauge("ridgehold_isolated", "", state_.IsIsolated(now) ? 1 : 0);
+    metrics.SetGauge("ridgehold_open_tunnels", "",
+                     static_cast<double>(tunnel_server_.open_tunnels()));
     metrics.SetGauge("ridgehold_quarantined_requests", "",
                      static_cast<double>(state_.poison().Quarantines(now).size()));
     metrics.SetGauge("ridgehold_suspected_requests", "",
@@ -456,12 +547,14 @@
     while (Clock::now() < deadline) {
       server_.CloseIdle();
       if (Clock::now() >= state_.response_deadline()) server_.FailPending();
-      const bool drained = state_.in_flight() == 0 && server_.open_connections() == 0;
+      const bool drained = state_.in_flight() == 0 && server_.open_connections() == 0 &&
+                           tunnel_server_.open_tunnels() == 0;
       if (drained && rollout_lease_released_) break;
       co_await WaitFor(timer, tuning_.housekeeping_interval / 5);
     }
     Log(LogLevel::kInfo, "stopped", {{"in_flight", std::to_string(state_.in_flight())}});
     stopped_ = true;
+    tunnel_server_.Abort();
     follower_.Stop();
     peers_->Stop();
     copy_reader_.Stop();
@@ -496,6 +589,10 @@
   QuarantineWriter<Store> quarantine_;
   StoreCopyReader<Follower> copy_reader_;
   std::unique_ptr<AdminServer> metrics_server_;
+  TunnelServer tunnel_server_;
+  PeerPaths peer_paths_;
+  std::uint64_t tunnel_members_version_ = 0;
+  TimePoint last_peer_path_at_{};
   Timer timer_;
   bool rollout_lease_released_ = false;
   bool stopped_ = false;
--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -56,6 +56,9 @@
     co_await http::async_read(socket, buffer, request,
                               net::redirect_error(net::use_awaitable, error));
     if (error) break;
+    if (request.method() == http::verb::connect && connect_handler_) {
+      co_return co_await connect_handler_(std::move(socket), std::move(request));
+    }
     ResponseMessage response = co_await Respond(request);
     http::response_serializer<http::string_body> serializer(response);
     co_await http::async_write(socket, serializer, net::redirect_error(net::use_awaitable, error));
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -55,7 +55,9 @@
   std::map<ModelId, WeightsNumber> weights;  ///< highest version reported by any source
   std::optional<TimePoint> grace_until;      ///< registration lapsed; removed at this time
   bool removed = false;
-  bool reachable = true;     ///< as of the last probe
+  bool reachable = true;       ///< as of the last probe
+  bool has_peer_path = false;  ///< unreachable here, but a peer last connected to it
+  TimePoint peer_path_checked_at{};
   bool needs_probe = false;  ///< an attempt failed here, or a peer cannot reach it
   TimePoint probed_at{};
   bool probing = false;     ///< a probe is in flight
@@ -97,6 +99,9 @@
   return backend.avoid_until > now || backend.notice_state.deprioritized_until() > now;
 }
 
+/// Whether requests reach the backend server, directly or through a peer.
+inline bool HasPath(const Backend& backend) { return backend.reachable || backend.has_peer_path; }
+
 /// Whether the backend server may get new requests, by its registration and its own notices.
 bool IsUsable(const Backend& backend, TimePoint now);
 
@@ -171,6 +176,8 @@
   /// the size of the fleet. Drops those that have neither any more.
   const std::vector<BackendPtr>& Active();
 
+  /// Up to `count` different backend servers, chosen by `seed`.
+  std::vector<BackendPtr> Sample(std::size_t count, std::uint64_t seed) const;
   /// Number of backend servers whose last probe by this gateway failed.
   std::size_t UnreachableCount() const;
 
--- a/libs/gateway/include/gateway/backend_prober.h
+++ b/libs/gateway/include/gateway/backend_prober.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 #include "gateway/backend_directory.h"
 #include "gateway/gateway_state.h"
@@ -39,6 +40,10 @@
     /// latency of 3 ms. Three concurrent copies crashed six servers without this delay and three
     /// with it.
     std::chrono::milliseconds peer_report_delay{10};
+    /// Minimum interval between checks whether peers reach an unreachable backend server.
+    std::chrono::milliseconds peer_path_pause{1'000};
+    /// Maximum time of such a check.
+    std::chrono::milliseconds peer_path_limit{600};
     /// Maximum number of concurrent probes; further ones wait for the next scan.
     std::size_t max_concurrent = 16;
   };
@@ -55,11 +60,26 @@
   net::awaitable<void> ConfirmCrash(BackendPtr backend);
 
  private:
-  void StartProbe(const BackendPtr& backend);
+  /// Why a backend server is probed.
+  enum class Purpose : std::uint8_t { kReachability, kCrash };
+
+  void StartProbe(const BackendPtr& backend, Purpose purpose);
   void StartProbes(TimePoint now);
   bool IsDue(const Backend& backend, TimePoint now) const;
   bool IsSuspicious(const Backend& backend, TimePoint now) const;
-  net::awaitable<void> Probe(BackendPtr backend);
+  net::awaitable<void> Probe(BackendPtr backend, Purpose purpose);
+  /// Connects directly and records the result.
+  net::awaitable<void> ProbeDirectly(BackendPtr backend);
+  /// Connects through a peer. A crash counts only if nothing listens at the backend server's
+  /// address there either.
+  net::awaitable<void> ProbeThroughPeer(BackendPtr backend);
+  /// Probes a few other backend servers if the last contact is too old to tell a partition from
+  /// the loss of one server.
+  void VerifyContact(TimePoint now);
+  bool NeedsPeerPath(const Backend& backend, TimePoint now) const;
+  /// Whether a refused connection may be the doing of a partition.
+  bool MayBePartitioned(const Backend& backend) const;
+  void RecordCrashIfRefused(const BackendPtr& backend, bool refused);
   /// Whether no connection to it is open. A server with a full accept queue also refuses
   /// connections.
   bool HasNoOpenConnection(const Backend& backend);
@@ -68,6 +88,7 @@
   Options options_;
   Timer timer_;
   std::size_t running_ = 0;
+  std::uint64_t samples_ = 0;
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "gateway/attempt_policy.h"
+#include "gateway/backend_connection.h"
 #include "gateway/backend_load.h"
 #include "gateway/backend_search.h"
 #include "gateway/caller_connection.h"
@@ -229,8 +230,9 @@
   }
 
   net::awaitable<AttemptOutcome> RunAttempt(const BackendChoice& choice) {
-    const std::string address = attempt_.backend->entry.address;
-    Checkout checkout = co_await state_.pool().Acquire(address, WaitLimit());
+    BackendConnection acquired = co_await AcquireConnection(state_, attempt_.backend, WaitLimit());
+    Checkout& checkout = acquired.checkout;
+    record_.via_peer = acquired.via_peer;
     if (checkout.fault != ExchangeFault::kNone) co_return OutcomeOf(checkout.fault);
     // Connecting takes time, during which the client may have disconnected or the backend server
     // become ineligible.
@@ -242,7 +244,8 @@
     const bool may_send =
         !Quarantined() && has_permit && MayStillSend(state_, inbound_, choice, now);
     if (caller_gone || too_late || !may_send) {
-      state_.pool().Release(address, std::move(checkout.connection));
+      ReleaseConnection(state_, *attempt_.backend, record_.via_peer,
+                        std::move(checkout.connection));
       if (caller_gone) co_return AttemptOutcome::kCallerGone;
       last_code_ = ResultCode::kNoBackend;
       co_return AttemptOutcome::kSkipped;
@@ -257,7 +260,7 @@
     queued_ticket_.reset();
     unanswered_ticket_.reset();
     poison_ticket_.reset();
-    state_.pool().Release(address, std::move(attempt_.connection));
+    ReleaseConnection(state_, *attempt_.backend, record_.via_peer, std::move(attempt_.connection));
     co_return outcome;
   }
 
@@ -265,7 +268,8 @@
   /// there at the limit is cancelled.
   void WatchStart() {
     WatchQuarantine();
-    if (retry_input_.may_repeat && retry_input_.runs + 1 < retry_input_.max_runs) {
+    const bool direct = record_.via_peer.empty();
+    if (direct && retry_input_.may_repeat && retry_input_.runs + 1 < retry_input_.max_runs) {
       state_.unanswered_attempts().Add(unanswered_ticket_, attempt_.backend->entry.id,
                                        [this] { CancelAttempt(ResultCode::kBackendUnreachable); });
     }
@@ -313,6 +317,7 @@
   }
 
   net::awaitable<AttemptOutcome> ReadOwnResponse() {
+    if (record_.via_peer.empty()) state_.RecordContact();
     ApplyAnswerHead(state_, *attempt_.backend, inbound_, attempt_.head, attempt_.sent);
     attempt_.caller_head = Wire::MakeCallerHead(attempt_.connection->head());
     if (!IsAcceptable(attempt_.head)) {
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -40,6 +40,8 @@
 #include "priority/priority_state.h"
 #include "priority/urgency.h"
 #include "quota/quota_client.h"
+#include "tunnel/contact_monitor.h"
+#include "tunnel/peer_paths.h"
 
 namespace ridgehold {
 
@@ -297,8 +299,27 @@
   void NoteWeights(Backend& backend, const ModelId& model, WeightsNumber number);
 
   /// Marks a backend server unreachable after a failed probe of this gateway, and prompts peers to
-  /// probe it.
-  void ReportUnreachable(const BackendPtr& backend);
+  /// probe it. If it is `silent`, requests that wait for it are retried elsewhere; if it refuses
+  /// new connections, those that are open may live on.
+  void ReportUnreachable(const BackendPtr& backend, bool silent);
+
+  /// Records that a backend server responded, or accepted a connection, over a direct path.
+  void RecordContact();
+  /// Records that a backend server could not be reached directly. If this shows that the instance
+  /// is isolated, probes the others.
+  void RecordLoss(const BackendPtr& backend);
+  /// Whether this gateway has probably lost its paths to all backend servers.
+  bool IsIsolated(TimePoint now) const { return contacts_.IsIsolated(now); }
+  /// Whether other backend servers should be probed to find out, see ContactMonitor.
+  bool ShouldVerifyContact(TimePoint now) const { return contacts_.ShouldVerify(now); }
+  /// When it was last found to be isolated.
+  TimePoint isolated_since() const { return isolated_since_; }
+
+  /// Opens a connection to the backend server through a peer.
+  net::awaitable<PeerPath> OpenPeerPath(BackendPtr backend, TimePoint deadline);
+  using PeerPathOpener = std::function<net::awaitable<PeerPath>(BackendPtr, TimePoint deadline)>;
+  void SetPeerPathOpener(PeerPathOpener open) { open_peer_path_ = std::move(open); }
+  bool has_peer_paths() const { return static_cast<bool>(open_peer_path_); }
 
   /// Number of this gateway's requests there that the retry budget would not cover if all were
   /// interrupted at once.
@@ -325,6 +346,7 @@
     on_placement_ = nullptr;
     on_load_change_ = nullptr;
     confirm_crash_ = nullptr;
+    open_peer_path_ = nullptr;
     query_loads_ = nullptr;
     quota_handlers_ = {};
     poison_.SetUpdateListener({});
@@ -369,6 +391,9 @@
   WeightsHistory named_weights_;
   PoisonGuard poison_;
   CrashConfirmer confirm_crash_;
+  ContactMonitor contacts_{ContactMonitor::Options()};
+  PeerPathOpener open_peer_path_;
+  TimePoint isolated_since_{};
   QuotaHandlers quota_handlers_;
   QueuedAttempts queued_attempts_;
   UnansweredAttempts unanswered_attempts_;
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -82,6 +82,8 @@
   std::uint32_t running_at_backend = 0;  ///< requests of all gateways on that backend server
   std::optional<double> slowness;        ///< of that engine, see BackendChoice
   std::optional<MemoryRecord> memory;    ///< none: not limited
+  /// The peer that carried the last attempt, see PeerPath; empty: direct.
+  std::string via_peer;
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
   std::optional<NoticeRecord> backend_notice;  ///< none if no notice is known here
--- a/libs/gateway/include/gateway/zone_topology.h
+++ b/libs/gateway/include/gateway/zone_topology.h
@@ -21,6 +21,12 @@
  public:
   void SetRegion(ZoneId zone, RegionId region) { regions_[std::move(zone)] = std::move(region); }
 
+  /// The region of a zone; empty if not known.
+  RegionId RegionOf(const ZoneId& zone) const {
+    const auto region = regions_.find(zone);
+    return region == regions_.end() ? RegionId() : region->second;
+  }
+
   ZoneDistance Between(const ZoneId& a, const ZoneId& b) const {
     if (a == b) return ZoneDistance::kSameZone;
     const auto region_a = regions_.find(a);
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -233,9 +233,20 @@
   return active_;
 }
 
+std::vector<BackendPtr> BackendDirectory::Sample(std::size_t count, std::uint64_t seed) const {
+  std::vector<BackendPtr> sample;
+  if (backends_.empty()) return sample;
+  auto next = std::next(backends_.begin(), static_cast<std::ptrdiff_t>(seed % backends_.size()));
+  for (std::size_t i = 0; i < std::min(count, backends_.size()); ++i) {
+    sample.push_back(next->second);
+    if (++next == backends_.end()) next = backends_.begin();
+  }
+  return sample;
+}
+
 std::size_t BackendDirectory::UnreachableCount() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      backends_, [](const auto& entry) { return !entry.second->reachable; }));
+  return static_cast<std::size_t>(
+      std::ranges::count_if(backends_, [](const auto& entry) { return !entry.second->reachable; }));
 }
 
 BackendPtr BackendDirectory::Find(const BackendId& id) const {
@@ -270,6 +281,7 @@
 
 void BackendDirectory::RecordReachable(Backend& backend) {
   backend.needs_probe = false;
+  backend.has_peer_path = false;
   if (std::exchange(backend.reachable, true)) return;
   // The failures were caused by the connection, not by the backend server.
   backend.avoid_until = {};
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -26,15 +26,15 @@
 void BackendProber::StartProbes(TimePoint now) {
   for (const BackendPtr& backend : state_.directory().Active()) {
     if (running_ >= options_.max_concurrent) return;
-    if (IsDue(*backend, now)) StartProbe(backend);
+    if (IsDue(*backend, now)) StartProbe(backend, Purpose::kReachability);
   }
 }
 
-void BackendProber::StartProbe(const BackendPtr& backend) {
+void BackendProber::StartProbe(const BackendPtr& backend, Purpose purpose) {
   ++running_;
   backend->probing = true;
   state_.directory().MarkActive(backend);
-  net::co_spawn(state_.executor(), Probe(backend), net::detached);
+  net::co_spawn(state_.executor(), Probe(backend, purpose), net::detached);
 }
 
 net::awaitable<void> BackendProber::ConfirmCrash(BackendPtr backend) {
@@ -42,7 +42,9 @@
   if (!options_.enabled) co_return;
   const bool known =
       state_.poison().HasCrashed(*backend) || start - backend->probed_at < options_.pause;
-  if (!known && !backend->probing && running_ < options_.max_concurrent) StartProbe(backend);
+  if (!known && !backend->probing && running_ < options_.max_concurrent) {
+    StartProbe(backend, Purpose::kCrash);
+  }
   Timer timer(state_.executor());
   while (backend->probing && Clock::now() - start < options_.confirm_timeout) {
     co_await WaitFor(timer, kConfirmPollInterval);
@@ -67,26 +69,69 @@
   return now - *backend.waiting_since.begin() >= options_.suspect_after_objectives * objective;
 }
 
-net::awaitable<void> BackendProber::Probe(BackendPtr backend) {
+net::awaitable<void> BackendProber::Probe(BackendPtr backend, Purpose purpose) {
+  const bool direct = purpose == Purpose::kReachability || backend->reachable;
+  if (direct) co_await ProbeDirectly(backend);
+  if (!direct || NeedsPeerPath(*backend, Clock::now())) co_await ProbeThroughPeer(backend);
+  --running_;
+  backend->probing = false;
+}
+
+void BackendProber::VerifyContact(TimePoint now) {
+  constexpr std::size_t kSampleSize = 3;
+  if (!state_.ShouldVerifyContact(now)) return;
+  samples_ += kSampleSize;
+  for (const BackendPtr& backend : state_.directory().Sample(kSampleSize, samples_)) {
+    const bool recent = now - backend->probed_at < options_.pause;
+    if (backend->probing || recent || running_ >= options_.max_concurrent) continue;
+    StartProbe(backend, Purpose::kReachability);
+  }
+}
+
+bool BackendProber::NeedsPeerPath(const Backend& backend, TimePoint now) const {
+  if (!state_.has_peer_paths() || backend.reachable || backend.has_peer_path) return false;
+  return now - backend.peer_path_checked_at >= options_.peer_path_pause;
+}
+
+net::awaitable<void> BackendProber::ProbeThroughPeer(BackendPtr backend) {
+  const PeerPath path =
+      co_await state_.OpenPeerPath(backend, Clock::now() + options_.peer_path_limit);
+  RecordCrashIfRefused(backend, path.result == TunnelResult::kRefused);
+}
+
+bool BackendProber::MayBePartitioned(const Backend& backend) const {
+  return state_.has_peer_paths() && (state_.IsIsolated(Clock::now()) || !backend.reachable);
+}
+
+void BackendProber::RecordCrashIfRefused(const BackendPtr& backend, bool refused) {
+  if (!refused || !HasNoOpenConnection(*backend)) return;
+  state_.poison().RecordCrash(*backend, "refused", Clock::now());
+}
+
+net::awaitable<void> BackendProber::ProbeDirectly(BackendPtr backend) {
   const TimePoint start = Clock::now();
   backend->probed_at = start;
   const auto connection = OutboundConnection::Create(state_.executor());
   const tcp::endpoint endpoint = state_.pool().EndpointOf(backend->entry.address);
   const ExchangeFault fault = co_await connection->Connect(endpoint, start + options_.connect_limit,
                                                            options_.connect_limit);
-  --running_;
-  backend->probing = false;
   const bool reached = fault == ExchangeFault::kNone;
-  if (connection->connection_refused() && HasNoOpenConnection(*backend)) {
-    state_.poison().RecordCrash(*backend, "refused", Clock::now());
+  const bool refused = connection->connection_refused();
+  if (reached) {
+    state_.RecordContact();
+  } else {
+    state_.RecordLoss(backend);
+    VerifyContact(Clock::now());
   }
+  if (!MayBePartitioned(*backend)) RecordCrashIfRefused(backend, refused);
   if (reached == backend->reachable && !backend->needs_probe) co_return;
   const bool changed = reached != backend->reachable;
   if (reached) {
     BackendDirectory::RecordReachable(*backend);
   } else {
-    state_.pool().CloseIdle(backend->entry.address);  // idle pooled connections are broken as well
-    state_.ReportUnreachable(backend);
+    // Idle connections are broken as well, unless only new ones are refused.
+    if (!refused) state_.pool().CloseIdle(backend->entry.address);
+    state_.ReportUnreachable(backend, !refused);
   }
   if (!changed) co_return;
   state_.metrics().GetCounter("ridgehold_backend_reachability_changes").Add();
@@ -94,7 +139,7 @@
       {{"backend", backend->entry.id.value()},
        {"address", backend->entry.address},
        {"zone", backend->entry.zone.value()},
-       {"refused", connection->connection_refused() ? "yes" : "no"},
+       {"refused", refused ? "yes" : "no"},
        {"probe_ms", MillisecondsText(Clock::now() - start)}});
 }
 
--- a/libs/gateway/src/engine_grouping.cc
+++ b/libs/gateway/src/engine_grouping.cc
@@ -15,7 +15,7 @@
 /// back within a second. Engines that this gateway avoids after a refusal stay members, too,
 /// because other gateways do not know of it; they are not polled meanwhile (Shortlist).
 bool MayBeMember(const BackendDirectory& directory, const Backend& backend, TimePoint now) {
-  return backend.reachable && !backend.grace_until && IsUsable(backend, now) &&
+  return HasPath(backend) && !backend.grace_until && IsUsable(backend, now) &&
          !directory.IsWithheld(backend);
 }
 
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -8,6 +8,8 @@
 #include <iterator>
 #include <utility>
 
+#include "log/log.h"
+
 namespace ridgehold {
 
 std::uint64_t HashOf(const ServiceId& service) {
@@ -117,7 +119,7 @@
   if (parts.empty()) return {};
   std::vector<BackendPtr> holders;
   for (const auto& [id, backend] : directory_.all()) {
-    const bool usable = !backend->superseded && !backend->grace_until && backend->reachable &&
+    const bool usable = !backend->superseded && !backend->grace_until && HasPath(*backend) &&
                         backend->hold_until <= now;
     if (usable && backend->cache.Contains(parts.back().hash)) holders.push_back(backend);
   }
@@ -243,12 +245,38 @@
   NotifyLoadChanged();
 }
 
-void GatewayState::ReportUnreachable(const BackendPtr& backend) {
+void GatewayState::ReportUnreachable(const BackendPtr& backend, bool silent) {
   directory_.RequestProbe(backend);
   if (!std::exchange(backend->reachable, false)) return;
   pending_updates_.unreachable.push_back(HashOf(*backend));
   NotifyLoadChanged();
-  unanswered_attempts_.CancelAt(backend->entry.id);
+  if (silent) unanswered_attempts_.CancelAt(backend->entry.id);
+}
+
+void GatewayState::RecordContact() {
+  if (!contacts_.RecordContact(Clock::now())) return;
+  Log(LogLevel::kInfo, "isolation ended: a backend server responded directly");
+}
+
+void GatewayState::RecordLoss(const BackendPtr& backend) {
+  const TimePoint now = Clock::now();
+  if (!contacts_.RecordLoss(backend->entry.id, directory_.all().size(), now)) return;
+  isolated_since_ = now;
+  metrics_.GetCounter("ridgehold_isolations").Add();
+  Log(LogLevel::kWarn, "isolated: no backend server responds directly",
+      {{"backends", std::to_string(directory_.all().size())},
+       {"peer_paths", open_peer_path_ ? "yes" : "no"}});
+  const std::vector<BackendPtr> active = directory_.Active();
+  for (const BackendPtr& other : active) directory_.RequestProbe(other);
+}
+
+net::awaitable<PeerPath> GatewayState::OpenPeerPath(BackendPtr backend, TimePoint deadline) {
+  PeerPath path;
+  if (!open_peer_path_) co_return path;
+  backend->peer_path_checked_at = Clock::now();
+  path = co_await open_peer_path_(backend, deadline);
+  backend->has_peer_path = !backend->reachable && path.connection != nullptr;
+  co_return path;
 }
 
 std::uint32_t GatewayState::Uncovered(const Backend& backend, TimePoint now) {
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -90,7 +90,7 @@
     placement.index = index;
     placement.cost = backend.error_rate * costs_.error_penalty;
     placement.cost += DistanceCost(backend.entry.zone);
-    if (IsAvoided(backend, query_.now) || !backend.reachable) placement.cost += kAvoidPenalty;
+    if (IsAvoided(backend, query_.now) || !HasPath(backend)) placement.cost += kAvoidPenalty;
     if (backend.grace_until) placement.cost += kAvoidPenalty / 2;
     if (backend.hold_until > query_.now) placement.cost += costs_.hold_penalty;
     if (query_.answers != nullptr && ReportOn(backend) == nullptr) {
@@ -224,7 +224,7 @@
     if (query_.store && !costs_.engines_as_sources) return;
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
       const Backend& backend = *candidates_[i];
-      const bool usable = !IsAvoided(backend, query_.now) && backend.reachable &&
+      const bool usable = !IsAvoided(backend, query_.now) && HasPath(backend) &&
                           !backend.grace_until && !cache_estimates_[i].may_be_evicted &&
                           cache_estimates_[i].fetchable_tokens > 0;
       if (usable) engine_sources_.push_back({i, EngineLinkWait(backend)});
--- a/libs/gateway/src/placement_scope.cc
+++ b/libs/gateway/src/placement_scope.cc
@@ -4,7 +4,7 @@
 namespace {
 
 bool IsHealthy(const Backend& backend, TimePoint now) {
-  return backend.reachable && !backend.grace_until && !IsAvoided(backend, now);
+  return HasPath(backend) && !backend.grace_until && !IsAvoided(backend, now);
 }
 
 }  // namespace
--- a/libs/gateway/src/poison_guard.cc
+++ b/libs/gateway/src/poison_guard.cc
@@ -182,7 +182,7 @@
 
 BackendPtr TrialBackend(RequestFingerprint request, std::span<const BackendPtr> candidates) {
   return *std::ranges::max_element(candidates, {}, [&](const BackendPtr& backend) {
-    return std::pair(backend->reachable, RankOf(request, *backend));
+    return std::pair(HasPath(*backend), RankOf(request, *backend));
   });
 }
 
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -228,6 +228,7 @@
     fields.push_back({"fits", record.memory->fits ? "yes" : "no"});
   }
   if (record.quota) AppendQuota(metrics, record, fields);
+  if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
   AppendNotice(record, fields);
@@ -254,6 +255,7 @@
                       {"code", std::string(Describe(code).name)},
                       {"in_flight", std::to_string(backend.in_flight)},
                       {"next", std::string(NameOf(step))}};
+  if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
   AppendNotice(record, fields);
   Log(LogLevel::kWarn, "attempt", fields);
 }
--- a/libs/gateway/src/shortlist.cc
+++ b/libs/gateway/src/shortlist.cc
@@ -77,7 +77,7 @@
 /// The candidates without any known problem; all candidates if each has one.
 Backends Healthy(const ShortlistQuery& query, std::span<const BackendPtr> candidates) {
   Backends healthy = Filter(candidates, [&](const Backend& backend) {
-    return backend.reachable && !backend.grace_until && !IsAvoided(backend, query.now) &&
+    return HasPath(backend) && !backend.grace_until && !IsAvoided(backend, query.now) &&
            backend.hold_until <= query.now;
   });
   if (healthy.empty()) healthy.assign(candidates.begin(), candidates.end());
--- a/libs/net/include/net/connection_pool.h
+++ b/libs/net/include/net/connection_pool.h
@@ -53,6 +53,9 @@
   /// `address` is malformed.
   tcp::endpoint EndpointOf(const std::string& address) const;
 
+  /// Returns an idle connection to `address`, or null.
+  std::shared_ptr<OutboundConnection> AcquireIdle(const std::string& address);
+
   /// Returns an idle connection to `address`, or opens a new one. Returns kNotSent if `address`
   /// is malformed or connecting fails.
   net::awaitable<Checkout> Acquire(std::string address, TimePoint deadline);
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -32,6 +32,9 @@
 
   static std::shared_ptr<OutboundConnection> Create(net::any_io_executor executor);
 
+  /// Takes over a connected socket, on which no exchange has begun.
+  static std::shared_ptr<OutboundConnection> Adopt(tcp::socket socket);
+
   /// Connects. The kernel closes the connection when sent bytes stay unacknowledged for
   /// `tcp_user_timeout` (TCP_USER_TIMEOUT).
   net::awaitable<ExchangeFault> Connect(tcp::endpoint endpoint, TimePoint deadline,
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -10,17 +10,22 @@
   return endpoint;
 }
 
-net::awaitable<Checkout> ConnectionPool::Acquire(std::string address, TimePoint deadline) {
+std::shared_ptr<OutboundConnection> ConnectionPool::AcquireIdle(const std::string& address) {
   const TimePoint now = Clock::now();
-  Checkout checkout;
   const auto found = idle_.find(address);
   while (found != idle_.end() && !found->second.empty()) {
     auto connection = std::move(found->second.back());
     found->second.pop_back();
-    if (Expired(*connection, now) || !connection->IdleAndOpen()) continue;
-    checkout.connection = std::move(connection);
-    co_return checkout;
+    if (!Expired(*connection, now) && connection->IdleAndOpen()) return connection;
   }
+  return nullptr;
+}
+
+net::awaitable<Checkout> ConnectionPool::Acquire(std::string address, TimePoint deadline) {
+  const TimePoint now = Clock::now();
+  Checkout checkout;
+  checkout.connection = AcquireIdle(address);
+  if (checkout.connection) co_return checkout;
   checkout.fresh = true;
   const tcp::endpoint endpoint = EndpointOf(address);
   if (endpoint.port() == 0) {
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -1,7 +1,5 @@
 #include "net/outbound_connection.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -12,6 +10,8 @@
 #include <charconv>
 #include <sstream>
 
+#include "net/tcp_liveness.h"
+
 namespace ridgehold {
 namespace {
 
@@ -50,6 +50,12 @@
   return std::shared_ptr<OutboundConnection>(new OutboundConnection(std::move(executor)));
 }
 
+std::shared_ptr<OutboundConnection> OutboundConnection::Adopt(tcp::socket socket) {
+  std::shared_ptr<OutboundConnection> connection = Create(socket.get_executor());
+  connection->socket_ = std::move(socket);
+  return connection;
+}
+
 OutboundConnection::OutboundConnection(net::any_io_executor executor)
     : socket_(executor), deadline_timer_(executor) {}
 
@@ -67,10 +73,7 @@
     Close();
     co_return cancelled_ ? ExchangeFault::kCancelled : ExchangeFault::kNotSent;
   }
-  socket_.set_option(tcp::no_delay(true), error);
-  const int user_timeout = static_cast<int>(tcp_user_timeout.count());
-  ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-               sizeof user_timeout);
+  Apply({tcp_user_timeout, std::nullopt}, socket_);
   co_return ExchangeFault::kNone;
 }
 
--- /dev/null
+++ b/libs/tunnel/src/tunnel_dialer.cc
@@ -0,0 +1,70 @@
+#include "tunnel/tunnel_dialer.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <utility>
+
+#include "net/timer.h"
+
+namespace ridgehold {
+namespace {
+
+/// A connection to a peer until the tunnel is open. Shared with the deadline's handler.
+struct Dialing {
+  explicit Dialing(const net::any_io_executor& executor) : socket(executor), timer(executor) {}
+
+  tcp::socket socket;
+  Timer timer;
+};
+
+TunnelResult ResultOf(const ResponseHead& head) {
+  const auto field = head.find(kTunnelResultField);
+  if (field == head.end()) return TunnelResult::kPeerFailed;
+  return ParseTunnelResult({field->value().data(), field->value().size()});
+}
+
+}  // namespace
+
+net::awaitable<TunnelCheckout> OpenTunnel(net::any_io_executor executor, tcp::endpoint peer,
+                                          BackendId backend, TcpLiveness liveness,
+                                          TimePoint deadline) {
+  const auto dialing = std::make_shared<Dialing>(executor);
+  dialing->timer.expires_at(deadline);
+  dialing->timer.async_wait([dialing](const ErrorCode& error) {
+    ErrorCode ignored;
+    if (!error) dialing->socket.close(ignored);
+  });
+  TunnelCheckout checkout;
+  ErrorCode error;
+  co_await dialing->socket.async_connect(peer, net::redirect_error(net::use_awaitable, error));
+  if (error) {
+    dialing->timer.cancel();
+    co_return checkout;
+  }
+  Apply(liveness, dialing->socket);
+  http::request<http::empty_body> request(http::verb::connect, backend.value(), 11);
+  request.set(http::field::host, backend.value());
+  co_await http::async_write(dialing->socket, request,
+                             net::redirect_error(net::use_awaitable, error));
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::empty_body> parser;
+  parser.skip(true);
+  if (!error) {
+    co_await http::async_read_header(dialing->socket, buffer, parser,
+                                     net::redirect_error(net::use_awaitable, error));
+  }
+  // The timer may have expired without its handler having run.
+  const bool in_time = dialing->timer.cancel() > 0 && dialing->socket.is_open();
+  if (error || !in_time) co_return checkout;
+  checkout.result = ResultOf(parser.get().base());
+  // A backend server sends nothing before it has received a request.
+  if (checkout.result == TunnelResult::kOpen && buffer.size() > 0) {
+    checkout.result = TunnelResult::kPeerFailed;
+  }
+  if (checkout.result != TunnelResult::kOpen) co_return checkout;
+  checkout.connection = OutboundConnection::Adopt(std::move(dialing->socket));
+  co_return checkout;
+}
+
+}  // namespace ridgehold
--- /dev/null
+++ b/libs/tunnel/src/tunnel_session.cc
@@ -0,0 +1,80 @@
+#include "tunnel/tunnel_session.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace ridgehold {
+namespace {
+
+constexpr std::size_t kBufferBytes = std::size_t{8} << 10;
+
+void Reset(tcp::socket& socket) {
+  ErrorCode ignored;
+  socket.set_option(net::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+}  // namespace
+
+std::shared_ptr<TunnelSession> TunnelSession::Create(tcp::socket peer, tcp::socket backend,
+                                                     std::function<void()> on_end) {
+  return std::shared_ptr<TunnelSession>(
+      new TunnelSession(std::move(peer), std::move(backend), std::move(on_end)));
+}
+
+TunnelSession::TunnelSession(tcp::socket peer, tcp::socket backend, std::function<void()> on_end)
+    : peer_(std::move(peer)), backend_(std::move(backend)), on_end_(std::move(on_end)) {}
+
+TunnelSession::~TunnelSession() { on_end_(); }
+
+void TunnelSession::Start() {
+  const auto executor = peer_.get_executor();
+  net::co_spawn(executor, CopyToBackend(), net::detached);
+  net::co_spawn(executor, CopyToPeer(), net::detached);
+}
+
+void TunnelSession::Abort() {
+  Reset(peer_);
+  Reset(backend_);
+}
+
+void TunnelSession::Close() {
+  ErrorCode ignored;
+  peer_.close(ignored);
+  backend_.close(ignored);
+}
+
+/// A peer closes its side only when it needs no further response.
+net::awaitable<void> TunnelSession::CopyToBackend() {
+  auto self = shared_from_this();
+  const bool in_order = co_await Copy(peer_, backend_);
+  in_order ? Close() : Abort();
+}
+
+net::awaitable<void> TunnelSession::CopyToPeer() {
+  auto self = shared_from_this();
+  const bool in_order = co_await Copy(backend_, peer_);
+  if (!in_order) co_return Abort();
+  ErrorCode ignored;
+  peer_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+net::awaitable<bool> TunnelSession::Copy(tcp::socket& from, tcp::socket& to) {
+  std::array<char, kBufferBytes> buffer;
+  for (;;) {
+    ErrorCode error;
+    const std::size_t bytes = co_await from.async_read_some(
+        net::buffer(buffer), net::redirect_error(net::use_awaitable, error));
+    if (error) co_return error == net::error::eof;
+    co_await net::async_write(to, net::buffer(buffer.data(), bytes),
+                              net::redirect_error(net::use_awaitable, error));
+    if (error) co_return false;
+  }
+}
+
+}  // namespace ridgehold
