LIMIT: the rejections of fragile backend servers are kept below what they bear

Cause: nothing read the field, and each instance goes on sending to a full server by its own count; the sum over all instances is what the server bears. While a service is fragile, requests of all gateways at a server stay below its room (RoomEstimate: slots, halved after a rejection, growing slowly), and after a rejection all gateways pause for a part of a second; the pause and the room go to the peers with the other pushback. The permits for Server-Limit count requests per second from one holder; here the bound is on what is rejected, which no holder knows in advance. A request that is refused by an isolated instance is told to come back after 1 s. Log line 'fragile backend rejected a request', metric ridgehold_rejections.

--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -21,6 +21,7 @@
 #include "gateway/pushback_state.h"
 #include "performance/engine_performance.h"
 #include "performance/known_performance.h"
+#include "rejection/room_estimate.h"
 
 namespace ridgehold {
 
@@ -81,6 +82,7 @@
   std::multiset<TimePoint> waiting_since;  ///< send times of requests without a first event
   EngineCache cache;                       ///< estimated, for the weights it runs now
   PushbackState notice_state;
+  RoomEstimate room;  ///< only used while its service is fragile
   /// Learned from the gateways that report directly to this one, if it is a tracker.
   EnginePerformance performance;
   KnownPerformance reported_performance;  ///< as last reported by a tracker
--- a/libs/gateway/include/gateway/backend_pushback.h
+++ b/libs/gateway/include/gateway/backend_pushback.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "quota/request_rate.h"
+#include "rejection/rejection_limit.h"
 
 namespace ridgehold {
 
@@ -18,6 +19,8 @@
   bool leaving = false;          ///< it shuts down soon and must get no new requests
   /// It rejected the request and asks this instance to back off for this long.
   std::optional<std::chrono::milliseconds> backoff;
+  /// Rejections per second that it bears, if the servers of its service are fragile.
+  std::optional<RejectionLimit> rejection_limit{};
 
   bool operator==(const BackendPushback&) const = default;
 };
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -456,6 +456,8 @@
       retry_input_.may_have_run = true;
       ++retry_input_.runs;
     }
+    const bool rejected = retry_input_.not_executed && retry_input_.status == 503;
+    if (rejected) state_.metrics().GetCounter("ridgehold_rejections").Add();
     const TimePoint now = Clock::now();
     retry_input_.time_left = WaitLimit() - now > state_.limits().min_attempt_time;
     RecordOutcome(state_, inbound_, attempt_.backend, retry_input_, now);
@@ -497,7 +499,7 @@
         co_await Deliver();
         break;
       case NextStep::kReject:
-        co_await RefuseWith(NotRunCode(last_code_, retry_input_), search_.RetryAfter());
+        co_await RefuseWith(NotRunCode(last_code_, retry_input_), RetryAfterRejection());
         break;
       case NextStep::kFail:
         co_await RefuseWith(MayHaveRunCode(last_code_), kDefaultRetryAfter);
@@ -510,6 +512,13 @@
     }
   }
 
+  /// Paths to backend servers do not come back within a fraction of an objective.
+  std::chrono::milliseconds RetryAfterRejection() const {
+    constexpr std::chrono::milliseconds kIsolatedRetryAfter{1'000};
+    const auto usual = search_.RetryAfter();
+    return state_.IsIsolated(Clock::now()) ? std::max(usual, kIsolatedRetryAfter) : usual;
+  }
+
   net::awaitable<void> Deliver() {
     record_.code = ResultCode::kOk;
     record_.status = attempt_.head.status;
--- a/libs/gateway/include/gateway/pushback_registry.h
+++ b/libs/gateway/include/gateway/pushback_registry.h
@@ -14,6 +14,7 @@
 #include "gateway/pushback_update.h"
 #include "quota/quota_subject.h"
 #include "quota/request_limit.h"
+#include "rejection/fragile_services.h"
 
 namespace ridgehold {
 
@@ -26,6 +27,19 @@
   void ApplyPushback(Backend& backend, const BackendPushback& pushback, TimePoint sent,
                      TimePoint now);
 
+  /// Records that a backend server rejected a request for lack of room. Only matters while its
+  /// service is fragile.
+  void RecordRejection(Backend& backend, TimePoint now);
+
+  /// Whether a backend server has room for another request. Always true if its service is not
+  /// fragile.
+  bool HasRoom(const Backend& backend, TimePoint now) const;
+
+  /// When a backend server accepts requests again after a rejection; in the past if it does now.
+  TimePoint RoomBlockedUntil(const Backend& backend, TimePoint now) const;
+
+  const FragileServices& fragile_services() const { return fragile_services_; }
+
   /// Applies updates from another gateway. Returns this gateway's state where the sender's is
   /// older.
   PushbackUpdateList ApplyUpdates(const PushbackUpdateList& updates, std::uint64_t gateway,
@@ -57,9 +71,12 @@
   static void ApplyPeerBackoff(Backend& backend, const PushbackUpdate& update,
                                std::uint64_t gateway, TimePoint now);
   void OnStateChanged(const Backend& backend, TimePoint now);
+  void RecordFragility(const Backend& backend, RejectionLimit limit, TimePoint now);
+  void Share(Backend& backend, TimePoint now);
 
   BackendDirectory& directory_;
   LimitTolerance tolerance_;
+  FragileServices fragile_services_;
   PushbackUpdateList pending_;
   std::map<QuotaSubject, QuotaLimits> changed_terms_;
   TimePoint quota_needed_until_{};
--- a/libs/gateway/include/gateway/pushback_update.h
+++ b/libs/gateway/include/gateway/pushback_update.h
@@ -9,6 +9,7 @@
 
 #include "gateway/gateway_gossip.h"
 #include "quota/request_rate.h"
+#include "rejection/room_estimate.h"
 
 namespace ridgehold {
 
@@ -21,6 +22,7 @@
   bool leaving = false;
   /// Remaining back-off that the server requested from the sender of this update; empty: none.
   std::optional<std::chrono::milliseconds> backoff_left{};
+  std::optional<RoomUpdate> room{};  ///< after a recent rejection by a fragile server
 
   bool operator==(const PushbackUpdate&) const = default;
 };
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -28,6 +28,7 @@
 // and a round trip to another zone.
 constexpr double kBusyCallCost = 50;
 constexpr int kMisdirected = 421;
+constexpr int kServiceUnavailable = 503;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
@@ -215,6 +216,7 @@
                    const InboundRequest& request, const std::set<BackendId>& tried,
                    const Backend& backend, TimePoint now) {
   if (tried.contains(backend.entry.id) || backend.notice_state.BlocksRequests(now)) return false;
+  if (!state.pushback().HasRoom(backend, now)) return false;
   if (plan.avoid_rate_limited && backend.notice_state.limit()) return false;
   return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
 }
@@ -275,7 +277,8 @@
     const bool may_take =
         !request.generation || MayStartOnWeights(state, *backend, request.generation->model, now);
     if (tried.contains(backend->entry.id) || !may_take) continue;
-    const TimePoint accepts_at = std::max(now, backend->notice_state.blocked_until());
+    const TimePoint accepts_at = std::max({now, backend->notice_state.blocked_until(),
+                                           state.pushback().RoomBlockedUntil(*backend, now)});
     earliest = earliest ? std::min(*earliest, accepts_at) : accepts_at;
   }
   return earliest;
@@ -393,6 +396,7 @@
   const Backend& backend = *choice.backend;
   if (backend.removed || !IsUsable(backend, now)) return false;
   if (now < backend.notice_state.backoff_until()) return false;
+  if (now < state.pushback().RoomBlockedUntil(backend, now)) return false;
   return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
 }
 
@@ -484,6 +488,9 @@
   if (ProvesNotExecuted(facts)) {
     const auto backoff = BackoffAfterRefusal(state, request, *backend, facts);
     backend->avoid_until = std::max<TimePoint>(backend->avoid_until, now + backoff);
+    // An engine that loads weights rejects requests, too, however much room it has.
+    const bool lacks_room = facts.status == kServiceUnavailable && backoff == kRefusalBackoff;
+    if (lacks_room) state.pushback().RecordRejection(*backend, now);
     return;
   }
   if (facts.status >= kFirstServerError) return BackendDirectory::RecordErrorResponse(*backend);
--- a/libs/gateway/src/pushback_registry.cc
+++ b/libs/gateway/src/pushback_registry.cc
@@ -39,23 +39,62 @@
          {"rest_ms", std::to_string(pushback.backoff->count())}});
   }
   const bool changed = backend.notice_state.ApplyPushback(pushback, sent, now);
+  if (pushback.rejection_limit) RecordFragility(backend, *pushback.rejection_limit, now);
   if (pushback.limit) quota_needed_until_ = now + kQuotaRetention;
   if (changed) {
     LogState("backend notice", backend);
     OnStateChanged(backend, now);
   }
   const bool share = changed || (pushback.backoff && backend.notice_state.ShouldShareBackoff(now));
-  if (!share || !backend.notice_state.TryBeginBroadcast(now)) return;
+  if (share) Share(backend, now);
+}
+
+void PushbackRegistry::Share(Backend& backend, TimePoint now) {
+  if (!backend.notice_state.TryBeginBroadcast(now)) return;
   pending_.items.push_back(UpdateFor(backend, now));
   if (on_update_) on_update_();
 }
 
+void PushbackRegistry::RecordFragility(const Backend& backend, RejectionLimit limit,
+                                       TimePoint now) {
+  if (!fragile_services_.Record(backend.entry.service, limit, now)) return;
+  Log(LogLevel::kInfo, "backends fragile",
+      {{"service", backend.entry.service.value()},
+       {"backend", backend.entry.id.value()},
+       {"rejections_per_s", std::to_string(limit.value())}});
+}
+
+void PushbackRegistry::RecordRejection(Backend& backend, TimePoint now) {
+  const auto limit = fragile_services_.LimitOf(backend.entry.service, now);
+  if (!limit) return;
+  const std::uint32_t running = backend.in_flight + backend.peers.running;
+  backend.room.RecordRejection(*limit, running, now);
+  Log(LogLevel::kInfo, "fragile backend rejected a request",
+      {{"backend", backend.entry.id.value()},
+       {"address", backend.entry.address},
+       {"running", std::to_string(running)},
+       {"rejections_per_s", std::to_string(limit->value())}});
+  Share(backend, now);
+}
+
+bool PushbackRegistry::HasRoom(const Backend& backend, TimePoint now) const {
+  if (!fragile_services_.LimitOf(backend.entry.service, now)) return true;
+  const std::uint32_t running = backend.in_flight + backend.peers.running;
+  return backend.room.MayTake(running, backend.entry.slots, now);
+}
+
+TimePoint PushbackRegistry::RoomBlockedUntil(const Backend& backend, TimePoint now) const {
+  const bool fragile = fragile_services_.LimitOf(backend.entry.service, now).has_value();
+  return fragile ? backend.room.blocked_until() : TimePoint();
+}
+
 PushbackUpdate PushbackRegistry::UpdateFor(const Backend& backend, TimePoint now) {
   PushbackUpdate update = backend.notice_state.ToUpdate(HashOf(backend));
   const TimePoint backoff_until = backend.notice_state.backoff_until();
   if (now < backoff_until) {
     update.backoff_left = std::chrono::ceil<std::chrono::milliseconds>(backoff_until - now);
   }
+  update.room = backend.room.ToUpdate(now);
   return update;
 }
 
@@ -77,6 +116,10 @@
     const BackendPtr backend = directory_.FindByHash(item.backend);
     if (!backend) continue;
     ApplyPeerBackoff(*backend, item, gateway, now);
+    if (item.room) {
+      RecordFragility(*backend, item.room->limit, now);
+      backend->room.Apply(*item.room, now);
+    }
     const PushbackUpdate before = backend->notice_state.ToUpdate(item.backend);
     if (backend->notice_state.ApplyUpdate(item, now)) newer.items.push_back(before);
     if (backend->notice_state.ToUpdate(item.backend) == before) continue;
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -212,6 +212,10 @@
     PushbackUpdate item{word.backend(), word.number(), std::nullopt, word.leaving(), std::nullopt};
     if (word.limited()) item.limit = RequestRate::FromThousandths(word.limit());
     if (word.rest_left_ms() > 0) item.backoff_left = std::chrono::milliseconds(word.rest_left_ms());
+    if (word.has_room()) {
+      item.room = RoomUpdate{RejectionLimit(word.room().rejections_per_s()), word.room().room(),
+                             std::chrono::milliseconds(word.room().blocked_left_ms())};
+    }
     news.items.push_back(item);
   }
   return news;
@@ -307,6 +311,11 @@
     if (item.limit) word.set_limit(item.limit->thousandths());
     if (item.backoff_left)
       word.set_rest_left_ms(static_cast<std::uint32_t>(item.backoff_left->count()));
+    if (!item.room) continue;
+    word.mutable_room()->set_rejections_per_s(item.room->limit.value());
+    word.mutable_room()->set_room(item.room->room);
+    word.mutable_room()->set_blocked_left_ms(
+        static_cast<std::uint32_t>(item.room->blocked_left.count()));
   }
   return message.SerializeAsString();
 }
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -93,7 +93,10 @@
                                     TimePoint now) {
   // A cool-down is sent as its remaining time, which is wrong in a delayed message.
   if (now < stale_until_) {
-    for (PushbackUpdate& item : news.items) item.backoff_left.reset();
+    for (PushbackUpdate& item : news.items) {
+      item.backoff_left.reset();
+      item.room.reset();
+    }
   }
   const std::uint64_t gateway = std::hash<std::string>{}(sender.to_string());
   PushbackUpdateList newer = state_.pushback().ApplyUpdates(news, gateway, now);
