Backend connections outlast a silence of a second

A sound server may fall silent for a second or so. With TCP_USER_TIMEOUT at 1 s a call that may not be repeated was answered 502 although the server went on. Change: 2.5 s. Calls that may be repeated are still retried after a failed probe. Test: tcp_liveness/* checks the values and the options on the socket; loopback does not lose packets, so the kernel's behaviour itself is not tested here.

--- a/libs/net/include/net/connection_pool.h
+++ b/libs/net/include/net/connection_pool.h
@@ -36,9 +36,9 @@
     std::chrono::milliseconds keep_alive_margin{500};
     /// Shorter than the kernel's 1 s retransmission timeout for a lost connect packet (SYN).
     std::chrono::milliseconds connect_timeout{700};
-    /// A server that leaves sent bytes unacknowledged for this long is considered gone. Ten
-    /// round trips between zones take 30 ms.
-    std::chrono::milliseconds tcp_user_timeout{1'000};
+    /// A server that leaves sent bytes unacknowledged for this long is considered gone. A sound
+    /// server may fall silent for a second or so.
+    std::chrono::milliseconds tcp_user_timeout{2'500};
     std::size_t max_idle_per_address = 32;
   };
 
