Soak: instances without a way to the engines, and brittle engines

Faults path (silent, reset, new connections refused; some or all instances, overlapping) and brittle, with checks for RECOVER (PathCheck) and LIMIT (Needs). Each instance has a proxy of its own to each engine in runs with the fault path.

--- a/soak/calm.h
+++ b/soak/calm.h
@@ -12,6 +12,7 @@
 enum class FaultClass {
   kPlanned,  ///< an ordered stop and the restart after it
   kProcess,  ///< a kill, or a process that does not run
+  kPath,     ///< an instance without a way to the engines; nothing comes late
   kHeld,     ///< something that was held up and comes late: a pause, a link
 };
 
@@ -23,6 +24,7 @@
 
   Token Begin(FaultClass fault) {
     ++active_;
+    if (fault != FaultClass::kPath) ++others_;
     if (fault != FaultClass::kPlanned) ++unplanned_;
     return {this, [fault](Calm* calm) { calm->End(fault); }};
   }
@@ -36,6 +38,10 @@
   /// When the last fault ended; long ago if there has been none.
   TimePoint last_end() const { return last_end_; }
   bool active() const { return active_ > 0; }
+  /// Whether no fault is at work but cuts of paths.
+  bool only_paths() const { return others_ == 0; }
+  /// When the last fault ended that was not a path's.
+  TimePoint last_other_end() const { return last_other_end_; }
   /// When something that had been held up last went on.
   TimePoint last_thaw() const { return last_thaw_; }
 
@@ -44,6 +50,10 @@
     const TimePoint now = Clock::now();
     --active_;
     last_end_ = now;
+    if (fault != FaultClass::kPath) {
+      --others_;
+      last_other_end_ = now;
+    }
     if (fault == FaultClass::kHeld) last_thaw_ = now;
     if (fault == FaultClass::kPlanned) return;
     --unplanned_;
@@ -52,6 +62,8 @@
 
   int active_ = 0;
   int unplanned_ = 0;
+  int others_ = 0;
+  TimePoint last_other_end_{};
   TimePoint last_end_{};
   TimePoint last_unplanned_end_ = Clock::now();  // the start of all processes
   TimePoint last_thaw_{};
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -27,6 +27,10 @@
 constexpr int kLongestLimit = 9'000;   // ms
 constexpr int kLeastLimit = 5;         // tenths of a request a second
 constexpr int kMostLimit = 40;
+constexpr int kShortestCut = 500;    // ms
+constexpr int kLongestCut = 7'000;   // ms; longer than the time of contact
+constexpr int kLeastRejections = 2;  // a second
+constexpr int kMostRejections = 8;
 constexpr double kSeriesPart = 0.4;  // of the faults, those followed at once
 
 net::awaitable<void> WaitForEnd(InstanceProcess& process, std::chrono::milliseconds limit) {
@@ -53,7 +57,9 @@
       {"suspend", FaultKind::kSuspend},
       {"limit", FaultKind::kLimit},
       {"rest", FaultKind::kRest},
-      {"leave", FaultKind::kLeave}};
+      {"leave", FaultKind::kLeave},
+      {"path", FaultKind::kPath},
+      {"brittle", FaultKind::kBrittle}};
   return names;
 }
 
@@ -62,8 +68,10 @@
   // Kinds that came later draw from a copy, so that the others stay as each seed had them.
   Random later = random_;
   Random latest = Random(random_).Fork();
+  Random newest = Random(latest).Fork();
   for (const auto& [name, kind] : Names()) {
-    Random& random = kind >= FaultKind::kLimit    ? latest
+    Random& random = kind >= FaultKind::kPath     ? newest
+                     : kind >= FaultKind::kLimit  ? latest
                      : kind >= FaultKind::kPoison ? later
                                                   : random_;
     if (random.Chance(kKindPart)) kinds.insert(kind);
@@ -71,9 +79,12 @@
   return kinds;
 }
 
-void FaultScript::Start(net::any_io_executor executor, std::set<FaultKind> kinds, TimePoint end) {
-  if (kinds.empty()) kinds = Draw();
-  for (const FaultKind kind : kinds) {
+void FaultScript::Select(std::set<FaultKind> kinds) {
+  kinds_ = kinds.empty() ? Draw() : std::move(kinds);
+}
+
+void FaultScript::Start(net::any_io_executor executor, TimePoint end) {
+  for (const FaultKind kind : kinds_) {
     net::co_spawn(executor, Repeat(kind, end), net::detached);
   }
 }
@@ -125,10 +136,44 @@
       return ChangeMood({.need = {.rest = random.Milliseconds(300, kLongestRest)}}, random);
     case FaultKind::kLeave:
       return Pick(targets_.engines, random).Leave(random.Milliseconds(300, kLongestLeaving));
+    case FaultKind::kPath:
+      return CutPaths(random);
+    case FaultKind::kBrittle:
+      return MakeBrittle(random);
   }
   return Sleep(0ms);
 }
 
+net::awaitable<void> FaultScript::CutPaths(Random random) {
+  const Calm::Token token = targets_.calm.Begin(FaultClass::kPath);
+  const auto cut = static_cast<PathCut>(random.Between(0, 2));
+  const double part = random.Between(1, 10) / 10.0;
+  std::vector<Instance*> chosen;
+  for (const auto& instance : targets_.instances) {
+    if (!random.Chance(part)) continue;
+    chosen.push_back(instance.get());
+  }
+  for (Instance* instance : chosen) {
+    targets_.path_check.BeginCut(*instance->process);
+    for (const auto& path : instance->paths) path->Cut(cut);
+  }
+  co_await Sleep(random.Milliseconds(kShortestCut, kLongestCut));
+  for (Instance* instance : chosen) {
+    targets_.path_check.EndCut(*instance->process);
+    for (const auto& path : instance->paths) path->Heal();
+  }
+}
+
+net::awaitable<void> FaultScript::MakeBrittle(Random random) {
+  const int engines = static_cast<int>(targets_.engines.size());
+  const int most = random.Between(kLeastRejections, kMostRejections);
+  for (const auto& engine : targets_.engines) engine->SetBrittle(most, engines);
+  co_await Sleep(random.Milliseconds(kShortestLimit, kLongestLimit));
+  for (const auto& engine : targets_.engines) {
+    engine->SetBrittle(std::nullopt, engines);
+  }
+}
+
 Instance& FaultScript::PickInstance(Random& random) {
   const auto& items = targets_.store.table().items();
   const auto holder = items.find(kRolloutHolderKey);
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -9,8 +9,10 @@
 #include "calm.h"
 #include "fakes.h"
 #include "fault_proxy.h"
+#include "instance_path.h"
 #include "instance_process.h"
 #include "operator_log.h"
+#include "path_check.h"
 #include "random.h"
 #include "soak_engine.h"
 #include "verdict.h"
@@ -23,6 +25,7 @@
       : store_proxy(executor, store) {}
 
   FaultProxy store_proxy;
+  std::vector<std::shared_ptr<InstancePath>> paths;  ///< to each engine, where paths are cut
   std::unique_ptr<InstanceProcess> process;
   bool ending = false;  ///< its process has been told to end, or is away
   int pauses = 0;       ///< pauses so far
@@ -46,6 +49,8 @@
   kLimit,
   kRest,
   kLeave,
+  kPath,
+  kBrittle,
 };
 
 /// What the faults work on.
@@ -56,6 +61,7 @@
   OperatorLog& operator_log;
   Poison& poison;
   Calm& calm;
+  PathCheck& path_check;
   Verdict& verdict;
 };
 
@@ -64,8 +70,12 @@
  public:
   FaultScript(FaultTargets targets, Random random) : targets_(targets), random_(random) {}
 
-  /// Starts the faults named, or those that are drawn if none is.
-  void Start(net::any_io_executor executor, std::set<FaultKind> kinds, TimePoint end);
+  /// Selects the faults named, or draws some if none is.
+  void Select(std::set<FaultKind> kinds);
+  bool Selected(FaultKind kind) const { return kinds_.contains(kind); }
+
+  /// Starts the faults selected.
+  void Start(net::any_io_executor executor, TimePoint end);
 
   /// Ends an instance's process in order; kills one that takes too long.
   net::awaitable<void> Terminate(Instance& instance);
@@ -84,6 +94,10 @@
   /// Callers send copies of one request that ends engines.
   net::awaitable<void> SendPoison(Random random);
   net::awaitable<void> HarmLink(FaultProxy& proxy, Random random);
+  /// Some instances lose their ways to all engines.
+  net::awaitable<void> CutPaths(Random random);
+  /// All engines crash when they turn too many requests away.
+  net::awaitable<void> MakeBrittle(Random random);
   net::awaitable<void> StoreDown(Random random);
   net::awaitable<void> NameLimit(Random random);
   net::awaitable<void> ChangeMood(EngineMood mood, Random random);
@@ -98,6 +112,7 @@
 
   FaultTargets targets_;
   Random random_;
+  std::set<FaultKind> kinds_;
 };
 
 }  // namespace ridgehold::soak
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -58,7 +58,13 @@
   ::dup2(log, STDERR_FILENO);
   ::close_range(STDERR_FILENO + 1, ~0U, 0);
   ::setenv(platform::kSettingsPathVariable, SettingsPath().c_str(), 1);
-  ::execl(program_.c_str(), program_.c_str(), "--log-level", "info", nullptr);
+  const char* const name = program_.c_str();
+  if (place_.egress.empty()) {
+    ::execl(name, name, "--log-level", "info", nullptr);
+  } else {
+    ::execl(name, name, "--log-level", "info", "--network.egress-address", place_.egress.c_str(),
+            nullptr);
+  }
   ::_exit(kExecFailed);
 }
 
--- a/soak/instance_process.h
+++ b/soak/instance_process.h
@@ -16,6 +16,7 @@
   std::string address;        ///< its own loopback address
   std::string store_address;  ///< its own way to the store
   std::string seeds;          ///< ADDRESS:PORT,...
+  std::string egress;         ///< address of its own ways to the engines; empty: none
 };
 
 /// Starts the program and sends it signals; kills it at the end of its life.
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -108,7 +108,9 @@
   } else if (view.status != 0) {
     CheckRefusal(entry, view);
   }
-  if (IsSuccess(view.status) && view.whole) ++served_;
+  const bool served = IsSuccess(view.status) && view.whole;
+  if (served) ++served_;
+  if (path_check_ != nullptr) path_check_->Ended(entry.record, served);
   if (!view.whole && !view.gave_up) CheckLost(entry, view);
 }
 
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -8,6 +8,7 @@
 
 #include "calm.h"
 #include "operator_log.h"
+#include "path_check.h"
 #include "request_record.h"
 #include "verdict.h"
 
@@ -38,6 +39,7 @@
 
   int sent() const { return static_cast<int>(requests_.size()); }
   int served() const { return served_; }
+  void SetPathCheck(PathCheck& check) { path_check_ = &check; }
   int lost() const { return lost_; }
 
  private:
@@ -58,6 +60,7 @@
 
   Verdict& verdict_;
   const Calm& calm_;
+  PathCheck* path_check_ = nullptr;
   const OperatorLog& operator_;
   std::map<std::string, Entry> requests_;
   /// By process: configurations whose effect was seen, with the first time.
--- a/soak/needs.cc
+++ b/soak/needs.cc
@@ -62,6 +62,19 @@
   verdict_.Fail("engine that leaves gets requests", request.id, sender.first);
 }
 
+void Needs::SetBrittle(std::optional<int> rejections_per_second, int engines) {
+  brittle_engines_ = engines;
+  if (rejections_per_second) calm_falls_ = 0;
+}
+
+void Needs::Fell(const std::string& engine, bool calm) {
+  constexpr int kAllowedFalls = 2;
+  constexpr int kAllowedPart = 10;  // and one in so many engines
+  ++falls_;
+  if (!calm || ++calm_falls_ <= kAllowedFalls + brittle_engines_ / kAllowedPart) return;
+  verdict_.Fail("brittle engines fall over", engine, std::to_string(calm_falls_) + " times");
+}
+
 void Needs::Answered(const std::string& engine, const Need& need, const RequestRecord& request) {
   const TimePoint now = Clock::now();
   if (need.leaving) left_.try_emplace({engine, request.process}, now);
--- a/soak/needs.h
+++ b/soak/needs.h
@@ -21,6 +21,7 @@
   std::optional<double> limit;                    ///< requests a second, of all instances
   std::optional<std::chrono::milliseconds> rest;  ///< for each request that it turns away
   bool leaving = false;
+  std::optional<int> brittle;  ///< requests a second that it may turn away before it falls
 };
 
 /// Judges by what reaches engines. Engines are named by their process, so one that starts
@@ -37,6 +38,12 @@
   void AskedForRest(const std::string& engine, std::chrono::milliseconds rest,
                     const RequestRecord& request);
 
+  /// The engines are brittle from now on, or are not any more.
+  void SetBrittle(std::optional<int> rejections_per_second, int engines);
+  /// A brittle engine fell, at a moment without other faults or not.
+  void Fell(const std::string& engine, bool calm);
+  int falls() const { return falls_; }
+
   /// Requests that reached engines in need.
   int arrived() const { return arrived_; }
 
@@ -63,6 +70,9 @@
   std::map<std::string, Limited> limited_;
   std::map<Sender, std::vector<Rest>> rests_;
   std::map<Sender, TimePoint> left_;
+  int brittle_engines_ = 0;
+  int falls_ = 0;
+  int calm_falls_ = 0;  ///< in this time of brittle engines
   int arrived_ = 0;
 };
 
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
+#include "bounds.h"
 #include "platform/names.h"
 
 namespace ridgehold::soak {
@@ -22,6 +23,7 @@
 constexpr double kSlowLoadPart = 0.2;  // of the loads of weights
 constexpr int kSlots = 8;
 constexpr int kQueuePlaces = 16;
+constexpr int kQueuePlacesWhenBrittle = 2;
 constexpr std::chrono::milliseconds kLook{5};  // how often a waiting request looks again
 
 std::string HeadLine(http::status status) {
@@ -128,7 +130,9 @@
   if (mood_.need.rest && record != nullptr) co_return co_await AskForRest(socket, request);
   const std::chrono::milliseconds limit(Number(request[field::kTimeLeftMs]));
   const TimePoint arrived = Clock::now();
-  bool may_run = queued_ < kQueuePlaces;
+  const bool sheds = brittle_ && Clock::now() >= brittle_since_ + kContact;
+  bool may_run = queued_ < (sheds ? kQueuePlacesWhenBrittle : kQueuePlaces);
+  if (!may_run) CountRejection();
   if (may_run) {
     co_await WaitInQueue(limit);
     may_run = MayRun(request) && Clock::now() < arrived + limit;
@@ -217,10 +221,32 @@
   if (mood_.need.limit) {
     fields += std::string(field::kServerLimit) + ": " + std::to_string(*mood_.need.limit) + "\r\n";
   }
+  if (brittle_) {
+    fields += std::string(field::kServerBrittle) + ": " + std::to_string(*brittle_) + "\r\n";
+  }
   if (mood_.need.leaving) fields += std::string(field::kServerLeaving) + ": 1\r\n";
   return fields;
 }
 
+void SoakEngine::SetBrittle(std::optional<int> rejections_per_second, int engines) {
+  judges_.needs.SetBrittle(rejections_per_second, engines);
+  if (!brittle_) brittle_since_ = Clock::now();
+  brittle_ = rejections_per_second;
+  rejections_.clear();
+}
+
+void SoakEngine::CountRejection() {
+  constexpr std::chrono::seconds kWindow{1};
+  if (!brittle_) return;
+  const TimePoint now = Clock::now();
+  rejections_.push_back(now);
+  while (rejections_.front() + kWindow <= now) rejections_.pop_front();
+  if (static_cast<int>(rejections_.size()) <= *brittle_ || ended_) return;
+  rejections_.clear();
+  judges_.needs.Fell(id_, judges_.calm.QuietSince(now - kContact, true));
+  net::co_spawn(acceptor_.get_executor(), End(), net::detached);
+}
+
 net::awaitable<bool> SoakEngine::AskForRest(tcp::socket& socket, const RequestMessage& request) {
   const std::string id(request[field::kRequestId]);
   const std::chrono::milliseconds rest = *mood_.need.rest;
@@ -276,6 +302,7 @@
   const Calm::Token token = judges_.calm.Begin(FaultClass::kProcess);
   co_await Sleep(random_.Milliseconds(0, 120));
   proxy_.Close();
+  for (const auto& path : paths_) path->SetEngineUp(false);
   ++breaks_;
   const std::string key = platform::key::kBackendPrefix + id_;
   co_await Sleep(random_.Milliseconds(500, 2'500));
@@ -284,6 +311,7 @@
   orders_ = 0;
   ended_ = false;
   proxy_.Open();
+  for (const auto& path : paths_) path->SetEngineUp(true);
   Register();
 }
 
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -2,12 +2,16 @@
 
 #pragma once
 
+#include <deque>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "calm.h"
 #include "fakes.h"
 #include "fault_proxy.h"
+#include "instance_path.h"
 #include "ledger.h"
 #include "needs.h"
 #include "order_check.h"
@@ -41,9 +45,14 @@
 
   void Register();
   void SetMood(const EngineMood& mood) { mood_ = mood; }
+  /// Says in its answers that it falls over when it turns more than so many requests away in a
+  /// second, and lets fewer wait after the time of contact.
+  void SetBrittle(std::optional<int> rejections_per_second, int engines);
   /// Says that it leaves for so long, its registration as it was, and ends.
   net::awaitable<void> Leave(std::chrono::milliseconds length);
   FaultProxy& proxy() { return proxy_; }
+  /// The way follows the engine's process.
+  void AddPath(std::shared_ptr<InstancePath> path) { paths_.push_back(std::move(path)); }
 
  private:
   net::awaitable<void> Accept();
@@ -65,6 +74,8 @@
   std::string Head(const Run& run, const RequestMessage& request, const std::string& framing) const;
   bool MayRun(const RequestMessage& request) const;
   /// What every answer says of the engine; its sender knows it from now on.
+  /// Counts a request that was turned away for want of room; a brittle engine may fall over.
+  void CountRejection();
   std::string NeedFields(const RequestMessage& request) const;
   net::awaitable<bool> AskForRest(tcp::socket& socket, const RequestMessage& request);
 
@@ -76,12 +87,16 @@
   Random random_;
   tcp::acceptor acceptor_;
   FaultProxy proxy_;
+  std::vector<std::shared_ptr<InstancePath>> paths_;
   EngineMood mood_;
   int weights_ = 1;
   int orders_ = 0;
   bool busy_ = false;
   bool ended_ = false;
   int queued_ = 0;
+  std::optional<int> brittle_;
+  TimePoint brittle_since_{};
+  std::deque<TimePoint> rejections_;  // in the last second
   int active_ = 0;
   int breaks_ = 0;  // grows when all streams are to be broken off
 };
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -28,6 +28,11 @@
   return ridgehold::test::OwnAddress(kFirst + instance);
 }
 
+std::string EgressOf(int instance) {
+  constexpr int kFirst = 130;
+  return ridgehold::test::OwnAddress(kFirst + instance);
+}
+
 }  // namespace
 
 SoakRun::SoakRun(SoakOptions options)
@@ -39,8 +44,11 @@
       ledger_(verdict_, calm_, operator_),
       orders_(verdict_, calm_),
       poison_(verdict_, Random(options_.seed ^ kPoisonSeed)),
+      path_check_(verdict_, calm_),
       needs_(verdict_),
-      faults_({instances_, engines_, store_, operator_, poison_, calm_, verdict_}, random_.Fork()) {
+      faults_({instances_, engines_, store_, operator_, poison_, calm_, path_check_, verdict_},
+              random_.Fork()) {
+  ledger_.SetPathCheck(path_check_);
   for (int i = 0; i < kEngines; ++i) {
     engines_.push_back(
         std::make_unique<SoakEngine>(io_.get_executor(), "e" + std::to_string(i),
@@ -51,6 +59,17 @@
   if (options_.instances == 0) {
     options_.instances = random_.Between(kLeastInstances, kMostInstances);
   }
+  if (!options_.calm) faults_.Select(options_.faults);
+}
+
+void SoakRun::AddPaths(Instance& instance, const std::string& egress) {
+  const auto host = net::ip::make_address(egress);
+  for (const auto& engine : engines_) {
+    const std::string target = engine->proxy().address();
+    instance.paths.push_back(std::make_shared<InstancePath>(
+        io_.get_executor(), target, tcp::endpoint(host, ParseEndpoint(target).port())));
+    engine->AddPath(instance.paths.back());
+  }
 }
 
 void SoakRun::StartInstances() {
@@ -58,13 +77,17 @@
   for (int i = 0; i < std::min(options_.instances, kLeastInstances); ++i) {
     seeds += (i == 0 ? "" : ",") + AddressOf(i) + ":" + std::to_string(kControlPort);
   }
+  const bool cuts_paths = faults_.Selected(FaultKind::kPath);
   for (int i = 0; i < options_.instances; ++i) {
     auto instance = std::make_unique<Instance>(io_.get_executor(), store_.address());
     const InstancePlace place{.name = "entry-" + std::to_string(i),
                               .address = AddressOf(i),
                               .store_address = instance->store_proxy.address(),
-                              .seeds = seeds};
+                              .seeds = seeds,
+                              .egress = cuts_paths ? EgressOf(i) : ""};
+    if (cuts_paths) AddPaths(*instance, place.egress);
     instance->process = std::make_unique<InstanceProcess>(place, options_.program, options_.folder);
+    path_check_.Add(*instance->process);
     instance->process->Start();
     instances_.push_back(std::move(instance));
   }
@@ -98,11 +121,12 @@
   const TimePoint faults_end =
       end - random_.Milliseconds(
                 0, static_cast<int>(std::chrono::milliseconds(options_.length).count()) * 3 / 4);
-  if (!options_.calm) faults_.Start(io_.get_executor(), options_.faults, faults_end);
+  if (!options_.calm) faults_.Start(io_.get_executor(), faults_end);
   while (!verdict_.first() && (Clock::now() < end || calm_.active())) co_await Sleep(kLook);
   if (options_.calm && ledger_.served() < ledger_.sent() * kServedCalm) {
     verdict_.Fail("too few are served", "all", std::to_string(ledger_.served()));
   }
+  path_check_.Judge();
   if (!verdict_.first()) co_await StopAll();
 }
 
@@ -140,9 +164,11 @@
       std::to_string(ledger_.served()) + " served, " + std::to_string(ledger_.lost()) +
       " cut off, " + std::to_string(poison_.ends()) + " engines ended (" +
       std::to_string(poison_.most_ends()) + " by one request), " +
-      std::to_string(needs_.arrived()) + " requests at engines in need, weights " +
-      std::to_string(operator_.weights()) + " (" + std::to_string(orders_.handovers()) +
-      " handovers), " + std::to_string(length.count()) + " s";
+      std::to_string(needs_.arrived()) + " requests at engines in need, " +
+      std::to_string(path_check_.served()) + " of " + std::to_string(path_check_.counted()) +
+      " served at instances without a way, " + std::to_string(needs_.falls()) +
+      " brittle engines fell, weights " + std::to_string(operator_.weights()) + " (" +
+      std::to_string(orders_.handovers()) + " handovers), " + std::to_string(length.count()) + " s";
   const auto& violation = verdict_.first();
   if (!violation) return text + ", all promises kept\n";
   text += "\nBROKEN: " + violation->promise + ": " + violation->request + ": " + violation->detail +
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -35,6 +35,8 @@
 
  private:
   void StartInstances();
+  /// Gives an instance ways of its own to the engines.
+  void AddPaths(Instance& instance, const std::string& egress);
   void StartCallers();
   net::awaitable<void> Script();
   net::awaitable<void> StopAll();
@@ -51,6 +53,7 @@
   Ledger ledger_;
   OrderCheck orders_;
   Poison poison_;
+  PathCheck path_check_;
   Needs needs_;
   std::vector<std::unique_ptr<SoakEngine>> engines_;
   std::vector<std::unique_ptr<Instance>> instances_;
