An isolated holder leaves the rollout of weights to another instance

Callers of all instances were refused (no_backend) once the bound on older weights had passed: the holder of the rollout lease was cut off from all engines, kept renewing its lease and could order none. Orders may not go through peers, since one instance alone may send them. Change: a holder that has been isolated for 1 s, with no order under way, revokes its lease; isolated instances do not apply. The next holder waits the handover delay as ever. Test: isolated_instance/isolated_holder_leaves_the_rollout_to_another_instance.

--- a/libs/control/include/control/leased_key.h
+++ b/libs/control/include/control/leased_key.h
@@ -75,6 +75,11 @@
   net::awaitable<void> Release() {
     stopped_ = true;
     timer_.cancel();
+    co_await StepDown();
+  }
+
+  /// The same, but acquires the key again as soon as `key_is_free` returns true.
+  net::awaitable<void> StepDown() {
     if (!lease_) co_return;
     const StoreLeaseId lease = *lease_;
     ClearLease();
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -259,6 +259,7 @@
   /// Instances apply for the lease in the order of their membership keys.
   bool MayAcquireRolloutLease() {
     const bool vacant = !state_.shutting_down() && follower_.connected() &&
+                        !state_.IsIsolated(Clock::now()) &&
                         records_.Find(kRolloutHolderKey) == nullptr;
     const std::size_t rank = records_.MemberRank(kMemberPrefix + settings_.daemon.value());
     return election_stagger_.MayCampaign(vacant, rank, Clock::now());
@@ -500,6 +501,10 @@
       for (const BackendId& id : state_.directory().Expire(now)) {
         Log(LogLevel::kInfo, "backend removed after its grace period", {{"backend", id.value()}});
       }
+      if (ShouldStepDown(now)) {
+        Log(LogLevel::kInfo, "rollout handed over: no engine can be ordered from here");
+        co_await rollout_lease_.StepDown();
+      }
       if (const bool ready = Ready(); ready != was_ready) {
         was_ready = ready;
         LogReadiness(ready, now);
@@ -524,6 +529,14 @@
     rollout_lease_released_ = true;
   }
 
+  /// Orders are not sent through peers, since only one instance may send them. An isolated holder
+  /// leaves them to another one once no order is under way.
+  bool ShouldStepDown(TimePoint now) const {
+    constexpr std::chrono::milliseconds kPatience{1'000};
+    const bool isolated = state_.IsIsolated(now) && now - state_.isolated_since() >= kPatience;
+    return isolated && rollout_lease_.IsHeld(now) && rollout_.idle();
+  }
+
   void LogReadiness(bool ready, TimePoint now) const {
     const auto age =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.confirmed_at());
