Tunnels end with their requests

Callers of cut-off instances were refused although one peer had a path: it answered that it carried as many tunnels as it may. Change: a connection through a peer is closed explicitly after its exchange.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -132,6 +132,9 @@
 
   bool HoldsQuotaShare() const { return quota_.HoldsLease(Clock::now()); }
 
+  /// Number of tunnels that it carries for peers.
+  std::size_t open_tunnels() const { return tunnel_server_.open_tunnels(); }
+
   GatewayState& state() { return state_; }
   std::uint16_t caller_port() const { return server_.port(); }
   std::uint16_t ready_port() const { return admin_->port(); }
--- a/libs/gateway/src/backend_connection.cc
+++ b/libs/gateway/src/backend_connection.cc
@@ -44,7 +44,8 @@
 
 void ReleaseConnection(GatewayState& state, const Backend& backend, const std::string& via_peer,
                        std::shared_ptr<OutboundConnection> connection) {
-  if (via_peer.empty()) state.pool().Release(backend.entry.address, std::move(connection));
+  if (via_peer.empty()) return state.pool().Release(backend.entry.address, std::move(connection));
+  if (connection) connection->Close();
 }
 
 }  // namespace ridgehold
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -96,6 +96,7 @@
 net::awaitable<void> BackendProber::ProbeThroughPeer(BackendPtr backend) {
   const PeerPath path =
       co_await state_.OpenPeerPath(backend, Clock::now() + options_.peer_path_limit);
+  if (path.connection) path.connection->Close();
   RecordCrashIfRefused(backend, path.result == TunnelResult::kRefused);
 }
 
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -64,6 +64,9 @@
 
   bool BodyDone() const { return parser_ && parser_->is_done(); }
 
+  /// Closes the connection. Its deadline timer would otherwise keep it open until it expires.
+  void Close();
+
   /// Cancels the running operation, which then returns kCancelled.
   void Cancel();
 
@@ -94,7 +97,6 @@
   void OnWritten(const ErrorCode& error, std::size_t bytes);
   ExchangeFault CurrentFault(const ErrorCode& error) const;
   void ParseHeadFields();
-  void Close();
 
   tcp::socket socket_;
   Timer deadline_timer_;
--- a/libs/tunnel/include/tunnel/peer_paths.h
+++ b/libs/tunnel/include/tunnel/peer_paths.h
@@ -19,8 +19,9 @@
 /// A tunnel, and the peer that carries it.
 struct PeerPath {
   TunnelResult result = TunnelResult::kPeerFailed;  ///< of the last peer that was asked
-  std::shared_ptr<OutboundConnection> connection;   ///< null unless `result` is kOpen
-  std::string peer;                                 ///< address without a port
+  std::size_t peers_asked = 0;
+  std::shared_ptr<OutboundConnection> connection;  ///< null unless `result` is kOpen
+  std::string peer;                                ///< address without a port
 };
 
 /// Asks peers one after the other, a few at most. Runs on one executor.
--- a/libs/tunnel/src/peer_paths.cc
+++ b/libs/tunnel/src/peer_paths.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "log/log.h"
+
 namespace ridgehold {
 
 net::awaitable<PeerPath> PeerPaths::Open(TunnelTarget target, TimePoint deadline) {
@@ -22,11 +24,19 @@
         .GetCounter("ridgehold_tunnels_opened",
                     "result=\"" + std::string(NameOf(tunnel.result)) + "\"")
         .Add();
+    ++path.peers_asked;
     path.result = tunnel.result;
     path.peer = peer.address;
     path.connection = std::move(tunnel.connection);
     if (path.connection) break;
   }
+  if (!path.connection) {
+    Log(LogLevel::kInfo, "no path through peers",
+        {{"backend", target.backend.value()},
+         {"peers_asked", std::to_string(path.peers_asked)},
+         {"last_peer", path.peer},
+         {"result", path.peers_asked > 0 ? std::string(NameOf(path.result)) : "none_available"}});
+  }
   co_return path;
 }
 
