Simplify: a check and a field without effect

ResolveTunnel asked whether the backend server leaves beside IsUsable(), which asks the same; the soak's Need::brittle was never set or read. Change: both removed; no behaviour changes.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -323,9 +323,7 @@
     const TimePoint now = Clock::now();
     const BackendPtr backend = state_.directory().Find(id);
     if (!backend) return {TunnelResult::kUnknownBackend, {}};
-    if (!IsUsable(*backend, now) || backend->notice_state.leaving()) {
-      return {TunnelResult::kLeaving, {}};
-    }
+    if (!IsUsable(*backend, now)) return {TunnelResult::kLeaving, {}};
     if (state_.IsIsolated(now)) return {TunnelResult::kIsolated, {}};
     const bool lost = !backend->reachable && now - backend->probed_at < kProbeTtl;
     if (lost) return {TunnelResult::kUnreachable, {}};
--- a/soak/needs.h
+++ b/soak/needs.h
@@ -21,7 +21,6 @@
   std::optional<double> limit;                    ///< requests a second, of all instances
   std::optional<std::chrono::milliseconds> rest;  ///< for each request that it turns away
   bool leaving = false;
-  std::optional<int> brittle;  ///< requests a second that it may turn away before it falls
 };
 
 /// Judges by what reaches engines. Engines are named by their process, so one that starts
