Attempt log: retries left, instances that share the budget, delay of granted retries

The lines could not tell a budget that was lost with its process from one that is divided by a wrong count, nor when a granted retry was sent. Attempt lines now have retries_left and retry_sharers, request lines retry_delay_ms; the gauge ridgehold_retry_sharers shows the count. No decision changes.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -468,6 +468,7 @@
     metrics.SetGauge("ridgehold_in_flight", "", state_.in_flight());
     metrics.SetGauge("ridgehold_unreachable_backends", "",
                      static_cast<double>(state_.directory().UnreachableCount()));
+    metrics.SetGauge("ridgehold_retry_sharers", "", state_.retries().Sharers(now));
     metrics.SetGauge("ridgehold_isolated", "", state_.IsIsolated(now) ? 1 : 0);
     metrics.SetGauge("ridgehold_open_tunnels", "",
                      static_cast<double>(tunnel_server_.open_tunnels()));
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -255,6 +255,10 @@
     directives.resume_after = relay_.last_event();
     WatchStart();
     attempt_.sent = now;
+    if (const auto granted = std::exchange(record_.retry_granted_at, std::nullopt)) {
+      record_.retry_delay =
+          std::max(record_.retry_delay, std::chrono::duration_cast<Duration>(now - *granted));
+    }
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptOutcome outcome = co_await ReadResponse();
     queued_ticket_.reset();
@@ -466,9 +470,13 @@
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(retry_input_);
     if (step == NextStep::kRetry && Quarantined()) step = StepWhenQuarantined();
     const bool arrived = outcome != AttemptOutcome::kNotSent && outcome != AttemptOutcome::kSkipped;
-    if (step == NextStep::kRetry && arrived && !state_.retries().TryConsume(plan_.service, now)) {
-      record_.retry_budget_exhausted = true;
-      step = StepWithoutRetry(retry_input_);
+    if (step == NextStep::kRetry && arrived) {
+      if (state_.retries().TryConsume(plan_.service, now)) {
+        record_.retry_granted_at = now;
+      } else {
+        record_.retry_budget_exhausted = true;
+        step = StepWithoutRetry(retry_input_);
+      }
     }
     if (step != NextStep::kDone && step != NextStep::kDeliver) {
       LogAttempt(state_, record_, *attempt_.backend, retry_input_, last_code_, step);
--- a/libs/gateway/include/gateway/sliding_retry_budget.h
+++ b/libs/gateway/include/gateway/sliding_retry_budget.h
@@ -52,6 +52,9 @@
   /// Number of retries that are allowed now.
   double Available(const ServiceId& service, TimePoint now);
 
+  /// Number of gateways that share the slack at `now`: the maximum within the counted span.
+  std::uint32_t Sharers(TimePoint now);
+
  private:
   static constexpr std::size_t kSteps = 20;
 
@@ -81,9 +84,6 @@
     TimePoint since;  ///< when the last larger count ended
   };
 
-  /// Maximum number of gateways at any time within the counted span that ends at `now`.
-  std::uint32_t MaxGateways(TimePoint now);
-
   std::int64_t StepAt(TimePoint now) const;
 
   /// Retries granted within this span may arrive in the same window as one granted now.
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -233,6 +233,9 @@
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
   AppendNotice(record, fields);
   if (record.retry_budget_exhausted) fields.push_back({"retry_budget", "spent"});
+  if (record.retry_delay > Duration::zero()) {
+    fields.push_back({"retry_delay_ms", MillisecondsText(record.retry_delay)});
+  }
   if (!record.detail.empty()) fields.push_back({"detail", record.detail});
   Log(LogLevel::kInfo, "request", fields);
 }
@@ -242,6 +245,8 @@
   state.metrics()
       .GetCounter("ridgehold_attempts_failed", "code=\"" + std::string(Describe(code).name) + "\"")
       .Add();
+  const TimePoint now = Clock::now();
+  const double retries_left = state.retries().Available(record.service, now);
   LogFields fields = {{"request", record.request.value()},
                       {"fingerprint", ToText(record.fingerprint)},
                       {"backend", backend.entry.id.value()},
@@ -254,6 +259,8 @@
                       {"not_executed", facts.not_executed ? "yes" : "no"},
                       {"code", std::string(Describe(code).name)},
                       {"in_flight", std::to_string(backend.in_flight)},
+                      {"retries_left", fmt::format("{:.1f}", retries_left)},
+                      {"retry_sharers", std::to_string(state.retries().Sharers(now))},
                       {"next", std::string(NameOf(step))}};
   if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
   AppendNotice(record, fields);
--- a/libs/gateway/src/sliding_retry_budget.cc
+++ b/libs/gateway/src/sliding_retry_budget.cc
@@ -32,7 +32,7 @@
   gateway_counts_.push_back(latest);
 }
 
-std::uint32_t SlidingRetryBudget::MaxGateways(TimePoint now) {
+std::uint32_t SlidingRetryBudget::Sharers(TimePoint now) {
   if (gateway_counts_.empty()) return 1;
   while (gateway_counts_.size() > 1 && now - gateway_counts_[1].since > CountedSpan()) {
     gateway_counts_.pop_front();
@@ -54,7 +54,7 @@
   Counters& counters = counters_[service];
   const double earned = limits_.ratio * counters.requests.Sum(StepAt(now));
   // At least one retry: in a large fleet every share would round down to none.
-  const double allowed = std::max(1.0, kUsedFraction * (limits_.slack / MaxGateways(now) + earned));
+  const double allowed = std::max(1.0, kUsedFraction * (limits_.slack / Sharers(now) + earned));
   auto& retries = counters.retries;
   while (!retries.empty() && now - retries.front() > CountedSpan()) retries.pop_front();
   return std::max(0.0, allowed - static_cast<double>(retries.size()));
