--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -26,7 +26,6 @@
 #include "gateway/queued_attempts.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/sampled_shares.h"
-#include "gateway/sliding_retry_budget.h"
 #include "gateway/unanswered_attempts.h"
 #include "gateway/weights_history.h"
 #include "gateway/zone_topology.h"
@@ -40,6 +39,7 @@
 #include "priority/priority_state.h"
 #include "priority/urgency.h"
 #include "quota/quota_client.h"
+#include "retry/sliding_retry_budget.h"
 #include "tunnel/contact_monitor.h"
 #include "tunnel/peer_paths.h"
 
--- a/libs/gateway/include/gateway/sliding_retry_budget.h
+++ b/libs/retry/include/retry/sliding_retry_budget.h
@@ -9,16 +9,10 @@
 #include <map>
 
 #include "base/ids.h"
+#include "retry/retry_budget_limits.h"
 
 namespace ridgehold {
 
-/// Limit on retries of all gateways together: at most `ratio` * requests + `slack` in any window.
-struct RetryBudgetLimits {
-  double ratio = 0.1;
-  double slack = 5;
-  std::chrono::milliseconds window{10'000};
-};
-
 /// Counts a service's requests and retries over the last window. A retry is allowed while the
 /// window in which it arrives stays within this gateway's share: its part of the slack, plus
 /// `ratio` of its own requests. A burst of retries may thus use the budget earned by the last
--- a/libs/gateway/test/sliding_retry_budget-test.cc
+++ b/libs/retry/test/sliding_retry_budget-test.cc
@@ -1,4 +1,4 @@
-#include "gateway/sliding_retry_budget.h"
+#include "retry/sliding_retry_budget.h"
 
 #include <rapidcheck/boost_test.h>
 
