Retries stay within the budget when processes are replaced and memberships lapse

Cause: the budget is a promise of the whole fleet over a window, kept by counts in the memory of single processes. A new process began with a full budget while the retries of its predecessor still counted; the slack was divided by the live memberships, though an instance whose membership had lapsed went on spending its part. A retry counted when it was granted, however long it then waited. Change: each part of the budget may be spent only while it is certain that nobody else spends it (RetryStanding). A part of the slack: once the membership has been held, by the instance's own clock, for as long as retries count. What the last window's requests earned: under a leased record in the store, which bars a later process of the instance until these retries no longer count (RetryRecord). Without the record a token bucket that starts empty limits retries to what the requests of the same window earn, so replacing the process gains nothing and no store is needed. A retry is reserved when it is decided and counted when it is sent (RetryReservation). Why it works: whichever process sends a retry, its window either began after all others had counted the sender, or is paid for by requests of that window.

--- a/libs/control/include/control/instance_records.h
+++ b/libs/control/include/control/instance_records.h
@@ -22,6 +22,9 @@
 /// Prefix of the quota holders' keys, followed by an availability zone. The value names the
 /// instance that holds the zone's share of all quotas.
 inline constexpr char kQuotaHolderPrefix[] = "ridgehold/quota-holder/";
+/// Prefix of the records of instances that send retries, followed by the instance's name. The value
+/// identifies the process.
+inline constexpr char kRetryRecordPrefix[] = "ridgehold/retries/";
 
 /// A live instance, according to its key in the store.
 struct Member {
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -12,8 +12,10 @@
 #include <set>
 #include <string>
 
+#include "base/random_id.h"
 #include "control/leased_key.h"
 #include "control/quarantine_writer.h"
+#include "control/retry_record.h"
 #include "control/rollout_controller.h"
 #include "control/state_follower.h"
 #include "entry/admin_server.h"
@@ -165,6 +167,7 @@
         prober_(state_, tuning.probing),
         rollout_(control_, rollout_lease_, state_, RolloutOptions()),
         server_(state_, std::move(acceptor), MaxConnections(settings_)),
+        retry_record_(store_, executor, RetryRecordOptions()),
         quarantine_(store_, executor, state_.poison(), records_, {settings_.daemon}),
         copy_reader_(
             state_, follower_, CopyOptions(), [this] { return PeerAddresses(); },
@@ -185,6 +188,9 @@
     ErrorCode error;
     const auto egress = net::ip::make_address(tuning_.egress_address, error);
     if (!error) state_.pool().SetEgressAddress(egress);
+    state_.SetRetryHandlers(
+        {[this](TimePoint now) { return RetryStandingAt(now); },
+         [this](TimePoint deadline) { return retry_record_.Acquire(deadline); }});
     state_.SetCrashConfirmer(
         [this](BackendPtr backend) { return prober_.ConfirmCrash(std::move(backend)); });
   }
@@ -236,6 +242,25 @@
     return options;
   }
 
+  typename RetryRecord<Store>::Options RetryRecordOptions() const {
+    typename RetryRecord<Store>::Options options;
+    options.key = kRetryRecordPrefix + settings_.daemon.value();
+    options.value = settings_.instance_address + " " + RandomId();
+    options.counted_span = [this] { return state_.retries().CountedSpan(); };
+    return options;
+  }
+
+  RetryStanding RetryStandingAt(TimePoint now) const {
+    RetryStandingInput input;
+    input.process_started = retry_record_.created();
+    if (membership_.IsHeld(now)) input.member_since = membership_.exclusive_since();
+    input.recorded = retry_record_.Covers(now);
+    const StoreItem* record = records_.Find(retry_record_.key());
+    input.predecessor_recorded = record != nullptr && record->value != retry_record_.value();
+    input.counted_span = state_.retries().CountedSpan();
+    return RetryStandingOf(input, now);
+  }
+
   typename Lease::Options RolloutLeaseOptions() const {
     typename Lease::Options options;
     options.key = kRolloutHolderKey;
@@ -573,6 +598,7 @@
     follower_.Stop();
     peers_->Stop();
     copy_reader_.Stop();
+    retry_record_.Stop();
     quarantine_.Stop();
     quota_.Stop();
     done();
@@ -601,6 +627,7 @@
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<PeerLink> peers_;
   std::unique_ptr<AdminServer> peer_server_;
+  RetryRecord<Store> retry_record_;
   QuarantineWriter<Store> quarantine_;
   StoreCopyReader<Follower> copy_reader_;
   std::unique_ptr<AdminServer> metrics_server_;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -23,6 +23,7 @@
 #include "gateway/wire_format.h"
 #include "net/wait.h"
 #include "performance/stream_timing.h"
+#include "retry/retry_reservation.h"
 
 namespace ridgehold {
 
@@ -180,7 +181,8 @@
     const bool unused = outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kSkipped;
     if (unused && record_.permit.ticket) state_.RefundQuota(*record_.permit.ticket);
     if (outcome == AttemptOutcome::kInterrupted) co_await RecordInterruption();
-    co_return DecideNextStep(outcome);
+    const NextStep step = co_await DecideNextStep(outcome);
+    co_return step;
   }
 
   /// Whether this request is quarantined, which may happen at any time because of copies at other
@@ -250,15 +252,16 @@
       last_code_ = ResultCode::kNoBackend;
       co_return AttemptOutcome::kSkipped;
     }
+    if (!ConsumeRetry(now)) {
+      ReleaseConnection(state_, *attempt_.backend, record_.via_peer,
+                        std::move(checkout.connection));
+      co_return AttemptOutcome::kSkipped;
+    }
     attempt_.connection = std::move(checkout.connection);
     AttemptDirectives directives = DirectivesFor(state_, plan_, choice, now);
     directives.resume_after = relay_.last_event();
     WatchStart();
     attempt_.sent = now;
-    if (const auto granted = std::exchange(record_.retry_granted_at, std::nullopt)) {
-      record_.retry_delay =
-          std::max(record_.retry_delay, std::chrono::duration_cast<Duration>(now - *granted));
-    }
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptOutcome outcome = co_await ReadResponse();
     queued_ticket_.reset();
@@ -268,6 +271,25 @@
     co_return outcome;
   }
 
+  /// Consumes the reserved retry, if the attempt needs one. Returns false if the budget no longer
+  /// allows it, after a wait or a pause of the process.
+  bool ConsumeRetry(TimePoint now) {
+    auto reserved = std::exchange(retry_, std::nullopt);
+    if (!reserved) return true;
+    record_.retry_delay = std::max(
+        record_.retry_delay, std::chrono::duration_cast<Duration>(now - retry_reserved_at_));
+    record_.retry_budget_exhausted = !reserved->Consume(now, state_.RetryStandingAt(now));
+    return !record_.retry_budget_exhausted;
+  }
+
+  /// Reserves a retry after an attempt that has arrived at a backend server.
+  net::awaitable<bool> ReserveRetry() {
+    retry_ = co_await state_.ReserveRetry(plan_.service, WaitLimit());
+    retry_reserved_at_ = Clock::now();
+    record_.retry_budget_exhausted = !retry_;
+    co_return retry_.has_value();
+  }
+
   /// The limit on older weights applies when an engine starts a request, so an attempt still queued
   /// there at the limit is cancelled.
   void WatchStart() {
@@ -450,7 +472,7 @@
     return AttemptOutcome::kInterrupted;
   }
 
-  NextStep DecideNextStep(AttemptOutcome outcome) {
+  net::awaitable<NextStep> DecideNextStep(AttemptOutcome outcome) {
     retry_input_.outcome = outcome;
     retry_input_.status = outcome == AttemptOutcome::kAnswered ? attempt_.head.status : 0;
     retry_input_.not_executed = outcome == AttemptOutcome::kAnswered && attempt_.head.not_executed;
@@ -470,18 +492,13 @@
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(retry_input_);
     if (step == NextStep::kRetry && Quarantined()) step = StepWhenQuarantined();
     const bool arrived = outcome != AttemptOutcome::kNotSent && outcome != AttemptOutcome::kSkipped;
-    if (step == NextStep::kRetry && arrived) {
-      if (state_.retries().TryConsume(plan_.service, now)) {
-        record_.retry_granted_at = now;
-      } else {
-        record_.retry_budget_exhausted = true;
-        step = StepWithoutRetry(retry_input_);
-      }
-    }
+    bool in_budget = !record_.retry_budget_exhausted;
+    if (step == NextStep::kRetry && arrived) in_budget = co_await ReserveRetry();
+    if (step == NextStep::kRetry && !in_budget) step = StepWithoutRetry(retry_input_);
     if (step != NextStep::kDone && step != NextStep::kDeliver) {
       LogAttempt(state_, record_, *attempt_.backend, retry_input_, last_code_, step);
     }
-    return step;
+    co_return step;
   }
 
   /// A complete response shows that the request did not crash the backend server. An unresponsive
@@ -566,6 +583,8 @@
   EventRelay relay_;
   StreamTiming timing_;
   RetryDecisionInput retry_input_;
+  std::optional<RetryReservation> retry_;  ///< of an attempt that is not sent yet
+  TimePoint retry_reserved_at_{};
   Attempt attempt_;
   std::optional<BackendLoad> load_;
   std::optional<QueuedAttempts::Ticket> queued_ticket_;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -191,6 +191,23 @@
     if (quota_handlers_.refund) quota_handlers_.refund(ticket);
   }
 
+  /// Callbacks that tell which part of the retry budget may be spent.
+  struct RetryHandlers {
+    std::function<RetryStanding(TimePoint)> standing;
+    /// Records in the store that this process sends retries. Returns whether that is certain.
+    std::function<net::awaitable<bool>(TimePoint deadline)> record;
+  };
+  void SetRetryHandlers(RetryHandlers handlers) { retry_handlers_ = std::move(handlers); }
+  RetryStanding RetryStandingAt(TimePoint now) const {
+    return retry_handlers_.standing ? retry_handlers_.standing(now) : RetryStanding();
+  }
+  /// Reserves a retry for `service`; nothing if the budget is exhausted. May wait for the store,
+  /// at most until `deadline`.
+  net::awaitable<std::optional<RetryReservation>> ReserveRetry(ServiceId service,
+                                                               TimePoint deadline);
+  /// Number of retries for `service` that the budget allows if the store responds.
+  double RetriesLeft(const ServiceId& service, TimePoint now);
+
   PushbackRegistry& pushback() { return pushback_; }
   const PushbackRegistry& pushback() const { return pushback_; }
 
@@ -349,6 +366,7 @@
     open_peer_path_ = nullptr;
     query_loads_ = nullptr;
     quota_handlers_ = {};
+    retry_handlers_ = {};
     poison_.SetUpdateListener({});
     pushback_.SetUpdateListener({});
     pushback_.SetLimitListener({});
@@ -395,6 +413,7 @@
   PeerPathOpener open_peer_path_;
   TimePoint isolated_since_{};
   QuotaHandlers quota_handlers_;
+  RetryHandlers retry_handlers_;
   QueuedAttempts queued_attempts_;
   UnansweredAttempts unanswered_attempts_;
   DeferredRequests deferred_requests_;
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -95,8 +95,7 @@
   int status = 0;                     ///< HTTP status sent to the caller
   ResultCode code = ResultCode::kOk;
   bool retry_budget_exhausted = false;
-  std::optional<TimePoint> retry_granted_at;  ///< none if no granted retry is unsent
-  Duration retry_delay{0};                    ///< longest time from a grant to its send
+  Duration retry_delay{0};  ///< longest time from the grant of a retry to its send
   std::string detail;
 };
 
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -177,6 +177,28 @@
   co_return outcome;
 }
 
+net::awaitable<std::optional<RetryReservation>> GatewayState::ReserveRetry(ServiceId service,
+                                                                           TimePoint deadline) {
+  constexpr std::chrono::milliseconds kMaxRecordingTime{200};
+  const TimePoint now = Clock::now();
+  auto reserved = retries_.TryReserve(service, now, RetryStandingAt(now));
+  const bool may_record = !reserved && retry_handlers_.record && RetriesLeft(service, now) >= 1;
+  if (may_record) {
+    const TimePoint wait_until = std::min(deadline, now + kMaxRecordingTime);
+    const bool recorded = co_await retry_handlers_.record(wait_until);
+    const TimePoint then = Clock::now();
+    if (recorded) reserved = retries_.TryReserve(service, then, RetryStandingAt(then));
+  }
+  metrics_.GetCounter(reserved ? "ridgehold_retries_granted" : "ridgehold_retries_denied").Add();
+  co_return reserved;
+}
+
+double GatewayState::RetriesLeft(const ServiceId& service, TimePoint now) {
+  RetryStanding standing = RetryStandingAt(now);
+  standing.recorded = true;
+  return retries_.Available(service, now, standing);
+}
+
 net::awaitable<LoadAnswer> GatewayState::QueryLoads(LoadQuestion question) {
   const LoadQuestion asked = question;
   LoadAnswer answer = co_await query_loads_(std::move(question));
@@ -283,7 +305,7 @@
   // Half of the budget is reserved for another engine that is interrupted or fails at the same
   // time.
   constexpr double kBudgetFractionPerEngine = 0.5;
-  const double covered = kBudgetFractionPerEngine * retries_.Available(backend.entry.service, now);
+  const double covered = kBudgetFractionPerEngine * RetriesLeft(backend.entry.service, now);
   const double resumable = backend.in_flight - std::min(backend.in_flight, backend.unrepeatable);
   return static_cast<std::uint32_t>(std::max(0.0, resumable - covered));
 }
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -246,7 +246,7 @@
       .GetCounter("ridgehold_attempts_failed", "code=\"" + std::string(Describe(code).name) + "\"")
       .Add();
   const TimePoint now = Clock::now();
-  const double retries_left = state.retries().Available(record.service, now);
+  const double retries_left = state.RetriesLeft(record.service, now);
   LogFields fields = {{"request", record.request.value()},
                       {"fingerprint", ToText(record.fingerprint)},
                       {"backend", backend.entry.id.value()},
@@ -260,6 +260,7 @@
                       {"code", std::string(Describe(code).name)},
                       {"in_flight", std::to_string(backend.in_flight)},
                       {"retries_left", fmt::format("{:.1f}", retries_left)},
+                      {"retry_standing", ToText(state.RetryStandingAt(now))},
                       {"retry_sharers", std::to_string(state.retries().Sharers(now))},
                       {"next", std::string(NameOf(step))}};
   if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
--- a/libs/retry/src/sliding_retry_budget.cc
+++ b/libs/retry/src/sliding_retry_budget.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace ridgehold {
 
@@ -41,23 +42,52 @@
 }
 
 void SlidingRetryBudget::RecordRequest(const ServiceId& service, TimePoint now) {
-  counters_[service].requests.Add(StepAt(now));
+  Counters& counters = counters_[service];
+  counters.requests.Add(StepAt(now));
+  counters.tokens =
+      std::min(counters.tokens + kUsedFraction * limits_.ratio, BucketSize(now, RetryStanding()));
+}
+
+std::optional<RetryReservation> SlidingRetryBudget::TryReserve(const ServiceId& service,
+                                                               TimePoint now,
+                                                               const RetryStanding& standing) {
+  if (Available(service, now, standing) < 1) return std::nullopt;
+  ++counters_[service].reserved;
+  return std::optional<RetryReservation>(std::in_place, *this, service);
 }
 
-bool SlidingRetryBudget::TryConsume(const ServiceId& service, TimePoint now) {
-  if (Available(service, now) < 1) return false;
-  counters_[service].retries.push_back(now);
+bool SlidingRetryBudget::TryConsume(const ServiceId& service, TimePoint now,
+                                    const RetryStanding& standing) {
+  if (Available(service, now, standing) < 1) return false;
+  Counters& counters = counters_[service];
+  counters.retries.push_back(now);
+  counters.tokens = std::max(0.0, std::min(counters.tokens, BucketSize(now, standing)) - 1);
   return true;
 }
 
-double SlidingRetryBudget::Available(const ServiceId& service, TimePoint now) {
+double SlidingRetryBudget::Available(const ServiceId& service, TimePoint now,
+                                     const RetryStanding& standing) {
+  if (standing.predecessor_counts) return 0;
   Counters& counters = counters_[service];
-  const double earned = limits_.ratio * counters.requests.Sum(StepAt(now));
+  const double earned = kUsedFraction * limits_.ratio * counters.requests.Sum(StepAt(now));
+  const double share = standing.has_share ? Share(now) : 0;
   // At least one retry: in a large fleet every share would round down to none.
-  const double allowed = std::max(1.0, kUsedFraction * (limits_.slack / Sharers(now) + earned));
+  const double allowed = std::max(1.0, share + earned);
   auto& retries = counters.retries;
   while (!retries.empty() && now - retries.front() > CountedSpan()) retries.pop_front();
-  return std::max(0.0, allowed - static_cast<double>(retries.size()));
+  double available = allowed - static_cast<double>(retries.size());
+  if (!standing.recorded) {
+    available = std::min({available, counters.tokens, BucketSize(now, standing)});
+  }
+  return std::max(0.0, available - counters.reserved);
+}
+
+double SlidingRetryBudget::Share(TimePoint now) {
+  return kUsedFraction * limits_.slack / Sharers(now);
+}
+
+double SlidingRetryBudget::BucketSize(TimePoint now, const RetryStanding& standing) {
+  return std::max(1.0, standing.has_share ? Share(now) : 0.0);
 }
 
 std::int64_t SlidingRetryBudget::StepAt(TimePoint now) const {
--- a/libs/retry/test/sliding_retry_budget-test.cc
+++ b/libs/retry/test/sliding_retry_budget-test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <vector>
 
 using namespace ridgehold;
@@ -42,6 +43,40 @@
   }
 };
 
+/// One instance of a fleet whose processes are replaced. Its successor learns of a record only.
+struct FleetMember {
+  SlidingRetryBudget budget{kLimits};
+  TimePoint started = kStart - 1min;
+  TimePoint recorded_until{};       ///< by this process
+  TimePoint predecessor_until{};    ///< by an earlier one
+  bool reaches_store = true;
+
+  RetryStanding Standing(TimePoint now) const {
+    RetryStandingInput input;
+    input.process_started = started;
+    input.member_since = started;
+    input.recorded = recorded_until > now;
+    input.predecessor_recorded = predecessor_until > now;
+    input.counted_span = budget.CountedSpan();
+    return RetryStandingOf(input, now);
+  }
+
+  bool TryRetry(TimePoint now) {
+    if (reaches_store && !Standing(now).predecessor_counts) {
+      recorded_until = now + budget.CountedSpan();
+    }
+    return budget.TryConsume(kService, now, Standing(now));
+  }
+
+  void Replace(TimePoint now, std::uint32_t members) {
+    predecessor_until = std::max(predecessor_until, recorded_until);
+    recorded_until = {};
+    budget = SlidingRetryBudget(kLimits);
+    budget.SetGateways(members, now);
+    started = now;
+  }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(retry_allowance)
@@ -159,4 +194,103 @@
   BOOST_TEST(budget.TryConsume(ServiceId("b"), kStart));
 }
 
+// Guards against retries beyond the limit after restarts: the counts of a process end with it.
+RC_BOOST_PROP(gateways_that_are_replaced_stay_within_the_limit_in_every_window, ()) {
+  const auto members = *rc::gen::inRange(1, 9);
+  std::vector<FleetMember> fleet(static_cast<std::size_t>(members));
+  for (FleetMember& member : fleet) {
+    member.budget.SetGateways(static_cast<std::uint32_t>(members), kStart);
+  }
+  const auto rates = *rc::gen::container<std::vector<int>>(10, rc::gen::inRange(0, 12));
+  const auto replaced_at =
+      *rc::gen::container<std::vector<int>>(10, rc::gen::inRange(0, 40));
+  const auto replaced_share = *rc::gen::inRange(0, 101);
+  const auto store_share = *rc::gen::inRange(0, 101);
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    fleet[i].reaches_store = static_cast<int>(i * 100 / fleet.size()) < store_share;
+  }
+  Totals totals;
+  int step = 0;
+  for (std::size_t period = 0; period < rates.size(); ++period) {
+    for (int i = 0; i < 40; ++i, ++step) {
+      const TimePoint now = kStart + step * 100ms;
+      if (i == replaced_at[period]) {
+        for (std::size_t k = 0; k * 100 < fleet.size() * static_cast<std::size_t>(replaced_share);
+             ++k) {
+          fleet[k].Replace(now, static_cast<std::uint32_t>(members));
+        }
+      }
+      double retries = 0;
+      for (int request = 0; request < rates[period]; ++request) {
+        fleet[static_cast<std::size_t>(request % members)].budget.RecordRequest(kService, now);
+      }
+      for (FleetMember& member : fleet) {
+        while (member.TryRetry(now)) ++retries;
+      }
+      totals.requests.push_back(rates[period]);
+      totals.retries.push_back(retries);
+    }
+  }
+  RC_ASSERT(totals.WithinLimit());
+}
+
+// Guards against a budget that is of no use without the store: requests of the window earn retries.
+BOOST_AUTO_TEST_CASE(retries_without_a_record_are_earned_by_requests) {
+  SlidingRetryBudget budget({0.2, 80, 10s});
+  budget.SetGateways(8, kStart);
+  RetryStanding unrecorded;
+  unrecorded.recorded = false;
+  BOOST_TEST(!budget.TryConsume(kService, kStart, unrecorded));
+  int allowed = 0;
+  for (int i = 0; i < 100; ++i) {
+    budget.RecordRequest(kService, kStart + i * 10ms);
+    if (budget.TryConsume(kService, kStart + i * 10ms, unrecorded)) ++allowed;
+  }
+  BOOST_TEST(allowed == 16);
+}
+
+BOOST_AUTO_TEST_CASE(retries_without_a_record_accumulate_up_to_the_share) {
+  SlidingRetryBudget budget({0.2, 80, 10s});
+  budget.SetGateways(8, kStart);
+  RetryStanding unrecorded;
+  unrecorded.recorded = false;
+  for (int i = 0; i < 100; ++i) budget.RecordRequest(kService, kStart);
+  BOOST_TEST(budget.Available(kService, kStart, unrecorded) == 8,
+             boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(budget.Available(kService, kStart, {}) == 24, boost::test_tools::tolerance(1e-9));
+  unrecorded.has_share = false;
+  BOOST_TEST(budget.Available(kService, kStart, unrecorded) == 1);
+}
+
+// Guards against retries that are counted long before they arrive, after a wait for capacity.
+BOOST_AUTO_TEST_CASE(reserved_retry_counts_from_its_send) {
+  SlidingRetryBudget budget({0, 5, 10s});
+  std::optional<RetryReservation> early = budget.TryReserve(kService, kStart, {});
+  BOOST_REQUIRE(early.has_value());
+  for (int i = 0; i < 3; ++i) BOOST_TEST(budget.TryConsume(kService, kStart));
+  BOOST_TEST(!budget.TryConsume(kService, kStart));
+  BOOST_TEST(early->Consume(kStart + 9s, {}));
+  // The window of the other three has passed, that of the reserved one has not.
+  for (int i = 0; i < 3; ++i) BOOST_TEST(budget.TryConsume(kService, kStart + 11s));
+  BOOST_TEST(!budget.TryConsume(kService, kStart + 11s));
+}
+
+BOOST_AUTO_TEST_CASE(reservation_that_is_given_up_leaves_its_retry_to_others) {
+  SlidingRetryBudget budget({0, 1, 10s});
+  budget.TryReserve(kService, kStart, {}).reset();
+  BOOST_TEST(budget.TryConsume(kService, kStart));
+}
+
+// Guards against an instance that sends retries reserved before it was suspended, when its share
+// has passed to others.
+BOOST_AUTO_TEST_CASE(reservation_cannot_be_consumed_once_the_share_is_lost) {
+  SlidingRetryBudget budget({0, 5, 10s});
+  std::optional<RetryReservation> reserved = budget.TryReserve(kService, kStart, {});
+  BOOST_REQUIRE(reserved.has_value());
+  RetryStanding lapsed;
+  lapsed.has_share = false;
+  lapsed.recorded = false;
+  BOOST_TEST(!reserved->Consume(kStart + 30s, lapsed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
