Soak: engines that fail nearly all requests, and a check of the retry budget

The check counts each arrival beyond the first of a request against the bound of the platform, over every window of ten seconds.

--- a/libs/control/include/control/retry_record.h
+++ b/libs/control/include/control/retry_record.h
@@ -105,8 +105,7 @@
 
   net::awaitable<void> Write() {
     const TimePoint start = Clock::now();
-    const StoreResult<LeaseGrant> granted =
-        co_await store_.GrantLease(2 * options_.counted_span());
+    const StoreResult<LeaseGrant> granted = co_await store_.GrantLease(2 * options_.counted_span());
     if (granted.has_error()) co_return;
     StoreTransaction transaction;
     // The record of an earlier process stays for as long as its retries may count.
--- a/libs/control/test/retry_record-test.cc
+++ b/libs/control/test/retry_record-test.cc
@@ -18,8 +18,7 @@
 
 struct Process {
   Process(MemoryTable& table, const std::string& value)
-      : store(table, 1),
-        record(store, table.executor(), {kKey, value, [] { return kSpan; }}) {}
+      : store(table, 1), record(store, table.executor(), {kKey, value, [] { return kSpan; }}) {}
 
   MemoryStore store;
   RetryRecord<MemoryStore> record;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -276,8 +276,8 @@
   bool ConsumeRetry(TimePoint now) {
     auto reserved = std::exchange(retry_, std::nullopt);
     if (!reserved) return true;
-    record_.retry_delay = std::max(
-        record_.retry_delay, std::chrono::duration_cast<Duration>(now - retry_reserved_at_));
+    record_.retry_delay = std::max(record_.retry_delay,
+                                   std::chrono::duration_cast<Duration>(now - retry_reserved_at_));
     record_.retry_budget_exhausted = !reserved->Consume(now, state_.RetryStandingAt(now));
     return !record_.retry_budget_exhausted;
   }
--- a/libs/retry/test/retry_standing-test.cc
+++ b/libs/retry/test/retry_standing-test.cc
@@ -22,7 +22,8 @@
 
 BOOST_AUTO_TEST_SUITE(retry_standing)
 
-// Guards against a new or returning member that spends a share which others still divide without it.
+// Guards against a new or returning member that spends a share which others still divide without
+// it.
 BOOST_AUTO_TEST_CASE(share_of_the_slack_is_usable_one_span_after_the_membership_began) {
   BOOST_TEST(!RetryStandingOf(Input(), kStart + 1s + kSpan - 1ms).has_share);
   BOOST_TEST(RetryStandingOf(Input(), kStart + 1s + kSpan).has_share);
--- a/libs/retry/test/sliding_retry_budget-test.cc
+++ b/libs/retry/test/sliding_retry_budget-test.cc
@@ -47,8 +47,8 @@
 struct FleetMember {
   SlidingRetryBudget budget{kLimits};
   TimePoint started = kStart - 1min;
-  TimePoint recorded_until{};       ///< by this process
-  TimePoint predecessor_until{};    ///< by an earlier one
+  TimePoint recorded_until{};     ///< by this process
+  TimePoint predecessor_until{};  ///< by an earlier one
   bool reaches_store = true;
 
   RetryStanding Standing(TimePoint now) const {
@@ -202,8 +202,7 @@
     member.budget.SetGateways(static_cast<std::uint32_t>(members), kStart);
   }
   const auto rates = *rc::gen::container<std::vector<int>>(10, rc::gen::inRange(0, 12));
-  const auto replaced_at =
-      *rc::gen::container<std::vector<int>>(10, rc::gen::inRange(0, 40));
+  const auto replaced_at = *rc::gen::container<std::vector<int>>(10, rc::gen::inRange(0, 40));
   const auto replaced_share = *rc::gen::inRange(0, 101);
   const auto store_share = *rc::gen::inRange(0, 101);
   for (std::size_t i = 0; i < fleet.size(); ++i) {
--- a/soak/bounds.h
+++ b/soak/bounds.h
@@ -18,6 +18,9 @@
 inline constexpr std::chrono::milliseconds kThaw{300};
 inline constexpr std::chrono::milliseconds kDowngradeLimit{250};
 inline constexpr std::chrono::milliseconds kLeastLeaseTtl{1'000};
+inline constexpr double kRetryRatio = 0.2;
+inline constexpr int kRetrySlack = 56;
+inline constexpr std::chrono::seconds kRetryWindow{10};
 inline constexpr std::chrono::milliseconds kRouteTimeout{2'000};
 inline constexpr std::chrono::milliseconds kCallerDeadline{1'500};
 
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -31,7 +31,11 @@
 constexpr int kLongestCut = 7'000;   // ms; longer than the time of contact
 constexpr int kLeastRejections = 2;  // a second
 constexpr int kMostRejections = 8;
-constexpr double kSeriesPart = 0.4;  // of the faults, those followed at once
+constexpr double kFailingEngines = 0.9;
+constexpr double kFailedPart = 0.95;     // of the requests of a failing engine
+constexpr int kShortestFailure = 1'000;  // ms
+constexpr int kLongestFailure = 8'000;   // ms
+constexpr double kSeriesPart = 0.4;      // of the faults, those followed at once
 
 net::awaitable<void> WaitForEnd(InstanceProcess& process, std::chrono::milliseconds limit) {
   const TimePoint end = Clock::now() + limit;
@@ -59,7 +63,8 @@
       {"rest", FaultKind::kRest},
       {"leave", FaultKind::kLeave},
       {"path", FaultKind::kPath},
-      {"brittle", FaultKind::kBrittle}};
+      {"brittle", FaultKind::kBrittle},
+      {"failing", FaultKind::kFailing}};
   return names;
 }
 
@@ -69,8 +74,10 @@
   Random later = random_;
   Random latest = Random(random_).Fork();
   Random newest = Random(latest).Fork();
+  Random failing = Random(newest).Fork();
   for (const auto& [name, kind] : Names()) {
-    Random& random = kind >= FaultKind::kPath     ? newest
+    Random& random = kind >= FaultKind::kFailing  ? failing
+                     : kind >= FaultKind::kPath   ? newest
                      : kind >= FaultKind::kLimit  ? latest
                      : kind >= FaultKind::kPoison ? later
                                                   : random_;
@@ -140,6 +147,8 @@
       return CutPaths(random);
     case FaultKind::kBrittle:
       return MakeBrittle(random);
+    case FaultKind::kFailing:
+      return FailRequests(random);
   }
   return Sleep(0ms);
 }
@@ -174,6 +183,18 @@
   }
 }
 
+net::awaitable<void> FaultScript::FailRequests(Random random) {
+  EngineMood mood;
+  (random.Chance(0.5) ? mood.break_part : mood.error_part) = kFailedPart;
+  std::vector<SoakEngine*> chosen;
+  for (const auto& engine : targets_.engines) {
+    if (random.Chance(kFailingEngines)) chosen.push_back(engine.get());
+  }
+  for (SoakEngine* engine : chosen) engine->SetMood(mood);
+  co_await Sleep(random.Milliseconds(kShortestFailure, kLongestFailure));
+  for (SoakEngine* engine : chosen) engine->SetMood({});
+}
+
 Instance& FaultScript::PickInstance(Random& random) {
   const auto& items = targets_.store.table().items();
   const auto holder = items.find(kRolloutHolderKey);
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -51,6 +51,7 @@
   kLeave,
   kPath,
   kBrittle,
+  kFailing,
 };
 
 /// What the faults work on.
@@ -98,6 +99,8 @@
   net::awaitable<void> CutPaths(Random random);
   /// All engines crash when they turn too many requests away.
   net::awaitable<void> MakeBrittle(Random random);
+  /// Most engines fail nearly all requests.
+  net::awaitable<void> FailRequests(Random random);
   net::awaitable<void> StoreDown(Random random);
   net::awaitable<void> NameLimit(Random random);
   net::awaitable<void> ChangeMood(EngineMood mood, Random random);
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -108,8 +108,9 @@
        << "\nplatform.ttl_min_ms=" << kLeastLeaseTtl.count() << "\nlimits.max_fds=1000"
        << "\nbounds.revoke_strict=true\nbounds.revoke_ms=" << kRevocationLimit.count()
        << "\nbounds.lease_ms=" << kHolderSeparation.count()
-       << "\nbounds.version_ms=" << kWeightsLimit.count()
-       << "\nbounds.retry_ratio=0.2\nbounds.retry_window_s=10\nbounds.retry_slack=56"
+       << "\nbounds.version_ms=" << kWeightsLimit.count() << "\nbounds.retry_ratio=" << kRetryRatio
+       << "\nbounds.retry_window_s=" << kRetryWindow.count()
+       << "\nbounds.retry_slack=" << kRetrySlack
        << "\nbounds.grace_s=" << kShutdownLimit.count() / 1'000 << "\n";
 }
 
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -24,6 +24,7 @@
 
 void Ledger::Sent(RequestRecord record) {
   const std::string id = record.id;
+  if (retry_check_ != nullptr) retry_check_->Sent(record.sent);
   requests_[id].record = std::move(record);
 }
 
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -10,6 +10,7 @@
 #include "operator_log.h"
 #include "path_check.h"
 #include "request_record.h"
+#include "retry_check.h"
 #include "verdict.h"
 
 namespace ridgehold::soak {
@@ -40,6 +41,7 @@
   int sent() const { return static_cast<int>(requests_.size()); }
   int served() const { return served_; }
   void SetPathCheck(PathCheck& check) { path_check_ = &check; }
+  void SetRetryCheck(RetryCheck& check) { retry_check_ = &check; }
   int lost() const { return lost_; }
 
  private:
@@ -61,6 +63,7 @@
   Verdict& verdict_;
   const Calm& calm_;
   PathCheck* path_check_ = nullptr;
+  RetryCheck* retry_check_ = nullptr;
   const OperatorLog& operator_;
   std::map<std::string, Entry> requests_;
   /// By process: configurations whose effect was seen, with the first time.
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -93,6 +93,8 @@
   const std::string target(request.target());
   const bool read_late = random_.Chance(kReadLatePart);  // falls silent before or after it runs
   while (mood_.silent && read_late) co_await Sleep(kLook);
+  const std::string id(request[field::kRequestId]);
+  if (judges_.ledger.Find(id) != nullptr) judges_.retries.Arrived(id);
   const std::string expected(request[field::kExpectedBackend]);
   if (!expected.empty() && expected != id_) {
     co_return co_await Reply(socket, http::status::misdirected_request, "", request, true);
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -17,6 +17,7 @@
 #include "order_check.h"
 #include "poison.h"
 #include "random.h"
+#include "retry_check.h"
 
 namespace ridgehold::soak {
 
@@ -38,6 +39,7 @@
     Poison& poison;
     Calm& calm;
     Needs& needs;
+    RetryCheck& retries;
   };
 
   SoakEngine(net::any_io_executor executor, std::string id, Judges judges,
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -45,15 +45,17 @@
       orders_(verdict_, calm_),
       poison_(verdict_, Random(options_.seed ^ kPoisonSeed)),
       path_check_(verdict_, calm_),
+      retry_check_(verdict_),
       needs_(verdict_),
       faults_({instances_, engines_, store_, operator_, poison_, calm_, path_check_, verdict_},
               random_.Fork()) {
   ledger_.SetPathCheck(path_check_);
+  ledger_.SetRetryCheck(retry_check_);
   for (int i = 0; i < kEngines; ++i) {
-    engines_.push_back(
-        std::make_unique<SoakEngine>(io_.get_executor(), "e" + std::to_string(i),
-                                     SoakEngine::Judges{ledger_, orders_, poison_, calm_, needs_},
-                                     store_.table(), random_.Fork()));
+    engines_.push_back(std::make_unique<SoakEngine>(
+        io_.get_executor(), "e" + std::to_string(i),
+        SoakEngine::Judges{ledger_, orders_, poison_, calm_, needs_, retry_check_}, store_.table(),
+        random_.Fork()));
     engines_.back()->Register();
   }
   if (options_.instances == 0) {
@@ -127,6 +129,7 @@
     verdict_.Fail("too few are served", "all", std::to_string(ledger_.served()));
   }
   path_check_.Judge();
+  retry_check_.Judge();
   if (!verdict_.first()) co_await StopAll();
 }
 
@@ -166,9 +169,10 @@
       std::to_string(poison_.most_ends()) + " by one request), " +
       std::to_string(needs_.arrived()) + " requests at engines in need, " +
       std::to_string(path_check_.served()) + " of " + std::to_string(path_check_.counted()) +
-      " served at instances without a way, " + std::to_string(needs_.falls()) +
-      " brittle engines fell, weights " + std::to_string(operator_.weights()) + " (" +
-      std::to_string(orders_.handovers()) + " handovers), " + std::to_string(length.count()) + " s";
+      " served at instances without a way, " + std::to_string(retry_check_.retries()) +
+      " retries, " + std::to_string(needs_.falls()) + " brittle engines fell, weights " +
+      std::to_string(operator_.weights()) + " (" + std::to_string(orders_.handovers()) +
+      " handovers), " + std::to_string(length.count()) + " s";
   const auto& violation = verdict_.first();
   if (!violation) return text + ", all promises kept\n";
   text += "\nBROKEN: " + violation->promise + ": " + violation->request + ": " + violation->detail +
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -54,6 +54,7 @@
   OrderCheck orders_;
   Poison poison_;
   PathCheck path_check_;
+  RetryCheck retry_check_;
   Needs needs_;
   std::vector<std::unique_ptr<SoakEngine>> engines_;
   std::vector<std::unique_ptr<Instance>> instances_;
