--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -136,6 +136,7 @@
         },
         [&](const Failure& fault) { failure = fault; });
     record_.request = inbound_.id;
+    if (inbound_.resume_after) record_.resumes = inbound_.resumes;
     return failure;
   }
 
@@ -213,6 +214,7 @@
   void RecordChoice(const BackendChoice& choice) {
     const Backend& backend = *choice.backend;
     record_.backend = backend.entry.id;
+    record_.release = backend.entry.release;
     record_.expected_ms = choice.expected_ms;
     record_.first_event_ms = choice.first_event_ms;
     record_.slowness = choice.slowness;
--- a/libs/gateway/include/gateway/inbound_request.h
+++ b/libs/gateway/include/gateway/inbound_request.h
@@ -38,6 +38,8 @@
   std::optional<std::chrono::milliseconds> time_limit;  ///< how long the client will wait
   std::optional<GenerationRequest> generation;
   std::optional<std::uint64_t> resume_after;  ///< the last event that the client has received
+  /// The client's attempt that received the first event of the stream; empty if it named none.
+  RequestId resumes;
   TimePoint received{};
 };
 
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -84,6 +84,9 @@
   std::optional<MemoryRecord> memory;    ///< none: not limited
   /// The peer that carried the last attempt, see PeerPath; empty: direct.
   std::string via_peer;
+  ReleaseId release;  ///< of the last attempt's backend server
+  /// The attempt that this one resumes, see InboundRequest; empty: a new stream.
+  RequestId resumes;
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
   std::optional<NoticeRecord> backend_notice;  ///< none if no notice is known here
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -186,6 +186,7 @@
                       {"ms", MillisecondsText(now - record.received)},
                       {"attempts", std::to_string(record.attempts)},
                       {"backend", record.backend.value()},
+                      {"release", record.release.value()},
                       {"route", record.route.value()},
                       {"workspace", record.workspace.value()},
                       {"fingerprint", ToText(record.fingerprint)},
@@ -229,6 +230,10 @@
   }
   if (record.quota) AppendQuota(metrics, record, fields);
   if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
+  if (!record.resumes.value().empty()) {
+    constexpr std::size_t kMaxLoggedId = 64;  // bytes; clients may send any
+    fields.push_back({"resumes", record.resumes.value().substr(0, kMaxLoggedId)});
+  }
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
   AppendNotice(record, fields);
@@ -250,6 +255,7 @@
   LogFields fields = {{"request", record.request.value()},
                       {"fingerprint", ToText(record.fingerprint)},
                       {"backend", backend.entry.id.value()},
+                      {"release", record.release.value()},
                       {"address", backend.entry.address},
                       {"zone", backend.entry.zone.value()},
                       {"reachable", backend.reachable ? "yes" : "no"},
