A stream goes on only at the software version that began it

Cause: no choice of a server considered the version. An interrupted stream was sent to any other server, and a client's Resumes was read nowhere, so the instance that it came back to could not know the version that had begun its stream. Change: the plan of a request keeps the release of the server that sent the first event, and every choice, wait and last check before the send honours it. The release of an attempt is kept by the instance that began it; while a service has, or had within the lifetime of a stream, servers of several releases, it is also sent to five instances by rendezvous hashing before the client gets its first event, and streams that began before the second release registered are sent when it does. An instance that does not know the attempt asks seven (libs/resumption, OriginLink). While one release was registered for longer than any stream lasts, nothing is sent or asked. What is not known is refused at once as not run (origin_unknown), a release without a live server, too (release_gone); an attempt of another workspace or service is unknown. A begun stream without another server of its release counts as one that cannot be resumed elsewhere. Why it works: whichever instance chooses, the release is fixed by what was sent, not by what is registered later.

--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -49,6 +49,7 @@
   kOverQuota = 2008,
   kQuotaUnknown = 2009,
   kWaitTooLong = 2011,
+  kOriginUnknown = 2012,
   // 3xxx: errors of, or on the way to, backend servers.
   kNoBackend = 3001,
   kBackendRefused = 3002,
@@ -61,6 +62,7 @@
   kWeightsPastLimit = 3009,
   kPoisonRequest = 3010,
   kBackendsAtLimit = 3011,
+  kReleaseGone = 3012,
   // 4xxx: errors of the platform's key-value service.
   kPlatformUnavailable = 4001,
   kPlatformAnswerLost = 4002,
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -32,6 +32,8 @@
 #include "log/log.h"
 #include "metrics/metrics.h"
 #include "net/wait.h"
+#include "peers/origin_codec.h"
+#include "peers/origin_link.h"
 #include "peers/peer_link.h"
 #include "peers/store_copy_reader.h"
 #include "tunnel/peer_paths.h"
@@ -77,6 +79,9 @@
     net::co_spawn(executor_, peers_->SendGossip(), net::detached);
     net::co_spawn(executor_, quarantine_.Run(), net::detached);
     quota_.Start(*peers_);
+    peers_->SetOriginListener([this](const OriginMessage& message, const std::string& from) {
+      origins_.Handle(message, from);
+    });
     net::co_spawn(executor_, peers_->Receive(), net::detached);
     net::co_spawn(executor_, copy_reader_.Run(), net::detached);
     net::co_spawn(executor_, prober_.Run(), net::detached);
@@ -167,6 +172,7 @@
         prober_(state_, tuning.probing),
         rollout_(control_, rollout_lease_, state_, RolloutOptions()),
         server_(state_, std::move(acceptor), MaxConnections(settings_)),
+        origins_(executor, metrics_, OriginLink::Options(), OriginCallbacks()),
         retry_record_(store_, executor, RetryRecordOptions()),
         quarantine_(store_, executor, state_.poison(), records_, {settings_.daemon}),
         copy_reader_(
@@ -188,6 +194,17 @@
     ErrorCode error;
     const auto egress = net::ip::make_address(tuning_.egress_address, error);
     if (!error) state_.pool().SetEgressAddress(egress);
+    state_.SetOriginHandlers({[this](RequestId attempt, WorkspaceId workspace, ServiceId service) {
+                                return origins_.Find(std::move(attempt), std::move(workspace),
+                                                     std::move(service));
+                              },
+                              [this](const RequestId& attempt, const WorkspaceId& workspace,
+                                     const ServiceId& service, const ReleaseId& release) {
+                                origins_.RecordStart(attempt, workspace, service, release);
+                              }});
+    state_.directory().SetRegistrationListener([this](const BackendEntry& entry) {
+      origins_.Observe(entry.service, {entry.release}, Clock::now());
+    });
     state_.SetRetryHandlers(
         {[this](TimePoint now) { return RetryStandingAt(now); },
          [this](TimePoint deadline) { return retry_record_.Acquire(deadline); }});
@@ -242,6 +259,23 @@
     return options;
   }
 
+  OriginLink::Callbacks OriginCallbacks() {
+    OriginLink::Callbacks callbacks;
+    callbacks.send = [this](const std::string& address, const OriginMessage& message) {
+      peers_->SendTo(address, Encode(settings_.daemon, message));
+    };
+    callbacks.peers = [this] { return PeerAddresses(); };
+    return callbacks;
+  }
+
+  void ObserveReleases(TimePoint now) {
+    origins_.Expire(now);
+    if (!state_.snapshot()) return;
+    for (const ServiceRule& service : state_.snapshot()->services()) {
+      origins_.Observe(service.id, state_.directory().ReleasesOf(service.id), now);
+    }
+  }
+
   typename RetryRecord<Store>::Options RetryRecordOptions() const {
     typename RetryRecord<Store>::Options options;
     options.key = kRetryRecordPrefix + settings_.daemon.value();
@@ -525,6 +559,7 @@
       const TimePoint now = Clock::now();
       state_.pool().CloseExpired(now);
       state_.SetReportingGateways(peers_->active_peers());
+      ObserveReleases(now);
       for (const BackendId& id : state_.directory().Expire(now)) {
         Log(LogLevel::kInfo, "backend removed after its grace period", {{"backend", id.value()}});
       }
@@ -627,6 +662,7 @@
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<PeerLink> peers_;
   std::unique_ptr<AdminServer> peer_server_;
+  OriginLink origins_;
   RetryRecord<Store> retry_record_;
   QuarantineWriter<Store> quarantine_;
   StoreCopyReader<Follower> copy_reader_;
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -142,6 +142,11 @@
   /// nullopt withholds none.
   void Withhold(const ServiceId& service, std::optional<ReleaseId> release);
 
+  /// Sets the function that is called for each registration.
+  void SetRegistrationListener(std::function<void(const BackendEntry&)> listener) {
+    on_registration_ = std::move(listener);
+  }
+
   /// Sets the function that is called for each incarnation that ended without having announced its
   /// shutdown.
   void SetTerminationListener(std::function<void(const Backend&)> listener) {
@@ -186,6 +191,8 @@
   BackendPtr Find(const BackendId& id) const;
   BackendPtr FindByHash(BackendHash hash) const;
   const std::map<BackendId, BackendPtr>& all() const { return backends_; }
+  /// The releases of the service's registered backend servers.
+  std::set<ReleaseId> ReleasesOf(const ServiceId& service) const;
 
   /// Expected time until the engine begins a request that is sent now: the maximum of the recently
   /// observed wait, the age of the oldest request without a first event, and the time to prefill
@@ -237,6 +244,7 @@
   /// same process, so its notices still hold.
   std::unordered_map<BackendHash, PushbackState> saved_notices_;
   std::function<void(const Backend&)> on_termination_;
+  std::function<void(const BackendEntry&)> on_registration_;
   std::unordered_map<ServiceId, ReleaseId> withheld_releases_;
   std::set<ServiceId> services_;  ///< empty until the configuration is known
 };
--- a/libs/gateway/include/gateway/backend_load.h
+++ b/libs/gateway/include/gateway/backend_load.h
@@ -27,6 +27,8 @@
 
   /// Records the first event, which ends the prefill.
   void OnFirstEvent(TimePoint now);
+  /// Records that the request can no longer be resumed at another backend server.
+  void MarkUnrepeatable();
 
  private:
   void EndPrefill();
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -55,6 +55,10 @@
   }
 
  private:
+  /// A crashed backend server returns, and gateways that were cut off are reached again, within
+  /// seconds or not at all.
+  static constexpr std::chrono::milliseconds kResumptionRetryAfter{1'000};
+
   /// State of the current attempt.
   struct Attempt {
     BackendPtr backend;
@@ -91,6 +95,11 @@
     }
     state_.retries().RecordRequest(plan_.service, Clock::now());
     caller_->WatchCaller([self = this->shared_from_this()] { self->OnCallerGone(); });
+    const bool may_go_on = co_await FindRelease();
+    if (!may_go_on) {
+      co_await RefuseWith(ResultCode::kOriginUnknown, kResumptionRetryAfter);
+      co_return;
+    }
     if (plan_.quota) {
       const std::optional<ResultCode> refusal = co_await AcquireQuota();
       if (refusal) {
@@ -104,6 +113,20 @@
     if (unused) state_.RefundQuota(record_.quota->ticket);
   }
 
+  /// Determines the release at which a resumed stream goes on. Returns false if it is not known.
+  net::awaitable<bool> FindRelease() {
+    if (!inbound_.resume_after || !IsResumable()) co_return true;
+    OriginFinding origin =
+        co_await state_.FindOrigin(inbound_.resumes, record_.workspace, plan_.service);
+    record_.origin = origin.source;
+    plan_.release = std::move(origin.release);
+    co_return plan_.release.has_value();
+  }
+
+  bool IsResumable() const {
+    return plan_.route->kind == RouteKind::kStream && plan_.route->MayRepeat();
+  }
+
   /// Sends the request to backend servers until one responds or no further attempt is allowed.
   net::awaitable<void> Send() {
     NextStep step = NextStep::kRetry;
@@ -208,6 +231,9 @@
   NextStep StepWithoutChoice() {
     const bool no_cause_known = last_code_ == ResultCode::kNoBackend;
     if (no_cause_known && search_.NextCapacity()) last_code_ = ResultCode::kBackendsAtLimit;
+    if (last_code_ == ResultCode::kNoBackend && plan_.release) {
+      last_code_ = ResultCode::kReleaseGone;
+    }
     return StepWithoutRetry(retry_input_);
   }
 
@@ -246,7 +272,7 @@
     const bool has_permit = !attempt_.backend->notice_state.limit() ||
                             record_.permit.verdict != PermitVerdict::kNotNeeded;
     const bool may_send =
-        !Quarantined() && has_permit && MayStillSend(state_, inbound_, choice, now);
+        !Quarantined() && has_permit && MayStillSend(state_, plan_, inbound_, choice, now);
     if (caller_gone || too_late || !may_send) {
       ReleaseConnection(state_, *attempt_.backend, record_.via_peer,
                         std::move(checkout.connection));
@@ -264,6 +290,7 @@
     directives.resume_after = relay_.last_event();
     WatchStart();
     attempt_.sent = now;
+    record_.release = attempt_.backend->entry.release;
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptOutcome outcome = co_await ReadResponse();
     queued_ticket_.reset();
@@ -418,9 +445,18 @@
     retry_input_.stream_begun = true;
     record_.status = attempt_.head.status;
     record_.first_event = Clock::now();
+    if (IsResumable()) FixRelease(*record_.first_event);
     co_return co_await caller_->BeginStream(attempt_.caller_head, state_.shutting_down());
   }
 
+  /// The stream goes on at this release only, in this response and over the client's attempts. The
+  /// other gateways are told before the client has an event to resume after.
+  void FixRelease(TimePoint now) {
+    plan_.release = record_.release;
+    state_.RecordOrigin(inbound_.id, record_.workspace, plan_.service, record_.release);
+    if (!HasAnotherOfRelease(state_, *attempt_.backend, now)) load_->MarkUnrepeatable();
+  }
+
   /// Records that the engine has completed prefill, as shown by its first event.
   void OnPrefilled() {
     if (std::exchange(attempt_.prefilled, true)) return;
@@ -543,6 +579,7 @@
   std::chrono::milliseconds RetryAfterRejection() const {
     constexpr std::chrono::milliseconds kIsolatedRetryAfter{1'000};
     const auto usual = search_.RetryAfter();
+    if (last_code_ == ResultCode::kReleaseGone) return std::max(usual, kResumptionRetryAfter);
     return state_.IsIsolated(Clock::now()) ? std::max(usual, kIsolatedRetryAfter) : usual;
   }
 
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -47,6 +47,8 @@
   std::optional<MemoryFit> memory;
   std::optional<QuotaDemand> quota;  ///< how much of its workspace's quota the request uses
   bool avoid_rate_limited = false;   ///< excludes backend servers with a rate limit
+  /// The release that began the stream, which alone can resume it; none before the first event.
+  std::optional<ReleaseId> release;
 };
 
 /// The backend server chosen for an attempt.
@@ -144,10 +146,16 @@
 AdmissionQuery AdmissionQueryFor(const ExchangePlan& plan, const BackendChoice& choice,
                                  TimePoint now);
 
+/// Whether the backend server's release is the one that began the request's stream, if any did.
+bool MayResumeAt(const ExchangePlan& plan, const Backend& backend);
+
+/// Whether another usable backend server of the same service and release could resume a stream.
+bool HasAnotherOfRelease(const GatewayState& state, const Backend& backend, TimePoint now);
+
 /// Whether the attempt may still be sent: the backend server is not leaving, and the request may
-/// begin on its weights.
-bool MayStillSend(const GatewayState& state, const InboundRequest& request,
-                  const BackendChoice& choice, TimePoint now);
+/// begin on its weights and go on at its release.
+bool MayStillSend(const GatewayState& state, const ExchangePlan& plan,
+                  const InboundRequest& request, const BackendChoice& choice, TimePoint now);
 
 /// The directives sent to the backend server with the attempt.
 AttemptDirectives DirectivesFor(const GatewayState& state, const ExchangePlan& plan,
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -39,6 +39,7 @@
 #include "priority/priority_state.h"
 #include "priority/urgency.h"
 #include "quota/quota_client.h"
+#include "resumption/origin_search.h"
 #include "retry/sliding_retry_budget.h"
 #include "tunnel/contact_monitor.h"
 #include "tunnel/peer_paths.h"
@@ -191,6 +192,22 @@
     if (quota_handlers_.refund) quota_handlers_.refund(ticket);
   }
 
+  /// Callbacks that share the origins of streams with the other gateways, see OriginLink.
+  struct OriginHandlers {
+    std::function<net::awaitable<OriginFinding>(RequestId, WorkspaceId, ServiceId)> find;
+    std::function<void(const RequestId&, const WorkspaceId&, const ServiceId&, const ReleaseId&)>
+        record;
+  };
+  void SetOriginHandlers(OriginHandlers handlers) { origin_handlers_ = std::move(handlers); }
+  /// Finds the release that began the stream of a client's attempt.
+  net::awaitable<OriginFinding> FindOrigin(RequestId attempt, WorkspaceId workspace,
+                                           ServiceId service);
+  /// Records that `release` began the stream of this attempt.
+  void RecordOrigin(const RequestId& attempt, const WorkspaceId& workspace,
+                    const ServiceId& service, const ReleaseId& release) {
+    if (origin_handlers_.record) origin_handlers_.record(attempt, workspace, service, release);
+  }
+
   /// Callbacks that tell which part of the retry budget may be spent.
   struct RetryHandlers {
     std::function<RetryStanding(TimePoint)> standing;
@@ -367,6 +384,8 @@
     query_loads_ = nullptr;
     quota_handlers_ = {};
     retry_handlers_ = {};
+    origin_handlers_ = {};
+    directory_.SetRegistrationListener({});
     poison_.SetUpdateListener({});
     pushback_.SetUpdateListener({});
     pushback_.SetLimitListener({});
@@ -414,6 +433,7 @@
   TimePoint isolated_since_{};
   QuotaHandlers quota_handlers_;
   RetryHandlers retry_handlers_;
+  OriginHandlers origin_handlers_;
   QueuedAttempts queued_attempts_;
   UnansweredAttempts unanswered_attempts_;
   DeferredRequests deferred_requests_;
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -17,6 +17,7 @@
 #include "performance/stream_timing.h"
 #include "priority/urgency.h"
 #include "quota/quota_client.h"
+#include "resumption/origin_search.h"
 
 namespace ridgehold {
 
@@ -87,6 +88,7 @@
   ReleaseId release;  ///< of the last attempt's backend server
   /// The attempt that this one resumes, see InboundRequest; empty: a new stream.
   RequestId resumes;
+  std::optional<OriginSource> origin;  ///< of the release of a resumed stream
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
   std::optional<NoticeRecord> backend_notice;  ///< none if no notice is known here
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -38,6 +38,7 @@
 }
 
 Registration BackendDirectory::Put(const BackendEntry& entry) {
+  if (on_registration_) on_registration_(entry);
   const Registration registration = Classify(entry);
   if (registration == Registration::kStale) return registration;
   Supersede(entry);
@@ -209,6 +210,12 @@
   return others.empty() ? usable : others;
 }
 
+std::set<ReleaseId> BackendDirectory::ReleasesOf(const ServiceId& service) const {
+  std::set<ReleaseId> releases;
+  for (const BackendPtr& backend : OfService(service)) releases.insert(backend->entry.release);
+  return releases;
+}
+
 std::span<const BackendPtr> BackendDirectory::OfService(const ServiceId& service) const {
   const auto found = by_service_.find(service);
   if (found == by_service_.end()) return {};
--- a/libs/gateway/src/backend_load.cc
+++ b/libs/gateway/src/backend_load.cc
@@ -69,6 +69,12 @@
   state_.NotifyLoadChanged();
 }
 
+void BackendLoad::MarkUnrepeatable() {
+  if (std::exchange(unrepeatable_, true)) return;
+  ++backend_->unrepeatable;
+  state_.NotifyLoadChanged();
+}
+
 void BackendLoad::CountDemand(const ExchangePlan& plan) {
   ServiceGroups* groups = group_ ? state_.EngineGroupsOf(plan.service) : nullptr;
   if (groups == nullptr) return;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 
 #include "gateway/request_ordering.h"
 
@@ -134,6 +135,19 @@
                   " tokens of memory; an engine has " + std::to_string(memory.capacity));
 }
 
+/// The usable backend servers of the plan's service. Those of a stream that has begun are of its
+/// release, even if this is withheld from new requests.
+std::vector<BackendPtr> UsableFor(const GatewayState& state, const ExchangePlan& plan,
+                                  TimePoint now) {
+  if (!plan.release) return state.directory().Usable(plan.service, now);
+  std::vector<BackendPtr> usable;
+  std::ranges::copy_if(state.directory().OfService(plan.service), std::back_inserter(usable),
+                       [&](const BackendPtr& backend) {
+                         return IsUsable(*backend, now) && MayResumeAt(plan, *backend);
+                       });
+  return usable;
+}
+
 double EngineLinkMbps(const ExchangePlan& plan) {
   const EngineProfile* engine = ProfileOf(plan);
   return engine != nullptr ? engine->link_mbps : 0;
@@ -218,6 +232,7 @@
   if (tried.contains(backend.entry.id) || backend.notice_state.BlocksRequests(now)) return false;
   if (!state.pushback().HasRoom(backend, now)) return false;
   if (plan.avoid_rate_limited && backend.notice_state.limit()) return false;
+  if (!MayResumeAt(plan, backend)) return false;
   return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
 }
 
@@ -228,7 +243,7 @@
 std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
                                       const InboundRequest& request,
                                       const std::set<BackendId>& tried, TimePoint now) {
-  std::vector<BackendPtr> candidates = state.directory().Usable(plan.service, now);
+  std::vector<BackendPtr> candidates = UsableFor(state, plan, now);
   std::erase_if(candidates, [&](const BackendPtr& backend) {
     return !MayGetRequest(state, plan, request, tried, *backend, now);
   });
@@ -244,7 +259,7 @@
   ScopedCandidates near;
   if (!IsOnLastTrial(state, plan, now)) {
     const ScopeQuery query{state.zone(), state.topology(), state.weights().min_zone_servers, now};
-    near.backends = state.directory().Usable(plan.service, now);
+    near.backends = UsableFor(state, plan, now);
     near.scope = ScopeFor(query, near.backends);
     std::erase_if(near.backends, [&](const BackendPtr& backend) {
       return !IsInScope(query, near.scope, *backend) ||
@@ -273,7 +288,7 @@
                                           const InboundRequest& request,
                                           const std::set<BackendId>& tried, TimePoint now) {
   std::optional<TimePoint> earliest;
-  for (const BackendPtr& backend : state.directory().Usable(plan.service, now)) {
+  for (const BackendPtr& backend : UsableFor(state, plan, now)) {
     const bool may_take =
         !request.generation || MayStartOnWeights(state, *backend, request.generation->model, now);
     if (tried.contains(backend->entry.id) || !may_take) continue;
@@ -391,10 +406,22 @@
   return query;
 }
 
-bool MayStillSend(const GatewayState& state, const InboundRequest& request,
-                  const BackendChoice& choice, TimePoint now) {
+bool MayResumeAt(const ExchangePlan& plan, const Backend& backend) {
+  return !plan.release || backend.entry.release == *plan.release;
+}
+
+bool HasAnotherOfRelease(const GatewayState& state, const Backend& backend, TimePoint now) {
+  return std::ranges::any_of(
+      state.directory().OfService(backend.entry.service), [&](const BackendPtr& other) {
+        return other.get() != &backend && other->entry.release == backend.entry.release &&
+               IsUsable(*other, now);
+      });
+}
+
+bool MayStillSend(const GatewayState& state, const ExchangePlan& plan,
+                  const InboundRequest& request, const BackendChoice& choice, TimePoint now) {
   const Backend& backend = *choice.backend;
-  if (backend.removed || !IsUsable(backend, now)) return false;
+  if (backend.removed || !IsUsable(backend, now) || !MayResumeAt(plan, backend)) return false;
   if (now < backend.notice_state.backoff_until()) return false;
   if (now < state.pushback().RoomBlockedUntil(backend, now)) return false;
   return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -177,6 +177,22 @@
   co_return outcome;
 }
 
+net::awaitable<OriginFinding> GatewayState::FindOrigin(RequestId attempt, WorkspaceId workspace,
+                                                       ServiceId service) {
+  if (origin_handlers_.find) {
+    OriginFinding finding = co_await origin_handlers_.find(std::move(attempt), std::move(workspace),
+                                                           std::move(service));
+    co_return finding;
+  }
+  const std::set<ReleaseId> releases = directory_.ReleasesOf(service);
+  OriginFinding finding;
+  if (releases.size() == 1) {
+    finding.source = OriginSource::kSingleRelease;
+    finding.release = *releases.begin();
+  }
+  co_return finding;
+}
+
 net::awaitable<std::optional<RetryReservation>> GatewayState::ReserveRetry(ServiceId service,
                                                                            TimePoint deadline) {
   constexpr std::chrono::milliseconds kMaxRecordingTime{200};
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -230,6 +230,7 @@
   }
   if (record.quota) AppendQuota(metrics, record, fields);
   if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
+  if (record.origin) fields.push_back({"origin", std::string(NameOf(*record.origin))});
   if (!record.resumes.value().empty()) {
     constexpr std::size_t kMaxLoggedId = 64;  // bytes; clients may send any
     fields.push_back({"resumes", record.resumes.value().substr(0, kMaxLoggedId)});
--- a/libs/peers/include/peers/load_messages.h
+++ b/libs/peers/include/peers/load_messages.h
@@ -15,6 +15,7 @@
 #include "gateway/poison_update.h"
 #include "gateway/pushback_update.h"
 #include "quota/quota_messages.h"
+#include "resumption/origin_messages.h"
 
 namespace ridgehold {
 
@@ -48,7 +49,7 @@
 
 /// Any datagram between gateways.
 using PeerMessage = std::variant<GossipMessage, LoadQuestionMessage, LoadAnswerMessage,
-                                 PoisonUpdate, PushbackUpdateList, QuotaMessage>;
+                                 PoisonUpdate, PushbackUpdateList, QuotaMessage, OriginMessage>;
 
 std::string Encode(const LoadQuestionMessage& question);
 std::string Encode(const LoadAnswerMessage& answer);
--- /dev/null
+++ b/libs/peers/include/peers/origin_link.h
@@ -0,0 +1,85 @@
+// Shares the origins of streams with the other gateways, and asks them.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "metrics/metrics.h"
+#include "net/beast.h"
+#include "net/timer.h"
+#include "resumption/origin_search.h"
+#include "resumption/origin_table.h"
+#include "resumption/release_history.h"
+
+namespace ridgehold {
+
+/// A stream's origin is sent to its keepers, as datagrams, before its first event reaches the
+/// client, if backend servers of several releases may resume it. While a service has had one
+/// release for longer than any stream lasts, nothing is sent. Runs on one executor.
+class OriginLink {
+ public:
+  struct Options {
+    /// How long after its start a stream may be resumed: longer than clients wait for a stream.
+    std::chrono::seconds stream_lifetime{30};
+    /// Time for which answers are awaited; a round trip between zones takes 6 ms.
+    std::chrono::milliseconds answer_timeout{60};
+    /// Datagrams may be lost.
+    std::chrono::milliseconds resend_interval{20};
+  };
+  struct Callbacks {
+    std::function<void(const std::string& address, const OriginMessage& message)> send;
+    /// Returns the addresses of all other live gateways.
+    std::function<std::vector<std::string>()> peers;
+  };
+
+  OriginLink(net::any_io_executor executor, Metrics& metrics, Options options, Callbacks callbacks)
+      : executor_(executor),
+        metrics_(metrics),
+        options_(options),
+        callbacks_(std::move(callbacks)) {}
+
+  /// Records that backend servers of these releases are registered for the service. Call for each
+  /// registration, and for all of them more often than once per Options::stream_lifetime.
+  void Observe(const ServiceId& service, const std::set<ReleaseId>& releases, TimePoint now);
+  /// Forgets streams that can no longer be resumed.
+  void Expire(TimePoint now) { table_.Expire(options_.stream_lifetime, now); }
+
+  /// Records that `release` began the stream of this attempt.
+  void RecordStart(const RequestId& attempt, const WorkspaceId& workspace, const ServiceId& service,
+                   const ReleaseId& release);
+
+  /// Finds the release that began the stream of a client's attempt. Waits for the answers of other
+  /// gateways if necessary.
+  net::awaitable<OriginFinding> Find(RequestId attempt, WorkspaceId workspace, ServiceId service);
+
+  void Handle(const OriginMessage& message, const std::string& from);
+
+ private:
+  struct Pending {
+    OriginSearch search;
+    Timer* timer;
+    std::set<std::string> silent;  ///< gateways that have not answered
+  };
+
+  ReleaseHistory::Summary SummaryOf(const ServiceId& service, TimePoint now) const;
+  void Share(AttemptHash attempt, const StreamOrigin& origin);
+  net::awaitable<OriginFinding> Ask(OriginQuery query, ReleaseHistory::Summary own);
+  void Count(const OriginFinding& finding);
+
+  net::any_io_executor executor_;
+  Metrics& metrics_;
+  Options options_;
+  Callbacks callbacks_;
+  OriginTable table_;
+  std::map<ServiceId, ReleaseHistory> histories_;
+  std::map<std::uint64_t, Pending*> pending_;  ///< by the number of the query
+  std::uint64_t last_query_ = 0;
+};
+
+}  // namespace ridgehold
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -83,6 +83,10 @@
   using QuotaListener = std::function<void(const QuotaMessage&, const std::string& from)>;
   void SetQuotaListener(QuotaListener listener) { quota_listener_ = std::move(listener); }
 
+  /// Receives the messages about the origins of streams, with the address of each sender.
+  using OriginListener = std::function<void(const OriginMessage&, const std::string& from)>;
+  void SetOriginListener(OriginListener listener) { origin_listener_ = std::move(listener); }
+
  private:
   static constexpr std::size_t kMaxDatagramBytes = 60'000;
   /// Above this number, placed requests are reported in the next message: larger datagrams are
@@ -128,6 +132,7 @@
   BackendGossip backend_gossip_;
   Timer gossip_timer_;
   QuotaListener quota_listener_;
+  OriginListener origin_listener_;
   std::vector<net::ip::address> peers_;  ///< all gateways but this one
   std::optional<std::uint64_t> members_version_;
   std::uint64_t incarnation_ = 0;
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -5,6 +5,7 @@
 
 #include "gateway.pb.h"
 #include "peers/load_messages.h"
+#include "peers/origin_codec.h"
 #include "peers/quota_codec.h"
 
 namespace ridgehold {
@@ -344,6 +345,7 @@
   if (message.has_poison()) return PeerMessage(DecodePoisonNews(message.poison()));
   if (message.words_size() > 0) return PeerMessage(DecodeWords(message));
   if (auto quota = DecodeQuota(message)) return PeerMessage(std::move(*quota));
+  if (auto origin = DecodeOrigin(message)) return PeerMessage(std::move(*origin));
   return PeerMessage(DecodeNewsOf(message));
 }
 
--- /dev/null
+++ b/libs/peers/src/origin_link.cc
@@ -0,0 +1,111 @@
+#include "peers/origin_link.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "net/wait.h"
+#include "resumption/origin_keepers.h"
+
+namespace ridgehold {
+
+void OriginLink::Observe(const ServiceId& service, const std::set<ReleaseId>& releases,
+                         TimePoint now) {
+  histories_[service].Observe(releases, now);
+  if (!SummaryOf(service, now).several) return;
+  // Streams that began while there was one release can now go on at the wrong one.
+  for (const auto& [attempt, origin] : table_.TakeUnshared(service)) Share(attempt, origin);
+}
+
+ReleaseHistory::Summary OriginLink::SummaryOf(const ServiceId& service, TimePoint now) const {
+  const auto found = histories_.find(service);
+  if (found == histories_.end()) return {};
+  return found->second.Summarize(options_.stream_lifetime, now);
+}
+
+void OriginLink::RecordStart(const RequestId& attempt, const WorkspaceId& workspace,
+                             const ServiceId& service, const ReleaseId& release) {
+  const TimePoint now = Clock::now();
+  const AttemptHash hash = AttemptHashOf(attempt);
+  const StreamOrigin origin{StreamScopeOf(workspace, service), release};
+  const bool several = SummaryOf(service, now).several;
+  table_.Add(hash, {origin, service, several}, now);
+  if (several) Share(hash, origin);
+}
+
+void OriginLink::Share(AttemptHash attempt, const StreamOrigin& origin) {
+  OriginNotice notice;
+  notice.streams.emplace_back(attempt, origin);
+  const OriginMessage message(std::move(notice));
+  for (const auto& keeper : RankKeepers(attempt, callbacks_.peers(), kOriginKeepers)) {
+    callbacks_.send(keeper, message);
+  }
+  metrics_.GetCounter("ridgehold_origins_shared").Add();
+}
+
+net::awaitable<OriginFinding> OriginLink::Find(RequestId attempt, WorkspaceId workspace,
+                                               ServiceId service) {
+  const AttemptHash hash = AttemptHashOf(attempt);
+  const StreamScope scope = StreamScopeOf(workspace, service);
+  const ReleaseHistory::Summary own = SummaryOf(service, Clock::now());
+  std::optional<OriginFinding> finding = OriginSearch::WithoutAsking(table_.Find(hash, scope), own);
+  if (!finding) {
+    OriginQuery query;
+    query.number = ++last_query_;
+    query.attempt = hash;
+    query.scope = scope;
+    query.service = std::move(service);
+    finding = co_await Ask(std::move(query), own);
+  }
+  Count(*finding);
+  co_return std::move(*finding);
+}
+
+net::awaitable<OriginFinding> OriginLink::Ask(OriginQuery query, ReleaseHistory::Summary own) {
+  const auto asked = RankKeepers(query.attempt, callbacks_.peers(), kAskedForOrigin);
+  Timer timer(executor_);
+  Pending pending{OriginSearch(std::move(own), asked.size()), &timer, {asked.begin(), asked.end()}};
+  pending_[query.number] = &pending;
+  const TimePoint end = Clock::now() + options_.answer_timeout;
+  const OriginMessage message(query);
+  while (!pending.search.done() && Clock::now() < end) {
+    for (const std::string& gateway : pending.silent) callbacks_.send(gateway, message);
+    const TimePoint resend_at = std::min(end, Clock::now() + options_.resend_interval);
+    while (!pending.search.done() && Clock::now() < resend_at) {
+      co_await WaitUntil(timer, resend_at);
+    }
+  }
+  pending_.erase(query.number);
+  co_return pending.search.Conclude();
+}
+
+void OriginLink::Handle(const OriginMessage& message, const std::string& from) {
+  const TimePoint now = Clock::now();
+  if (const auto* notice = std::get_if<OriginNotice>(&message)) {
+    for (const auto& [attempt, origin] : notice->streams) {
+      table_.Add(attempt, {origin, ServiceId(), true}, now);
+    }
+    return;
+  }
+  if (const auto* query = std::get_if<OriginQuery>(&message)) {
+    OriginAnswer answer;
+    answer.number = query->number;
+    const StreamOrigin* origin = table_.Find(query->attempt, query->scope);
+    if (origin != nullptr) answer.release = origin->release;
+    answer.several_releases = SummaryOf(query->service, now).several;
+    return callbacks_.send(from, OriginMessage(std::move(answer)));
+  }
+  const auto& answer = std::get<OriginAnswer>(message);
+  const auto found = pending_.find(answer.number);
+  if (found == pending_.end() || found->second->silent.erase(from) == 0) return;
+  found->second->search.Add(answer);
+  found->second->timer->cancel();
+}
+
+void OriginLink::Count(const OriginFinding& finding) {
+  metrics_
+      .GetCounter("ridgehold_resumptions", "origin=\"" + std::string(NameOf(finding.source)) + "\"")
+      .Add();
+}
+
+}  // namespace ridgehold
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -250,6 +250,10 @@
     if (quota_listener_) quota_listener_(*quota, sender.address().to_string());
     return;
   }
+  if (const auto* origin = std::get_if<OriginMessage>(&message)) {
+    if (origin_listener_) origin_listener_(*origin, sender.address().to_string());
+    return;
+  }
   // Valid at any age.
   if (const auto* poison = std::get_if<PoisonUpdate>(&message)) {
     return state_.poison().ApplyUpdate(*poison, now);
--- /dev/null
+++ b/libs/resumption/test/resumption-test.cc
@@ -0,0 +1,159 @@
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+
+#include "resumption/origin_keepers.h"
+#include "resumption/origin_search.h"
+#include "resumption/origin_table.h"
+#include "resumption/release_history.h"
+
+using namespace ridgehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{1h};
+constexpr auto kLifetime = 30s;
+const ReleaseId kV1("v1");
+const ReleaseId kV2("v2");
+const StreamScope kScope(7);
+const AttemptHash kAttempt(1);
+const ServiceId kService("s");
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(origin_table)
+
+// Guards against a client that takes up the stream of another workspace or service.
+BOOST_AUTO_TEST_CASE(attempt_of_another_scope_is_unknown) {
+  OriginTable table;
+  table.Add(kAttempt, {{kScope, kV1}, kService, false}, kStart);
+  BOOST_TEST(table.Find(kAttempt, kScope)->release == kV1);
+  BOOST_TEST(table.Find(kAttempt, StreamScope(8)) == nullptr);
+  BOOST_TEST(table.Find(AttemptHash(2), kScope) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(first_origin_of_an_attempt_stays) {
+  OriginTable table;
+  table.Add(kAttempt, {{kScope, kV1}, kService, false}, kStart);
+  table.Add(kAttempt, {{kScope, kV2}, kService, false}, kStart);
+  BOOST_TEST(table.Find(kAttempt, kScope)->release == kV1);
+}
+
+BOOST_AUTO_TEST_CASE(expired_and_surplus_entries_are_evicted) {
+  OriginTable table;
+  for (std::uint64_t i = 1; i <= OriginTable::kMaxEntries + 5; ++i) {
+    table.Add(AttemptHash(i), {{kScope, kV1}, kService, false}, kStart);
+  }
+  BOOST_TEST(table.size() == OriginTable::kMaxEntries);
+  BOOST_TEST(table.Find(AttemptHash(5), kScope) == nullptr);
+  table.Expire(kLifetime, kStart + kLifetime + 1ms);
+  BOOST_TEST(table.size() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(unshared_streams_are_taken_once) {
+  OriginTable table;
+  table.Add(AttemptHash(1), {{kScope, kV1}, kService, false}, kStart);
+  table.Add(AttemptHash(2), {{kScope, kV1}, kService, true}, kStart);
+  table.Add(AttemptHash(3), {{kScope, kV1}, ServiceId("t"), false}, kStart);
+  BOOST_TEST(table.TakeUnshared(kService).size() == 1);
+  BOOST_TEST(table.TakeUnshared(kService).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(release_history)
+
+BOOST_AUTO_TEST_CASE(release_counts_until_its_streams_can_no_longer_be_resumed) {
+  ReleaseHistory history;
+  history.Observe({kV1, kV2}, kStart);
+  history.Observe({kV2}, kStart + kLifetime);
+  BOOST_TEST(history.Summarize(kLifetime, kStart + kLifetime).several);
+  const auto later = history.Summarize(kLifetime, kStart + kLifetime + 1ms);
+  BOOST_TEST(!later.several);
+  BOOST_TEST(later.complete);
+  BOOST_TEST((later.single == kV2));
+}
+
+BOOST_AUTO_TEST_CASE(history_is_complete_after_one_lifetime) {
+  ReleaseHistory history;
+  BOOST_TEST(!history.Summarize(kLifetime, kStart).complete);
+  history.Observe({kV1}, kStart);
+  const auto early = history.Summarize(kLifetime, kStart + kLifetime);
+  BOOST_TEST(!early.complete);
+  BOOST_TEST((early.single == kV1));
+}
+
+// A registration without a version is a release of its own.
+BOOST_AUTO_TEST_CASE(missing_version_differs_from_all_others) {
+  ReleaseHistory history;
+  history.Observe({ReleaseId(), kV1}, kStart);
+  BOOST_TEST(history.Summarize(kLifetime, kStart).several);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(origin_search)
+
+BOOST_AUTO_TEST_CASE(known_origin_needs_no_question) {
+  const StreamOrigin known{kScope, kV1};
+  const auto finding = OriginSearch::WithoutAsking(&known, {true, std::nullopt, true});
+  BOOST_TEST((finding == OriginFinding{OriginSource::kOwn, kV1}));
+}
+
+BOOST_AUTO_TEST_CASE(single_release_of_a_complete_history_needs_no_question) {
+  BOOST_TEST((OriginSearch::WithoutAsking(nullptr, {false, kV1, true}) ==
+              OriginFinding{OriginSource::kSingleRelease, kV1}));
+  BOOST_TEST(!OriginSearch::WithoutAsking(nullptr, {false, kV1, false}));
+}
+
+BOOST_AUTO_TEST_CASE(answer_of_a_keeper_ends_the_search) {
+  OriginSearch search({true, std::nullopt, true}, 3);
+  search.Add({1, std::nullopt, true});
+  BOOST_TEST(!search.done());
+  search.Add({1, kV2, true});
+  BOOST_TEST(search.done());
+  BOOST_TEST((search.Conclude() == OriginFinding{OriginSource::kPeer, kV2}));
+}
+
+// Guards against a restarted gateway that sees only the release which has replaced the stream's.
+BOOST_AUTO_TEST_CASE(restarted_gateway_heeds_peers_that_have_seen_another_release) {
+  OriginSearch search({false, kV2, false}, 2);
+  search.Add({1, std::nullopt, false});
+  search.Add({1, std::nullopt, true});
+  BOOST_TEST((search.Conclude() == OriginFinding{}));
+}
+
+// Guards against resumed streams that are all refused after every gateway was restarted.
+BOOST_AUTO_TEST_CASE(restarted_gateways_rely_on_the_single_registered_release) {
+  OriginSearch search({false, kV1, false}, 2);
+  search.Add({1, std::nullopt, false});
+  BOOST_TEST((search.Conclude() == OriginFinding{OriginSource::kSingleRelease, kV1}));
+}
+
+BOOST_AUTO_TEST_CASE(without_any_answer_nothing_is_known) {
+  OriginSearch search({false, kV1, false}, 2);
+  BOOST_TEST((search.Conclude() == OriginFinding{}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(origin_keepers)
+
+RC_BOOST_PROP(most_keepers_stay_when_gateways_come_and_go, (std::uint64_t attempt)) {
+  std::vector<std::string> gateways;
+  for (int i = 0; i < 85; ++i) gateways.push_back("10.0.0." + std::to_string(i));
+  const auto told = RankKeepers(AttemptHash(attempt), gateways, kOriginKeepers);
+  RC_ASSERT(told.size() == kOriginKeepers);
+  gateways.erase(gateways.begin() + *rc::gen::inRange(0, 85));
+  gateways.push_back("10.0.1.1");
+  const auto asked = RankKeepers(AttemptHash(attempt), gateways, kAskedForOrigin);
+  const std::set<std::string> asked_set(asked.begin(), asked.end());
+  const auto found = std::ranges::count_if(
+      told, [&](const std::string& gateway) { return asked_set.contains(gateway); });
+  RC_ASSERT(found + 1 >= static_cast<std::ptrdiff_t>(kOriginKeepers));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
