Control: one function writes a key under a new lease

LeasedKey, QuarantineWriter and RetryRecord each granted a lease, committed the key under it and revoked the lease if the write was not confirmed. PutUnderLease does this for all of them. One difference: a retry record is logged as not written also when the lease was not granted.

--- a/libs/control/include/control/leased_key.h
+++ b/libs/control/include/control/leased_key.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "base/lease_clock.h"
+#include "control/leased_put.h"
 #include "control/state_store.h"
 #include "log/log.h"
 #include "net/wait.h"
@@ -135,28 +136,21 @@
   /// Acquires the key if it is at `revision`; 0 means that the key must not exist.
   net::awaitable<void> Acquire(StoreRevision revision, std::chrono::milliseconds handover_delay) {
     const TimePoint start = Clock::now();
-    const StoreResult<LeaseGrant> granted = co_await store_.GrantLease(options_.ttl);
-    if (granted.has_error()) co_return;
-    StoreTransaction transaction;
-    if (options_.exclusive) transaction.conditions.push_back({options_.key, revision});
-    transaction.puts.push_back({options_.key, options_.value, granted->id});
-    const StoreResult<StoreRevision> written = co_await store_.Commit(std::move(transaction));
-    if (written.has_error()) {
-      // The write may still be applied; revoking the lease undoes it.
-      co_await store_.RevokeLease(granted->id);
-      co_return;
-    }
-    lease_ = granted->id;
-    clock_.Renew(start, granted->ttl);
-    fencing_token_ = written->value();
-    revision_ = *written;
+    const auto expected = options_.exclusive ? std::optional(revision) : std::nullopt;
+    const StoreResult<LeasedPut> written =
+        co_await PutUnderLease(store_, options_.key, options_.value, options_.ttl, expected);
+    if (written.has_error()) co_return;
+    lease_ = written->lease.id;
+    clock_.Renew(start, written->lease.ttl);
+    fencing_token_ = written->revision.value();
+    revision_ = written->revision;
     active_from_ = Clock::now() + handover_delay;
     exclusive_since_ = revision == StoreRevision(0) ? start : created_;
     marked_active_ = false;
     Log(LogLevel::kInfo, "key held",
         {{"key", options_.key},
          {"fencing", std::to_string(fencing_token_)},
-         {"ttl_ms", std::to_string(granted->ttl.count())},
+         {"ttl_ms", std::to_string(written->lease.ttl.count())},
          {"taken_back", revision == StoreRevision(0) ? "no" : "yes"},
          {"acts_in_ms", std::to_string(handover_delay.count())}});
   }
--- a/libs/control/include/control/quarantine_writer.h
+++ b/libs/control/include/control/quarantine_writer.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "control/instance_records.h"
+#include "control/leased_put.h"
 #include "control/state_store.h"
 #include "gateway/poison_guard.h"
 #include "log/log.h"
@@ -102,17 +103,11 @@
   net::awaitable<void> Write(PoisonDetector::Quarantine quarantine) {
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(quarantine.until - Clock::now());
-    const StoreResult<LeaseGrant> granted = co_await store_.GrantLease(remaining);
-    if (granted.has_error()) co_return;
-    StoreTransaction transaction;
-    const std::string key = KeyOf(quarantine.request);
-    transaction.conditions.push_back({key, StoreRevision(0)});
-    transaction.puts.push_back(
-        {key, EncodeQuarantine(options_.self, std::chrono::system_clock::now() + remaining),
-         granted->id});
-    const StoreResult<StoreRevision> written = co_await store_.Commit(std::move(transaction));
-    if (written.has_value()) co_return;
-    co_await store_.RevokeLease(granted->id);
+    std::string value =
+        EncodeQuarantine(options_.self, std::chrono::system_clock::now() + remaining);
+    const std::optional<StoreRevision> absent = StoreRevision(0);
+    // A quarantine that was not written is due again.
+    co_await PutUnderLease(store_, KeyOf(quarantine.request), std::move(value), remaining, absent);
   }
 
   net::awaitable<void> EraseReleased() {
--- a/libs/control/include/control/retry_record.h
+++ b/libs/control/include/control/retry_record.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "base/lease_clock.h"
+#include "control/leased_put.h"
 #include "control/state_store.h"
 #include "log/log.h"
 #include "net/update_signal.h"
@@ -105,24 +106,21 @@
 
   net::awaitable<void> Write() {
     const TimePoint start = Clock::now();
-    const StoreResult<LeaseGrant> granted = co_await store_.GrantLease(2 * options_.counted_span());
-    if (granted.has_error()) co_return;
-    StoreTransaction transaction;
     // The record of an earlier process stays for as long as its retries may count.
     const bool may_overwrite = start - created_ >= options_.counted_span();
-    if (!may_overwrite) transaction.conditions.push_back({options_.key, StoreRevision(0)});
-    transaction.puts.push_back({options_.key, options_.value, granted->id});
-    const StoreResult<StoreRevision> written = co_await store_.Commit(std::move(transaction));
+    const auto expected = may_overwrite ? std::nullopt : std::optional(StoreRevision(0));
+    const std::chrono::milliseconds ttl = 2 * options_.counted_span();
+    const StoreResult<LeasedPut> written =
+        co_await PutUnderLease(store_, options_.key, options_.value, ttl, expected);
     if (written.has_error()) {
       Log(LogLevel::kInfo, "retry record not written",
           {{"key", options_.key}, {"fault", std::string(NameOf(written.error()))}});
-      co_await store_.RevokeLease(granted->id);
       co_return;
     }
-    lease_ = granted->id;
-    clock_.Renew(start, granted->ttl);
+    lease_ = written->lease.id;
+    clock_.Renew(start, written->lease.ttl);
     Log(LogLevel::kInfo, "retry record written",
-        {{"key", options_.key}, {"ttl_ms", std::to_string(granted->ttl.count())}});
+        {{"key", options_.key}, {"ttl_ms", std::to_string(written->lease.ttl.count())}});
   }
 
   Store& store_;
