Gateway: RunningAt, one counter of rejections, unused accessors removed

RunningAt replaces four sums of the own and the peers' requests. The counter ridgehold_rejections moves to RecordOutcome, which knows the rejections anyway, and two equal blocks of Exchange::RunAttempt become one. fragile_services() and AnyAvailable() had no callers. No change of behaviour.

--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -101,6 +101,11 @@
   return backend.avoid_until > now || backend.notice_state.deprioritized_until() > now;
 }
 
+/// Requests of all gateways at the backend server, as far as known.
+inline std::uint32_t RunningAt(const Backend& backend) {
+  return backend.in_flight + backend.peers.running;
+}
+
 /// Whether requests reach the backend server, directly or through a peer.
 inline bool HasPath(const Backend& backend) { return backend.reachable || backend.has_peer_path; }
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -250,7 +250,7 @@
       record_.shared_tokens = plan_.chain->shared_tokens;
       record_.known_tokens = choice.known_tokens;
     }
-    record_.running_at_backend = backend.in_flight + backend.peers.running;
+    record_.running_at_backend = RunningAt(backend);
     if (plan_.memory) record_.memory = MemoryRecord{choice.memory_held, choice.fits};
     if (!choice.fits) state_.metrics().GetCounter("ridgehold_placed_without_room").Add();
     record_.fetched_from = choice.fetch_from.value_or("");
@@ -273,16 +273,12 @@
                             record_.permit.verdict != PermitVerdict::kNotNeeded;
     const bool may_send =
         !Quarantined() && has_permit && MayStillSend(state_, plan_, inbound_, choice, now);
-    if (caller_gone || too_late || !may_send) {
+    const bool sendable = !caller_gone && !too_late && may_send;
+    if (!sendable || !ConsumeRetry(now)) {
       ReleaseConnection(state_, *attempt_.backend, record_.via_peer,
                         std::move(checkout.connection));
       if (caller_gone) co_return AttemptOutcome::kCallerGone;
-      last_code_ = ResultCode::kNoBackend;
-      co_return AttemptOutcome::kSkipped;
-    }
-    if (!ConsumeRetry(now)) {
-      ReleaseConnection(state_, *attempt_.backend, record_.via_peer,
-                        std::move(checkout.connection));
+      if (!sendable) last_code_ = ResultCode::kNoBackend;
       co_return AttemptOutcome::kSkipped;
     }
     attempt_.connection = std::move(checkout.connection);
@@ -520,8 +516,6 @@
       retry_input_.may_have_run = true;
       ++retry_input_.runs;
     }
-    const bool rejected = retry_input_.not_executed && retry_input_.status == 503;
-    if (rejected) state_.metrics().GetCounter("ridgehold_rejections").Add();
     const TimePoint now = Clock::now();
     retry_input_.time_left = WaitLimit() - now > state_.limits().min_attempt_time;
     RecordOutcome(state_, inbound_, attempt_.backend, retry_input_, now);
--- a/libs/gateway/include/gateway/pushback_registry.h
+++ b/libs/gateway/include/gateway/pushback_registry.h
@@ -38,8 +38,6 @@
   /// When a backend server accepts requests again after a rejection; in the past if it does now.
   TimePoint RoomBlockedUntil(const Backend& backend, TimePoint now) const;
 
-  const FragileServices& fragile_services() const { return fragile_services_; }
-
   /// Applies updates from another gateway. Returns this gateway's state where the sender's is
   /// older.
   PushbackUpdateList ApplyUpdates(const PushbackUpdateList& updates, std::uint64_t gateway,
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -515,8 +515,10 @@
   if (ProvesNotExecuted(facts)) {
     const auto backoff = BackoffAfterRefusal(state, request, *backend, facts);
     backend->avoid_until = std::max<TimePoint>(backend->avoid_until, now + backoff);
+    const bool rejected = facts.status == kServiceUnavailable;
+    if (rejected) state.metrics().GetCounter("ridgehold_rejections").Add();
     // An engine that loads weights rejects requests, too, however much room it has.
-    const bool lacks_room = facts.status == kServiceUnavailable && backoff == kRefusalBackoff;
+    const bool lacks_room = rejected && backoff == kRefusalBackoff;
     if (lacks_room) state.pushback().RecordRejection(*backend, now);
     return;
   }
--- a/libs/gateway/src/placement.cc
+++ b/libs/gateway/src/placement.cc
@@ -302,8 +302,7 @@
     if (!query_.memory) return;
     placement.memory_held = backend.memory_tokens + backend.peers.memory_tokens;
     if (query_.answers != nullptr && ReportOn(backend) == nullptr) return;
-    const std::uint32_t running = backend.in_flight + backend.peers.running;
-    placement.fits = query_.memory->Fits(placement.memory_held, running);
+    placement.fits = query_.memory->Fits(placement.memory_held, RunningAt(backend));
     if (!placement.fits) placement.cost += costs_.no_room_penalty;
   }
 
--- a/libs/gateway/src/pushback_registry.cc
+++ b/libs/gateway/src/pushback_registry.cc
@@ -67,7 +67,7 @@
 void PushbackRegistry::RecordRejection(Backend& backend, TimePoint now) {
   const auto limit = fragile_services_.LimitOf(backend.entry.service, now);
   if (!limit) return;
-  const std::uint32_t running = backend.in_flight + backend.peers.running;
+  const std::uint32_t running = RunningAt(backend);
   backend.room.RecordRejection(*limit, running, now);
   Log(LogLevel::kInfo, "fragile backend rejected a request",
       {{"backend", backend.entry.id.value()},
@@ -79,8 +79,7 @@
 
 bool PushbackRegistry::HasRoom(const Backend& backend, TimePoint now) const {
   if (!fragile_services_.LimitOf(backend.entry.service, now)) return true;
-  const std::uint32_t running = backend.in_flight + backend.peers.running;
-  return backend.room.MayTake(running, backend.entry.slots, now);
+  return backend.room.MayTake(RunningAt(backend), backend.entry.slots, now);
 }
 
 TimePoint PushbackRegistry::RoomBlockedUntil(const Backend& backend, TimePoint now) const {
--- a/libs/tunnel/include/tunnel/peer_paths.h
+++ b/libs/tunnel/include/tunnel/peer_paths.h
@@ -48,9 +48,6 @@
   /// Opens a tunnel to the backend server, before `deadline`.
   net::awaitable<PeerPath> Open(TunnelTarget target, TimePoint deadline);
 
-  /// Whether there is a peer that may have a path.
-  bool AnyAvailable(TimePoint now) const { return peers_.AnyAvailable(now); }
-
  private:
   net::any_io_executor executor_;
   Options options_;
