Resumption: findings in a header of their own, keepers ranked without copies

OriginFinding is what the gateway includes, without the search. RankKeepers hashes each gateway once and copies only the addresses that it returns; the peers are fetched once for all streams that are shared at a time. No change of behaviour.

--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -39,7 +39,7 @@
 #include "priority/priority_state.h"
 #include "priority/urgency.h"
 #include "quota/quota_client.h"
-#include "resumption/origin_search.h"
+#include "resumption/origin_finding.h"
 #include "retry/sliding_retry_budget.h"
 #include "tunnel/contact_monitor.h"
 #include "tunnel/peer_paths.h"
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -17,7 +17,7 @@
 #include "performance/stream_timing.h"
 #include "priority/urgency.h"
 #include "quota/quota_client.h"
-#include "resumption/origin_search.h"
+#include "resumption/origin_finding.h"
 
 namespace ridgehold {
 
--- a/libs/peers/include/peers/origin_link.h
+++ b/libs/peers/include/peers/origin_link.h
@@ -68,7 +68,9 @@
   };
 
   ReleaseHistory::Summary SummaryOf(const ServiceId& service, TimePoint now) const;
-  void Share(AttemptHash attempt, const StreamOrigin& origin);
+  /// Tells the stream's keepers among `peers`.
+  void Share(AttemptHash attempt, const StreamOrigin& origin,
+             const std::vector<std::string>& peers);
   net::awaitable<OriginFinding> Ask(OriginQuery query, ReleaseHistory::Summary own);
   void Count(const OriginFinding& finding);
 
--- a/libs/peers/src/origin_link.cc
+++ b/libs/peers/src/origin_link.cc
@@ -14,7 +14,10 @@
   histories_[service].Observe(releases, now);
   if (!SummaryOf(service, now).several) return;
   // Streams that began while there was one release can now go on at the wrong one.
-  for (const auto& [attempt, origin] : table_.TakeUnshared(service)) Share(attempt, origin);
+  const auto unshared = table_.TakeUnshared(service);
+  if (unshared.empty()) return;
+  const std::vector<std::string> peers = callbacks_.peers();
+  for (const auto& [attempt, origin] : unshared) Share(attempt, origin, peers);
 }
 
 ReleaseHistory::Summary OriginLink::SummaryOf(const ServiceId& service, TimePoint now) const {
@@ -30,14 +33,15 @@
   const StreamOrigin origin{StreamScopeOf(workspace, service), release};
   const bool several = SummaryOf(service, now).several;
   table_.Add(hash, {origin, service, several}, now);
-  if (several) Share(hash, origin);
+  if (several) Share(hash, origin, callbacks_.peers());
 }
 
-void OriginLink::Share(AttemptHash attempt, const StreamOrigin& origin) {
+void OriginLink::Share(AttemptHash attempt, const StreamOrigin& origin,
+                       const std::vector<std::string>& peers) {
   OriginNotice notice;
   notice.streams.emplace_back(attempt, origin);
   const OriginMessage message(std::move(notice));
-  for (const auto& keeper : RankKeepers(attempt, callbacks_.peers(), kOriginKeepers)) {
+  for (const auto& keeper : RankKeepers(attempt, peers, kOriginKeepers)) {
     callbacks_.send(keeper, message);
   }
   metrics_.GetCounter("ridgehold_origins_shared").Add();
--- /dev/null
+++ b/libs/resumption/include/resumption/origin_finding.h
@@ -0,0 +1,30 @@
+// Result of a search for the release that began a stream.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "base/ids.h"
+
+namespace ridgehold {
+
+/// What the release of a resumed stream is known from.
+enum class OriginSource : std::uint8_t {
+  kOwn,            ///< this gateway began the stream or was told of it
+  kPeer,           ///< another gateway answered
+  kSingleRelease,  ///< the service has had no other release within a stream's lifetime
+  kUnknown,
+};
+
+std::string_view NameOf(OriginSource source);
+
+struct OriginFinding {
+  OriginSource source = OriginSource::kUnknown;
+  std::optional<ReleaseId> release;  ///< none if unknown
+
+  bool operator==(const OriginFinding&) const = default;
+};
+
+}  // namespace ridgehold
--- a/libs/resumption/include/resumption/origin_keepers.h
+++ b/libs/resumption/include/resumption/origin_keepers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -18,7 +19,7 @@
 
 /// Returns the `count` gateways with the highest rendezvous hashes for `attempt`, the highest
 /// first.
-std::vector<std::string> RankKeepers(AttemptHash attempt, std::vector<std::string> gateways,
+std::vector<std::string> RankKeepers(AttemptHash attempt, std::span<const std::string> gateways,
                                      std::size_t count);
 
 }  // namespace ridgehold
--- a/libs/resumption/src/origin_search.cc
+++ b/libs/resumption/src/origin_search.cc
@@ -2,20 +2,6 @@
 
 namespace ridgehold {
 
-std::string_view NameOf(OriginSource source) {
-  switch (source) {
-    case OriginSource::kOwn:
-      return "own";
-    case OriginSource::kPeer:
-      return "peer";
-    case OriginSource::kSingleRelease:
-      return "single_release";
-    case OriginSource::kUnknown:
-      break;
-  }
-  return "unknown";
-}
-
 std::optional<OriginFinding> OriginSearch::WithoutAsking(const StreamOrigin* known,
                                                          const ReleaseHistory::Summary& own) {
   if (known != nullptr) return OriginFinding{OriginSource::kOwn, known->release};
