Directory: outdated registrations are not reported to the listener

For 30 s after an outdated registration of another software version arrived, instances took the service for one with several versions: they told each other of each new stream, and a stream whose origin nobody knew was refused (2012) although the service ran one version.

Cause: BackendDirectory::Put called the listener before it compared start stamps.

Change: the listener is called after the check.

Evidence: backend_directory/listener_is_not_told_of_outdated_registrations. By reading, not by a run: the order of the two calls was the only thing that decided. The test was not run on the old order.

--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -147,7 +147,7 @@
   /// nullopt withholds none.
   void Withhold(const ServiceId& service, std::optional<ReleaseId> release);
 
-  /// Sets the function that is called for each registration.
+  /// Sets the function that is called for each registration that is not outdated.
   void SetRegistrationListener(std::function<void(const BackendEntry&)> listener) {
     on_registration_ = std::move(listener);
   }
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -38,9 +38,9 @@
 }
 
 Registration BackendDirectory::Put(const BackendEntry& entry) {
-  if (on_registration_) on_registration_(entry);
   const Registration registration = Classify(entry);
   if (registration == Registration::kStale) return registration;
+  if (on_registration_) on_registration_(entry);
   Supersede(entry);
   Store(entry, registration);
   return registration;
--- a/libs/gateway/test/backend_directory-test.cc
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -155,6 +155,17 @@
   BOOST_TEST((directory.Put(Started("b", 6)) == Registration::kAdded));
 }
 
+// Guards against a release that counts as running because of an outdated registration.
+BOOST_AUTO_TEST_CASE(listener_is_not_told_of_outdated_registrations) {
+  BackendDirectory directory;
+  std::vector<StartStamp> told;
+  directory.SetRegistrationListener(
+      [&](const BackendEntry& entry) { told.push_back(entry.started); });
+  directory.Put(Started("b", 6));
+  directory.Put(Started("b", 5));
+  BOOST_TEST((told == std::vector{StartStamp(6)}));
+}
+
 BOOST_AUTO_TEST_CASE(full_list_respects_start_stamps) {
   BackendDirectory directory;
   directory.Put(Started("b", 6));
