Poison requests: copies wait until interruptions are proved or disproved

Cause: an end counts when the engine's address refuses connections. A process that ends may break its connections up to 120 ms before it refuses new ones. Until then an instance sent the request on to three engines within 6 ms, each other instance did the same with its copies, and what an instance had seen was lost if it was killed meanwhile.

Change: libs/crash. An attempt that broke off before its first event makes its server a suspect for 150 ms (UnprovenCrashes). Instances tell each other of it with the crash reports, all together at most 30 times a second (NoticeLimiter). While the suspects together with one more end would reach the limit, the request waits and the suspects are probed every 25 ms. An instance that was told of an interruption counts the end when it is proved, also when the instance that saw it is gone. A request that has just been completed somewhere never waits. Request lines have crash_proof_wait_ms, and there is ridgehold_crash_proof_wait_seconds.

Why it works: the limit of three holds as long as at most one request can be under way when two ends are proved or suspected. Suspicion reaches the other instances in about the time of a datagram, proof needs only somebody who probes, and every instance that wants to send a copy does.

--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -35,6 +35,12 @@
 /// 0 if unknown. Of two incarnations with the same id, the one that started later is current.
 using StartStamp = Strong<struct StartStampTag, std::uint64_t>;
 
+/// Identifies one incarnation of a backend server in messages between gateways; see HashOf().
+using BackendHash = std::uint64_t;
+
+/// Equal for repeated requests of one workspace; see FingerprintOf().
+using RequestFingerprint = Strong<struct RequestFingerprintTag, std::uint64_t>;
+
 /// Revision of the configuration: 0 for the empty one, incremented by each accepted change.
 using Revision = Strong<struct RevisionTag, std::uint64_t>;
 
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -208,8 +208,11 @@
     state_.SetRetryHandlers(
         {[this](TimePoint now) { return RetryStandingAt(now); },
          [this](TimePoint deadline) { return retry_record_.Acquire(deadline); }});
-    state_.SetCrashConfirmer(
-        [this](BackendPtr backend) { return prober_.ConfirmCrash(std::move(backend)); });
+    state_.SetCrashHandlers(
+        {[this](BackendPtr backend) { return prober_.ConfirmCrash(std::move(backend)); },
+         [this](RequestFingerprint request, TimePoint limit) {
+           return prober_.AwaitCrashProof(request, limit);
+         }});
   }
 
   using Store = typename Env::Store;
--- a/libs/gateway/include/gateway/backend_prober.h
+++ b/libs/gateway/include/gateway/backend_prober.h
@@ -40,6 +40,8 @@
     /// latency of 3 ms. Three concurrent copies crashed six servers without this delay and three
     /// with it.
     std::chrono::milliseconds peer_report_delay{10};
+    /// Minimum interval between probes of one backend server whose crash is awaited.
+    std::chrono::milliseconds proof_pause{25};
     /// Minimum interval between checks whether peers reach an unreachable backend server.
     std::chrono::milliseconds peer_path_pause{1'000};
     /// Maximum time of such a check.
@@ -59,6 +61,10 @@
   /// of the request would be retried without this information.
   net::awaitable<void> ConfirmCrash(BackendPtr backend);
 
+  /// Probes the backend servers that may have crashed while running the request until it may be
+  /// sent, at the latest until `limit`.
+  net::awaitable<void> AwaitCrashProof(RequestFingerprint request, TimePoint limit);
+
  private:
   /// Why a backend server is probed.
   enum class Purpose : std::uint8_t { kReachability, kCrash };
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -187,6 +187,7 @@
   /// Makes one attempt and decides the next step.
   net::awaitable<NextStep> TryOnce() {
     if (Quarantined()) co_return StepWhenQuarantined();
+    co_await AwaitCrashProof();
     const std::optional<BackendChoice> choice = co_await search_.Find(response_started_);
     if (caller_->caller_gone()) co_return NextStep::kDone;
     if (Quarantined()) co_return StepWhenQuarantined();
@@ -223,10 +224,26 @@
   /// Before a retry, determines whether the backend server crashed while running the request, and
   /// shares this with peers.
   net::awaitable<void> RecordInterruption() {
-    state_.poison().RecordInterruption(*attempt_.backend, plan_.fingerprint, Clock::now());
+    const TimePoint now = Clock::now();
+    if (attempt_.prefilled) {
+      state_.poison().RecordInterruption(*attempt_.backend, plan_.fingerprint, now);
+    } else {
+      state_.poison().RecordPossibleCrash(*attempt_.backend, plan_.fingerprint, state_.gateways(),
+                                          now);
+    }
     co_await state_.ConfirmCrash(attempt_.backend);
   }
 
+  /// Before an attempt, waits while copies of the request may have crashed so many backend servers
+  /// that one more crash is the last that is allowed.
+  net::awaitable<void> AwaitCrashProof() {
+    const TimePoint start = Clock::now();
+    if (!state_.poison().AwaitsProof(plan_.fingerprint, start)) co_return;
+    const TimePoint limit = WaitLimit() - state_.limits().min_attempt_time;
+    co_await state_.AwaitCrashProof(plan_.fingerprint, limit);
+    record_.crash_proof_wait += std::chrono::duration_cast<Duration>(Clock::now() - start);
+  }
+
   /// Next step when no backend server can take the request.
   NextStep StepWithoutChoice() {
     const bool no_cause_known = last_code_ == ResultCode::kNoBackend;
--- a/libs/gateway/include/gateway/gateway_gossip.h
+++ b/libs/gateway/include/gateway/gateway_gossip.h
@@ -16,9 +16,6 @@
 
 namespace ridgehold {
 
-/// Identifies one incarnation of a backend server in messages between gateways.
-using BackendHash = std::uint64_t;
-
 /// Differs between two incarnations with the same id if their start stamps are known, so that
 /// updates about the earlier one are not applied to the later one.
 BackendHash HashOf(const BackendId& id, StartStamp started = StartStamp());
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -175,10 +175,18 @@
   /// Waits a few milliseconds until it is known whether a backend server with an interrupted
   /// attempt has crashed, see BackendProber::ConfirmCrash.
   net::awaitable<void> ConfirmCrash(BackendPtr backend) {
-    if (confirm_crash_) co_await confirm_crash_(std::move(backend));
+    if (crash_handlers_.confirm) co_await crash_handlers_.confirm(std::move(backend));
   }
-  using CrashConfirmer = std::function<net::awaitable<void>(BackendPtr)>;
-  void SetCrashConfirmer(CrashConfirmer confirm) { confirm_crash_ = std::move(confirm); }
+  /// Waits until it is known which backend servers have crashed while running the request, see
+  /// BackendProber::AwaitCrashProof.
+  net::awaitable<void> AwaitCrashProof(RequestFingerprint request, TimePoint limit) {
+    if (crash_handlers_.await_proof) co_await crash_handlers_.await_proof(request, limit);
+  }
+  struct CrashHandlers {
+    std::function<net::awaitable<void>(BackendPtr)> confirm;
+    std::function<net::awaitable<void>(RequestFingerprint, TimePoint)> await_proof;
+  };
+  void SetCrashHandlers(CrashHandlers handlers) { crash_handlers_ = std::move(handlers); }
 
   /// Callbacks that acquire and refund quota.
   struct QuotaHandlers {
@@ -379,7 +387,7 @@
   void DetachListeners() {
     on_placement_ = nullptr;
     on_load_change_ = nullptr;
-    confirm_crash_ = nullptr;
+    crash_handlers_ = {};
     open_peer_path_ = nullptr;
     query_loads_ = nullptr;
     quota_handlers_ = {};
@@ -427,7 +435,7 @@
   PromptSizes prompt_sizes_;
   WeightsHistory named_weights_;
   PoisonGuard poison_;
-  CrashConfirmer confirm_crash_;
+  CrashHandlers crash_handlers_;
   ContactMonitor contacts_{ContactMonitor::Options()};
   PeerPathOpener open_peer_path_;
   TimePoint isolated_since_{};
--- a/libs/gateway/include/gateway/poison_detector.h
+++ b/libs/gateway/include/gateway/poison_detector.h
@@ -59,6 +59,10 @@
 
   Suspicion SuspicionOf(RequestFingerprint request, TimePoint now) const;
 
+  /// Number of crashes that quarantine the request; 0 if it is quarantined. The largest value if
+  /// detection is disabled.
+  std::uint32_t CrashesLeft(RequestFingerprint request, TimePoint now) const;
+
   /// Number of crashes that count against it now.
   std::uint32_t CrashesOf(RequestFingerprint request) const;
 
--- a/libs/gateway/include/gateway/poison_guard.h
+++ b/libs/gateway/include/gateway/poison_guard.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <set>
@@ -10,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "crash/notice_limiter.h"
+#include "crash/unproven_crashes.h"
 #include "gateway/backend_directory.h"
 #include "gateway/cancellable_attempts.h"
 #include "gateway/interrupted_attempts.h"
@@ -43,6 +46,16 @@
 
   /// Records an attempt that was interrupted or got no response.
   void RecordInterruption(const Backend& backend, RequestFingerprint request, TimePoint now);
+  /// Records an attempt that was interrupted before its first event, and tells the other gateways,
+  /// of which there are `gateways` with this one: until it is known whether the backend server has
+  /// crashed, further attempts may have to wait.
+  void RecordPossibleCrash(const Backend& backend, RequestFingerprint request,
+                           std::uint32_t gateways, TimePoint now);
+  /// Whether the request must not be sent until it is known which of SuspectsOf() have crashed.
+  bool AwaitsProof(RequestFingerprint request, TimePoint now) const;
+  std::vector<BackendHash> SuspectsOf(RequestFingerprint request, TimePoint now) const {
+    return unproven_.SuspectsOf(request, now);
+  }
   /// Records that the backend server has terminated; `evidence` is logged.
   void RecordCrash(const Backend& backend, const char* evidence, TimePoint now);
   bool HasCrashed(const Backend& backend) const { return interrupted_.HasCrashed(HashOf(backend)); }
@@ -78,6 +91,8 @@
 
  private:
   void ReportCrash(const CrashReport& crash, TimePoint now);
+  void CountCrash(const CrashReport& crash, TimePoint now);
+  void ApplyInterruption(const InterruptionReport& interruption, TimePoint now);
   bool ClearIfRecentlySucceeded(RequestFingerprint request, TimePoint now);
   bool ClearRequest(RequestFingerprint request, TimePoint now);
   void QueueRelease(RequestFingerprint request);
@@ -89,6 +104,9 @@
   Metrics& metrics_;
   PoisonDetector detector_;
   InterruptedAttempts interrupted_;
+  InterruptedAttempts interrupted_elsewhere_;  ///< as told by other gateways
+  UnprovenCrashes unproven_;
+  NoticeLimiter notices_{NoticeLimiter::Options{}};
   RecentSuccesses successes_;
   PoisonUpdate pending_;
   std::function<void()> on_update_;
--- a/libs/gateway/include/gateway/poison_update.h
+++ b/libs/gateway/include/gateway/poison_update.h
@@ -17,14 +17,20 @@
   bool operator==(const CrashReport&) const = default;
 };
 
+/// An attempt was interrupted, perhaps by a crash that is not proved yet.
+using InterruptionReport = CrashReport;
+
 /// Items are idempotent and may be sent any number of times.
 struct PoisonUpdate {
   std::vector<CrashReport> crashes;
   std::vector<RequestFingerprint>
       cleared;  ///< a backend server completed it, or an operator released it
   std::vector<RequestFingerprint> quarantined;  ///< newly quarantined
+  std::vector<InterruptionReport> interruptions;
 
-  bool empty() const { return crashes.empty() && cleared.empty() && quarantined.empty(); }
+  bool empty() const {
+    return crashes.empty() && cleared.empty() && quarantined.empty() && interruptions.empty();
+  }
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/request_fingerprint.h
+++ b/libs/gateway/include/gateway/request_fingerprint.h
@@ -13,11 +13,8 @@
 
 /// Equal for requests of one workspace with the same method, host, path with query, and body, byte
 /// by byte. The request id, the deadline and all other header fields are ignored. Requests of
-/// different workspaces have different fingerprints.
-using RequestFingerprint = Strong<struct RequestFingerprintTag, std::uint64_t>;
-
-/// `workspace` is empty on public routes. Runs XXH3 over the whole body, which takes about 0.1 us
-/// per kilobyte.
+/// different workspaces have different fingerprints. `workspace` is empty on public routes. Runs
+/// XXH3 over the whole body, which takes about 0.1 us per kilobyte.
 RequestFingerprint FingerprintOf(const WorkspaceId& workspace, const InboundRequest& inbound,
                                  const RequestMessage& request);
 
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -66,6 +66,7 @@
   BackendId backend;               ///< of the last attempt
   TimePoint received{};
   Duration deferred{0};               ///< time spent waiting for capacity
+  Duration crash_proof_wait{0};       ///< time spent waiting for proof of crashes
   std::optional<RequestOrder> order;  ///< none: requests of the service are not ordered
   Duration forecast{0};               ///< of the wait for capacity, on arrival
   std::optional<TimePoint> first_event;
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -1,5 +1,6 @@
 #include "gateway/backend_prober.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
@@ -52,6 +53,24 @@
   if (state_.poison().HasCrashed(*backend)) co_await WaitFor(timer, options_.peer_report_delay);
 }
 
+net::awaitable<void> BackendProber::AwaitCrashProof(RequestFingerprint request, TimePoint limit) {
+  if (!options_.enabled) co_return;
+  // Copies of the request may be interrupted meanwhile; they do not prolong the wait.
+  const TimePoint end = std::min<TimePoint>(limit, Clock::now() + UnprovenCrashes::kProofTime);
+  Timer timer(state_.executor());
+  for (TimePoint now = Clock::now(); now < end && state_.poison().AwaitsProof(request, now);
+       now = Clock::now()) {
+    for (const BackendHash suspect : state_.poison().SuspectsOf(request, now)) {
+      const BackendPtr backend = state_.directory().FindByHash(suspect);
+      const bool due = backend && !backend->probing &&
+                       now - backend->probed_at >= options_.proof_pause &&
+                       running_ < options_.max_concurrent;
+      if (due) StartProbe(backend, Purpose::kCrash);
+    }
+    co_await WaitFor(timer, kConfirmPollInterval);
+  }
+}
+
 bool BackendProber::HasNoOpenConnection(const Backend& backend) {
   return backend.in_flight == 0 && !state_.pool().HasOpenConnection(backend.entry.address);
 }
--- a/libs/gateway/src/poison_detector.cc
+++ b/libs/gateway/src/poison_detector.cc
@@ -1,6 +1,7 @@
 #include "gateway/poison_detector.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace ridgehold {
 
@@ -49,6 +50,21 @@
   return record.counted() > 0 ? Suspicion::kSuspect : Suspicion::kNone;
 }
 
+std::uint32_t PoisonDetector::CrashesLeft(RequestFingerprint request, TimePoint now) const {
+  if (options_.max_crashes == 0) return std::numeric_limits<std::uint32_t>::max();
+  switch (SuspicionOf(request, now)) {
+    case Suspicion::kQuarantined:
+      return 0;
+    case Suspicion::kLastTrial:
+      return 1;
+    case Suspicion::kSuspect:
+      return options_.max_crashes - CrashesOf(request);
+    case Suspicion::kNone:
+      break;
+  }
+  return options_.max_crashes;
+}
+
 std::uint32_t PoisonDetector::CrashesOf(RequestFingerprint request) const {
   const auto found = records_.find(request);
   return found == records_.end() ? 0 : found->second.counted();
--- a/libs/gateway/src/poison_guard.cc
+++ b/libs/gateway/src/poison_guard.cc
@@ -36,10 +36,30 @@
   if (interrupted_.Record(hash, request, now)) ReportCrash({hash, request}, now);
 }
 
+void PoisonGuard::RecordPossibleCrash(const Backend& backend, RequestFingerprint request,
+                                      std::uint32_t gateways, TimePoint now) {
+  RecordInterruption(backend, request, now);
+  if (HasCrashed(backend) || successes_.Contains(request, now)) return;
+  const BackendHash hash = HashOf(backend);
+  if (!unproven_.Add(hash, request, now) || !notices_.TryTake(gateways, now)) return;
+  pending_.interruptions.push_back({hash, request});
+  NotifyUpdate();
+}
+
+bool PoisonGuard::AwaitsProof(RequestFingerprint request, TimePoint now) const {
+  if (successes_.Contains(request, now)) return false;
+  const std::uint32_t crashes_left = detector_.CrashesLeft(request, now);
+  return crashes_left > 0 && unproven_.AwaitsProof(request, crashes_left, now);
+}
+
 void PoisonGuard::RecordCrash(const Backend& backend, const char* evidence, TimePoint now) {
   const BackendHash hash = HashOf(backend);
   if (interrupted_.HasCrashed(hash)) return;
   const std::vector<RequestFingerprint> running = interrupted_.RecordCrash(hash, now);
+  // The gateway that saw the interruption may have ended before the crash was proved.
+  for (const RequestFingerprint request : interrupted_elsewhere_.RecordCrash(hash, now)) {
+    CountCrash({hash, request}, now);
+  }
   if (running.empty()) return;
   metrics_.GetCounter("ridgehold_backend_ends_under_requests").Add();
   Log(LogLevel::kWarn, "backend ended under requests",
@@ -51,7 +71,16 @@
   for (const RequestFingerprint request : running) ReportCrash({hash, request}, now);
 }
 
+/// Counts a crash of which the other gateways know.
+void PoisonGuard::CountCrash(const CrashReport& crash, TimePoint now) {
+  unproven_.MarkProved(crash.backend, crash.request, now);
+  const bool quarantines = detector_.RecordCrash(crash.request, crash.backend, now);
+  if (!ClearIfRecentlySucceeded(crash.request, now) && quarantines)
+    OnQuarantined(crash.request, "peers");
+}
+
 void PoisonGuard::ReportCrash(const CrashReport& crash, TimePoint now) {
+  unproven_.MarkProved(crash.backend, crash.request, now);
   pending_.crashes.push_back(crash);
   const bool quarantines = detector_.RecordCrash(crash.request, crash.backend, now);
   if (!ClearIfRecentlySucceeded(crash.request, now) && quarantines) {
@@ -116,9 +145,10 @@
 void PoisonGuard::ApplyUpdate(const PoisonUpdate& update, TimePoint now) {
   for (const CrashReport& crash : update.crashes) {
     ResendQuarantine(crash.request, now);
-    const bool quarantines = detector_.RecordCrash(crash.request, crash.backend, now);
-    if (!ClearIfRecentlySucceeded(crash.request, now) && quarantines)
-      OnQuarantined(crash.request, "peers");
+    CountCrash(crash, now);
+  }
+  for (const InterruptionReport& interruption : update.interruptions) {
+    ApplyInterruption(interruption, now);
   }
   for (const RequestFingerprint request : update.quarantined) {
     const bool is_new = detector_.ApplyQuarantine(request, Duration::max(), now);
@@ -129,6 +159,13 @@
   }
 }
 
+void PoisonGuard::ApplyInterruption(const InterruptionReport& interruption, TimePoint now) {
+  const auto& [backend, request] = interruption;
+  if (interrupted_.HasCrashed(backend)) return CountCrash(interruption, now);
+  if (!unproven_.Add(backend, request, now)) return;
+  interrupted_elsewhere_.Record(backend, request, now);
+}
+
 /// Resends a quarantine decided here. A peer that reports a crash for the quarantined request has
 /// missed the quarantine: it has just started while the store was unavailable.
 void PoisonGuard::ResendQuarantine(RequestFingerprint request, TimePoint now) {
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -223,6 +223,11 @@
     metrics.GetSummary("ridgehold_deferred_seconds")
         .Observe(std::chrono::duration<double>(record.deferred).count());
   }
+  if (record.crash_proof_wait > Duration::zero()) {
+    fields.push_back({"crash_proof_wait_ms", MillisecondsText(record.crash_proof_wait)});
+    metrics.GetSummary("ridgehold_crash_proof_wait_seconds")
+        .Observe(std::chrono::duration<double>(record.crash_proof_wait).count());
+  }
   if (record.order) AppendOrder(record, fields);
   if (record.memory) {
     fields.push_back({"memory_held", std::to_string(record.memory->held)});
--- a/libs/gateway/test/poison_guard-test.cc
+++ b/libs/gateway/test/poison_guard-test.cc
@@ -61,6 +61,45 @@
   BOOST_TEST(guard.DecidedLocally(kRequest));
 }
 
+// Guards against copies that crash further servers while the crashes of the first two are unproved.
+BOOST_AUTO_TEST_CASE(interruptions_at_another_gateway_hold_the_request_back) {
+  PoisonGuard other(metrics, PoisonOptions{});
+  for (const char* name : {"a", "b"}) {
+    guard.RecordPossibleCrash(BackendNamed(name), kRequest, 2, kStart);
+  }
+  BOOST_TEST(guard.AwaitsProof(kRequest, kStart));
+  BOOST_TEST(!other.AwaitsProof(kRequest, kStart));
+  other.ApplyUpdate(guard.TakeUpdate(), kStart);
+  BOOST_TEST(other.AwaitsProof(kRequest, kStart));
+  BOOST_TEST((other.SuspicionOf(kRequest, kStart) == Suspicion::kNone));
+  BOOST_TEST(!other.AwaitsProof(kRequest, kStart + UnprovenCrashes::kProofTime));
+}
+
+// Guards against crashes that are never counted because the gateway that saw the interruptions ends
+// before they are proved.
+BOOST_AUTO_TEST_CASE(crash_counts_at_a_gateway_that_was_told_of_the_interruption) {
+  PoisonGuard other(metrics, PoisonOptions{});
+  for (const char* name : {"a", "b", "c"}) {
+    guard.RecordPossibleCrash(BackendNamed(name), kRequest, 2, kStart);
+  }
+  const PoisonUpdate update = guard.TakeUpdate();
+  for (int sent = 0; sent < 3; ++sent) other.ApplyUpdate(update, kStart);
+  other.RecordCrash(BackendNamed("a"), "refused", kStart + 120ms);
+  other.RecordCrash(BackendNamed("b"), "registration", kStart + 2s);
+  BOOST_TEST((other.SuspicionOf(kRequest, kStart + 2s) == Suspicion::kLastTrial));
+  other.RecordCrash(BackendNamed("c"), "registration", kStart + 2s);
+  BOOST_TEST((other.SuspicionOf(kRequest, kStart + 2s) == Suspicion::kQuarantined));
+}
+
+BOOST_AUTO_TEST_CASE(request_that_has_just_succeeded_is_not_held_back) {
+  guard.RecordCompletion(kRequest, kStart);
+  for (const char* name : {"a", "b", "c"}) {
+    guard.RecordPossibleCrash(BackendNamed(name), kRequest, 2, kStart);
+  }
+  BOOST_TEST(!guard.AwaitsProof(kRequest, kStart));
+  BOOST_TEST(guard.TakeUpdate().interruptions.empty());
+}
+
 BOOST_AUTO_TEST_CASE(crashes_seen_by_different_gateways_add_up) {
   PoisonGuard other(metrics, PoisonOptions{});
   Crash({"a", "b"});
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -204,6 +204,12 @@
   }
   for (const std::uint64_t request : message.survived()) news.cleared.emplace_back(request);
   for (const std::uint64_t request : message.quarantined()) news.quarantined.emplace_back(request);
+  const int interruptions =
+      std::min(message.interrupting_backends_size(), message.interrupted_size());
+  for (int i = 0; i < interruptions; ++i) {
+    news.interruptions.push_back(
+        {message.interrupting_backends(i), RequestFingerprint(message.interrupted(i))});
+  }
   return news;
 }
 
@@ -297,6 +303,10 @@
   }
   for (const RequestFingerprint request : news.cleared) body.add_survived(request.value());
   for (const RequestFingerprint request : news.quarantined) body.add_quarantined(request.value());
+  for (const InterruptionReport& interruption : news.interruptions) {
+    body.add_interrupting_backends(interruption.backend);
+    body.add_interrupted(interruption.request.value());
+  }
   return message.SerializeAsString();
 }
 
--- a/libs/peers/src/poison_gossip.cc
+++ b/libs/peers/src/poison_gossip.cc
@@ -6,6 +6,7 @@
   AppendItems(to.crashes, news.crashes, max_items);
   AppendItems(to.cleared, news.cleared, max_items);
   AppendItems(to.quarantined, news.quarantined, max_items);
+  AppendItems(to.interruptions, news.interruptions, max_items);
 }
 
 }  // namespace ridgehold
--- a/libs/peers/test/poison_gossip-test.cc
+++ b/libs/peers/test/poison_gossip-test.cc
@@ -50,13 +50,15 @@
   PoisonUpdate news = OneEnd();
   news.cleared.emplace_back(8);
   news.quarantined.emplace_back(9);
+  news.interruptions.push_back({4, RequestFingerprint(10)});
   const std::string bytes = Encode(DaemonId("d"), news);
   const bool same = ValueOr(
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(message, DecodePeerMessage(bytes));
         const auto* decoded = std::get_if<PoisonUpdate>(&message);
         return decoded != nullptr && decoded->crashes == news.crashes &&
-               decoded->cleared == news.cleared && decoded->quarantined == news.quarantined;
+               decoded->cleared == news.cleared && decoded->quarantined == news.quarantined &&
+               decoded->interruptions == news.interruptions;
       },
       [](const Failure& /*failure*/) { return false; });
   BOOST_TEST(same);
