Logs: reads of the members and listings of the store tell pages, failures and time

An instance that could neither read the members nor list the store logged one line, 'store lost'. Whether its reads of the members failed as well, and how far a listing came, was not to be seen. 'members read' and 'store listed' tell it. No behaviour changes.

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -16,6 +16,7 @@
 #include "control/state_store.h"
 #include "control/store_connectivity.h"
 #include "control/store_item_applier.h"
+#include "log/duration_text.h"
 #include "log/log.h"
 #include "net/wait.h"
 
@@ -166,10 +167,13 @@
     std::vector<StoreItem> items;
     std::string after;
     std::optional<StoreRevision> first_revision;
+    int pages = 0;
+    int failures = 0;
     for (bool more = true; more;) {
       const StoreResult<StorePage> page = co_await store_.List("", after);
       if (page.has_error()) {
         RecordFailure("list", page.error(), start);
+        ++failures;
         if (stopped_ || Clock::now() - start >= options_.max_listing_time) {
           co_return Listing::kFailed;
         }
@@ -182,11 +186,13 @@
         options_.on_large_store();
         if (options_.awaits_copy()) co_return Listing::kLeftToPeers;
       }
+      ++pages;
       items.insert(items.end(), page->items.begin(), page->items.end());
       more = page->has_more && !page->items.empty();
       if (more) after = page->items.back().key;
     }
     RecordSuccess();
+    LogListing(pages, failures, start);
     // Changes from a peer that arrived while the pages were read take precedence if they are newer.
     const bool superseded = revision_ > std::max(known, *first_revision);
     if (!superseded) ApplyListing(items, *first_revision);
@@ -196,6 +202,13 @@
     co_return Listing::kComplete;
   }
 
+  static void LogListing(int pages, int failures, TimePoint start) {
+    Log(LogLevel::kInfo, "store listed",
+        {{"pages", std::to_string(pages)},
+         {"failed_calls", std::to_string(failures)},
+         {"duration_ms", MillisecondsText(Clock::now() - start)}});
+  }
+
   /// Replaces the local copy by `items`, which include all changes up to `revision`.
   void ApplyListing(const std::vector<StoreItem>& items, StoreRevision revision) {
     const TimePoint now = Clock::now();
--- a/libs/entry/include/entry/peer_discovery.h
+++ b/libs/entry/include/entry/peer_discovery.h
@@ -9,6 +9,7 @@
 
 #include "control/instance_records.h"
 #include "control/state_store.h"
+#include "log/log.h"
 #include "net/timer.h"
 #include "net/wait.h"
 
@@ -53,6 +54,7 @@
       co_await ReadMembers(read == 0 ? ReadConsistency::kStale : ReadConsistency::kLatest);
     }
     finished_ = true;
+    LogResult();
   }
 
   /// Whether to wait for a peer's copy instead of listing the store.
@@ -65,10 +67,23 @@
   }
 
  private:
+  void LogResult() const {
+    const RelayPosition position = position_();
+    const auto duration =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - started_);
+    Log(LogLevel::kInfo, "members read",
+        {{"count", std::to_string(records_.Members().size())},
+         {"failed_reads", std::to_string(failed_reads_)},
+         {"duration_ms", std::to_string(duration.count())},
+         {"relay", position.upstream ? position.upstream->address : ""},
+         {"depth", std::to_string(position.depth)}});
+  }
+
   net::awaitable<void> ReadMembers(ReadConsistency consistency) {
     std::string after;
     for (bool more = true; more;) {
       const StoreResult<StorePage> page = co_await store_.List(kMemberPrefix, after, consistency);
+      if (page.has_error()) ++failed_reads_;
       if (page.has_error() || has_copy_()) co_return;
       for (const StoreItem& item : page->items) {
         if (item.key.starts_with(kMemberPrefix)) records_.Put(item);
@@ -85,6 +100,7 @@
   std::function<bool()> has_copy_;
   Timer timer_;
   TimePoint started_;
+  int failed_reads_ = 0;
   bool finished_ = false;
 };
 
