--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -1,5 +1,6 @@
 #include "fault_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,6 +20,14 @@
 
 }  // namespace
 
+TimePoint SharedLink::Accept(std::size_t bytes) {
+  const std::chrono::duration<double> time(static_cast<double>(bytes) /
+                                           static_cast<double>(bytes_per_second_));
+  busy_until_ =
+      std::max(busy_until_, Clock::now()) + std::chrono::duration_cast<Clock::duration>(time);
+  return busy_until_;
+}
+
 struct FaultProxy::Link {
   Link(tcp::socket accepted, std::shared_ptr<const LinkState> link_state)
       : client(std::move(accepted)), server(client.get_executor()), state(std::move(link_state)) {}
@@ -109,11 +118,12 @@
     }
     const auto link = std::make_shared<Link>(std::move(socket), state_);
     links_.push_back(link);
-    net::co_spawn(acceptor_.get_executor(), Connect(link, target_), net::detached);
+    net::co_spawn(acceptor_.get_executor(), Connect(link, target_, shared_link_), net::detached);
   }
 }
 
-net::awaitable<void> FaultProxy::Connect(Sockets link, tcp::endpoint target) {
+net::awaitable<void> FaultProxy::Connect(Sockets link, tcp::endpoint target,
+                                         std::shared_ptr<SharedLink> shared) {
   ErrorCode error;
   co_await link->server.async_connect(target, net::redirect_error(net::use_awaitable, error));
   if (error) {
@@ -124,14 +134,15 @@
   link->client.set_option(tcp::no_delay(true), ignored);
   link->server.set_option(tcp::no_delay(true), ignored);
   const auto executor = link->client.get_executor();
-  net::co_spawn(executor, Pump(link, link->client, link->server, &LinkState::hold_to_server),
+  net::co_spawn(executor, Pump(link, link->client, link->server, &LinkState::hold_to_server, {}),
                 net::detached);
-  net::co_spawn(executor, Pump(link, link->server, link->client, &LinkState::hold_to_client),
+  net::co_spawn(executor,
+                Pump(link, link->server, link->client, &LinkState::hold_to_client, shared),
                 net::detached);
 }
 
 net::awaitable<void> FaultProxy::Pump(Sockets link, tcp::socket& from, tcp::socket& to,
-                                      bool LinkState::*held) {
+                                      bool LinkState::*held, std::shared_ptr<SharedLink> shared) {
   std::array<char, kPiece> piece;
   for (;;) {
     ErrorCode read_error;
@@ -144,6 +155,10 @@
       to.shutdown(tcp::socket::shutdown_send, error);
       co_return;
     }
+    if (!read_error && shared) {
+      const auto wait = shared->Accept(size) - Clock::now();
+      co_await Sleep(std::chrono::ceil<std::chrono::milliseconds>(wait));
+    }
     if (!read_error) {
       co_await net::async_write(to, net::buffer(piece.data(), size),
                                 net::redirect_error(net::use_awaitable, error));
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -19,6 +19,20 @@
   bool refuse_new = false;
 };
 
+/// A link that several proxies share for what goes to their clients. Concurrent transfers share it
+/// equally.
+class SharedLink {
+ public:
+  explicit SharedLink(std::size_t bytes_per_second) : bytes_per_second_(bytes_per_second) {}
+
+  /// Occupies the link for `bytes` after all that were accepted before, and returns when that ends.
+  TimePoint Accept(std::size_t bytes);
+
+ private:
+  std::size_t bytes_per_second_;
+  TimePoint busy_until_{};
+};
+
 /// Passes connections on to one address.
 class FaultProxy {
  public:
@@ -29,6 +43,8 @@
 
   std::string address() const { return address_; }
   void Set(const LinkState& state) { *state_ = state; }
+  /// Limits what goes to the clients of connections opened from now on.
+  void SetSharedLink(std::shared_ptr<SharedLink> link) { shared_link_ = std::move(link); }
   /// Resets all connections.
   void Reset();
   /// As when the process behind it ends: connections are reset, new ones refused.
@@ -49,14 +65,16 @@
   net::awaitable<void> Accept(int generation);
   void Listen();
   void StopListening();
-  static net::awaitable<void> Connect(Sockets link, tcp::endpoint target);
+  static net::awaitable<void> Connect(Sockets link, tcp::endpoint target,
+                                      std::shared_ptr<SharedLink> shared);
   static net::awaitable<void> Pump(Sockets link, tcp::socket& from, tcp::socket& to,
-                                   bool LinkState::*held);
+                                   bool LinkState::*held, std::shared_ptr<SharedLink> shared);
 
   tcp::endpoint target_;
   tcp::acceptor acceptor_;
   std::string address_;
   std::shared_ptr<LinkState> state_ = std::make_shared<LinkState>();
+  std::shared_ptr<SharedLink> shared_link_;  ///< nullptr: no limit
   std::vector<std::weak_ptr<Link>> links_;
   int generation_ = 0;  ///< counts the times that it stopped listening
   /// Fill the queue of connections that wait to be accepted, so that the kernel drops further ones.
