A starting instance reads only its zone's members before it knows the fleet

Cause: each starting instance read the first page of everything, and then the keys of all members: 340 MB through the store's 125 MB/s, while a call gives up after 1 s. All gave up together, nobody had a page, and all began again: the link stayed full of answers that nobody waited for. Evidence: 70 of 70 logged instances fail their first listing 1.0 s after the start, and nothing arrives anywhere for 24 s; 0 of 2,310 requests served 18 s after the return.

Change: members' keys carry the zone, and a starting instance reads those of its zone first. In a large zone it reads no page of everything, but looks for a relay. ListingGate tells who lists the store: those next to it after a common wait, the others by lot, so that the expected number is the same however many wait in vain. The time limit of a read doubles after each answer that does not arrive, and pauses are drawn, so readers of a congested link come through.

Result: cold_start/listings_of_a_fleet_... and few_instances_list_... pass (2.2 s and 9.1 s until 48 instances are ready; not within 18 s before), the latter with at most 12 whole listings.

peer_discovery/instance_that_joins_... joins a zone that has members now: the first of a zone reads its zone in vain before it reads all, and has a test of its own. Options of the quarantine's writer name the member's key.

--- a/libs/control/include/control/instance_records.h
+++ b/libs/control/include/control/instance_records.h
@@ -17,6 +17,7 @@
 
 /// Prefix of the keys that the instances write; all other keys belong to the platform.
 inline constexpr char kInstanceKeyPrefix[] = "ridgehold/";
+/// Prefix of the members' keys, followed by the availability zone and the instance's name.
 inline constexpr char kMemberPrefix[] = "ridgehold/members/";
 inline constexpr char kRolloutHolderKey[] = "ridgehold/rollout-holder";
 /// Prefix of the quota holders' keys, followed by an availability zone. The value names the
@@ -41,6 +42,12 @@
   std::size_t depth = 0;           ///< instances between it and the store
 };
 
+/// Returns the prefix of the keys of the members of `zone`.
+std::string MemberPrefixOf(const ZoneId& zone);
+
+/// Returns the key of a member. Those of one zone can be listed without the others.
+std::string MemberKeyOf(const ZoneId& zone, const DaemonId& daemon);
+
 /// Encodes the value of a member's key; the revision is not part of it.
 std::string EncodeMember(const Member& member);
 
--- a/libs/control/include/control/quarantine_writer.h
+++ b/libs/control/include/control/quarantine_writer.h
@@ -42,6 +42,7 @@
  public:
   struct Options {
     DaemonId self;
+    std::string member_key;  ///< of this instance
     std::chrono::milliseconds poll_interval{250};
     /// Delay before the first of the other members writes. A change of the store reaches all
     /// instances within one to two seconds.
@@ -95,7 +96,7 @@
     if (records_.Find(KeyOf(quarantine.request)) != nullptr) return false;
     const TimePoint first_seen = first_seen_.try_emplace(quarantine.request, now).first->second;
     if (guard_.DecidedLocally(quarantine.request)) return true;
-    const std::size_t rank = records_.MemberRank(kMemberPrefix + options_.self.value());
+    const std::size_t rank = records_.MemberRank(options_.member_key);
     return now - first_seen >=
            options_.takeover_delay + std::min(rank, options_.max_rank) * options_.delay_per_rank;
   }
--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -7,10 +7,12 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "control/call_patience.h"
 #include "control/decoded_item.h"
 #include "control/key_changes.h"
 #include "control/state_store.h"
@@ -40,9 +42,12 @@
     /// Returns whether updates currently come from a peer's copy of the store instead of the store
     /// itself.
     std::function<bool()> follows_peer = [] { return false; };
-    /// Called at the start if the store has more than one page, before awaits_copy().
+    /// If set, called before the first listing, until it succeeds or a peer's copy arrives. Returns
+    /// whether the store is known to be large, so that no page of it should be read to find out.
+    std::function<net::awaitable<StoreResult<bool>>()> survey;
+    /// Called if the store turns out to have more than one page, before awaits_copy().
     std::function<void()> on_large_store = [] {};
-    /// Returns whether to wait for a peer's copy instead of listing a store of several pages.
+    /// Returns whether to wait for a peer's copy instead of listing a large store.
     std::function<bool()> awaits_copy = [] { return false; };
     /// Called after the local copy has changed, was confirmed, or has lost the store.
     std::function<void()> on_update = [] {};
@@ -70,13 +75,18 @@
         records_(records),
         applier_(state, records),
         options_(options),
-        timer_(state.executor()) {}
+        timer_(state.executor()),
+        random_(std::random_device{}()) {}
 
   net::awaitable<void> Run() {
     while (!stopped_) {
+      if (options_.survey && !surveyed_ && !loaded_) {
+        co_await Survey();
+        continue;
+      }
       const bool follows = loaded_ && options_.follows_peer();
       if (follows) connectivity_.ResetFailures();
-      const bool awaits_copy = !loaded_ && store_is_large_ && options_.awaits_copy();
+      const bool awaits_copy = !listed_ && store_is_large_ && options_.awaits_copy();
       if (follows || awaits_copy) {
         co_await WaitFor(timer_, options_.peer_poll_interval);
         continue;
@@ -148,6 +158,18 @@
     kLeftToPeers,  ///< the store is large, and a peer may provide its copy
   };
 
+  net::awaitable<void> Survey() {
+    const TimePoint start = Clock::now();
+    const StoreResult<bool> is_large = co_await options_.survey();
+    surveyed_ = is_large.has_value();
+    if (surveyed_) {
+      store_is_large_ = *is_large;
+      co_return;
+    }
+    RecordFailure("survey", is_large.error(), start);
+    co_await BackOff();
+  }
+
   net::awaitable<void> WaitForRelay() {
     const TimePoint until = Clock::now() + options_.relay_wait;
     while (!stopped_ && !options_.follows_peer() && Clock::now() < until) {
@@ -170,10 +192,12 @@
     int pages = 0;
     int failures = 0;
     for (bool more = true; more;) {
-      const StoreResult<StorePage> page = co_await store_.List("", after);
+      const ListOptions list_options{.timeout_factor = patience_.timeout_factor()};
+      const StoreResult<StorePage> page = co_await store_.List("", after, list_options);
       if (page.has_error()) {
         RecordFailure("list", page.error(), start);
         ++failures;
+        patience_.RecordFailure(page.error());
         if (stopped_ || Clock::now() - start >= options_.max_listing_time) {
           co_return Listing::kFailed;
         }
@@ -192,6 +216,7 @@
       if (more) after = page->items.back().key;
     }
     RecordSuccess();
+    patience_.RecordSuccess();
     LogListing(pages, failures, start);
     // Changes from a peer that arrived while the pages were read take precedence if they are newer.
     const bool superseded = revision_ > std::max(known, *first_revision);
@@ -346,7 +371,9 @@
   }
 
   net::awaitable<void> BackOff() {
-    const std::chrono::milliseconds backoff = backoff_;
+    // Instances that failed at the same moment must not all repeat their calls at the same moment.
+    const Duration backoff = std::chrono::duration_cast<Duration>(
+        backoff_ * std::uniform_real_distribution<>(0.5, 1.5)(random_));
     const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(
         options_.max_backoff * options_.backoff_scale());
     backoff_ = std::min(backoff_ * 2, longest);
@@ -370,7 +397,10 @@
   std::map<std::string, StoreItem> items_;
   KeyChanges changes_;
   std::chrono::milliseconds backoff_{50};
-  bool store_is_large_ = false;  ///< its first page, read at the start, was not the last
+  std::minstd_rand random_;
+  CallPatience patience_;
+  bool surveyed_ = false;
+  bool store_is_large_ = false;  ///< by the survey, or its first page was not the last
   bool listed_ = false;
   bool loaded_ = false;
   bool stopped_ = false;
--- a/libs/control/include/control/state_store.h
+++ b/libs/control/include/control/state_store.h
@@ -102,12 +102,19 @@
   kStale,  ///< may be seconds old; costs the store a tenth
 };
 
+/// How a listing is read.
+struct ListOptions {
+  ReadConsistency consistency = ReadConsistency::kLatest;
+  /// Multiplies the client's time limit for a call, while the store's link is congested.
+  int timeout_factor = 1;
+};
+
 /// A client of the store. Each call is a coroutine that completes within its time limit.
 template <class Store>
 concept StateStore = requires(Store& store, const std::string& text, StoreRevision revision,
                               std::chrono::milliseconds time, const StoreTransaction& transaction,
-                              StoreLeaseId lease, ReadConsistency consistency) {
-  { store.List(text, text, consistency) } -> std::same_as<net::awaitable<StoreResult<StorePage>>>;
+                              StoreLeaseId lease, const ListOptions& options) {
+  { store.List(text, text, options) } -> std::same_as<net::awaitable<StoreResult<StorePage>>>;
   { store.Watch(text, revision, time) } -> std::same_as<net::awaitable<StoreResult<WatchResult>>>;
   { store.Commit(transaction) } -> std::same_as<net::awaitable<StoreResult<StoreRevision>>>;
   { store.GrantLease(time) } -> std::same_as<net::awaitable<StoreResult<LeaseGrant>>>;
--- a/libs/control/src/instance_records.cc
+++ b/libs/control/src/instance_records.cc
@@ -9,6 +9,12 @@
 
 }  // namespace
 
+std::string MemberPrefixOf(const ZoneId& zone) { return kMemberPrefix + zone.value() + "/"; }
+
+std::string MemberKeyOf(const ZoneId& zone, const DaemonId& daemon) {
+  return MemberPrefixOf(zone) + daemon.value();
+}
+
 std::string EncodeMember(const Member& member) {
   return member.address + kSeparator + member.zone.value();
 }
--- a/libs/control/test/memory_store.h
+++ b/libs/control/test/memory_store.h
@@ -143,9 +143,8 @@
   int listings = 0;  ///< number of List() calls
   std::size_t page_size = 100'000;
 
-  net::awaitable<StoreResult<StorePage>> List(
-      std::string prefix, std::string after,
-      ReadConsistency /*consistency*/ = ReadConsistency::kLatest) {
+  net::awaitable<StoreResult<StorePage>> List(std::string prefix, std::string after,
+                                              ListOptions /*options*/ = {}) {
     ++listings;
     co_await Pause(std::chrono::milliseconds(1));
     if (faults.down) co_return StoreError::kUnavailable;
--- a/libs/control/test/quarantine_writer-test.cc
+++ b/libs/control/test/quarantine_writer-test.cc
@@ -29,6 +29,7 @@
   static QuarantineWriter<MemoryStore>::Options Options(const std::string& name) {
     QuarantineWriter<MemoryStore>::Options options;
     options.self = DaemonId(name);
+    options.member_key = kMemberPrefix + name;
     options.poll_interval = 5ms;
     options.takeover_delay = 100ms;
     options.delay_per_rank = 200ms;
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -160,8 +160,8 @@
         follower_(store_, state_, records_, FollowerOptions()),
         copy_server_(state_, follower_),
         discovery_(
-            store_, executor, records_, {}, [this] { return RelayPositionWithout({}); },
-            [this] { return follower_.ready(); }),
+            store_, executor, records_, DiscoveryOptions(),
+            [this] { return RelayPositionWithout({}); }, [this] { return follower_.ready(); }),
         membership_(store_, executor, MembershipOptions(), [] { return true; }),
         rollout_lease_(store_, executor, RolloutLeaseOptions(),
                        [this] { return MayAcquireRolloutLease(); }),
@@ -174,7 +174,7 @@
         server_(state_, std::move(acceptor), MaxConnections(settings_)),
         origins_(executor, metrics_, OriginLink::Options(), OriginCallbacks()),
         retry_record_(store_, executor, RetryRecordOptions()),
-        quarantine_(store_, executor, state_.poison(), records_, {settings_.daemon}),
+        quarantine_(store_, executor, state_.poison(), records_, {settings_.daemon, MemberKey()}),
         copy_reader_(
             state_, follower_, CopyOptions(), [this] { return PeerAddresses(); },
             [this](const std::set<std::string>& excluded) { return FindRelay(excluded); }),
@@ -252,9 +252,11 @@
     return settings.max_descriptors / 2;
   }
 
+  std::string MemberKey() const { return MemberKeyOf(settings_.zone, settings_.daemon); }
+
   typename Lease::Options MembershipOptions() const {
     typename Lease::Options options;
-    options.key = kMemberPrefix + settings_.daemon.value();
+    options.key = MemberKey();
     options.value = EncodeMember({settings_.instance_address, settings_.zone});
     options.ttl = std::max(tuning_.member_ttl, settings_.min_lease_ttl);
     options.renewals_per_ttl = tuning_.member_renewals_per_ttl;
@@ -326,7 +328,7 @@
     const bool vacant = !state_.shutting_down() && follower_.connected() &&
                         !state_.IsIsolated(Clock::now()) &&
                         records_.Find(kRolloutHolderKey) == nullptr;
-    const std::size_t rank = records_.MemberRank(kMemberPrefix + settings_.daemon.value());
+    const std::size_t rank = records_.MemberRank(MemberKey());
     return election_stagger_.MayCampaign(vacant, rank, Clock::now());
   }
 
@@ -438,7 +440,8 @@
   typename Follower::Options FollowerOptions() {
     typename Follower::Options options;
     options.follows_peer = [this] { return FollowsRelay(); };
-    options.on_large_store = [this] { net::co_spawn(executor_, discovery_.Run(), net::detached); };
+    options.survey = [this] { return SurveyFleet(); };
+    options.on_large_store = [this] { SearchRelay(); };
     options.awaits_copy = [this] { return discovery_.AwaitsCopy(Clock::now()); };
     options.on_update = [this] { copy_server_.NotifyUpdated(); };
     options.backoff_scale = [this] { return StoreBackoffScale(); };
@@ -449,11 +452,24 @@
     return options;
   }
 
+  typename PeerDiscovery<Store>::Options DiscoveryOptions() const {
+    typename PeerDiscovery<Store>::Options options;
+    options.zone = settings_.zone;
+    return options;
+  }
+
+  net::awaitable<StoreResult<bool>> SurveyFleet() {
+    const StoreResult<bool> is_large = co_await discovery_.Survey();
+    if (is_large.has_value() && *is_large) SearchRelay();
+    co_return is_large;
+  }
+
+  void SearchRelay() { net::co_spawn(executor_, discovery_.Search(), net::detached); }
+
   /// Returns this instance's place in the tree of relays if the members at these addresses are left
   /// out.
   RelayPosition RelayPositionWithout(const std::set<std::string>& excluded) const {
-    return records_.RelayPositionOf(kMemberPrefix + settings_.daemon.value(), settings_.zone,
-                                    excluded);
+    return records_.RelayPositionOf(MemberKey(), settings_.zone, excluded);
   }
 
   /// Returns the address of the instance from which this one follows the store.
--- a/libs/entry/test/peer_discovery-test.cc
+++ b/libs/entry/test/peer_discovery-test.cc
@@ -22,21 +22,22 @@
 struct Instance {
   Instance(MemoryTable& shared_table, int number, std::chrono::milliseconds delay)
       : table(shared_table),
-        key(kMemberPrefix + std::to_string(100'000 + number)),
         zone("z" + std::to_string(number % 6)),
+        key(MemberKeyOf(zone, DaemonId(std::to_string(100'000 + number)))),
         address("10.0.0." + std::to_string(number)),
         start_delay(delay),
         store(shared_table, 1),
         discovery(
-            store, shared_table.executor(), records, Options(), [this] { return Position(); },
+            store, shared_table.executor(), records, Options(zone), [this] { return Position(); },
             [this] { return has_copy; }) {}
 
   /// The product's read interval. With a shorter one, a stall of this thread, which runs all
   /// instances, makes some finish their reads before others have registered.
-  static Discovery::Options Options() {
+  static Discovery::Options Options(const ZoneId& zone) {
     Discovery::Options options;
-    options.copy_wait = 1'200ms;
-    options.copy_wait_per_level = 400ms;
+    options.zone = zone;
+    options.gate.copy_wait = 1'200ms;
+    options.gate.copy_wait_per_level = 400ms;
     return options;
   }
 
@@ -46,12 +47,13 @@
     Timer timer(table.executor());
     co_await WaitFor(timer, start_delay);
     table.Put(key, EncodeMember({address, zone, {}}));
-    co_await discovery.Run();
+    co_await discovery.Survey();
+    co_await discovery.Search();
   }
 
   MemoryTable& table;
-  std::string key;
   ZoneId zone;
+  std::string key;
   std::string address;
   std::chrono::milliseconds start_delay;
   MemoryStore store;
@@ -99,23 +101,32 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(instance_that_joins_reads_the_members_once) {
+BOOST_AUTO_TEST_CASE(instance_that_joins_reads_the_members_of_its_zone_once) {
   for (int i = 0; i < 20; ++i) {
-    const std::string name = std::to_string(100'000 + i);
-    table.Put(kMemberPrefix + name,
+    const DaemonId name(std::to_string(100'000 + i));
+    table.Put(MemberKeyOf(ZoneId("z1"), name),
               EncodeMember({"10.0.0." + std::to_string(i), ZoneId("z1"), {}}));
   }
-  instances.push_back(std::make_unique<Instance>(table, 50, 0ms));
+  instances.push_back(std::make_unique<Instance>(table, 49, 0ms));
   net::co_spawn(io, instances.back()->Run(), net::detached);
   io.run_for(400ms);
   BOOST_TEST(instances.back()->store.listings == 1);
   BOOST_TEST(instances.back()->Position().upstream.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(first_instance_of_a_zone_follows_one_of_another_zone) {
+  table.Put(MemberKeyOf(ZoneId("z1"), DaemonId("a")),
+            EncodeMember({"10.0.0.1", ZoneId("z1"), {}}));
+  instances.push_back(std::make_unique<Instance>(table, 50, 0ms));
+  net::co_spawn(io, instances.back()->Run(), net::detached);
+  io.run_for(400ms);
+  BOOST_TEST(instances.back()->Position().upstream.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(wait_for_a_copy_ends) {
   Start(2, 0);
   io.run_for(400ms);
-  const Discovery& second = instances[1]->discovery;
+  Discovery& second = instances[1]->discovery;
   BOOST_TEST(!instances[0]->discovery.AwaitsCopy(Clock::now()));
   BOOST_TEST(second.AwaitsCopy(Clock::now()));
   BOOST_TEST(!second.AwaitsCopy(Clock::now() + 1'600ms));
