Survey of a fleet tells small zones from large ones

What callers would have seen: instances of small fleets look for relays before they list a store of one page, and a fleet whose memberships have expired does not start at all (cold_start/fleet_whose_memberships_...: not one of 48 instances ready after 18 s).

Cause: the survey's result was a StoreResult<bool>. A result<bool> that is returned from a coroutine is converted through its explicit operator bool, so every survey that succeeded said 'large'. Evidence: 48 of 48 surveys said large with 0 to 2 members known.

Change: an enumeration, StoreSize.

--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -42,9 +42,8 @@
     /// Returns whether updates currently come from a peer's copy of the store instead of the store
     /// itself.
     std::function<bool()> follows_peer = [] { return false; };
-    /// If set, called before the first listing, until it succeeds or a peer's copy arrives. Returns
-    /// whether the store is known to be large, so that no page of it should be read to find out.
-    std::function<net::awaitable<StoreResult<bool>>()> survey;
+    /// If set, called before the first listing, until it succeeds or a peer's copy arrives.
+    std::function<net::awaitable<StoreResult<StoreSize>>()> survey;
     /// Called if the store turns out to have more than one page, before awaits_copy().
     std::function<void()> on_large_store = [] {};
     /// Returns whether to wait for a peer's copy instead of listing a large store.
@@ -160,13 +159,13 @@
 
   net::awaitable<void> Survey() {
     const TimePoint start = Clock::now();
-    const StoreResult<bool> is_large = co_await options_.survey();
-    surveyed_ = is_large.has_value();
+    const StoreResult<StoreSize> size = co_await options_.survey();
+    surveyed_ = size.has_value();
     if (surveyed_) {
-      store_is_large_ = *is_large;
+      store_is_large_ = *size == StoreSize::kLarge;
       co_return;
     }
-    RecordFailure("survey", is_large.error(), start);
+    RecordFailure("survey", size.error(), start);
     co_await BackOff();
   }
 
--- a/libs/control/include/control/state_store.h
+++ b/libs/control/include/control/state_store.h
@@ -102,6 +102,12 @@
   kStale,  ///< may be seconds old; costs the store a tenth
 };
 
+/// What a first look at the store tells of its size.
+enum class StoreSize : std::uint8_t {
+  kUnknown,
+  kLarge,  ///< no page should be read to find out
+};
+
 /// How a listing is read.
 struct ListOptions {
   ReadConsistency consistency = ReadConsistency::kLatest;
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -536,6 +536,34 @@
   BOOST_TEST(state.directory().all().size() == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(no_page_is_read_of_a_store_that_the_survey_finds_large) {
+  for (int i = 0; i < 10; ++i) table.Put("backend/b" + std::to_string(i), "x");
+  options.survey = []() -> net::awaitable<StoreResult<StoreSize>> { co_return StoreSize::kLarge; };
+  options.awaits_copy = [] { return true; };
+  Start();
+  io.run_for(200ms);
+  BOOST_TEST(store.listings == 0);
+  ApplyCopyOfPeer();
+  BOOST_TEST(follower->ready());
+}
+
+// Guards against listings by a whole fleet as soon as the store answers again.
+BOOST_AUTO_TEST_CASE(store_is_not_listed_before_the_survey_succeeds) {
+  table.Put("config", "3");
+  bool answers = false;
+  options.survey = [&]() -> net::awaitable<StoreResult<StoreSize>> {
+    if (!answers) co_return StoreError::kUnavailable;
+    co_return StoreSize::kUnknown;
+  };
+  Start();
+  io.run_for(200ms);
+  BOOST_TEST(store.listings == 0);
+  answers = true;
+  io.run_for(200ms);
+  BOOST_TEST(follower->ready());
+  BOOST_TEST(Config() == 3);
+}
+
 // A small fleet gains nothing by waiting for each other, and is back sooner after a power loss.
 BOOST_AUTO_TEST_CASE(store_of_one_page_is_listed_at_once) {
   table.Put("config", "3");
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -458,10 +458,10 @@
     return options;
   }
 
-  net::awaitable<StoreResult<bool>> SurveyFleet() {
-    const StoreResult<bool> is_large = co_await discovery_.Survey();
-    if (is_large.has_value() && *is_large) SearchRelay();
-    co_return is_large;
+  net::awaitable<StoreResult<StoreSize>> SurveyFleet() {
+    const StoreResult<StoreSize> size = co_await discovery_.Survey();
+    if (size.has_value() && *size == StoreSize::kLarge) SearchRelay();
+    co_return size;
   }
 
   void SearchRelay() { net::co_spawn(executor_, discovery_.Search(), net::detached); }
--- a/libs/entry/include/entry/peer_discovery.h
+++ b/libs/entry/include/entry/peer_discovery.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -49,16 +50,17 @@
         timer_(executor),
         started_(Clock::now()) {}
 
-  /// Reads the members of the zone. Returns whether the fleet is so large that the store should not
-  /// be listed before Search().
-  net::awaitable<StoreResult<bool>> Survey() {
+  /// Reads the members of the zone. Returns kLarge if the fleet is so large that the store should
+  /// not be listed before Search().
+  net::awaitable<StoreResult<StoreSize>> Survey() {
     started_ = Clock::now();
     ++reads_;
     // While others run already, a stale read finds them, too.
     const std::string prefix = MemberPrefixOf(options_.zone);
-    const StoreResult<bool> read = co_await ReadMembers(prefix, ReadConsistency::kStale);
-    if (read.has_error()) co_return read.error();
-    co_return CountZoneMembers() > options_.max_small_zone;
+    const std::optional<StoreError> error = co_await ReadMembers(prefix, ReadConsistency::kStale);
+    if (error) co_return *error;
+    const bool is_large = CountZoneMembers() > options_.max_small_zone;
+    co_return is_large ? StoreSize::kLarge : StoreSize::kUnknown;
   }
 
   /// Reads the members until there is one to follow: those of the zone, then all. Ends after a few
@@ -110,8 +112,9 @@
          {"depth", std::to_string(position.depth)}});
   }
 
-  /// Returns true, or the error of the page that failed.
-  net::awaitable<StoreResult<bool>> ReadMembers(std::string prefix, ReadConsistency consistency) {
+  /// Returns the error of the page that failed, if any.
+  net::awaitable<std::optional<StoreError>> ReadMembers(std::string prefix,
+                                                        ReadConsistency consistency) {
     std::string after;
     for (bool more = true; more && !has_copy_();) {
       const ListOptions options{consistency, patience_.timeout_factor()};
@@ -129,7 +132,7 @@
       more = page->has_more && !page->items.empty();
       if (more) after = page->items.back().key;
     }
-    co_return true;
+    co_return std::nullopt;
   }
 
   Store& store_;
--- a/libs/entry/test/peer_discovery-test.cc
+++ b/libs/entry/test/peer_discovery-test.cc
@@ -115,14 +115,32 @@
 }
 
 BOOST_AUTO_TEST_CASE(first_instance_of_a_zone_follows_one_of_another_zone) {
-  table.Put(MemberKeyOf(ZoneId("z1"), DaemonId("a")),
-            EncodeMember({"10.0.0.1", ZoneId("z1"), {}}));
+  table.Put(MemberKeyOf(ZoneId("z1"), DaemonId("a")), EncodeMember({"10.0.0.1", ZoneId("z1"), {}}));
   instances.push_back(std::make_unique<Instance>(table, 50, 0ms));
   net::co_spawn(io, instances.back()->Run(), net::detached);
   io.run_for(400ms);
   BOOST_TEST(instances.back()->Position().upstream.has_value());
 }
 
+// Guards against a page of everything for each instance of a large fleet, and against a search for
+// relays in a small one.
+BOOST_AUTO_TEST_CASE(only_a_zone_with_many_members_tells_that_the_store_is_large) {
+  for (const int members : {0, 32, 33}) {
+    for (int i = 0; i < members; ++i) {
+      table.Put(MemberKeyOf(ZoneId("z1"), DaemonId(std::to_string(i))),
+                EncodeMember({"10.0.0.1", ZoneId("z1"), {}}));
+    }
+    Instance instance(table, 1, 0ms);
+    std::optional<StoreSize> size;
+    net::co_spawn(
+        io, instance.discovery.Survey(),
+        [&](const std::exception_ptr&, const StoreResult<StoreSize>& result) { size = *result; });
+    io.restart();
+    io.run_for(50ms);
+    BOOST_TEST((size == (members > 32 ? StoreSize::kLarge : StoreSize::kUnknown)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(wait_for_a_copy_ends) {
   Start(2, 0);
   io.run_for(400ms);
