Gateways send to a fragile server in turn after a common pause

Cause: a pause after a rejection ends at all gateways at the same moment, and each counts the server's whole room as its own until it hears of the others' requests; so several send at once and are turned away together.

Change: each gateway waits its turn after the pause, by a hash of gateway and server, 10 ms apart and for at most half of the pause.

--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -112,7 +112,10 @@
   void SetTopology(ZoneTopology topology) { topology_ = std::move(topology); }
   /// Unique for each gateway.
   std::uint64_t gateway_hash() const { return gateway_hash_; }
-  void SetGatewayHash(std::uint64_t hash) { gateway_hash_ = hash; }
+  void SetGatewayHash(std::uint64_t hash) {
+    gateway_hash_ = hash;
+    pushback_.SetGateways(gateway_hash_, gateways_);
+  }
   const GatewayLimits& limits() const { return limits_; }
   /// Applies to later decisions only.
   void SetLimits(const GatewayLimits& limits) {
@@ -246,6 +249,7 @@
   void SetGateways(std::uint32_t gateways, TimePoint now) {
     gateways_ = std::max(gateways, 1U);
     retries_.SetGateways(gateways_, now);
+    pushback_.SetGateways(gateway_hash_, gateways_);
   }
 
   /// Queries the gateways that track backend servers; see SetLoadAsker.
--- a/libs/gateway/include/gateway/pushback_registry.h
+++ b/libs/gateway/include/gateway/pushback_registry.h
@@ -23,6 +23,13 @@
  public:
   explicit PushbackRegistry(BackendDirectory& directory) : directory_(directory) {}
 
+  /// Sets this gateway's id and the number of gateways, which share the room of fragile backend
+  /// servers.
+  void SetGateways(std::uint64_t self, std::uint32_t gateways) {
+    self_ = self;
+    gateways_ = gateways;
+  }
+
   /// Applies the pushback in the response to a request sent at `sent`.
   void ApplyPushback(Backend& backend, const BackendPushback& pushback, TimePoint sent,
                      TimePoint now);
@@ -35,7 +42,8 @@
   /// fragile.
   bool HasRoom(const Backend& backend, TimePoint now) const;
 
-  /// When a backend server accepts requests again after a rejection; in the past if it does now.
+  /// When this gateway may send requests to a backend server again after a rejection; in the past
+  /// if it may now.
   TimePoint RoomBlockedUntil(const Backend& backend, TimePoint now) const;
 
   /// Applies updates from another gateway. Returns this gateway's state where the sender's is
@@ -73,6 +81,8 @@
   void Share(Backend& backend, TimePoint now);
 
   BackendDirectory& directory_;
+  std::uint64_t self_ = 0;
+  std::uint32_t gateways_ = 1;
   LimitTolerance tolerance_;
   FragileServices fragile_services_;
   PushbackUpdateList pending_;
--- a/libs/gateway/src/pushback_registry.cc
+++ b/libs/gateway/src/pushback_registry.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "log/log.h"
+#include "rejection/pause_turn.h"
 
 namespace ridgehold {
 namespace {
@@ -79,12 +80,15 @@
 
 bool PushbackRegistry::HasRoom(const Backend& backend, TimePoint now) const {
   if (!fragile_services_.LimitOf(backend.entry.service, now)) return true;
+  if (now < RoomBlockedUntil(backend, now)) return false;
   return backend.room.MayTake(RunningAt(backend), backend.entry.slots, now);
 }
 
 TimePoint PushbackRegistry::RoomBlockedUntil(const Backend& backend, TimePoint now) const {
   const bool fragile = fragile_services_.LimitOf(backend.entry.service, now).has_value();
-  return fragile ? backend.room.blocked_until() : TimePoint();
+  const RoomEstimate& room = backend.room;
+  if (!fragile || room.blocked_until() == TimePoint()) return TimePoint();
+  return room.blocked_until() + TurnAfterPause(self_, HashOf(backend), gateways_, room.pause());
 }
 
 PushbackUpdate PushbackRegistry::UpdateFor(const Backend& backend, TimePoint now) {
--- a/libs/rejection/include/rejection/room_estimate.h
+++ b/libs/rejection/include/rejection/room_estimate.h
@@ -40,6 +40,8 @@
 
   /// No request is sent before this time; in the past if there is no pause.
   TimePoint blocked_until() const { return blocked_until_; }
+  /// Length of a pause after a rejection.
+  std::chrono::milliseconds pause() const;
 
  private:
   /// `room_` with its growth until `now`.
--- a/libs/rejection/src/room_estimate.cc
+++ b/libs/rejection/src/room_estimate.cc
@@ -41,6 +41,8 @@
   reduced_at_ = now;
 }
 
+std::chrono::milliseconds RoomEstimate::pause() const { return PauseFor(limit_); }
+
 std::optional<RoomUpdate> RoomEstimate::ToUpdate(TimePoint now) const {
   if (now >= blocked_until_) return std::nullopt;
   return RoomUpdate{limit_, room_.value_or(1),
--- a/libs/rejection/test/rejection-test.cc
+++ b/libs/rejection/test/rejection-test.cc
@@ -1,6 +1,8 @@
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 #include "rejection/fragile_services.h"
+#include "rejection/pause_turn.h"
 #include "rejection/room_estimate.h"
 
 using namespace ridgehold;
@@ -44,6 +46,22 @@
   BOOST_TEST(many.MayTake(0, kSlots, kNow + 100ms));
 }
 
+// Guards against more rejections than a server bears because all gateways send when a pause ends.
+BOOST_AUTO_TEST_CASE(gateways_send_one_after_another_when_a_pause_ends) {
+  constexpr std::uint32_t kGateways = 8;
+  constexpr std::chrono::milliseconds kPause{500};
+  std::set<Duration> turns;
+  for (std::uint64_t gateway = 0; gateway < kGateways; ++gateway) {
+    const Duration turn = TurnAfterPause(gateway, 7, kGateways, kPause);
+    BOOST_TEST((turn >= Duration::zero() && turn < kPause / 2));
+    turns.insert(turn);
+  }
+  BOOST_TEST(turns.size() == kGateways);
+  BOOST_TEST((*turns.rbegin() - *turns.begin() >= 20ms));
+  BOOST_TEST((TurnAfterPause(1, 7, 1'000, 100ms) < 50ms));
+  BOOST_TEST((TurnAfterPause(1, 7, kGateways, kPause) != TurnAfterPause(1, 8, kGateways, kPause)));
+}
+
 BOOST_AUTO_TEST_CASE(room_shrinks_after_a_rejection_and_grows_slowly) {
   RoomEstimate room;
   room.RecordRejection(RejectionLimit(3), 20, kNow);
