Soak: all instances lose power at once, beside a store of many pages

The soak had no fault that ends all processes at the same moment, and its store fitted one page. 'blackout' kills all instances, leaves them off for 0.2 to 3 s and starts them together; the store then has 400 further registrations in pages of 60 behind a link of 250 KB/s. Where no other fault keeps instances from being ready, all of them have to be within 18 s.

--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -6,6 +6,8 @@
 
 #include "bounds.h"
 #include "control/instance_records.h"
+#include "net/http_call.h"
+#include "platform/names.h"
 
 namespace ridgehold::soak {
 namespace {
@@ -35,7 +37,10 @@
 constexpr double kFailedPart = 0.95;     // of the requests of a failing engine
 constexpr int kShortestFailure = 1'000;  // ms
 constexpr int kLongestFailure = 8'000;   // ms
-constexpr double kSeriesPart = 0.4;      // of the faults, those followed at once
+constexpr int kLongestBlackout = 3'000;  // ms
+// What the sheet of the largest fleet allows.
+constexpr std::chrono::seconds kRecoveryTime{18};
+constexpr double kSeriesPart = 0.4;  // of the faults, those followed at once
 
 net::awaitable<void> WaitForEnd(InstanceProcess& process, std::chrono::milliseconds limit) {
   const TimePoint end = Clock::now() + limit;
@@ -65,7 +70,8 @@
       {"path", FaultKind::kPath},
       {"brittle", FaultKind::kBrittle},
       {"failing", FaultKind::kFailing},
-      {"releases", FaultKind::kReleases}};
+      {"releases", FaultKind::kReleases},
+      {"blackout", FaultKind::kBlackout}};
   return names;
 }
 
@@ -76,12 +82,14 @@
   Random latest = Random(random_).Fork();
   Random newest = Random(latest).Fork();
   Random failing = Random(newest).Fork();
+  Random blackout = Random(failing).Fork();
   for (const auto& [name, kind] : Names()) {
-    Random& random = kind >= FaultKind::kFailing  ? failing
-                     : kind >= FaultKind::kPath   ? newest
-                     : kind >= FaultKind::kLimit  ? latest
-                     : kind >= FaultKind::kPoison ? later
-                                                  : random_;
+    Random& random = kind >= FaultKind::kBlackout  ? blackout
+                     : kind >= FaultKind::kFailing ? failing
+                     : kind >= FaultKind::kPath    ? newest
+                     : kind >= FaultKind::kLimit   ? latest
+                     : kind >= FaultKind::kPoison  ? later
+                                                   : random_;
     if (random.Chance(kKindPart)) kinds.insert(kind);
   }
   return kinds;
@@ -146,6 +154,8 @@
       return Pick(targets_.engines, random).Leave(random.Milliseconds(300, kLongestLeaving));
     case FaultKind::kPath:
       return CutPaths(random);
+    case FaultKind::kBlackout:
+      return Blackout(random);
     case FaultKind::kBrittle:
       return MakeBrittle(random);
     case FaultKind::kFailing:
@@ -247,6 +257,56 @@
   instance.ending = false;
 }
 
+net::awaitable<void> FaultScript::Blackout(Random random) {
+  const Calm::Token token = targets_.calm.Begin(FaultClass::kProcess);
+  std::vector<Instance*> off;
+  for (const auto& instance : targets_.instances) {
+    if (instance->ending) continue;
+    instance->ending = true;
+    instance->process->Signal(SIGKILL);
+    off.push_back(instance.get());
+  }
+  for (Instance* instance : off) co_await WaitForEnd(*instance->process, kStopSlack);
+  co_await Sleep(random.Milliseconds(200, kLongestBlackout));
+  std::vector<StartedProcess> started;
+  for (Instance* instance : off) {
+    instance->process->Start();
+    instance->ending = false;
+    started.push_back({instance, instance->process->serial()});
+  }
+  // Other faults keep instances from being ready.
+  const std::set<FaultKind> harmless = {FaultKind::kKeys, FaultKind::kWeights,
+                                        FaultKind::kBlackout};
+  if (std::ranges::includes(harmless, kinds_)) co_await AwaitReadiness(std::move(started));
+}
+
+net::awaitable<void> FaultScript::AwaitReadiness(std::vector<StartedProcess> started) {
+  constexpr unsigned kHttp11 = 11;
+  constexpr std::chrono::milliseconds kTimeout{300};
+  const auto executor = co_await net::this_coro::executor;
+  ConnectionPool pool(executor, ConnectionPool::Options{.connect_timeout = kTimeout});
+  const TimePoint limit = Clock::now() + kRecoveryTime;
+  while (!started.empty() && Clock::now() < limit) {
+    const Instance& next = *started.back().instance;
+    const std::string address = next.process->place().address + ":" + std::to_string(kReadyPort);
+    RequestMessage request(http::verb::get, platform::path::kReady, kHttp11);
+    request.set(http::field::host, address);
+    const CallResult result = co_await Call(pool, address, std::move(request), kTimeout);
+    const bool ready =
+        result.fault == ExchangeFault::kNone && result.response.result() == http::status::ok;
+    // A later blackout judges those that it stops.
+    const bool replaced = next.ending || next.process->serial() != started.back().serial;
+    if (ready || replaced) {
+      started.pop_back();
+    } else {
+      co_await Sleep(kLook);
+    }
+  }
+  if (started.empty()) co_return;
+  targets_.verdict.Fail("instance is not ready in time after a loss of power of all",
+                        started.back().instance->process->place().name, "");
+}
+
 net::awaitable<void> FaultScript::Pause(Random random) {
   Instance& instance = PickInstance(random);
   const Calm::Token token = targets_.calm.Begin(FaultClass::kHeld);
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -53,6 +53,13 @@
   kBrittle,
   kFailing,
   kReleases,
+  kBlackout,
+};
+
+/// A process of an instance, which may have been replaced since.
+struct StartedProcess {
+  const Instance* instance = nullptr;
+  int serial = 0;
 };
 
 /// What the faults work on.
@@ -103,6 +110,10 @@
   /// Most engines fail nearly all requests.
   net::awaitable<void> FailRequests(Random random);
   net::awaitable<void> StoreDown(Random random);
+  /// All instances lose power at once and start again together.
+  net::awaitable<void> Blackout(Random random);
+  /// Fails if the instances are not all ready in time.
+  net::awaitable<void> AwaitReadiness(std::vector<StartedProcess> started);
   net::awaitable<void> NameLimit(Random random);
   net::awaitable<void> ChangeMood(EngineMood mood, Random random);
 
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -64,6 +64,21 @@
   }
   if (!options_.calm) faults_.Select(options_.faults);
   if (faults_.Selected(FaultKind::kReleases)) AddReleases();
+  if (faults_.Selected(FaultKind::kBlackout)) FillStore();
+}
+
+void SoakRun::FillStore() {
+  constexpr int kServers = 400;
+  constexpr std::size_t kPageSize = 60;
+  // A whole listing takes half a second of the link.
+  constexpr std::size_t kBytesPerSecond = 250'000;
+  store_.SetPageSize(kPageSize);
+  for (int i = 0; i < kServers; ++i) {
+    store_.table().Put("servers/other-" + std::to_string(i),
+                       R"({"service":"other","addr":"127.0.0.1:9","zone":"a","version":"v1",)"
+                       R"("slots":8,"state":"ready","cold_left_ms":0,"seq":1})");
+  }
+  store_link_ = std::make_shared<SharedLink>(kBytesPerSecond);
 }
 
 void SoakRun::AddReleases() {
@@ -103,6 +118,7 @@
   const bool cuts_paths = faults_.Selected(FaultKind::kPath);
   for (int i = 0; i < options_.instances; ++i) {
     auto instance = std::make_unique<Instance>(io_.get_executor(), store_.address());
+    instance->store_proxy.SetSharedLink(store_link_);
     const InstancePlace place{.name = "entry-" + std::to_string(i),
                               .address = AddressOf(i),
                               .store_address = instance->store_proxy.address(),
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -36,6 +36,8 @@
  private:
   /// Starts with engines of two releases.
   void AddReleases();
+  /// A store of many pages behind a slow link.
+  void FillStore();
   void StartInstances();
   /// Gives an instance ways of its own to the engines.
   void AddPaths(Instance& instance, const std::string& egress);
@@ -51,6 +53,7 @@
   Verdict verdict_;
   Calm calm_;
   platform::test::FakeStore store_;
+  std::shared_ptr<SharedLink> store_link_;  ///< nullptr: no limit
   OperatorLog operator_;
   Ledger ledger_;
   OrderCheck orders_;
