Failed surveys do not count as reads of the search for a relay

What callers would see: after an outage of the store during which all instances started, none looks for a relay, and all list the store.

Cause: the bound on reads counted the surveys, which are repeated while the store is away. The search counts its own reads; the last survey is one of them. peer_discovery/failed_surveys_... guards it (not run on the code before).

--- a/libs/entry/include/entry/peer_discovery.h
+++ b/libs/entry/include/entry/peer_discovery.h
@@ -53,8 +53,6 @@
   /// Reads the members of the zone. Returns kLarge if the fleet is so large that the store should
   /// not be listed before Search().
   net::awaitable<StoreResult<StoreSize>> Survey() {
-    started_ = Clock::now();
-    ++reads_;
     // While others run already, a stale read finds them, too.
     const std::string prefix = MemberPrefixOf(options_.zone);
     const std::optional<StoreError> error = co_await ReadMembers(prefix, ReadConsistency::kStale);
@@ -63,14 +61,15 @@
     co_return is_large ? StoreSize::kLarge : StoreSize::kUnknown;
   }
 
-  /// Reads the members until there is one to follow: those of the zone, then all. Ends after a few
-  /// reads, also failed ones.
+  /// Reads the members until there is one to follow: those of the zone, then all. Call it after a
+  /// Survey() that succeeded. Ends after a few reads, also failed ones.
   net::awaitable<void> Search() {
     if (searching_) co_return;
     searching_ = true;
     started_ = Clock::now();
+    reads_ = 1;
     while (reads_ < options_.max_reads && !has_copy_() && !position_().upstream) {
-      if (reads_ > 0) co_await WaitFor(timer_, options_.read_interval);
+      co_await WaitFor(timer_, options_.read_interval);
       const bool all = reads_ >= options_.max_reads / 2;
       const std::string prefix = all ? kMemberPrefix : MemberPrefixOf(options_.zone);
       co_await ReadMembers(prefix, ReadConsistency::kLatest);
@@ -144,7 +143,7 @@
   Timer timer_;
   TimePoint started_;
   CallPatience patience_;
-  int reads_ = 0;
+  int reads_ = 0;  ///< with the survey
   int failed_reads_ = 0;
   bool searching_ = false;
   bool finished_ = false;
--- a/libs/entry/test/peer_discovery-test.cc
+++ b/libs/entry/test/peer_discovery-test.cc
@@ -141,6 +141,24 @@
   }
 }
 
+// Guards against a fleet whose instances find no relay, and all list the store, because their
+// surveys failed while the store was away.
+BOOST_AUTO_TEST_CASE(failed_surveys_do_not_shorten_the_search) {
+  Instance instance(table, 7, 0ms);
+  instance.store.faults.down = true;
+  for (int i = 0; i < 6; ++i) net::co_spawn(io, instance.discovery.Survey(), net::detached);
+  io.run_for(50ms);
+  instance.store.faults.down = false;
+  net::co_spawn(io, instance.Run(), net::detached);
+  io.restart();
+  io.run_for(60ms);
+  table.Put(MemberKeyOf(instance.zone, DaemonId("1")),
+            EncodeMember({"10.0.0.1", instance.zone, {}}));
+  io.restart();
+  io.run_for(200ms);
+  BOOST_TEST(instance.Position().upstream.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(wait_for_a_copy_ends) {
   Start(2, 0);
   io.run_for(400ms);
