--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -68,15 +68,15 @@
 }
 
 void SoakRun::FillStore() {
-  constexpr int kServers = 400;
+  constexpr int kItems = 400;
+  constexpr std::size_t kItemBytes = 150;
   constexpr std::size_t kPageSize = 60;
   // A whole listing takes half a second of the link.
   constexpr std::size_t kBytesPerSecond = 250'000;
   store_.SetPageSize(kPageSize);
-  for (int i = 0; i < kServers; ++i) {
-    store_.table().Put("servers/other-" + std::to_string(i),
-                       R"({"service":"other","addr":"127.0.0.1:9","zone":"a","version":"v1",)"
-                       R"("slots":8,"state":"ready","cold_left_ms":0,"seq":1})");
+  // Nothing that an instance would use.
+  for (int i = 0; i < kItems; ++i) {
+    store_.table().Put("other/" + std::to_string(i), std::string(kItemBytes, 'x'));
   }
   store_link_ = std::make_shared<SharedLink>(kBytesPerSecond);
 }
