--- a/libs/control/include/control/call_patience.h
+++ b/libs/control/include/control/call_patience.h
@@ -16,6 +16,7 @@
   /// For ListOptions.
   int timeout_factor() const { return timeout_factor_; }
 
+  /// Records that a read failed; only a missing answer matters.
   void RecordFailure(StoreError error) {
     if (error == StoreError::kNoAnswer) timeout_factor_ = std::min(timeout_factor_ * 2, kMaxFactor);
   }
--- a/libs/entry/include/entry/peer_discovery.h
+++ b/libs/entry/include/entry/peer_discovery.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <optional>
