Logs: an attempt's line tells the shared parts and whether its answer had begun

The lines had only the fingerprint of the whole request, and the request's line a hash over all shared parts together. No change of logic.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -178,6 +178,7 @@
     if (plan_.chain) state_.prompt_sizes().Record(plan_.service, plan_.chain->prompt_tokens);
     plan_.fingerprint = FingerprintOf(record_.workspace, inbound_, caller_->request());
     record_.fingerprint = plan_.fingerprint;
+    if (inbound_.generation) record_.part_ids = SharedPartIds(*inbound_.generation);
     relay_ = EventRelay{inbound_.resume_after};
     retry_input_.may_repeat = plan_.route->MayRepeat();
     retry_input_.max_runs = plan_.route->max_attempts;
@@ -203,6 +204,7 @@
     load_.emplace(state_, plan_, inbound_, *choice, last_run);
     const AttemptOutcome outcome = co_await RunAttempt(*choice);
     load_.reset();
+    record_.answer_begun = attempt_.prefilled;
     const bool unused = outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kSkipped;
     if (unused && record_.permit.ticket) state_.RefundQuota(*record_.permit.ticket);
     if (outcome == AttemptOutcome::kInterrupted) co_await RecordInterruption();
--- a/libs/gateway/include/gateway/inbound_request.h
+++ b/libs/gateway/include/gateway/inbound_request.h
@@ -29,6 +29,9 @@
   std::vector<PromptPart> parts;  ///< in order; the last one is specific to the request
 };
 
+/// The ids of the parts that other requests may share, in order.
+std::vector<std::uint64_t> SharedPartIds(const GenerationRequest& request);
+
 /// Decoded once, when the request is received.
 struct InboundRequest {
   RequestId id;
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/result_code.h"
@@ -81,6 +82,8 @@
   std::uint32_t shared_tokens = 0;       ///< shared tokens of the prompt
   std::uint32_t known_tokens = 0;        ///< of these, tokens expected in the engine's cache
   std::uint64_t shared_parts = 0;        ///< hash of the shared parts; 0: none
+  std::vector<std::uint64_t> part_ids;   ///< of the shared parts, in order
+  bool answer_begun = false;             ///< an event of the last attempt has arrived
   std::uint32_t running_at_backend = 0;  ///< requests of all gateways on that backend server
   std::optional<double> slowness;        ///< of that engine, see BackendChoice
   std::optional<MemoryRecord> memory;    ///< none: not limited
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -1,9 +1,12 @@
 #include "gateway/request_log.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
+#include <span>
 #include <string_view>
 
 #include "gateway/gateway_state.h"
@@ -95,6 +98,13 @@
   return "unknown";
 }
 
+// Maximum number of parts in a log line; a prompt may have hundreds.
+constexpr std::size_t kMaxLoggedParts = 16;
+
+std::string ListOf(std::span<const std::uint64_t> parts) {
+  return fmt::format("{:x}", fmt::join(parts.first(std::min(parts.size(), kMaxLoggedParts)), ","));
+}
+
 /// Streams that broke off or lost their caller are not counted: their later events are not known.
 void AppendStream(Metrics& metrics, const RequestRecord& record, LogFields& fields) {
   fields.push_back({"longest_pause_ms", MillisecondsText(record.longest_pause)});
@@ -270,11 +280,13 @@
                       {"status", std::to_string(facts.status)},
                       {"not_executed", facts.not_executed ? "yes" : "no"},
                       {"code", std::string(Describe(code).name)},
+                      {"answer_begun", record.answer_begun ? "yes" : "no"},
                       {"in_flight", std::to_string(backend.in_flight)},
                       {"retries_left", fmt::format("{:.1f}", retries_left)},
                       {"retry_standing", ToText(state.RetryStandingAt(now))},
                       {"retry_sharers", std::to_string(state.retries().Sharers(now))},
                       {"next", std::string(NameOf(step))}};
+  if (!record.part_ids.empty()) fields.push_back({"parts", ListOf(record.part_ids)});
   if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
   AppendNotice(record, fields);
   Log(LogLevel::kWarn, "attempt", fields);
