--- a/libs/control/include/control/quarantine_writer.h
+++ b/libs/control/include/control/quarantine_writer.h
@@ -51,6 +51,8 @@
     std::size_t max_rank = 20;
     /// Quarantines with less time left are not written.
     std::chrono::milliseconds min_remaining{5'000};
+    /// Time between two trials of a prompt part.
+    std::chrono::milliseconds trial_interval{PoisonOptions{}.quarantine};
   };
 
   QuarantineWriter(Store& store, net::any_io_executor executor, PoisonGuard& guard,
@@ -65,6 +67,7 @@
     while (!stopped_) {
       co_await EraseReleased();
       co_await WriteDecided();
+      co_await ClaimTrials();
       co_await WaitFor(timer_, options_.poll_interval);
     }
   }
@@ -93,7 +96,7 @@
 
   bool IsDue(const PoisonDetector::Quarantine& quarantine, TimePoint now) {
     if (quarantine.until - now < options_.min_remaining) return false;
-    if (records_.Find(KeyOf(quarantine.request)) != nullptr) return false;
+    if (IsStored(quarantine.request)) return false;
     const TimePoint first_seen = first_seen_.try_emplace(quarantine.request, now).first->second;
     if (guard_.DecidedLocally(quarantine.request)) return true;
     const std::size_t rank = records_.MemberRank(options_.member_key);
@@ -101,14 +104,35 @@
            options_.takeover_delay + std::min(rank, options_.max_rank) * options_.delay_per_rank;
   }
 
+  bool IsStored(RequestFingerprint request) const {
+    return records_.Find(KeyOf(request)) != nullptr;
+  }
+
   net::awaitable<void> Write(PoisonDetector::Quarantine quarantine) {
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(quarantine.until - Clock::now());
+    // A quarantine that was not written is due again.
+    co_await Put(quarantine.request, remaining);
+  }
+
+  /// Returns whether the store confirmed that no other instance had written the key.
+  net::awaitable<bool> Put(RequestFingerprint request, std::chrono::milliseconds remaining) {
     std::string value =
         EncodeQuarantine(options_.self, std::chrono::system_clock::now() + remaining);
     const std::optional<StoreRevision> absent = StoreRevision(0);
-    // A quarantine that was not written is due again.
-    co_await PutUnderLease(store_, KeyOf(quarantine.request), std::move(value), remaining, absent);
+    const StoreResult<LeasedPut> written =
+        co_await PutUnderLease(store_, KeyOf(request), std::move(value), remaining, absent);
+    co_return written.has_value();
+  }
+
+  /// The instance that renews an ended quarantine may send one request, so all instances together
+  /// send one for each quarantine, and none without the store.
+  net::awaitable<void> ClaimTrials() {
+    for (const RequestFingerprint part : guard_.TakeTrialsWanted()) {
+      if (IsStored(part)) continue;
+      const bool renewed = co_await Put(part, options_.trial_interval);
+      if (renewed) guard_.GrantTrial(part, Clock::now());
+    }
   }
 
   net::awaitable<void> EraseReleased() {
--- a/libs/control/test/quarantine_writer-test.cc
+++ b/libs/control/test/quarantine_writer-test.cc
@@ -108,6 +108,35 @@
   BOOST_TEST(!Stored());
 }
 
+// Guards against instances that each try a quarantined prompt part once its quarantine has ended.
+BOOST_AUTO_TEST_CASE(one_instance_gets_the_trial_of_a_prompt_part) {
+  const PartFeature part = FeatureOf(kRequest, 1);
+  const RequestFeatures request{RequestFingerprint(1), 1, {part}};
+  for (Instance* instance : {&first, &second}) {
+    instance->guard.ApplyStored(kRequest, 1ms, Clock::now());
+  }
+  io.run_for(10ms);
+  BOOST_TEST(!first.guard.TakeTrial(request, Clock::now()));
+  BOOST_TEST(!second.guard.TakeTrial(request, Clock::now()));
+  io.run_for(50ms);
+  BOOST_TEST(Stored());
+  const bool at_first = first.guard.TakeTrial(request, Clock::now());
+  const bool at_second = second.guard.TakeTrial(request, Clock::now());
+  BOOST_TEST(at_first != at_second);
+  BOOST_TEST(!first.guard.TakeTrial(request, Clock::now()));
+  BOOST_TEST(!second.guard.TakeTrial(request, Clock::now()));
+}
+
+BOOST_AUTO_TEST_CASE(no_instance_gets_a_trial_while_the_store_is_away) {
+  const RequestFeatures request{RequestFingerprint(1), 1, {FeatureOf(kRequest, 1)}};
+  first.store.faults.down = true;
+  first.guard.ApplyStored(kRequest, 1ms, Clock::now());
+  io.run_for(10ms);
+  BOOST_TEST(!first.guard.TakeTrial(request, Clock::now()));
+  io.run_for(50ms);
+  BOOST_TEST(!first.guard.TakeTrial(request, Clock::now()));
+}
+
 BOOST_AUTO_TEST_CASE(quarantine_read_from_the_store_is_not_written_again) {
   first.guard.ApplyStored(kRequest, 1min, Clock::now());
   io.run_for(400ms);
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -210,7 +210,7 @@
          [this](TimePoint deadline) { return retry_record_.Acquire(deadline); }});
     state_.SetCrashHandlers(
         {[this](BackendPtr backend) { return prober_.ConfirmCrash(std::move(backend)); },
-         [this](RequestFingerprint request, TimePoint limit) {
+         [this](const RequestFeatures& request, TimePoint limit) {
            return prober_.AwaitCrashProof(request, limit);
          }});
   }
@@ -554,6 +554,8 @@
                      static_cast<double>(state_.poison().Quarantines(now).size()));
     metrics.SetGauge("ridgehold_suspected_requests", "",
                      static_cast<double>(state_.poison().suspects()));
+    metrics.SetGauge("ridgehold_suspected_parts", "",
+                     static_cast<double>(state_.poison().suspected_parts()));
     metrics.SetGauge("ridgehold_holds_rollout", "", rollout_lease_.IsHeld(now) ? 1 : 0);
     metrics.SetGauge("ridgehold_holds_quota_share", "", quota_.HoldsLease(now) ? 1 : 0);
     metrics.SetGauge(
--- a/libs/entry/src/state_dump.cc
+++ b/libs/entry/src/state_dump.cc
@@ -168,7 +168,10 @@
     const auto remaining = std::chrono::duration_cast<std::chrono::seconds>(until - now);
     quarantined.push_back({{"fingerprint", ToText(request)}, {"left_s", remaining.count()}});
   }
-  return json{{"quarantined", quarantined}, {"suspects", guard.suspects()}}.dump(2);
+  return json{{"quarantined", quarantined},
+              {"suspects", guard.suspects()},
+              {"suspected_parts", guard.suspected_parts()}}
+      .dump(2);
 }
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/backend_prober.h
+++ b/libs/gateway/include/gateway/backend_prober.h
@@ -63,7 +63,7 @@
 
   /// Probes the backend servers that may have crashed while running the request until it may be
   /// sent, at the latest until `limit`.
-  net::awaitable<void> AwaitCrashProof(RequestFingerprint request, TimePoint limit);
+  net::awaitable<void> AwaitCrashProof(const RequestFeatures& request, TimePoint limit);
 
  private:
   /// Why a backend server is probed.
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -69,6 +69,8 @@
     ResponseHead caller_head;
     std::string body;
     bool prefilled = false;
+    std::optional<TimePoint> begun;  ///< when its first event arrived
+    bool survived = false;           ///< the engine has lived on since, see PoisonGuard
     std::optional<ResultCode> cancel_reason;  ///< reason, if it was cancelled by this gateway
   };
 
@@ -176,9 +178,14 @@
     record_.service = plan_.service;
     if (plan_.workspace != nullptr) record_.workspace = plan_.workspace->id;
     if (plan_.chain) state_.prompt_sizes().Record(plan_.service, plan_.chain->prompt_tokens);
-    plan_.fingerprint = FingerprintOf(record_.workspace, inbound_, caller_->request());
-    record_.fingerprint = plan_.fingerprint;
-    if (inbound_.generation) record_.part_ids = SharedPartIds(*inbound_.generation);
+    plan_.features.content = FingerprintOf(record_.workspace, inbound_, caller_->request());
+    plan_.features.workspace = WorkspaceHashOf(plan_);
+    record_.fingerprint = plan_.features.content;
+    if (inbound_.generation) {
+      record_.part_ids = SharedPartIds(*inbound_.generation);
+      plan_.features.AddParts(inbound_.generation->model, record_.part_ids);
+    }
+    is_trial_ = state_.poison().TakeTrial(plan_.features, record_.received);
     relay_ = EventRelay{inbound_.resume_after};
     retry_input_.may_repeat = plan_.route->MayRepeat();
     retry_input_.max_runs = plan_.route->max_attempts;
@@ -205,6 +212,7 @@
     const AttemptOutcome outcome = co_await RunAttempt(*choice);
     load_.reset();
     record_.answer_begun = attempt_.prefilled;
+    RecordWait();
     const bool unused = outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kSkipped;
     if (unused && record_.permit.ticket) state_.RefundQuota(*record_.permit.ticket);
     if (outcome == AttemptOutcome::kInterrupted) co_await RecordInterruption();
@@ -215,10 +223,11 @@
   /// Whether this request is quarantined, which may happen at any time because of copies at other
   /// gateways.
   bool Quarantined() const {
-    return state_.poison().SuspicionOf(plan_.fingerprint, Clock::now()) == Suspicion::kQuarantined;
+    return !is_trial_ && state_.poison().QuarantineOf(plan_.features, Clock::now()).has_value();
   }
 
   NextStep StepWhenQuarantined() {
+    record_.quarantined_by = state_.poison().QuarantineOf(plan_.features, Clock::now());
     last_code_ = ResultCode::kPoisonRequest;
     return retry_input_.stream_begun ? NextStep::kAbortStream : NextStep::kFail;
   }
@@ -228,21 +237,36 @@
   net::awaitable<void> RecordInterruption() {
     const TimePoint now = Clock::now();
     if (attempt_.prefilled) {
-      state_.poison().RecordInterruption(*attempt_.backend, plan_.fingerprint, now);
+      state_.poison().RecordInterruption(*attempt_.backend, plan_.features, attempt_.survived, now);
     } else {
-      state_.poison().RecordPossibleCrash(*attempt_.backend, plan_.fingerprint, state_.gateways(),
+      state_.poison().RecordPossibleCrash(*attempt_.backend, plan_.features, state_.gateways(),
                                           now);
     }
     co_await state_.ConfirmCrash(attempt_.backend);
   }
 
+  /// Records how long the attempt waited for its answer to begin, if it was sent.
+  void RecordWait() {
+    if (attempt_.sent == TimePoint() || plan_.features.parts.empty()) return;
+    const TimePoint end = attempt_.begun.value_or(Clock::now());
+    const auto wait = std::chrono::duration_cast<Duration>(end - attempt_.sent);
+    state_.poison().RecordWait(plan_.features, wait, GatewaysPerBackend(state_, plan_.service),
+                               Clock::now());
+  }
+
+  /// Records that the engine has survived the beginning of its answer.
+  void RecordSurvival(TimePoint begun, TimePoint now) {
+    if (std::exchange(attempt_.survived, true)) return;
+    state_.poison().RecordSurvival(plan_.features, begun, now);
+  }
+
   /// Before an attempt, waits while copies of the request may have crashed so many backend servers
   /// that one more crash is the last that is allowed.
   net::awaitable<void> AwaitCrashProof() {
     const TimePoint start = Clock::now();
-    if (!state_.poison().AwaitsProof(plan_.fingerprint, start)) co_return;
+    if (is_trial_ || !state_.poison().AwaitsProof(plan_.features, start)) co_return;
     const TimePoint limit = WaitLimit() - state_.limits().min_attempt_time;
-    co_await state_.AwaitCrashProof(plan_.fingerprint, limit);
+    co_await state_.AwaitCrashProof(plan_.features, limit);
     record_.crash_proof_wait += std::chrono::duration_cast<Duration>(Clock::now() - start);
   }
 
@@ -305,6 +329,7 @@
     directives.resume_after = relay_.last_event();
     WatchStart();
     attempt_.sent = now;
+    is_trial_ = false;
     record_.release = attempt_.backend->entry.release;
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptOutcome outcome = co_await ReadResponse();
@@ -354,7 +379,7 @@
   /// may not be executed again.
   void WatchQuarantine() {
     if (plan_.route->kind == RouteKind::kUnsafe) return;
-    state_.poison().Watch(poison_ticket_, plan_.fingerprint, [this] {
+    state_.poison().Watch(poison_ticket_, plan_.features, [this] {
       if (!attempt_.prefilled) CancelAttempt(ResultCode::kPoisonRequest);
     });
   }
@@ -417,6 +442,9 @@
       const std::string events = relay_.Feed(bytes);
       if (!events.empty()) {
         RecordEvents(Clock::now());
+        if (attempt_.begun && Clock::now() - *attempt_.begun >= PoisonGuard::kSurvivalTime) {
+          RecordSurvival(*attempt_.begun, Clock::now());
+        }
         const bool forwarded = co_await Forward(events);
         timing_.RecordDelivery(Clock::now());
         if (!forwarded) co_return AttemptOutcome::kCallerGone;
@@ -475,6 +503,7 @@
   /// Records that the engine has completed prefill, as shown by its first event.
   void OnPrefilled() {
     if (std::exchange(attempt_.prefilled, true)) return;
+    attempt_.begun = Clock::now();
     load_->OnFirstEvent(Clock::now());
     RecordFirstEvent();
   }
@@ -557,12 +586,14 @@
   void UpdatePoisonGuard(AttemptOutcome outcome, TimePoint now) {
     const bool unreachable = attempt_.cancel_reason == ResultCode::kBackendUnreachable;
     if (outcome == AttemptOutcome::kTimedOut || unreachable) {
-      state_.poison().RecordInterruption(*attempt_.backend, plan_.fingerprint, now);
+      state_.poison().RecordInterruption(*attempt_.backend, plan_.features, attempt_.survived, now);
     }
     const bool completed =
         outcome == AttemptOutcome::kStreamed ||
         (outcome == AttemptOutcome::kAnswered && !ProvesNotExecuted(retry_input_));
-    if (completed) state_.poison().RecordCompletion(plan_.fingerprint, now);
+    if (!completed) return;
+    state_.poison().RecordCompletion(plan_.features.content, now);
+    if (IsSuccess(attempt_.head.status)) RecordSurvival(attempt_.begun.value_or(now), now);
   }
 
   net::awaitable<void> Finish(NextStep step) {
@@ -646,6 +677,7 @@
   ResultCode last_code_ = ResultCode::kNoBackend;
   RequestRecord record_;
   bool response_started_ = false;
+  bool is_trial_ = false;  ///< the next attempt is permitted although the request is quarantined
   BackendSearch search_;
 };
 
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -31,7 +31,7 @@
   const RouteRule* route = nullptr;
   const WorkspaceRule* workspace = nullptr;  ///< null on public routes
   ServiceId service;
-  RequestFingerprint fingerprint;
+  RequestFeatures features;
   TimePoint received{};
   TimePoint answer_by{};  ///< the earlier of the caller's and the route's time limit
   std::optional<int> priority;
@@ -90,8 +90,8 @@
                    const InboundRequest& request, const std::set<BackendId>& tried,
                    const Backend& backend, TimePoint now);
 
-/// Whether one more crash quarantines the request, so that only one backend server may get it, the
-/// same for all gateways; see TrialBackend().
+/// Whether one more crash quarantines the request or a part of its prompt, so that only one backend
+/// server may get it, the same for all gateways; see TrialBackend().
 bool IsOnLastTrial(const GatewayState& state, const ExchangePlan& plan, TimePoint now);
 
 /// The backend servers that may get the request, wherever they are.
@@ -149,6 +149,10 @@
 /// Whether the backend server's release is the one that began the request's stream, if any did.
 bool MayResumeAt(const ExchangePlan& plan, const Backend& backend);
 
+/// Number of gateways for each backend server of the service, as requests of all gateways reach
+/// each of them.
+double GatewaysPerBackend(const GatewayState& state, const ServiceId& service);
+
 /// Whether another usable backend server of the same service and release could resume a stream.
 bool HasAnotherOfRelease(const GatewayState& state, const Backend& backend, TimePoint now);
 
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -115,6 +115,7 @@
   void SetGatewayHash(std::uint64_t hash) {
     gateway_hash_ = hash;
     pushback_.SetGateways(gateway_hash_, gateways_);
+    poison_.SetGateways(gateway_hash_, gateways_);
   }
   const GatewayLimits& limits() const { return limits_; }
   /// Applies to later decisions only.
@@ -182,12 +183,12 @@
   }
   /// Waits until it is known which backend servers have crashed while running the request, see
   /// BackendProber::AwaitCrashProof.
-  net::awaitable<void> AwaitCrashProof(RequestFingerprint request, TimePoint limit) {
+  net::awaitable<void> AwaitCrashProof(const RequestFeatures& request, TimePoint limit) {
     if (crash_handlers_.await_proof) co_await crash_handlers_.await_proof(request, limit);
   }
   struct CrashHandlers {
     std::function<net::awaitable<void>(BackendPtr)> confirm;
-    std::function<net::awaitable<void>(RequestFingerprint, TimePoint)> await_proof;
+    std::function<net::awaitable<void>(const RequestFeatures&, TimePoint)> await_proof;
   };
   void SetCrashHandlers(CrashHandlers handlers) { crash_handlers_ = std::move(handlers); }
 
@@ -250,6 +251,7 @@
     gateways_ = std::max(gateways, 1U);
     retries_.SetGateways(gateways_, now);
     pushback_.SetGateways(gateway_hash_, gateways_);
+    poison_.SetGateways(gateway_hash_, gateways_);
   }
 
   /// Queries the gateways that track backend servers; see SetLoadAsker.
--- a/libs/gateway/include/gateway/poison_detector.h
+++ b/libs/gateway/include/gateway/poison_detector.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -59,6 +60,9 @@
 
   Suspicion SuspicionOf(RequestFingerprint request, TimePoint now) const;
 
+  /// When the quarantine in force began; nothing if there is none.
+  std::optional<TimePoint> QuarantinedAt(RequestFingerprint request, TimePoint now) const;
+
   /// Number of crashes that quarantine the request; 0 if it is quarantined. The largest value if
   /// detection is disabled.
   std::uint32_t CrashesLeft(RequestFingerprint request, TimePoint now) const;
@@ -80,7 +84,8 @@
     std::vector<BackendHash> crashes;  ///< all reported crashes, including cleared ones
     std::size_t cleared = 0;           ///< number of leading entries that were cleared
     TimePoint last_crash{};            ///< when the last crash was reported
-    TimePoint until{};                 ///< end of the quarantine; epoch: none
+    TimePoint quarantined_at{};        ///< beginning of the quarantine
+    TimePoint until{};                 ///< its end; epoch: none
 
     std::uint32_t counted() const { return static_cast<std::uint32_t>(crashes.size() - cleared); }
   };
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -79,11 +79,13 @@
   double expected_ms = 0;
   double first_event_ms = 0;  ///< expected time until the prompt is prefilled
   double tokens_to_prefill = 0;
-  std::uint32_t shared_tokens = 0;       ///< shared tokens of the prompt
-  std::uint32_t known_tokens = 0;        ///< of these, tokens expected in the engine's cache
-  std::uint64_t shared_parts = 0;        ///< hash of the shared parts; 0: none
-  std::vector<std::uint64_t> part_ids;   ///< of the shared parts, in order
-  bool answer_begun = false;             ///< an event of the last attempt has arrived
+  std::uint32_t shared_tokens = 0;      ///< shared tokens of the prompt
+  std::uint32_t known_tokens = 0;       ///< of these, tokens expected in the engine's cache
+  std::uint64_t shared_parts = 0;       ///< hash of the shared parts; 0: none
+  std::vector<std::uint64_t> part_ids;  ///< of the shared parts, in order
+  bool answer_begun = false;            ///< an event of the last attempt has arrived
+  /// Because of which the request was not sent; none: it is not quarantined.
+  std::optional<RequestFingerprint> quarantined_by;
   std::uint32_t running_at_backend = 0;  ///< requests of all gateways on that backend server
   std::optional<double> slowness;        ///< of that engine, see BackendChoice
   std::optional<MemoryRecord> memory;    ///< none: not limited
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -53,7 +53,8 @@
   if (state_.poison().HasCrashed(*backend)) co_await WaitFor(timer, options_.peer_report_delay);
 }
 
-net::awaitable<void> BackendProber::AwaitCrashProof(RequestFingerprint request, TimePoint limit) {
+net::awaitable<void> BackendProber::AwaitCrashProof(const RequestFeatures& request,
+                                                    TimePoint limit) {
   if (!options_.enabled) co_return;
   // Copies of the request may be interrupted meanwhile; they do not prolong the wait.
   const TimePoint end = std::min<TimePoint>(limit, Clock::now() + UnprovenCrashes::kProofTime);
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -237,7 +237,7 @@
 }
 
 bool IsOnLastTrial(const GatewayState& state, const ExchangePlan& plan, TimePoint now) {
-  return state.poison().SuspicionOf(plan.fingerprint, now) == Suspicion::kLastTrial;
+  return state.poison().LastTrialOf(plan.features, now).has_value();
 }
 
 std::vector<BackendPtr> CandidatesFor(const GatewayState& state, const ExchangePlan& plan,
@@ -247,9 +247,8 @@
   std::erase_if(candidates, [&](const BackendPtr& backend) {
     return !MayGetRequest(state, plan, request, tried, *backend, now);
   });
-  if (IsOnLastTrial(state, plan, now) && !candidates.empty()) {
-    candidates = {TrialBackend(plan.fingerprint, candidates)};
-  }
+  const auto trial = state.poison().LastTrialOf(plan.features, now);
+  if (trial && !candidates.empty()) candidates = {TrialBackend(*trial, candidates)};
   return candidates;
 }
 
@@ -410,6 +409,12 @@
   return !plan.release || backend.entry.release == *plan.release;
 }
 
+double GatewaysPerBackend(const GatewayState& state, const ServiceId& service) {
+  const std::size_t backends =
+      std::max<std::size_t>(state.directory().OfService(service).size(), 1);
+  return static_cast<double>(state.gateways()) / static_cast<double>(backends);
+}
+
 bool HasAnotherOfRelease(const GatewayState& state, const Backend& backend, TimePoint now) {
   return std::ranges::any_of(
       state.directory().OfService(backend.entry.service), [&](const BackendPtr& other) {
--- a/libs/gateway/src/poison_detector.cc
+++ b/libs/gateway/src/poison_detector.cc
@@ -15,7 +15,10 @@
   record.crashes.push_back(backend);
   record.last_crash = now;
   const bool quarantines = record.counted() >= options_.max_crashes && now >= record.until;
-  if (quarantines) record.until = now + options_.quarantine;
+  if (quarantines) {
+    record.quarantined_at = now;
+    record.until = now + options_.quarantine;
+  }
   return quarantines;
 }
 
@@ -35,6 +38,7 @@
   if (!records_.contains(request)) MakeRoom(now);
   Record& record = records_[request];
   record.last_crash = now;
+  record.quarantined_at = now;
   record.until = now + std::min<Duration>(left, options_.quarantine);
   return true;
 }
@@ -50,6 +54,13 @@
   return record.counted() > 0 ? Suspicion::kSuspect : Suspicion::kNone;
 }
 
+std::optional<TimePoint> PoisonDetector::QuarantinedAt(RequestFingerprint request,
+                                                       TimePoint now) const {
+  const auto found = records_.find(request);
+  if (found == records_.end() || now >= found->second.until) return std::nullopt;
+  return found->second.quarantined_at;
+}
+
 std::uint32_t PoisonDetector::CrashesLeft(RequestFingerprint request, TimePoint now) const {
   if (options_.max_crashes == 0) return std::numeric_limits<std::uint32_t>::max();
   switch (SuspicionOf(request, now)) {
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -238,6 +238,10 @@
     metrics.GetSummary("ridgehold_crash_proof_wait_seconds")
         .Observe(std::chrono::duration<double>(record.crash_proof_wait).count());
   }
+  if (record.quarantined_by) {
+    fields.push_back({"quarantined_by", ToText(*record.quarantined_by)});
+    fields.push_back({"parts", ListOf(record.part_ids)});
+  }
   if (record.order) AppendOrder(record, fields);
   if (record.memory) {
     fields.push_back({"memory_held", std::to_string(record.memory->held)});
--- a/libs/gateway/src/request_ordering.cc
+++ b/libs/gateway/src/request_ordering.cc
@@ -60,7 +60,7 @@
   if (!plan.order) return std::nullopt;
   record.order = plan.order;
   PriorityState& priority = state.priority();
-  const std::uint64_t fingerprint = plan.fingerprint.value();
+  const std::uint64_t fingerprint = plan.features.content.value();
   const auto left = priority.refusals.TimeLeft(fingerprint, now);
   if (left) {
     CountRefusal(state, *plan.order);
--- a/libs/gateway/test/exchange_plan-test.cc
+++ b/libs/gateway/test/exchange_plan-test.cc
@@ -166,8 +166,8 @@
       for (const char* id : {"x", "y", "z"}) gateway.directory().Put(Engine(id, "a"));
       for (const char* id : {"v", "w"}) gateway.directory().Put(Engine(id, "b"));
       ExchangePlan plan = *PlanExchange(gateway, request, Clock::now());
-      plan.fingerprint = RequestFingerprint(number);
-      SetOnLastTrial(gateway, plan.fingerprint);
+      plan.features.content = RequestFingerprint(number);
+      SetOnLastTrial(gateway, plan.features.content);
       chosen.insert(ChooseFor(gateway, plan, request, {}, Clock::now())->backend->entry.id);
     }
     BOOST_TEST(chosen.size() == 1U);
--- a/libs/gateway/test/poison_detector-test.cc
+++ b/libs/gateway/test/poison_detector-test.cc
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/interrupted_attempts.h"
+#include "crash/interrupted_attempts.h"
 #include "gateway/poison_detector.h"
 #include "poison_simulation.h"
 
--- a/libs/gateway/test/polled_choice-test.cc
+++ b/libs/gateway/test/polled_choice-test.cc
@@ -251,14 +251,14 @@
   GatewayState& state = *gateways[0];
   const InboundRequest request = RequestAbout(1);
   ExchangePlan plan = *PlanExchange(state, request, Clock::now());
-  plan.fingerprint = RequestFingerprint(5);
+  plan.features.content = RequestFingerprint(5);
   PoisonUpdate crashes;
   for (BackendHash crashed = 1; crashed < PoisonOptions{}.max_crashes; ++crashed) {
-    crashes.crashes.push_back({crashed, plan.fingerprint});
+    crashes.crashes.push_back({crashed, plan.features.content});
   }
   state.poison().ApplyUpdate(crashes, Clock::now());
   const auto usable = state.directory().Usable(kService, Clock::now());
-  const BackendPtr trial = TrialBackend(plan.fingerprint, usable);
+  const BackendPtr trial = TrialBackend(plan.features.content, usable);
   for (const BackendPtr& backend : usable) {
     if (backend != trial) engines[HashOf(*backend)].Use(plan.chain->parts.back().hash);
   }
--- a/libs/gateway/test/request_ordering-test.cc
+++ b/libs/gateway/test/request_ordering-test.cc
@@ -76,7 +76,7 @@
 
   ExchangePlan Plan(const std::string& path) {
     ExchangePlan plan = *PlanExchange(state, Request(path), Clock::now());
-    plan.fingerprint = RequestFingerprint(plan.route->latency_objective.count());
+    plan.features.content = RequestFingerprint(plan.route->latency_objective.count());
     return plan;
   }
 
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -210,6 +210,16 @@
     news.interruptions.push_back(
         {message.interrupting_backends(i), RequestFingerprint(message.interrupted(i))});
   }
+  for (const wire::CrashSuspect& from : message.suspects()) {
+    CrashSuspect suspect{
+        from.backend(), RequestFingerprint(from.content()), from.workspace(), {}, from.proved()};
+    for (const std::uint64_t part : from.parts()) suspect.parts.emplace_back(part);
+    news.suspects.push_back(std::move(suspect));
+  }
+  for (const wire::PartSurvival& survival : message.survivals()) {
+    news.survivals.push_back(
+        {RequestFingerprint(survival.part()), std::chrono::milliseconds(survival.age_ms())});
+  }
   return news;
 }
 
@@ -307,6 +317,19 @@
     body.add_interrupting_backends(interruption.backend);
     body.add_interrupted(interruption.request.value());
   }
+  for (const CrashSuspect& suspect : news.suspects) {
+    wire::CrashSuspect& to = *body.add_suspects();
+    to.set_backend(suspect.backend);
+    to.set_content(suspect.content.value());
+    to.set_workspace(suspect.workspace);
+    to.set_proved(suspect.proved);
+    for (const RequestFingerprint part : suspect.parts) to.add_parts(part.value());
+  }
+  for (const SurvivalReport& survival : news.survivals) {
+    wire::PartSurvival& to = *body.add_survivals();
+    to.set_part(survival.part.value());
+    to.set_age_ms(static_cast<std::uint32_t>(survival.age.count()));
+  }
   return message.SerializeAsString();
 }
 
--- a/libs/peers/test/poison_gossip-test.cc
+++ b/libs/peers/test/poison_gossip-test.cc
@@ -46,11 +46,26 @@
   BOOST_TEST(Encode(DaemonId("d"), due).size() < 60'000U);
 }
 
+BOOST_AUTO_TEST_CASE(prompts_of_many_parts_are_bounded_in_datagram_size) {
+  PoisonUpdate news;
+  CrashSuspect suspect;
+  suspect.parts.resize(RequestFeatures::kMaxParts);
+  news.suspects.assign(1'000, suspect);
+  PoisonGossip gossip;
+  gossip.Add(news, kStart);
+  const PoisonUpdate due = gossip.TakeDue(kStart + 1ms);
+  BOOST_TEST(!due.suspects.empty());
+  BOOST_TEST(Encode(DaemonId("d"), due).size() < 60'000U);
+}
+
 BOOST_AUTO_TEST_CASE(poison_news_round_trips) {
   PoisonUpdate news = OneEnd();
   news.cleared.emplace_back(8);
   news.quarantined.emplace_back(9);
   news.interruptions.push_back({4, RequestFingerprint(10)});
+  news.suspects.push_back(
+      {5, RequestFingerprint(11), 12, {RequestFingerprint(13), RequestFingerprint(14)}, true});
+  news.survivals.push_back({RequestFingerprint(15), 250ms});
   const std::string bytes = Encode(DaemonId("d"), news);
   const bool same = ValueOr(
       [&]() -> Result<bool> {
@@ -58,7 +73,8 @@
         const auto* decoded = std::get_if<PoisonUpdate>(&message);
         return decoded != nullptr && decoded->crashes == news.crashes &&
                decoded->cleared == news.cleared && decoded->quarantined == news.quarantined &&
-               decoded->interruptions == news.interruptions;
+               decoded->interruptions == news.interruptions && decoded->suspects == news.suspects &&
+               decoded->survivals == news.survivals;
       },
       [](const Failure& /*failure*/) { return false; });
   BOOST_TEST(same);
--- a/libs/priority/include/priority/workspace_shares.h
+++ b/libs/priority/include/priority/workspace_shares.h
@@ -10,13 +10,11 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "base/workspace_hash.h"
 #include "priority/decayed_sum.h"
 
 namespace ridgehold {
 
-/// Hash of a workspace's id; 0: the request has no workspace.
-using WorkspaceHash = std::uint64_t;
-
 /// One gateway's recent tokens of one workspace and of all workspaces.
 struct WorkspaceSample {
   double tokens = 0;
