Soak: a prompt part crashes the engines that begin requests with it

Callers send requests with one of two parts, no two of them alike, while the fault poison-part is active.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -63,10 +63,14 @@
   message.set(field::kTokenCounts, "900,10");
   message.set(field::kPrefixHashes, "a" + std::to_string(random_.Between(1, 9)) + ":500,b2:400");
   message.body() = std::string(static_cast<std::size_t>(random_.Between(0, 5'000)), 'p');
-  if (const auto content = poison_.Pick()) {
+  if (const auto poison = poison_.Pick()) {
     record.kind = RequestKind::kResumable;
-    message.target("/resume/" + *content);
-    message.body() = *content;
+    message.target("/resume/" + poison->body);
+    message.body() = poison->body;
+    if (!poison->prompt_part.empty()) {
+      const std::string parts(message[field::kPrefixHashes]);
+      message.set(field::kPrefixHashes, poison->prompt_part + ":100," + parts);
+    }
   }
   message.prepare_payload();
   return record;
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -71,7 +71,8 @@
       {"brittle", FaultKind::kBrittle},
       {"failing", FaultKind::kFailing},
       {"releases", FaultKind::kReleases},
-      {"blackout", FaultKind::kBlackout}};
+      {"blackout", FaultKind::kBlackout},
+      {"poison-part", FaultKind::kPoisonPart}};
   return names;
 }
 
@@ -83,13 +84,15 @@
   Random newest = Random(latest).Fork();
   Random failing = Random(newest).Fork();
   Random blackout = Random(failing).Fork();
+  Random poison_part = Random(blackout).Fork();
   for (const auto& [name, kind] : Names()) {
-    Random& random = kind >= FaultKind::kBlackout  ? blackout
-                     : kind >= FaultKind::kFailing ? failing
-                     : kind >= FaultKind::kPath    ? newest
-                     : kind >= FaultKind::kLimit   ? latest
-                     : kind >= FaultKind::kPoison  ? later
-                                                   : random_;
+    Random& random = kind >= FaultKind::kPoisonPart ? poison_part
+                     : kind >= FaultKind::kBlackout ? blackout
+                     : kind >= FaultKind::kFailing  ? failing
+                     : kind >= FaultKind::kPath     ? newest
+                     : kind >= FaultKind::kLimit    ? latest
+                     : kind >= FaultKind::kPoison   ? later
+                                                    : random_;
     if (random.Chance(kKindPart)) kinds.insert(kind);
   }
   return kinds;
@@ -144,6 +147,8 @@
       return Sleep(0ms);
     case FaultKind::kPoison:
       return SendPoison(random);
+    case FaultKind::kPoisonPart:
+      return SendPoisonPart(random);
     case FaultKind::kSuspend:
       return Suspend(random);
     case FaultKind::kLimit:
@@ -338,6 +343,12 @@
   targets_.poison.Stop();
 }
 
+net::awaitable<void> FaultScript::SendPoisonPart(Random random) {
+  targets_.poison.StartPart();
+  co_await Sleep(random.Milliseconds(500, kLongestPoison));
+  targets_.poison.StopPart();
+}
+
 net::awaitable<void> FaultScript::HarmLink(FaultProxy& proxy, Random random) {
   const Calm::Token token = targets_.calm.Begin(FaultClass::kHeld);
   LinkState state;
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -54,6 +54,7 @@
   kFailing,
   kReleases,
   kBlackout,
+  kPoisonPart,
 };
 
 /// A process of an instance, which may have been replaced since.
@@ -102,6 +103,7 @@
   net::awaitable<void> Suspend(Random random);
   /// Callers send copies of one request that ends engines.
   net::awaitable<void> SendPoison(Random random);
+  net::awaitable<void> SendPoisonPart(Random random);
   net::awaitable<void> HarmLink(FaultProxy& proxy, Random random);
   /// Some instances lose their ways to all engines.
   net::awaitable<void> CutPaths(Random random);
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -149,7 +149,8 @@
   const auto run = judges_.ledger.Begin(request, weights_, release_);
   if (!run) co_return false;
   if (Poison::Is(request.body())) {
-    judges_.poison.Began(request.body(), std::string(request[field::kWorkspace]));
+    judges_.poison.Began(request.body(), std::string(request[field::kWorkspace]),
+                         std::string(request[field::kPrefixHashes]));
     run->broke_off = true;
     net::co_spawn(acceptor_.get_executor(), End(), net::detached);
     co_return false;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -204,7 +204,7 @@
       " instances, " + std::to_string(ledger_.sent()) + " requests, " +
       std::to_string(ledger_.served()) + " served, " + std::to_string(ledger_.lost()) +
       " cut off, " + std::to_string(poison_.ends()) + " engines ended (" +
-      std::to_string(poison_.most_ends()) + " by one request), " +
+      std::to_string(poison_.most_ends()) + " by one request or part), " +
       std::to_string(needs_.arrived()) + " requests at engines in need, " +
       std::to_string(path_check_.served()) + " of " + std::to_string(path_check_.counted()) +
       " served at instances without a way, " + std::to_string(retry_check_.retries()) +
