Responses without end: bounded memory for all together, bounded heads

What callers would see: a backend server that sends bytes without end took the gateway's memory. A buffered response was bounded by 16 MiB each, which seven at once turn into an instance's 110 MB; a stream whose event had no end went on to be buffered after its limit of 1 MiB, up to the deadline; interim responses were skipped without a count, and the connection of a broken response stayed open until its deadline.

Change: ByteBudget, 32 MiB shared by all exchanges, one may grow to what the others leave free; a stream is broken off when an event is too long; at most 16 interim responses; the connection of an interrupted attempt is reset at once; the deadline for the next event counts from the last event, not from any bytes. The server is judged by it as by any interruption, and the caller gets 502.

Not covered: bytes without end from the store and in reports of engines keep their bound of 16 MiB a call.

--- a/libs/gateway/include/gateway/event_relay.h
+++ b/libs/gateway/include/gateway/event_relay.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +31,12 @@
   /// Whether the attempt's bytes end within an event, or an event exceeded the size limit.
   bool incomplete() const { return reader_.has_partial_event() || reader_.failed(); }
 
+  /// Whether an event exceeded the size limit.
+  bool failed() const { return reader_.failed(); }
+
+  /// Bytes of events that are not complete yet.
+  std::size_t buffered_bytes() const { return reader_.buffered_bytes(); }
+
   /// Whether any event has been forwarded.
   bool any_forwarded() const { return any_forwarded_; }
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -21,6 +21,7 @@
 #include "gateway/request_log.h"
 #include "gateway/request_ordering.h"
 #include "gateway/wire_format.h"
+#include "net/byte_budget.h"
 #include "net/wait.h"
 #include "performance/stream_timing.h"
 #include "retry/retry_reservation.h"
@@ -69,8 +70,8 @@
     ResponseHead caller_head;
     std::string body;
     bool prefilled = false;
-    std::optional<TimePoint> begun;  ///< when its first event arrived
-    bool survived = false;           ///< the engine has lived on since, see PoisonGuard
+    std::optional<TimePoint> begun;           ///< when its first event arrived
+    bool survived = false;                    ///< the engine has lived on since, see PoisonGuard
     std::optional<ResultCode> cancel_reason;  ///< reason, if it was cancelled by this gateway
   };
 
@@ -79,6 +80,7 @@
         state_(state),
         caller_(std::move(caller)),
         relay_(std::nullopt),
+        buffered_(state.response_budget()),
         search_(state, {plan_, inbound_, tried_, record_,
                         [this] { return caller_->caller_gone() || Quarantined(); },
                         [this] { return WaitLimit(); }}) {}
@@ -333,6 +335,7 @@
     record_.release = attempt_.backend->entry.release;
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptOutcome outcome = co_await ReadResponse();
+    if (outcome == AttemptOutcome::kInterrupted) attempt_.connection->Cancel();
     queued_ticket_.reset();
     unanswered_ticket_.reset();
     poison_ticket_.reset();
@@ -402,8 +405,8 @@
       if (attempt_.head.request == inbound_.id) co_return co_await ReadOwnResponse();
       if (!IsStaleAnswer(attempt_.head)) break;
       std::string skipped;
-      fault = co_await attempt_.connection->ReadWholeBody(
-          skipped, state_.limits().max_response_bytes, plan_.answer_by);
+      const auto may_hold = [this](std::size_t bytes) { return MayBuffer(bytes); };
+      fault = co_await attempt_.connection->ReadWholeBody(skipped, may_hold, plan_.answer_by);
       if (fault != ExchangeFault::kNone) co_return OutcomeOf(fault);
     }
     last_code_ = ResultCode::kForeignAnswer;
@@ -427,19 +430,28 @@
     const bool streams = plan_.route->kind == RouteKind::kStream && attempt_.head.event_stream &&
                          IsSuccess(attempt_.head.status);
     if (streams) co_return co_await RelayStream();
-    const ExchangeFault fault = co_await attempt_.connection->ReadWholeBody(
-        attempt_.body, state_.limits().max_response_bytes, plan_.answer_by);
+    const auto may_hold = [this](std::size_t bytes) { return MayBuffer(bytes); };
+    const ExchangeFault fault =
+        co_await attempt_.connection->ReadWholeBody(attempt_.body, may_hold, plan_.answer_by);
     co_return fault == ExchangeFault::kNone ? AttemptOutcome::kAnswered : OutcomeOf(fault);
   }
 
+  /// Whether the exchange may hold so many bytes of a response.
+  bool MayBuffer(std::size_t bytes) {
+    return bytes <= state_.limits().max_response_bytes && buffered_.Resize(bytes);
+  }
+
   net::awaitable<AttemptOutcome> RelayStream() {
     std::string bytes;
+    TimePoint limit = EventDeadline(plan_, retry_input_, relay_.any_forwarded(), Clock::now());
     while (!attempt_.connection->BodyDone()) {
       bytes.clear();
-      const TimePoint limit =
-          EventDeadline(plan_, retry_input_, relay_.any_forwarded(), Clock::now());
       const ExchangeFault fault = co_await attempt_.connection->ReadBody(bytes, limit);
       const std::string events = relay_.Feed(bytes);
+      if (relay_.failed() || !MayBuffer(relay_.buffered_bytes())) {
+        last_code_ = ResultCode::kBackendBroken;
+        co_return AttemptOutcome::kInterrupted;
+      }
       if (!events.empty()) {
         RecordEvents(Clock::now());
         if (attempt_.begun && Clock::now() - *attempt_.begun >= PoisonGuard::kSurvivalTime) {
@@ -448,6 +460,8 @@
         const bool forwarded = co_await Forward(events);
         timing_.RecordDelivery(Clock::now());
         if (!forwarded) co_return AttemptOutcome::kCallerGone;
+        // Bytes that make no event do not count.
+        limit = EventDeadline(plan_, retry_input_, relay_.any_forwarded(), Clock::now());
       }
       if (fault != ExchangeFault::kNone) co_return OutcomeOf(fault);
     }
@@ -664,6 +678,7 @@
   InboundRequest inbound_;
   ExchangePlan plan_;
   EventRelay relay_;
+  ByteBudget::Share buffered_;
   StreamTiming timing_;
   RetryDecisionInput retry_input_;
   std::optional<RetryReservation> retry_;  ///< of an attempt that is not sent yet
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -32,6 +32,7 @@
 #include "groups/group_size.h"
 #include "groups/service_groups.h"
 #include "metrics/metrics.h"
+#include "net/byte_budget.h"
 #include "net/connection_pool.h"
 #include "performance/pending_performance.h"
 #include "performance/performance_meter.h"
@@ -58,6 +59,8 @@
   LimitTolerance backend_limits;
   /// Maximum size of a buffered, non-streamed response.
   std::size_t max_response_bytes = std::size_t{16} << 20;
+  /// Maximum size of all responses that are buffered at the same time, see ByteBudget.
+  std::size_t max_buffered_bytes = std::size_t{32} << 20;
   /// Response time-out of a repeatable call in multiples of its objective, after which it is
   /// retried elsewhere.
   double response_timeout_objectives = 3;
@@ -95,6 +98,7 @@
         pool_(executor, ConnectionPool::Options{}),
         retries_(limits.retries),
         poison_(metrics, limits.poison),
+        response_budget_(limits.max_buffered_bytes),
         queued_attempts_(executor, named_weights_, limits.older_weights) {
     pushback_.SetTolerance(limits.backend_limits);
     named_weights_.SetListener([this] { queued_attempts_.CancelExpired(); });
@@ -175,6 +179,7 @@
   UnansweredAttempts& unanswered_attempts() { return unanswered_attempts_; }
   PoisonGuard& poison() { return poison_; }
   const PoisonGuard& poison() const { return poison_; }
+  ByteBudget& response_budget() { return response_budget_; }
 
   /// Waits a few milliseconds until it is known whether a backend server with an interrupted
   /// attempt has crashed, see BackendProber::ConfirmCrash.
@@ -441,6 +446,7 @@
   PromptSizes prompt_sizes_;
   WeightsHistory named_weights_;
   PoisonGuard poison_;
+  ByteBudget response_budget_;
   CrashHandlers crash_handlers_;
   ContactMonitor contacts_{ContactMonitor::Options()};
   PeerPathOpener open_peer_path_;
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <concepts>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +31,7 @@
  public:
   /// Late duplicate responses to earlier requests are skipped up to this number per exchange.
   static constexpr int kMaxStaleResponses = 2;
+  static constexpr int kMaxInterimResponses = 16;
 
   static std::shared_ptr<OutboundConnection> Create(net::any_io_executor executor);
 
@@ -44,7 +47,8 @@
   /// read the whole request.
   void StartRequest(const RequestMessage& request);
 
-  /// Reads the head of the next response; skips interim (1xx) responses.
+  /// Reads the head of the next response; skips interim (1xx) responses, up to
+  /// kMaxInterimResponses.
   net::awaitable<ExchangeFault> ReadHead(TimePoint deadline);
 
   /// The head that the last `ReadHead` read.
@@ -54,9 +58,19 @@
   /// body; `BodyDone` tells which.
   net::awaitable<ExchangeFault> ReadBody(std::string& out, TimePoint deadline);
 
-  /// Appends the rest of the body to `out`; returns kBroken if `out` exceeds `max_bytes`.
-  net::awaitable<ExchangeFault> ReadWholeBody(std::string& out, std::size_t max_bytes,
-                                              TimePoint deadline);
+  /// Appends the rest of the body to `out`; returns kBroken if `may_hold(out.size())` is false.
+  template <std::predicate<std::size_t> MayHold>
+  net::awaitable<ExchangeFault> ReadWholeBody(std::string& out, MayHold may_hold,
+                                              TimePoint deadline) {
+    while (!BodyDone()) {
+      const ExchangeFault fault = co_await ReadBody(out, deadline);
+      if (fault != ExchangeFault::kNone) co_return fault;
+      if (may_hold(out.size())) continue;
+      broken_ = true;
+      co_return ExchangeFault::kBroken;
+    }
+    co_return ExchangeFault::kNone;
+  }
 
   /// Whether the last `Connect` failed with ECONNREFUSED: nothing listens on the address, so
   /// the server process has ended.
--- a/libs/net/src/http_call.cc
+++ b/libs/net/src/http_call.cc
@@ -27,8 +27,8 @@
   outcome.fault = co_await connection->ReadHead(deadline);
   if (outcome.fault != ExchangeFault::kNone) co_return outcome;
   outcome.response.base() = connection->head();
-  outcome.fault =
-      co_await connection->ReadWholeBody(outcome.response.body(), kMaxResponseBytes, deadline);
+  const auto may_hold = [](std::size_t bytes) { return bytes <= kMaxResponseBytes; };
+  outcome.fault = co_await connection->ReadWholeBody(outcome.response.body(), may_hold, deadline);
   if (outcome.fault != ExchangeFault::kNone) co_return outcome;
   if (may_send) connection->ResetOnClose(false);
   pool.Release(address, std::move(connection));
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -100,7 +100,11 @@
 
 net::awaitable<ExchangeFault> OutboundConnection::ReadHead(TimePoint deadline) {
   auto self = shared_from_this();
-  for (;;) {
+  for (int interim = 0;; ++interim) {
+    if (interim > kMaxInterimResponses) {
+      broken_ = true;
+      co_return ExchangeFault::kBroken;
+    }
     parser_.emplace();
     parser_->header_limit(kMaxResponseHeadBytes);
     parser_->body_limit(boost::none);
@@ -143,20 +147,6 @@
   co_return ExchangeFault::kNone;
 }
 
-net::awaitable<ExchangeFault> OutboundConnection::ReadWholeBody(std::string& out,
-                                                                std::size_t max_bytes,
-                                                                TimePoint deadline) {
-  while (!BodyDone()) {
-    const ExchangeFault fault = co_await ReadBody(out, deadline);
-    if (fault != ExchangeFault::kNone) co_return fault;
-    if (out.size() > max_bytes) {
-      broken_ = true;
-      co_return ExchangeFault::kBroken;
-    }
-  }
-  co_return ExchangeFault::kNone;
-}
-
 void OutboundConnection::ArmDeadline(TimePoint deadline) {
   const std::uint64_t generation = ++deadline_generation_;
   deadline_timer_.expires_at(deadline);
--- a/libs/sse/include/sse/sse.h
+++ b/libs/sse/include/sse/sse.h
@@ -17,7 +17,7 @@
 };
 
 /// Buffers bytes until an event is complete. Fails when an incomplete event exceeds
-/// `kMaxEventBytes`.
+/// `kMaxEventBytes`, and discards further bytes.
 class SseReader {
  public:
   static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
@@ -30,6 +30,9 @@
   /// Whether an event was too long; `Next` then returns no more events.
   bool failed() const { return failed_; }
 
+  /// Number of bytes in the buffer.
+  std::size_t buffered_bytes() const { return buffer_.size(); }
+
   /// Whether the buffer holds bytes that `Next` has not returned.
   bool has_partial_event() const { return position_ < buffer_.size(); }
 
--- a/libs/sse/src/sse.cc
+++ b/libs/sse/src/sse.cc
@@ -35,6 +35,7 @@
 }  // namespace
 
 void SseReader::Append(std::string_view bytes) {
+  if (failed_) return;
   if (position_ > 0) {
     buffer_.erase(0, position_);
     position_ = 0;
