--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -12,6 +12,7 @@
 
 #include "base/ids.h"
 #include "net/beast.h"
+#include "net/response_stream.h"
 #include "net/timer.h"
 
 namespace ridgehold {
@@ -35,8 +36,9 @@
 
   static std::shared_ptr<OutboundConnection> Create(net::any_io_executor executor);
 
-  /// Takes over a connected socket, on which no exchange has begun.
-  static std::shared_ptr<OutboundConnection> Adopt(tcp::socket socket);
+  /// Takes over a connected socket, on which no exchange has begun. `framing` is that of the
+  /// server's bytes.
+  static std::shared_ptr<OutboundConnection> Adopt(tcp::socket socket, StreamFraming framing);
 
   /// Connects. The kernel closes the connection when sent bytes stay unacknowledged for
   /// `tcp_user_timeout` (TCP_USER_TIMEOUT).
@@ -105,7 +107,7 @@
  private:
   using Parser = http::response_parser<http::buffer_body>;
 
-  explicit OutboundConnection(net::any_io_executor executor);
+  OutboundConnection(tcp::socket socket, StreamFraming framing);
 
   void ArmDeadline(TimePoint deadline);
   void OnWritten(const ErrorCode& error, std::size_t bytes);
@@ -113,6 +115,7 @@
   void ParseHeadFields();
 
   tcp::socket socket_;
+  ResponseStream stream_;
   Timer deadline_timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -47,17 +47,18 @@
 }
 
 std::shared_ptr<OutboundConnection> OutboundConnection::Create(net::any_io_executor executor) {
-  return std::shared_ptr<OutboundConnection>(new OutboundConnection(std::move(executor)));
+  return Adopt(tcp::socket(std::move(executor)), StreamFraming::kNone);
 }
 
-std::shared_ptr<OutboundConnection> OutboundConnection::Adopt(tcp::socket socket) {
-  std::shared_ptr<OutboundConnection> connection = Create(socket.get_executor());
-  connection->socket_ = std::move(socket);
-  return connection;
+std::shared_ptr<OutboundConnection> OutboundConnection::Adopt(tcp::socket socket,
+                                                              StreamFraming framing) {
+  return std::shared_ptr<OutboundConnection>(new OutboundConnection(std::move(socket), framing));
 }
 
-OutboundConnection::OutboundConnection(net::any_io_executor executor)
-    : socket_(executor), deadline_timer_(executor) {}
+OutboundConnection::OutboundConnection(tcp::socket socket, StreamFraming framing)
+    : socket_(std::move(socket)),
+      stream_(socket_, framing),
+      deadline_timer_(socket_.get_executor()) {}
 
 net::awaitable<ExchangeFault> OutboundConnection::Connect(
     tcp::endpoint endpoint, TimePoint deadline, std::chrono::milliseconds tcp_user_timeout) {
@@ -110,7 +111,7 @@
     parser_->body_limit(boost::none);
     ErrorCode error;
     ArmDeadline(deadline);
-    co_await http::async_read_header(socket_, buffer_, *parser_,
+    co_await http::async_read_header(stream_, buffer_, *parser_,
                                      net::redirect_error(net::use_awaitable, error));
     ++deadline_generation_;
     if (error || timed_out_ || cancelled_) co_return CurrentFault(error);
@@ -137,7 +138,7 @@
     body.more = true;
     ErrorCode error;
     ArmDeadline(deadline);
-    co_await http::async_read_some(socket_, buffer_, *parser_,
+    co_await http::async_read_some(stream_, buffer_, *parser_,
                                    net::redirect_error(net::use_awaitable, error));
     ++deadline_generation_;
     out.append(chunk.data(), chunk.size() - body.size);
--- a/libs/tunnel/include/tunnel/tunnel_server.h
+++ b/libs/tunnel/include/tunnel/tunnel_server.h
@@ -11,6 +11,7 @@
 #include "base/ids.h"
 #include "metrics/metrics.h"
 #include "net/beast.h"
+#include "net/response_stream.h"
 #include "net/tcp_liveness.h"
 #include "tunnel/tunnel_result.h"
 
@@ -63,7 +64,7 @@
 
   Destination Resolve(const BackendId& backend) const;
   net::awaitable<TunnelResult> Connect(tcp::socket& backend, tcp::endpoint endpoint);
-  void StartSession(tcp::socket peer, tcp::socket backend);
+  void StartSession(tcp::socket peer, tcp::socket backend, StreamFraming framing);
 
   Options options_;
   Resolver resolve_;
--- a/libs/tunnel/src/tunnel_dialer.cc
+++ b/libs/tunnel/src/tunnel_dialer.cc
@@ -24,6 +24,12 @@
   return ParseTunnelResult({field->value().data(), field->value().size()});
 }
 
+StreamFraming FramingOf(const ResponseHead& head) {
+  const auto field = head.find(kTunnelFramingField);
+  const bool records = field != head.end() && field->value() == kRecordFraming;
+  return records ? StreamFraming::kRecords : StreamFraming::kOpaque;
+}
+
 }  // namespace
 
 net::awaitable<TunnelCheckout> OpenTunnel(net::any_io_executor executor, tcp::endpoint peer,
@@ -45,6 +51,7 @@
   Apply(liveness, dialing->socket);
   http::request<http::empty_body> request(http::verb::connect, backend.value(), 11);
   request.set(http::field::host, backend.value());
+  request.set(kTunnelFramingField, kRecordFraming);
   co_await http::async_write(dialing->socket, request,
                              net::redirect_error(net::use_awaitable, error));
   boost::beast::flat_buffer buffer;
@@ -63,7 +70,8 @@
     checkout.result = TunnelResult::kPeerFailed;
   }
   if (checkout.result != TunnelResult::kOpen) co_return checkout;
-  checkout.connection = OutboundConnection::Adopt(std::move(dialing->socket));
+  checkout.connection =
+      OutboundConnection::Adopt(std::move(dialing->socket), FramingOf(parser.get().base()));
   co_return checkout;
 }
 
--- a/libs/tunnel/src/tunnel_server.cc
+++ b/libs/tunnel/src/tunnel_server.cc
@@ -17,9 +17,17 @@
                                                  : TunnelResult::kUnreachable;
 }
 
-ResponseMessage ResponseFor(TunnelResult result) {
+/// An older peer expects the server's bytes as they are.
+StreamFraming FramingFor(const RequestMessage& request) {
+  const auto field = request.find(kTunnelFramingField);
+  const bool records = field != request.end() && field->value() == kRecordFraming;
+  return records ? StreamFraming::kRecords : StreamFraming::kOpaque;
+}
+
+ResponseMessage ResponseFor(TunnelResult result, StreamFraming framing) {
   ResponseMessage response(StatusOf(result), 11);
   response.set(kTunnelResultField, std::string(NameOf(result)));
+  if (framing == StreamFraming::kRecords) response.set(kTunnelFramingField, kRecordFraming);
   response.keep_alive(result == TunnelResult::kOpen);
   if (result != TunnelResult::kOpen) response.prepare_payload();
   return response;
@@ -68,25 +76,28 @@
   }
   metrics_.GetCounter("ridgehold_tunnels_served", "result=\"" + std::string(NameOf(result)) + "\"")
       .Add();
+  const StreamFraming framing = FramingFor(request);
   ErrorCode error;
   const auto from = socket.remote_endpoint(error);
   Log(LogLevel::kDebug, "tunnel requested",
       {{"backend", backend_id.value()},
        {"from", error ? "" : from.address().to_string()},
        {"result", std::string(NameOf(result))},
+       {"records", framing == StreamFraming::kRecords ? "yes" : "no"},
        {"open", std::to_string(sessions_->size())}});
-  ResponseMessage response = ResponseFor(result);
+  ResponseMessage response = ResponseFor(result, framing);
   http::response_serializer<http::string_body> serializer(response);
   co_await http::async_write(socket, serializer, net::redirect_error(net::use_awaitable, error));
-  if (!error && result == TunnelResult::kOpen) StartSession(std::move(socket), std::move(backend));
+  if (error || result != TunnelResult::kOpen) co_return;
+  StartSession(std::move(socket), std::move(backend), framing);
 }
 
-void TunnelServer::StartSession(tcp::socket peer, tcp::socket backend) {
+void TunnelServer::StartSession(tcp::socket peer, tcp::socket backend, StreamFraming framing) {
   Apply(options_.liveness, peer);
   Apply(options_.liveness, backend);
   const std::uint64_t number = ++last_session_;
   const auto session =
-      TunnelSession::Create(std::move(peer), std::move(backend),
+      TunnelSession::Create(std::move(peer), std::move(backend), framing,
                             [sessions = sessions_, number] { sessions->erase(number); });
   sessions_->emplace(number, session);
   session->Start();
--- a/libs/tunnel/src/tunnel_session.cc
+++ b/libs/tunnel/src/tunnel_session.cc
@@ -1,5 +1,6 @@
 #include "tunnel/tunnel_session.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,10 +9,13 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "net/record_header.h"
+
 namespace ridgehold {
 namespace {
 
 constexpr std::size_t kBufferBytes = std::size_t{8} << 10;
+static_assert(kBufferBytes <= kMaxRecordBytes);
 
 void Reset(tcp::socket& socket) {
   ErrorCode ignored;
@@ -22,13 +26,18 @@
 }  // namespace
 
 std::shared_ptr<TunnelSession> TunnelSession::Create(tcp::socket peer, tcp::socket backend,
+                                                     StreamFraming framing,
                                                      std::function<void()> on_end) {
   return std::shared_ptr<TunnelSession>(
-      new TunnelSession(std::move(peer), std::move(backend), std::move(on_end)));
+      new TunnelSession(std::move(peer), std::move(backend), framing, std::move(on_end)));
 }
 
-TunnelSession::TunnelSession(tcp::socket peer, tcp::socket backend, std::function<void()> on_end)
-    : peer_(std::move(peer)), backend_(std::move(backend)), on_end_(std::move(on_end)) {}
+TunnelSession::TunnelSession(tcp::socket peer, tcp::socket backend, StreamFraming framing,
+                             std::function<void()> on_end)
+    : peer_(std::move(peer)),
+      backend_(std::move(backend)),
+      framing_(framing),
+      on_end_(std::move(on_end)) {}
 
 TunnelSession::~TunnelSession() { on_end_(); }
 
@@ -49,29 +58,40 @@
   backend_.close(ignored);
 }
 
-/// A peer closes its side only when it needs no further response.
+/// A peer closes its side only when it needs no further response. Requests need no records, since
+/// each has a length or is chunked.
 net::awaitable<void> TunnelSession::CopyToBackend() {
   auto self = shared_from_this();
-  const bool in_order = co_await Copy(peer_, backend_);
+  const bool in_order = co_await Copy(peer_, backend_, StreamFraming::kNone);
   in_order ? Close() : Abort();
 }
 
 net::awaitable<void> TunnelSession::CopyToPeer() {
   auto self = shared_from_this();
-  const bool in_order = co_await Copy(backend_, peer_);
+  const bool in_order = co_await Copy(backend_, peer_, framing_);
   if (!in_order) co_return Abort();
   ErrorCode ignored;
+  if (framing_ == StreamFraming::kRecords) {
+    const RecordHeader final_record = EncodeRecordHeader(kFinalRecordLength);
+    co_await net::async_write(peer_, net::buffer(final_record),
+                              net::redirect_error(net::use_awaitable, ignored));
+  }
   peer_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-net::awaitable<bool> TunnelSession::Copy(tcp::socket& from, tcp::socket& to) {
-  std::array<char, kBufferBytes> buffer;
+net::awaitable<bool> TunnelSession::Copy(tcp::socket& from, tcp::socket& to,
+                                         StreamFraming framing) {
+  const std::size_t header_bytes =
+      framing == StreamFraming::kRecords ? std::tuple_size_v<RecordHeader> : 0;
+  std::array<unsigned char, std::tuple_size_v<RecordHeader> + kBufferBytes> buffer;
   for (;;) {
     ErrorCode error;
-    const std::size_t bytes = co_await from.async_read_some(
-        net::buffer(buffer), net::redirect_error(net::use_awaitable, error));
+    const std::size_t bytes =
+        co_await from.async_read_some(net::buffer(buffer.data() + header_bytes, kBufferBytes),
+                                      net::redirect_error(net::use_awaitable, error));
     if (error) co_return error == net::error::eof;
-    co_await net::async_write(to, net::buffer(buffer.data(), bytes),
+    if (header_bytes > 0) std::ranges::copy(EncodeRecordHeader(bytes), buffer.begin());
+    co_await net::async_write(to, net::buffer(buffer.data(), header_bytes + bytes),
                               net::redirect_error(net::use_awaitable, error));
     if (error) co_return false;
   }
