--- a/libs/control/include/control/instance_records.h
+++ b/libs/control/include/control/instance_records.h
@@ -4,10 +4,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -26,6 +28,11 @@
 /// Prefix of the records of instances that send retries, followed by the instance's name. The value
 /// identifies the process.
 inline constexpr char kRetryRecordPrefix[] = "ridgehold/retries/";
+/// Prefix of the records of releases, followed by the service; see ReleaseRecord.
+inline constexpr char kReleaseRecordPrefix[] = "ridgehold/releases/";
+/// Prefix of the origins of streams, followed by an id of the process and a number; see
+/// StoredOrigins.
+inline constexpr char kOriginPrefix[] = "ridgehold/origins/";
 
 /// A live instance, according to its key in the store.
 struct Member {
@@ -57,6 +64,10 @@
 /// Local copy of the keys that the instances write. Not thread-safe.
 class InstanceRecords {
  public:
+  /// Called after each change of a key, with nullptr if it was removed.
+  using Listener = std::function<void(const std::string& key, const StoreItem* item)>;
+  void SetListener(Listener listener) { listener_ = std::move(listener); }
+
   void Put(const StoreItem& item);
   void Remove(const std::string& key);
   void Clear();
@@ -97,6 +108,11 @@
   void PutMember(const StoreItem& item);
   void RemoveMember(const std::string& key);
 
+  void Notify(const std::string& key, const StoreItem* item) const {
+    if (listener_) listener_(key, item);
+  }
+
+  Listener listener_;
   std::map<std::string, StoreItem> items_;
   std::map<std::string, Member> members_by_key_;
   /// Cached result of Members(), which is called hundreds of times per second; empty after a
--- a/libs/control/src/instance_records.cc
+++ b/libs/control/src/instance_records.cc
@@ -38,15 +38,17 @@
 void InstanceRecords::Put(const StoreItem& item) {
   items_[item.key] = item;
   if (item.key.starts_with(kMemberPrefix)) PutMember(item);
+  Notify(item.key, &item);
 }
 
 void InstanceRecords::Remove(const std::string& key) {
   items_.erase(key);
   RemoveMember(key);
+  Notify(key, nullptr);
 }
 
 void InstanceRecords::Clear() {
-  items_.clear();
+  for (const auto& [key, item] : std::exchange(items_, {})) Notify(key, nullptr);
   if (members_by_key_.empty()) return;
   members_by_key_.clear();
   members_.reset();
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -24,6 +24,7 @@
 #include "entry/entry_tuning.h"
 #include "entry/peer_discovery.h"
 #include "entry/quota_coordinator.h"
+#include "entry/resumption_coordinator.h"
 #include "entry/state_dump.h"
 #include "entry/store_copy_server.h"
 #include "gateway/backend_prober.h"
@@ -33,7 +34,6 @@
 #include "metrics/metrics.h"
 #include "net/wait.h"
 #include "peers/origin_codec.h"
-#include "peers/origin_link.h"
 #include "peers/peer_link.h"
 #include "peers/store_copy_reader.h"
 #include "tunnel/peer_paths.h"
@@ -80,8 +80,9 @@
     net::co_spawn(executor_, quarantine_.Run(), net::detached);
     quota_.Start(*peers_);
     peers_->SetOriginListener([this](const OriginMessage& message, const std::string& from) {
-      origins_.Handle(message, from);
+      resumption_.Handle(message, from);
     });
+    resumption_.Start();
     net::co_spawn(executor_, peers_->Receive(), net::detached);
     net::co_spawn(executor_, copy_reader_.Run(), net::detached);
     net::co_spawn(executor_, prober_.Run(), net::detached);
@@ -172,7 +173,7 @@
         prober_(state_, tuning.probing),
         rollout_(control_, rollout_lease_, state_, RolloutOptions()),
         server_(state_, std::move(acceptor), MaxConnections(settings_)),
-        origins_(executor, metrics_, OriginLink::Options(), OriginCallbacks()),
+        resumption_(store_, state_, records_, settings_, ResumptionCallbacks()),
         retry_record_(store_, executor, RetryRecordOptions()),
         quarantine_(store_, executor, state_.poison(), records_, {settings_.daemon, MemberKey()}),
         copy_reader_(
@@ -194,17 +195,6 @@
     ErrorCode error;
     const auto egress = net::ip::make_address(tuning_.egress_address, error);
     if (!error) state_.pool().SetEgressAddress(egress);
-    state_.SetOriginHandlers({[this](RequestId attempt, WorkspaceId workspace, ServiceId service) {
-                                return origins_.Find(std::move(attempt), std::move(workspace),
-                                                     std::move(service));
-                              },
-                              [this](const RequestId& attempt, const WorkspaceId& workspace,
-                                     const ServiceId& service, const ReleaseId& release) {
-                                origins_.RecordStart(attempt, workspace, service, release);
-                              }});
-    state_.directory().SetRegistrationListener([this](const BackendEntry& entry) {
-      origins_.Observe(entry.service, {entry.release}, Clock::now());
-    });
     state_.SetRetryHandlers(
         {[this](TimePoint now) { return RetryStandingAt(now); },
          [this](TimePoint deadline) { return retry_record_.Acquire(deadline); }});
@@ -264,23 +254,16 @@
     return options;
   }
 
-  OriginLink::Callbacks OriginCallbacks() {
-    OriginLink::Callbacks callbacks;
+  typename ResumptionCoordinator<Store>::Callbacks ResumptionCallbacks() {
+    typename ResumptionCoordinator<Store>::Callbacks callbacks;
     callbacks.send = [this](const std::string& address, const OriginMessage& message) {
       peers_->SendTo(address, Encode(settings_.daemon, message));
     };
     callbacks.peers = [this] { return PeerAddresses(); };
+    callbacks.connected = [this] { return follower_.connected(); };
     return callbacks;
   }
 
-  void ObserveReleases(TimePoint now) {
-    origins_.Expire(now);
-    if (!state_.snapshot()) return;
-    for (const ServiceRule& service : state_.snapshot()->services()) {
-      origins_.Observe(service.id, state_.directory().ReleasesOf(service.id), now);
-    }
-  }
-
   typename RetryRecord<Store>::Options RetryRecordOptions() const {
     typename RetryRecord<Store>::Options options;
     options.key = kRetryRecordPrefix + settings_.daemon.value();
@@ -544,6 +527,8 @@
     const TimePoint now = Clock::now();
     Metrics& metrics = state_.metrics();
     metrics.SetGauge("ridgehold_in_flight", "", state_.in_flight());
+    metrics.SetGauge("ridgehold_stored_origins", "",
+                     static_cast<double>(resumption_.stored_streams()));
     metrics.SetGauge("ridgehold_unreachable_backends", "",
                      static_cast<double>(state_.directory().UnreachableCount()));
     metrics.SetGauge("ridgehold_retry_sharers", "", state_.retries().Sharers(now));
@@ -580,7 +565,7 @@
       const TimePoint now = Clock::now();
       state_.pool().CloseExpired(now);
       state_.SetReportingGateways(peers_->active_peers());
-      ObserveReleases(now);
+      resumption_.Update(now);
       for (const BackendId& id : state_.directory().Expire(now)) {
         Log(LogLevel::kInfo, "backend removed after its grace period", {{"backend", id.value()}});
       }
@@ -657,6 +642,7 @@
     retry_record_.Stop();
     quarantine_.Stop();
     quota_.Stop();
+    resumption_.Stop();
     done();
   }
 
@@ -683,7 +669,7 @@
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<PeerLink> peers_;
   std::unique_ptr<AdminServer> peer_server_;
-  OriginLink origins_;
+  ResumptionCoordinator<Store> resumption_;
   RetryRecord<Store> retry_record_;
   QuarantineWriter<Store> quarantine_;
   StoreCopyReader<Follower> copy_reader_;
--- a/libs/entry/include/entry/entry_settings.h
+++ b/libs/entry/include/entry/entry_settings.h
@@ -29,6 +29,10 @@
   std::string store_address;
   /// Shortest lease that the store grants.
   std::chrono::milliseconds min_lease_ttl{1'000};
+  /// Conditional and other writing calls that the store takes from all instances together.
+  double store_writes_per_second = 400;
+  /// Whether no process of the fleet has run before.
+  bool first_start = false;
   std::uint32_t max_descriptors = 1'024;
   double cpu_share = 1;  ///< in cores
 
--- /dev/null
+++ b/libs/entry/include/entry/resumption_coordinator.h
@@ -0,0 +1,183 @@
+// What this instance knows of the releases that began streams, and shares with others.
+
+#pragma once
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random_id.h"
+#include "control/instance_records.h"
+#include "entry/entry_settings.h"
+#include "entry/origin_writer.h"
+#include "entry/release_recorder.h"
+#include "gateway/gateway_state.h"
+#include "log/log.h"
+#include "peers/origin_link.h"
+#include "peers/origin_record_codec.h"
+
+namespace ridgehold {
+
+/// Joins the link to the other gateways with what the store keeps for the time after an end of all
+/// processes. Runs on one executor.
+template <StateStore Store>
+class ResumptionCoordinator {
+ public:
+  struct Callbacks {
+    std::function<void(const std::string& address, const OriginMessage& message)> send;
+    /// Returns the addresses of all other live gateways.
+    std::function<std::vector<std::string>()> peers;
+    /// Returns whether the local copy of the store is kept up to date.
+    std::function<bool()> connected;
+  };
+
+  ResumptionCoordinator(Store& store, GatewayState& state, InstanceRecords& records,
+                        const EntrySettings& settings, Callbacks callbacks)
+      : state_(state),
+        records_(records),
+        settings_(settings),
+        callbacks_(std::move(callbacks)),
+        link_(state.executor(), state.metrics(), OriginLink::Options(), LinkCallbacks()),
+        recorder_(store, state.executor(), records, RecorderOptions()),
+        writer_(store, state.executor(), state.metrics(), WriterOptions()) {
+    records_.SetListener(
+        [this](const std::string& key, const StoreItem* item) { OnRecord(key, item); });
+    state_.SetOriginHandlers({[this](RequestId attempt, WorkspaceId workspace, ServiceId service) {
+                                return link_.Find(std::move(attempt), std::move(workspace),
+                                                  std::move(service));
+                              },
+                              [this](const RequestId& attempt, const WorkspaceId& workspace,
+                                     const ServiceId& service, const ReleaseId& release) {
+                                link_.RecordStart(attempt, workspace, service, release);
+                              }});
+    state_.directory().SetRegistrationListener([this](const BackendEntry& entry) {
+      link_.Observe(entry.service, {entry.release}, Clock::now());
+    });
+  }
+
+  void Start() {
+    net::co_spawn(state_.executor(), recorder_.Run(), net::detached);
+    net::co_spawn(state_.executor(), writer_.Run(), net::detached);
+  }
+
+  void Stop() {
+    recorder_.Stop();
+    writer_.Stop();
+  }
+
+  void Handle(const OriginMessage& message, const std::string& from) {
+    link_.Handle(message, from);
+  }
+
+  /// Observes the registered releases and forgets what is no longer needed. Call several times per
+  /// second.
+  void Update(TimePoint now) {
+    link_.Expire(now);
+    if (!state_.snapshot()) return;
+    for (const ServiceRule& service : state_.snapshot()->services()) {
+      link_.Observe(service.id, state_.directory().ReleasesOf(service.id), now);
+    }
+  }
+
+  /// Number of streams whose origin the store names.
+  std::size_t stored_streams() const { return stored_.size(); }
+
+ private:
+  /// A watch confirms the copy of the store about once per second.
+  static constexpr std::chrono::milliseconds kMaxCopyAge{2'000};
+  /// Fraction of the calls per second that the store takes which all gateways may use together.
+  static constexpr double kWriteShare = 0.1;
+  static constexpr std::chrono::milliseconds kMinWriteInterval{250};
+
+  OriginLink::Callbacks LinkCallbacks() {
+    OriginLink::Callbacks callbacks;
+    callbacks.send = callbacks_.send;
+    callbacks.peers = callbacks_.peers;
+    callbacks.stored = [this](StreamHash stream) { return stored_.Find(stream); };
+    callbacks.is_current = [this] { return Clock::now() - state_.confirmed_at() < kMaxCopyAge; };
+    return callbacks;
+  }
+
+  typename ReleaseRecorder<Store>::Options RecorderOptions() {
+    typename ReleaseRecorder<Store>::Options options;
+    options.services = [this] { return ResumableServices(); };
+    options.record_of = [this](const ServiceId& service) {
+      return link_.RecordOf(service, Clock::now());
+    };
+    options.on_missing = [this](const ServiceId& service) {
+      if (settings_.first_start) link_.MarkComplete(service);
+    };
+    options.connected = callbacks_.connected;
+    options.rank = [this] {
+      return records_.MemberRank(MemberKeyOf(settings_.zone, settings_.daemon));
+    };
+    return options;
+  }
+
+  typename OriginWriter<Store>::Options WriterOptions() {
+    typename OriginWriter<Store>::Options options;
+    options.process = RandomId();
+    options.take = [this] { return link_.TakeUnstored(); };
+    options.interval = [this] {
+      const double seconds = static_cast<double>(state_.gateways()) /
+                             (kWriteShare * settings_.store_writes_per_second);
+      return std::max(kMinWriteInterval, std::chrono::milliseconds(
+                                             static_cast<std::int64_t>(seconds * std::milli::den)));
+    };
+    return options;
+  }
+
+  std::vector<ServiceId> ResumableServices() const {
+    std::set<ServiceId> services;
+    if (!state_.snapshot()) return {};
+    for (const RouteRule& route : state_.snapshot()->routes()) {
+      if (route.kind != RouteKind::kStream || !route.MayRepeat()) continue;
+      for (const WeightedTarget& target : route.targets) services.insert(target.service);
+    }
+    return {services.begin(), services.end()};
+  }
+
+  void OnRecord(const std::string& key, const StoreItem* item) {
+    if (key.starts_with(kOriginPrefix)) return OnOrigins(key, item);
+    if (key.starts_with(kReleaseRecordPrefix) && item != nullptr) OnReleases(*item);
+  }
+
+  void OnOrigins(const std::string& key, const StoreItem* item) {
+    std::optional<OriginBatch> batch;
+    if (item != nullptr) batch = DecodeOriginBatch(item->value);
+    if (!batch) return stored_.Remove(key);
+    stored_.Put(key, std::move(*batch));
+  }
+
+  /// A listing also delivers records that have not changed.
+  void OnReleases(const StoreItem& item) {
+    StoreRevision& known = record_revisions_[item.key];
+    if (item.revision <= known) return;
+    known = item.revision;
+    const std::optional<ReleaseRecord> record = DecodeReleaseRecord(item.value);
+    if (!record) {
+      Log(LogLevel::kWarn, "malformed record of releases", {{"key", item.key}});
+      return;
+    }
+    const ServiceId service(item.key.substr(std::string_view(kReleaseRecordPrefix).size()));
+    link_.Restore(service, *record, Clock::now());
+  }
+
+  GatewayState& state_;
+  InstanceRecords& records_;
+  const EntrySettings& settings_;
+  Callbacks callbacks_;
+  StoredOrigins stored_;
+  OriginLink link_;
+  ReleaseRecorder<Store> recorder_;
+  OriginWriter<Store> writer_;
+  std::map<std::string, StoreRevision> record_revisions_;
+};
+
+}  // namespace ridgehold
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -511,6 +511,10 @@
   void FixRelease(TimePoint now) {
     plan_.release = record_.release;
     state_.RecordOrigin(inbound_.id, record_.workspace, plan_.service, record_.release);
+    // The client goes on naming the attempt that brought its first event.
+    if (inbound_.resume_after) {
+      state_.RecordOrigin(inbound_.resumes, record_.workspace, plan_.service, record_.release);
+    }
     if (!HasAnotherOfRelease(state_, *attempt_.backend, now)) load_->MarkUnrepeatable();
   }
 
--- a/libs/peers/include/peers/origin_link.h
+++ b/libs/peers/include/peers/origin_link.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "metrics/metrics.h"
@@ -16,12 +17,13 @@
 #include "resumption/origin_search.h"
 #include "resumption/origin_table.h"
 #include "resumption/release_history.h"
+#include "resumption/stored_origins.h"
 
 namespace ridgehold {
 
 /// A stream's origin is sent to its keepers, as datagrams, before its first event reaches the
-/// client, if backend servers of several releases may resume it. While a service has had one
-/// release for longer than any stream lasts, nothing is sent. Runs on one executor.
+/// client, if backend servers of several releases may resume it. While a service has certainly had
+/// one release for longer than any stream lasts, nothing is sent. Runs on one executor.
 class OriginLink {
  public:
   struct Options {
@@ -36,6 +38,10 @@
     std::function<void(const std::string& address, const OriginMessage& message)> send;
     /// Returns the addresses of all other live gateways.
     std::function<std::vector<std::string>()> peers;
+    /// Returns the release that the store names for a stream.
+    std::function<std::optional<ReleaseId>(StreamHash stream)> stored;
+    /// Returns whether the known registrations are those of the last moments.
+    std::function<bool()> is_current;
   };
 
   OriginLink(net::any_io_executor executor, Metrics& metrics, Options options, Callbacks callbacks)
@@ -47,10 +53,20 @@
   /// Records that backend servers of these releases are registered for the service. Call for each
   /// registration, and for all of them more often than once per Options::stream_lifetime.
   void Observe(const ServiceId& service, const std::set<ReleaseId>& releases, TimePoint now);
+  /// Takes over the record of a service's releases. Call for each change of it.
+  void Restore(const ServiceId& service, const ReleaseRecord& record, TimePoint now);
+  /// Declares that no gateway has served the service before.
+  void MarkComplete(const ServiceId& service) { histories_[service].MarkComplete(); }
+  /// What the record of the service should hold; no release if none is known.
+  ReleaseRecord RecordOf(const ServiceId& service, TimePoint now) const;
+
+  /// Returns the origins that were shared since the last call, to be written to the store.
+  OriginBatch TakeUnstored() { return std::exchange(unstored_, {}); }
+
   /// Forgets streams that can no longer be resumed.
   void Expire(TimePoint now) { table_.Expire(options_.stream_lifetime, now); }
 
-  /// Records that `release` began the stream of this attempt.
+  /// Records that `release` began the stream of this attempt, or goes on with it.
   void RecordStart(const RequestId& attempt, const WorkspaceId& workspace, const ServiceId& service,
                    const ReleaseId& release);
 
@@ -67,10 +83,14 @@
     std::set<std::string> silent;  ///< gateways that have not answered
   };
 
+  /// Streams that began while there was certainly one release can go on at the wrong one once that
+  /// is not certain any more.
+  void ShareIfUncertain(const ServiceId& service, TimePoint now);
   ReleaseHistory::Summary SummaryOf(const ServiceId& service, TimePoint now) const;
   /// Tells the stream's keepers among `peers`.
   void Share(AttemptHash attempt, const StreamOrigin& origin,
              const std::vector<std::string>& peers);
+  std::optional<OriginFinding> FindStored(AttemptHash attempt, StreamScope scope) const;
   net::awaitable<OriginFinding> Ask(OriginQuery query, ReleaseHistory::Summary own);
   void Count(const OriginFinding& finding);
 
@@ -80,6 +100,7 @@
   Callbacks callbacks_;
   OriginTable table_;
   std::map<ServiceId, ReleaseHistory> histories_;
+  OriginBatch unstored_;
   std::map<std::uint64_t, Pending*> pending_;  ///< by the number of the query
   std::uint64_t last_query_ = 0;
 };
--- a/libs/peers/src/origin_codec.cc
+++ b/libs/peers/src/origin_codec.cc
@@ -30,6 +30,8 @@
   body.set_known(answer.release.has_value());
   if (answer.release) body.set_release(answer.release->value());
   body.set_several_releases(answer.several_releases);
+  body.set_single_release(answer.only_release.has_value());
+  if (answer.only_release) body.set_only_release(answer.only_release->value());
 }
 
 OriginNotice DecodeNotice(const wire::GatewayNews& message) {
@@ -51,6 +53,7 @@
   answer.number = body.number();
   if (body.known()) answer.release = ReleaseId(body.release());
   answer.several_releases = body.several_releases();
+  if (body.single_release()) answer.only_release = ReleaseId(body.only_release());
   return answer;
 }
 
--- a/libs/peers/src/origin_link.cc
+++ b/libs/peers/src/origin_link.cc
@@ -12,8 +12,22 @@
 void OriginLink::Observe(const ServiceId& service, const std::set<ReleaseId>& releases,
                          TimePoint now) {
   histories_[service].Observe(releases, now);
-  if (!SummaryOf(service, now).several) return;
-  // Streams that began while there was one release can now go on at the wrong one.
+  ShareIfUncertain(service, now);
+}
+
+void OriginLink::Restore(const ServiceId& service, const ReleaseRecord& record, TimePoint now) {
+  histories_[service].Restore(record, now);
+  ShareIfUncertain(service, now);
+}
+
+ReleaseRecord OriginLink::RecordOf(const ServiceId& service, TimePoint now) const {
+  const auto found = histories_.find(service);
+  if (found == histories_.end()) return {};
+  return found->second.ToRecord(options_.stream_lifetime, now);
+}
+
+void OriginLink::ShareIfUncertain(const ServiceId& service, TimePoint now) {
+  if (SummaryOf(service, now).IsSingle()) return;
   const auto unshared = table_.TakeUnshared(service);
   if (unshared.empty()) return;
   const std::vector<std::string> peers = callbacks_.peers();
@@ -30,14 +44,17 @@
                              const ServiceId& service, const ReleaseId& release) {
   const TimePoint now = Clock::now();
   const AttemptHash hash = AttemptHashOf(attempt);
+  // Attempts without an id are no key to a stream.
+  if (hash == AttemptHash(0)) return;
   const StreamOrigin origin{StreamScopeOf(workspace, service), release};
-  const bool several = SummaryOf(service, now).several;
-  table_.Add(hash, {origin, service, several}, now);
-  if (several) Share(hash, origin, callbacks_.peers());
+  const bool shared = !SummaryOf(service, now).IsSingle();
+  table_.Add(hash, {origin, service, shared}, now);
+  if (shared) Share(hash, origin, callbacks_.peers());
 }
 
 void OriginLink::Share(AttemptHash attempt, const StreamOrigin& origin,
                        const std::vector<std::string>& peers) {
+  unstored_[origin.release].push_back(StreamHashOf(attempt, origin.scope));
   OriginNotice notice;
   notice.streams.emplace_back(attempt, origin);
   const OriginMessage message(std::move(notice));
@@ -52,7 +69,10 @@
   const AttemptHash hash = AttemptHashOf(attempt);
   const StreamScope scope = StreamScopeOf(workspace, service);
   const ReleaseHistory::Summary own = SummaryOf(service, Clock::now());
-  std::optional<OriginFinding> finding = OriginSearch::WithoutAsking(table_.Find(hash, scope), own);
+  std::optional<OriginFinding> finding;
+  const StreamOrigin* known = table_.Find(hash, scope);
+  if (known == nullptr) finding = FindStored(hash, scope);
+  if (!finding) finding = OriginSearch::WithoutAsking(known, own, callbacks_.is_current());
   if (!finding) {
     OriginQuery query;
     query.number = ++last_query_;
@@ -65,6 +85,12 @@
   co_return std::move(*finding);
 }
 
+std::optional<OriginFinding> OriginLink::FindStored(AttemptHash attempt, StreamScope scope) const {
+  std::optional<ReleaseId> release = callbacks_.stored(StreamHashOf(attempt, scope));
+  if (!release) return std::nullopt;
+  return OriginFinding{OriginSource::kStore, std::move(release)};
+}
+
 net::awaitable<OriginFinding> OriginLink::Ask(OriginQuery query, ReleaseHistory::Summary own) {
   const auto asked = RankKeepers(query.attempt, callbacks_.peers(), kAskedForOrigin);
   Timer timer(executor_);
@@ -96,7 +122,12 @@
     answer.number = query->number;
     const StreamOrigin* origin = table_.Find(query->attempt, query->scope);
     if (origin != nullptr) answer.release = origin->release;
-    answer.several_releases = SummaryOf(query->service, now).several;
+    if (origin == nullptr) {
+      answer.release = callbacks_.stored(StreamHashOf(query->attempt, query->scope));
+    }
+    const ReleaseHistory::Summary own = SummaryOf(query->service, now);
+    answer.several_releases = own.several;
+    if (own.IsSingle() && callbacks_.is_current()) answer.only_release = own.single;
     return callbacks_.send(from, OriginMessage(std::move(answer)));
   }
   const auto& answer = std::get<OriginAnswer>(message);
--- a/libs/resumption/include/resumption/origin_finding.h
+++ b/libs/resumption/include/resumption/origin_finding.h
@@ -13,6 +13,7 @@
 /// What the release of a resumed stream is known from.
 enum class OriginSource : std::uint8_t {
   kOwn,            ///< this gateway began the stream or was told of it
+  kStore,          ///< a gateway wrote it to the store
   kPeer,           ///< another gateway answered
   kSingleRelease,  ///< the service has had no other release within a stream's lifetime
   kUnknown,
--- a/libs/resumption/include/resumption/origin_messages.h
+++ b/libs/resumption/include/resumption/origin_messages.h
@@ -32,6 +32,9 @@
   std::uint64_t number = 0;
   std::optional<ReleaseId> release;  ///< that began the stream, if the sender knows it
   bool several_releases = false;     ///< the sender has seen several within a stream's lifetime
+  /// The one release that began all streams which can be resumed. None if there are several, or if
+  /// the sender cannot tell, as it has just started or does not hear from the store.
+  std::optional<ReleaseId> only_release;
 
   bool operator==(const OriginAnswer&) const = default;
 };
--- a/libs/resumption/include/resumption/origin_search.h
+++ b/libs/resumption/include/resumption/origin_search.h
@@ -14,13 +14,15 @@
 /// Collects the answers of the gateways that were asked. Not thread-safe.
 class OriginSearch {
  public:
-  /// `asked`: the number of gateways.
+  /// `own`: what this gateway knows itself. `asked`: the number of gateways.
   OriginSearch(ReleaseHistory::Summary own, std::size_t asked)
       : own_(std::move(own)), asked_(asked) {}
 
-  /// The finding that needs no question, if there is one.
+  /// The finding that needs no question, if there is one. `is_current`: whether `own` includes all
+  /// registrations but those of the last moments.
   static std::optional<OriginFinding> WithoutAsking(const StreamOrigin* known,
-                                                    const ReleaseHistory::Summary& own);
+                                                    const ReleaseHistory::Summary& own,
+                                                    bool is_current);
 
   void Add(const OriginAnswer& answer);
   /// Whether further answers cannot change the finding.
@@ -34,6 +36,7 @@
   std::size_t answers_ = 0;
   std::optional<ReleaseId> release_;
   bool several_ = false;
+  std::optional<ReleaseId> only_release_;  ///< as a gateway has proved
 };
 
 }  // namespace ridgehold
--- a/libs/resumption/include/resumption/release_history.h
+++ b/libs/resumption/include/resumption/release_history.h
@@ -7,28 +7,45 @@
 #include <set>
 
 #include "base/ids.h"
+#include "resumption/release_record.h"
 
 namespace ridgehold {
 
-/// The releases that have been registered for one service, as seen by this gateway. Not
-/// thread-safe; the caller supplies the time.
+/// The releases that have been registered for one service, as seen by this gateway and by those
+/// whose record it has read. Not thread-safe; the caller supplies the time, on a clock that may
+/// stand still while the process is suspended: releases are then remembered for longer.
 class ReleaseHistory {
  public:
   /// What is known of the streams that may still be resumed.
   struct Summary {
     bool several = false;             ///< backend servers of several releases began them
     std::optional<ReleaseId> single;  ///< the only release registered within their lifetime
-    bool complete = false;            ///< observed for all of that time
+    bool complete = false;            ///< known for all of that time
+
+    /// Whether there is proof that one release began all of them.
+    bool IsSingle() const { return complete && single.has_value(); }
   };
 
   /// Records the releases that are registered at `now`.
   void Observe(const std::set<ReleaseId>& releases, TimePoint now);
+  /// Takes over the record. Call for each change of it: a release that it lists may have been
+  /// registered until now, and one that it no longer lists can have begun no stream since long.
+  void Restore(const ReleaseRecord& record, TimePoint now);
+  /// Marks the history as complete: no gateway has run before.
+  void MarkComplete() { known_complete_ = true; }
+  /// What the record should hold, so that processes that start later know as much.
+  ReleaseRecord ToRecord(Duration lifetime, TimePoint now) const;
   /// `lifetime`: how long after its start a stream may be resumed.
   Summary Summarize(Duration lifetime, TimePoint now) const;
 
  private:
   std::optional<TimePoint> first_observed_;
-  std::map<ReleaseId, TimePoint> last_seen_;
+  std::set<ReleaseId> Recent(Duration lifetime, TimePoint now) const;
+
+  std::map<ReleaseId, TimePoint> last_seen_;  ///< registered
+  std::set<ReleaseId> recorded_;
+  TimePoint recorded_at_{};
+  bool known_complete_ = false;
 };
 
 }  // namespace ridgehold
--- a/libs/resumption/src/origin_finding.cc
+++ b/libs/resumption/src/origin_finding.cc
@@ -6,6 +6,8 @@
   switch (source) {
     case OriginSource::kOwn:
       return "own";
+    case OriginSource::kStore:
+      return "store";
     case OriginSource::kPeer:
       return "peer";
     case OriginSource::kSingleRelease:
--- a/libs/resumption/src/release_history.cc
+++ b/libs/resumption/src/release_history.cc
@@ -8,16 +8,31 @@
   for (const ReleaseId& release : releases) last_seen_[release] = now;
 }
 
-ReleaseHistory::Summary ReleaseHistory::Summarize(Duration lifetime, TimePoint now) const {
-  Summary summary;
+void ReleaseHistory::Restore(const ReleaseRecord& record, TimePoint now) {
+  known_complete_ = known_complete_ || record.complete;
+  recorded_ = record.releases;
+  recorded_at_ = now;
+}
+
+std::set<ReleaseId> ReleaseHistory::Recent(Duration lifetime, TimePoint now) const {
+  std::set<ReleaseId> recent;
+  if (now - recorded_at_ <= lifetime) recent = recorded_;
   for (const auto& [release, seen] : last_seen_) {
-    if (now - seen > lifetime) continue;
-    summary.several = summary.single.has_value();
-    if (summary.several) break;
-    summary.single = release;
+    if (now - seen <= lifetime) recent.insert(release);
   }
-  if (summary.several) summary.single.reset();
-  summary.complete = first_observed_ && now - *first_observed_ > lifetime;
+  return recent;
+}
+
+ReleaseRecord ReleaseHistory::ToRecord(Duration lifetime, TimePoint now) const {
+  return {Recent(lifetime, now), Summarize(lifetime, now).complete};
+}
+
+ReleaseHistory::Summary ReleaseHistory::Summarize(Duration lifetime, TimePoint now) const {
+  Summary summary;
+  const std::set<ReleaseId> recent = Recent(lifetime, now);
+  summary.several = recent.size() > 1;
+  if (recent.size() == 1) summary.single = *recent.begin();
+  summary.complete = known_complete_ || (first_observed_ && now - *first_observed_ > lifetime);
   return summary;
 }
 
--- a/libs/resumption/src/stream_origin.cc
+++ b/libs/resumption/src/stream_origin.cc
@@ -14,6 +14,11 @@
   return AttemptHash(std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size())));
 }
 
+StreamHash StreamHashOf(AttemptHash attempt, StreamScope scope) {
+  const std::uint64_t value = attempt.value();
+  return StreamHash(XXH3_64bits_withSeed(&value, sizeof value, scope.value()));
+}
+
 StreamScope StreamScopeOf(const WorkspaceId& workspace, const ServiceId& service) {
   const std::uint64_t seed = XXH3_64bits(workspace.value().data(), workspace.value().size());
   return StreamScope(XXH3_64bits_withSeed(service.value().data(), service.value().size(), seed));
--- a/libs/resumption/test/resumption-test.cc
+++ b/libs/resumption/test/resumption-test.cc
@@ -8,6 +8,7 @@
 #include "resumption/origin_search.h"
 #include "resumption/origin_table.h"
 #include "resumption/release_history.h"
+#include "resumption/stored_origins.h"
 
 using namespace ridgehold;
 using namespace std::chrono_literals;
@@ -86,6 +87,50 @@
   BOOST_TEST((early.single == kV1));
 }
 
+// Guards against a restarted gateway that takes the registered release for the only one, although
+// another one's servers left while no gateway was running.
+BOOST_AUTO_TEST_CASE(recorded_release_counts_although_it_is_no_longer_registered) {
+  ReleaseHistory history;
+  history.Restore({{kV1}, true}, kStart);
+  history.Observe({kV2}, kStart);
+  const auto summary = history.Summarize(kLifetime, kStart);
+  BOOST_TEST(summary.several);
+  BOOST_TEST(!summary.IsSingle());
+  BOOST_TEST((history.ToRecord(kLifetime, kStart) == ReleaseRecord{{kV1, kV2}, true}));
+  history.Observe({kV2}, kStart + kLifetime + 1ms);
+  BOOST_TEST((history.ToRecord(kLifetime, kStart + kLifetime + 1ms) == ReleaseRecord{{kV2}, true}));
+}
+
+// Guards against resumed streams that are all refused after every gateway was restarted.
+BOOST_AUTO_TEST_CASE(complete_record_proves_a_single_release_at_once) {
+  ReleaseHistory history;
+  history.Restore({{kV1}, true}, kStart);
+  history.Observe({kV1}, kStart);
+  BOOST_TEST(history.Summarize(kLifetime, kStart).IsSingle());
+}
+
+BOOST_AUTO_TEST_CASE(incomplete_record_proves_nothing_until_a_lifetime_has_passed) {
+  ReleaseHistory history;
+  history.Restore({{kV1}, false}, kStart);
+  history.Observe({kV1}, kStart);
+  BOOST_TEST(!history.Summarize(kLifetime, kStart).IsSingle());
+  BOOST_TEST(!history.ToRecord(kLifetime, kStart).complete);
+  history.Observe({kV1}, kStart + kLifetime + 1ms);
+  BOOST_TEST(history.Summarize(kLifetime, kStart + kLifetime + 1ms).IsSingle());
+}
+
+// Guards against gateways that write a release back which another one has rightly removed.
+BOOST_AUTO_TEST_CASE(release_that_left_the_record_is_forgotten_unless_it_was_registered_here) {
+  ReleaseHistory history;
+  history.Restore({{kV1, kV2}, true}, kStart);
+  history.Observe({kV2}, kStart);
+  history.Restore({{kV2}, true}, kStart + 1s);
+  BOOST_TEST((history.ToRecord(kLifetime, kStart + 1s) == ReleaseRecord{{kV2}, true}));
+  history.Observe({kV1}, kStart + 2s);
+  history.Restore({{kV2}, true}, kStart + 3s);
+  BOOST_TEST((history.ToRecord(kLifetime, kStart + 3s) == ReleaseRecord{{kV1, kV2}, true}));
+}
+
 // A registration without a version is a release of its own.
 BOOST_AUTO_TEST_CASE(missing_version_differs_from_all_others) {
   ReleaseHistory history;
@@ -99,21 +144,21 @@
 
 BOOST_AUTO_TEST_CASE(known_origin_needs_no_question) {
   const StreamOrigin known{kScope, kV1};
-  const auto finding = OriginSearch::WithoutAsking(&known, {true, std::nullopt, true});
+  const auto finding = OriginSearch::WithoutAsking(&known, {true, std::nullopt, true}, true);
   BOOST_TEST((finding == OriginFinding{OriginSource::kOwn, kV1}));
 }
 
 BOOST_AUTO_TEST_CASE(single_release_of_a_complete_history_needs_no_question) {
-  BOOST_TEST((OriginSearch::WithoutAsking(nullptr, {false, kV1, true}) ==
+  BOOST_TEST((OriginSearch::WithoutAsking(nullptr, {false, kV1, true}, true) ==
               OriginFinding{OriginSource::kSingleRelease, kV1}));
-  BOOST_TEST(!OriginSearch::WithoutAsking(nullptr, {false, kV1, false}));
+  BOOST_TEST(!OriginSearch::WithoutAsking(nullptr, {false, kV1, false}, true));
 }
 
 BOOST_AUTO_TEST_CASE(answer_of_a_keeper_ends_the_search) {
   OriginSearch search({true, std::nullopt, true}, 3);
-  search.Add({1, std::nullopt, true});
+  search.Add({1, std::nullopt, true, std::nullopt});
   BOOST_TEST(!search.done());
-  search.Add({1, kV2, true});
+  search.Add({1, kV2, true, std::nullopt});
   BOOST_TEST(search.done());
   BOOST_TEST((search.Conclude() == OriginFinding{OriginSource::kPeer, kV2}));
 }
@@ -121,15 +166,46 @@
 // Guards against a restarted gateway that sees only the release which has replaced the stream's.
 BOOST_AUTO_TEST_CASE(restarted_gateway_heeds_peers_that_have_seen_another_release) {
   OriginSearch search({false, kV2, false}, 2);
-  search.Add({1, std::nullopt, false});
-  search.Add({1, std::nullopt, true});
+  search.Add({1, std::nullopt, false, std::nullopt});
+  search.Add({1, std::nullopt, true, std::nullopt});
   BOOST_TEST((search.Conclude() == OriginFinding{}));
 }
 
-// Guards against resumed streams that are all refused after every gateway was restarted.
-BOOST_AUTO_TEST_CASE(restarted_gateways_rely_on_the_single_registered_release) {
+// Guards against gateways that have all just started and take each other's ignorance for proof that
+// there was no other release.
+BOOST_AUTO_TEST_CASE(restarted_gateways_do_not_confirm_each_others_ignorance) {
   OriginSearch search({false, kV1, false}, 2);
-  search.Add({1, std::nullopt, false});
+  search.Add({1, std::nullopt, false, std::nullopt});
+  search.Add({1, std::nullopt, false, std::nullopt});
+  BOOST_TEST((search.Conclude() == OriginFinding{}));
+}
+
+// Guards against resumed streams that are refused at a restarted gateway although others know.
+BOOST_AUTO_TEST_CASE(restarted_gateway_relies_on_a_peer_that_can_tell) {
+  OriginSearch search({false, kV1, false}, 2);
+  search.Add({1, std::nullopt, false, std::nullopt});
+  search.Add({1, std::nullopt, false, kV1});
+  BOOST_TEST((search.Conclude() == OriginFinding{OriginSource::kSingleRelease, kV1}));
+}
+
+BOOST_AUTO_TEST_CASE(peer_that_knows_another_single_release_refutes) {
+  OriginSearch search({false, kV1, true}, 2);
+  search.Add({1, std::nullopt, false, kV2});
+  BOOST_TEST((search.Conclude() == OriginFinding{}));
+}
+
+// Guards against a gateway without the store that does not know of a new release.
+BOOST_AUTO_TEST_CASE(gateway_that_is_not_up_to_date_asks) {
+  BOOST_TEST(!OriginSearch::WithoutAsking(nullptr, {false, kV1, true}, false));
+  OriginSearch refuted({false, kV1, true}, 2);
+  refuted.Add({1, std::nullopt, true, std::nullopt});
+  BOOST_TEST((refuted.Conclude() == OriginFinding{}));
+}
+
+// Guards against streams that are all refused while the store is away for every gateway.
+BOOST_AUTO_TEST_CASE(gateways_that_are_not_up_to_date_rely_on_each_other) {
+  OriginSearch search({false, kV1, true}, 2);
+  search.Add({1, std::nullopt, false, std::nullopt});
   BOOST_TEST((search.Conclude() == OriginFinding{OriginSource::kSingleRelease, kV1}));
 }
 
@@ -140,6 +216,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(stored_origins)
+
+BOOST_AUTO_TEST_CASE(stream_is_found_in_any_batch_until_that_is_removed) {
+  StoredOrigins origins;
+  origins.Put("a", {{kV1, {StreamHash(9), StreamHash(3)}}, {kV2, {StreamHash(5)}}});
+  origins.Put("b", {{kV2, {StreamHash(4)}}});
+  BOOST_TEST((origins.Find(StreamHash(3)) == kV1));
+  BOOST_TEST((origins.Find(StreamHash(4)) == kV2));
+  BOOST_TEST(!origins.Find(StreamHash(6)));
+  BOOST_TEST(origins.size() == 4U);
+  origins.Put("a", {{kV1, {StreamHash(9)}}});
+  BOOST_TEST(!origins.Find(StreamHash(3)));
+  origins.Remove("a");
+  BOOST_TEST(!origins.Find(StreamHash(9)));
+}
+
+// Guards against a wrong release of a stream whose hash another stream has, too.
+BOOST_AUTO_TEST_CASE(stream_of_two_releases_is_of_none) {
+  StoredOrigins origins;
+  origins.Put("a", {{kV1, {StreamHash(9)}}});
+  origins.Put("b", {{kV2, {StreamHash(9)}}});
+  BOOST_TEST(!origins.Find(StreamHash(9)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(origin_keepers)
 
 RC_BOOST_PROP(most_keepers_stay_when_gateways_come_and_go, (std::uint64_t attempt)) {
