--- a/libs/control/include/control/state_follower.h
+++ b/libs/control/include/control/state_follower.h
@@ -237,7 +237,7 @@
   void ApplyListing(const std::vector<StoreItem>& items, StoreRevision revision) {
     const TimePoint now = Clock::now();
     const StoreItemApplier::WriteTime written = EarliestWriteTime(now);
-    std::vector<BackendEntry> backends;
+    std::vector<StoreItemApplier::ListedBackend> backends;
     records_.Clear();
     applier_.ClearReleaseOrders();
     std::map<std::string, StoreItem> former = std::exchange(items_, {});
@@ -251,7 +251,10 @@
         continue;
       }
       Decode(item, [&](DecodedItem decoded) {
-        if (auto* entry = std::get_if<BackendEntry>(&decoded)) backends.push_back(*entry);
+        if (auto* entry = std::get_if<BackendEntry>(&decoded)) {
+          backends.push_back({std::move(*entry), item.revision});
+          return;
+        }
         applier_.Apply(item, std::move(decoded), written);
       });
     }
--- a/libs/control/include/control/store_item_applier.h
+++ b/libs/control/include/control/store_item_applier.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "control/decoded_item.h"
@@ -26,6 +27,12 @@
     bool assumed = false;  ///< `at` is the earliest possible time or a default
   };
 
+  /// A registration of a full listing.
+  struct ListedBackend {
+    BackendEntry entry;
+    StoreRevision revision;  ///< of its key
+  };
+
   /// Applies `value`, the decoded content of `item`.
   void Apply(const StoreItem& item, DecodedItem value, const WriteTime& written);
 
@@ -48,9 +55,9 @@
   /// previous value may no longer hold.
   void RejectBackend(const BackendId& id, TimePoint now);
 
-  /// Replaces all backend servers by the registrations of a full listing. Those that are missing
-  /// from it stay in use for `grace`.
-  void ReplaceBackends(const std::vector<BackendEntry>& entries, Duration grace, TimePoint now);
+  /// Replaces all backend servers by the registrations of a full listing, all at once: their order
+  /// there says nothing. Those that are missing from it stay in use for `grace`.
+  void ReplaceBackends(const std::vector<ListedBackend>& listed, Duration grace, TimePoint now);
 
   /// Counts and logs a value that cannot be decoded. Nothing else changes.
   void Reject(const StoreItem& item, const Failure& failure);
@@ -62,6 +69,16 @@
   /// moves the traffic step by step.
   void ApplyRelease(const StoreItem& item, const ReleaseOrder& order);
   void ApplyBackend(const StoreItem& item, const BackendEntry& entry);
+  /// How a backend server is known before a registration of it is applied.
+  struct KnownBackend {
+    bool is_new = true;
+    bool draining = false;
+    bool lapsed = false;
+  };
+  KnownBackend FindKnown(const BackendId& id) const;
+  /// Closes the connections of an earlier process and logs the change.
+  void OnRegistration(const ListedBackend& backend, const KnownBackend& known,
+                      Registration registration);
   void ApplyQuarantine(const StoreItem& item);
   /// Returns whether another malformed value may be logged. A faulty writer could fill the log; the
   /// metrics count every value.
--- a/libs/control/src/store_item_applier.cc
+++ b/libs/control/src/store_item_applier.cc
@@ -75,25 +75,39 @@
 }
 
 void StoreItemApplier::ApplyBackend(const StoreItem& item, const BackendEntry& entry) {
-  const BackendPtr known = state_.directory().Find(entry.id);
-  const bool is_new = known == nullptr;
-  const bool starts_draining = entry.draining && (is_new || !known->entry.draining);
-  const bool returned = !is_new && known->grace_until.has_value();
+  const KnownBackend known = FindKnown(entry.id);
   const Registration registration = state_.directory().Put(entry);
+  OnRegistration({entry, item.revision}, known, registration);
+}
+
+StoreItemApplier::KnownBackend StoreItemApplier::FindKnown(const BackendId& id) const {
+  const BackendPtr known = state_.directory().Find(id);
+  if (!known) return {};
+  return {false, known->entry.draining, known->grace_until.has_value()};
+}
+
+void StoreItemApplier::OnRegistration(const ListedBackend& backend, const KnownBackend& known,
+                                      Registration registration) {
+  const BackendEntry& entry = backend.entry;
+  const bool starts_draining = entry.draining && !known.draining;
   // The pooled connections belong to the previous process.
   if (registration == Registration::kRestarted) state_.pool().CloseIdle(entry.address);
-  if (registration == Registration::kChanged && !starts_draining && !returned) return;
+  if (registration == Registration::kChanged && !starts_draining && !known.lapsed) return;
   const char* event =
-      starts_draining ? "backend draining" : (is_new ? "backend added" : "backend returned");
+      starts_draining ? "backend draining" : (known.is_new ? "backend added" : "backend returned");
   if (registration == Registration::kRestarted) event = "backend restarted";
   if (registration == Registration::kStale) event = "outdated registration ignored";
+  const BackendPtr applied = state_.directory().Find(entry.id);
+  const bool shares_address = applied && applied->shares_address;
   Log(LogLevel::kInfo, event,
       {{"backend", entry.id.value()},
        {"started", std::to_string(entry.started.value())},
        {"service", entry.service.value()},
        {"address", entry.address},
+       {"shares_address", shares_address ? "yes" : "no"},
+       {"superseded", applied && applied->superseded ? "yes" : "no"},
        {"zone", entry.zone.value()},
-       {"store_revision", RevisionText(item)}});
+       {"store_revision", std::to_string(backend.revision.value())}});
 }
 
 void StoreItemApplier::ApplyInstanceKey(const StoreItem& item) {
@@ -134,9 +148,18 @@
        {"used_on_for_ms", MillisecondsText(grace)}});
 }
 
-void StoreItemApplier::ReplaceBackends(const std::vector<BackendEntry>& entries, Duration grace,
+void StoreItemApplier::ReplaceBackends(const std::vector<ListedBackend>& listed, Duration grace,
                                        TimePoint now) {
-  state_.directory().Replace(entries, grace, now);
+  std::vector<BackendEntry> entries;
+  std::vector<KnownBackend> known;
+  for (const ListedBackend& backend : listed) {
+    entries.push_back(backend.entry);
+    known.push_back(FindKnown(backend.entry.id));
+  }
+  const std::vector<Registration> registrations = state_.directory().Replace(entries, grace, now);
+  for (std::size_t i = 0; i < listed.size(); ++i) {
+    OnRegistration(listed[i], known[i], registrations[i]);
+  }
   Log(LogLevel::kInfo, "backends listed",
       {{"count", std::to_string(entries.size())},
        {"missing_used_on_for_ms", MillisecondsText(grace)}});
--- a/libs/control/test/state_follower-test.cc
+++ b/libs/control/test/state_follower-test.cc
@@ -14,7 +14,7 @@
 namespace {
 
 /// Keys are `config`, `weights`, `release` and `backend/ID`. The value `bad` is malformed; a
-/// backend server's value is `draining`, or its release.
+/// backend server's value is `draining`, `@` and its address, or its release.
 struct TestCodec {
   static Result<DecodedItem> Decode(const StoreItem& item) {
     if (item.value == "bad") return Fail(ResultCode::kPlatformMalformed, "bad");
@@ -35,6 +35,7 @@
       entry.service = ServiceId("s");
       entry.release = ReleaseId(item.value);
       entry.draining = item.value == "draining";
+      if (item.value.starts_with('@')) entry.address = item.value.substr(1);
       return DecodedItem(entry);
     }
     return DecodedItem(IgnoredItem{});
@@ -106,6 +107,20 @@
   BOOST_TEST(!Has("b1"));
 }
 
+// Guards against a restarted instance that never uses the live one of two processes which are
+// registered at one address, because its id sorts first.
+BOOST_AUTO_TEST_CASE(listing_tells_nothing_of_the_order_of_two_at_one_address) {
+  const auto usable = [&] { return state.directory().Usable(ServiceId("s"), Clock::now()); };
+  table.Put("backend/ended", "@10.0.0.1:1");
+  table.Put("backend/alive", "@10.0.0.1:1");
+  Start();
+  BOOST_TEST(usable().size() == 2U);
+  table.Remove("backend/ended");
+  io.run_for(50ms);
+  BOOST_REQUIRE(usable().size() == 1U);
+  BOOST_TEST((usable()[0]->entry.id == BackendId("alive")));
+}
+
 BOOST_AUTO_TEST_CASE(changes_in_quick_succession_are_batched_and_none_is_missed) {
   batch_delay = 150ms;
   options.watch_timeout = 5s;
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -21,6 +21,7 @@
 #include "gateway/pushback_state.h"
 #include "performance/engine_performance.h"
 #include "performance/known_performance.h"
+#include "registration/registered_process.h"
 #include "rejection/room_estimate.h"
 
 namespace ridgehold {
@@ -61,9 +62,11 @@
   TimePoint peer_path_checked_at{};
   bool needs_probe = false;  ///< an attempt failed here, or a peer cannot reach it
   TimePoint probed_at{};
-  bool probing = false;     ///< a probe is in flight
-  bool superseded = false;  ///< another incarnation has registered at its address
-  bool active = false;      ///< listed in BackendDirectory::Active()
+  bool probing = false;  ///< a probe is in flight
+  RegisteredProcess process;
+  bool superseded = false;      ///< another incarnation at its address has replaced it
+  bool shares_address = false;  ///< others are registered at its address
+  bool active = false;          ///< listed in BackendDirectory::Active()
   /// Member of its service's interactive group, see UpdateEngineGroup().
   bool in_interactive_group = false;
 
@@ -129,16 +132,20 @@
   /// Smoothing factor of `error_rate`.
   static constexpr double kErrorRateStep = 0.15;
 
-  /// Adds or updates a registration. A new backend server at an address supersedes those registered
-  /// there before, because their own registrations lapse only seconds later and each request sent
-  /// there meanwhile costs a retry (184 in 14 s when a third of the engines crashed three times). A
-  /// later start under a known id replaces the entry, because the new process has none of the old
-  /// one's cache or requests.
+  /// Adds or updates a registration. Of those at one address, only the process that runs there gets
+  /// requests, because the others' registrations lapse only seconds later and each request sent
+  /// there meanwhile costs a retry (184 in 14 s when a third of the engines crashed three times);
+  /// all of them if it is not known which that is. A later start under a known id replaces the
+  /// entry, because the new process has none of the old one's cache or requests.
   Registration Put(const BackendEntry& entry);
 
   /// Sets the services of the configuration. Registrations for other services are kept, in case the
   /// configuration adds them later, but supersede no other backend server and get no requests.
   void SetServices(std::set<ServiceId> services);
+  /// The last update of the registrations.
+  RegistrationNumber last_update() const { return last_update_; }
+  /// Records that the backend server has answered a request that was sent after `update`.
+  void RecordAnswer(Backend& backend, RegistrationNumber update);
   bool IsServed(const ServiceId& service) const {
     return services_.empty() || services_.contains(service);
   }
@@ -162,8 +169,10 @@
   /// in case the registration comes back.
   void Remove(const BackendId& id, Duration grace, TimePoint now);
 
-  /// Replaces all registrations; those not in `entries` are removed with `grace`.
-  void Replace(const std::vector<BackendEntry>& entries, Duration grace, TimePoint now);
+  /// Replaces all registrations; those not in `entries` are removed with `grace`. Returns how each
+  /// of `entries` changed the directory.
+  std::vector<Registration> Replace(const std::vector<BackendEntry>& entries, Duration grace,
+                                    TimePoint now);
 
   /// Drops backend servers whose grace period is over. Returns their ids.
   std::vector<BackendId> Expire(TimePoint now);
@@ -219,19 +228,22 @@
   static void RecordWeights(Backend& backend, const ModelId& model, WeightsNumber weights);
 
  private:
-  /// Bounds `starts_`, which rejects registrations that arrive late, and `saved_notices_`.
+  /// Bounds `starts_` and `registered_`, which tell that a registration arrives late, and
+  /// `saved_notices_`.
   static constexpr std::size_t kMaxRememberedStarts = 20'000;
 
   Registration Classify(const BackendEntry& entry) const;
-  /// Applies a registration that Classify did not find stale, without superseding others.
+  /// Applies a registration, unless it is stale.
+  Registration Apply(const BackendEntry& entry);
   void Store(const BackendEntry& entry, Registration registration);
   void RecordStart(const BackendEntry& entry);
+  void RecordRegistration(const BackendId& id, Registration registration);
   void Drop(const BackendId& id);
   void SaveNotice(const Backend& backend);
   void RestoreNotice(Backend& backend);
   void NotifyTermination(const Backend& backend) const;
-  /// Supersedes the backend servers at the address of `newcomer`, unless it is already known.
-  void Supersede(const BackendEntry& newcomer);
+  /// Determines anew which of the backend servers at the address are superseded.
+  void UpdateAddress(const std::string& address);
   /// Maintains the indexes over `backends_`.
   void AddToIndexes(const BackendPtr& backend);
   void RemoveFromIndexes(const BackendPtr& backend);
@@ -245,6 +257,9 @@
   std::set<BackendId> in_grace_;  ///< some may have returned or have been removed since
   std::unordered_map<BackendHash, BackendPtr> by_hash_;
   std::unordered_map<BackendId, StartStamp> starts_;  ///< latest known start of each id
+  /// When each id was first read. A registration that lapses and comes back is no later one.
+  std::unordered_map<BackendId, RegistrationNumber> registered_;
+  RegistrationNumber last_update_;
   /// Notices of backend servers that are gone. A registration that lapses and comes back is of the
   /// same process, so its notices still hold.
   std::unordered_map<BackendHash, PushbackState> saved_notices_;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -64,6 +64,7 @@
   struct Attempt {
     BackendPtr backend;
     TimePoint sent{};
+    RegistrationNumber last_update;  ///< of the registrations, when it was sent
     std::optional<WeightsNumber> expected_weights;
     std::shared_ptr<OutboundConnection> connection;
     BackendResponseHead head;
@@ -331,6 +332,7 @@
     directives.resume_after = relay_.last_event();
     WatchStart();
     attempt_.sent = now;
+    attempt_.last_update = state_.directory().last_update();
     is_trial_ = false;
     record_.release = attempt_.backend->entry.release;
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
@@ -585,6 +587,9 @@
     const TimePoint now = Clock::now();
     retry_input_.time_left = WaitLimit() - now > state_.limits().min_attempt_time;
     RecordOutcome(state_, inbound_, attempt_.backend, retry_input_, now);
+    const bool answered = outcome == AttemptOutcome::kStreamed ||
+                          (outcome == AttemptOutcome::kAnswered && IsSuccess(attempt_.head.status));
+    if (answered) state_.directory().RecordAnswer(*attempt_.backend, attempt_.last_update);
     UpdatePoisonGuard(outcome, now);
     tried_.insert(attempt_.backend->entry.id);
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(retry_input_);
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -38,10 +38,14 @@
 }
 
 Registration BackendDirectory::Put(const BackendEntry& entry) {
+  last_update_ = RegistrationNumber(last_update_.value() + 1);
+  return Apply(entry);
+}
+
+Registration BackendDirectory::Apply(const BackendEntry& entry) {
   const Registration registration = Classify(entry);
   if (registration == Registration::kStale) return registration;
   if (on_registration_) on_registration_(entry);
-  Supersede(entry);
   Store(entry, registration);
   return registration;
 }
@@ -59,10 +63,12 @@
 void BackendDirectory::Store(const BackendEntry& entry, Registration registration) {
   if (registration == Registration::kRestarted) Drop(entry.id);
   RecordStart(entry);
+  RecordRegistration(entry.id, registration);
   BackendPtr& backend = backends_[entry.id];
   const bool is_new = !backend;
   if (is_new) backend = std::make_shared<Backend>();
   RemoveFromIndexes(backend);
+  const std::string former_address = backend->entry.address;
   backend->grace_until.reset();
   backend->removed = false;
   for (const auto& [model, weights] : entry.weights) AdvanceWeights(*backend, model, weights);
@@ -70,8 +76,12 @@
   const StartStamp started = std::max(entry.started, backend->entry.started);
   backend->entry = entry;
   backend->entry.started = started;
+  backend->process.started = started;
+  backend->process.registered = registered_.at(entry.id);
   AddToIndexes(backend);
   if (is_new) RestoreNotice(*backend);
+  if (former_address != entry.address) UpdateAddress(former_address);
+  UpdateAddress(entry.address);
 }
 
 void BackendDirectory::AddToIndexes(const BackendPtr& backend) {
@@ -116,15 +126,36 @@
   starts_[entry.id] = entry.started;
 }
 
-void BackendDirectory::Supersede(const BackendEntry& newcomer) {
-  if (newcomer.address.empty() || backends_.contains(newcomer.id)) return;
-  if (!IsServed(newcomer.service)) return;
-  const auto [first, last] = by_address_.equal_range(newcomer.address);
-  std::for_each(first, last, [this](const auto& entry) {
-    if (!std::exchange(entry.second->superseded, true)) NotifyTermination(*entry.second);
+void BackendDirectory::RecordRegistration(const BackendId& id, Registration registration) {
+  if (registered_.size() >= kMaxRememberedStarts) {
+    std::erase_if(registered_,
+                  [this](const auto& entry) { return !backends_.contains(entry.first); });
+  }
+  const bool is_known = !registered_.try_emplace(id, last_update_).second;
+  if (is_known && registration == Registration::kRestarted) registered_[id] = last_update_;
+}
+
+void BackendDirectory::UpdateAddress(const std::string& address) {
+  if (address.empty()) return;
+  const auto [first, last] = by_address_.equal_range(address);
+  const bool shared = std::distance(first, last) > 1;
+  std::for_each(first, last, [&](const auto& entry) {
+    Backend& backend = *entry.second;
+    backend.shares_address = shared;
+    const bool superseded = std::any_of(first, last, [&](const auto& other) {
+      return other.second != entry.second && IsServed(other.second->entry.service) &&
+             IsReplacedBy(backend.process, other.second->process);
+    });
+    const bool before = std::exchange(backend.superseded, superseded);
+    if (superseded && !before) NotifyTermination(backend);
   });
 }
 
+void BackendDirectory::RecordAnswer(Backend& backend, RegistrationNumber update) {
+  backend.process.answered = std::max(backend.process.answered, update);
+  if (backend.shares_address && !backend.removed) UpdateAddress(backend.entry.address);
+}
+
 void BackendDirectory::NotifyTermination(const Backend& backend) const {
   const bool announced = backend.entry.draining || backend.notice_state.leaving();
   if (on_termination_ && !announced) on_termination_(backend);
@@ -132,16 +163,21 @@
 
 void BackendDirectory::SetServices(std::set<ServiceId> services) {
   services_ = std::move(services);
+  for (const auto& [id, backend] : backends_) {
+    if (backend->shares_address) UpdateAddress(backend->entry.address);
+  }
 }
 
 void BackendDirectory::Drop(const BackendId& id) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
-  found->second->removed = true;
-  SaveNotice(*found->second);
-  NotifyTermination(*found->second);
-  RemoveFromIndexes(found->second);
+  const BackendPtr backend = found->second;
+  backend->removed = true;
+  SaveNotice(*backend);
+  NotifyTermination(*backend);
+  RemoveFromIndexes(backend);
   backends_.erase(found);
+  UpdateAddress(backend->entry.address);
 }
 
 void BackendDirectory::Remove(const BackendId& id, Duration grace, TimePoint now) {
@@ -153,24 +189,21 @@
   in_grace_.insert(id);
 }
 
-void BackendDirectory::Replace(const std::vector<BackendEntry>& entries, Duration grace,
-                               TimePoint now) {
+std::vector<Registration> BackendDirectory::Replace(const std::vector<BackendEntry>& entries,
+                                                    Duration grace, TimePoint now) {
+  last_update_ = RegistrationNumber(last_update_.value() + 1);
+  std::vector<Registration> registrations;
   std::set<BackendId> listed;
-  // The list does not tell which of two entries at one address is newer, so none supersedes another
-  // listed one.
-  for (const BackendEntry& entry : entries) {
-    if (Classify(entry) != Registration::kStale) Supersede(entry);
-  }
   for (const BackendEntry& entry : entries) {
     listed.insert(entry.id);
-    const Registration registration = Classify(entry);
-    if (registration != Registration::kStale) Store(entry, registration);
+    registrations.push_back(Apply(entry));
   }
   std::vector<BackendId> missing;
   for (const auto& [id, backend] : backends_) {
     if (!listed.contains(id)) missing.push_back(id);
   }
   for (const BackendId& id : missing) Remove(id, grace, now);
+  return registrations;
 }
 
 std::vector<BackendId> BackendDirectory::Expire(TimePoint now) {
--- a/libs/gateway/test/backend_directory-test.cc
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -114,6 +114,54 @@
   return entry;
 }
 
+// Guards against a backend server that gets no requests for good once another id was registered at
+// its address.
+BOOST_AUTO_TEST_CASE(backend_server_that_stands_alone_again_is_usable) {
+  BackendDirectory directory;
+  directory.Put(Started("one", 0));
+  directory.Put(Started("other", 0));
+  directory.Remove(BackendId("other"), Duration::zero(), kStart);
+  const auto usable = directory.Usable(kService, kStart);
+  BOOST_REQUIRE(usable.size() == 1U);
+  BOOST_TEST((usable[0]->entry.id == BackendId("one")));
+}
+
+// Guards against a late registration of an ended process that takes its successor out of use.
+BOOST_AUTO_TEST_CASE(later_start_at_an_address_wins_in_any_order_of_arrival) {
+  for (const bool later_first : {true, false}) {
+    BackendDirectory directory;
+    directory.Put(later_first ? Started("later", 6) : Started("earlier", 5));
+    directory.Put(later_first ? Started("earlier", 5) : Started("later", 6));
+    const auto usable = directory.Usable(kService, kStart);
+    BOOST_REQUIRE(usable.size() == 1U);
+    BOOST_TEST((usable[0]->entry.id == BackendId("later")));
+  }
+}
+
+// Guards against requests to the ended one of two processes that a listing reports at one address.
+BOOST_AUTO_TEST_CASE(later_start_at_an_address_wins_in_a_listing) {
+  for (const char* later : {"a", "z"}) {
+    BackendDirectory directory;
+    directory.Replace({Started(later, 6), Started("m", 5)}, 2s, kStart);
+    const auto usable = directory.Usable(kService, kStart);
+    BOOST_REQUIRE(usable.size() == 1U);
+    BOOST_TEST((usable[0]->entry.id == BackendId(later)));
+  }
+}
+
+// Guards against a backend server that stays out of use because another service, which the
+// configuration no longer names, had a server at its address.
+BOOST_AUTO_TEST_CASE(server_of_a_removed_service_supersedes_nobody) {
+  BackendDirectory directory;
+  directory.Put(Started("b", 0));
+  BackendEntry foreign = Started("x", 0);
+  foreign.service = ServiceId("t");
+  directory.Put(foreign);
+  BOOST_TEST(directory.Usable(kService, kStart).empty());
+  directory.SetServices({kService});
+  BOOST_TEST(directory.Usable(kService, kStart).size() == 1U);
+}
+
 // An engine that crashes may start again under the same id; nothing known of the old process
 // applies to the new one.
 BOOST_AUTO_TEST_CASE(restart_under_a_known_id_resets_the_entry) {
