--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -38,6 +38,7 @@
 constexpr int kShortestFailure = 1'000;  // ms
 constexpr int kLongestFailure = 8'000;   // ms
 constexpr int kLongestBlackout = 3'000;  // ms
+constexpr int kLongestLapse = 3'600;     // ms; three heartbeats of a server
 // What the sheet of the largest fleet allows.
 constexpr std::chrono::seconds kRecoveryTime{18};
 constexpr double kSeriesPart = 0.4;  // of the faults, those followed at once
@@ -72,7 +73,10 @@
       {"failing", FaultKind::kFailing},
       {"releases", FaultKind::kReleases},
       {"blackout", FaultKind::kBlackout},
-      {"poison-part", FaultKind::kPoisonPart}};
+      {"poison-part", FaultKind::kPoisonPart},
+      {"reborn", FaultKind::kReborn},
+      {"unframed", FaultKind::kUnframed},
+      {"herd", FaultKind::kHerd}};
   return names;
 }
 
@@ -85,14 +89,16 @@
   Random failing = Random(newest).Fork();
   Random blackout = Random(failing).Fork();
   Random poison_part = Random(blackout).Fork();
+  Random reborn = Random(poison_part).Fork();
   for (const auto& [name, kind] : Names()) {
-    Random& random = kind >= FaultKind::kPoisonPart ? poison_part
-                     : kind >= FaultKind::kBlackout ? blackout
-                     : kind >= FaultKind::kFailing  ? failing
-                     : kind >= FaultKind::kPath     ? newest
-                     : kind >= FaultKind::kLimit    ? latest
-                     : kind >= FaultKind::kPoison   ? later
-                                                    : random_;
+    Random& random = kind >= FaultKind::kReborn       ? reborn
+                     : kind >= FaultKind::kPoisonPart ? poison_part
+                     : kind >= FaultKind::kBlackout   ? blackout
+                     : kind >= FaultKind::kFailing    ? failing
+                     : kind >= FaultKind::kPath       ? newest
+                     : kind >= FaultKind::kLimit      ? latest
+                     : kind >= FaultKind::kPoison     ? later
+                                                      : random_;
     if (random.Chance(kKindPart)) kinds.insert(kind);
   }
   return kinds;
@@ -160,11 +166,16 @@
     case FaultKind::kPath:
       return CutPaths(random);
     case FaultKind::kBlackout:
+    case FaultKind::kHerd:
       return Blackout(random);
     case FaultKind::kBrittle:
       return MakeBrittle(random);
     case FaultKind::kFailing:
       return FailRequests(random);
+    case FaultKind::kReborn:
+      return Reboot(random);
+    case FaultKind::kUnframed:
+      return ChangeMood({.unframed = true}, random);
     case FaultKind::kReleases:
       return Pick(targets_.engines, random)
           .Replace(random.Chance(0.5) ? "v1" : "v2", random.Milliseconds(300, kLongestLeaving));
@@ -192,6 +203,15 @@
   }
 }
 
+net::awaitable<void> FaultScript::Reboot(Random random) {
+  const double part = random.Between(3, 10) / 10.0;
+  const auto lapse = random.Milliseconds(500, kLongestLapse);
+  const auto executor = co_await net::this_coro::executor;
+  for (const auto& engine : targets_.engines) {
+    if (random.Chance(part)) net::co_spawn(executor, engine->Reboot(lapse), net::detached);
+  }
+}
+
 net::awaitable<void> FaultScript::MakeBrittle(Random random) {
   const int engines = static_cast<int>(targets_.engines.size());
   const int most = random.Between(kLeastRejections, kMostRejections);
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -55,6 +55,9 @@
   kReleases,
   kBlackout,
   kPoisonPart,
+  kReborn,
+  kUnframed,
+  kHerd,
 };
 
 /// A process of an instance, which may have been replaced since.
@@ -118,6 +121,9 @@
   /// be the reason.
   net::awaitable<void> AwaitReadiness(std::vector<StartedProcess> started);
   net::awaitable<void> NameLimit(Random random);
+  /// Some engines end and are back at their addresses under other ids; the old registrations lapse
+  /// later.
+  net::awaitable<void> Reboot(Random random);
   net::awaitable<void> ChangeMood(EngineMood mood, Random random);
 
   /// An instance; often the one that orders weights now.
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -104,7 +104,7 @@
   file << "node=" << place_.name << "\nzone=a\nip=" << place_.address
        << "\nlisten.front=" << listen(kCallerPort) << "\nlisten.ready=" << listen(kReadyPort)
        << "\nlisten.control=" << listen(kControlPort) << "\ninternal_ports=7340,7355"
-       << "\nseeds=" << place_.seeds << "\nplatform.addr=" << place_.store_address
+       << "\nbootstrap=true\nseeds=" << place_.seeds << "\nplatform.addr=" << place_.store_address
        << "\nplatform.ttl_min_ms=" << kLeastLeaseTtl.count() << "\nlimits.max_fds=1000"
        << "\nbounds.revoke_strict=true\nbounds.revoke_ms=" << kRevocationLimit.count()
        << "\nbounds.lease_ms=" << kHolderSeparation.count()
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -177,18 +177,33 @@
   if (breaks && random_.Chance(kNoAnswerPart)) co_return false;
   run.status = random_.Chance(mood_.error_part) ? 500 : 200;
   const std::string body = BodyOf(run.signature);
-  const bool chunked = random_.Chance(kChunkedPart);
-  const std::string framing = chunked ? "Transfer-Encoding: chunked\r\n"
-                                      : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  // The end of a connection cannot tell that such an answer was cut off.
+  const bool unframed = mood_.unframed && !breaks;
+  const bool chunked = random_.Chance(kChunkedPart) && !unframed;
+  std::string framing = chunked ? "Transfer-Encoding: chunked\r\n"
+                                : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  if (unframed) framing = "Connection: close\r\n";
   std::string answer = Head(run, request, framing);
   answer += chunked ? Chunk(body) + "0\r\n\r\n" : body;
   if (breaks)
     answer.resize(
         static_cast<std::size_t>(random_.Between(1, static_cast<int>(answer.size()) - 1)));
+  if (unframed) co_return co_await WriteInParts(socket, std::move(answer));
   const bool written = co_await Write(socket, std::move(answer));
   co_return written && !breaks;
 }
 
+net::awaitable<bool> SoakEngine::WriteInParts(tcp::socket& socket, std::string answer) {
+  constexpr std::size_t kParts = 3;
+  const std::size_t size = answer.size() / kParts + 1;
+  for (std::size_t at = 0; at < answer.size(); at += size) {
+    const bool written = co_await Write(socket, answer.substr(at, size));
+    if (!written) co_return false;
+    co_await Sleep(random_.Milliseconds(2, 80));
+  }
+  co_return false;
+}
+
 net::awaitable<bool> SoakEngine::Events(tcp::socket& socket, const RequestMessage& request,
                                         Run& run) {
   const bool resumed = request.count(field::kResumes) > 0;
@@ -200,10 +215,11 @@
   const int taken_up_after = resumed ? Number(request[field::kLastEventId]) : 0;
   const int break_at = breaks ? random_.Between(taken_up_after, count) : count + 1;
   run.status = 200;
+  const bool unframed = mood_.unframed;
+  const std::string framing = unframed ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n";
   co_await Sleep(random_.Milliseconds(2, 60));
-  bool written = co_await Write(
-      socket,
-      Head(run, request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+  bool written =
+      co_await Write(socket, Head(run, request, "Content-Type: text/event-stream\r\n" + framing));
   for (int i = Number(request[field::kLastEventId]) + 1; i <= count && written; ++i) {
     co_await Sleep(random_.Milliseconds(2, 60));
     while (mood_.silent) co_await Sleep(kLook);
@@ -213,10 +229,11 @@
       run.broke_off = true;
       event.resize(event.size() / 2);
     }
-    written = co_await Write(socket, Chunk(event));
+    if (!unframed) event = Chunk(event);
+    written = co_await Write(socket, event);
     if (ends) co_return false;
   }
-  if (!written) co_return false;
+  if (!written || unframed) co_return false;
   co_return co_await Write(socket, "0\r\n\r\n");
 }
 
@@ -276,6 +293,25 @@
   mood_.need.leaving = false;
 }
 
+net::awaitable<void> SoakEngine::Reboot(std::chrono::milliseconds lapse) {
+  if (ended_ || mood_.need.leaving) co_return;
+  ended_ = true;
+  const Calm::Token token = judges_.calm.Begin(FaultClass::kProcess);
+  proxy_.Close();
+  for (const auto& path : paths_) path->SetEngineUp(false);
+  ++breaks_;
+  const std::string key = platform::key::kBackendPrefix + id_;
+  co_await Sleep(random_.Milliseconds(100, 600));
+  id_ = static_cast<char>(random_.Between('a', 'z')) + name_ + "." + std::to_string(++starts_);
+  orders_ = 0;
+  ended_ = false;
+  proxy_.Open();
+  for (const auto& path : paths_) path->SetEngineUp(true);
+  Register();
+  co_await Sleep(lapse);
+  table_.Remove(key);
+}
+
 net::awaitable<void> SoakEngine::Replace(std::string release, std::chrono::milliseconds notice) {
   next_release_ = std::move(release);
   co_await Leave(notice);
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -27,6 +27,7 @@
   std::chrono::milliseconds queue{0};  ///< how long requests wait before they run
   double break_part = 0;               ///< part of the answers that end early
   double error_part = 0;               ///< part of the answers that are failures
+  bool unframed = false;               ///< answers have neither a length nor chunks
   Need need;
 };
 
@@ -58,6 +59,9 @@
   void SetBrittle(std::optional<int> rejections_per_second, int engines);
   /// Says that it leaves for so long, its registration as it was, and ends.
   net::awaitable<void> Leave(std::chrono::milliseconds length);
+  /// The process ends and another starts at the same address, under an id that sorts anywhere. The
+  /// old registration lapses only after `lapse`.
+  net::awaitable<void> Reboot(std::chrono::milliseconds lapse);
   FaultProxy& proxy() { return proxy_; }
   /// The way follows the engine's process.
   void AddPath(std::shared_ptr<InstancePath> path) { paths_.push_back(std::move(path)); }
@@ -71,6 +75,8 @@
   net::awaitable<bool> Plain(tcp::socket& socket, const RequestMessage& request, Run& run);
   net::awaitable<bool> Events(tcp::socket& socket, const RequestMessage& request, Run& run);
   net::awaitable<bool> Write(tcp::socket& socket, std::string bytes);
+  /// Writes with pauses, and ends the connection.
+  net::awaitable<bool> WriteInParts(tcp::socket& socket, std::string answer);
   net::awaitable<bool> Reply(tcp::socket& socket, http::status status, std::string body,
                              const RequestMessage& request, bool not_run);
   net::awaitable<void> WaitInQueue(std::chrono::milliseconds limit);
