Gateways that are not first in turn wait before they write a record of releases

Cause: the delay was computed in an unsigned type, so a pause after a write, which lies in the future, never held. Change: the rank is signed. Ruled out: a stale local copy (the store's answer is read by the next watch). No test: the calls are counted only in the log.

--- a/libs/entry/include/entry/release_recorder.h
+++ b/libs/entry/include/entry/release_recorder.h
@@ -74,7 +74,7 @@
       }
       const TimePoint now = Clock::now();
       const TimePoint since = differs_since_.try_emplace(service, now).first->second;
-      const std::size_t rank = std::min(options_.rank(), options_.max_rank);
+      const auto rank = static_cast<int>(std::min(options_.rank(), options_.max_rank));
       if (now - since < rank * options_.delay_per_rank) continue;
       const StoreRevision expected = stored == nullptr ? StoreRevision(0) : stored->revision;
       co_await Write(service, std::move(record), expected);
