--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -84,6 +84,7 @@
   record.events_read = stream.events;
   record.release = stream.release;
   record.key = stream.key;
+  record.tries_left = stream.tries_left;
   record.workspace = operator_.key(record.key).workspace;
   record.process = instance_.serial();
   record.message = std::move(stream.message);
@@ -98,13 +99,23 @@
   if (record.kind != RequestKind::kResumable || Poison::Is(record.message.body())) return;
   const bool resumed = record.stream != id;
   resumptions_.Ended(resumed ? record.release : "", view.status == 200);
+  if (resumed && view.status != 200 && !view.gave_up) {
+    resumptions_.PutBack({record.stream,
+                          record.events_read,
+                          record.release,
+                          record.key,
+                          record.message,
+                          record.tries_left,
+                          {}});
+    return;
+  }
   int events = record.events_read;
   for (std::size_t at = 0; (at = view.body.find("\n\n", at)) != std::string::npos; at += 2) {
     ++events;
   }
   const bool broke_off = view.status == 200 && !view.whole && !view.gave_up && events > 0;
   if (!broke_off) return;
-  resumptions_.Put({record.stream, events, record.release, record.key, record.message});
+  resumptions_.Put({record.stream, events, record.release, record.key, record.message, 0, {}});
 }
 
 net::awaitable<bool> Caller::Ask(boost::beast::tcp_stream& stream) {
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -38,7 +38,9 @@
 constexpr int kShortestFailure = 1'000;  // ms
 constexpr int kLongestFailure = 8'000;   // ms
 constexpr int kLongestBlackout = 3'000;  // ms
-constexpr int kLongestLapse = 3'600;     // ms; three heartbeats of a server
+constexpr std::chrono::milliseconds kLongestRelease{4'000};
+constexpr double kCompletedPart = 0.7;  // of the kills of all, those that follow a release
+constexpr int kLongestLapse = 3'600;    // ms; three heartbeats of a server
 // What the sheet of the largest fleet allows.
 constexpr std::chrono::seconds kRecoveryTime{18};
 constexpr double kSeriesPart = 0.4;  // of the faults, those followed at once
@@ -166,8 +168,9 @@
     case FaultKind::kPath:
       return CutPaths(random);
     case FaultKind::kBlackout:
-    case FaultKind::kHerd:
       return Blackout(random);
+    case FaultKind::kHerd:
+      return Herd(random);
     case FaultKind::kBrittle:
       return MakeBrittle(random);
     case FaultKind::kFailing:
@@ -282,6 +285,26 @@
   instance.ending = false;
 }
 
+net::awaitable<void> FaultScript::CompleteRelease(Random random) {
+  const std::string release = random.Chance(0.5) ? "v1" : "v2";
+  const auto executor = co_await net::this_coro::executor;
+  const auto runs_other = [&](const auto& engine) { return engine->release() != release; };
+  for (const auto& engine : targets_.engines) {
+    if (!runs_other(engine)) continue;
+    net::co_spawn(executor, engine->Replace(release, random.Milliseconds(100, 300)), net::detached);
+  }
+  const TimePoint limit = Clock::now() + kLongestRelease;
+  while (std::ranges::any_of(targets_.engines, runs_other) && Clock::now() < limit) {
+    co_await Sleep(kLook);
+  }
+}
+
+net::awaitable<void> FaultScript::Herd(Random random) {
+  const bool completes = Selected(FaultKind::kReleases) && random.Chance(kCompletedPart);
+  if (completes) co_await CompleteRelease(random);
+  co_await Blackout(random);
+}
+
 net::awaitable<void> FaultScript::Blackout(Random random) {
   const Calm::Token token = targets_.calm.Begin(FaultClass::kProcess);
   std::vector<Instance*> off;
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -115,6 +115,10 @@
   /// Most engines fail nearly all requests.
   net::awaitable<void> FailRequests(Random random);
   net::awaitable<void> StoreDown(Random random);
+  /// One release replaces the other at all engines that run it.
+  net::awaitable<void> CompleteRelease(Random random);
+  /// All instances are killed at once, often when a release has just been completed.
+  net::awaitable<void> Herd(Random random);
   /// All instances lose power at once and start again together.
   net::awaitable<void> Blackout(Random random);
   /// Waits until all are ready, or the time for that has passed; then fails unless other faults may
--- a/soak/request_record.h
+++ b/soak/request_record.h
@@ -34,6 +34,7 @@
   TimePoint sent{};
   std::string stream;   ///< the attempt that began the stream; its own id if it is new
   int events_read = 0;  ///< of a resumed stream, by the caller before
+  int tries_left = 0;   ///< of a resumption, see BrokenStream
   std::string release;  ///< that began the stream; empty before its first event
   int refusal = 0;      ///< status that told the caller that it will not run
 };
--- a/soak/resumptions.cc
+++ b/soak/resumptions.cc
@@ -1,22 +1,36 @@
 #include "resumptions.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace ridgehold::soak {
 
-void Resumptions::Enable(std::function<int(const std::string&)> serving, bool judged) {
+void Resumptions::Enable(std::function<int(const std::string&)> serving, bool judged, int tries) {
   serving_ = std::move(serving);
   judged_ = judged;
+  tries_ = tries;
 }
 
 void Resumptions::Put(BrokenStream stream) {
+  stream.tries_left = tries_;
   if (serving_) waiting_.push_back(std::move(stream));
 }
 
+void Resumptions::PutBack(BrokenStream stream) {
+  constexpr std::chrono::milliseconds kPause{1'000};
+  if (stream.tries_left-- <= 0) return;
+  stream.not_before = Clock::now() + kPause;
+  waiting_.push_back(std::move(stream));
+}
+
 std::optional<BrokenStream> Resumptions::Take() {
-  if (waiting_.empty()) return std::nullopt;
-  BrokenStream stream = std::move(waiting_.front());
-  waiting_.pop_front();
+  const TimePoint now = Clock::now();
+  const auto due = std::ranges::find_if(
+      waiting_, [&](const BrokenStream& stream) { return stream.not_before <= now; });
+  if (due == waiting_.end()) return std::nullopt;
+  BrokenStream stream = std::move(*due);
+  waiting_.erase(due);
   return stream;
 }
 
--- a/soak/resumptions.h
+++ b/soak/resumptions.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "base/ids.h"
 #include "net/beast.h"
 #include "verdict.h"
 
@@ -19,6 +20,8 @@
   std::string release;        ///< of the engine that began it
   std::string key;
   RequestMessage message;
+  int tries_left = 0;      ///< after one that is refused or not answered
+  TimePoint not_before{};  ///< of the next try
 };
 
 /// Hands broken streams to callers, and judges how many of them go on.
@@ -28,9 +31,12 @@
 
   /// `serving` returns how many engines of a release take requests. Without it callers take up no
   /// streams.
-  void Enable(std::function<int(const std::string&)> serving, bool judged);
+  /// `tries`: how often callers take a stream up again that was refused or not answered.
+  void Enable(std::function<int(const std::string&)> serving, bool judged, int tries);
 
   void Put(BrokenStream stream);
+  /// Puts a stream back whose resumption was refused or not answered, if it has tries left.
+  void PutBack(BrokenStream stream);
   std::optional<BrokenStream> Take();
   /// Records how a resumable stream ended. `release`: of a resumed one; empty: a new stream.
   void Ended(const std::string& release, bool began);
@@ -48,6 +54,7 @@
   Verdict& verdict_;
   std::function<int(const std::string&)> serving_;
   bool judged_ = false;
+  int tries_ = 0;
   std::deque<BrokenStream> waiting_;
   Count new_;
   Count resumed_;  ///< while two engines of their release serve
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -21,6 +21,7 @@
 constexpr std::size_t kLogLines = 8;  // printed of each instance
 /// Time for what still runs when the faults have ended.
 constexpr std::chrono::milliseconds kSettle{4'500};
+constexpr int kTriesAfterHerd = 6;
 constexpr double kServedCalm = 0.95;  // least part that is served without faults
 
 std::string AddressOf(int instance) {
@@ -97,7 +98,8 @@
                                        FaultKind::kEngineBreaks, FaultKind::kKeys,
                                        FaultKind::kWeights,      FaultKind::kReleases};
   resumptions_.Enable(serving,
-                      !options_.faults.empty() && std::ranges::includes(allowed, options_.faults));
+                      !options_.faults.empty() && std::ranges::includes(allowed, options_.faults),
+                      faults_.Selected(FaultKind::kHerd) ? kTriesAfterHerd : 0);
 }
 
 void SoakRun::AddPaths(Instance& instance, const std::string& egress) {
