Soak: a suspension ends only at the process that began it

Cause: the signal that ends a suspension was sent to whatever process the instance had by then, and reached one that did not handle it yet. Change: it is sent to the same process only, and blocked from the start of a program until that handles it. Ruled out: a fault of the instance (signal 34 is SIGRTMIN, which nothing else sends). The race is not forced by a test.

--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -372,11 +372,14 @@
   const Calm::Token token = targets_.calm.Begin(FaultClass::kHeld);
   ++instance.pauses;
   ++instance.paused;
+  const int serial = instance.process->serial();
   instance.process->Signal(SIGSTOP);
   const TimePoint begun = Clock::now();
   co_await Sleep(random.Milliseconds(200, kLongestSuspension));
   const auto asleep = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begun);
-  instance.process->Queue(SIGRTMIN, static_cast<int>(asleep.count()));
+  // A process that has been started in its place meanwhile did not sleep.
+  const bool is_same = instance.process->serial() == serial;
+  if (is_same) instance.process->Queue(SIGRTMIN, static_cast<int>(asleep.count()));
   if (--instance.paused == 0) instance.process->Signal(SIGCONT);
 }
 
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -58,6 +58,11 @@
   ::dup2(log, STDERR_FILENO);
   ::close_range(STDERR_FILENO + 1, ~0U, 0);
   ::setenv(platform::kSettingsPathVariable, SettingsPath().c_str(), 1);
+  // The signal that ends a suspension would end a program that does not handle it yet.
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  ::sigaddset(&signals, SIGRTMIN);
+  ::sigprocmask(SIG_BLOCK, &signals, nullptr);
   const char* const name = program_.c_str();
   if (place_.egress.empty()) {
     ::execl(name, name, "--log-level", "info", nullptr);
--- a/soak/suspendable_clock.cc
+++ b/soak/suspendable_clock.cc
@@ -25,7 +25,11 @@
   struct sigaction action {};
   action.sa_sigaction = OnWakeUp;
   action.sa_flags = SA_SIGINFO | SA_RESTART;
-  return ::sigaction(SIGRTMIN, &action, nullptr) == 0;
+  const bool installed = ::sigaction(SIGRTMIN, &action, nullptr) == 0;
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  ::sigaddset(&signals, SIGRTMIN);
+  return ::sigprocmask(SIG_UNBLOCK, &signals, nullptr) == 0 && installed;
 }();
 
 }  // namespace
