--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -137,12 +137,12 @@
 
 void BackendDirectory::UpdateAddress(const std::string& address) {
   if (address.empty()) return;
-  const auto [first, last] = by_address_.equal_range(address);
-  const bool shared = std::distance(first, last) > 1;
-  std::for_each(first, last, [&](const auto& entry) {
+  const auto range = by_address_.equal_range(address);
+  const bool shared = std::distance(range.first, range.second) > 1;
+  std::for_each(range.first, range.second, [&](const auto& entry) {
     Backend& backend = *entry.second;
     backend.shares_address = shared;
-    const bool superseded = std::any_of(first, last, [&](const auto& other) {
+    const bool superseded = std::any_of(range.first, range.second, [&](const auto& other) {
       return other.second != entry.second && IsServed(other.second->entry.service) &&
              IsReplacedBy(backend.process, other.second->process);
     });
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -47,7 +47,7 @@
 }
 
 std::shared_ptr<OutboundConnection> OutboundConnection::Create(net::any_io_executor executor) {
-  return Adopt(tcp::socket(std::move(executor)), StreamFraming::kNone);
+  return Adopt(tcp::socket(executor), StreamFraming::kNone);
 }
 
 std::shared_ptr<OutboundConnection> OutboundConnection::Adopt(tcp::socket socket,
