--- a/libs/control/src/store_item_applier.cc
+++ b/libs/control/src/store_item_applier.cc
@@ -10,7 +10,7 @@
 namespace ridgehold {
 namespace {
 
-std::string RevisionText(const StoreItem& item) { return std::to_string(item.revision.value()); }
+std::string RevisionText(StoreRevision revision) { return std::to_string(revision.value()); }
 
 }  // namespace
 
@@ -34,7 +34,7 @@
         Log(LogLevel::kInfo, applied ? "configuration applied" : "configuration ignored: not newer",
             {{"config", version},
              {"routes", std::to_string(routes)},
-             {"store_revision", RevisionText(item)}});
+             {"store_revision", RevisionText(item.revision)}});
         return {};
       },
       [&](const Failure& failure) { Reject(item, failure); });
@@ -57,7 +57,7 @@
   Log(LogLevel::kWarn, "release ordered; requests are withheld from its servers",
       {{"service", order.service.value()},
        {"release", order.target.value()},
-       {"store_revision", RevisionText(item)}});
+       {"store_revision", RevisionText(item.revision)}});
 }
 
 void StoreItemApplier::RemoveOrder(const std::string& key) {
@@ -107,7 +107,7 @@
        {"shares_address", shares_address ? "yes" : "no"},
        {"superseded", applied && applied->superseded ? "yes" : "no"},
        {"zone", entry.zone.value()},
-       {"store_revision", std::to_string(backend.revision.value())}});
+       {"store_revision", RevisionText(backend.revision)}});
 }
 
 void StoreItemApplier::ApplyInstanceKey(const StoreItem& item) {
@@ -177,7 +177,9 @@
   state_.metrics().GetCounter("ridgehold_malformed_facts").Add();
   if (!MayLogRejection(Clock::now())) return;
   Log(LogLevel::kWarn, "malformed value in the store",
-      {{"key", item.key}, {"store_revision", RevisionText(item)}, {"detail", failure.detail}});
+      {{"key", item.key},
+       {"store_revision", RevisionText(item.revision)},
+       {"detail", failure.detail}});
 }
 
 }  // namespace ridgehold
--- a/libs/entry/include/entry/origin_writer.h
+++ b/libs/entry/include/entry/origin_writer.h
@@ -34,7 +34,7 @@
     /// Time for which origins are collected under one key.
     std::chrono::milliseconds key_time{5'000};
     /// How long after its start a stream may be resumed.
-    std::chrono::milliseconds stream_lifetime{30'000};
+    std::chrono::milliseconds stream_lifetime{0};
   };
 
   OriginWriter(Store& store, net::any_io_executor executor, Metrics& metrics, Options options)
--- a/libs/entry/include/entry/resumption_coordinator.h
+++ b/libs/entry/include/entry/resumption_coordinator.h
@@ -123,6 +123,7 @@
   typename OriginWriter<Store>::Options WriterOptions() {
     typename OriginWriter<Store>::Options options;
     options.process = RandomId();
+    options.stream_lifetime = OriginLink::Options().stream_lifetime;
     options.take = [this] { return link_.TakeUnstored(); };
     options.interval = [this] {
       const double seconds = static_cast<double>(state_.gateways()) /
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -228,16 +228,15 @@
   static void RecordWeights(Backend& backend, const ModelId& model, WeightsNumber weights);
 
  private:
-  /// Bounds `starts_` and `registered_`, which tell that a registration arrives late, and
-  /// `saved_notices_`.
-  static constexpr std::size_t kMaxRememberedStarts = 20'000;
+  /// Bounds `known_ids_`, which tells that a registration arrives late, and `saved_notices_`.
+  static constexpr std::size_t kMaxRememberedIds = 20'000;
 
   Registration Classify(const BackendEntry& entry) const;
   /// Applies a registration, unless it is stale.
   Registration Apply(const BackendEntry& entry);
   void Store(const BackendEntry& entry, Registration registration);
-  void RecordStart(const BackendEntry& entry);
-  void RecordRegistration(const BackendId& id, Registration registration);
+  /// Returns when the id was first read.
+  RegistrationNumber Remember(const BackendEntry& entry, Registration registration);
   void Drop(const BackendId& id);
   void SaveNotice(const Backend& backend);
   void RestoreNotice(Backend& backend);
@@ -256,9 +255,13 @@
   std::vector<BackendPtr> active_;
   std::set<BackendId> in_grace_;  ///< some may have returned or have been removed since
   std::unordered_map<BackendHash, BackendPtr> by_hash_;
-  std::unordered_map<BackendId, StartStamp> starts_;  ///< latest known start of each id
-  /// When each id was first read. A registration that lapses and comes back is no later one.
-  std::unordered_map<BackendId, RegistrationNumber> registered_;
+  /// What is remembered of an id, also after its registration has gone.
+  struct KnownId {
+    StartStamp started;  ///< latest known
+    /// When it was first read. A registration that lapses and comes back is no later one.
+    RegistrationNumber registered;
+  };
+  std::unordered_map<BackendId, KnownId> known_ids_;
   RegistrationNumber last_update_;
   /// Notices of backend servers that are gone. A registration that lapses and comes back is of the
   /// same process, so its notices still hold.
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -51,9 +51,10 @@
 }
 
 Registration BackendDirectory::Classify(const BackendEntry& entry) const {
-  const auto start = starts_.find(entry.id);
-  const bool compared = start != starts_.end() && entry.started != StartStamp();
-  if (compared && entry.started < start->second) return Registration::kStale;
+  const auto remembered = known_ids_.find(entry.id);
+  const bool compared = remembered != known_ids_.end() &&
+                        remembered->second.started != StartStamp() && entry.started != StartStamp();
+  if (compared && entry.started < remembered->second.started) return Registration::kStale;
   const auto known = backends_.find(entry.id);
   if (known == backends_.end()) return Registration::kAdded;
   const bool later = compared && entry.started > known->second->entry.started;
@@ -62,8 +63,7 @@
 
 void BackendDirectory::Store(const BackendEntry& entry, Registration registration) {
   if (registration == Registration::kRestarted) Drop(entry.id);
-  RecordStart(entry);
-  RecordRegistration(entry.id, registration);
+  const RegistrationNumber registered = Remember(entry, registration);
   BackendPtr& backend = backends_[entry.id];
   const bool is_new = !backend;
   if (is_new) backend = std::make_shared<Backend>();
@@ -77,7 +77,7 @@
   backend->entry = entry;
   backend->entry.started = started;
   backend->process.started = started;
-  backend->process.registered = registered_.at(entry.id);
+  backend->process.registered = registered;
   AddToIndexes(backend);
   if (is_new) RestoreNotice(*backend);
   if (former_address != entry.address) UpdateAddress(former_address);
@@ -109,7 +109,7 @@
   const bool has_content =
       notice.limit() || notice.leaving() || notice.backoff_until() != TimePoint();
   if (!has_content) return;
-  if (saved_notices_.size() >= kMaxRememberedStarts) saved_notices_.clear();
+  if (saved_notices_.size() >= kMaxRememberedIds) saved_notices_.clear();
   saved_notices_[HashOf(backend)] = notice;
 }
 
@@ -118,21 +118,16 @@
   if (!saved.empty()) backend.notice_state = saved.mapped();
 }
 
-void BackendDirectory::RecordStart(const BackendEntry& entry) {
-  if (entry.started == StartStamp()) return;
-  if (starts_.size() >= kMaxRememberedStarts) {
-    std::erase_if(starts_, [this](const auto& start) { return !backends_.contains(start.first); });
+RegistrationNumber BackendDirectory::Remember(const BackendEntry& entry,
+                                              Registration registration) {
+  if (known_ids_.size() >= kMaxRememberedIds) {
+    std::erase_if(known_ids_,
+                  [this](const auto& known) { return !backends_.contains(known.first); });
   }
-  starts_[entry.id] = entry.started;
-}
-
-void BackendDirectory::RecordRegistration(const BackendId& id, Registration registration) {
-  if (registered_.size() >= kMaxRememberedStarts) {
-    std::erase_if(registered_,
-                  [this](const auto& entry) { return !backends_.contains(entry.first); });
-  }
-  const bool is_known = !registered_.try_emplace(id, last_update_).second;
-  if (is_known && registration == Registration::kRestarted) registered_[id] = last_update_;
+  const auto [known, is_new] = known_ids_.try_emplace(entry.id);
+  if (is_new || registration == Registration::kRestarted) known->second.registered = last_update_;
+  if (entry.started != StartStamp()) known->second.started = entry.started;
+  return known->second.registered;
 }
 
 void BackendDirectory::UpdateAddress(const std::string& address) {
--- a/libs/net/include/net/response_stream.h
+++ b/libs/net/include/net/response_stream.h
@@ -34,6 +34,9 @@
 
   template <class Buffers, class Token>
   auto async_read_some(const Buffers& buffers, Token&& token) {
+    if (framing_ == StreamFraming::kNone) {
+      return socket_.async_read_some(buffers, std::forward<Token>(token));
+    }
     return net::async_compose<Token, void(ErrorCode, std::size_t)>(
         ReadOperation<Buffers>{*this, buffers}, token, socket_);
   }
@@ -49,8 +52,7 @@
     template <class Self>
     void operator()(Self& self, ErrorCode error = {}, std::size_t bytes = 0) {
       if (!std::exchange(started, true)) return Start(self);
-      const bool unmarked_end = error == net::error::eof && stream.framing_ != StreamFraming::kNone;
-      if (unmarked_end) error = net::error::connection_reset;
+      if (error == net::error::eof) error = net::error::connection_reset;
       if (error) return self.complete(error, reads_header ? 0 : bytes);
       if (!std::exchange(reads_header, false)) {
         if (stream.framing_ == StreamFraming::kRecords) stream.unread_ -= bytes;
@@ -66,7 +68,7 @@
     template <class Self>
     void Start(Self& self) {
       tcp::socket& socket = stream.socket_;
-      if (stream.framing_ != StreamFraming::kRecords) {
+      if (stream.framing_ == StreamFraming::kOpaque) {
         return socket.async_read_some(buffers, std::move(self));
       }
       if (stream.unread_ > 0) {
--- a/libs/tunnel/include/tunnel/tunnel_result.h
+++ b/libs/tunnel/include/tunnel/tunnel_result.h
@@ -24,12 +24,6 @@
 /// Header field of the response to CONNECT that holds the name of the result.
 inline constexpr char kTunnelResultField[] = "X-Ridgehold-Tunnel";
 
-/// Header field of CONNECT and of its response. In the request, the peer accepts the framing that
-/// it names; in the response, the server's bytes have that framing.
-inline constexpr char kTunnelFramingField[] = "X-Ridgehold-Tunnel-Framing";
-/// Value of kTunnelFramingField: records, see RecordHeader.
-inline constexpr char kRecordFraming[] = "records";
-
 std::string_view NameOf(TunnelResult result);
 
 /// The HTTP status with which a peer reports the result.
--- a/libs/tunnel/src/tunnel_dialer.cc
+++ b/libs/tunnel/src/tunnel_dialer.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "net/timer.h"
+#include "tunnel/tunnel_framing.h"
 
 namespace ridgehold {
 namespace {
@@ -24,12 +25,6 @@
   return ParseTunnelResult({field->value().data(), field->value().size()});
 }
 
-StreamFraming FramingOf(const ResponseHead& head) {
-  const auto field = head.find(kTunnelFramingField);
-  const bool records = field != head.end() && field->value() == kRecordFraming;
-  return records ? StreamFraming::kRecords : StreamFraming::kOpaque;
-}
-
 }  // namespace
 
 net::awaitable<TunnelCheckout> OpenTunnel(net::any_io_executor executor, tcp::endpoint peer,
@@ -71,7 +66,7 @@
   }
   if (checkout.result != TunnelResult::kOpen) co_return checkout;
   checkout.connection =
-      OutboundConnection::Adopt(std::move(dialing->socket), FramingOf(parser.get().base()));
+      OutboundConnection::Adopt(std::move(dialing->socket), TunnelFramingOf(parser.get()));
   co_return checkout;
 }
 
--- a/libs/tunnel/src/tunnel_server.cc
+++ b/libs/tunnel/src/tunnel_server.cc
@@ -6,6 +6,7 @@
 
 #include "log/log.h"
 #include "net/timer.h"
+#include "tunnel/tunnel_framing.h"
 #include "tunnel/tunnel_session.h"
 
 namespace ridgehold {
@@ -17,13 +18,6 @@
                                                  : TunnelResult::kUnreachable;
 }
 
-/// An older peer expects the server's bytes as they are.
-StreamFraming FramingFor(const RequestMessage& request) {
-  const auto field = request.find(kTunnelFramingField);
-  const bool records = field != request.end() && field->value() == kRecordFraming;
-  return records ? StreamFraming::kRecords : StreamFraming::kOpaque;
-}
-
 ResponseMessage ResponseFor(TunnelResult result, StreamFraming framing) {
   ResponseMessage response(StatusOf(result), 11);
   response.set(kTunnelResultField, std::string(NameOf(result)));
@@ -76,7 +70,7 @@
   }
   metrics_.GetCounter("ridgehold_tunnels_served", "result=\"" + std::string(NameOf(result)) + "\"")
       .Add();
-  const StreamFraming framing = FramingFor(request);
+  const StreamFraming framing = TunnelFramingOf(request);
   ErrorCode error;
   const auto from = socket.remote_endpoint(error);
   Log(LogLevel::kDebug, "tunnel requested",
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -297,17 +297,10 @@
   if (ended_ || mood_.need.leaving) co_return;
   ended_ = true;
   const Calm::Token token = judges_.calm.Begin(FaultClass::kProcess);
-  proxy_.Close();
-  for (const auto& path : paths_) path->SetEngineUp(false);
-  ++breaks_;
+  GoDown();
   const std::string key = platform::key::kBackendPrefix + id_;
   co_await Sleep(random_.Milliseconds(100, 600));
-  id_ = static_cast<char>(random_.Between('a', 'z')) + name_ + "." + std::to_string(++starts_);
-  orders_ = 0;
-  ended_ = false;
-  proxy_.Open();
-  for (const auto& path : paths_) path->SetEngineUp(true);
-  Register();
+  ComeBack(static_cast<char>(random_.Between('a', 'z')) + name_);
   co_await Sleep(lapse);
   table_.Remove(key);
 }
@@ -343,24 +336,32 @@
   co_return co_await Write(socket, std::move(answer));
 }
 
+void SoakEngine::GoDown() {
+  proxy_.Close();
+  for (const auto& path : paths_) path->SetEngineUp(false);
+  ++breaks_;
+}
+
+void SoakEngine::ComeBack(const std::string& prefix) {
+  id_ = prefix + "." + std::to_string(++starts_);
+  orders_ = 0;
+  ended_ = false;
+  proxy_.Open();
+  for (const auto& path : paths_) path->SetEngineUp(true);
+  Register();
+}
+
 net::awaitable<void> SoakEngine::End() {
   if (ended_) co_return;
   ended_ = true;
   const Calm::Token token = judges_.calm.Begin(FaultClass::kProcess);
   co_await Sleep(random_.Milliseconds(0, 120));
-  proxy_.Close();
-  for (const auto& path : paths_) path->SetEngineUp(false);
-  ++breaks_;
+  GoDown();
   const std::string key = platform::key::kBackendPrefix + id_;
   co_await Sleep(random_.Milliseconds(500, 2'500));
   table_.Remove(key);
-  id_ = name_ + "." + std::to_string(++starts_);
   release_ = next_release_;
-  orders_ = 0;
-  ended_ = false;
-  proxy_.Open();
-  for (const auto& path : paths_) path->SetEngineUp(true);
-  Register();
+  ComeBack(name_);
 }
 
 std::string SoakEngine::Report() const {
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -81,6 +81,9 @@
                              const RequestMessage& request, bool not_run);
   net::awaitable<void> WaitInQueue(std::chrono::milliseconds limit);
   http::status TakeOrder(const std::string& body);
+  void GoDown();
+  /// Another process runs, under an id that begins with `prefix`.
+  void ComeBack(const std::string& prefix);
   /// The process ends, and another starts after a while, under another id.
   net::awaitable<void> End();
   net::awaitable<void> Load(int weights, bool break_runs);
