Logs: how a response ends and which registered process an attempt is meant for

Lines of requests and attempts have registered_start, the start of the process that the registration names, and ends_with_connection if the response has neither a length nor chunks. Together with 'backend registered' (started) and 'backend unreachable' they tell an answer that a killed process cut short from one that was joined from two processes at one address. No change of logic.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -335,6 +335,8 @@
     attempt_.last_update = state_.directory().last_update();
     is_trial_ = false;
     record_.release = attempt_.backend->entry.release;
+    record_.registered_start = attempt_.backend->entry.started;
+    record_.ends_with_connection = false;
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptOutcome outcome = co_await ReadResponse();
     if (outcome == AttemptOutcome::kInterrupted) attempt_.connection->Cancel();
@@ -420,6 +422,7 @@
     if (record_.via_peer.empty()) state_.RecordContact();
     ApplyAnswerHead(state_, *attempt_.backend, inbound_, attempt_.head, attempt_.sent);
     attempt_.caller_head = Wire::MakeCallerHead(attempt_.connection->head());
+    record_.ends_with_connection = attempt_.connection->EndsWithConnection();
     if (!IsAcceptable(attempt_.head)) {
       last_code_ = ResultCode::kForeignAnswer;
       attempt_.connection->Cancel();
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -91,7 +91,9 @@
   std::optional<MemoryRecord> memory;    ///< none: not limited
   /// The peer that carried the last attempt, see PeerPath; empty: direct.
   std::string via_peer;
-  ReleaseId release;  ///< of the last attempt's backend server
+  ReleaseId release;            ///< of the last attempt's backend server
+  StartStamp registered_start;  ///< of its process, as registered when it was sent
+  bool ends_with_connection = false;  ///< the last attempt's response has no length and no chunks
   /// The attempt that this one resumes, see InboundRequest; empty: a new stream.
   RequestId resumes;
   std::optional<OriginSource> origin;  ///< of the release of a resumed stream
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -165,6 +165,14 @@
   fields.push_back({"notice_age_ms", MillisecondsText(notice.age)});
 }
 
+/// What tells a response that was cut off from a whole one, and a process from its successor.
+void AppendProcess(const RequestRecord& record, LogFields& fields) {
+  if (record.registered_start != StartStamp()) {
+    fields.push_back({"registered_start", std::to_string(record.registered_start.value())});
+  }
+  if (record.ends_with_connection) fields.push_back({"ends_with_connection", "yes"});
+}
+
 }  // namespace
 
 std::optional<NoticeRecord> NoticeRecordOf(const Backend& backend, TimePoint now) {
@@ -256,6 +264,7 @@
   }
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
+  AppendProcess(record, fields);
   AppendNotice(record, fields);
   if (record.retry_budget_exhausted) fields.push_back({"retry_budget", "spent"});
   if (record.retry_delay > Duration::zero()) {
@@ -292,6 +301,7 @@
                       {"next", std::string(NameOf(step))}};
   if (!record.part_ids.empty()) fields.push_back({"parts", ListOf(record.part_ids)});
   if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
+  AppendProcess(record, fields);
   AppendNotice(record, fields);
   Log(LogLevel::kWarn, "attempt", fields);
 }
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -80,6 +80,10 @@
 
   bool BodyDone() const { return parser_ && parser_->is_done(); }
 
+  /// Whether the response has neither a length nor chunks, so that only the end of the connection
+  /// ends it.
+  bool EndsWithConnection() const { return parser_ && parser_->need_eof(); }
+
   /// Closes the connection. Its deadline timer would otherwise keep it open until it expires.
   void Close();
 
