--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -18,6 +18,7 @@
 #include "gateway/event_relay.h"
 #include "gateway/exchange_plan.h"
 #include "gateway/gateway_state.h"
+#include "gateway/process_query.h"
 #include "gateway/request_log.h"
 #include "gateway/request_ordering.h"
 #include "gateway/wire_format.h"
@@ -337,6 +338,7 @@
     record_.release = attempt_.backend->entry.release;
     record_.registered_start = attempt_.backend->entry.started;
     record_.ends_with_connection = false;
+    record_.end_verdict.reset();
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
     AttemptOutcome outcome = co_await ReadResponse();
     if (outcome == AttemptOutcome::kInterrupted) attempt_.connection->Cancel();
@@ -438,7 +440,22 @@
     const auto may_hold = [this](std::size_t bytes) { return MayBuffer(bytes); };
     const ExchangeFault fault =
         co_await attempt_.connection->ReadWholeBody(attempt_.body, may_hold, plan_.answer_by);
-    co_return fault == ExchangeFault::kNone ? AttemptOutcome::kAnswered : OutcomeOf(fault);
+    if (fault != ExchangeFault::kNone) co_return OutcomeOf(fault);
+    const bool complete = co_await ConfirmEnd();
+    co_return complete ? AttemptOutcome::kAnswered : OutcomeOf(ExchangeFault::kBroken);
+  }
+
+  /// Whether the server's process has ended the response, and not its kernel when it was killed.
+  /// Only the end of a response that ends with its connection waits for this.
+  net::awaitable<bool> ConfirmEnd() {
+    if (!record_.ends_with_connection) co_return true;
+    // Longer than a sound server may be silent.
+    constexpr std::chrono::milliseconds kTimeout{2'000};
+    const TimePoint limit = Clock::now() + kTimeout;
+    const TimePoint deadline = response_started_ ? limit : std::min(limit, plan_.answer_by);
+    record_.end_verdict =
+        co_await QueryEnd<Wire>(state_, attempt_.backend, record_.registered_start, deadline);
+    co_return record_.end_verdict == EndVerdict::kComplete;
   }
 
   /// Whether the exchange may hold so many bytes of a response.
@@ -470,7 +487,11 @@
       }
       if (fault != ExchangeFault::kNone) co_return OutcomeOf(fault);
     }
-    if (relay_.incomplete()) co_return AttemptOutcome::kInterrupted;
+    const bool nothing_came =
+        record_.ends_with_connection && !relay_.last_event() && !relay_.any_forwarded();
+    if (relay_.incomplete() || nothing_came) co_return OutcomeOf(ExchangeFault::kBroken);
+    const bool complete = co_await ConfirmEnd();
+    if (!complete) co_return OutcomeOf(ExchangeFault::kBroken);
     const bool started = co_await BeginResponse();
     if (!started) co_return AttemptOutcome::kCallerGone;
     co_await caller_->EndStream();
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -15,6 +15,7 @@
 #include "gateway/inbound_request.h"
 #include "gateway/request_fingerprint.h"
 #include "groups/request_group.h"
+#include "incarnation/answer_end.h"
 #include "performance/stream_timing.h"
 #include "priority/urgency.h"
 #include "quota/quota_client.h"
@@ -91,9 +92,10 @@
   std::optional<MemoryRecord> memory;    ///< none: not limited
   /// The peer that carried the last attempt, see PeerPath; empty: direct.
   std::string via_peer;
-  ReleaseId release;            ///< of the last attempt's backend server
-  StartStamp registered_start;  ///< of its process, as registered when it was sent
+  ReleaseId release;                  ///< of the last attempt's backend server
+  StartStamp registered_start;        ///< of its process, as registered when it was sent
   bool ends_with_connection = false;  ///< the last attempt's response has no length and no chunks
+  std::optional<EndVerdict> end_verdict;  ///< on that response
   /// The attempt that this one resumes, see InboundRequest; empty: a new stream.
   RequestId resumes;
   std::optional<OriginSource> origin;  ///< of the release of a resumed stream
--- a/libs/gateway/include/gateway/wire_format.h
+++ b/libs/gateway/include/gateway/wire_format.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <concepts>
+#include <string>
 
 #include "base/result.h"
 #include "gateway/attempt_messages.h"
 #include "gateway/inbound_request.h"
+#include "incarnation/process_statement.h"
 #include "net/beast.h"
 
 namespace ridgehold {
@@ -19,7 +21,8 @@
 template <class Wire>
 concept WireFormat = requires(const RequestHead& request_head, const RequestMessage& request,
                               const ResponseHead& answer_head, const AttemptDirectives& directives,
-                              TimePoint now) {
+                              const BackendId& backend, const std::string& address,
+                              const ResponseMessage& status, TimePoint now) {
   /// Fails with kMalformedRequest.
   { Wire::ReadRequest(request_head, now) } -> std::same_as<Result<InboundRequest>>;
   /// The caller's request as it is sent to a backend server.
@@ -27,6 +30,9 @@
   { Wire::ReadAnswerHead(answer_head) } -> std::same_as<BackendResponseHead>;
   /// The header fields of a backend server's answer that are forwarded to the caller.
   { Wire::MakeCallerHead(answer_head) } -> std::same_as<ResponseHead>;
+  /// Asks the process at `address` who it is. It runs nothing.
+  { Wire::MakeStatusQuery(backend, address) } -> std::same_as<RequestMessage>;
+  { Wire::ReadStatement(status) } -> std::same_as<ProcessStatement>;
 };
 
 }  // namespace ridgehold
--- a/libs/net/include/net/connection_pool.h
+++ b/libs/net/include/net/connection_pool.h
@@ -18,7 +18,8 @@
 struct Checkout {
   std::shared_ptr<OutboundConnection> connection;  ///< null when `fault` is not kNone
   ExchangeFault fault = ExchangeFault::kNone;
-  bool fresh = false;  ///< newly opened, not reused
+  bool fresh = false;    ///< newly opened, not reused
+  bool refused = false;  ///< see OutboundConnection::connection_refused()
 };
 
 /// Hands out idle connections, the most recently used first, and opens new ones. Not
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -37,6 +37,7 @@
   const TimePoint connect_deadline = std::min(deadline, now + options_.connect_timeout);
   checkout.fault =
       co_await connection->Connect(endpoint, connect_deadline, options_.tcp_user_timeout);
+  checkout.refused = connection->connection_refused();
   if (checkout.fault == ExchangeFault::kNone) checkout.connection = std::move(connection);
   co_return checkout;
 }
