--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -19,6 +19,7 @@
 #include "gateway/gateway_gossip.h"
 #include "gateway/inbound_request.h"
 #include "gateway/pushback_state.h"
+#include "incarnation/process_statement.h"
 #include "performance/engine_performance.h"
 #include "performance/known_performance.h"
 #include "registration/registered_process.h"
@@ -64,6 +65,8 @@
   TimePoint probed_at{};
   bool probing = false;  ///< a probe is in flight
   RegisteredProcess process;
+  /// Start of the process that last told it on a connection to the address; 0: none has.
+  StartStamp answering_start;
   bool superseded = false;      ///< another incarnation at its address has replaced it
   bool shares_address = false;  ///< others are registered at its address
   bool active = false;          ///< listed in BackendDirectory::Active()
@@ -115,6 +118,13 @@
 /// Whether the backend server may get new requests, by its registration and its own notices.
 bool IsUsable(const Backend& backend, TimePoint now);
 
+/// Whether the process at its address may be the registered one. Another one, whose registration
+/// has not been read yet, may be of another release and has none of its memory.
+inline bool RunsAsRegistered(const Backend& backend) {
+  const ProcessStatement last{true, backend.answering_start};
+  return Match(backend.entry.started, last) != ProcessMatch::kOther;
+}
+
 /// How a registration changed the directory.
 enum class Registration : std::uint8_t {
   kAdded,
@@ -129,6 +139,8 @@
   /// Backoff after the first failure; doubled after each consecutive one.
   static constexpr std::chrono::milliseconds kInitialBackoff{250};
   static constexpr std::chrono::milliseconds kMaxBackoff{2'000};
+  /// How long after its start a process's registration usually takes to be read.
+  static constexpr std::chrono::milliseconds kRegistrationDelay{1'000};
   /// Smoothing factor of `error_rate`.
   static constexpr double kErrorRateStep = 0.15;
 
@@ -215,6 +227,10 @@
   /// Records that a request's first event came after `waited`.
   static void RecordFirstEvent(Backend& backend, Duration waited, TimePoint now);
 
+  /// Records which process answers at the backend server's address. If it is not the registered
+  /// one, others are preferred until its registration can have come.
+  static void RecordProcess(Backend& backend, StartStamp started, TimePoint now);
+
   /// Records that a probe reached the backend server.
   static void RecordReachable(Backend& backend);
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -308,6 +308,9 @@
 
   net::awaitable<AttemptOutcome> RunAttempt(const BackendChoice& choice) {
     BackendConnection acquired = co_await AcquireConnection(state_, attempt_.backend, WaitLimit());
+    if (IsResumable()) {
+      co_await IdentifyServer<Wire>(state_, attempt_.backend, acquired, WaitLimit());
+    }
     Checkout& checkout = acquired.checkout;
     record_.via_peer = acquired.via_peer;
     if (checkout.fault != ExchangeFault::kNone) co_return OutcomeOf(checkout.fault);
@@ -320,7 +323,9 @@
                             record_.permit.verdict != PermitVerdict::kNotNeeded;
     const bool may_send =
         !Quarantined() && has_permit && MayStillSend(state_, plan_, inbound_, choice, now);
-    const bool sendable = !caller_gone && !too_late && may_send;
+    const ReleaseId release = ReleaseOnConnection(*attempt_.backend, *checkout.connection);
+    const bool may_go_on = !plan_.release || release == *plan_.release;
+    const bool sendable = !caller_gone && !too_late && may_send && may_go_on;
     if (!sendable || !ConsumeRetry(now)) {
       ReleaseConnection(state_, *attempt_.backend, record_.via_peer,
                         std::move(checkout.connection));
@@ -335,7 +340,8 @@
     attempt_.sent = now;
     attempt_.last_update = state_.directory().last_update();
     is_trial_ = false;
-    record_.release = attempt_.backend->entry.release;
+    record_.release = release;
+    record_.server_start = attempt_.connection->server_start().value_or(StartStamp());
     record_.registered_start = attempt_.backend->entry.started;
     record_.ends_with_connection = false;
     record_.end_verdict.reset();
@@ -453,8 +459,9 @@
     constexpr std::chrono::milliseconds kTimeout{2'000};
     const TimePoint limit = Clock::now() + kTimeout;
     const TimePoint deadline = response_started_ ? limit : std::min(limit, plan_.answer_by);
-    record_.end_verdict =
-        co_await QueryEnd<Wire>(state_, attempt_.backend, record_.registered_start, deadline);
+    const bool told = record_.server_start != StartStamp();
+    const StartStamp writer = told ? record_.server_start : record_.registered_start;
+    record_.end_verdict = co_await QueryEnd<Wire>(state_, attempt_.backend, writer, deadline);
     co_return record_.end_verdict == EndVerdict::kComplete;
   }
 
@@ -541,7 +548,9 @@
     if (inbound_.resume_after) {
       state_.RecordOrigin(inbound_.resumes, record_.workspace, plan_.service, record_.release);
     }
-    if (!HasAnotherOfRelease(state_, *attempt_.backend, now)) load_->MarkUnrepeatable();
+    const bool registered = record_.release == attempt_.backend->entry.release;
+    const bool resumable = registered && HasAnotherOfRelease(state_, *attempt_.backend, now);
+    if (!resumable) load_->MarkUnrepeatable();
   }
 
   /// Records that the engine has completed prefill, as shown by its first event.
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -149,6 +149,10 @@
 /// Whether the backend server's release is the one that began the request's stream, if any did.
 bool MayResumeAt(const ExchangePlan& plan, const Backend& backend);
 
+/// The release of the process at the other end of the connection: that of the registration, unless
+/// the process has told that it is another one.
+ReleaseId ReleaseOnConnection(const Backend& backend, const OutboundConnection& connection);
+
 /// Number of gateways for each backend server of the service, as requests of all gateways reach
 /// each of them.
 double GatewaysPerBackend(const GatewayState& state, const ServiceId& service);
--- a/libs/gateway/include/gateway/process_query.h
+++ b/libs/gateway/include/gateway/process_query.h
@@ -47,6 +47,39 @@
   co_return result;
 }
 
+/// Makes sure that the server has been asked on `acquired` for the start of its process; another
+/// connection replaces one that cannot be used any more. A connection is of one process, so what it
+/// tells holds for all requests on it, whatever the registration says and however late it comes.
+/// Sets kNotSent if the server does not respond by `deadline`.
+template <WireFormat Wire>
+net::awaitable<void> IdentifyServer(GatewayState& state, BackendPtr backend,
+                                    BackendConnection& acquired, TimePoint deadline) {
+  // Longer than a round trip with a lost packet; a server that is silent for longer can't answer
+  // the request in time either.
+  constexpr std::chrono::milliseconds kTimeout{500};
+  for (;;) {
+    Checkout& checkout = acquired.checkout;
+    if (checkout.fault != ExchangeFault::kNone || checkout.connection->server_start()) co_return;
+    const bool fresh = checkout.fresh;
+    const std::shared_ptr<OutboundConnection> connection = checkout.connection;
+    const TimePoint limit = std::min<TimePoint>(deadline, Clock::now() + kTimeout);
+    const QueryResult result = co_await QueryProcess<Wire>(connection, backend, limit);
+    if (result.fault == ExchangeFault::kNone) {
+      connection->SetServerStart(result.statement.started);
+      BackendDirectory::RecordProcess(*backend, result.statement.started, Clock::now());
+      if (connection->Reusable()) co_return;
+    } else if (fresh) {
+      checkout.connection = nullptr;
+      checkout.fault = ExchangeFault::kNotSent;
+      co_return;
+    }
+    acquired = co_await AcquireConnection(state, backend, deadline);
+    // A server that closes the connection after each response can't be asked on the next one.
+    const bool told = result.fault == ExchangeFault::kNone && acquired.checkout.connection;
+    if (told) acquired.checkout.connection->SetServerStart(result.statement.started);
+  }
+}
+
 /// Finds out whether the process that wrote a response, which ended with its connection, lives on.
 /// `writer`: its start, 0 if not known. Takes one round trip, and until `deadline` if the server
 /// can't be reached.
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -94,6 +94,7 @@
   std::string via_peer;
   ReleaseId release;                  ///< of the last attempt's backend server
   StartStamp registered_start;        ///< of its process, as registered when it was sent
+  StartStamp server_start;            ///< as the process has told on the connection
   bool ends_with_connection = false;  ///< the last attempt's response has no length and no chunks
   std::optional<EndVerdict> end_verdict;  ///< on that response
   /// The attempt that this one resumes, see InboundRequest; empty: a new stream.
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -314,6 +314,13 @@
   backend.first_event_wait_at = now;
 }
 
+void BackendDirectory::RecordProcess(Backend& backend, StartStamp started, TimePoint now) {
+  backend.answering_start = started;
+  if (RunsAsRegistered(backend)) return;
+  backend.cache.Clear();
+  backend.avoid_until = std::max<TimePoint>(backend.avoid_until, now + kRegistrationDelay);
+}
+
 void BackendDirectory::RecordReachable(Backend& backend) {
   backend.needs_probe = false;
   backend.has_peer_path = false;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -406,7 +406,14 @@
 }
 
 bool MayResumeAt(const ExchangePlan& plan, const Backend& backend) {
-  return !plan.release || backend.entry.release == *plan.release;
+  if (!plan.release) return true;
+  return RunsAsRegistered(backend) && backend.entry.release == *plan.release;
+}
+
+ReleaseId ReleaseOnConnection(const Backend& backend, const OutboundConnection& connection) {
+  const ProcessStatement told{true, connection.server_start().value_or(StartStamp())};
+  const bool registered = Match(backend.entry.started, told) != ProcessMatch::kOther;
+  return registered ? backend.entry.release : UnregisteredRelease(backend.entry.id, told.started);
 }
 
 double GatewaysPerBackend(const GatewayState& state, const ServiceId& service) {
@@ -419,7 +426,7 @@
   return std::ranges::any_of(
       state.directory().OfService(backend.entry.service), [&](const BackendPtr& other) {
         return other.get() != &backend && other->entry.release == backend.entry.release &&
-               IsUsable(*other, now);
+               RunsAsRegistered(*other) && IsUsable(*other, now);
       });
 }
 
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -170,6 +170,9 @@
   if (record.registered_start != StartStamp()) {
     fields.push_back({"registered_start", std::to_string(record.registered_start.value())});
   }
+  if (record.server_start != StartStamp()) {
+    fields.push_back({"server_start", std::to_string(record.server_start.value())});
+  }
   if (record.ends_with_connection) fields.push_back({"ends_with_connection", "yes"});
   if (record.end_verdict)
     fields.push_back({"answer_end", std::string(NameOf(*record.end_verdict))});
--- a/libs/incarnation/include/incarnation/process_statement.h
+++ b/libs/incarnation/include/incarnation/process_statement.h
@@ -25,4 +25,9 @@
 /// `started`: of the process that is meant; 0 if not known.
 ProcessMatch Match(StartStamp started, const ProcessStatement& statement);
 
+/// The release of a process that is not the one registered for its id: nothing tells its software
+/// version. Equals no registered release and that of no other process, so that no other process
+/// goes on with what it has begun.
+ReleaseId UnregisteredRelease(const BackendId& id, StartStamp started);
+
 }  // namespace ridgehold
--- a/libs/incarnation/src/process_statement.cc
+++ b/libs/incarnation/src/process_statement.cc
@@ -9,4 +9,8 @@
   return started == statement.started ? ProcessMatch::kSame : ProcessMatch::kOther;
 }
 
+ReleaseId UnregisteredRelease(const BackendId& id, StartStamp started) {
+  return ReleaseId("unregistered " + id.value() + " " + std::to_string(started.value()));
+}
+
 }  // namespace ridgehold
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -84,6 +84,11 @@
   /// ends it.
   bool EndsWithConnection() const { return parser_ && parser_->need_eof(); }
 
+  /// Start of the server's process as it has told on this connection; 0 if it has not told it,
+  /// nullopt if it has not been asked.
+  const std::optional<StartStamp>& server_start() const { return server_start_; }
+  void SetServerStart(StartStamp start) { server_start_ = start; }
+
   /// Closes the connection. Its deadline timer would otherwise keep it open until it expires.
   void Close();
 
@@ -134,6 +139,7 @@
   std::uint64_t deadline_generation_ = 0;
   TimePoint idle_since_{};
   std::optional<std::chrono::seconds> keep_alive_;
+  std::optional<StartStamp> server_start_;
 };
 
 }  // namespace ridgehold
