--- a/libs/peers/include/peers/origin_link.h
+++ b/libs/peers/include/peers/origin_link.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -87,9 +88,9 @@
   /// is not certain any more.
   void ShareIfUncertain(const ServiceId& service, TimePoint now);
   ReleaseHistory::Summary SummaryOf(const ServiceId& service, TimePoint now) const;
-  /// Tells the stream's keepers among `peers`.
-  void Share(AttemptHash attempt, const StreamOrigin& origin,
-             const std::vector<std::string>& peers);
+  /// Tells the first `count` of the stream's keepers among `peers`.
+  void Share(AttemptHash attempt, const StreamOrigin& origin, const std::vector<std::string>& peers,
+             std::size_t count);
   std::optional<OriginFinding> FindStored(AttemptHash attempt, StreamScope scope) const;
   net::awaitable<OriginFinding> Ask(OriginQuery query, ReleaseHistory::Summary own);
   void Count(const OriginFinding& finding);
--- a/libs/peers/src/origin_link.cc
+++ b/libs/peers/src/origin_link.cc
@@ -31,7 +31,7 @@
   const auto unshared = table_.TakeUnshared(service);
   if (unshared.empty()) return;
   const std::vector<std::string> peers = callbacks_.peers();
-  for (const auto& [attempt, origin] : unshared) Share(attempt, origin, peers);
+  for (const auto& [attempt, origin] : unshared) Share(attempt, origin, peers, kOriginKeepers);
 }
 
 ReleaseHistory::Summary OriginLink::SummaryOf(const ServiceId& service, TimePoint now) const {
@@ -47,18 +47,23 @@
   // Attempts without an id are no key to a stream.
   if (hash == AttemptHash(0)) return;
   const StreamOrigin origin{StreamScopeOf(workspace, service), release};
-  const bool shared = !SummaryOf(service, now).IsSingle();
+  const ReleaseHistory::Summary summary = SummaryOf(service, now);
+  // Gateways that know of one release only ask nobody, so all are told of a stream of another one,
+  // whose registration they may not have read.
+  const bool is_unexpected = summary.IsSingle() && release != *summary.single;
+  const bool shared = !summary.IsSingle() || is_unexpected;
   table_.Add(hash, {origin, service, shared}, now);
-  if (shared) Share(hash, origin, callbacks_.peers());
+  const std::vector<std::string> peers = shared ? callbacks_.peers() : std::vector<std::string>();
+  if (shared) Share(hash, origin, peers, is_unexpected ? peers.size() : kOriginKeepers);
 }
 
 void OriginLink::Share(AttemptHash attempt, const StreamOrigin& origin,
-                       const std::vector<std::string>& peers) {
+                       const std::vector<std::string>& peers, std::size_t count) {
   unstored_[origin.release].push_back(StreamHashOf(attempt, origin.scope));
   OriginNotice notice;
   notice.streams.emplace_back(attempt, origin);
   const OriginMessage message(std::move(notice));
-  for (const auto& keeper : RankKeepers(attempt, peers, kOriginKeepers)) {
+  for (const auto& keeper : RankKeepers(attempt, peers, count)) {
     callbacks_.send(keeper, message);
   }
   metrics_.GetCounter("ridgehold_origins_shared").Add();
