--- a/libs/gateway/include/gateway/backend_connection.h
+++ b/libs/gateway/include/gateway/backend_connection.h
@@ -13,7 +13,8 @@
 
 struct BackendConnection {
   Checkout checkout;
-  std::string via_peer;  ///< address of the peer that carries it; empty: direct
+  std::string via_peer;     ///< address of the peer that carries it; empty: direct
+  bool no_process = false;  ///< the server's host refuses connections, and no partition does so
 };
 
 /// Connects to the backend server by `deadline`. Goes through a peer if the backend server cannot
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -139,7 +139,7 @@
   /// Backoff after the first failure; doubled after each consecutive one.
   static constexpr std::chrono::milliseconds kInitialBackoff{250};
   static constexpr std::chrono::milliseconds kMaxBackoff{2'000};
-  /// How long after its start a process's registration usually takes to be read.
+  /// How long other backend servers are preferred to one whose process is not the registered one.
   static constexpr std::chrono::milliseconds kRegistrationDelay{1'000};
   /// Smoothing factor of `error_rate`.
   static constexpr double kErrorRateStep = 0.15;
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -66,6 +66,8 @@
     BackendPtr backend;
     TimePoint sent{};
     RegistrationNumber last_update;  ///< of the registrations, when it was sent
+    /// Of the process that was last known to answer there.
+    StartStamp answering_start;
     std::optional<WeightsNumber> expected_weights;
     std::shared_ptr<OutboundConnection> connection;
     BackendResponseHead head;
@@ -330,7 +332,7 @@
       ReleaseConnection(state_, *attempt_.backend, record_.via_peer,
                         std::move(checkout.connection));
       if (caller_gone) co_return AttemptOutcome::kCallerGone;
-      if (!sendable) last_code_ = ResultCode::kNoBackend;
+      if (!sendable) last_code_ = may_go_on ? ResultCode::kNoBackend : ResultCode::kReleaseGone;
       co_return AttemptOutcome::kSkipped;
     }
     attempt_.connection = std::move(checkout.connection);
@@ -339,6 +341,9 @@
     WatchStart();
     attempt_.sent = now;
     attempt_.last_update = state_.directory().last_update();
+    attempt_.answering_start = attempt_.backend->answering_start != StartStamp()
+                                   ? attempt_.backend->answering_start
+                                   : attempt_.backend->entry.started;
     is_trial_ = false;
     record_.release = release;
     record_.server_start = attempt_.connection->server_start().value_or(StartStamp());
@@ -454,17 +459,29 @@
   /// Whether the server's process has ended the response, and not its kernel when it was killed.
   /// Only the end of a response that ends with its connection waits for this.
   net::awaitable<bool> ConfirmEnd() {
-    if (!record_.ends_with_connection) co_return true;
+    if (!record_.ends_with_connection || StatesNotRun()) co_return true;
     // Longer than a sound server may be silent.
     constexpr std::chrono::milliseconds kTimeout{2'000};
-    const TimePoint limit = Clock::now() + kTimeout;
-    const TimePoint deadline = response_started_ ? limit : std::min(limit, plan_.answer_by);
-    const bool told = record_.server_start != StartStamp();
-    const StartStamp writer = told ? record_.server_start : record_.registered_start;
-    record_.end_verdict = co_await QueryEnd<Wire>(state_, attempt_.backend, writer, deadline);
+    // A stream may go on past its deadline; one query is always sent.
+    constexpr std::chrono::milliseconds kMinTimeout{250};
+    const TimePoint now = Clock::now();
+    const TimePoint deadline =
+        std::max<TimePoint>(std::min<TimePoint>(now + kTimeout, WaitLimit()), now + kMinTimeout);
+    EndedResponse response;
+    response.backend = attempt_.backend;
+    response.writer =
+        record_.server_start != StartStamp() ? record_.server_start : attempt_.answering_start;
+    response.sent = attempt_.sent;
+    record_.end_verdict = co_await QueryEnd<Wire>(state_, std::move(response), deadline);
     co_return record_.end_verdict == EndVerdict::kComplete;
   }
 
+  /// Whether the response's head states that the request has not run, whatever its body says.
+  bool StatesNotRun() const {
+    constexpr int kMisdirected = 421;
+    return attempt_.head.not_executed || attempt_.head.status == kMisdirected;
+  }
+
   /// Whether the exchange may hold so many bytes of a response.
   bool MayBuffer(std::size_t bytes) {
     return bytes <= state_.limits().max_response_bytes && buffered_.Resize(bytes);
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -149,8 +149,8 @@
 /// Whether the backend server's release is the one that began the request's stream, if any did.
 bool MayResumeAt(const ExchangePlan& plan, const Backend& backend);
 
-/// The release of the process at the other end of the connection: that of the registration, unless
-/// the process has told that it is another one.
+/// The release of the process at the other end of the connection: that of the registration if the
+/// process has told on the connection that it is the registered one.
 ReleaseId ReleaseOnConnection(const Backend& backend, const OutboundConnection& connection);
 
 /// Number of gateways for each backend server of the service, as requests of all gateways reach
--- a/libs/gateway/include/gateway/wire_format.h
+++ b/libs/gateway/include/gateway/wire_format.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <concepts>
+#include <optional>
 #include <string>
 
 #include "base/result.h"
@@ -32,7 +33,7 @@
   { Wire::MakeCallerHead(answer_head) } -> std::same_as<ResponseHead>;
   /// Asks the process at `address` who it is. It runs nothing.
   { Wire::MakeStatusQuery(backend, address) } -> std::same_as<RequestMessage>;
-  { Wire::ReadStatement(status) } -> std::same_as<ProcessStatement>;
+  { Wire::ReadStatement(status) } -> std::same_as<std::optional<ProcessStatement>>;
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/src/backend_connection.cc
+++ b/libs/gateway/src/backend_connection.cc
@@ -23,6 +23,7 @@
   const bool isolated = state.IsIsolated(Clock::now());
   if (!state.has_peer_paths() || (backend->reachable && !isolated)) {
     result.checkout = co_await AcquireDirectly(state, backend, deadline);
+    result.no_process = result.checkout.refused;
     co_return result;
   }
   // A partition may refuse new connections only.
@@ -35,6 +36,7 @@
     result.via_peer = std::move(path.peer);
     co_return result;
   }
+  result.no_process = path.result == TunnelResult::kRefused;
   // An unreachable server is probed several times per second, so another attempt is of no use.
   result.checkout.fault = ExchangeFault::kNotSent;
   if (!backend->reachable) co_return result;
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -315,8 +315,8 @@
 }
 
 void BackendDirectory::RecordProcess(Backend& backend, StartStamp started, TimePoint now) {
-  backend.answering_start = started;
-  if (RunsAsRegistered(backend)) return;
+  const bool is_news = std::exchange(backend.answering_start, started) != started;
+  if (!is_news || RunsAsRegistered(backend)) return;
   backend.cache.Clear();
   backend.avoid_until = std::max<TimePoint>(backend.avoid_until, now + kRegistrationDelay);
 }
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -411,9 +411,9 @@
 }
 
 ReleaseId ReleaseOnConnection(const Backend& backend, const OutboundConnection& connection) {
-  const ProcessStatement told{true, connection.server_start().value_or(StartStamp())};
-  const bool registered = Match(backend.entry.started, told) != ProcessMatch::kOther;
-  return registered ? backend.entry.release : UnregisteredRelease(backend.entry.id, told.started);
+  const StartStamp told = connection.server_start().value_or(StartStamp());
+  if (IsRegistered(backend.entry.started, told)) return backend.entry.release;
+  return UnregisteredRelease(backend.entry.id, told);
 }
 
 double GatewaysPerBackend(const GatewayState& state, const ServiceId& service) {
--- a/libs/incarnation/include/incarnation/answer_end.h
+++ b/libs/incarnation/include/incarnation/answer_end.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "incarnation/process_statement.h"
@@ -14,17 +15,17 @@
   StartStamp writer;  ///< start of the process that wrote the answer; 0 if not known
   /// A process at its address responded to a query that was sent after the end.
   bool responded = false;
-  /// It did so on a connection that had been opened before the end. The connections of a killed
-  /// process end together, so the writer's process lives on.
+  /// It did so on a connection that had been opened before the request for the answer was sent. The
+  /// connections of a killed process end together, so the writer's process lives on.
   bool on_older_connection = false;
-  ProcessStatement statement;  ///< if it responded
-  bool refused = false;        ///< its host refuses connections: no process listens
+  std::optional<ProcessStatement> statement;  ///< nullopt: the response says nothing of the process
+  bool refused = false;                       ///< no process listens at the address
 };
 
 enum class EndVerdict : std::uint8_t {
   kComplete,   ///< the process that wrote the answer lives on: it has closed the connection itself
   kCutOff,     ///< it has ended, and its kernel has closed the connection
-  kUndecided,  ///< it could not be asked
+  kUndecided,  ///< nothing tells
 };
 
 /// An answer with neither a length nor chunks ends with its connection, which the kernel closes in
--- a/libs/incarnation/include/incarnation/process_statement.h
+++ b/libs/incarnation/include/incarnation/process_statement.h
@@ -25,9 +25,13 @@
 /// `started`: of the process that is meant; 0 if not known.
 ProcessMatch Match(StartStamp started, const ProcessStatement& statement);
 
-/// The release of a process that is not the one registered for its id: nothing tells its software
-/// version. Equals no registered release and that of no other process, so that no other process
-/// goes on with what it has begun.
+/// Whether a process that told `told`, 0 if nothing, is certainly the registered one. A
+/// registration without a start has an id that no other process bears.
+bool IsRegistered(StartStamp registered, StartStamp told);
+
+/// The release of a process that is not known to be the one registered for its id: nothing tells
+/// its software version. Equals no registered release and that of no other process, so that no
+/// other process goes on with what it has begun.
 ReleaseId UnregisteredRelease(const BackendId& id, StartStamp started);
 
 }  // namespace ridgehold
--- a/libs/incarnation/src/answer_end.cc
+++ b/libs/incarnation/src/answer_end.cc
@@ -4,10 +4,16 @@
 
 EndVerdict JudgeEnd(const EndEvidence& evidence) {
   if (!evidence.responded) return evidence.refused ? EndVerdict::kCutOff : EndVerdict::kUndecided;
-  if (evidence.statement.expected_id && evidence.on_older_connection) return EndVerdict::kComplete;
+  const bool other_id = evidence.statement && !evidence.statement->expected_id;
+  if (other_id) return EndVerdict::kCutOff;
+  if (evidence.on_older_connection) return EndVerdict::kComplete;
+  // Without starts, ids tell processes apart, and another process would have rejected the query.
+  if (!evidence.statement) {
+    return evidence.writer == StartStamp() ? EndVerdict::kComplete : EndVerdict::kUndecided;
+  }
   // A process that does not tell its start cannot be told from one that has replaced it within a
   // round trip.
-  const bool other = Match(evidence.writer, evidence.statement) == ProcessMatch::kOther;
+  const bool other = Match(evidence.writer, *evidence.statement) == ProcessMatch::kOther;
   return other ? EndVerdict::kCutOff : EndVerdict::kComplete;
 }
 
--- a/libs/incarnation/src/process_statement.cc
+++ b/libs/incarnation/src/process_statement.cc
@@ -9,6 +9,10 @@
   return started == statement.started ? ProcessMatch::kSame : ProcessMatch::kOther;
 }
 
+bool IsRegistered(StartStamp registered, StartStamp told) {
+  return registered == StartStamp() || registered == told;
+}
+
 ReleaseId UnregisteredRelease(const BackendId& id, StartStamp started) {
   return ReleaseId("unregistered " + id.value() + " " + std::to_string(started.value()));
 }
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -107,6 +107,9 @@
   /// Whether an idle connection is still open and has received no bytes.
   bool IdleAndOpen();
 
+  /// When the connection was open; the epoch until then.
+  TimePoint opened_at() const { return opened_at_; }
+
   TimePoint idle_since() const { return idle_since_; }
   void MarkIdle(TimePoint now) { idle_since_ = now; }
 
@@ -137,6 +140,7 @@
   bool broken_ = false;
   bool connection_refused_ = false;
   std::uint64_t deadline_generation_ = 0;
+  TimePoint opened_at_{};
   TimePoint idle_since_{};
   std::optional<std::chrono::seconds> keep_alive_;
   std::optional<StartStamp> server_start_;
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -52,7 +52,10 @@
 
 std::shared_ptr<OutboundConnection> OutboundConnection::Adopt(tcp::socket socket,
                                                               StreamFraming framing) {
-  return std::shared_ptr<OutboundConnection>(new OutboundConnection(std::move(socket), framing));
+  std::shared_ptr<OutboundConnection> connection(
+      new OutboundConnection(std::move(socket), framing));
+  connection->opened_at_ = Clock::now();
+  return connection;
 }
 
 OutboundConnection::OutboundConnection(tcp::socket socket, StreamFraming framing)
@@ -75,6 +78,7 @@
     co_return cancelled_ ? ExchangeFault::kCancelled : ExchangeFault::kNotSent;
   }
   Apply({tcp_user_timeout, std::nullopt}, socket_);
+  opened_at_ = Clock::now();
   co_return ExchangeFault::kNone;
 }
 
