Test: events do not depend on where reads cut their bytes

One of the causes considered for streams out of order on real processes is an event that comes in two reads, or several in one. The property cuts streams of numbered and unnumbered events, with both line ends, comments and an unfinished event at the end, at any byte. This part of the hypothesis is ruled out for events below the size limit.

--- a/libs/gateway/test/event_relay-test.cc
+++ b/libs/gateway/test/event_relay-test.cc
@@ -12,6 +12,10 @@
   return "id: " + std::to_string(number) + "\ndata: d" + std::to_string(number) + "\n\n";
 }
 
+std::string EventCrLf(int number) {
+  return "id: " + std::to_string(number) + "\r\ndata: d" + std::to_string(number) + "\r\n\r\n";
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(event_relay)
@@ -60,4 +64,30 @@
   RC_ASSERT(forwarded == expected);
 }
 
+// Guards against events that depend on where reads cut the bytes: an event may come in two reads,
+// or many in one.
+RC_BOOST_PROP(any_cutting_of_the_bytes_gives_the_same_events_once_and_in_order, ()) {
+  const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 5));
+  const bool partial_end = *rc::gen::arbitrary<bool>();
+  std::string expected;
+  int number = 0;
+  for (const int step : steps) {
+    number += step;
+    expected += *rc::gen::element(Event(number), "x-weight: 3\r\n" + EventCrLf(number),
+                                  std::string("data: unnumbered\n\n"), std::string(": ping\n\n"));
+  }
+  const std::string bytes = partial_end ? expected + "id: 999\ndata: x\n" : expected;
+  EventRelay relay(std::nullopt);
+  relay.StartAttempt();
+  std::string forwarded;
+  for (std::size_t at = 0; at < bytes.size();) {
+    const auto length = *rc::gen::inRange<std::size_t>(1, 60);
+    forwarded += relay.Feed(std::string_view(bytes).substr(at, length));
+    at += length;
+  }
+  RC_ASSERT(forwarded == expected);
+  RC_ASSERT(relay.incomplete() == partial_end);
+  RC_ASSERT(!relay.failed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
