SSE: the size limit of an event does not depend on how it is cut

What callers saw: nothing is known; an event over 1 MiB was forwarded if the read that passed the limit also ended it, and broke the stream off otherwise.

Cause: the limit was checked only on an event that was still incomplete.

Evidence: event_over_the_size_limit_fails_however_it_is_cut failed before: check relay.failed() has failed check forwarded.empty() has failed for the whole event, halves and reads of 10,000 bytes.

Change: a complete event is measured, too. The outcome now depends on the event alone.

--- a/libs/gateway/test/event_relay-test.cc
+++ b/libs/gateway/test/event_relay-test.cc
@@ -90,4 +90,18 @@
   RC_ASSERT(!relay.failed());
 }
 
+// Guards against a size limit that holds only for events that come in several reads.
+BOOST_AUTO_TEST_CASE(event_over_the_size_limit_fails_however_it_is_cut) {
+  const std::string event = "id: 1\ndata: " + std::string(SseReader::kMaxEventBytes, 'x') + "\n\n";
+  for (const std::size_t length : {event.size(), event.size() / 2, std::size_t{10'000}}) {
+    EventRelay relay(std::nullopt);
+    std::string forwarded;
+    for (std::size_t at = 0; at < event.size(); at += length) {
+      forwarded += relay.Feed(std::string_view(event).substr(at, length));
+    }
+    BOOST_TEST(relay.failed());
+    BOOST_TEST(forwarded.empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/sse/include/sse/sse.h
+++ b/libs/sse/include/sse/sse.h
@@ -16,8 +16,8 @@
   std::string raw;  ///< the unparsed event, including the terminating blank line
 };
 
-/// Buffers bytes until an event is complete. Fails when an incomplete event exceeds
-/// `kMaxEventBytes`, and discards further bytes.
+/// Buffers bytes until an event is complete. Fails when an event exceeds `kMaxEventBytes`, and
+/// discards further bytes.
 class SseReader {
  public:
   static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
--- a/libs/sse/src/sse.cc
+++ b/libs/sse/src/sse.cc
@@ -47,10 +47,9 @@
   std::string_view text = buffer_;
   text.remove_prefix(position_);
   const std::size_t end = EndOfEvent(text);
-  if (failed_ || end == std::string_view::npos) {
-    failed_ = failed_ || text.size() > kMaxEventBytes;
-    return std::nullopt;
-  }
+  const bool complete = end != std::string_view::npos;
+  failed_ = failed_ || (complete ? end : text.size()) > kMaxEventBytes;
+  if (failed_ || !complete) return std::nullopt;
   SseEvent event;
   event.raw = text.substr(0, end);
   std::string_view lines = event.raw;
