Relay: an attempt that starts before the last event is broken off, not joined

What callers saw: after a break, or when a client takes a stream up, a server that ignores Last-Event-Id and starts anew at 1 was joined: the events that the client had were dropped, and the others of the new run followed. PROTOCOL lets only a run follow that goes on at Last-Event-Id.

Cause: the relay took each lower number for an event repeated.

Change: an attempt that resumes after N and shows a lower number fails, as one with an event over the size limit does; the next attempt or the client's retry may go on elsewhere. The event N itself may be repeated, as before: PROTOCOL does not forbid it, existing tests have it, and it is no sign of another run. The exception is N = 1 (or 0): there a repetition cannot be told from a new run's first event, and a stream that is broken off is better than a joined one. ids that skip are allowed.

A new run is told by its start, the only place where it differs from one that goes on.

--- a/libs/gateway/src/event_relay.cc
+++ b/libs/gateway/src/event_relay.cc
@@ -5,6 +5,9 @@
 namespace ridgehold {
 namespace {
 
+/// The highest number that the first event of a run is expected to have.
+constexpr std::uint64_t kFirstEvent = 1;
+
 std::optional<std::uint64_t> ParseNumber(std::string_view text) {
   std::uint64_t number = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -14,23 +17,38 @@
 
 }  // namespace
 
+void EventRelay::StartAttempt() {
+  reader_ = SseReader();
+  at_last_event_ = last_event_.has_value();
+  other_run_ = false;
+}
+
 std::string EventRelay::Feed(std::string_view bytes) {
   reader_.Append(bytes);
   std::string new_events;
-  while (auto event = reader_.Next()) {
-    if (IsDuplicate(*event)) continue;
+  while (!other_run_) {
+    const auto event = reader_.Next();
+    if (!event) break;
+    const Verdict verdict = Judge(*event);
+    other_run_ = verdict == Verdict::kOtherRun;
+    if (verdict != Verdict::kForward) continue;
     new_events += event->raw;
     any_forwarded_ = true;
   }
   return new_events;
 }
 
-bool EventRelay::IsDuplicate(const SseEvent& event) {
+EventRelay::Verdict EventRelay::Judge(const SseEvent& event) {
   const auto number = ParseNumber(event.id);
-  if (!number) return false;
-  if (last_event_ && *number <= *last_event_) return true;
+  if (!number) return Verdict::kForward;
+  if (last_event_ && *number <= *last_event_) {
+    if (!at_last_event_) return Verdict::kDrop;
+    const bool repeated = *number == *last_event_ && *number > kFirstEvent;
+    return repeated ? Verdict::kDrop : Verdict::kOtherRun;
+  }
   last_event_ = number;
-  return false;
+  at_last_event_ = false;
+  return Verdict::kForward;
 }
 
 }  // namespace ridgehold
