Relay: an attempt whose event numbers go back or repeat ends there

What callers saw: a server that sends 1, 2, 3, 2', 4 in one response was forwarded as 1, 2, 3, 4: a piece of another run dropped, the next one joined, and a piece between them possibly missing. PROTOCOL promises increasing ids.

Cause: the relay dropped each lower or equal number in an attempt, wherever it came; only a repetition at the start of a resumed attempt has a harmless cause.

Change: such an attempt fails at that event; the events before it are returned, and a resumed attempt may go on after them.

--- a/libs/gateway/src/event_relay.cc
+++ b/libs/gateway/src/event_relay.cc
@@ -42,8 +42,7 @@
   const auto number = ParseNumber(event.id);
   if (!number) return Verdict::kForward;
   if (last_event_ && *number <= *last_event_) {
-    if (!at_last_event_) return Verdict::kDrop;
-    const bool repeated = *number == *last_event_ && *number > kFirstEvent;
+    const bool repeated = at_last_event_ && *number == *last_event_ && *number > kFirstEvent;
     return repeated ? Verdict::kDrop : Verdict::kOtherRun;
   }
   last_event_ = number;
--- a/libs/gateway/test/event_relay-test.cc
+++ b/libs/gateway/test/event_relay-test.cc
@@ -130,4 +130,28 @@
   RC_ASSERT(relay.Feed(Event(last + 1)) == Event(last + 1));
 }
 
+// Guards against pieces that are missing or of two runs: numbers that go back or repeat within an
+// attempt were dropped, and the events after them forwarded.
+BOOST_AUTO_TEST_CASE(attempt_whose_numbers_go_back_or_repeat_ends_there) {
+  for (const int next : {1, 2, 3}) {
+    EventRelay relay(std::nullopt);
+    relay.StartAttempt();
+    BOOST_TEST(relay.Feed(Event(1) + Event(2)) == Event(1) + Event(2));
+    BOOST_TEST(relay.Feed(Event(3) + Event(next) + Event(4)) == Event(3));
+    BOOST_TEST(relay.Feed(Event(5)).empty());
+    BOOST_TEST(relay.failed());
+    BOOST_TEST(relay.incomplete());
+    relay.StartAttempt();
+    BOOST_TEST(!relay.failed());
+    BOOST_TEST(relay.Feed(Event(3) + Event(4)) == Event(4));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(numbers_may_be_skipped) {
+  EventRelay relay(4);
+  relay.StartAttempt();
+  BOOST_TEST(relay.Feed(Event(7) + Event(20)) == Event(7) + Event(20));
+  BOOST_TEST(!relay.failed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
