Relay: events without a number are not sent to a client twice

What callers saw: after a break or a take-up, an event without an id at the start of the resumed attempt was passed on, also if the client had it; a resumable stream without any ids was sent again from its start after a break, behind the part that the client had.

Cause: the relay forwarded every event without a number, and a stream without numbers has no position, so that its next attempt had no Last-Event-Id.

Evidence: both tests failed before: attempt_that_resumes_with_an_unnumbered_event_is_not_joined: check relay.failed() has failed stream_without_numbers_is_not_begun_again: check relay.Feed("data: a ... data: b").empty() has failed

Change: an attempt that resumes and shows an event without a number before a newer numbered one fails, and so does each further attempt of a stream that had no number at all. After a newer numbered event of the same attempt, an event without a number is new (a closing event, say) and is forwarded, as in a stream that is not resumed. Comments carry nothing and are always forwarded.

--- a/libs/gateway/include/gateway/event_relay.h
+++ b/libs/gateway/include/gateway/event_relay.h
@@ -17,7 +17,8 @@
 /// Only a run that goes on after the last event may follow it. An attempt that shows another run
 /// fails: its events could not be told from those that the client has. It may start with the last
 /// event, which is dropped, unless that is the first one that a run can have. Numbers may be
-/// skipped.
+/// skipped. Events without a number are forwarded, except by an attempt that resumes before it has
+/// shown a newer number; a stream that has had no number at all cannot be resumed.
 class EventRelay {
  public:
   /// `resume_after` is the last event that the client has received.
@@ -61,6 +62,7 @@
   std::optional<std::uint64_t> last_event_;
   bool at_last_event_;  ///< the attempt resumes after the last event and has shown no newer one
   bool other_run_ = false;
+  bool unnumbered_forwarded_ = false;
   bool any_forwarded_ = false;
 };
 
--- a/libs/gateway/src/event_relay.cc
+++ b/libs/gateway/src/event_relay.cc
@@ -15,12 +15,18 @@
   return complete ? std::optional(number) : std::nullopt;
 }
 
+/// Whether the event has nothing that a client reads, as one sent to keep the connection alive.
+bool IsComment(const SseEvent& event) {
+  return event.id.empty() && event.type.empty() && event.data.empty();
+}
+
 }  // namespace
 
 void EventRelay::StartAttempt() {
   reader_ = SseReader();
   at_last_event_ = last_event_.has_value();
-  other_run_ = false;
+  // The client's position in a stream without numbers is unknown.
+  other_run_ = unnumbered_forwarded_ && !last_event_;
 }
 
 std::string EventRelay::Feed(std::string_view bytes) {
@@ -40,7 +46,12 @@
 
 EventRelay::Verdict EventRelay::Judge(const SseEvent& event) {
   const auto number = ParseNumber(event.id);
-  if (!number) return Verdict::kForward;
+  if (!number) {
+    if (IsComment(event)) return Verdict::kForward;
+    if (at_last_event_) return Verdict::kOtherRun;
+    unnumbered_forwarded_ = true;
+    return Verdict::kForward;
+  }
   if (last_event_ && *number <= *last_event_) {
     const bool repeated = at_last_event_ && *number == *last_event_ && *number > kFirstEvent;
     return repeated ? Verdict::kDrop : Verdict::kOtherRun;
--- a/libs/gateway/test/event_relay-test.cc
+++ b/libs/gateway/test/event_relay-test.cc
@@ -154,4 +154,43 @@
   BOOST_TEST(!relay.failed());
 }
 
+// Guards against an event that comes twice: without a number it cannot be told from one that the
+// client has.
+BOOST_AUTO_TEST_CASE(attempt_that_resumes_with_an_unnumbered_event_is_not_joined) {
+  for (const bool by_caller : {false, true}) {
+    EventRelay relay(by_caller ? std::optional<std::uint64_t>(2) : std::nullopt);
+    relay.StartAttempt();
+    if (!by_caller) relay.Feed(Event(1) + Event(2) + "data: x\n\n");
+    relay.StartAttempt();
+    BOOST_TEST(relay.Feed(Event(2) + "data: x\n\n" + Event(3)).empty());
+    BOOST_TEST(relay.failed());
+    // After a newer event of the same run, one without a number is new, too.
+    relay.StartAttempt();
+    const std::string rest = ": ping\n\n" + Event(3) + "data: done\n\n";
+    BOOST_TEST(relay.Feed(rest) == rest);
+    BOOST_TEST(!relay.failed());
+  }
+}
+
+// Guards against a stream without numbers that is sent again from its start after a break.
+BOOST_AUTO_TEST_CASE(stream_without_numbers_is_not_begun_again) {
+  EventRelay relay(std::nullopt);
+  relay.StartAttempt();
+  BOOST_TEST(relay.Feed("data: a\n\ndata: b") == "data: a\n\n");
+  relay.StartAttempt();
+  BOOST_TEST(relay.failed());
+  BOOST_TEST(relay.incomplete());
+  BOOST_TEST(relay.Feed("data: a\n\ndata: b\n\n").empty());
+  BOOST_TEST(relay.Feed(Event(1)).empty());
+}
+
+// Guards against a stream that is given up because of a comment.
+BOOST_AUTO_TEST_CASE(stream_may_begin_again_after_a_comment) {
+  EventRelay relay(std::nullopt);
+  relay.StartAttempt();
+  BOOST_TEST(relay.Feed(": ping\n\n") == ": ping\n\n");
+  relay.StartAttempt();
+  BOOST_TEST(relay.Feed(Event(1)) == Event(1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
