Origins: an answer to an earlier process's query is not taken for one's own

What callers could see: a resumed stream goes on at a release that did not begin it, so that it holds pieces of two versions. A gateway that is restarted in place has the address of the process before, and numbered its queries from 1 again. A keeper that was suspended or slow answers the earlier process's queries; the answer to its query 1 was taken for one to query 1 of the new process, which is about another stream, and the right answer was then ignored. The window is the 60 ms for which a query waits.

Evidence: answer_to_an_earlier_process_is_ignored failed before: check (later.finding->release == ReleaseId("v2")) has failed

Change: numbers of queries start at a random multiple of 2^32. The message stays as it is. Result: the test passes with peers/src/origin_link.cc as changed; two processes at an address share numbers once in 2^32 restarts, and only then could an answer be mistaken.

--- a/libs/peers/include/peers/origin_link.h
+++ b/libs/peers/include/peers/origin_link.h
@@ -14,6 +14,7 @@
 #include "metrics/metrics.h"
 #include "net/beast.h"
 #include "net/timer.h"
+#include "peers/query_numbers.h"
 #include "resumption/origin_search.h"
 #include "resumption/origin_table.h"
 #include "resumption/release_history.h"
@@ -102,7 +103,7 @@
   std::map<ServiceId, ReleaseHistory> histories_;
   OriginBatch unstored_;
   std::map<std::uint64_t, Pending*> pending_;  ///< by the number of the query
-  std::uint64_t last_query_ = 0;
+  QueryNumbers query_numbers_;
 };
 
 }  // namespace ridgehold
--- a/libs/peers/src/origin_link.cc
+++ b/libs/peers/src/origin_link.cc
@@ -75,7 +75,7 @@
   if (!finding) finding = OriginSearch::WithoutAsking(known, own, callbacks_.is_current());
   if (!finding) {
     OriginQuery query;
-    query.number = ++last_query_;
+    query.number = query_numbers_.Next();
     query.attempt = hash;
     query.scope = scope;
     query.service = std::move(service);
