Loads: an answer to an earlier process's question is not taken for one's own

What callers could see: a request placed without the loads of the engines that were asked about, so possibly at a busy one. As with origins, a gateway restarted in place numbered its questions from 1 again, and a late answer of a tracker to the process before ended the wait for the right one. Found by reading.

Evidence: answer_to_an_earlier_process_is_ignored failed before: check answered has failed

Change: questions get their numbers as origin queries do. Result: the tests of load_query_service and origin_link pass.

--- a/libs/peers/include/peers/load_query_service.h
+++ b/libs/peers/include/peers/load_query_service.h
@@ -13,6 +13,7 @@
 #include "net/timer.h"
 #include "peers/load_messages.h"
 #include "peers/peer_loads.h"
+#include "peers/query_numbers.h"
 #include "peers/tracker_map.h"
 
 namespace ridgehold {
@@ -77,7 +78,7 @@
   Options options_;
   SendTo send_;
   std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
-  std::uint64_t last_question_ = 0;
+  QueryNumbers query_numbers_;
 };
 
 }  // namespace ridgehold
--- a/libs/peers/src/load_query_service.cc
+++ b/libs/peers/src/load_query_service.cc
@@ -11,7 +11,7 @@
 net::awaitable<LoadAnswer> LoadQueryService::Query(LoadQuestion question) {
   const TimePoint now = Clock::now();
   const auto pending = std::make_shared<Pending>(state_.executor());
-  const std::uint64_t id = ++last_question_;
+  const std::uint64_t id = query_numbers_.Next();
   std::map<std::string, Part> parts = SplitByTracker(question, now);
   const TimePoint limit = now + TimeoutFor(parts);
   for (auto& [address, part] : parts) {
--- a/libs/peers/test/load_query_service-test.cc
+++ b/libs/peers/test/load_query_service-test.cc
@@ -119,4 +119,44 @@
   BOOST_TEST(!service.Answer(question, now).demand.has_value());
 }
 
+// Guards against loads of other engines in an answer: a tracker answers a question of the process
+// before a restart late, and the answer ends the wait for the one that the new process awaits.
+BOOST_AUTO_TEST_CASE(answer_to_an_earlier_process_is_ignored) {
+  std::vector<std::uint64_t> asked;
+  trackers.SetGateways({{"10.0.0.2", kOwnZone, StoreRevision(1)}}, Clock::now());
+  BackendEntry entry;
+  entry.id = BackendId("e");
+  entry.zone = kOwnZone;
+  state.directory().Put(entry);
+  LoadQuestion question;
+  question.backends = {state.directory().Find(entry.id)};
+  const auto process = [&] {
+    const auto record = [&asked](const TrackerMap::Gateway&, const std::string& bytes) {
+      asked.push_back(std::get<LoadQuestionMessage>(*DecodePeerMessage(bytes)).id);
+    };
+    return LoadQueryService(state, loads, trackers, {DaemonId("self"), "10.0.0.1"}, record);
+  };
+  LoadQueryService earlier = process();
+  LoadQueryService later = process();
+  bool answered = false;
+  net::co_spawn(io, earlier.Query(question), net::detached);
+  net::co_spawn(io, later.Query(question), [&](std::exception_ptr, const LoadAnswer& found) {
+    answered = found.Find(*question.backends.front()) != nullptr;
+  });
+  io.poll();
+  BOOST_REQUIRE(asked.size() == 2U);
+  const auto answer = [&](std::uint64_t id, BackendHash backend) {
+    LoadAnswerMessage message;
+    message.id = id;
+    BackendReport report;
+    report.backend = backend;
+    message.backends.push_back(report);
+    later.HandleAnswer(message, "10.0.0.2");
+  };
+  answer(asked.front(), 1);
+  answer(asked.back(), HashOf(*question.backends.front()));
+  io.run_for(300ms);
+  BOOST_TEST(answered);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
