Streams: events before bytes that break an attempt off are forwarded

What callers saw: a resumed stream without some of its pieces, complete at its end. If one read brings whole events and more bytes than the gateway may buffer (its budget is shared, so a neighbour's response can use it up), or an event that cannot follow, the whole read was dropped, yet the relay's position had moved, and the next attempt resumed after events that the client never got.

Cause: RelayStream checked the relay before it forwarded what Feed returned.

Evidence: event_before_bytes_that_break_an_attempt_off_is_forwarded failed before: check answer.body().find("id: 1 data: a") != npos has failed with the rest and the end delivered.

Change: the check follows the forwarding. What is forwarded and what the next attempt resumes after now always agree.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -453,10 +453,6 @@
       bytes.clear();
       const ExchangeFault fault = co_await attempt_.connection->ReadBody(bytes, limit);
       const std::string events = relay_.Feed(bytes);
-      if (relay_.failed() || !MayBuffer(relay_.buffered_bytes())) {
-        last_code_ = ResultCode::kBackendBroken;
-        co_return AttemptOutcome::kInterrupted;
-      }
       if (!events.empty()) {
         RecordEvents(Clock::now());
         if (attempt_.begun && Clock::now() - *attempt_.begun >= PoisonGuard::kSurvivalTime) {
@@ -468,6 +464,11 @@
         // Bytes that make no event do not count.
         limit = EventDeadline(plan_, retry_input_, relay_.any_forwarded(), Clock::now());
       }
+      // Checked once the events are forwarded: the next attempt resumes after them.
+      if (relay_.failed() || !MayBuffer(relay_.buffered_bytes())) {
+        last_code_ = ResultCode::kBackendBroken;
+        co_return AttemptOutcome::kInterrupted;
+      }
       if (fault != ExchangeFault::kNone) co_return OutcomeOf(fault);
     }
     if (relay_.incomplete()) co_return AttemptOutcome::kInterrupted;
