HTTP client: a transfer is complete only if the final head is

What callers see: HttpClient::Fetch returns a response with status 0, no fields and an empty body, and Start reports kComplete, for a head that is cut after its status line and followed by a FIN. No client of ridgeholdd is served one: by reading, each user of Fetch and Start checks that a 200 has come (AttemptState, EtcdGateway, EngineMonitor, ConfigSync, the daemon's orders, the command line). The client's contract rested on these checks.

Cause: for libcurl 7.88 a response is a success from its status line on if the connection is then closed in an orderly way.

Evidence: head_cut_after_any_byte_is_broken and head_cut_after_an_interim_response_is_broken cut heads with a length, with chunks and with neither after each byte.

Change: CURLE_OK counts as kComplete only if the header callback has seen the blank line of a final head, which libcurl passes on as a line of its own. It is in the client, so it holds for all users of Fetch and Start.

--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -82,7 +82,7 @@
 
   /// Judges libcurl's code by whether the request can have been sent.
   TransferEnd Judge(CURLcode code) const {
-    if (code == CURLE_OK) return {TransferOutcome::kComplete, ""};
+    if (code == CURLE_OK) return JudgeResponse();
     const std::string detail = curl_easy_strerror(code);
     if (code == CURLE_OPERATION_TIMEDOUT) {
       return {Connected() ? TransferOutcome::kTimedOut : TransferOutcome::kNotSent, detail};
@@ -94,6 +94,12 @@
   }
 
  private:
+  /// For libcurl a response is a success as soon as its status line is whole.
+  TransferEnd JudgeResponse() const {
+    if (!head_complete_) return {TransferOutcome::kBroken, "connection closed in the head"};
+    return {TransferOutcome::kComplete, ""};
+  }
+
   bool Connected() const {
     curl_off_t sent = 0;
     curl_off_t connect_us = 0;
@@ -187,7 +193,9 @@
     constexpr long kFirstFinalStatus = 200;
     long status = 0;
     curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
-    if (status < kFirstFinalStatus || !callbacks_.on_head) return;
+    if (status < kFirstFinalStatus) return;
+    head_complete_ = true;
+    if (!callbacks_.on_head) return;
     callbacks_.on_head(static_cast<int>(status), headers_);
   }
 
@@ -197,6 +205,7 @@
   CURL* easy_;
   curl_slist* header_list_ = nullptr;
   Headers headers_;
+  bool head_complete_ = false;  ///< the blank line that ends the final head has come
   bool finished_ = false;
 };
 
--- /dev/null
+++ b/test/http_client-test.cc
@@ -0,0 +1,120 @@
+// The HTTP client over raw sockets: only a whole response is a complete transfer.
+
+#include "http/client.h"
+
+#include <asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "scripted_backend.h"
+
+using namespace ridgehold;
+using namespace ridgehold::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char kStatusLine[] = "HTTP/1.1 200 OK\r\n";
+constexpr char kLength[] = "Content-Type: text/plain\r\nContent-Length: 4\r\n\r\n";
+constexpr char kChunks[] = "Transfer-Encoding: chunked\r\nX-Field: value\r\n\r\n";
+constexpr char kNeither[] = "Content-Type: text/plain\r\nX-Field: value\r\n\r\n";
+
+/// A client, and a server that writes `answer` to each request and closes the connection.
+struct Client {
+  std::string answer;
+  ScriptedBackend server{[this](const RawRequest&) { return answer; }};
+  std::unique_ptr<HttpClient> client =
+      ValueOr([] { return HttpClient::Create(); }, [](const Failure&) { return nullptr; });
+
+  HttpCall MakeCall(const std::string& method = "GET") const {
+    HttpCall call;
+    call.method = method;
+    call.url = server.url();
+    call.total_timeout = 5s;
+    call.fresh_connection = true;
+    return call;
+  }
+
+  TransferOutcome OutcomeOf(HttpCall call) {
+    std::promise<TransferOutcome> outcome;
+    client->Start(std::move(call),
+                  {.on_head = nullptr, .on_body = nullptr, .on_end = [&](const TransferEnd& end) {
+                     outcome.set_value(end.outcome);
+                   }});
+    return outcome.get_future().get();
+  }
+
+  /// The status of the response that Fetch returns; none if it fails.
+  std::optional<int> FetchStatus(HttpCall call) {
+    return ValueOr(
+        [&]() -> Result<std::optional<int>> {
+          BOOST_LEAF_AUTO(received, client->Fetch(std::move(call)));
+          return std::optional(received.status);
+        },
+        [](const Failure&) { return std::optional<int>(); });
+  }
+
+  /// Cuts `whole` after `begin` bytes and after each further byte before `end`: each transfer must
+  /// be a broken one.
+  void CheckCuts(const std::string& whole, std::size_t begin, std::size_t end) {
+    for (std::size_t cut = begin; cut < end; ++cut) {
+      BOOST_TEST_CONTEXT("cut after " << cut << " bytes: " << whole.substr(0, cut)) {
+        answer = whole.substr(0, cut);
+        BOOST_TEST((OutcomeOf(MakeCall()) == TransferOutcome::kBroken));
+        BOOST_TEST(!FetchStatus(MakeCall()).has_value());
+      }
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_client, Client)
+
+// Guards against a head that is cut after its status line and taken for a complete response.
+BOOST_AUTO_TEST_CASE(head_cut_after_any_byte_is_broken) {
+  for (const std::string fields : {kLength, kChunks, kNeither}) {
+    const std::string head = kStatusLine + fields;
+    CheckCuts(head, 0, head.size());
+  }
+}
+
+// Guards against the blank line of an interim response being taken for the end of the final head.
+BOOST_AUTO_TEST_CASE(head_cut_after_an_interim_response_is_broken) {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n";
+  const std::string head = interim + kStatusLine + kLength;
+  CheckCuts(head, 0, head.size());
+}
+
+BOOST_AUTO_TEST_CASE(body_cut_after_any_byte_is_broken) {
+  const std::string length_head = std::string(kStatusLine) + kLength;
+  CheckCuts(length_head + "body", length_head.size(), length_head.size() + 4);
+  const std::string chunks_head = std::string(kStatusLine) + kChunks;
+  const std::string chunks = chunks_head + "4\r\nbody\r\n0\r\n\r\n";
+  // libcurl does not wait for the line feed after the last chunk, which ends the body (RFC 9112,
+  // 8).
+  CheckCuts(chunks, chunks_head.size(), chunks.size() - 1);
+}
+
+BOOST_AUTO_TEST_CASE(whole_responses_are_complete) {
+  const std::vector<std::string> whole = {
+      std::string(kStatusLine) + kLength + "body",
+      std::string(kStatusLine) + kChunks + "4\r\nbody\r\n0\r\n\r\n",
+      std::string(kStatusLine) + kChunks + "4\r\nbody\r\n0\r\nX-Trailer: value\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\n\r\n" + std::string(kStatusLine) + kLength + "body"};
+  for (const std::string& text : whole) {
+    BOOST_TEST_CONTEXT(text) {
+      answer = text;
+      BOOST_TEST((OutcomeOf(MakeCall()) == TransferOutcome::kComplete));
+      BOOST_TEST(FetchStatus(MakeCall()).value_or(0) == 200);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
