HTTP client: a request that was sent never counts as not sent

What callers see: ridgeholdd says "not run", and sends a call that must run at most once to another server, although the first has read it, if that server's response does not begin with a status line.

Cause: the client takes some of libcurl's codes for a proof that no connection was made. libcurl gives CURLE_UNSUPPORTED_PROTOCOL also for a response without a status line (HTTP/0.9), and CURLE_COULDNT_CONNECT also if a kept connection ends after a request and the address refuses the new one, over which libcurl sends that request again by itself.

Evidence: three new tests. Before the change:

test/http_client-test.cc(126): error: in "http_client/response_without_a_status_line_is_broken": check (OutcomeOf(MakeCall()) == TransferOutcome::kBroken) has failed (3 of 3 texts) test/http_client-test.cc(149): error: in "http_client/request_to_a_server_that_ends_before_its_response_is_broken": check (OutcomeOf(call) == TransferOutcome::kBroken) has failed ../test/services-test.cc(154): error: in "services/a_call_that_may_not_repeat_is_sent_once_when_the_answer_is_no_http": check one.requests() + two.requests() == 1 has failed [1 + 1 != 1] check CodeOf(once) == 3004 has failed [3001 != 3004] check once.headers.Get("X-Ridgehold-Execution") == "unknown" has failed [not run != unknown]

Change: these codes count as kNotSent only if libcurl has sent nothing, which is asked of the transfer as it is after a time-out already. request_to_an_address_that_refuses_connections_is_not_sent guards the other side.

--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -87,10 +87,13 @@
     if (code == CURLE_OPERATION_TIMEDOUT) {
       return {Connected() ? TransferOutcome::kTimedOut : TransferOutcome::kNotSent, detail};
     }
-    const bool never_connected = code == CURLE_COULDNT_CONNECT ||
-                                 code == CURLE_COULDNT_RESOLVE_HOST ||
-                                 code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL;
-    return {never_connected ? TransferOutcome::kNotSent : TransferOutcome::kBroken, detail};
+    // Also the codes of failed connects do not prove it: libcurl gives one of them for a response
+    // without a status line, and another when it sends a request again over a new connection.
+    const bool could_not_connect =
+        code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+        code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL;
+    const bool not_sent = could_not_connect && !Connected();
+    return {not_sent ? TransferOutcome::kNotSent : TransferOutcome::kBroken, detail};
   }
 
  private:
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -117,4 +117,47 @@
   }
 }
 
+// Guards against a request that was read by a server and counts as not sent, so that a call which
+// must run at most once is sent again.
+BOOST_AUTO_TEST_CASE(response_without_a_status_line_is_broken) {
+  for (const std::string text : {"no head at all", "\r\n\r\n", "OK\r\n\r\nbody"}) {
+    BOOST_TEST_CONTEXT(text) {
+      answer = text;
+      BOOST_TEST((OutcomeOf(MakeCall()) == TransferOutcome::kBroken));
+    }
+  }
+}
+
+// Guards against a request on a kept connection that counts as not sent because libcurl sends it
+// once more, to an address that refuses connections by then.
+BOOST_AUTO_TEST_CASE(request_to_a_server_that_ends_before_its_response_is_broken) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  HttpCall call = MakeCall();
+  call.fresh_connection = false;
+  call.url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::thread process([&] {
+    asio::ip::tcp::socket socket = acceptor.accept();
+    std::string request;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    asio::write(socket, asio::buffer(std::string(kStatusLine) + kLength + "body"));
+    request.clear();
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    acceptor.close();
+  });
+  BOOST_TEST((OutcomeOf(call) == TransferOutcome::kComplete));
+  BOOST_TEST((OutcomeOf(call) == TransferOutcome::kBroken));
+  process.join();
+}
+
+BOOST_AUTO_TEST_CASE(request_to_an_address_that_refuses_connections_is_not_sent) {
+  HttpCall call = MakeCall();
+  {
+    asio::io_context io;
+    asio::ip::tcp::acceptor closed(io, {asio::ip::address_v4::loopback(), 0});
+    call.url = "http://127.0.0.1:" + std::to_string(closed.local_endpoint().port());
+  }
+  BOOST_TEST((OutcomeOf(call) == TransferOutcome::kNotSent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/services-test.cc
+++ b/test/services-test.cc
@@ -139,6 +139,23 @@
   BOOST_TEST(once.headers.Get("X-Ridgehold-Execution") == "unknown");
 }
 
+// Guards against a call that its server has read, but that counts as not run and is sent to another
+// server because the answer is no HTTP.
+BOOST_AUTO_TEST_CASE(a_call_that_may_not_repeat_is_sent_once_when_the_answer_is_no_http) {
+  ScriptedBackend one([](const RawRequest&) { return std::string("no head\r\n\r\n"); });
+  ScriptedBackend two([](const RawRequest&) { return std::string("no head\r\n\r\n"); });
+  ClusterOptions options;
+  options.engines = 0;
+  Cluster cluster(std::move(options));
+  cluster.Command(0, "create backend s1 url " + one.url() + " zone a service frail\n" +
+                         "create backend s2 url " + two.url() + " zone a service frail\n" +
+                         "create rule once path /once service frail repeatable no dedup none\n");
+  const HttpAnswer once = cluster.Call(0, "POST", "/once", "x");
+  BOOST_TEST(one.requests() + two.requests() == 1);
+  BOOST_TEST(CodeOf(once) == 3004);
+  BOOST_TEST(once.headers.Get("X-Ridgehold-Execution") == "unknown");
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_may_repeat_is_sent_again_and_never_called_not_run) {
   ScriptedBackend one([](const RawRequest&) { return std::string(); });
   ClusterOptions options;
