HTTP client: the end of a connection ends no body

What callers see: a 200 with an empty or short body, framed as whole, through ridgeholdd, if a plain service or an engine that answers with neither a length nor chunks ends in the middle of its body. The kernel closes the connections of a killed process with a FIN, as the process would at the body's end.

A stream without a length stays whole once its `data: [DONE]` has come, which ModelSession reads from the events and not from the transfer.

The stand-ins answer with a length or chunks (standins/, by libs/http's server); test/scripted_backend's streams have neither and end with `[DONE]` where they are meant to be whole.

--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -2,7 +2,9 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cctype>
 #include <cstdlib>
 #include <future>
 #include <mutex>
@@ -21,6 +23,27 @@
 // libcurl adds these to large bodies and then waits for a `100 Continue`.
 constexpr char kNoExpect[] = "Expect:";
 
+/// Whether `headers` name the transfer coding `chunked`, which libcurl decodes.
+bool HasChunks(const Headers& headers) {
+  for (const HeaderField& field : headers.fields()) {
+    if (!SameHeaderName(field.name, "Transfer-Encoding")) continue;
+    std::string_view codings = field.value;
+    while (!codings.empty()) {
+      const std::size_t end = std::min(codings.find(','), codings.size());
+      std::string_view coding = codings.substr(0, end);
+      while (!coding.empty() && std::isspace(static_cast<unsigned char>(coding.front())) != 0) {
+        coding.remove_prefix(1);
+      }
+      while (!coding.empty() && std::isspace(static_cast<unsigned char>(coding.back())) != 0) {
+        coding.remove_suffix(1);
+      }
+      if (SameHeaderName(coding, "chunked")) return true;
+      codings.remove_prefix(std::min(end + 1, codings.size()));
+    }
+  }
+  return false;
+}
+
 class CurlTransfer;
 
 /// What other threads ask of the loop.
@@ -100,9 +123,29 @@
   /// For libcurl a response is a success as soon as its status line is whole.
   TransferEnd JudgeResponse() const {
     if (!head_complete_) return {TransferOutcome::kBroken, "connection closed in the head"};
+    if (EndsWithConnection()) {
+      return {TransferOutcome::kBroken, "body with neither length nor chunks"};
+    }
     return {TransferOutcome::kComplete, ""};
   }
 
+  /// Whether only the end of the connection ends the body. The kernel of a killed process sends the
+  /// same end.
+  bool EndsWithConnection() const {
+    constexpr long kNoContent = 204;
+    constexpr long kNotModified = 304;
+    long status = 0;
+    long version = 0;
+    curl_off_t length = -1;
+    curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(easy_, CURLINFO_HTTP_VERSION, &version);
+    curl_easy_getinfo(easy_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    const bool has_no_body =
+        call_.method == "HEAD" || status == kNoContent || status == kNotModified;
+    const bool has_frames = version >= CURL_HTTP_VERSION_2_0;
+    return !has_no_body && !has_frames && !chunked_ && length < 0;
+  }
+
   bool Connected() const {
     curl_off_t sent = 0;
     curl_off_t connect_us = 0;
@@ -198,6 +241,7 @@
     curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
     if (status < kFirstFinalStatus) return;
     head_complete_ = true;
+    chunked_ = HasChunks(headers_);
     if (!callbacks_.on_head) return;
     callbacks_.on_head(static_cast<int>(status), headers_);
   }
@@ -209,6 +253,7 @@
   curl_slist* header_list_ = nullptr;
   Headers headers_;
   bool head_complete_ = false;  ///< the blank line that ends the final head has come
+  bool chunked_ = false;
   bool finished_ = false;
 };
 
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -102,10 +102,38 @@
   CheckCuts(chunks, chunks_head.size(), chunks.size() - 1);
 }
 
+// Guards against a part of a body that is taken for the whole of it: the end of a connection is
+// also what the kernel of a killed process sends.
+BOOST_AUTO_TEST_CASE(body_with_neither_length_nor_chunks_is_broken) {
+  const std::vector<std::string> unframed = {
+      std::string(kStatusLine) + kNeither, std::string(kStatusLine) + kNeither + "body",
+      std::string(kStatusLine) + "Connection: close\r\n\r\nbody", "HTTP/1.0 200 OK\r\n\r\nbody",
+      std::string(kStatusLine) + "Transfer-Encoding: identity\r\n\r\nbody"};
+  for (const std::string& text : unframed) {
+    BOOST_TEST_CONTEXT(text) {
+      answer = text;
+      BOOST_TEST((OutcomeOf(MakeCall()) == TransferOutcome::kBroken));
+      BOOST_TEST(!FetchStatus(MakeCall()).has_value());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(responses_that_have_no_body_need_neither_length_nor_chunks) {
+  for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+    answer = "HTTP/1.1 " + status + "\r\nX-Field: value\r\n\r\n";
+    BOOST_TEST((OutcomeOf(MakeCall()) == TransferOutcome::kComplete));
+  }
+  answer = std::string(kStatusLine) + kNeither;
+  BOOST_TEST((OutcomeOf(MakeCall("HEAD")) == TransferOutcome::kComplete));
+}
+
 BOOST_AUTO_TEST_CASE(whole_responses_are_complete) {
   const std::vector<std::string> whole = {
       std::string(kStatusLine) + kLength + "body",
+      "HTTP/1.0 200 OK\r\n" + std::string(kLength) + "body",
+      std::string(kStatusLine) + "content-length:0\r\n\r\n",
       std::string(kStatusLine) + kChunks + "4\r\nbody\r\n0\r\n\r\n",
+      std::string(kStatusLine) + "transfer-encoding: gzip,Chunked\r\n\r\n0\r\n\r\n",
       std::string(kStatusLine) + kChunks + "4\r\nbody\r\n0\r\nX-Trailer: value\r\n\r\n",
       "HTTP/1.1 103 Early Hints\r\n\r\n" + std::string(kStatusLine) + kLength + "body"};
   for (const std::string& text : whole) {
--- a/test/services-test.cc
+++ b/test/services-test.cc
@@ -156,6 +156,40 @@
   BOOST_TEST(once.headers.Get("X-Ridgehold-Execution") == "unknown");
 }
 
+// Guards against a part of an answer that is passed on as the whole of it.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_after_any_byte_is_not_passed_on) {
+  const std::vector<std::string> whole = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody."};
+  std::vector<std::string> cuts;
+  for (const std::string& answer : whole) {
+    for (std::size_t cut = 0; cut < answer.size(); ++cut) cuts.push_back(answer.substr(0, cut));
+  }
+  ScriptedBackend backend([&](const RawRequest& request) {
+    return cuts.at(std::stoul(request.text.substr(std::string("POST /cut").size())));
+  });
+  // A service for each cut: a server that failed gets no calls for a time.
+  std::string script;
+  for (std::size_t i = 0; i < cuts.size(); ++i) {
+    const std::string number = std::to_string(i);
+    script += "create backend cut" + number + " url " + backend.url() + " zone a service cut" +
+              number + "\ncreate rule cut" + number + " path /cut" + number + " service cut" +
+              number + " repeatable no dedup none\n";
+  }
+  ClusterOptions options;
+  options.engines = 0;
+  Cluster cluster(std::move(options));
+  const HttpAnswer configured = cluster.Command(0, script);
+  BOOST_TEST_REQUIRE(configured.status == 200, configured.body);
+  for (std::size_t i = 0; i < cuts.size(); ++i) {
+    BOOST_TEST_CONTEXT(cuts[i]) {
+      BOOST_TEST(CodeOf(cluster.Call(0, "POST", "/cut" + std::to_string(i), "x")) == 3004);
+    }
+  }
+  BOOST_TEST(static_cast<std::size_t>(backend.requests()) == cuts.size());
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_may_repeat_is_sent_again_and_never_called_not_run) {
   ScriptedBackend one([](const RawRequest&) { return std::string(); });
   ClusterOptions options;
