Dispatch: a refusal that is cut off is not passed on as a whole complaint

What callers see: a 4xx with a short body, framed as whole, if an engine says in its head that it refuses the request (X-Ridgehold-Not-Run) and the connection ends in the body.

Cause: ModelSession took the phase kRefused, which the head alone decides, for a sign that the body is whole. Nor did it ask whether it had itself broken off a 4xx body for its size.

Evidence: engines/a_complaint_that_is_cut_is_not_passed_on.

Change: a 4xx is passed on only if its transfer is complete and was not broken off. Otherwise the attempt counts as refused, so another engine is tried, and "not run" stays true.

--- a/libs/dispatch/include/dispatch/model_session.h
+++ b/libs/dispatch/include/dispatch/model_session.h
@@ -75,6 +75,7 @@
     std::string body;
     bool had_first_frame = false;
     bool closed = false;
+    bool complete = false;  ///< the whole response is here, also if it refuses the request
     std::optional<ResultCode> broken;  ///< why this side ended it
     std::shared_ptr<Transfer> transfer;
     SseReader reader;
--- a/libs/dispatch/src/model_session.cc
+++ b/libs/dispatch/src/model_session.cc
@@ -285,6 +285,7 @@
 
 void ModelSession::CloseAttempt(const TransferEnd& end) {
   attempt_.closed = true;
+  attempt_.complete = end.outcome == TransferOutcome::kComplete && !attempt_.broken;
   attempt_.transfer.reset();
   attempt_.state.TakeEnd(end.outcome);
   dispatcher_.router().NoteEnd(attempt_.route, attempt_.had_first_frame);
@@ -310,8 +311,7 @@
     return true;
   }
   // The engine found fault with the request itself; another would too.
-  const bool has_whole_body = whole || attempt_.state.phase() == AttemptState::Phase::kRefused;
-  if (has_whole_body && IsCallersFault(attempt_.status)) {
+  if (attempt_.complete && IsCallersFault(attempt_.status)) {
     PassAnswerOn();
     return true;
   }
--- a/test/engines-test.cc
+++ b/test/engines-test.cc
@@ -203,4 +203,22 @@
   BOOST_TEST(backend.requests() == 1);
 }
 
+// Guards against a part of a complaint that is passed on as the whole of it, since the engine had
+// said in the head that it refuses the request.
+BOOST_AUTO_TEST_CASE(a_complaint_that_is_cut_is_not_passed_on) {
+  ScriptedBackend backend([](const RawRequest&) {
+    return std::string(
+        "HTTP/1.1 400 Bad Request\r\nX-Ridgehold-Not-Run: 1\r\nContent-Length: 100\r\n\r\n"
+        R"({"error":)");
+  });
+  ClusterOptions options;
+  options.engines = 0;
+  Cluster cluster(std::move(options));
+  cluster.Command(0, "create backend odd url " + backend.url() + " zone a engine m");
+  const HttpAnswer answer = cluster.Chat(0, kPrompt, false);
+  BOOST_TEST(backend.requests() == 1);
+  BOOST_TEST(CodeOf(answer) != 0);
+  BOOST_TEST(answer.headers.Get("X-Ridgehold-Execution") == "not run");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
