Soak: servers that are killed as processes, and servers replaced in place

Neither of the two faults behind ORDER on real processes could happen in the soak: an engine that ended had its connections reset, answers without a length never ended early between two events, and a new process had a new id.

`server-kill` closes all sockets of an engine's process, so that each connection ends as the kernel ends it: FIN after what was written, RST where bytes were unread or the connection was not accepted. The proxies pass the FIN on, refuse new connections, and reset those that have not reached the engine. The kill waits up to 500 ms for an answer that has got to a drawn point (after a head, after an event, inside an event or body, or anywhere), in half of the cases of an answer without length and chunks. The next process listens at the same address under the same id at once or up to 200 ms later. `in-place` replaces engines one after the other in this way by processes of the other release; their registrations follow 0 to 700 ms later, and callers take broken streams up. Registrations and reports have `born`, which grows with each start. Weights that were loading and requests that waited end with the process. What engines ask for is judged by process and no longer by id alone. The checks of the ledger are unchanged.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -40,6 +40,7 @@
   tcp::socket client;
   tcp::socket server;
   std::shared_ptr<const LinkState> state;
+  bool connected = false;  // to the server
 };
 
 FaultProxy::FaultProxy(net::any_io_executor executor, const std::string& target)
@@ -70,6 +71,15 @@
   Reset();
 }
 
+void FaultProxy::EndServer() {
+  StopListening();
+  // Such a connection would reach the server's next process.
+  for (const auto& weak : links_) {
+    const auto link = weak.lock();
+    if (link && !link->connected) link->Reset();
+  }
+}
+
 void FaultProxy::RefuseNew() { StopListening(); }
 
 void FaultProxy::Silence() {
@@ -130,6 +140,7 @@
     link->Reset();
     co_return;
   }
+  link->connected = true;
   ErrorCode ignored;
   link->client.set_option(tcp::no_delay(true), ignored);
   link->server.set_option(tcp::no_delay(true), ignored);
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -49,6 +49,9 @@
   void Reset();
   /// As when the process behind it ends: connections are reset, new ones refused.
   void Close();
+  /// As when the process behind it has been killed, and its sockets have been closed: what it wrote
+  /// and the ends of its connections still pass, new connections are refused.
+  void EndServer();
   /// Refuses new connections; those that are open go on.
   void RefuseNew();
   /// As when packets are lost: connections hang, and new ones are not accepted.
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -41,10 +41,23 @@
 constexpr std::chrono::milliseconds kLongestRelease{4'000};
 constexpr double kCompletedPart = 0.7;  // of the kills of all, those that follow a release
 constexpr int kLongestLapse = 3'600;    // ms; three heartbeats of a server
+constexpr double kAtOncePart = 0.4;     // of the killed engines, those that listen again at once
+constexpr int kLongestDown = 200;       // ms
+constexpr int kLongestLag = 100;        // ms, of the registration of a killed engine's next process
+constexpr int kLongestInPlaceLag = 700;    // ms
+constexpr int kLongestInPlacePause = 400;  // ms, between two engines
 // What the sheet of the largest fleet allows.
 constexpr std::chrono::seconds kRecoveryTime{18};
 constexpr double kSeriesPart = 0.4;  // of the faults, those followed at once
 
+ProcessKill DrawKill(Random& random) {
+  ProcessKill kill;
+  kill.point = static_cast<KillPoint>(random.Between(0, 3));
+  const bool at_once = random.Chance(kAtOncePart);
+  if (!at_once) kill.down = random.Milliseconds(1, kLongestDown);
+  return kill;
+}
+
 net::awaitable<void> WaitForEnd(InstanceProcess& process, std::chrono::milliseconds limit) {
   const TimePoint end = Clock::now() + limit;
   while (process.Running() && Clock::now() < end) co_await Sleep(kLook);
@@ -78,7 +91,9 @@
       {"poison-part", FaultKind::kPoisonPart},
       {"reborn", FaultKind::kReborn},
       {"unframed", FaultKind::kUnframed},
-      {"herd", FaultKind::kHerd}};
+      {"herd", FaultKind::kHerd},
+      {"server-kill", FaultKind::kServerKill},
+      {"in-place", FaultKind::kInPlace}};
   return names;
 }
 
@@ -92,8 +107,10 @@
   Random blackout = Random(failing).Fork();
   Random poison_part = Random(blackout).Fork();
   Random reborn = Random(poison_part).Fork();
+  Random server_kill = Random(reborn).Fork();
   for (const auto& [name, kind] : Names()) {
-    Random& random = kind >= FaultKind::kReborn       ? reborn
+    Random& random = kind >= FaultKind::kServerKill   ? server_kill
+                     : kind >= FaultKind::kReborn     ? reborn
                      : kind >= FaultKind::kPoisonPart ? poison_part
                      : kind >= FaultKind::kBlackout   ? blackout
                      : kind >= FaultKind::kFailing    ? failing
@@ -179,6 +196,10 @@
       return Reboot(random);
     case FaultKind::kUnframed:
       return ChangeMood({.unframed = true}, random);
+    case FaultKind::kServerKill:
+      return KillServer(random);
+    case FaultKind::kInPlace:
+      return ReplaceInPlace(random);
     case FaultKind::kReleases:
       return Pick(targets_.engines, random)
           .Replace(random.Chance(0.5) ? "v1" : "v2", random.Milliseconds(300, kLongestLeaving));
@@ -215,6 +236,29 @@
   }
 }
 
+net::awaitable<void> FaultScript::KillServer(Random random) {
+  SoakEngine& engine = Pick(targets_.engines, random);
+  ProcessKill kill = DrawKill(random);
+  kill.unframed = random.Chance(0.5);
+  kill.lag = random.Milliseconds(0, kLongestLag);
+  return engine.KillProcess(std::move(kill));
+}
+
+net::awaitable<void> FaultScript::ReplaceInPlace(Random random) {
+  const auto executor = co_await net::this_coro::executor;
+  const int engines = static_cast<int>(targets_.engines.size());
+  const int first = random.Between(0, engines - 1);
+  const int count = random.Between(1, engines);
+  for (int i = 0; i < count; ++i) {
+    SoakEngine& engine = *targets_.engines[static_cast<std::size_t>((first + i) % engines)];
+    ProcessKill kill = DrawKill(random);
+    kill.release = engine.release() == "v1" ? "v2" : "v1";
+    kill.lag = random.Milliseconds(0, kLongestInPlaceLag);
+    net::co_spawn(executor, engine.KillProcess(std::move(kill)), net::detached);
+    co_await Sleep(random.Milliseconds(0, kLongestInPlacePause));
+  }
+}
+
 net::awaitable<void> FaultScript::MakeBrittle(Random random) {
   const int engines = static_cast<int>(targets_.engines.size());
   const int most = random.Between(kLeastRejections, kMostRejections);
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -58,6 +58,8 @@
   kReborn,
   kUnframed,
   kHerd,
+  kServerKill,
+  kInPlace,
 };
 
 /// A process of an instance, which may have been replaced since.
@@ -128,6 +130,11 @@
   /// Some engines end and are back at their addresses under other ids; the old registrations lapse
   /// later.
   net::awaitable<void> Reboot(Random random);
+  /// An engine's process is killed; the next has its address and id.
+  net::awaitable<void> KillServer(Random random);
+  /// Engines become processes of the other release one after the other, at their addresses and ids;
+  /// their registrations follow later.
+  net::awaitable<void> ReplaceInPlace(Random random);
   net::awaitable<void> ChangeMood(EngineMood mood, Random random);
 
   /// An instance; often the one that orders weights now.
--- a/soak/instance_path.cc
+++ b/soak/instance_path.cc
@@ -15,13 +15,22 @@
 }
 
 void InstancePath::SetEngineUp(bool up) {
-  engine_up_ = up;
+  engine_ = up ? EngineState::kUp : EngineState::kDown;
+  Apply();
+}
+
+void InstancePath::KillEngine() {
+  engine_ = EngineState::kKilled;
   Apply();
 }
 
 void InstancePath::Apply() {
-  if (!engine_up_) return proxy_.Close();
-  if (!cut_) return proxy_.Restore();
+  if (engine_ == EngineState::kDown) return proxy_.Close();
+  if (!cut_ && engine_ == EngineState::kUp) return proxy_.Restore();
+  if (!cut_) {
+    proxy_.Set({});
+    return proxy_.EndServer();
+  }
   switch (*cut_) {
     case PathCut::kSilent:
       return proxy_.Silence();
--- a/soak/instance_path.h
+++ b/soak/instance_path.h
@@ -26,15 +26,20 @@
 
   void Cut(PathCut cut);
   void Heal();
+  /// The engine's process has ended, and its connections have been reset, or runs.
   void SetEngineUp(bool up);
+  /// The engine's process has been killed: its connections end after what it wrote.
+  void KillEngine();
 
  private:
+  enum class EngineState { kUp, kDown, kKilled };
+
   void Apply();
 
   FaultProxy proxy_;
   std::optional<PathCut> cut_;
   int cuts_ = 0;  ///< at work; they may overlap
-  bool engine_up_ = true;
+  EngineState engine_ = EngineState::kUp;
 };
 
 }  // namespace ridgehold::soak
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <chrono>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
@@ -37,6 +38,11 @@
   return size.data() + data + "\r\n";
 }
 
+std::int64_t UnixMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 int Number(boost::beast::string_view text) { return std::atoi(std::string(text).c_str()); }
 
 }  // namespace
@@ -45,12 +51,13 @@
                        ridgehold::test::MemoryTable& table, Random random)
     : name_(std::move(id)),
       id_(name_),
+      born_(UnixMilliseconds()),
       judges_(judges),
       table_(table),
       random_(random),
       acceptor_(executor, {net::ip::make_address("127.0.0.1"), 0}),
       proxy_(executor, "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())) {
-  net::co_spawn(executor, Accept(), net::detached);
+  net::co_spawn(executor, Accept(kills_), net::detached);
 }
 
 void SoakEngine::Register() {
@@ -63,36 +70,41 @@
       {"state", "ready"},
       {"cold_left_ms", 0},
       {"models", {{{"name", "m"}, {"version", weights_}, {"adapters", Json::array()}}}},
-      {"seq", orders_}};
+      {"seq", orders_},
+      {"born", born_}};
   table_.Put(platform::key::kBackendPrefix + id_, entry.dump());
 }
 
-net::awaitable<void> SoakEngine::Accept() {
+net::awaitable<void> SoakEngine::Accept(int process) {
   for (;;) {
     ErrorCode error;
     tcp::socket socket =
         co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
-    if (error) co_return;
-    net::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)), net::detached);
+    if (error || process != kills_) co_return;
+    auto accepted = std::make_shared<tcp::socket>(std::move(socket));
+    std::erase_if(sockets_, [](const auto& known) { return known.expired(); });
+    sockets_.push_back(accepted);
+    net::co_spawn(acceptor_.get_executor(), Serve(std::move(accepted)), net::detached);
   }
 }
 
-net::awaitable<void> SoakEngine::Serve(tcp::socket socket) {
+net::awaitable<void> SoakEngine::Serve(std::shared_ptr<tcp::socket> socket) {
   boost::beast::flat_buffer buffer;
   for (bool kept = true; kept;) {
     RequestMessage request;
     ErrorCode error;
-    co_await http::async_read(socket, buffer, request,
+    co_await http::async_read(*socket, buffer, request,
                               net::redirect_error(net::use_awaitable, error));
     if (error) co_return;
-    kept = co_await Answer(socket, request);
+    kept = co_await Answer(*socket, request);
   }
 }
 
 net::awaitable<bool> SoakEngine::Answer(tcp::socket& socket, const RequestMessage& request) {
   const std::string target(request.target());
   const bool read_late = random_.Chance(kReadLatePart);  // falls silent before or after it runs
-  while (mood_.silent && read_late) co_await Sleep(kLook);
+  while (mood_.silent && read_late && socket.is_open()) co_await Sleep(kLook);
+  if (!socket.is_open()) co_return false;
   const std::string id(request[field::kRequestId]);
   if (judges_.ledger.Find(id) != nullptr) judges_.retries.Arrived(id);
   const std::string expected(request[field::kExpectedBackend]);
@@ -116,11 +128,13 @@
   return !busy_ && active_ < kSlots && Number(request[field::kTimeLeftMs]) > 0;
 }
 
-net::awaitable<void> SoakEngine::WaitInQueue(std::chrono::milliseconds limit) {
+net::awaitable<void> SoakEngine::WaitInQueue(const tcp::socket& socket,
+                                             std::chrono::milliseconds limit) {
   const TimePoint end = Clock::now() + limit;
   const TimePoint turn = Clock::now() + mood_.queue;
   ++queued_;
-  while (!busy_ && Clock::now() < end && (Clock::now() < turn || active_ >= kSlots)) {
+  while (!busy_ && socket.is_open() && Clock::now() < end &&
+         (Clock::now() < turn || active_ >= kSlots)) {
     co_await Sleep(kLook);
   }
   --queued_;
@@ -128,7 +142,7 @@
 
 net::awaitable<bool> SoakEngine::Generate(tcp::socket& socket, const RequestMessage& request) {
   const RequestRecord* record = judges_.ledger.Find(std::string(request[field::kRequestId]));
-  if (record != nullptr) judges_.needs.Arrived(id_, mood_.need, *record);
+  if (record != nullptr) judges_.needs.Arrived(ProcessName(), mood_.need, *record);
   if (mood_.need.rest && record != nullptr) co_return co_await AskForRest(socket, request);
   const std::chrono::milliseconds limit(Number(request[field::kTimeLeftMs]));
   const TimePoint arrived = Clock::now();
@@ -136,7 +150,8 @@
   bool may_run = queued_ < (sheds ? kQueuePlacesWhenBrittle : kQueuePlaces);
   if (!may_run) CountRejection();
   if (may_run) {
-    co_await WaitInQueue(limit);
+    co_await WaitInQueue(socket, limit);
+    if (!socket.is_open()) co_return false;
     may_run = MayRun(request) && Clock::now() < arrived + limit;
   }
   if (!may_run) {
@@ -156,6 +171,7 @@
     co_return false;
   }
   ++active_;
+  running_.insert(run);
   const bool stream =
       request.target().find("/stream/") == 0 || request.target().find("/resume/") == 0;
   bool kept = false;
@@ -164,6 +180,7 @@
   } else {
     kept = co_await Plain(socket, request, *run);
   }
+  running_.erase(run);
   --active_;
   co_return kept;
 }
@@ -171,23 +188,37 @@
 net::awaitable<bool> SoakEngine::Plain(tcp::socket& socket, const RequestMessage& request,
                                        Run& run) {
   co_await Sleep(random_.Milliseconds(2, 80));
-  while (mood_.silent) co_await Sleep(kLook);
+  while (mood_.silent && socket.is_open()) co_await Sleep(kLook);
+  if (!socket.is_open()) co_return false;
   const bool breaks = random_.Chance(mood_.break_part);
   run.broke_off = breaks;
   if (breaks && random_.Chance(kNoAnswerPart)) co_return false;
   run.status = random_.Chance(mood_.error_part) ? 500 : 200;
   const std::string body = BodyOf(run.signature);
   // The end of a connection cannot tell that such an answer was cut off.
-  const bool unframed = mood_.unframed && !breaks;
+  const bool unframed = (mood_.unframed || (kill_ && kill_->unframed)) && !breaks;
   const bool chunked = random_.Chance(kChunkedPart) && !unframed;
   std::string framing = chunked ? "Transfer-Encoding: chunked\r\n"
                                 : "Content-Length: " + std::to_string(body.size()) + "\r\n";
   if (unframed) framing = "Connection: close\r\n";
   std::string answer = Head(run, request, framing);
+  const std::size_t head_size = answer.size();
   answer += chunked ? Chunk(body) + "0\r\n\r\n" : body;
   if (breaks)
     answer.resize(
         static_cast<std::size_t>(random_.Between(1, static_cast<int>(answer.size()) - 1)));
+  if (!breaks && AwaitsKill(KillPoint::kAfterHead)) {
+    const bool written =
+        co_await WriteUpTo(socket, std::move(answer), head_size, KillPoint::kAfterHead);
+    co_return written && !unframed;
+  }
+  if (!breaks && AwaitsKill(KillPoint::kInBody)) {
+    const auto part = static_cast<std::size_t>(
+        random_.Between(1, static_cast<int>(answer.size() - head_size) - 1));
+    const bool written =
+        co_await WriteUpTo(socket, std::move(answer), head_size + part, KillPoint::kInBody);
+    co_return written && !unframed;
+  }
   if (unframed) co_return co_await WriteInParts(socket, std::move(answer));
   const bool written = co_await Write(socket, std::move(answer));
   co_return written && !breaks;
@@ -215,14 +246,16 @@
   const int taken_up_after = resumed ? Number(request[field::kLastEventId]) : 0;
   const int break_at = breaks ? random_.Between(taken_up_after, count) : count + 1;
   run.status = 200;
-  const bool unframed = mood_.unframed;
+  const bool unframed = mood_.unframed || (kill_ && kill_->unframed);
   const std::string framing = unframed ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n";
   co_await Sleep(random_.Milliseconds(2, 60));
-  bool written =
-      co_await Write(socket, Head(run, request, "Content-Type: text/event-stream\r\n" + framing));
+  if (!socket.is_open()) co_return false;
+  std::string head = Head(run, request, "Content-Type: text/event-stream\r\n" + framing);
+  const std::size_t head_size = head.size();
+  bool written = co_await WriteUpTo(socket, std::move(head), head_size, KillPoint::kAfterHead);
   for (int i = Number(request[field::kLastEventId]) + 1; i <= count && written; ++i) {
     co_await Sleep(random_.Milliseconds(2, 60));
-    while (mood_.silent) co_await Sleep(kLook);
+    while (mood_.silent && socket.is_open()) co_await Sleep(kLook);
     std::string event = EventOf(id, run.signature, i);
     const bool ends = i >= break_at || breaks_ != breaks_before;
     if (ends) {
@@ -230,7 +263,10 @@
       event.resize(event.size() / 2);
     }
     if (!unframed) event = Chunk(event);
-    written = co_await Write(socket, event);
+    const bool cut = !ends && AwaitsKill(KillPoint::kInBody);
+    const std::size_t size = cut ? event.size() / 2 : event.size();
+    const KillPoint point = cut ? KillPoint::kInBody : KillPoint::kAfterEvent;
+    written = co_await WriteUpTo(socket, std::move(event), size, point);
     if (ends) co_return false;
   }
   if (!written || unframed) co_return false;
@@ -239,7 +275,7 @@
 
 std::string SoakEngine::NeedFields(const RequestMessage& request) const {
   const RequestRecord* record = judges_.ledger.Find(std::string(request[field::kRequestId]));
-  if (record != nullptr) judges_.needs.Answered(id_, mood_.need, *record);
+  if (record != nullptr) judges_.needs.Answered(ProcessName(), mood_.need, *record);
   std::string fields;
   if (mood_.need.limit) {
     fields += std::string(field::kServerLimit) + ": " + std::to_string(*mood_.need.limit) + "\r\n";
@@ -278,7 +314,7 @@
                        ": 1\r\n" + NeedFields(request) + "Retry-After: " +
                        std::to_string(std::chrono::duration<double>(rest).count()) +
                        "\r\nContent-Length: 0\r\n\r\n";
-  const std::string engine = id_;
+  const std::string engine = ProcessName();
   const bool written = co_await Write(socket, std::move(answer));
   const RequestRecord* record = judges_.ledger.Find(id);
   if (written && record != nullptr) judges_.needs.AskedForRest(engine, rest, *record);
@@ -325,6 +361,20 @@
   co_return !error;
 }
 
+net::awaitable<bool> SoakEngine::WriteUpTo(tcp::socket& socket, std::string bytes, std::size_t size,
+                                           KillPoint point) {
+  std::string rest = bytes.substr(size);
+  bytes.resize(size);
+  const bool written = co_await Write(socket, std::move(bytes));
+  if (!written) co_return false;
+  if (AwaitsKill(point)) {
+    EndProcess();
+    co_return false;
+  }
+  if (rest.empty()) co_return true;
+  co_return co_await Write(socket, std::move(rest));
+}
+
 net::awaitable<bool> SoakEngine::Reply(tcp::socket& socket, http::status status, std::string body,
                                        const RequestMessage& request, bool not_run) {
   std::string answer = HeadLine(status) + field::kBackend + ": " + id_ + "\r\n";
@@ -336,6 +386,67 @@
   co_return co_await Write(socket, std::move(answer));
 }
 
+bool SoakEngine::AwaitsKill(KillPoint point) const {
+  return serving() && kill_ && kill_->point == point;
+}
+
+void SoakEngine::EndProcess() {
+  ended_ = true;
+  ++kills_;
+  kill_.reset();
+  proxy_.EndServer();
+  for (const auto& path : paths_) path->KillEngine();
+  for (const auto& run : running_) run->broke_off = true;
+  ErrorCode ignored;
+  for (const auto& known : sockets_) {
+    if (const auto socket = known.lock()) socket->close(ignored);
+  }
+  sockets_.clear();
+  // Resets the connections that have not been accepted. The proxy lets no others through until the
+  // next process starts.
+  const tcp::endpoint endpoint = acceptor_.local_endpoint();
+  acceptor_.close(ignored);
+  acceptor_ = tcp::acceptor(acceptor_.get_executor(), endpoint);
+  net::co_spawn(acceptor_.get_executor(), Accept(kills_), net::detached);
+}
+
+void SoakEngine::StartProcess(const ProcessKill& kill) {
+  if (!kill.release.empty()) release_ = next_release_ = kill.release;
+  busy_ = false;
+  rejections_.clear();
+  Boot();
+}
+
+void SoakEngine::Boot() {
+  born_ = std::max(born_ + 1, UnixMilliseconds());
+  orders_ = 0;
+  ended_ = false;
+  proxy_.Open();
+  for (const auto& path : paths_) path->SetEngineUp(true);
+}
+
+net::awaitable<void> SoakEngine::KillProcess(ProcessKill kill) {
+  constexpr std::chrono::milliseconds kLongestWait{500};  // for an answer at that point
+  if (!serving() || kill_) co_return;
+  const Calm::Token token = judges_.calm.Begin(FaultClass::kProcess);
+  const std::string id = id_;
+  const int kills = kills_ + 1;
+  kill_ = kill;
+  const TimePoint limit = Clock::now() + kLongestWait;
+  while (kill.point != KillPoint::kAnywhere && kills_ < kills && Clock::now() < limit) {
+    co_await Sleep(kLook);
+  }
+  if (kills_ < kills) {
+    kill_.reset();
+    if (!serving() || id_ != id) co_return;
+    EndProcess();
+  }
+  co_await Sleep(kill.down);
+  StartProcess(kill);
+  co_await Sleep(kill.lag);
+  if (kills_ == kills && id_ == id && !ended_) Register();
+}
+
 void SoakEngine::GoDown() {
   proxy_.Close();
   for (const auto& path : paths_) path->SetEngineUp(false);
@@ -344,10 +455,7 @@
 
 void SoakEngine::ComeBack(const std::string& prefix) {
   id_ = prefix + "." + std::to_string(++starts_);
-  orders_ = 0;
-  ended_ = false;
-  proxy_.Open();
-  for (const auto& path : paths_) path->SetEngineUp(true);
+  Boot();
   Register();
 }
 
@@ -369,6 +477,7 @@
               {"models", {{{"name", "m"}, {"version", weights_}, {"adapters", Json::array()}}}},
               {"busy", busy_},
               {"seq", orders_},
+              {"born", born_},
               {"queued", queued_},
               {"active", active_}}
       .dump();
@@ -388,10 +497,12 @@
 }
 
 net::awaitable<void> SoakEngine::Load(int weights, bool break_runs) {
+  const int kills = kills_;
   if (break_runs) ++breaks_;
   while (active_ > 0) co_await Sleep(kLook);
   const bool slow = random_.Chance(kSlowLoadPart);
   co_await Sleep(slow ? random_.Milliseconds(1'000, 4'000) : random_.Milliseconds(100, 400));
+  if (kills_ != kills) co_return;
   weights_ = weights;
   busy_ = false;
   Register();
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 #include "needs.h"
 #include "order_check.h"
 #include "poison.h"
+#include "process_kill.h"
 #include "random.h"
 #include "retry_check.h"
 
@@ -62,13 +64,17 @@
   /// The process ends and another starts at the same address, under an id that sorts anywhere. The
   /// old registration lapses only after `lapse`.
   net::awaitable<void> Reboot(std::chrono::milliseconds lapse);
+  /// The process is killed: its connections end as the kernel ends them, also in the middle of
+  /// answers. Another starts at the same address under the same id.
+  net::awaitable<void> KillProcess(ProcessKill kill);
   FaultProxy& proxy() { return proxy_; }
   /// The way follows the engine's process.
   void AddPath(std::shared_ptr<InstancePath> path) { paths_.push_back(std::move(path)); }
 
  private:
-  net::awaitable<void> Accept();
-  net::awaitable<void> Serve(tcp::socket socket);
+  /// Until the process has been killed.
+  net::awaitable<void> Accept(int process);
+  net::awaitable<void> Serve(std::shared_ptr<tcp::socket> socket);
   /// These return false when the connection is to end.
   net::awaitable<bool> Answer(tcp::socket& socket, const RequestMessage& request);
   net::awaitable<bool> Generate(tcp::socket& socket, const RequestMessage& request);
@@ -77,10 +83,22 @@
   net::awaitable<bool> Write(tcp::socket& socket, std::string bytes);
   /// Writes with pauses, and ends the connection.
   net::awaitable<bool> WriteInParts(tcp::socket& socket, std::string answer);
+  /// Writes an answer; is killed after `size` bytes of it if a kill waits for that point.
+  net::awaitable<bool> WriteUpTo(tcp::socket& socket, std::string bytes, std::size_t size,
+                                 KillPoint point);
   net::awaitable<bool> Reply(tcp::socket& socket, http::status status, std::string body,
                              const RequestMessage& request, bool not_run);
-  net::awaitable<void> WaitInQueue(std::chrono::milliseconds limit);
+  net::awaitable<void> WaitInQueue(const tcp::socket& socket, std::chrono::milliseconds limit);
   http::status TakeOrder(const std::string& body);
+  /// Whether a kill waits for an answer that gets to this point.
+  bool AwaitsKill(KillPoint point) const;
+  /// All sockets of the process close; its runs break off.
+  void EndProcess();
+  void StartProcess(const ProcessKill& kill);
+  /// A process starts to listen; it knows nothing of the one before.
+  void Boot();
+  /// Names the process, also among those under one id.
+  std::string ProcessName() const { return id_ + "/" + std::to_string(kills_); }
   void GoDown();
   /// Another process runs, under an id that begins with `prefix`.
   void ComeBack(const std::string& prefix);
@@ -101,6 +119,11 @@
   std::string release_ = "v1";
   std::string next_release_ = "v1";  ///< of the next start
   std::string id_;                   ///< of this start
+  std::int64_t born_ = 0;            ///< Unix ms of this start
+  int kills_ = 0;
+  std::optional<ProcessKill> kill_;  ///< that waits for its point
+  std::set<std::shared_ptr<Run>> running_;
+  std::vector<std::weak_ptr<tcp::socket>> sockets_;  ///< accepted
   Judges judges_;
   ridgehold::test::MemoryTable& table_;
   Random random_;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -64,7 +64,9 @@
     options_.instances = random_.Between(kLeastInstances, kMostInstances);
   }
   if (!options_.calm) faults_.Select(options_.faults);
-  if (faults_.Selected(FaultKind::kReleases)) AddReleases();
+  if (faults_.Selected(FaultKind::kReleases) || faults_.Selected(FaultKind::kInPlace)) {
+    AddReleases();
+  }
   if (faults_.Selected(FaultKind::kBlackout)) FillStore();
 }
 
