Request log: what the release of a resumed stream was concluded from

Lines of take-ups tell how many instances were asked and have answered, how many releases the instance knows itself, and whether it knows all. With config_age_ms this tells apart an instance that has just started, one that is out of step, and a record of releases that lags behind.

--- a/libs/entry/include/entry/resumption_coordinator.h
+++ b/libs/entry/include/entry/resumption_coordinator.h
@@ -138,7 +138,7 @@
     std::set<ServiceId> services;
     if (!state_.snapshot()) return {};
     for (const RouteRule& route : state_.snapshot()->routes()) {
-      if (route.kind != RouteKind::kStream || !route.MayRepeat()) continue;
+      if (!route.IsResumable()) continue;
       for (const WeightedTarget& target : route.targets) services.insert(target.service);
     }
     return {services.begin(), services.end()};
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -124,16 +124,12 @@
   /// Determines the release at which a resumed stream goes on. Returns false if it is not known.
   net::awaitable<bool> FindRelease() {
     if (!inbound_.resume_after || !IsResumable()) co_return true;
-    OriginFinding origin =
-        co_await state_.FindOrigin(inbound_.resumes, record_.workspace, plan_.service);
-    record_.origin = origin.source;
-    plan_.release = std::move(origin.release);
+    record_.origin = co_await state_.FindOrigin(inbound_.resumes, record_.workspace, plan_.service);
+    plan_.release = record_.origin->release;
     co_return plan_.release.has_value();
   }
 
-  bool IsResumable() const {
-    return plan_.route->kind == RouteKind::kStream && plan_.route->MayRepeat();
-  }
+  bool IsResumable() const { return plan_.route->IsResumable(); }
 
   /// Sends the request to backend servers until one responds or no further attempt is allowed.
   net::awaitable<void> Send() {
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -99,7 +99,7 @@
   std::optional<EndVerdict> end_verdict;  ///< on that response
   /// The attempt that this one resumes, see InboundRequest; empty: a new stream.
   RequestId resumes;
-  std::optional<OriginSource> origin;  ///< of the release of a resumed stream
+  std::optional<OriginFinding> origin;  ///< the release of a resumed stream
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
   std::optional<NoticeRecord> backend_notice;  ///< none if no notice is known here
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -53,9 +53,9 @@
   std::vector<WeightedTarget> targets;
 
   /// Whether a request may run a second time.
-  bool MayRepeat() const {
-    return kind == RouteKind::kSafe || (kind == RouteKind::kStream && resumable);
-  }
+  bool MayRepeat() const { return kind == RouteKind::kSafe || IsResumable(); }
+  /// Whether another request may go on with a stream that was broken off.
+  bool IsResumable() const { return kind == RouteKind::kStream && resumable; }
 };
 
 /// The engine settings of a service.
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -126,6 +126,15 @@
   fields.push_back({"quota_fits_in_ms", MillisecondsText(record.quota->retry_after)});
 }
 
+void AppendOrigin(const OriginFinding& origin, LogFields& fields) {
+  const OriginEvidence& evidence = origin.evidence;
+  fields.push_back({"origin", std::string(NameOf(origin.source))});
+  fields.push_back({"origin_asked", std::to_string(evidence.asked)});
+  fields.push_back({"origin_answered", std::to_string(evidence.answered)});
+  fields.push_back({"known_releases", std::to_string(evidence.releases)});
+  fields.push_back({"releases_complete", evidence.complete ? "yes" : "no"});
+}
+
 void AppendOrder(const RequestRecord& record, LogFields& fields) {
   fields.push_back({"urgency", std::string(ToString(record.order->urgency))});
   fields.push_back({"over_share", record.order->over_share ? "yes" : "no"});
@@ -262,7 +271,7 @@
   }
   if (record.quota) AppendQuota(metrics, record, fields);
   if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
-  if (record.origin) fields.push_back({"origin", std::string(NameOf(*record.origin))});
+  if (record.origin) AppendOrigin(*record.origin, fields);
   if (!record.resumes.value().empty()) {
     constexpr std::size_t kMaxLoggedId = 64;  // bytes; clients may send any
     fields.push_back({"resumes", record.resumes.value().substr(0, kMaxLoggedId)});
--- a/libs/peers/src/origin_link.cc
+++ b/libs/peers/src/origin_link.cc
@@ -86,6 +86,8 @@
     query.service = std::move(service);
     finding = co_await Ask(std::move(query), own);
   }
+  finding->evidence.releases = own.releases;
+  finding->evidence.complete = own.complete;
   Count(*finding);
   co_return std::move(*finding);
 }
@@ -111,7 +113,10 @@
     }
   }
   pending_.erase(query.number);
-  co_return pending.search.Conclude();
+  OriginFinding finding = pending.search.Conclude();
+  finding.evidence.asked = asked.size();
+  finding.evidence.answered = asked.size() - pending.silent.size();
+  co_return finding;
 }
 
 void OriginLink::Handle(const OriginMessage& message, const std::string& from) {
--- a/libs/resumption/include/resumption/origin_finding.h
+++ b/libs/resumption/include/resumption/origin_finding.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -21,9 +22,20 @@
 
 std::string_view NameOf(OriginSource source);
 
+/// What a search was based on.
+struct OriginEvidence {
+  std::size_t asked = 0;     ///< gateways
+  std::size_t answered = 0;  ///< of these
+  std::size_t releases = 0;  ///< that this gateway knows to have served within a stream's lifetime
+  bool complete = false;     ///< this gateway knows that these are all
+
+  bool operator==(const OriginEvidence&) const = default;
+};
+
 struct OriginFinding {
   OriginSource source = OriginSource::kUnknown;
   std::optional<ReleaseId> release;  ///< none if unknown
+  OriginEvidence evidence;
 
   bool operator==(const OriginFinding&) const = default;
 };
--- a/libs/resumption/include/resumption/release_history.h
+++ b/libs/resumption/include/resumption/release_history.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,6 +22,7 @@
     bool several = false;             ///< backend servers of several releases began them
     std::optional<ReleaseId> single;  ///< the only release registered within their lifetime
     bool complete = false;            ///< known for all of that time
+    std::size_t releases = 0;         ///< that are known
 
     /// Whether there is proof that one release began all of them.
     bool IsSingle() const { return complete && single.has_value(); }
--- a/libs/resumption/src/release_history.cc
+++ b/libs/resumption/src/release_history.cc
@@ -31,6 +31,7 @@
   Summary summary;
   const std::set<ReleaseId> recent = Recent(lifetime, now);
   summary.several = recent.size() > 1;
+  summary.releases = recent.size();
   if (recent.size() == 1) summary.single = *recent.begin();
   summary.complete = known_complete_ || (first_observed_ && now - *first_observed_ > lifetime);
   return summary;
