--- a/libs/gateway/test/request_fingerprint-test.cc
+++ b/libs/gateway/test/request_fingerprint-test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 #include "gateway/request_fingerprint.h"
 
