--- a/libs/peers/test/origin_link-test.cc
+++ b/libs/peers/test/origin_link-test.cc
@@ -2,7 +2,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 using namespace ridgehold;
 
@@ -45,10 +50,69 @@
                    [](StreamHash) { return std::optional<ReleaseId>(); }, [] { return true; }}};
 };
 
+/// A process of a fleet whose other gateways answer as the test says.
+struct FleetMember {
+  FleetMember() {
+    link.Restore(kService, {{ReleaseId("v1")}, true}, Clock::now());
+    link.Observe(kService, {ReleaseId("v1")}, Clock::now());
+  }
+
+  /// Asks about a stream that this process does not know. Returns nullopt if there is no finding
+  /// within `limit`.
+  std::optional<OriginFinding> Find(std::chrono::milliseconds limit = std::chrono::seconds(3)) {
+    std::optional<OriginFinding> finding;
+    net::co_spawn(io, link.Find(RequestId("r1"), WorkspaceId(), kService),
+                  [&](std::exception_ptr, const OriginFinding& result) { finding = result; });
+    io.run_for(limit);
+    return finding;
+  }
+
+  void Send(const std::string& address, const OriginMessage& message) {
+    const auto* query = std::get_if<OriginQuery>(&message);
+    const auto answer = answers.find(address);
+    if (query == nullptr || answer == answers.end()) return;
+    answer->second.number = query->number;
+    net::post(
+        io, [this, address, body = answer->second] { link.Handle(OriginMessage(body), address); });
+  }
+
+  net::io_context io;
+  Metrics metrics;
+  std::vector<std::string> peers{"10.0.0.2", "10.0.0.3", "10.0.0.4"};
+  std::map<std::string, OriginAnswer> answers;  ///< by address; the others are silent
+  bool is_current = true;
+  OriginLink link{
+      io.get_executor(),
+      metrics,
+      {},
+      {[this](const std::string& address, const OriginMessage& message) { Send(address, message); },
+       [this] { return peers; }, [](StreamHash) { return std::optional<ReleaseId>(); },
+       [this] { return is_current; }}};
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(origin_link)
 
+// Guards against pieces of two releases in one stream: a gateway that is cut off takes what it last
+// knew of the releases for current, although one has joined since.
+BOOST_AUTO_TEST_CASE(gateway_that_nobody_answers_does_not_rely_on_its_last_copy) {
+  FleetMember member;
+  const auto finding = member.Find();
+  BOOST_REQUIRE(finding);
+  BOOST_TEST(!finding->release);
+}
+
+// Guards against the same by two gateways that were cut off together.
+BOOST_AUTO_TEST_CASE(answer_of_a_minority_proves_nothing) {
+  FleetMember member;
+  member.is_current = false;
+  member.answers["10.0.0.3"] = {};
+  const auto finding = member.Find();
+  BOOST_REQUIRE(finding);
+  BOOST_TEST(!finding->release);
+}
+
 // Guards against pieces of two releases in one stream: a keeper that was suspended answers a query
 // of the process before a restart, and the answer is taken for one about another stream.
 BOOST_AUTO_TEST_CASE(answer_to_an_earlier_process_is_ignored) {
