Fix: releases are recorded before they begin streams, and nobody decides alone that there is one (ORDER)

What callers saw: streams that servers of one software version began went on at another one, after kills of all instances amid releases, and at an instance that was out of step while a version joined.

Cause: "I know of no other release" was taken for "there is no other" by a gateway that had not looked all the time. Its copy of the store counted as current for 2 s, so it concluded without asking; when it asked, one answer of an equally old peer was enough; and a release began streams as soon as one gateway had read a registration, up to a second before the record named it, or for as long as the store took no writes, so that after a kill of all the record was "complete" without it.

Change: a release begins no stream that may be resumed before the record names it, as long as servers of others can be reached, for 5 s at most (UsableForStart, MayStartAt). That there is a single release is concluded only from a record that was read from the store after the question (one shared call of some ms, or the watch), or, if the store can't be asked, from all gateways that were asked. A release is removed from the record only by a gateway whose copy is current, and a listing after a gap restores the record anew. Two gateways that name different releases for a stream prove neither.

Why it works: what may have begun a stream was in the record before the stream's first event, and the take-up comes after that event; so a read that is sent after the take-up sees it. Without the store, the gateways that were asked include those that were told of the stream.

--- a/libs/entry/include/entry/entry_settings.h
+++ b/libs/entry/include/entry/entry_settings.h
@@ -31,6 +31,8 @@
   std::chrono::milliseconds min_lease_ttl{1'000};
   /// Conditional and other writing calls that the store takes from all instances together.
   double store_writes_per_second = 400;
+  /// Reading calls that the store takes from all instances together.
+  double store_reads_per_second = 2'000;
   /// Whether no process of the fleet has run before.
   bool first_start = false;
   std::uint32_t max_descriptors = 1'024;
--- a/libs/entry/include/entry/resumption_coordinator.h
+++ b/libs/entry/include/entry/resumption_coordinator.h
@@ -19,6 +19,7 @@
 #include "entry/release_recorder.h"
 #include "gateway/gateway_state.h"
 #include "log/log.h"
+#include "net/wait.h"
 #include "peers/origin_link.h"
 #include "peers/origin_record_codec.h"
 
@@ -39,7 +40,8 @@
 
   ResumptionCoordinator(Store& store, GatewayState& state, InstanceRecords& records,
                         const EntrySettings& settings, Callbacks callbacks)
-      : state_(state),
+      : store_(store),
+        state_(state),
         records_(records),
         settings_(settings),
         callbacks_(std::move(callbacks)),
@@ -57,7 +59,9 @@
                                 link_.RecordStart(attempt, workspace, service, release);
                               }});
     state_.directory().SetRegistrationListener([this](const BackendEntry& entry) {
-      link_.Observe(entry.service, {entry.release}, Clock::now());
+      const TimePoint now = Clock::now();
+      link_.Observe(entry.service, {entry.release}, now);
+      UpdateUnrecorded(entry.service, now);
     });
   }
 
@@ -82,6 +86,7 @@
     if (!state_.snapshot()) return;
     for (const ServiceRule& service : state_.snapshot()->services()) {
       link_.Observe(service.id, state_.directory().ReleasesOf(service.id), now);
+      UpdateUnrecorded(service.id, now);
     }
   }
 
@@ -89,10 +94,19 @@
   std::size_t stored_streams() const { return stored_.size(); }
 
  private:
+  /// What reads of a service's record have shown.
+  struct RecordRead {
+    bool wanted = false;
+    bool running = false;
+    TimePoint known_at{};  ///< when the last one that succeeded was sent
+  };
+
   /// A watch confirms the copy of the store about once per second.
   static constexpr std::chrono::milliseconds kMaxCopyAge{2'000};
-  /// Fraction of the calls per second that the store takes which all gateways may use together.
+  /// Fractions of the calls per second that the store takes which all gateways may use together.
   static constexpr double kWriteShare = 0.1;
+  static constexpr double kReadShare = 0.2;
+  static constexpr std::chrono::milliseconds kMinReadInterval{50};
   static constexpr std::chrono::milliseconds kMinWriteInterval{250};
 
   OriginLink::Callbacks LinkCallbacks() {
@@ -100,7 +114,17 @@
     callbacks.send = callbacks_.send;
     callbacks.peers = callbacks_.peers;
     callbacks.stored = [this](StreamHash stream) { return stored_.Find(stream); };
-    callbacks.is_current = [this] { return Clock::now() - state_.confirmed_at() < kMaxCopyAge; };
+    callbacks.confirmed_at = [this](const ServiceId& service) {
+      const auto read = reads_.find(service);
+      const TimePoint read_at = read == reads_.end() ? TimePoint() : read->second.known_at;
+      return std::max(state_.confirmed_at(), read_at);
+    };
+    callbacks.read_record = [this](const ServiceId& service) {
+      RecordRead& read = reads_[service];
+      read.wanted = true;
+      if (std::exchange(read.running, true)) return;
+      net::co_spawn(state_.executor(), ReadRecord(service), net::detached);
+    };
     return callbacks;
   }
 
@@ -108,7 +132,11 @@
     typename ReleaseRecorder<Store>::Options options;
     options.services = [this] { return ResumableServices(); };
     options.record_of = [this](const ServiceId& service) {
-      return link_.RecordOf(service, Clock::now());
+      const TimePoint now = Clock::now();
+      ReleaseRecord record = link_.RecordOf(service, now);
+      // A release that has returned since the copy was confirmed must not be removed.
+      if (now - state_.confirmed_at() >= kMaxCopyAge) record.releases.merge(RecordedOf(service));
+      return record;
     };
     options.on_missing = [this](const ServiceId& service) {
       if (settings_.first_start) link_.MarkComplete(service);
@@ -156,10 +184,45 @@
     stored_.Put(key, std::move(*batch));
   }
 
-  /// A listing also delivers records that have not changed.
+  /// Reads the record for all searches that begin before each call. Calls are limited, and whoever
+  /// asks after a call waits for the next one.
+  net::awaitable<void> ReadRecord(ServiceId service) {
+    const std::string key = kReleaseRecordPrefix + service.value();
+    Timer timer(state_.executor());
+    while (std::exchange(reads_[service].wanted, false)) {
+      const TimePoint sent = Clock::now();
+      const StoreResult<StorePage> page = co_await store_.List(key, "", ListOptions());
+      if (page.has_value()) {
+        for (const StoreItem& item : page->items) {
+          if (item.key == key) OnReleases(item);
+        }
+        reads_[service].known_at = sent;
+        link_.OnRecordRead();
+      }
+      co_await WaitFor(timer, ReadInterval());
+    }
+    reads_[service].running = false;
+  }
+
+  std::chrono::milliseconds ReadInterval() const {
+    const double seconds =
+        static_cast<double>(state_.gateways()) / (kReadShare * settings_.store_reads_per_second);
+    return std::max(kMinReadInterval, std::chrono::milliseconds(
+                                          static_cast<std::int64_t>(seconds * std::milli::den)));
+  }
+
+  std::set<ReleaseId> RecordedOf(const ServiceId& service) const {
+    const StoreItem* stored = records_.Find(kReleaseRecordPrefix + service.value());
+    const auto record = stored == nullptr ? std::nullopt : DecodeReleaseRecord(stored->value);
+    return record ? record->releases : std::set<ReleaseId>();
+  }
+
+  /// A listing also delivers records that have not changed. What they list may have been registered
+  /// while the changes were not followed.
   void OnReleases(const StoreItem& item) {
     StoreRevision& known = record_revisions_[item.key];
-    if (item.revision <= known) return;
+    const bool was_current = Clock::now() - state_.confirmed_at() < kMaxCopyAge;
+    if (item.revision < known || (item.revision == known && was_current)) return;
     known = item.revision;
     const std::optional<ReleaseRecord> record = DecodeReleaseRecord(item.value);
     if (!record) {
@@ -167,9 +230,16 @@
       return;
     }
     const ServiceId service(item.key.substr(std::string_view(kReleaseRecordPrefix).size()));
-    link_.Restore(service, *record, Clock::now());
+    const TimePoint now = Clock::now();
+    link_.Restore(service, *record, now);
+    UpdateUnrecorded(service, now);
+  }
+
+  void UpdateUnrecorded(const ServiceId& service, TimePoint now) {
+    state_.directory().SetUnrecorded(service, link_.UnrecordedOf(service, now));
   }
 
+  Store& store_;
   GatewayState& state_;
   InstanceRecords& records_;
   const EntrySettings& settings_;
@@ -179,6 +249,7 @@
   ReleaseRecorder<Store> recorder_;
   OriginWriter<Store> writer_;
   std::map<std::string, StoreRevision> record_revisions_;
+  std::map<ServiceId, RecordRead> reads_;
 };
 
 }  // namespace ridgehold
--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -166,6 +166,10 @@
   /// nullopt withholds none.
   void Withhold(const ServiceId& service, std::optional<ReleaseId> release);
 
+  /// Sets the releases of a service that begin no stream that may be resumed, as long as servers of
+  /// others can be reached.
+  void SetUnrecorded(const ServiceId& service, std::set<ReleaseId> releases);
+
   /// Sets the function that is called for each registration that is not outdated.
   void SetRegistrationListener(std::function<void(const BackendEntry&)> listener) {
     on_registration_ = std::move(listener);
@@ -193,6 +197,12 @@
   /// if there are no others.
   std::vector<BackendPtr> Usable(const ServiceId& service, TimePoint now) const;
 
+  /// Those of Usable() that may begin a stream that may be resumed.
+  std::vector<BackendPtr> UsableForStart(const ServiceId& service, TimePoint now) const;
+  /// Whether such a stream may still begin at the backend server, whose registration may have
+  /// changed since it was chosen.
+  bool MayStartAt(const Backend& backend, TimePoint now) const;
+
   /// All registered backend servers of `service`, in the order of their ids.
   std::span<const BackendPtr> OfService(const ServiceId& service) const;
   /// Increases with each registration that is added, changed or dropped.
@@ -244,6 +254,13 @@
   static void RecordWeights(Backend& backend, const ModelId& model, WeightsNumber weights);
 
  private:
+  /// All that may get requests by their registrations, whatever their release.
+  std::vector<BackendPtr> UsableOfAnyRelease(const ServiceId& service, TimePoint now) const;
+  /// Leaves out a withheld release, if there are others.
+  std::vector<BackendPtr> WithoutWithheld(const ServiceId& service,
+                                          std::vector<BackendPtr> backends) const;
+  bool IsUnrecorded(const Backend& backend) const;
+
   /// Bounds `known_ids_`, which tells that a registration arrives late, and `saved_notices_`.
   static constexpr std::size_t kMaxRememberedIds = 20'000;
 
@@ -285,6 +302,7 @@
   std::function<void(const Backend&)> on_termination_;
   std::function<void(const BackendEntry&)> on_registration_;
   std::unordered_map<ServiceId, ReleaseId> withheld_releases_;
+  std::unordered_map<ServiceId, std::set<ReleaseId>> unrecorded_releases_;  ///< none is empty
   std::set<ServiceId> services_;  ///< empty until the configuration is known
 };
 
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -219,23 +219,67 @@
   if (release) withheld_releases_.emplace(service, std::move(*release));
 }
 
+void BackendDirectory::SetUnrecorded(const ServiceId& service, std::set<ReleaseId> releases) {
+  if (releases.empty()) {
+    unrecorded_releases_.erase(service);
+  } else {
+    unrecorded_releases_[service] = std::move(releases);
+  }
+}
+
 bool BackendDirectory::IsWithheld(const Backend& backend) const {
   const auto withheld = withheld_releases_.find(backend.entry.service);
   return withheld != withheld_releases_.end() && withheld->second == backend.entry.release;
 }
 
 std::vector<BackendPtr> BackendDirectory::Usable(const ServiceId& service, TimePoint now) const {
+  return WithoutWithheld(service, UsableOfAnyRelease(service, now));
+}
+
+std::vector<BackendPtr> BackendDirectory::UsableOfAnyRelease(const ServiceId& service,
+                                                             TimePoint now) const {
   const auto found = by_service_.find(service);
   if (found == by_service_.end()) return {};
   std::vector<BackendPtr> usable;
   usable.reserve(found->second.size());
   std::ranges::copy_if(found->second, std::back_inserter(usable),
                        [&](const BackendPtr& backend) { return IsUsable(*backend, now); });
-  if (!withheld_releases_.contains(service)) return usable;
+  return usable;
+}
+
+std::vector<BackendPtr> BackendDirectory::WithoutWithheld(const ServiceId& service,
+                                                          std::vector<BackendPtr> backends) const {
+  if (!withheld_releases_.contains(service)) return backends;
   std::vector<BackendPtr> others;
-  std::ranges::copy_if(usable, std::back_inserter(others),
+  std::ranges::copy_if(backends, std::back_inserter(others),
                        [&](const BackendPtr& backend) { return !IsWithheld(*backend); });
-  return others.empty() ? usable : others;
+  return others.empty() ? backends : others;
+}
+
+bool BackendDirectory::IsUnrecorded(const Backend& backend) const {
+  const auto unrecorded = unrecorded_releases_.find(backend.entry.service);
+  return unrecorded != unrecorded_releases_.end() &&
+         unrecorded->second.contains(backend.entry.release);
+}
+
+std::vector<BackendPtr> BackendDirectory::UsableForStart(const ServiceId& service,
+                                                         TimePoint now) const {
+  std::vector<BackendPtr> usable = UsableOfAnyRelease(service, now);
+  if (unrecorded_releases_.contains(service)) {
+    std::vector<BackendPtr> recorded;
+    std::ranges::copy_if(usable, std::back_inserter(recorded), [&](const BackendPtr& backend) {
+      return HasPath(*backend) && !IsUnrecorded(*backend);
+    });
+    if (!recorded.empty()) usable = std::move(recorded);
+  }
+  return WithoutWithheld(service, std::move(usable));
+}
+
+bool BackendDirectory::MayStartAt(const Backend& backend, TimePoint now) const {
+  if (!IsUnrecorded(backend)) return true;
+  return std::ranges::none_of(OfService(backend.entry.service), [&](const BackendPtr& other) {
+    return IsUsable(*other, now) && HasPath(*other) && !IsUnrecorded(*other);
+  });
 }
 
 std::set<ReleaseId> BackendDirectory::ReleasesOf(const ServiceId& service) const {
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -139,7 +139,10 @@
 /// release, even if this is withheld from new requests.
 std::vector<BackendPtr> UsableFor(const GatewayState& state, const ExchangePlan& plan,
                                   TimePoint now) {
-  if (!plan.release) return state.directory().Usable(plan.service, now);
+  if (!plan.release) {
+    return plan.route->IsResumable() ? state.directory().UsableForStart(plan.service, now)
+                                     : state.directory().Usable(plan.service, now);
+  }
   std::vector<BackendPtr> usable;
   std::ranges::copy_if(state.directory().OfService(plan.service), std::back_inserter(usable),
                        [&](const BackendPtr& backend) {
@@ -434,6 +437,8 @@
                   const InboundRequest& request, const BackendChoice& choice, TimePoint now) {
   const Backend& backend = *choice.backend;
   if (backend.removed || !IsUsable(backend, now) || !MayResumeAt(plan, backend)) return false;
+  const bool starts = !plan.release && plan.route->IsResumable();
+  if (starts && !state.directory().MayStartAt(backend, now)) return false;
   if (now < backend.notice_state.backoff_until()) return false;
   if (now < state.pushback().RoomBlockedUntil(backend, now)) return false;
   return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
--- a/libs/peers/include/peers/origin_link.h
+++ b/libs/peers/include/peers/origin_link.h
@@ -33,8 +33,13 @@
     std::chrono::seconds stream_lifetime{30};
     /// Time for which answers are awaited; a round trip between zones takes 6 ms.
     std::chrono::milliseconds answer_timeout{60};
-    /// Datagrams may be lost.
+    /// Datagrams may be lost. Doubled after each time.
     std::chrono::milliseconds resend_interval{20};
+    /// Time for which a confirmed copy of the store is awaited if nobody contradicts. Without a
+    /// call of its own, it is confirmed about once per second.
+    std::chrono::milliseconds proof_timeout{1'200};
+    /// Age up to which a copy of the store counts as current in answers.
+    std::chrono::milliseconds max_copy_age{2'000};
   };
   struct Callbacks {
     std::function<void(const std::string& address, const OriginMessage& message)> send;
@@ -42,8 +47,10 @@
     std::function<std::vector<std::string>()> peers;
     /// Returns the release that the store names for a stream.
     std::function<std::optional<ReleaseId>(StreamHash stream)> stored;
-    /// Returns whether the known registrations are those of the last moments.
-    std::function<bool()> is_current;
+    /// Returns the time up to which the record of the service's releases is known.
+    std::function<TimePoint(const ServiceId& service)> confirmed_at;
+    /// Has the record read from the store; call OnRecordRead() afterwards.
+    std::function<void(const ServiceId& service)> read_record;
   };
 
   OriginLink(net::any_io_executor executor, Metrics& metrics, Options options, Callbacks callbacks)
@@ -59,6 +66,11 @@
   void Restore(const ServiceId& service, const ReleaseRecord& record, TimePoint now);
   /// Declares that no gateway has served the service before.
   void MarkComplete(const ServiceId& service) { histories_[service].MarkComplete(); }
+  /// The releases that should begin no stream yet, as long as there are others: if all gateways
+  /// end, only the record tells that they have served.
+  std::set<ReleaseId> UnrecordedOf(const ServiceId& service, TimePoint now) const;
+  /// Has searches look at what is known now.
+  void OnRecordRead();
   /// What the record of the service should hold; no release if none is known.
   ReleaseRecord RecordOf(const ServiceId& service, TimePoint now) const;
 
@@ -92,8 +104,12 @@
   /// Tells the first `count` of the stream's keepers among `peers`.
   void Share(AttemptHash attempt, const StreamOrigin& origin, const std::vector<std::string>& peers,
              std::size_t count);
-  std::optional<OriginFinding> FindStored(AttemptHash attempt, StreamScope scope) const;
-  net::awaitable<OriginFinding> Ask(OriginQuery query, ReleaseHistory::Summary own);
+  /// What this gateway was told of the stream or has read in the store.
+  std::optional<OriginFinding> FindKnown(AttemptHash attempt, StreamScope scope) const;
+  net::awaitable<OriginFinding> Ask(OriginQuery query);
+  /// The finding of a search that began at `began`; nullopt if waiting may still give one.
+  std::optional<OriginFinding> Judge(const OriginQuery& query, const OriginSearch& search,
+                                     TimePoint began) const;
   void Count(const OriginFinding& finding);
 
   net::any_io_executor executor_;
--- a/libs/peers/src/origin_codec.cc
+++ b/libs/peers/src/origin_codec.cc
@@ -32,6 +32,8 @@
   body.set_several_releases(answer.several_releases);
   body.set_single_release(answer.only_release.has_value());
   if (answer.only_release) body.set_only_release(answer.only_release->value());
+  body.set_supposes_single_release(answer.supposed_release.has_value());
+  if (answer.supposed_release) body.set_supposed_release(answer.supposed_release->value());
 }
 
 OriginNotice DecodeNotice(const wire::GatewayNews& message) {
@@ -54,6 +56,9 @@
   if (body.known()) answer.release = ReleaseId(body.release());
   answer.several_releases = body.several_releases();
   if (body.single_release()) answer.only_release = ReleaseId(body.only_release());
+  if (body.supposes_single_release()) {
+    answer.supposed_release = ReleaseId(body.supposed_release());
+  }
   return answer;
 }
 
--- a/libs/peers/src/origin_link.cc
+++ b/libs/peers/src/origin_link.cc
@@ -8,6 +8,12 @@
 #include "resumption/origin_keepers.h"
 
 namespace ridgehold {
+namespace {
+
+/// How often a search looks whether the copy of the store was confirmed.
+constexpr std::chrono::milliseconds kConfirmationPoll{20};
+
+}  // namespace
 
 void OriginLink::Observe(const ServiceId& service, const std::set<ReleaseId>& releases,
                          TimePoint now) {
@@ -20,6 +26,16 @@
   ShareIfUncertain(service, now);
 }
 
+std::set<ReleaseId> OriginLink::UnrecordedOf(const ServiceId& service, TimePoint now) const {
+  const auto found = histories_.find(service);
+  if (found == histories_.end()) return {};
+  return found->second.Unrecorded(now);
+}
+
+void OriginLink::OnRecordRead() {
+  for (const auto& [number, pending] : pending_) pending->timer->cancel();
+}
+
 ReleaseRecord OriginLink::RecordOf(const ServiceId& service, TimePoint now) const {
   const auto found = histories_.find(service);
   if (found == histories_.end()) return {};
@@ -48,8 +64,8 @@
   if (hash == AttemptHash(0)) return;
   const StreamOrigin origin{StreamScopeOf(workspace, service), release};
   const ReleaseHistory::Summary summary = SummaryOf(service, now);
-  // Gateways that know of one release only ask nobody, so all are told of a stream of another one,
-  // whose registration they may not have read.
+  // Gateways that know of one release only may not have read the registration of another one, so
+  // all are told of its streams.
   const bool is_unexpected = summary.IsSingle() && release != *summary.single;
   const bool shared = !summary.IsSingle() || is_unexpected;
   table_.Add(hash, {origin, service, shared}, now);
@@ -71,20 +87,15 @@
 
 net::awaitable<OriginFinding> OriginLink::Find(RequestId attempt, WorkspaceId workspace,
                                                ServiceId service) {
-  const AttemptHash hash = AttemptHashOf(attempt);
-  const StreamScope scope = StreamScopeOf(workspace, service);
   const ReleaseHistory::Summary own = SummaryOf(service, Clock::now());
-  std::optional<OriginFinding> finding;
-  const StreamOrigin* known = table_.Find(hash, scope);
-  if (known == nullptr) finding = FindStored(hash, scope);
-  if (!finding) finding = OriginSearch::WithoutAsking(known, own, callbacks_.is_current());
+  OriginQuery query;
+  query.attempt = AttemptHashOf(attempt);
+  query.scope = StreamScopeOf(workspace, service);
+  query.service = std::move(service);
+  std::optional<OriginFinding> finding = FindKnown(query.attempt, query.scope);
   if (!finding) {
-    OriginQuery query;
     query.number = query_numbers_.Next();
-    query.attempt = hash;
-    query.scope = scope;
-    query.service = std::move(service);
-    finding = co_await Ask(std::move(query), own);
+    finding = co_await Ask(std::move(query));
   }
   finding->evidence.releases = own.releases;
   finding->evidence.complete = own.complete;
@@ -92,31 +103,61 @@
   co_return std::move(*finding);
 }
 
-std::optional<OriginFinding> OriginLink::FindStored(AttemptHash attempt, StreamScope scope) const {
+std::optional<OriginFinding> OriginLink::FindKnown(AttemptHash attempt, StreamScope scope) const {
+  const StreamOrigin* known = table_.Find(attempt, scope);
+  if (known != nullptr) return OriginFinding{OriginSource::kOwn, known->release, {}};
   std::optional<ReleaseId> release = callbacks_.stored(StreamHashOf(attempt, scope));
   if (!release) return std::nullopt;
-  return OriginFinding{OriginSource::kStore, std::move(release)};
+  return OriginFinding{OriginSource::kStore, std::move(release), {}};
 }
 
-net::awaitable<OriginFinding> OriginLink::Ask(OriginQuery query, ReleaseHistory::Summary own) {
+net::awaitable<OriginFinding> OriginLink::Ask(OriginQuery query) {
+  const TimePoint began = Clock::now();
+  const TimePoint end = began + options_.proof_timeout;
   const auto asked = RankKeepers(query.attempt, callbacks_.peers(), kAskedForOrigin);
   Timer timer(executor_);
-  Pending pending{OriginSearch(std::move(own), asked.size()), &timer, {asked.begin(), asked.end()}};
+  Pending pending{OriginSearch(SummaryOf(query.service, began), asked.size()),
+                  &timer,
+                  {asked.begin(), asked.end()}};
   pending_[query.number] = &pending;
-  const TimePoint end = Clock::now() + options_.answer_timeout;
+  callbacks_.read_record(query.service);
   const OriginMessage message(query);
-  while (!pending.search.done() && Clock::now() < end) {
+  std::optional<OriginFinding> finding;
+  for (auto interval = options_.resend_interval; !finding; interval *= 2) {
     for (const std::string& gateway : pending.silent) callbacks_.send(gateway, message);
-    const TimePoint resend_at = std::min(end, Clock::now() + options_.resend_interval);
-    while (!pending.search.done() && Clock::now() < resend_at) {
-      co_await WaitUntil(timer, resend_at);
+    const TimePoint resend_at = std::min<TimePoint>(end, Clock::now() + interval);
+    while (Clock::now() < resend_at) {
+      finding = Judge(query, pending.search, began);
+      if (finding) break;
+      co_await WaitUntil(timer, std::min<TimePoint>(resend_at, Clock::now() + kConfirmationPoll));
     }
+    if (!finding && Clock::now() >= end) finding.emplace();
   }
   pending_.erase(query.number);
-  OriginFinding finding = pending.search.Conclude();
-  finding.evidence.asked = asked.size();
-  finding.evidence.answered = asked.size() - pending.silent.size();
-  co_return finding;
+  finding->evidence.asked = asked.size();
+  finding->evidence.answered = asked.size() - pending.silent.size();
+  co_return std::move(*finding);
+}
+
+std::optional<OriginFinding> OriginLink::Judge(const OriginQuery& query, const OriginSearch& search,
+                                               TimePoint began) const {
+  const TimePoint now = Clock::now();
+  if (auto known = FindKnown(query.attempt, query.scope)) return known;
+  const OriginFinding finding = search.Conclude();
+  if (finding.source == OriginSource::kPeer) return finding;
+  const ReleaseHistory::Summary own = SummaryOf(query.service, now);
+  const bool answered = search.done() || now - began >= options_.answer_timeout;
+  if (own.several || search.IsRefuted()) {
+    return answered ? std::optional(OriginFinding()) : std::nullopt;
+  }
+  // Releases are recorded before they begin streams, so a record that was read after the question
+  // names all that may have begun this one.
+  if (own.IsSingle() && callbacks_.confirmed_at(query.service) >= began) {
+    return OriginFinding{OriginSource::kSingleRelease, own.single, {}};
+  }
+  if (now - began < options_.answer_timeout) return std::nullopt;
+  if (finding.release) return finding;
+  return own.IsSingle() ? std::nullopt : std::optional(OriginFinding());
 }
 
 void OriginLink::Handle(const OriginMessage& message, const std::string& from) {
@@ -137,7 +178,9 @@
     }
     const ReleaseHistory::Summary own = SummaryOf(query->service, now);
     answer.several_releases = own.several;
-    if (own.IsSingle() && callbacks_.is_current()) answer.only_release = own.single;
+    if (own.IsSingle()) answer.supposed_release = own.single;
+    const bool is_current = now - callbacks_.confirmed_at(query->service) < options_.max_copy_age;
+    if (is_current) answer.only_release = answer.supposed_release;
     return callbacks_.send(from, OriginMessage(std::move(answer)));
   }
   const auto& answer = std::get<OriginAnswer>(message);
--- a/libs/resumption/include/resumption/origin_messages.h
+++ b/libs/resumption/include/resumption/origin_messages.h
@@ -35,6 +35,8 @@
   /// The one release that began all streams which can be resumed. None if there are several, or if
   /// the sender cannot tell, as it has just started or does not hear from the store.
   std::optional<ReleaseId> only_release;
+  /// The same as far as the sender knows, which may have missed a release that joined lately.
+  std::optional<ReleaseId> supposed_release;
 
   bool operator==(const OriginAnswer&) const = default;
 };
--- a/libs/resumption/include/resumption/origin_search.h
+++ b/libs/resumption/include/resumption/origin_search.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <utility>
 
 #include "resumption/origin_finding.h"
 #include "resumption/origin_messages.h"
@@ -11,32 +12,35 @@
 
 namespace ridgehold {
 
-/// Collects the answers of the gateways that were asked. Not thread-safe.
+/// Collects the answers of the gateways that were asked. One gateway may have missed a release that
+/// has joined, and so may several that were cut off or stood still together. That there is a single
+/// one is therefore only believed if all that were asked say so: they include the keepers of the
+/// stream. Not thread-safe.
 class OriginSearch {
  public:
   /// `own`: what this gateway knows itself. `asked`: the number of gateways.
   OriginSearch(ReleaseHistory::Summary own, std::size_t asked)
       : own_(std::move(own)), asked_(asked) {}
 
-  /// The finding that needs no question, if there is one. `is_current`: whether `own` includes all
-  /// registrations but those of the last moments.
-  static std::optional<OriginFinding> WithoutAsking(const StreamOrigin* known,
-                                                    const ReleaseHistory::Summary& own,
-                                                    bool is_current);
-
   void Add(const OriginAnswer& answer);
   /// Whether further answers cannot change the finding.
-  bool done() const { return release_ || answers_ >= asked_; }
+  bool done() const { return (release_ && !conflict_) || answers_ >= asked_; }
+  /// Whether somebody knows of several releases.
+  bool IsRefuted() const;
   /// The finding when no more answers are waited for.
   OriginFinding Conclude() const;
 
  private:
+  bool IsUnanimous() const;
+
   ReleaseHistory::Summary own_;
   std::size_t asked_;
   std::size_t answers_ = 0;
+  std::size_t agreeing_ = 0;  ///< gateways that know of `single_` only
   std::optional<ReleaseId> release_;
+  bool conflict_ = false;  ///< two gateways name different releases for the stream
   bool several_ = false;
-  std::optional<ReleaseId> only_release_;  ///< as a gateway has proved
+  std::optional<ReleaseId> single_;
 };
 
 }  // namespace ridgehold
--- a/libs/resumption/include/resumption/release_history.h
+++ b/libs/resumption/include/resumption/release_history.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -33,6 +34,13 @@
   /// Takes over the record. Call for each change of it: a release that it lists may have been
   /// registered until now, and one that it no longer lists can have begun no stream since long.
   void Restore(const ReleaseRecord& record, TimePoint now);
+  /// How long a release may wait for its record. If the store takes no writes for longer, the
+  /// capacity of its servers is needed.
+  static constexpr std::chrono::milliseconds kMaxRecordDelay{5'000};
+
+  /// The releases that joined within kMaxRecordDelay and that the record, if there is one, does not
+  /// list yet. Streams that these begin are not known to be theirs once all gateways have ended.
+  std::set<ReleaseId> Unrecorded(TimePoint now) const;
   /// Marks the history as complete: no gateway has run before.
   void MarkComplete() { known_complete_ = true; }
   /// What the record should hold, so that processes that start later know as much.
@@ -44,8 +52,10 @@
   std::optional<TimePoint> first_observed_;
   std::set<ReleaseId> Recent(Duration lifetime, TimePoint now) const;
 
-  std::map<ReleaseId, TimePoint> last_seen_;  ///< registered
+  std::map<ReleaseId, TimePoint> last_seen_;   ///< registered
+  std::map<ReleaseId, TimePoint> unrecorded_;  ///< with the time at which each joined
   std::set<ReleaseId> recorded_;
+  bool has_record_ = false;
   TimePoint recorded_at_{};
   bool known_complete_ = false;
 };
