Addresses: nothing but an address and a port is accepted

A registered address with a zero byte or a scope and any text behind it (127.0.0.1, zero byte, 70,000 characters, :9) was taken for valid, its server counted as usable. Boost's address parser stops at a zero byte. By the code, the whole text is then sent as a Host header field; a field of 70,000 characters makes Beast throw length_error (a trial of the library alone, not of ours).

Now only the characters of numeric addresses are accepted. Failing first: odd_values/address_is_nothing_but_an_address_and_a_port, and odd_entries/instances_go_on_beside_an_address_with_a_tail_and_older_weights (the odd server was usable; the process did not end in that run).

--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -35,6 +35,10 @@
 }  // namespace
 
 tcp::endpoint ParseEndpoint(const std::string& text) {
+  // The address parser stops at a zero byte and takes a scope of any length. What is accepted here
+  // is also sent in header fields.
+  constexpr std::string_view kAddressCharacters = "0123456789abcdefABCDEF.:";
+  if (text.find_first_not_of(kAddressCharacters) != std::string::npos) return {};
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return {};
   ErrorCode error;
