Quarantine: an end outside the range of the clock is malformed

Milliseconds of up to 64 bits were converted to the clock's nanoseconds, which overflows. Failing first: odd_values/end_of_quarantine_lies_within_the_range_of_the_clock; it passes.

--- a/libs/control/src/quarantine_writer.cc
+++ b/libs/control/src/quarantine_writer.cc
@@ -1,5 +1,6 @@
 #include "control/quarantine_writer.h"
 
+#include <limits>
 #include <string_view>
 
 #include "base/parse_number.h"
@@ -8,6 +9,8 @@
 namespace {
 
 constexpr int kHexadecimal = 16;
+/// The clock counts in nanoseconds, in 64 bits, and the remaining time is a difference.
+constexpr std::int64_t kMaxUnixMs = std::numeric_limits<std::int64_t>::max() / 2'000'000;
 
 }  // namespace
 
@@ -22,7 +25,7 @@
   if (separator == std::string::npos) return std::nullopt;
   const std::string_view text = value;
   const auto unix_ms = ParseNumber<std::int64_t>(text.substr(separator + 1));
-  if (!unix_ms) return std::nullopt;
+  if (!unix_ms || *unix_ms < 0 || *unix_ms > kMaxUnixMs) return std::nullopt;
   return std::chrono::system_clock::time_point(std::chrono::milliseconds(*unix_ms));
 }
 
