Record of releases: bounded in size

Thousands of odd versions, or long ones, made a record of releases that exceeds what the store takes as a value (value_bytes): every write is then refused and repeated, and what waits for the record waits for ever. Now a record that would exceed 64 KiB leaves out the releases behind that and says that it is incomplete, so that no instance concludes from it that there is but one release.

Whoever waits until a release is recorded must take an incomplete record for an answer: a release that was left out never appears in it.

--- a/libs/entry/include/entry/release_recorder.h
+++ b/libs/entry/include/entry/release_recorder.h
@@ -64,7 +64,7 @@
     for (const ServiceId& service : services) {
       const StoreItem* stored = records_.Find(kReleaseRecordPrefix + service.value());
       if (stored == nullptr) options_.on_missing(service);
-      ReleaseRecord record = options_.record_of(service);
+      ReleaseRecord record = Bounded(options_.record_of(service));
       const bool differs =
           !record.releases.empty() &&
           (stored == nullptr || DecodeReleaseRecord(stored->value) != std::optional(record));
--- a/libs/entry/test/release_recorder-test.cc
+++ b/libs/entry/test/release_recorder-test.cc
@@ -101,6 +101,25 @@
   BOOST_TEST(store.commits == 1);
 }
 
+// Guards against a record that the store refuses, or that is written again and again, because
+// thousands of releases have been registered.
+BOOST_AUTO_TEST_CASE(record_of_many_releases_is_bounded_and_incomplete) {
+  constexpr int kReleases = 5'000;
+  constexpr std::size_t kNameBytes = 250;
+  for (int i = 0; i < kReleases; ++i) {
+    known.releases.insert(ReleaseId(std::string(kNameBytes, 'v') + std::to_string(i)));
+  }
+  Start(0);
+  io.run_for(100ms);
+  BOOST_REQUIRE(Stored().has_value());
+  BOOST_TEST(table.items().at(kKey).value.size() <= kMaxReleaseRecordBytes + 2);
+  BOOST_TEST(Stored()->releases.size() > 100U);
+  BOOST_TEST(!Stored()->complete);
+  Follow();
+  io.run_for(700ms);
+  BOOST_TEST(store.commits == 1);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_written_without_a_release_or_without_the_store) {
   known.releases.clear();
   Start(0);
--- a/libs/peers/src/origin_record_codec.cc
+++ b/libs/peers/src/origin_record_codec.cc
@@ -1,5 +1,7 @@
 #include "peers/origin_record_codec.h"
 
+#include <algorithm>
+
 #include "gateway.pb.h"
 
 namespace ridgehold {
@@ -20,6 +22,20 @@
   return record;
 }
 
+ReleaseRecord Bounded(ReleaseRecord record) {
+  // Of each release: tag and length.
+  constexpr std::size_t kOverhead = 4;
+  std::size_t bytes = 0;
+  const auto beyond = std::ranges::find_if(record.releases, [&](const ReleaseId& release) {
+    bytes += release.value().size() + kOverhead;
+    return bytes > kMaxReleaseRecordBytes;
+  });
+  if (beyond == record.releases.end()) return record;
+  record.releases.erase(beyond, record.releases.end());
+  record.complete = false;
+  return record;
+}
+
 std::string EncodeOriginBatch(const OriginBatch& batch) {
   wire::OriginBatch message;
   for (const auto& [release, streams] : batch) {
