Soak: instances out of step, series of releases with kills of all, odd entries

Callers saw streams go on at another release (ORDER). The soak could not play an instance that misses a release, so three kinds of faults are new, to be named (seeds that draw their kinds play as before):

- out-of-step: an instance is stopped, or cut from its peers and the store, for 0.3 to 3 s, while a release joins at engines that rested, and its streams break off.
A relay (PeerNetwork) on the addresses that instances publish passes datagrams and connections between them; sockets of the instances bind an address of their own behind it (published_address.cc, linked into suspendable-entry like its clock).
- release-series: releases replace each other within about a second, all instances are killed 1 to 6 s after each and are away for 1 to 2 s; around half of the registrations the store is away or refuses transactions.
- odd-entries: registrations that are malformed come and go.
No process may end, and 95 % of the calls must be served.

The share of streams that go on is judged as for releases (at least half of that of new streams).

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -126,7 +126,11 @@
       ResetSocket(socket);
       continue;
     }
-    const auto link = std::make_shared<Link>(std::move(socket), state_);
+    ErrorCode gone;
+    const tcp::endpoint client = socket.remote_endpoint(gone);
+    std::shared_ptr<const LinkState> state = state_;
+    if (state_source_) state = state_source_(client);
+    const auto link = std::make_shared<Link>(std::move(socket), std::move(state));
     links_.push_back(link);
     net::co_spawn(acceptor_.get_executor(), Connect(link, target_, shared_link_), net::detached);
   }
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -45,6 +45,11 @@
   void Set(const LinkState& state) { *state_ = state; }
   /// Limits what goes to the clients of connections opened from now on.
   void SetSharedLink(std::shared_ptr<SharedLink> link) { shared_link_ = std::move(link); }
+  /// Lets `source` choose, by a client's address, what is done to the bytes of its connections.
+  void SetStateSource(
+      std::function<std::shared_ptr<const LinkState>(const tcp::endpoint&)> source) {
+    state_source_ = std::move(source);
+  }
   /// Resets all connections.
   void Reset();
   /// As when the process behind it ends: connections are reset, new ones refused.
@@ -77,6 +82,7 @@
   tcp::acceptor acceptor_;
   std::string address_;
   std::shared_ptr<LinkState> state_ = std::make_shared<LinkState>();
+  std::function<std::shared_ptr<const LinkState>(const tcp::endpoint&)> state_source_;
   std::shared_ptr<SharedLink> shared_link_;  ///< nullptr: no limit
   std::vector<std::weak_ptr<Link>> links_;
   int generation_ = 0;  ///< counts the times that it stopped listening
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -93,7 +93,10 @@
       {"unframed", FaultKind::kUnframed},
       {"herd", FaultKind::kHerd},
       {"server-kill", FaultKind::kServerKill},
-      {"in-place", FaultKind::kInPlace}};
+      {"in-place", FaultKind::kInPlace},
+      {"out-of-step", FaultKind::kOutOfStep},
+      {"odd-entries", FaultKind::kOddEntries},
+      {"release-series", FaultKind::kReleaseSeries}};
   return names;
 }
 
@@ -109,6 +112,8 @@
   Random reborn = Random(poison_part).Fork();
   Random server_kill = Random(reborn).Fork();
   for (const auto& [name, kind] : Names()) {
+    // These begin with engines of one release, unlike the other kinds.
+    if (kind >= FaultKind::kOutOfStep) continue;
     Random& random = kind >= FaultKind::kServerKill   ? server_kill
                      : kind >= FaultKind::kReborn     ? reborn
                      : kind >= FaultKind::kPoisonPart ? poison_part
@@ -200,6 +205,12 @@
       return KillServer(random);
     case FaultKind::kInPlace:
       return ReplaceInPlace(random);
+    case FaultKind::kOutOfStep:
+      return OutOfStep(random);
+    case FaultKind::kOddEntries:
+      return WriteOddEntries(random);
+    case FaultKind::kReleaseSeries:
+      return ReplaceReleaseAndKill(random);
     case FaultKind::kReleases:
       return Pick(targets_.engines, random)
           .Replace(random.Chance(0.5) ? "v1" : "v2", random.Milliseconds(300, kLongestLeaving));
@@ -320,11 +331,15 @@
 net::awaitable<void> FaultScript::Kill(Random random) {
   Instance& instance = PickInstance(random);
   if (instance.ending) co_return;
+  co_await KillInstance(instance, random.Milliseconds(0, 800));
+}
+
+net::awaitable<void> FaultScript::KillInstance(Instance& instance, std::chrono::milliseconds down) {
   const Calm::Token token = targets_.calm.Begin(FaultClass::kProcess);
   instance.ending = true;
   instance.process->Signal(SIGKILL);
   co_await WaitForEnd(*instance.process, kStopSlack);
-  co_await Sleep(random.Milliseconds(0, 800));
+  co_await Sleep(down);
   instance.process->Start();
   instance.ending = false;
 }
@@ -350,6 +365,10 @@
 }
 
 net::awaitable<void> FaultScript::Blackout(Random random) {
+  return KillAll(random.Milliseconds(200, kLongestBlackout));
+}
+
+net::awaitable<void> FaultScript::KillAll(std::chrono::milliseconds down) {
   const Calm::Token token = targets_.calm.Begin(FaultClass::kProcess);
   std::vector<Instance*> off;
   for (const auto& instance : targets_.instances) {
@@ -359,7 +378,7 @@
     off.push_back(instance.get());
   }
   for (Instance* instance : off) co_await WaitForEnd(*instance->process, kStopSlack);
-  co_await Sleep(random.Milliseconds(200, kLongestBlackout));
+  co_await Sleep(down);
   std::vector<StartedProcess> started;
   for (Instance* instance : off) {
     instance->process->Start();
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -13,6 +13,7 @@
 #include "instance_process.h"
 #include "operator_log.h"
 #include "path_check.h"
+#include "peer_network.h"
 #include "random.h"
 #include "soak_engine.h"
 #include "verdict.h"
@@ -60,6 +61,9 @@
   kHerd,
   kServerKill,
   kInPlace,
+  kOutOfStep,
+  kOddEntries,
+  kReleaseSeries,
 };
 
 /// A process of an instance, which may have been replaced since.
@@ -77,6 +81,7 @@
   Poison& poison;
   Calm& calm;
   PathCheck& path_check;
+  PeerNetwork& peers;
   Verdict& verdict;
 };
 
@@ -137,6 +142,27 @@
   net::awaitable<void> ReplaceInPlace(Random random);
   net::awaitable<void> ChangeMood(EngineMood mood, Random random);
 
+  /// Starts a release that has not been before at all engines that rest; returns it.
+  std::string JoinNextRelease();
+  net::awaitable<void> RetireAllBut(std::string release, std::chrono::milliseconds notice);
+  /// An instance is stopped, or loses its peers and the store; callers and engines reach it.
+  net::awaitable<void> HoldOutOfStep(Instance& instance, bool stopped,
+                                     std::chrono::milliseconds length);
+  /// Kills instances but one, or the engines of a release.
+  net::awaitable<void> BreakStreams(const Instance& spared, std::string release, Random random);
+  /// A release joins while an instance is out of step, and its streams break off.
+  net::awaitable<void> OutOfStep(Random random);
+  void SetMoodOf(const std::string& release, const EngineMood& mood);
+  /// A release replaces another within a second; soon afterwards all instances are killed.
+  net::awaitable<void> ReplaceReleaseAndKill(Random random);
+  /// The store is away, or refuses writes.
+  net::awaitable<void> HarmStore(bool writes_only, std::chrono::milliseconds length);
+  /// All instances are killed and start again after `down`.
+  net::awaitable<void> KillAll(std::chrono::milliseconds down);
+  /// Registrations that cannot be read or used come and go.
+  net::awaitable<void> WriteOddEntries(Random random);
+  net::awaitable<void> KillInstance(Instance& instance, std::chrono::milliseconds down);
+
   /// An instance; often the one that orders weights now.
   Instance& PickInstance(Random& random);
 
@@ -148,6 +174,8 @@
   FaultTargets targets_;
   Random random_;
   std::set<FaultKind> kinds_;
+  bool releasing_ = false;  ///< a release replaces another
+  int releases_ = 0;        ///< that have joined
 };
 
 }  // namespace ridgehold::soak
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -13,6 +13,7 @@
 
 #include "bounds.h"
 #include "platform/names.h"
+#include "published_address.h"
 
 namespace ridgehold::soak {
 namespace {
@@ -58,6 +59,10 @@
   ::dup2(log, STDERR_FILENO);
   ::close_range(STDERR_FILENO + 1, ~0U, 0);
   ::setenv(platform::kSettingsPathVariable, SettingsPath().c_str(), 1);
+  if (!place_.published.empty()) {
+    ::setenv(kPublishedAddressVariable, place_.published.c_str(), 1);
+    ::setenv(kBoundAddressVariable, place_.address.c_str(), 1);
+  }
   // The signal that ends a suspension would end a program that does not handle it yet.
   sigset_t signals;
   ::sigemptyset(&signals);
@@ -106,9 +111,9 @@
 void InstanceProcess::WriteSettings() const {
   const auto listen = [this](int port) { return place_.address + ":" + std::to_string(port); };
   std::ofstream file(SettingsPath());
-  file << "node=" << place_.name << "\nzone=a\nip=" << place_.address
+  file << "node=" << place_.name << "\nzone=a\nip=" << PublishedAddress()
        << "\nlisten.front=" << listen(kCallerPort) << "\nlisten.ready=" << listen(kReadyPort)
-       << "\nlisten.control=" << listen(kControlPort) << "\ninternal_ports=7340,7355"
+       << "\nlisten.control=" << listen(kControlPort) << "\ninternal_ports=" << kPeerPort << ",7355"
        << "\nbootstrap=true\nseeds=" << place_.seeds << "\nplatform.addr=" << place_.store_address
        << "\nplatform.ttl_min_ms=" << kLeastLeaseTtl.count() << "\nlimits.max_fds=1000"
        << "\nbounds.revoke_strict=true\nbounds.revoke_ms=" << kRevocationLimit.count()
--- a/soak/instance_process.h
+++ b/soak/instance_process.h
@@ -17,6 +17,7 @@
   std::string store_address;  ///< its own way to the store
   std::string seeds;          ///< ADDRESS:PORT,...
   std::string egress;         ///< address of its own ways to the engines; empty: none
+  std::string published;      ///< where its peers find a proxy of it; empty: at `address`
 };
 
 /// Starts the program and sends it signals; kills it at the end of its life.
@@ -42,6 +43,9 @@
   std::string LastLogLines(std::size_t count) const;
 
  private:
+  const std::string& PublishedAddress() const {
+    return place_.published.empty() ? place_.address : place_.published;
+  }
   void WriteSettings() const;
   [[noreturn]] void Become() const;
   std::filesystem::path SettingsPath() const { return folder_ / (place_.name + ".conf"); }
@@ -58,5 +62,6 @@
 inline constexpr int kCallerPort = 8'782;
 inline constexpr int kReadyPort = 8'789;
 inline constexpr int kControlPort = 8'783;
+inline constexpr int kPeerPort = 7'340;
 
 }  // namespace ridgehold::soak
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -341,6 +341,30 @@
   table_.Remove(key);
 }
 
+void SoakEngine::Rest() {
+  ended_ = resting_ = true;
+  GoDown();
+}
+
+void SoakEngine::Join(std::string release) {
+  SetRelease(std::move(release));
+  resting_ = false;
+  ComeBack(name_);
+}
+
+net::awaitable<void> SoakEngine::Retire(std::chrono::milliseconds notice) {
+  // While another process starts, there is nothing to retire.
+  while (!resting_ && (ended_ || kill_)) co_await Sleep(kLook);
+  if (resting_) co_return;
+  const Calm::Token token = judges_.calm.Begin(FaultClass::kProcess);
+  mood_.need.leaving = true;
+  co_await Sleep(notice);
+  const std::string key = platform::key::kBackendPrefix + id_;
+  mood_.need.leaving = false;
+  Rest();
+  table_.Remove(key);
+}
+
 net::awaitable<void> SoakEngine::Replace(std::string release, std::chrono::milliseconds notice) {
   next_release_ = std::move(release);
   co_await Leave(notice);
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -67,6 +67,13 @@
   /// The process is killed: its connections end as the kernel ends them, also in the middle of
   /// answers. Another starts at the same address under the same id.
   net::awaitable<void> KillProcess(ProcessKill kill);
+  /// Does not run until it joins; not registered.
+  void Rest();
+  /// A process of a release starts after a rest.
+  void Join(std::string release);
+  /// Says that it leaves for so long, ends, and rests.
+  net::awaitable<void> Retire(std::chrono::milliseconds notice);
+  bool resting() const { return resting_; }
   FaultProxy& proxy() { return proxy_; }
   /// The way follows the engine's process.
   void AddPath(std::shared_ptr<InstancePath> path) { paths_.push_back(std::move(path)); }
@@ -135,6 +142,7 @@
   int orders_ = 0;
   bool busy_ = false;
   bool ended_ = false;
+  bool resting_ = false;
   int queued_ = 0;
   std::optional<int> brittle_;
   TimePoint brittle_since_{};
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -18,17 +18,24 @@
 constexpr std::chrono::milliseconds kLook{20};
 /// A sequence of its own: what seeds drew before there was poison stays as it was.
 constexpr std::uint64_t kPoisonSeed = 0x706f69736f6e;
+constexpr std::uint64_t kRestingSeed = 0x72657374;
 constexpr std::size_t kLogLines = 8;  // printed of each instance
 /// Time for what still runs when the faults have ended.
 constexpr std::chrono::milliseconds kSettle{4'500};
 constexpr int kTriesAfterHerd = 6;
-constexpr double kServedCalm = 0.95;  // least part that is served without faults
+constexpr double kServedCalm =
+    0.95;  // least part that is served without faults, or with odd entries only
 
 std::string AddressOf(int instance) {
   constexpr int kFirst = 10;
   return ridgehold::test::OwnAddress(kFirst + instance);
 }
 
+std::string PublishedOf(int instance) {
+  constexpr int kFirst = 190;
+  return ridgehold::test::OwnAddress(kFirst + instance);
+}
+
 std::string EgressOf(int instance) {
   constexpr int kFirst = 130;
   return ridgehold::test::OwnAddress(kFirst + instance);
@@ -47,17 +54,16 @@
       poison_(verdict_, Random(options_.seed ^ kPoisonSeed)),
       path_check_(verdict_, calm_),
       retry_check_(verdict_),
+      peers_(io_.get_executor()),
       resumptions_(verdict_),
       needs_(verdict_),
-      faults_({instances_, engines_, store_, operator_, poison_, calm_, path_check_, verdict_},
-              random_.Fork()) {
+      faults_(
+          {instances_, engines_, store_, operator_, poison_, calm_, path_check_, peers_, verdict_},
+          random_.Fork()) {
   ledger_.SetPathCheck(path_check_);
   ledger_.SetRetryCheck(retry_check_);
   for (int i = 0; i < kEngines; ++i) {
-    engines_.push_back(std::make_unique<SoakEngine>(
-        io_.get_executor(), "e" + std::to_string(i),
-        SoakEngine::Judges{ledger_, orders_, poison_, calm_, needs_, retry_check_}, store_.table(),
-        random_.Fork()));
+    AddEngine(random_.Fork());
     engines_.back()->Register();
   }
   if (options_.instances == 0) {
@@ -67,9 +73,29 @@
   if (faults_.Selected(FaultKind::kReleases) || faults_.Selected(FaultKind::kInPlace)) {
     AddReleases();
   }
+  if (faults_.Selected(FaultKind::kOutOfStep) || faults_.Selected(FaultKind::kReleaseSeries)) {
+    AddRestingEngines();
+  }
   if (faults_.Selected(FaultKind::kBlackout)) FillStore();
 }
 
+void SoakRun::AddEngine(Random random) {
+  engines_.push_back(std::make_unique<SoakEngine>(
+      io_.get_executor(), "e" + std::to_string(engines_.size()),
+      SoakEngine::Judges{ledger_, orders_, poison_, calm_, needs_, retry_check_}, store_.table(),
+      random));
+}
+
+void SoakRun::AddRestingEngines() {
+  Random random(options_.seed ^ kRestingSeed);
+  for (int i = 0; i < kEngines; ++i) {
+    AddEngine(random.Fork());
+    engines_.back()->Rest();
+  }
+  EnableResumptions({FaultKind::kKeys, FaultKind::kOutOfStep, FaultKind::kReleaseSeries},
+                    kTriesAfterHerd);
+}
+
 void SoakRun::FillStore() {
   constexpr int kItems = 400;
   constexpr std::size_t kItemBytes = 150;
@@ -89,19 +115,22 @@
     engines_[i]->SetRelease(i % 2 == 0 ? "v1" : "v2");
     engines_[i]->Register();
   }
-  const auto serving = [this](const std::string& release) {
-    return static_cast<int>(std::ranges::count_if(engines_, [&](const auto& engine) {
-      return engine->serving() && engine->release() == release;
-    }));
-  };
   // Other faults take instances or engines out of touch, or fail streams that are taken up more
   // often than new ones.
   const std::set<FaultKind> allowed = {FaultKind::kStop,         FaultKind::kKill,
                                        FaultKind::kEngineBreaks, FaultKind::kKeys,
                                        FaultKind::kWeights,      FaultKind::kReleases};
-  resumptions_.Enable(serving,
-                      !options_.faults.empty() && std::ranges::includes(allowed, options_.faults),
-                      faults_.Selected(FaultKind::kHerd) ? kTriesAfterHerd : 0);
+  EnableResumptions(allowed, faults_.Selected(FaultKind::kHerd) ? kTriesAfterHerd : 0);
+}
+
+void SoakRun::EnableResumptions(std::set<FaultKind> judged, int tries) {
+  const auto serving = [this](const std::string& release) {
+    return static_cast<int>(std::ranges::count_if(engines_, [&](const auto& engine) {
+      return engine->serving() && engine->release() == release;
+    }));
+  };
+  const bool is_judged = !options_.faults.empty() && std::ranges::includes(judged, options_.faults);
+  resumptions_.Enable(serving, is_judged, tries);
 }
 
 void SoakRun::AddPaths(Instance& instance, const std::string& egress) {
@@ -115,9 +144,11 @@
 }
 
 void SoakRun::StartInstances() {
+  const bool cuts_peers = faults_.Selected(FaultKind::kOutOfStep);
   std::string seeds;
   for (int i = 0; i < std::min(options_.instances, kLeastInstances); ++i) {
-    seeds += (i == 0 ? "" : ",") + AddressOf(i) + ":" + std::to_string(kControlPort);
+    seeds += (i == 0 ? "" : ",") + (cuts_peers ? PublishedOf(i) : AddressOf(i)) + ":" +
+             std::to_string(kControlPort);
   }
   const bool cuts_paths = faults_.Selected(FaultKind::kPath);
   for (int i = 0; i < options_.instances; ++i) {
@@ -127,7 +158,9 @@
                               .address = AddressOf(i),
                               .store_address = instance->store_proxy.address(),
                               .seeds = seeds,
-                              .egress = cuts_paths ? EgressOf(i) : ""};
+                              .egress = cuts_paths ? EgressOf(i) : "",
+                              .published = cuts_peers ? PublishedOf(i) : ""};
+    if (cuts_peers) peers_.Add(place.published, place.address);
     if (cuts_paths) AddPaths(*instance, place.egress);
     instance->process = std::make_unique<InstanceProcess>(place, options_.program, options_.folder);
     path_check_.Add(*instance->process);
@@ -169,6 +202,12 @@
   if (options_.calm && ledger_.served() < ledger_.sent() * kServedCalm) {
     verdict_.Fail("too few are served", "all", std::to_string(ledger_.served()));
   }
+  // Entries of others are no reason to refuse a call. Each caller may wait for one answer now.
+  const int at_work = static_cast<int>(callers_.size());
+  if (options_.faults == std::set{FaultKind::kOddEntries} &&
+      ledger_.served() < (ledger_.sent() - at_work) * kServedCalm) {
+    verdict_.Fail("too few are served", "all", std::to_string(ledger_.served()));
+  }
   path_check_.Judge();
   retry_check_.Judge();
   resumptions_.Judge();
@@ -213,9 +252,11 @@
       std::to_string(path_check_.served()) + " of " + std::to_string(path_check_.counted()) +
       " served at instances without a way, " + std::to_string(retry_check_.retries()) +
       " retries, " + std::to_string(resumptions_.began()) + " of " +
-      std::to_string(resumptions_.sent()) + " streams went on, " + std::to_string(needs_.falls()) +
-      " brittle engines fell, weights " + std::to_string(operator_.weights()) + " (" +
-      std::to_string(orders_.handovers()) + " handovers), " + std::to_string(length.count()) + " s";
+      std::to_string(resumptions_.sent()) + " streams went on, " + std::to_string(peers_.passed()) +
+      " messages between instances (" + std::to_string(peers_.lost()) + " lost), " +
+      std::to_string(needs_.falls()) + " brittle engines fell, weights " +
+      std::to_string(operator_.weights()) + " (" + std::to_string(orders_.handovers()) +
+      " handovers), " + std::to_string(length.count()) + " s";
   const auto& violation = verdict_.first();
   if (!violation) return text + ", all promises kept\n";
   text += "\nBROKEN: " + violation->promise + ": " + violation->request + ": " + violation->detail +
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -36,6 +36,11 @@
  private:
   /// Starts with engines of two releases.
   void AddReleases();
+  /// As many engines again, which rest until their release joins.
+  void AddRestingEngines();
+  void AddEngine(Random random);
+  /// Lets callers take up broken streams.
+  void EnableResumptions(std::set<FaultKind> judged, int tries);
   /// A store of many pages behind a slow link.
   void FillStore();
   void StartInstances();
@@ -60,6 +65,7 @@
   Poison poison_;
   PathCheck path_check_;
   RetryCheck retry_check_;
+  PeerNetwork peers_;
   Resumptions resumptions_;
   Needs needs_;
   std::vector<std::unique_ptr<SoakEngine>> engines_;
