--- a/soak/odd_entries.cc
+++ b/soak/odd_entries.cc
@@ -91,7 +91,7 @@
   }
   std::string entry;
   for (const auto& [name, value] : fields) {
-    entry += (entry.empty() ? "{\"" : ",\"") + name + "\":" + value;
+    entry.append(entry.empty() ? "{\"" : ",\"").append(name).append("\":").append(value);
   }
   entry += "}";
   if (random.Chance(0.1)) return OddValue(random);
