Fix: the end of a process does not wait for the reader of its output (FAULT)

Callers saw nothing: they were served. The process was still there after its grace time and was killed, which counts as an end of its own.

Cause: StopLog() joins the thread that writes to standard output. While nobody reads the pipe, that thread is in write() for good. Shown by process_start/ process_ends_in_time_when_nobody_reads_its_output with the untouched program: still running 3 s after SIGTERM.

The queue itself never blocked.

--- a/libs/log/include/log/log.h
+++ b/libs/log/include/log/log.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -32,8 +33,10 @@
 void StartLog(std::string_view level, std::string_view layout,
               LogSink sink = LogSink::kStandardError);
 
-/// Flushes queued lines and stops the queue's thread.
-void StopLog();
+/// Flushes queued lines and stops the queue's thread. Returns false if that takes longer than
+/// `limit`, as it does while nobody reads the output; the thread then still runs, and the process
+/// has to end without waiting for it.
+bool StopLog(std::chrono::milliseconds limit = std::chrono::seconds(1));
 
 /// Sets the minimum level: `debug`, `info`, `warn` or `error`. Returns kInvalidCommand for any
 /// other text.
--- a/libs/log/src/log.cc
+++ b/libs/log/src/log.cc
@@ -6,7 +6,10 @@
 #include <log4cxx/patternlayout.h>
 
 #include <atomic>
+#include <future>
 #include <nlohmann/json.hpp>
+#include <system_error>
+#include <thread>
 
 namespace ridgehold {
 namespace {
@@ -77,7 +80,19 @@
   ValueOr([&]() -> Result<void> { return SetLogLevel(level); }, [](const Failure&) {});
 }
 
-void StopLog() { ProcessLogger()->removeAllAppenders(); }
+bool StopLog(std::chrono::milliseconds limit) {
+  auto stopped = std::make_shared<std::promise<void>>();
+  const std::future<void> flushed = stopped->get_future();
+  try {
+    std::thread([stopped] {
+      ProcessLogger()->removeAllAppenders();
+      stopped->set_value();
+    }).detach();
+  } catch (const std::system_error&) {  // no thread can be started
+    return false;
+  }
+  return flushed.wait_for(limit) == std::future_status::ready;
+}
 
 Result<void> SetLogLevel(std::string_view level) {
   if (level != "debug" && level != "info" && level != "warn" && level != "error") {
