Fix: an exception ends one task, with a log line, and no duty or process (FAULT)

One that left a detached coroutine was swallowed: an accept loop or the store's follower was gone without a line, and the instance went on looking healthy. A connection stayed counted as in progress, and a prober's slot as taken.

Spawn() logs what leaves a task, and lets its owner take back what was left undone; SpawnDuty() starts a duty again. A request whose processing throws is answered 500 (internal, may have run) or broken off, and its connection is released.

--- a/libs/control/include/control/retry_record.h
+++ b/libs/control/include/control/retry_record.h
@@ -3,8 +3,6 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -16,6 +14,7 @@
 #include "log/log.h"
 #include "net/update_signal.h"
 #include "net/wait.h"
+#include "task/spawn.h"
 
 namespace ridgehold {
 
@@ -57,7 +56,7 @@
     last_used_ = now;
     if (!running_ && now >= next_try_) {
       running_ = refreshing_ = true;
-      net::co_spawn(executor_, Keep(), net::detached);
+      Spawn(executor_, "retry record", Keep(), [this] { running_ = refreshing_ = false; });
     }
     if (!Covers(now) && refreshing_) co_await changed_.WaitUntil(deadline);
     co_return Covers(Clock::now());
--- a/libs/control/include/control/rollout_controller.h
+++ b/libs/control/include/control/rollout_controller.h
@@ -3,8 +3,6 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -21,6 +19,7 @@
 #include "gateway/gateway_state.h"
 #include "log/log.h"
 #include "net/wait.h"
+#include "task/spawn.h"
 
 namespace ridgehold {
 
@@ -94,7 +93,8 @@
     pending.resize(std::min(pending.size(), limit - active));
     for (const RolloutStep& step : pending) {
       steps_[step.engine->entry.id].start = now;
-      net::co_spawn(state_.executor(), RunStep(step), net::detached);
+      Spawn(state_.executor(), "rollout step", RunStep(step),
+            [this, id = step.engine->entry.id] { steps_.erase(id); });
     }
   }
 
--- a/libs/entry/include/entry/quota_coordinator.h
+++ b/libs/entry/include/entry/quota_coordinator.h
@@ -4,8 +4,6 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <optional>
 #include <random>
 #include <set>
@@ -22,6 +20,7 @@
 #include "peers/peer_link.h"
 #include "peers/quota_codec.h"
 #include "peers/quota_link.h"
+#include "task/spawn.h"
 
 namespace ridgehold {
 
@@ -61,9 +60,9 @@
     };
     state_.SetQuotaHandlers(std::move(handlers));
     state_.pushback().SetLimitListener([this] { start_timer_.cancel(); });
-    net::co_spawn(state_.executor(), RunLease(), net::detached);
-    net::co_spawn(state_.executor(), workspaces_.Run(), net::detached);
-    net::co_spawn(state_.executor(), backends_.Run(), net::detached);
+    SpawnDuty(state_.executor(), "quota lease", [this] { return RunLease(); });
+    SpawnDuty(state_.executor(), "workspace quotas", [this] { return workspaces_.Run(); });
+    SpawnDuty(state_.executor(), "backend limits", [this] { return backends_.Run(); });
   }
 
   /// Releases the lease, so that another instance can acquire it at once.
--- a/libs/entry/include/entry/resumption_coordinator.h
+++ b/libs/entry/include/entry/resumption_coordinator.h
@@ -3,8 +3,6 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <map>
 #include <set>
@@ -22,6 +20,7 @@
 #include "net/wait.h"
 #include "peers/origin_link.h"
 #include "peers/origin_record_codec.h"
+#include "task/spawn.h"
 
 namespace ridgehold {
 
@@ -66,8 +65,8 @@
   }
 
   void Start() {
-    net::co_spawn(state_.executor(), recorder_.Run(), net::detached);
-    net::co_spawn(state_.executor(), writer_.Run(), net::detached);
+    SpawnDuty(state_.executor(), "release recorder", [this] { return recorder_.Run(); });
+    SpawnDuty(state_.executor(), "origin writer", [this] { return writer_.Run(); });
   }
 
   void Stop() {
@@ -123,7 +122,8 @@
       RecordRead& read = reads_[service];
       read.wanted = true;
       if (std::exchange(read.running, true)) return;
-      net::co_spawn(state_.executor(), ReadRecord(service), net::detached);
+      Spawn(state_.executor(), "release record read", ReadRecord(service),
+            [this, service] { reads_[service].running = false; });
     };
     return callbacks;
   }
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -2,8 +2,6 @@
 
 #pragma once
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
@@ -15,6 +13,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/wire_format.h"
 #include "log/log.h"
+#include "task/spawn.h"
 
 namespace ridgehold {
 
@@ -27,7 +26,9 @@
   CallerServer(GatewayState& state, tcp::acceptor acceptor, std::size_t max_connections)
       : state_(state), acceptor_(std::move(acceptor)), max_connections_(max_connections) {}
 
-  void Start() { net::co_spawn(state_.executor(), Accept(), net::detached); }
+  void Start() {
+    SpawnDuty(state_.executor(), "caller listener", [this] { return Accept(); });
+  }
 
   /// Stops accepting connections.
   void Stop() {
@@ -69,12 +70,26 @@
         state_.metrics().GetCounter("ridgehold_connections_refused").Add();
         continue;
       }
-      net::co_spawn(state_.executor(), Serve(CallerConnection::Create(std::move(socket))),
-                    net::detached);
+      Spawn(state_.executor(), "caller connection",
+            Serve(CallerConnection::Create(std::move(socket))));
     }
   }
 
+  /// Removes the connection whatever happens while it is served; a request that ends with an
+  /// exception would otherwise count as in progress.
   net::awaitable<void> Serve(ConnectionPtr connection) {
+    std::exception_ptr error;
+    try {
+      co_await ServeRequests(connection);
+    } catch (...) {
+      error = std::current_exception();
+    }
+    if (error) LogException("caller connection", error);
+    connection->Abort();
+    connections_.erase(connection);
+  }
+
+  net::awaitable<void> ServeRequests(ConnectionPtr connection) {
     ExchangePtr& exchange = connections_[connection];
     while (connection->CanServeAnother()) {
       const CallerLimits limits = state_.snapshot() ? state_.snapshot()->limits() : CallerLimits{};
@@ -88,8 +103,6 @@
       co_await exchange->Run();
       exchange.reset();
     }
-    connection->Abort();
-    connections_.erase(connection);
   }
 
   net::awaitable<void> RefuseUnread(ConnectionPtr connection, Failure failure) {
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -26,6 +26,7 @@
 #include "net/wait.h"
 #include "performance/stream_timing.h"
 #include "retry/retry_reservation.h"
+#include "task/spawn.h"
 
 namespace ridgehold {
 
@@ -44,7 +45,13 @@
   net::awaitable<void> Run() {
     auto self = this->shared_from_this();
     state_.OnRequestStarted();
-    co_await Respond();
+    std::exception_ptr error;
+    try {
+      co_await Respond();
+    } catch (...) {
+      error = std::current_exception();
+    }
+    if (error) co_await FailUnexpectedly(error);
     state_.OnRequestFinished();
     RecordPunctuality();
     LogRequest(state_, record_);
@@ -121,6 +128,15 @@
     if (unused) state_.RefundQuota(record_.quota->ticket);
   }
 
+  /// Ends a request whose processing threw an exception. It may have run.
+  net::awaitable<void> FailUnexpectedly(std::exception_ptr error) {
+    LogException("request " + record_.request.value(), error);
+    if (attempt_.connection) attempt_.connection->Cancel();
+    load_.reset();
+    last_code_ = ResultCode::kInternal;
+    co_await Finish(response_started_ ? NextStep::kAbortStream : NextStep::kFail);
+  }
+
   /// Determines the release at which a resumed stream goes on. Returns false if it is not known.
   net::awaitable<bool> FindRelease() {
     if (!inbound_.resume_after || !IsResumable()) co_return true;
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -1,13 +1,12 @@
 #include "gateway/backend_prober.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "log/duration_text.h"
 #include "log/log.h"
 #include "net/wait.h"
+#include "task/spawn.h"
 
 namespace ridgehold {
 namespace {
@@ -35,7 +34,10 @@
   ++running_;
   backend->probing = true;
   state_.directory().MarkActive(backend);
-  net::co_spawn(state_.executor(), Probe(backend, purpose), net::detached);
+  Spawn(state_.executor(), "backend probe", Probe(backend, purpose), [this, backend] {
+    --running_;
+    backend->probing = false;
+  });
 }
 
 net::awaitable<void> BackendProber::ConfirmCrash(BackendPtr backend) {
--- a/libs/tunnel/src/tunnel_session.cc
+++ b/libs/tunnel/src/tunnel_session.cc
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
 #include "net/record_header.h"
+#include "task/spawn.h"
 
 namespace ridgehold {
 namespace {
@@ -43,8 +42,8 @@
 
 void TunnelSession::Start() {
   const auto executor = peer_.get_executor();
-  net::co_spawn(executor, CopyToBackend(), net::detached);
-  net::co_spawn(executor, CopyToPeer(), net::detached);
+  Spawn(executor, "tunnel to backend", CopyToBackend());
+  Spawn(executor, "tunnel to peer", CopyToPeer());
 }
 
 void TunnelSession::Abort() {
