--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -75,6 +75,7 @@
   kUnresolvedChange = 5004,
   kStaleStore = 5005,
   kInvalidSettings = 5006,
+  kAddressUnavailable = 5007,
   // 6xxx: errors between daemons.
   kMalformedPeerMessage = 6001,
   // 9xxx: internal errors.
--- a/libs/base/src/result_code.cc
+++ b/libs/base/src/result_code.cc
@@ -100,6 +100,8 @@
      "The store holds an older or diverged copy; nothing was written."},
     {ResultCode::kInvalidSettings, "invalid_settings", 500, kNotRun, kNever,
      "The settings file has faults; the daemon does not start."},
+    {ResultCode::kAddressUnavailable, "address_unavailable", 503, kNotRun, kLater,
+     "An address of the daemon's own is taken or missing; the daemon waits for it."},
     {ResultCode::kMalformedPeerMessage, "malformed_peer_message", 400, kNotRun, kNever,
      "A message from another daemon cannot be read."},
     {ResultCode::kInternal, "internal", 500, kUnknown, kOnlyIfIdempotent,
--- a/libs/entry/include/entry/admin_server.h
+++ b/libs/entry/include/entry/admin_server.h
@@ -34,11 +34,14 @@
   /// Without a handler, CONNECT is answered with 404.
   void SetConnectHandler(ConnectHandler handler) { connect_handler_ = std::move(handler); }
 
-  /// Listens on `address:port`. Fails with kInvalidSettings.
+  /// Listens on `address:port`. Fails as Listen() does.
   static Result<std::unique_ptr<AdminServer>> Create(net::any_io_executor executor,
                                                      const std::string& address, Pages pages,
                                                      DelayedPages delayed_pages = {});
 
+  /// Accepts connections from now on.
+  void Start();
+
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
  private:
@@ -58,7 +61,4 @@
   ConnectHandler connect_handler_;
 };
 
-/// Opens a listening socket on `address:port`. Fails with kInvalidSettings.
-Result<tcp::acceptor> Listen(net::any_io_executor executor, const std::string& address);
-
 }  // namespace ridgehold
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -3,8 +3,6 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <map>
@@ -32,10 +30,12 @@
 #include "gateway/engine_grouping.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
+#include "net/listen.h"
 #include "net/wait.h"
 #include "peers/origin_codec.h"
 #include "peers/peer_link.h"
 #include "peers/store_copy_reader.h"
+#include "task/spawn.h"
 #include "tunnel/peer_paths.h"
 #include "tunnel/tunnel_server.h"
 
@@ -52,7 +52,8 @@
 template <Environment Env>
 class EntryInstance {
  public:
-  /// Opens the listening sockets. Fails with kInvalidSettings.
+  /// Opens the listening sockets; on failure none stays open. Fails with kAddressUnavailable if
+  /// another try may succeed, else with kInvalidSettings.
   static Result<std::unique_ptr<EntryInstance>> Create(net::any_io_executor executor,
                                                        EntrySettings settings, EntryTuning tuning) {
     BOOST_LEAF_AUTO(acceptor, Listen(executor, settings.caller_address));
@@ -71,29 +72,32 @@
   EntryInstance& operator=(const EntryInstance&) = delete;
 
   void Start() {
-    net::co_spawn(executor_, membership_.Run(), net::detached);
-    net::co_spawn(executor_, follower_.Run(), net::detached);
-    net::co_spawn(executor_, rollout_lease_.Run(), net::detached);
-    net::co_spawn(executor_, rollout_.Run(), net::detached);
-    net::co_spawn(executor_, peers_->Send(), net::detached);
-    net::co_spawn(executor_, peers_->SendGossip(), net::detached);
-    net::co_spawn(executor_, quarantine_.Run(), net::detached);
+    SpawnDuty(executor_, "membership", [this] { return membership_.Run(); });
+    SpawnDuty(executor_, "store follower", [this] { return follower_.Run(); });
+    SpawnDuty(executor_, "rollout lease", [this] { return rollout_lease_.Run(); });
+    SpawnDuty(executor_, "rollout", [this] { return rollout_.Run(); });
+    SpawnDuty(executor_, "peer updates", [this] { return peers_->Send(); });
+    SpawnDuty(executor_, "peer gossip", [this] { return peers_->SendGossip(); });
+    SpawnDuty(executor_, "quarantine", [this] { return quarantine_.Run(); });
     quota_.Start(*peers_);
     peers_->SetOriginListener([this](const OriginMessage& message, const std::string& from) {
       resumption_.Handle(message, from);
     });
     resumption_.Start();
-    net::co_spawn(executor_, peers_->Receive(), net::detached);
-    net::co_spawn(executor_, copy_reader_.Run(), net::detached);
-    net::co_spawn(executor_, prober_.Run(), net::detached);
-    net::co_spawn(executor_, RunHousekeeping(), net::detached);
+    SpawnDuty(executor_, "peer messages", [this] { return peers_->Receive(); });
+    SpawnDuty(executor_, "store copy", [this] { return copy_reader_.Run(); });
+    SpawnDuty(executor_, "backend prober", [this] { return prober_.Run(); });
+    SpawnDuty(executor_, "housekeeping", [this] { return RunHousekeeping(); });
+    admin_->Start();
+    peer_server_->Start();
     server_.Start();
   }
 
-  /// Serves metrics, state, quotas, limits and quarantine on `address:port`. Fails with
-  /// kInvalidSettings.
+  /// Serves metrics, state, quotas, limits and quarantine on `address:port`. Fails as Listen()
+  /// does.
   Result<void> OpenMetrics(const std::string& address) {
     BOOST_LEAF_ASSIGN(metrics_server_, AdminServer::Create(executor_, address, MetricsPages()));
+    metrics_server_->Start();
     return {};
   }
 
@@ -127,7 +131,7 @@
     Log(LogLevel::kInfo, "shutting down",
         {{"in_flight", std::to_string(state_.in_flight())},
          {"connections", std::to_string(server_.open_connections())}});
-    net::co_spawn(executor_, ShutDown(std::move(done)), net::detached);
+    Spawn(executor_, "shutdown", ShutDown(done), done);
   }
 
   bool Ready() const {
@@ -447,7 +451,7 @@
     co_return size;
   }
 
-  void SearchRelay() { net::co_spawn(executor_, discovery_.Search(), net::detached); }
+  void SearchRelay() { Spawn(executor_, "relay search", discovery_.Search()); }
 
   /// Returns this instance's place in the tree of relays if the members at these addresses are left
   /// out.
@@ -618,7 +622,8 @@
     const TimePoint deadline = started + settings_.shutdown_timeout - tuning_.shutdown_margin;
     state_.SetResponseDeadline(deadline - tuning_.final_response_margin);
     Timer timer(executor_);
-    net::co_spawn(executor_, ReleaseRolloutLease(deadline), net::detached);
+    Spawn(executor_, "rollout lease release", ReleaseRolloutLease(deadline),
+          [this] { rollout_lease_released_ = true; });
     co_await membership_.Release();
     co_await quota_.Release();
     co_await WaitFor(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -1,38 +1,25 @@
 #include "entry/admin_server.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "log/log.h"
+#include "net/listen.h"
+#include "task/spawn.h"
 
 namespace ridgehold {
 
-Result<tcp::acceptor> Listen(net::any_io_executor executor, const std::string& address) {
-  const tcp::endpoint endpoint = ParseEndpoint(address);
-  tcp::acceptor acceptor(executor);
-  ErrorCode error;
-  acceptor.open(tcp::v4(), error);
-  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(endpoint, error);
-  if (!error) acceptor.listen(net::socket_base::max_listen_connections, error);
-  if (error) {
-    return Fail(ResultCode::kInvalidSettings,
-                "cannot listen on " + address + ": " + error.message());
-  }
-  return acceptor;
-}
-
 Result<std::unique_ptr<AdminServer>> AdminServer::Create(net::any_io_executor executor,
                                                          const std::string& address, Pages pages,
                                                          DelayedPages delayed_pages) {
   BOOST_LEAF_AUTO(acceptor, Listen(executor, address));
-  std::unique_ptr<AdminServer> server(
+  return std::unique_ptr<AdminServer>(
       new AdminServer(std::move(acceptor), std::move(pages), std::move(delayed_pages)));
-  net::co_spawn(executor, server->Accept(), net::detached);
-  return server;
+}
+
+void AdminServer::Start() {
+  SpawnDuty(acceptor_.get_executor(), "admin listener", [this] { return Accept(); });
 }
 
 net::awaitable<void> AdminServer::Accept() {
@@ -41,7 +28,7 @@
     tcp::socket socket =
         co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
     if (!error) {
-      net::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)), net::detached);
+      Spawn(acceptor_.get_executor(), "admin connection", Serve(std::move(socket)));
     } else if (error == net::error::operation_aborted) {
       co_return;
     }
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -61,8 +61,8 @@
   };
 
   /// `members` are the gateways registered in the store, including this one. Before the store was
-  /// read only `seeds` are known, which are addresses without a port. Fails with kInvalidSettings
-  /// if the port cannot be bound.
+  /// read only `seeds` are known, which are addresses without a port. Fails as
+  /// BindFailure() says if the port cannot be bound.
   static Result<std::unique_ptr<PeerLink>> Create(GatewayState& state, Options options,
                                                   const InstanceRecords& members,
                                                   std::vector<std::string> seeds);
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "log/log.h"
+#include "net/listen.h"
 #include "net/wait.h"
 #include "peers/news_codec.h"
 #include "peers/recent_namings.h"
@@ -22,9 +23,8 @@
   if (!error) socket.open(net::ip::udp::v4(), error);
   if (!error) socket.bind({address, options.port}, error);
   if (error) {
-    return Fail(ResultCode::kInvalidSettings,
-                "cannot bind the socket for peer messages to " + options.address + ":" +
-                    std::to_string(options.port) + ": " + error.message());
+    const std::string address = options.address + ":" + std::to_string(options.port);
+    return Fail(BindFailure("bind the socket for peer messages to " + address, error));
   }
   return std::unique_ptr<PeerLink>(
       new PeerLink(state, std::move(options), members, std::move(seeds), std::move(socket)));
