--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -79,6 +79,7 @@
     std::shared_ptr<OutboundConnection> connection;
     BackendResponseHead head;
     ResponseHead caller_head;
+    std::string stated_length;  ///< the head's Content-Length; empty if it has none
     std::string body;
     bool prefilled = false;
     std::optional<TimePoint> begun;           ///< when its first event arrived
@@ -447,6 +448,7 @@
     if (record_.via_peer.empty()) state_.RecordContact();
     ApplyAnswerHead(state_, *attempt_.backend, inbound_, attempt_.head, attempt_.sent);
     attempt_.caller_head = Wire::MakeCallerHead(attempt_.connection->head());
+    attempt_.stated_length = std::string(attempt_.connection->head()[http::field::content_length]);
     record_.ends_with_connection = attempt_.connection->EndsWithConnection();
     if (!IsAcceptable(attempt_.head)) {
       last_code_ = ResultCode::kForeignAnswer;
@@ -717,7 +719,14 @@
     record_.code = ResultCode::kOk;
     record_.status = attempt_.head.status;
     ResponseMessage response(std::move(attempt_.caller_head), std::move(attempt_.body));
-    if (caller_->request().method() != http::verb::head) response.prepare_payload();
+    const bool no_content = response.result() == http::status::no_content ||
+                            response.result() == http::status::not_modified;
+    // What a response without a body states is the length of the one that it stands for.
+    if (caller_->request().method() != http::verb::head && !no_content) {
+      response.prepare_payload();
+    } else if (!attempt_.stated_length.empty() && response.result() != http::status::no_content) {
+      response.set(http::field::content_length, attempt_.stated_length);
+    }
     co_await caller_->Send(std::move(response), state_.shutting_down());
   }
 
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -176,6 +176,7 @@
   close_after_ = close_after_ || close_after;
   answer.version(kHttp11);
   answer.keep_alive(!close_after_);
+  if (request_.method() == http::verb::head) answer.body().clear();
   ErrorCode error;
   http::response_serializer<http::string_body> serializer(answer);
   co_await http::async_write(socket_, serializer, net::redirect_error(net::use_awaitable, error));
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -46,7 +46,7 @@
                                         std::chrono::milliseconds tcp_user_timeout);
 
   /// Starts to send `request`. Reading may start at once: a server may respond before it has
-  /// read the whole request.
+  /// read the whole request. The response to a HEAD request has no body, whatever length it states.
   void StartRequest(const RequestMessage& request);
 
   /// Reads the head of the next response; skips interim (1xx) responses, up to
@@ -134,6 +134,7 @@
   std::string outgoing_;
   std::size_t written_ = 0;
   bool write_done_ = true;
+  bool expects_no_body_ = false;  ///< the request is HEAD
   bool write_failed_ = false;
   bool timed_out_ = false;
   bool cancelled_ = false;
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -92,6 +92,7 @@
   outgoing_ = std::move(text).str();
   written_ = 0;
   write_done_ = false;
+  expects_no_body_ = request.method() == http::verb::head;
   parser_.reset();
   auto self = shared_from_this();
   net::async_write(
@@ -117,6 +118,7 @@
     parser_.emplace();
     parser_->header_limit(kMaxResponseHeadBytes);
     parser_->body_limit(boost::none);
+    parser_->skip(expects_no_body_);
     ErrorCode error;
     ArmDeadline(deadline);
     co_await http::async_read_header(stream_, buffer_, *parser_,
