--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "base/ids.h"
 #include "base/result.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/wire_format.h"
@@ -44,15 +45,29 @@
   void StopWatching();
   bool caller_gone() const { return caller_gone_; }
 
-  /// Polls the socket for a disconnect, whose event may still be queued in a busy event loop.
+  /// Polls the socket for a disconnect, whose event may still be queued in a busy event loop. A
+  /// client that has ended only its sending side still gets its response: an interim response (100)
+  /// is sent, which a host answers with a reset if the client has closed both sides. Clients of
+  /// HTTP/1.0, which know no interim responses, count as gone.
   bool PollCallerGone();
 
+  /// Like PollCallerGone(); if the client has ended its sending side, waits long enough for a
+  /// reset.
+  net::awaitable<bool> ConfirmCallerGone();
+
+  /// Whether bytes of another request have been received.
+  bool HasNextRequest();
+
   /// Each returns false when the client has disconnected.
   net::awaitable<bool> Send(ResponseMessage answer, bool close_after);
   net::awaitable<bool> BeginStream(ResponseHead head, bool close_after);
   net::awaitable<bool> WriteChunk(std::string bytes);
   net::awaitable<bool> EndStream();
 
+  /// Ends the sending side and discards what the client still sends, for a limited time. A close
+  /// with unread bytes would reset the connection and could destroy the last response on its way.
+  net::awaitable<void> Linger();
+
   /// Closes immediately; a partly sent stream is seen as truncated by the client.
   void Abort();
 
@@ -61,6 +76,10 @@
 
   /// Whether the connection can carry another request.
   bool CanServeAnother() const { return socket_.is_open() && !close_after_ && !caller_gone_; }
+  /// Whether the client has ended its sending side.
+  bool half_closed() const { return sending_ended_at_.has_value(); }
+  /// Whether a response has told the client that the connection ends.
+  bool close_announced() const { return close_after_; }
 
  private:
   using Parser = http::request_parser<http::string_body>;
@@ -68,6 +87,10 @@
   explicit CallerConnection(tcp::socket socket);
 
   net::awaitable<bool> WaitForRequest(std::chrono::milliseconds idle_timeout);
+  net::awaitable<ErrorCode> ReadBytes();
+  /// Returns the number of bytes skipped.
+  std::size_t SkipEmptyLines();
+  void ProbeCaller();
   net::awaitable<ErrorCode> ReadHeadAndBody(Parser& parser, CallerLimits limits);
   net::awaitable<ErrorCode> SendContinue();
   void ArmLimit(std::chrono::milliseconds limit);
@@ -87,6 +110,10 @@
   std::uint64_t limit_generation_ = 0;
   bool watching_ = false;
   bool idle_ = false;
+  bool response_begun_ = false;
+  std::optional<TimePoint> sending_ended_at_;  ///< when the client's FIN was noticed
+  TimePoint next_probe_at_{};
+  int probes_ = 0;  ///< sent for the current request
   bool timed_out_ = false;
   bool caller_gone_ = false;
   bool close_after_ = false;
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -103,6 +103,7 @@
       co_await exchange->Run();
       exchange.reset();
     }
+    if (connection->close_announced()) co_await connection->Linger();
   }
 
   net::awaitable<void> RefuseUnread(ConnectionPtr connection, Failure failure) {
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -53,6 +53,7 @@
     }
     if (error) co_await FailUnexpectedly(error);
     state_.OnRequestFinished();
+    record_.half_closed = caller_->half_closed();
     RecordPunctuality();
     LogRequest(state_, record_);
   }
@@ -331,7 +332,7 @@
     if (checkout.fault != ExchangeFault::kNone) co_return OutcomeOf(checkout.fault);
     // Connecting takes time, during which the client may have disconnected or the backend server
     // become ineligible.
-    const bool caller_gone = caller_->PollCallerGone();
+    const bool caller_gone = co_await caller_->ConfirmCallerGone();
     const TimePoint now = Clock::now();
     const bool too_late = now >= WaitLimit();
     const bool has_permit = !attempt_.backend->notice_state.limit() ||
@@ -568,7 +569,7 @@
     record_.status = attempt_.head.status;
     record_.first_event = Clock::now();
     if (IsResumable()) FixRelease(*record_.first_event);
-    co_return co_await caller_->BeginStream(attempt_.caller_head, state_.shutting_down());
+    co_return co_await caller_->BeginStream(attempt_.caller_head, EndsConnection());
   }
 
   /// The stream goes on at this release only, in this response and over the client's attempts. The
@@ -715,6 +716,12 @@
     return state_.IsIsolated(Clock::now()) ? std::max(usual, kIsolatedRetryAfter) : usual;
   }
 
+  /// During a shutdown, requests that the client has already sent are answered first.
+  bool EndsConnection() const {
+    if (!state_.shutting_down()) return false;
+    return state_.rejecting_new() || !caller_->HasNextRequest();
+  }
+
   net::awaitable<void> Deliver() {
     record_.code = ResultCode::kOk;
     record_.status = attempt_.head.status;
@@ -727,7 +734,7 @@
     } else if (!attempt_.stated_length.empty() && response.result() != http::status::no_content) {
       response.set(http::field::content_length, attempt_.stated_length);
     }
-    co_await caller_->Send(std::move(response), state_.shutting_down());
+    co_await caller_->Send(std::move(response), EndsConnection());
   }
 
   // g++ 12 destroys braced temporaries in co_await arguments twice, so arguments are plain or named
@@ -743,7 +750,7 @@
     ResponseMessage response = MakeErrorResponse(failure, inbound_.id, retry_after);
     record_.status = static_cast<int>(response.result_int());
     record_.detail = failure.detail;
-    co_await caller_->Send(std::move(response), state_.shutting_down());
+    co_await caller_->Send(std::move(response), EndsConnection());
   }
 
   /// A call that may not be executed again is left to complete.
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -3,10 +3,14 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
+#include <cerrno>
+
+#include "net/wait.h"
 
 namespace ridgehold {
 namespace {
@@ -15,6 +19,17 @@
 // A pipelined request keeps the socket readable, so a disconnect after it raises no event. Polling
 // at this interval detects it well within half a second.
 constexpr std::chrono::milliseconds kDisconnectPollInterval{200};
+// After the client has ended its sending side, which raises no further event.
+constexpr std::chrono::milliseconds kHalfClosedPollInterval{25};
+// Round trip within which a host answers a probe with a reset.
+constexpr std::chrono::milliseconds kProbeReplyTime{50};
+// The interval doubles with each probe. Some clients fail after five interim responses.
+constexpr std::chrono::milliseconds kProbeInterval{300};
+constexpr int kMaxProbes = 4;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+// Old clients send an empty line after a body; more than a few are no request.
+constexpr std::size_t kMaxEmptyLineBytes = 16;
+constexpr std::chrono::milliseconds kLingerTime{2'000};
 
 ReadOutcome Refused(ResultCode code, std::string detail = "") {
   return {ReadOutcome::Kind::kRefused, {code, std::move(detail)}};
@@ -35,10 +50,11 @@
   return field != head.end() && boost::beast::iequals(field->value(), "100-continue");
 }
 
-/// Whether the peer has closed the connection, even if unread bytes precede the close.
-bool PeerHasClosed(int descriptor) {
+/// The events among POLLRDHUP (the peer has ended its sending side, even if unread bytes precede
+/// that), POLLERR and POLLHUP (the connection was reset, or both sides have ended).
+int CloseEvents(int descriptor) {
   pollfd poll_request{descriptor, POLLRDHUP, 0};
-  return ::poll(&poll_request, 1, 0) > 0;
+  return ::poll(&poll_request, 1, 0) > 0 ? poll_request.revents : 0;
 }
 
 }  // namespace
@@ -70,6 +86,9 @@
   if (!timed_out_ && error) outcome = OutcomeOf(error);
   if (timed_out_ || error) co_return outcome;
   request_ = parser.release();
+  response_begun_ = false;
+  probes_ = 0;
+  next_probe_at_ = TimePoint();
   // Trailer fields must not be merged into the request's header fields.
   if (request_.chunked()) request_.base() = head_;
   close_after_ = !request_.keep_alive();
@@ -78,16 +97,40 @@
 }
 
 net::awaitable<bool> CallerConnection::WaitForRequest(std::chrono::milliseconds idle_timeout) {
-  if (buffer_.size() > 0) co_return true;
   ErrorCode error;
-  ArmLimit(idle_timeout);
-  co_await socket_.async_wait(tcp::socket::wait_read,
-                              net::redirect_error(net::use_awaitable, error));
-  DisarmLimit();
+  std::size_t skipped = 0;
+  timed_out_ = false;
+  for (;;) {
+    if (skipped < kMaxEmptyLineBytes) skipped += SkipEmptyLines();
+    if (buffer_.size() > 0 || error || timed_out_) break;
+    ArmLimit(idle_timeout);
+    error = co_await ReadBytes();
+    DisarmLimit();
+  }
   if (timed_out_) Close();
   co_return !error && !timed_out_ && socket_.is_open();
 }
 
+net::awaitable<ErrorCode> CallerConnection::ReadBytes() {
+  constexpr std::size_t kChunkBytes = 4'096;
+  ErrorCode error;
+  // No buffer is held while the connection is idle.
+  co_await socket_.async_wait(tcp::socket::wait_read,
+                              net::redirect_error(net::use_awaitable, error));
+  if (error) co_return error;
+  const std::size_t bytes = co_await socket_.async_read_some(
+      buffer_.prepare(kChunkBytes), net::redirect_error(net::use_awaitable, error));
+  buffer_.commit(bytes);
+  co_return error;
+}
+
+std::size_t CallerConnection::SkipEmptyLines() {
+  const std::string_view bytes(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  const std::size_t request = std::min(bytes.find_first_not_of("\r\n"), bytes.size());
+  buffer_.consume(request);
+  return request;
+}
+
 net::awaitable<ErrorCode> CallerConnection::ReadHeadAndBody(Parser& parser, CallerLimits limits) {
   ErrorCode error;
   ArmLimit(limits.header_timeout);
@@ -104,7 +147,6 @@
 }
 
 net::awaitable<ErrorCode> CallerConnection::SendContinue() {
-  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
   ErrorCode error;
   co_await net::async_write(socket_, net::buffer(kContinue),
                             net::redirect_error(net::use_awaitable, error));
@@ -150,7 +192,7 @@
 }
 
 void CallerConnection::WatchAgainLater(std::uint64_t watch) {
-  watch_timer_.expires_after(kDisconnectPollInterval);
+  watch_timer_.expires_after(sending_ended_at_ ? kHalfClosedPollInterval : kDisconnectPollInterval);
   watch_timer_.async_wait([self = shared_from_this(), watch](const ErrorCode& error) {
     if (error || !self->watching_ || watch != self->watch_) return;
     self->WatchCaller(std::move(self->on_gone_));
@@ -158,10 +200,58 @@
 }
 
 bool CallerConnection::PollCallerGone() {
-  caller_gone_ = caller_gone_ || PeerHasClosed(socket_.native_handle());
+  if (caller_gone_) return true;
+  const int events = CloseEvents(socket_.native_handle());
+  const bool knows_interim = request_.version() >= kHttp11;
+  if ((events & (POLLERR | POLLHUP | POLLNVAL)) != 0 || (events != 0 && !knows_interim)) {
+    caller_gone_ = true;
+  } else if (events != 0) {
+    if (!sending_ended_at_) sending_ended_at_ = Clock::now();
+    ProbeCaller();
+  }
   return caller_gone_;
 }
 
+void CallerConnection::ProbeCaller() {
+  const TimePoint now = Clock::now();
+  // Once the response has begun, its own bytes are the probe.
+  if (response_begun_ || probes_ >= kMaxProbes || now < next_probe_at_) return;
+  next_probe_at_ = now + kProbeInterval * (1 << probes_);
+  ++probes_;
+  const auto sent = ::send(socket_.native_handle(), kContinue.data(), kContinue.size(),
+                           MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) caller_gone_ = true;
+}
+
+net::awaitable<bool> CallerConnection::ConfirmCallerGone() {
+  auto self = shared_from_this();
+  Timer timer(socket_.get_executor());
+  while (!PollCallerGone() && sending_ended_at_ && !response_begun_) {
+    const TimePoint decided = *sending_ended_at_ + kProbeReplyTime;
+    if (Clock::now() >= decided) break;
+    co_await WaitUntil(timer, std::min(decided, Clock::now() + kHalfClosedPollInterval / 5));
+  }
+  co_return caller_gone_;
+}
+
+bool CallerConnection::HasNextRequest() {
+  if (buffer_.size() > 0) return true;
+  char byte = 0;
+  return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+net::awaitable<void> CallerConnection::Linger() {
+  auto self = shared_from_this();
+  ErrorCode error;
+  socket_.shutdown(tcp::socket::shutdown_send, error);
+  ArmLimit(kLingerTime);
+  while (!error && !timed_out_) {
+    buffer_.consume(buffer_.size());
+    error = co_await ReadBytes();
+  }
+  DisarmLimit();
+}
+
 void CallerConnection::StopWatching() {
   if (!std::exchange(watching_, false)) return;
   on_gone_ = nullptr;
@@ -176,6 +266,7 @@
   close_after_ = close_after_ || close_after;
   answer.version(kHttp11);
   answer.keep_alive(!close_after_);
+  response_begun_ = true;
   if (request_.method() == http::verb::head) answer.body().clear();
   ErrorCode error;
   http::response_serializer<http::string_body> serializer(answer);
@@ -187,6 +278,7 @@
 net::awaitable<bool> CallerConnection::BeginStream(ResponseHead head, bool close_after) {
   auto self = shared_from_this();
   close_after_ = close_after_ || close_after;
+  response_begun_ = true;
   http::response<http::empty_body> answer(std::move(head));
   answer.version(kHttp11);
   answer.keep_alive(!close_after_);
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -183,6 +183,7 @@
     fields.push_back({"server_start", std::to_string(record.server_start.value())});
   }
   if (record.ends_with_connection) fields.push_back({"ends_with_connection", "yes"});
+  if (record.half_closed) fields.push_back({"half_closed", "yes"});
   if (record.end_verdict)
     fields.push_back({"answer_end", std::string(NameOf(*record.end_verdict))});
 }
