Ports: limits and client time on each, pauses when accept fails

Callers saw: 4,000 idle connections to the readiness check's, the metrics' or the peers' port took all descriptors; no new caller got an answer, the instance was not ready, and one core spun in accept. With fewer descriptors than the settings state, the callers' accept loop spun as well and logged each failure.

Cause: only the callers' port had a limit, taken from the settings whatever the process may open; no other port had an idle time; the accept loops retried at once.

Change: libs/listener has ConnectionListener (accept with AcceptBackoff: pauses of 50 ms to 1 s, one log line a second with a count) and PortSessions (limit and client time of a port; at the limit, a new connection replaces the one that has waited longest for its client). DescriptorShares divides the smaller of limits.max_fds and RLIMIT_NOFILE, whose soft limit is raised towards the former. The callers' port also replaces its longest idle connection.

Why it works: each port gives up only what nobody is using, and the shares leave about a quarter of the descriptors for backend servers, the store and files.

--- a/libs/entry/include/entry/admin_server.h
+++ b/libs/entry/include/entry/admin_server.h
@@ -8,6 +8,8 @@
 #include <string>
 
 #include "base/result.h"
+#include "listener/connection_listener.h"
+#include "listener/port_sessions.h"
 #include "net/beast.h"
 
 namespace ridgehold {
@@ -37,25 +39,34 @@
   /// Listens on `address:port`. Fails as Listen() does.
   static Result<std::unique_ptr<AdminServer>> Create(net::any_io_executor executor,
                                                      const std::string& address, Pages pages,
-                                                     DelayedPages delayed_pages = {});
+                                                     DelayedPages delayed_pages = {},
+                                                     PortLimits limits = {});
 
   /// Accepts connections from now on.
   void Start();
 
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  /// Closes connections whose clients have exceeded their time. To be called regularly.
+  void CloseExpired(TimePoint now) { sessions_.CloseExpired(now); }
+
+  std::uint16_t port() const { return listener_.port(); }
+  /// Number of connections closed so far to make room for new ones.
+  std::uint64_t replaced_connections() const { return sessions_.replaced(); }
 
  private:
-  AdminServer(tcp::acceptor acceptor, Pages pages, DelayedPages delayed_pages)
-      : acceptor_(std::move(acceptor)),
+  AdminServer(ConnectionListener listener, Pages pages, DelayedPages delayed_pages,
+              PortLimits limits)
+      : listener_(std::move(listener)),
+        sessions_(limits),
         pages_(std::move(pages)),
         delayed_pages_(std::move(delayed_pages)) {}
 
   net::awaitable<void> Accept();
-  net::awaitable<void> Serve(tcp::socket socket);
+  net::awaitable<void> Serve(std::shared_ptr<PortSession> session);
   net::awaitable<ResponseMessage> Respond(const RequestMessage& request) const;
   net::awaitable<AdminPage> MakePage(std::string path, std::string query) const;
 
-  tcp::acceptor acceptor_;
+  ConnectionListener listener_;
+  PortSessions sessions_;
   Pages pages_;
   DelayedPages delayed_pages_;
   ConnectHandler connect_handler_;
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -17,6 +17,7 @@
 #include "control/rollout_controller.h"
 #include "control/state_follower.h"
 #include "entry/admin_server.h"
+#include "entry/descriptor_shares.h"
 #include "entry/election_stagger.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_tuning.h"
@@ -96,7 +97,8 @@
   /// Serves metrics, state, quotas, limits and quarantine on `address:port`. Fails as Listen()
   /// does.
   Result<void> OpenMetrics(const std::string& address) {
-    BOOST_LEAF_ASSIGN(metrics_server_, AdminServer::Create(executor_, address, MetricsPages()));
+    BOOST_LEAF_ASSIGN(metrics_server_, AdminServer::Create(executor_, address, MetricsPages(), {},
+                                                           LimitsFor(&DescriptorShares::metrics)));
     metrics_server_->Start();
     return {};
   }
@@ -157,6 +159,7 @@
       : executor_(executor),
         settings_(std::move(settings)),
         tuning_(tuning),
+        shares_(DescriptorShares::Of(settings_.max_descriptors)),
         state_owner_(std::make_shared<GatewayState>(executor, settings_.zone,
                                                     LimitsOf(settings_, tuning),
                                                     PlacementCostsOf(tuning), metrics_)),
@@ -176,7 +179,7 @@
         control_(state_.pool(), tuning.control_call_timeout),
         prober_(state_, tuning.probing),
         rollout_(control_, rollout_lease_, state_, RolloutOptions()),
-        server_(state_, std::move(acceptor), MaxConnections(settings_)),
+        server_(state_, std::move(acceptor), shares_.callers),
         resumption_(store_, state_, records_, settings_, ResumptionCallbacks()),
         retry_record_(store_, executor, RetryRecordOptions()),
         quarantine_(store_, executor, state_.poison(), records_, {settings_.daemon, MemberKey()}),
@@ -241,9 +244,10 @@
     return costs;
   }
 
-  static std::size_t MaxConnections(const EntrySettings& settings) {
-    // Half of the descriptors are left for connections to backend servers and for files.
-    return settings.max_descriptors / 2;
+  PortLimits LimitsFor(std::size_t DescriptorShares::*port) const {
+    PortLimits limits;
+    limits.max_connections = shares_.*port;
+    return limits;
   }
 
   std::string MemberKey() const { return MemberKeyOf(settings_.zone, settings_.daemon); }
@@ -327,7 +331,8 @@
                        ready ? "ready\n" : "not ready\n"};
     };
     BOOST_LEAF_ASSIGN(admin_,
-                      AdminServer::Create(executor_, settings_.ready_address, std::move(pages)));
+                      AdminServer::Create(executor_, settings_.ready_address, std::move(pages), {},
+                                          LimitsFor(&DescriptorShares::readiness)));
     return {};
   }
 
@@ -341,7 +346,8 @@
         peers_, PeerLink::Create(state_, std::move(options), records_, settings_.seed_addresses));
     const std::string address =
         settings_.instance_address + ":" + std::to_string(settings_.first_peer_port);
-    BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, {}, PeerPages()));
+    BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, {}, PeerPages(),
+                                                        LimitsFor(&DescriptorShares::peers)));
     peer_server_->SetConnectHandler([this](tcp::socket socket, RequestMessage request) {
       return tunnel_server_.Serve(std::move(socket), std::move(request));
     });
@@ -352,11 +358,8 @@
                                                std::chrono::seconds(1)};
 
   TunnelServer::Options TunnelServerOptions() const {
-    // A tunnel takes two descriptors, and memory for two buffers.
-    constexpr std::size_t kDescriptorsPerTunnel = 16;
     TunnelServer::Options options;
-    options.max_tunnels =
-        std::min(options.max_tunnels, settings_.max_descriptors / kDescriptorsPerTunnel);
+    options.max_tunnels = shares_.tunnels;
     options.liveness = kTunnelLiveness;
     return options;
   }
@@ -568,6 +571,9 @@
     while (!stopped_) {
       const TimePoint now = Clock::now();
       state_.pool().CloseExpired(now);
+      for (AdminServer* server : {admin_.get(), peer_server_.get(), metrics_server_.get()}) {
+        if (server != nullptr) server->CloseExpired(now);
+      }
       state_.SetReportingGateways(peers_->active_peers());
       resumption_.Update(now);
       for (const BackendId& id : state_.directory().Expire(now)) {
@@ -654,6 +660,7 @@
   net::any_io_executor executor_;
   EntrySettings settings_;
   EntryTuning tuning_;
+  DescriptorShares shares_;
   std::map<std::string, std::string> effective_settings_;
   Metrics metrics_;
   std::shared_ptr<GatewayState> state_owner_;  ///< shared with the exchanges in progress
--- a/libs/entry/include/entry/entry_lifecycle.h
+++ b/libs/entry/include/entry/entry_lifecycle.h
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "base/result.h"
+#include "entry/descriptor_shares.h"
 #include "entry/entry_instance.h"
 #include "entry/process_signals.h"
 #include "log/log.h"
@@ -94,10 +95,14 @@
       settings_file_.emplace();
       BOOST_LEAF_AUTO(settings, Env::ReadSettings());
       instance_address_ = settings.instance_address;
+      const std::uint32_t stated_descriptors = settings.max_descriptors;
+      settings.max_descriptors = RaiseDescriptorLimit(stated_descriptors);
       const LogFields fields = {{"daemon", settings.daemon.value()},
                                 {"zone", settings.zone.value()},
                                 {"callers", settings.caller_address},
-                                {"store", settings.store_address}};
+                                {"store", settings.store_address},
+                                {"max_descriptors", std::to_string(settings.max_descriptors)},
+                                {"stated_descriptors", std::to_string(stated_descriptors)}};
       BOOST_LEAF_ASSIGN(entry_,
                         Entry::Create(io_.get_executor(), std::move(settings), options_.tuning));
       Log(LogLevel::kInfo, "starting", fields);
--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -4,52 +4,65 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include "log/log.h"
 #include "net/listen.h"
 #include "task/spawn.h"
 
 namespace ridgehold {
+namespace {
+
+// Requests to these ports have no body to speak of.
+constexpr std::size_t kMaxBodyBytes = std::size_t{16} << 10;
+
+}  // namespace
 
 Result<std::unique_ptr<AdminServer>> AdminServer::Create(net::any_io_executor executor,
                                                          const std::string& address, Pages pages,
-                                                         DelayedPages delayed_pages) {
+                                                         DelayedPages delayed_pages,
+                                                         PortLimits limits) {
   BOOST_LEAF_AUTO(acceptor, Listen(executor, address));
+  ConnectionListener listener(std::move(acceptor), address);
   return std::unique_ptr<AdminServer>(
-      new AdminServer(std::move(acceptor), std::move(pages), std::move(delayed_pages)));
+      new AdminServer(std::move(listener), std::move(pages), std::move(delayed_pages), limits));
 }
 
 void AdminServer::Start() {
-  SpawnDuty(acceptor_.get_executor(), "admin listener", [this] { return Accept(); });
+  SpawnDuty(listener_.get_executor(), "admin listener", [this] { return Accept(); });
 }
 
 net::awaitable<void> AdminServer::Accept() {
-  while (acceptor_.is_open()) {
-    ErrorCode error;
-    tcp::socket socket =
-        co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
-    if (!error) {
-      Spawn(acceptor_.get_executor(), "admin connection", Serve(std::move(socket)));
-    } else if (error == net::error::operation_aborted) {
-      co_return;
-    }
+  for (;;) {
+    std::optional<tcp::socket> socket = co_await listener_.Accept();
+    if (!socket) co_return;
+    auto session = sessions_.Add(std::move(*socket), Clock::now());
+    if (!session) continue;
+    Spawn(listener_.get_executor(), "admin connection", Serve(std::move(session)));
   }
 }
 
-net::awaitable<void> AdminServer::Serve(tcp::socket socket) {
+net::awaitable<void> AdminServer::Serve(std::shared_ptr<PortSession> session) {
   boost::beast::flat_buffer buffer;
   ErrorCode error;
   while (!error) {
-    RequestMessage request;
-    co_await http::async_read(socket, buffer, request,
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(kMaxBodyBytes);
+    co_await http::async_read(session->socket(), buffer, parser,
                               net::redirect_error(net::use_awaitable, error));
     if (error) break;
+    session->BeginResponse();
+    RequestMessage request = parser.release();
     if (request.method() == http::verb::connect && connect_handler_) {
+      // The tunnels have a limit of their own.
+      tcp::socket socket = std::move(session->socket());
+      session.reset();
       co_return co_await connect_handler_(std::move(socket), std::move(request));
     }
     ResponseMessage response = co_await Respond(request);
+    session->AwaitClient(Clock::now());
     http::response_serializer<http::string_body> serializer(response);
-    co_await http::async_write(socket, serializer, net::redirect_error(net::use_awaitable, error));
+    co_await http::async_write(session->socket(), serializer,
+                               net::redirect_error(net::use_awaitable, error));
     if (!response.keep_alive()) break;
+    session->AwaitClient(Clock::now());
   }
 }
 
--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -71,8 +71,11 @@
   /// Closes immediately; a partly sent stream is seen as truncated by the client.
   void Abort();
 
-  /// Closes if no request is being read or processed.
-  void CloseIfIdle();
+  /// Closes if no request is being read or processed. Returns whether it has closed.
+  bool CloseIfIdle();
+
+  /// Since when the open connection has been idle; nullopt while it is not.
+  const std::optional<TimePoint>& idle_since() const { return idle_since_; }
 
   /// Whether the connection can carry another request.
   bool CanServeAnother() const { return socket_.is_open() && !close_after_ && !caller_gone_; }
@@ -109,7 +112,7 @@
   std::uint64_t watch_ = 0;
   std::uint64_t limit_generation_ = 0;
   bool watching_ = false;
-  bool idle_ = false;
+  std::optional<TimePoint> idle_since_;
   bool response_begun_ = false;
   std::optional<TimePoint> sending_ended_at_;  ///< when the client's FIN was noticed
   TimePoint next_probe_at_{};
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -2,8 +2,6 @@
 
 #pragma once
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <map>
 #include <memory>
 
@@ -12,6 +10,7 @@
 #include "gateway/exchange.h"
 #include "gateway/gateway_state.h"
 #include "gateway/wire_format.h"
+#include "listener/connection_listener.h"
 #include "log/log.h"
 #include "task/spawn.h"
 
@@ -21,20 +20,19 @@
 template <WireFormat Wire>
 class CallerServer {
  public:
-  /// Connections beyond `max_connections` are closed immediately, which reserves file descriptors
-  /// for backend servers.
+  /// Beyond `max_connections`, a new connection replaces the one that has been idle longest, or is
+  /// closed if none is idle. This reserves file descriptors for backend servers.
   CallerServer(GatewayState& state, tcp::acceptor acceptor, std::size_t max_connections)
-      : state_(state), acceptor_(std::move(acceptor)), max_connections_(max_connections) {}
+      : state_(state),
+        listener_(std::move(acceptor), "callers"),
+        max_connections_(max_connections) {}
 
   void Start() {
     SpawnDuty(state_.executor(), "caller listener", [this] { return Accept(); });
   }
 
   /// Stops accepting connections.
-  void Stop() {
-    ErrorCode ignored;
-    acceptor_.close(ignored);
-  }
+  void Stop() { listener_.Close(); }
 
   /// Closes idle connections.
   void CloseIdle() {
@@ -50,29 +48,35 @@
   }
 
   std::size_t open_connections() const { return connections_.size(); }
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  std::uint16_t port() const { return listener_.port(); }
 
  private:
   using ConnectionPtr = std::shared_ptr<CallerConnection>;
   using ExchangePtr = std::shared_ptr<Exchange<Wire>>;
 
   net::awaitable<void> Accept() {
-    while (acceptor_.is_open()) {
-      ErrorCode error;
-      tcp::socket socket =
-          co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
-      if (!acceptor_.is_open()) co_return;
-      if (error) {
-        Log(LogLevel::kWarn, "accepting client connection failed", {{"detail", error.message()}});
-        continue;
-      }
-      if (connections_.size() >= max_connections_) {
+    for (;;) {
+      std::optional<tcp::socket> socket = co_await listener_.Accept();
+      if (!socket) co_return;
+      if (connections_.size() >= max_connections_ && !CloseLongestIdle()) {
         state_.metrics().GetCounter("ridgehold_connections_refused").Add();
         continue;
       }
       Spawn(state_.executor(), "caller connection",
-            Serve(CallerConnection::Create(std::move(socket))));
+            Serve(CallerConnection::Create(std::move(*socket))));
+    }
+  }
+
+  /// Returns whether it has closed a connection.
+  bool CloseLongestIdle() {
+    ConnectionPtr longest;
+    for (const auto& [connection, exchange] : connections_) {
+      const auto& since = connection->idle_since();
+      if (since && (!longest || *since < *longest->idle_since())) longest = connection;
     }
+    if (!longest || !longest->CloseIfIdle()) return false;
+    state_.metrics().GetCounter("ridgehold_idle_connections_replaced").Add();
+    return true;
   }
 
   /// Removes the connection whatever happens while it is served; a request that ends with an
@@ -118,7 +122,7 @@
   }
 
   GatewayState& state_;
-  tcp::acceptor acceptor_;
+  ConnectionListener listener_;
   std::size_t max_connections_;
   std::map<ConnectionPtr, ExchangePtr> connections_;  ///< with the exchange in progress, if any
 };
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -72,9 +72,9 @@
 
 net::awaitable<ReadOutcome> CallerConnection::Read(CallerLimits limits) {
   auto self = shared_from_this();
-  idle_ = true;
+  idle_since_ = Clock::now();
   const bool arrived = co_await WaitForRequest(limits.idle_timeout);
-  idle_ = false;
+  idle_since_.reset();
   ReadOutcome outcome;
   if (!arrived) co_return outcome;
   Parser parser;
@@ -317,15 +317,18 @@
   Close();
 }
 
-void CallerConnection::CloseIfIdle() {
-  if (!idle_ || buffer_.size() > 0 || !socket_.is_open()) return;
+bool CallerConnection::CloseIfIdle() {
+  if (!idle_since_ || buffer_.size() > 0 || !socket_.is_open()) return false;
   char byte = 0;
   const auto read = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // A request that has just arrived is still processed.
-  if (read <= 0) Close();
+  if (read > 0) return false;
+  Close();
+  return true;
 }
 
 void CallerConnection::Close() {
+  idle_since_.reset();
   ErrorCode ignored;
   socket_.shutdown(tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
--- /dev/null
+++ b/libs/listener/include/listener/port_session.h
@@ -0,0 +1,38 @@
+// A connection that was accepted on one of the instance's own ports.
+
+#pragma once
+
+#include <optional>
+
+#include "base/ids.h"
+#include "net/beast.h"
+
+namespace ridgehold {
+
+/// Owned by the coroutine that serves it. Not thread-safe.
+class PortSession {
+ public:
+  PortSession(tcp::socket socket, TimePoint now) : socket_(std::move(socket)), waiting_(now) {}
+
+  tcp::socket& socket() { return socket_; }
+  bool open() const { return socket_.is_open(); }
+
+  /// Marks that the session waits for its client: for a request, or for it to read a response.
+  void AwaitClient(TimePoint now) { waiting_ = now; }
+  /// Marks that a response is being made.
+  void BeginResponse() { waiting_.reset(); }
+  /// Since when the session has waited for its client; nullopt while a response is being made.
+  const std::optional<TimePoint>& waiting_since() const { return waiting_; }
+
+  /// Cancels what the session waits for.
+  void Close() {
+    ErrorCode ignored;
+    socket_.close(ignored);
+  }
+
+ private:
+  tcp::socket socket_;
+  std::optional<TimePoint> waiting_;
+};
+
+}  // namespace ridgehold
