Memory: room for large request bodies, which are held once

Callers saw: an instance killed for its memory (600 MB resident of 110) by callers that sent bodies of 4 MB to a service without servers.

Cause: limits.memory_mb was not read; request bodies had no bound; each was held in CallerConnection and again in OutboundConnection, and idle connections on both sides kept their last body.

Change: of limits.memory_mb, a fifth is for request bodies (libs/buffering: ByteQueue, first in, first out; BodyGate) and a quarter for buffered answers. Without the setting, answers keep their 32 MiB and requests have no limit. A body above 8 KiB waits unread for room, for 0.5 s at most, and is refused as not run (overloaded, 503) then; at once if PlanExchange refuses the head or its service has no registered server. An attempt shares the caller's body instead of copying it; both sides release it when it is sent and answered. Large answers reserve their stated length. The allocator returns buffers of 512 KiB and more at once.

Why it works: a body above 8 KiB is read only once its room is taken, and the room is returned when the last reference to the body is gone.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -21,6 +21,7 @@
 #include "entry/election_stagger.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_tuning.h"
+#include "entry/memory_shares.h"
 #include "entry/peer_discovery.h"
 #include "entry/quota_coordinator.h"
 #include "entry/resumption_coordinator.h"
@@ -235,6 +236,11 @@
     limits.poison = tuning.poison;
     limits.response_timeout_objectives = tuning.call_timeout_objectives;
     limits.stream_timeout_objectives = tuning.stream_timeout_objectives;
+    if (settings.memory_bytes) {
+      const MemoryShares shares = MemoryShares::Of(*settings.memory_bytes);
+      limits.max_request_bytes = shares.request_bodies;
+      limits.max_buffered_bytes = shares.response_bodies;
+    }
     return limits;
   }
 
@@ -534,6 +540,16 @@
     const TimePoint now = Clock::now();
     Metrics& metrics = state_.metrics();
     metrics.SetGauge("ridgehold_in_flight", "", state_.in_flight());
+    metrics.SetGauge("ridgehold_request_body_bytes", "",
+                     static_cast<double>(state_.body_gate()->queue().used()));
+    metrics.SetGauge("ridgehold_waiting_bodies", "",
+                     static_cast<double>(state_.body_gate()->queue().waiting()));
+    metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"readiness\"",
+                     static_cast<double>(admin_->replaced_connections()));
+    metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"peers\"",
+                     static_cast<double>(peer_server_->replaced_connections()));
+    metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"metrics\"",
+                     static_cast<double>(metrics_server_->replaced_connections()));
     metrics.SetGauge("ridgehold_stored_origins", "",
                      static_cast<double>(resumption_.stored_streams()));
     metrics.SetGauge("ridgehold_unreachable_backends", "",
--- a/libs/entry/include/entry/entry_settings.h
+++ b/libs/entry/include/entry/entry_settings.h
@@ -36,6 +36,8 @@
   /// Whether no process of the fleet has run before.
   bool first_start = false;
   std::uint32_t max_descriptors = 1'024;
+  /// Memory that the process may use; empty: not stated.
+  std::optional<std::uint64_t> memory_bytes;
   double cpu_share = 1;  ///< in cores
 
   /// An API key may be accepted this long after the configuration that removed it was stored.
--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -10,6 +10,8 @@
 
 #include "base/ids.h"
 #include "base/result.h"
+#include "buffering/body_room.h"
+#include "gateway/body_verdict.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/wire_format.h"
 #include "net/beast.h"
@@ -26,6 +28,7 @@
   };
   Kind kind = Kind::kClosed;
   Failure failure;
+  RequestId request;  ///< of a refused request, if its head was decoded
 };
 
 /// Transport of one connection, independent of routing. All calls must come from one executor.
@@ -33,12 +36,26 @@
  public:
   static std::shared_ptr<CallerConnection> Create(tcp::socket socket);
 
+  /// Decides whether a body of so many bytes is read. Not asked for bodies of up to
+  /// kSmallBodyBytes.
+  using AdmitBody = std::function<net::awaitable<BodyVerdict>(const RequestHead&, std::size_t)>;
+  /// Small bodies must not wait behind large ones. All connections together hold at most some
+  /// megabytes of them.
+  static constexpr std::size_t kSmallBodyBytes = std::size_t{8} << 10;
+
   /// Reads the next request with its whole body into `request()`. `head()` has its header fields
-  /// without trailers.
-  net::awaitable<ReadOutcome> Read(CallerLimits limits);
+  /// without trailers. `admit` must live until the request is read.
+  net::awaitable<ReadOutcome> Read(CallerLimits limits, const AdmitBody& admit);
 
   const RequestHead& head() const { return head_; }
-  RequestMessage& request() { return request_; }
+  /// When `request()` arrived, as if its body had not had to wait for room.
+  TimePoint received_at() const { return received_at_; }
+  /// Valid until ReleaseRequest().
+  const RequestMessage& request() const { return request_->message; }
+  /// The body of `request()`, whose room in memory is taken for as long as it is referred to.
+  std::shared_ptr<const std::string> body() const { return {request_, &request_->message.body()}; }
+  /// Releases the memory of the request once it is answered.
+  void ReleaseRequest();
 
   /// Calls `on_gone` once if the client disconnects before StopWatching.
   void WatchCaller(std::function<void()> on_gone);
@@ -87,6 +104,12 @@
  private:
   using Parser = http::request_parser<http::string_body>;
 
+  /// A request and the room that its body takes.
+  struct HeldRequest {
+    BodyRoom room;
+    RequestMessage message;
+  };
+
   explicit CallerConnection(tcp::socket socket);
 
   net::awaitable<bool> WaitForRequest(std::chrono::milliseconds idle_timeout);
@@ -94,7 +117,12 @@
   /// Returns the number of bytes skipped.
   std::size_t SkipEmptyLines();
   void ProbeCaller();
-  net::awaitable<ErrorCode> ReadHeadAndBody(Parser& parser, CallerLimits limits);
+  net::awaitable<ErrorCode> ReadHead(Parser& parser, CallerLimits limits);
+  net::awaitable<BodyVerdict> AdmitLargeBody(Parser& parser, CallerLimits limits,
+                                             const AdmitBody& admit);
+  /// Reads a chunked body until it is complete or larger than kSmallBodyBytes.
+  net::awaitable<ErrorCode> BeginChunkedBody(Parser& parser, CallerLimits limits);
+  net::awaitable<ErrorCode> ReadBody(Parser& parser, CallerLimits limits);
   net::awaitable<ErrorCode> SendContinue();
   void ArmLimit(std::chrono::milliseconds limit);
   void DisarmLimit();
@@ -107,7 +135,8 @@
   Timer watch_timer_;
   boost::beast::flat_buffer buffer_;
   RequestHead head_;
-  RequestMessage request_;
+  std::shared_ptr<HeldRequest> request_;
+  TimePoint received_at_{};
   std::function<void()> on_gone_;
   std::uint64_t watch_ = 0;
   std::uint64_t limit_generation_ = 0;
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 
+#include "gateway/body_admission.h"
 #include "gateway/caller_connection.h"
 #include "gateway/error_response.h"
 #include "gateway/exchange.h"
@@ -25,7 +26,8 @@
   CallerServer(GatewayState& state, tcp::acceptor acceptor, std::size_t max_connections)
       : state_(state),
         listener_(std::move(acceptor), "callers"),
-        max_connections_(max_connections) {}
+        max_connections_(max_connections),
+        admit_(BodyAdmission<Wire>(state)) {}
 
   void Start() {
     SpawnDuty(state_.executor(), "caller listener", [this] { return Accept(); });
@@ -97,33 +99,38 @@
     ExchangePtr& exchange = connections_[connection];
     while (connection->CanServeAnother()) {
       const CallerLimits limits = state_.snapshot() ? state_.snapshot()->limits() : CallerLimits{};
-      const ReadOutcome outcome = co_await connection->Read(limits);
+      const ReadOutcome outcome = co_await connection->Read(limits, admit_);
       if (outcome.kind == ReadOutcome::Kind::kClosed) break;
       if (outcome.kind == ReadOutcome::Kind::kRefused) {
-        co_await RefuseUnread(connection, outcome.failure);
+        co_await RefuseUnread(connection, outcome);
         break;
       }
       exchange = Exchange<Wire>::Create(state_, connection);
       co_await exchange->Run();
       exchange.reset();
+      connection->ReleaseRequest();
     }
     if (connection->close_announced()) co_await connection->Linger();
   }
 
-  net::awaitable<void> RefuseUnread(ConnectionPtr connection, Failure failure) {
+  net::awaitable<void> RefuseUnread(ConnectionPtr connection, ReadOutcome outcome) {
+    const Failure& failure = outcome.failure;
     state_.metrics()
         .GetCounter("ridgehold_requests",
                     "code=\"" + std::string(Describe(failure.code).name) + "\"")
         .Add();
     Log(LogLevel::kWarn, "reading client request failed",
-        {{"code", std::string(Describe(failure.code).name)}, {"detail", failure.detail}});
-    ResponseMessage answer = MakeErrorResponse(failure, RequestId());
+        {{"code", std::string(Describe(failure.code).name)},
+         {"request", outcome.request.value()},
+         {"detail", failure.detail}});
+    ResponseMessage answer = MakeErrorResponse(failure, outcome.request);
     co_await connection->Send(std::move(answer), true);
   }
 
   GatewayState& state_;
   ConnectionListener listener_;
   std::size_t max_connections_;
+  CallerConnection::AdmitBody admit_;
   std::map<ConnectionPtr, ExchangePtr> connections_;  ///< with the exchange in progress, if any
 };
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <charconv>
 #include <memory>
 #include <optional>
 #include <set>
@@ -172,7 +173,7 @@
   }
 
   std::optional<Failure> Decode() {
-    record_.received = Clock::now();
+    record_.received = caller_->received_at();
     std::optional<Failure> failure;
     ValueOr(
         [&]() -> Result<void> {
@@ -364,7 +365,8 @@
     record_.registered_start = attempt_.backend->entry.started;
     record_.ends_with_connection = false;
     record_.end_verdict.reset();
-    attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
+    attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives),
+                                      caller_->body());
     AttemptOutcome outcome = co_await ReadResponse();
     if (outcome == AttemptOutcome::kInterrupted) attempt_.connection->Cancel();
     queued_ticket_.reset();
@@ -463,6 +465,7 @@
     const bool streams = plan_.route->kind == RouteKind::kStream && attempt_.head.event_stream &&
                          IsSuccess(attempt_.head.status);
     if (streams) co_return co_await RelayStream();
+    ReserveBody();
     const auto may_hold = [this](std::size_t bytes) { return MayBuffer(bytes); };
     const ExchangeFault fault =
         co_await attempt_.connection->ReadWholeBody(attempt_.body, may_hold, plan_.answer_by);
@@ -497,6 +500,17 @@
     return attempt_.head.not_executed || attempt_.head.status == kMisdirected;
   }
 
+  /// A large body that grows would take up to three times its bytes for a moment. Memory that is
+  /// reserved takes none until it is written to, whatever length the server states.
+  void ReserveBody() {
+    constexpr std::size_t kLargeBytes = std::size_t{64} << 10;
+    const std::string& text = attempt_.stated_length;
+    std::size_t bytes = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), bytes);
+    const bool large = parsed.ec == std::errc() && bytes > kLargeBytes;
+    if (large && bytes <= state_.limits().max_response_bytes) attempt_.body.reserve(bytes);
+  }
+
   /// Whether the exchange may hold so many bytes of a response.
   bool MayBuffer(std::size_t bytes) {
     return bytes <= state_.limits().max_response_bytes && buffered_.Resize(bytes);
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 #include <unordered_map>
 
 #include "base/ids.h"
+#include "buffering/body_gate.h"
 #include "gateway/admission.h"
 #include "gateway/backend_directory.h"
 #include "gateway/deferred_requests.h"
@@ -61,6 +63,8 @@
   std::size_t max_response_bytes = std::size_t{16} << 20;
   /// Maximum size of all responses that are buffered at the same time, see ByteBudget.
   std::size_t max_buffered_bytes = std::size_t{32} << 20;
+  /// Maximum size of all large request bodies that are held at the same time, see BodyGate.
+  std::size_t max_request_bytes = std::numeric_limits<std::size_t>::max();
   /// Response time-out of a repeatable call in multiples of its objective, after which it is
   /// retried elsewhere.
   double response_timeout_objectives = 3;
@@ -99,6 +103,7 @@
         retries_(limits.retries),
         poison_(metrics, limits.poison),
         response_budget_(limits.max_buffered_bytes),
+        body_gate_(BodyGate::Create(executor, limits.max_request_bytes)),
         queued_attempts_(executor, named_weights_, limits.older_weights) {
     pushback_.SetTolerance(limits.backend_limits);
     named_weights_.SetListener([this] { queued_attempts_.CancelExpired(); });
@@ -180,6 +185,7 @@
   PoisonGuard& poison() { return poison_; }
   const PoisonGuard& poison() const { return poison_; }
   ByteBudget& response_budget() { return response_budget_; }
+  const std::shared_ptr<BodyGate>& body_gate() const { return body_gate_; }
 
   /// Waits a few milliseconds until it is known whether a backend server with an interrupted
   /// attempt has crashed, see BackendProber::ConfirmCrash.
@@ -447,6 +453,7 @@
   WeightsHistory named_weights_;
   PoisonGuard poison_;
   ByteBudget response_budget_;
+  std::shared_ptr<BodyGate> body_gate_;  ///< shared with requests that are being sent
   CrashHandlers crash_handlers_;
   ContactMonitor contacts_{ContactMonitor::Options()};
   PeerPathOpener open_peer_path_;
--- a/libs/gateway/include/gateway/wire_format.h
+++ b/libs/gateway/include/gateway/wire_format.h
@@ -26,7 +26,8 @@
                               const ResponseMessage& status, TimePoint now) {
   /// Fails with kMalformedRequest.
   { Wire::ReadRequest(request_head, now) } -> std::same_as<Result<InboundRequest>>;
-  /// The caller's request as it is sent to a backend server.
+  /// The caller's request as it is sent to a backend server, without its body, whose length it
+  /// states.
   { Wire::MakeAttempt(request, directives) } -> std::same_as<RequestMessage>;
   { Wire::ReadAnswerHead(answer_head) } -> std::same_as<BackendResponseHead>;
   /// The header fields of a backend server's answer that are forwarded to the caller.
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -32,7 +32,7 @@
 constexpr std::chrono::milliseconds kLingerTime{2'000};
 
 ReadOutcome Refused(ResultCode code, std::string detail = "") {
-  return {ReadOutcome::Kind::kRefused, {code, std::move(detail)}};
+  return {ReadOutcome::Kind::kRefused, {code, std::move(detail)}, RequestId()};
 }
 
 ReadOutcome OutcomeOf(const ErrorCode& error) {
@@ -70,7 +70,7 @@
       limit_timer_(socket_.get_executor()),
       watch_timer_(socket_.get_executor()) {}
 
-net::awaitable<ReadOutcome> CallerConnection::Read(CallerLimits limits) {
+net::awaitable<ReadOutcome> CallerConnection::Read(CallerLimits limits, const AdmitBody& admit) {
   auto self = shared_from_this();
   idle_since_ = Clock::now();
   const bool arrived = co_await WaitForRequest(limits.idle_timeout);
@@ -80,18 +80,33 @@
   Parser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
-  const ErrorCode error = co_await ReadHeadAndBody(parser, limits);
+  ErrorCode error = co_await ReadHead(parser, limits);
+  BodyVerdict verdict;
+  if (!error) verdict = co_await AdmitLargeBody(parser, limits, admit);
+  if (verdict.refusal) {
+    outcome.kind = ReadOutcome::Kind::kRefused;
+    outcome.failure = std::move(*verdict.refusal);
+    outcome.request = std::move(verdict.request);
+    co_return outcome;
+  }
+  if (!error && !timed_out_) error = co_await ReadBody(parser, limits);
   DisarmLimit();
   if (timed_out_) outcome = Refused(ResultCode::kRequestTooSlow);
   if (!timed_out_ && error) outcome = OutcomeOf(error);
   if (timed_out_ || error) co_return outcome;
-  request_ = parser.release();
+  // The client's time limit goes on while its body waits for room.
+  received_at_ = Clock::now() - verdict.waited;
+  request_ = std::make_shared<HeldRequest>();
+  request_->message = parser.release();
+  verdict.room.ShrinkTo(request_->message.body().size());
+  request_->room = std::move(verdict.room);
   response_begun_ = false;
   probes_ = 0;
   next_probe_at_ = TimePoint();
   // Trailer fields must not be merged into the request's header fields.
-  if (request_.chunked()) request_.base() = head_;
-  close_after_ = !request_.keep_alive();
+  RequestMessage& message = request_->message;
+  if (message.chunked()) message.base() = head_;
+  close_after_ = !message.keep_alive();
   outcome.kind = ReadOutcome::Kind::kRequest;
   co_return outcome;
 }
@@ -131,14 +146,48 @@
   return request;
 }
 
-net::awaitable<ErrorCode> CallerConnection::ReadHeadAndBody(Parser& parser, CallerLimits limits) {
+net::awaitable<ErrorCode> CallerConnection::ReadHead(Parser& parser, CallerLimits limits) {
   ErrorCode error;
   ArmLimit(limits.header_timeout);
   co_await http::async_read_header(socket_, buffer_, parser,
                                    net::redirect_error(net::use_awaitable, error));
   if (error) co_return error;
   head_ = parser.get().base();
+  if (parser.chunked()) error = co_await BeginChunkedBody(parser, limits);
+  co_return error;
+}
+
+net::awaitable<BodyVerdict> CallerConnection::AdmitLargeBody(Parser& parser, CallerLimits limits,
+                                                             const AdmitBody& admit) {
+  BodyVerdict verdict;
+  // The length of a chunked body is not known before its end.
+  const std::size_t bytes =
+      parser.chunked() ? limits.max_body_bytes : parser.content_length().value_or(0);
+  if (parser.is_done() || bytes <= kSmallBodyBytes) co_return std::move(verdict);
+  DisarmLimit();
+  const TimePoint asked_at = Clock::now();
+  verdict = co_await admit(head_, bytes);
+  verdict.waited = std::chrono::duration_cast<Duration>(Clock::now() - asked_at);
+  // Growing would take up to three times the bytes for a moment.
+  if (!verdict.refusal) parser.get().body().reserve(bytes);
+  co_return std::move(verdict);
+}
+
+net::awaitable<ErrorCode> CallerConnection::BeginChunkedBody(Parser& parser, CallerLimits limits) {
+  ErrorCode error;
   if (ExpectsContinue(head_)) error = co_await SendContinue();
+  ArmLimit(limits.idle_timeout);
+  while (!error && !parser.is_done() && parser.get().body().size() <= kSmallBodyBytes) {
+    co_await http::async_read_some(socket_, buffer_, parser,
+                                   net::redirect_error(net::use_awaitable, error));
+  }
+  co_return error;
+}
+
+net::awaitable<ErrorCode> CallerConnection::ReadBody(Parser& parser, CallerLimits limits) {
+  ErrorCode error;
+  // Only now, so that the client need not send a body that is refused.
+  if (ExpectsContinue(head_) && !parser.chunked()) error = co_await SendContinue();
   if (error || parser.is_done()) co_return error;
   ArmLimit(limits.idle_timeout);
   co_await http::async_read(socket_, buffer_, parser,
@@ -146,6 +195,13 @@
   co_return error;
 }
 
+void CallerConnection::ReleaseRequest() {
+  request_.reset();
+  // Reading a large body leaves a buffer of 64 KiB.
+  constexpr std::size_t kMaxKeptBytes = 8'192;
+  if (buffer_.size() == 0 && buffer_.capacity() > kMaxKeptBytes) buffer_.shrink_to_fit();
+}
+
 net::awaitable<ErrorCode> CallerConnection::SendContinue() {
   ErrorCode error;
   co_await net::async_write(socket_, net::buffer(kContinue),
@@ -202,7 +258,7 @@
 bool CallerConnection::PollCallerGone() {
   if (caller_gone_) return true;
   const int events = CloseEvents(socket_.native_handle());
-  const bool knows_interim = request_.version() >= kHttp11;
+  const bool knows_interim = head_.version() >= kHttp11;
   if ((events & (POLLERR | POLLHUP | POLLNVAL)) != 0 || (events != 0 && !knows_interim)) {
     caller_gone_ = true;
   } else if (events != 0) {
@@ -267,7 +323,7 @@
   answer.version(kHttp11);
   answer.keep_alive(!close_after_);
   response_begun_ = true;
-  if (request_.method() == http::verb::head) answer.body().clear();
+  if (head_.method() == http::verb::head) answer.body().clear();
   ErrorCode error;
   http::response_serializer<http::string_body> serializer(answer);
   co_await http::async_write(socket_, serializer, net::redirect_error(net::use_awaitable, error));
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -47,7 +47,11 @@
 
   /// Starts to send `request`. Reading may start at once: a server may respond before it has
   /// read the whole request. The response to a HEAD request has no body, whatever length it states.
-  void StartRequest(const RequestMessage& request);
+  void StartRequest(const RequestMessage& request) { StartRequest(request, nullptr); }
+
+  /// The same for a request whose body follows `head`, which states its length and has none itself.
+  /// A large body is not copied, but shared until it is sent.
+  void StartRequest(const RequestMessage& head, std::shared_ptr<const std::string> body);
 
   /// Reads the head of the next response; skips interim (1xx) responses, up to
   /// kMaxInterimResponses.
@@ -131,7 +135,8 @@
   Timer deadline_timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
-  std::string outgoing_;
+  std::string outgoing_;                              ///< until it is sent
+  std::shared_ptr<const std::string> outgoing_body_;  ///< follows `outgoing_`; null: none
   std::size_t written_ = 0;
   bool write_done_ = true;
   bool expects_no_body_ = false;  ///< the request is HEAD
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kReadChunkBytes = std::size_t{16} << 10;
 // Far above the size of the response heads that backend servers send.
 constexpr std::uint32_t kMaxResponseHeadBytes = 64 << 10;
+// Copying less is cheaper than a second buffer, and lets the caller's copy go.
+constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} << 10;
 constexpr int kFirstFinalStatus = 200;
 
 /// Parses `timeout=SECONDS` in a Keep-Alive field value.
@@ -86,24 +88,36 @@
   co_return ExchangeFault::kNone;
 }
 
-void OutboundConnection::StartRequest(const RequestMessage& request) {
+void OutboundConnection::StartRequest(const RequestMessage& head,
+                                      std::shared_ptr<const std::string> body) {
   std::ostringstream text;
-  text << request;
+  text << head;
   outgoing_ = std::move(text).str();
+  if (body && body->size() <= kMaxCopiedBodyBytes) {
+    outgoing_ += *body;
+    body.reset();
+  }
+  outgoing_body_ = std::move(body);
   written_ = 0;
   write_done_ = false;
-  expects_no_body_ = request.method() == http::verb::head;
+  expects_no_body_ = head.method() == http::verb::head;
   parser_.reset();
-  auto self = shared_from_this();
-  net::async_write(
-      socket_, net::buffer(outgoing_),
-      [self](const ErrorCode& error, std::size_t bytes) { self->OnWritten(error, bytes); });
+  const auto on_written = [self = shared_from_this()](const ErrorCode& error, std::size_t bytes) {
+    self->OnWritten(error, bytes);
+  };
+  if (!outgoing_body_) return net::async_write(socket_, net::buffer(outgoing_), on_written);
+  const std::array<net::const_buffer, 2> buffers = {net::buffer(outgoing_),
+                                                    net::buffer(*outgoing_body_)};
+  net::async_write(socket_, buffers, on_written);
 }
 
 void OutboundConnection::OnWritten(const ErrorCode& error, std::size_t bytes) {
   written_ = bytes;
   write_done_ = true;
   write_failed_ = static_cast<bool>(error);
+  // The connection may be idle for a long time before its next request.
+  std::string().swap(outgoing_);
+  outgoing_body_.reset();
   // Otherwise a pending read would wait for a server that has received no request.
   if (write_failed_ && bytes == 0) Close();
 }
--- a/programs/ridgehold-entry.cc
+++ b/programs/ridgehold-entry.cc
@@ -1,5 +1,7 @@
 // ridgehold-entry: the gateway process on an entry instance of the platform.
 
+#include <malloc.h>
+
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <csignal>
@@ -33,12 +35,23 @@
   return lifecycle.Run();
 }
 
+/// Returns the memory of large buffers to the system as soon as they are freed. By default the
+/// allocator soon keeps buffers of up to 32 MiB for reuse, so that more memory than the limits on
+/// bodies allow stays resident.
+void ReleaseLargeBuffers() {
+  constexpr int kLargeBufferBytes = 512 << 10;
+  constexpr int kMaxUnusedHeapBytes = 4 << 20;
+  ::mallopt(M_MMAP_THRESHOLD, kLargeBufferBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kMaxUnusedHeapBytes);
+}
+
 }  // namespace
 }  // namespace ridgehold
 
 int main(int argc, char** argv) {
   // A signal before the handlers are installed would end the process.
   ridgehold::ProcessSignals::Block();
+  ridgehold::ReleaseLargeBuffers();
   ridgehold::Options options;
   std::string settings_path;
   CLI::App app("Runs the ridgehold gateway on an entry instance of the platform");
