Tests: the relay of store_copy_reader accepts connections again

AdminServer::Create() no longer accepts by itself, and the fixture did not call Start(): all four cases failed (7 checks). The checks are unchanged. With the call all four pass.

--- a/test/store_copy_reader-test.cc
+++ b/test/store_copy_reader-test.cc
@@ -57,6 +57,7 @@
     };
     const std::string listen = address + ":" + std::to_string(options.port);
     relay = std::move(*AdminServer::Create(io.get_executor(), listen, std::move(pages)));
+    relay->Start();
     told.revision = StoreRevision(7);
     told.age = 10ms;
     reader = std::make_unique<StoreCopyReader<Taker>>(
