--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -17,9 +17,11 @@
 #include "control/rollout_controller.h"
 #include "control/state_follower.h"
 #include "entry/admin_server.h"
+#include "entry/descriptor_shares.h"
 #include "entry/election_stagger.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_tuning.h"
+#include "entry/memory_shares.h"
 #include "entry/peer_discovery.h"
 #include "entry/quota_coordinator.h"
 #include "entry/resumption_coordinator.h"
@@ -96,7 +98,8 @@
   /// Serves metrics, state, quotas, limits and quarantine on `address:port`. Fails as Listen()
   /// does.
   Result<void> OpenMetrics(const std::string& address) {
-    BOOST_LEAF_ASSIGN(metrics_server_, AdminServer::Create(executor_, address, MetricsPages()));
+    BOOST_LEAF_ASSIGN(metrics_server_, AdminServer::Create(executor_, address, MetricsPages(), {},
+                                                           LimitsFor(&DescriptorShares::metrics)));
     metrics_server_->Start();
     return {};
   }
@@ -157,6 +160,7 @@
       : executor_(executor),
         settings_(std::move(settings)),
         tuning_(tuning),
+        shares_(DescriptorShares::Of(settings_.max_descriptors)),
         state_owner_(std::make_shared<GatewayState>(executor, settings_.zone,
                                                     LimitsOf(settings_, tuning),
                                                     PlacementCostsOf(tuning), metrics_)),
@@ -176,7 +180,7 @@
         control_(state_.pool(), tuning.control_call_timeout),
         prober_(state_, tuning.probing),
         rollout_(control_, rollout_lease_, state_, RolloutOptions()),
-        server_(state_, std::move(acceptor), MaxConnections(settings_)),
+        server_(state_, std::move(acceptor), shares_.callers),
         resumption_(store_, state_, records_, settings_, ResumptionCallbacks()),
         retry_record_(store_, executor, RetryRecordOptions()),
         quarantine_(store_, executor, state_.poison(), records_, {settings_.daemon, MemberKey()}),
@@ -232,6 +236,11 @@
     limits.poison = tuning.poison;
     limits.response_timeout_objectives = tuning.call_timeout_objectives;
     limits.stream_timeout_objectives = tuning.stream_timeout_objectives;
+    if (settings.memory_bytes) {
+      const MemoryShares shares = MemoryShares::Of(*settings.memory_bytes);
+      limits.max_request_bytes = shares.request_bodies;
+      limits.max_buffered_bytes = shares.response_bodies;
+    }
     return limits;
   }
 
@@ -241,9 +250,10 @@
     return costs;
   }
 
-  static std::size_t MaxConnections(const EntrySettings& settings) {
-    // Half of the descriptors are left for connections to backend servers and for files.
-    return settings.max_descriptors / 2;
+  PortLimits LimitsFor(std::size_t DescriptorShares::*port) const {
+    PortLimits limits;
+    limits.max_connections = shares_.*port;
+    return limits;
   }
 
   std::string MemberKey() const { return MemberKeyOf(settings_.zone, settings_.daemon); }
@@ -327,7 +337,8 @@
                        ready ? "ready\n" : "not ready\n"};
     };
     BOOST_LEAF_ASSIGN(admin_,
-                      AdminServer::Create(executor_, settings_.ready_address, std::move(pages)));
+                      AdminServer::Create(executor_, settings_.ready_address, std::move(pages), {},
+                                          LimitsFor(&DescriptorShares::readiness)));
     return {};
   }
 
@@ -341,7 +352,8 @@
         peers_, PeerLink::Create(state_, std::move(options), records_, settings_.seed_addresses));
     const std::string address =
         settings_.instance_address + ":" + std::to_string(settings_.first_peer_port);
-    BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, {}, PeerPages()));
+    BOOST_LEAF_ASSIGN(peer_server_, AdminServer::Create(executor_, address, {}, PeerPages(),
+                                                        LimitsFor(&DescriptorShares::peers)));
     peer_server_->SetConnectHandler([this](tcp::socket socket, RequestMessage request) {
       return tunnel_server_.Serve(std::move(socket), std::move(request));
     });
@@ -352,11 +364,8 @@
                                                std::chrono::seconds(1)};
 
   TunnelServer::Options TunnelServerOptions() const {
-    // A tunnel takes two descriptors, and memory for two buffers.
-    constexpr std::size_t kDescriptorsPerTunnel = 16;
     TunnelServer::Options options;
-    options.max_tunnels =
-        std::min(options.max_tunnels, settings_.max_descriptors / kDescriptorsPerTunnel);
+    options.max_tunnels = shares_.tunnels;
     options.liveness = kTunnelLiveness;
     return options;
   }
@@ -531,6 +540,16 @@
     const TimePoint now = Clock::now();
     Metrics& metrics = state_.metrics();
     metrics.SetGauge("ridgehold_in_flight", "", state_.in_flight());
+    metrics.SetGauge("ridgehold_request_body_bytes", "",
+                     static_cast<double>(state_.body_gate()->queue().used()));
+    metrics.SetGauge("ridgehold_waiting_bodies", "",
+                     static_cast<double>(state_.body_gate()->queue().waiting()));
+    metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"readiness\"",
+                     static_cast<double>(admin_->replaced_connections()));
+    metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"peers\"",
+                     static_cast<double>(peer_server_->replaced_connections()));
+    metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"metrics\"",
+                     static_cast<double>(metrics_server_->replaced_connections()));
     metrics.SetGauge("ridgehold_stored_origins", "",
                      static_cast<double>(resumption_.stored_streams()));
     metrics.SetGauge("ridgehold_unreachable_backends", "",
@@ -568,6 +587,9 @@
     while (!stopped_) {
       const TimePoint now = Clock::now();
       state_.pool().CloseExpired(now);
+      for (AdminServer* server : {admin_.get(), peer_server_.get(), metrics_server_.get()}) {
+        if (server != nullptr) server->CloseExpired(now);
+      }
       state_.SetReportingGateways(peers_->active_peers());
       resumption_.Update(now);
       for (const BackendId& id : state_.directory().Expire(now)) {
@@ -654,6 +676,7 @@
   net::any_io_executor executor_;
   EntrySettings settings_;
   EntryTuning tuning_;
+  DescriptorShares shares_;
   std::map<std::string, std::string> effective_settings_;
   Metrics metrics_;
   std::shared_ptr<GatewayState> state_owner_;  ///< shared with the exchanges in progress
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -2,16 +2,16 @@
 
 #pragma once
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <map>
 #include <memory>
 
+#include "gateway/body_admission.h"
 #include "gateway/caller_connection.h"
 #include "gateway/error_response.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_state.h"
 #include "gateway/wire_format.h"
+#include "listener/connection_listener.h"
 #include "log/log.h"
 #include "task/spawn.h"
 
@@ -21,20 +21,20 @@
 template <WireFormat Wire>
 class CallerServer {
  public:
-  /// Connections beyond `max_connections` are closed immediately, which reserves file descriptors
-  /// for backend servers.
+  /// Beyond `max_connections`, a new connection replaces the one that has been idle longest, or is
+  /// closed if none is idle. This reserves file descriptors for backend servers.
   CallerServer(GatewayState& state, tcp::acceptor acceptor, std::size_t max_connections)
-      : state_(state), acceptor_(std::move(acceptor)), max_connections_(max_connections) {}
+      : state_(state),
+        listener_(std::move(acceptor), "callers"),
+        max_connections_(max_connections),
+        admit_(BodyAdmission<Wire>(state)) {}
 
   void Start() {
     SpawnDuty(state_.executor(), "caller listener", [this] { return Accept(); });
   }
 
   /// Stops accepting connections.
-  void Stop() {
-    ErrorCode ignored;
-    acceptor_.close(ignored);
-  }
+  void Stop() { listener_.Close(); }
 
   /// Closes idle connections.
   void CloseIdle() {
@@ -50,29 +50,35 @@
   }
 
   std::size_t open_connections() const { return connections_.size(); }
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  std::uint16_t port() const { return listener_.port(); }
 
  private:
   using ConnectionPtr = std::shared_ptr<CallerConnection>;
   using ExchangePtr = std::shared_ptr<Exchange<Wire>>;
 
   net::awaitable<void> Accept() {
-    while (acceptor_.is_open()) {
-      ErrorCode error;
-      tcp::socket socket =
-          co_await acceptor_.async_accept(net::redirect_error(net::use_awaitable, error));
-      if (!acceptor_.is_open()) co_return;
-      if (error) {
-        Log(LogLevel::kWarn, "accepting client connection failed", {{"detail", error.message()}});
-        continue;
-      }
-      if (connections_.size() >= max_connections_) {
+    for (;;) {
+      std::optional<tcp::socket> socket = co_await listener_.Accept();
+      if (!socket) co_return;
+      if (connections_.size() >= max_connections_ && !CloseLongestIdle()) {
         state_.metrics().GetCounter("ridgehold_connections_refused").Add();
         continue;
       }
       Spawn(state_.executor(), "caller connection",
-            Serve(CallerConnection::Create(std::move(socket))));
+            Serve(CallerConnection::Create(std::move(*socket))));
+    }
+  }
+
+  /// Returns whether it has closed a connection.
+  bool CloseLongestIdle() {
+    ConnectionPtr longest;
+    for (const auto& [connection, exchange] : connections_) {
+      const auto& since = connection->idle_since();
+      if (since && (!longest || *since < *longest->idle_since())) longest = connection;
     }
+    if (!longest || !longest->CloseIfIdle()) return false;
+    state_.metrics().GetCounter("ridgehold_idle_connections_replaced").Add();
+    return true;
   }
 
   /// Removes the connection whatever happens while it is served; a request that ends with an
@@ -93,33 +99,38 @@
     ExchangePtr& exchange = connections_[connection];
     while (connection->CanServeAnother()) {
       const CallerLimits limits = state_.snapshot() ? state_.snapshot()->limits() : CallerLimits{};
-      const ReadOutcome outcome = co_await connection->Read(limits);
+      const ReadOutcome outcome = co_await connection->Read(limits, admit_);
       if (outcome.kind == ReadOutcome::Kind::kClosed) break;
       if (outcome.kind == ReadOutcome::Kind::kRefused) {
-        co_await RefuseUnread(connection, outcome.failure);
+        co_await RefuseUnread(connection, outcome);
         break;
       }
       exchange = Exchange<Wire>::Create(state_, connection);
       co_await exchange->Run();
       exchange.reset();
+      connection->ReleaseRequest();
     }
     if (connection->close_announced()) co_await connection->Linger();
   }
 
-  net::awaitable<void> RefuseUnread(ConnectionPtr connection, Failure failure) {
+  net::awaitable<void> RefuseUnread(ConnectionPtr connection, ReadOutcome outcome) {
+    const Failure& failure = outcome.failure;
     state_.metrics()
         .GetCounter("ridgehold_requests",
                     "code=\"" + std::string(Describe(failure.code).name) + "\"")
         .Add();
     Log(LogLevel::kWarn, "reading client request failed",
-        {{"code", std::string(Describe(failure.code).name)}, {"detail", failure.detail}});
-    ResponseMessage answer = MakeErrorResponse(failure, RequestId());
+        {{"code", std::string(Describe(failure.code).name)},
+         {"request", outcome.request.value()},
+         {"detail", failure.detail}});
+    ResponseMessage answer = MakeErrorResponse(failure, outcome.request);
     co_await connection->Send(std::move(answer), true);
   }
 
   GatewayState& state_;
-  tcp::acceptor acceptor_;
+  ConnectionListener listener_;
   std::size_t max_connections_;
+  CallerConnection::AdmitBody admit_;
   std::map<ConnectionPtr, ExchangePtr> connections_;  ///< with the exchange in progress, if any
 };
 
