--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -96,7 +96,8 @@
       {"in-place", FaultKind::kInPlace},
       {"out-of-step", FaultKind::kOutOfStep},
       {"odd-entries", FaultKind::kOddEntries},
-      {"release-series", FaultKind::kReleaseSeries}};
+      {"release-series", FaultKind::kReleaseSeries},
+      {"in-place-unborn", FaultKind::kInPlaceUnborn}};
   return names;
 }
 
@@ -204,6 +205,7 @@
     case FaultKind::kServerKill:
       return KillServer(random);
     case FaultKind::kInPlace:
+    case FaultKind::kInPlaceUnborn:
       return ReplaceInPlace(random);
     case FaultKind::kOutOfStep:
       return OutOfStep(random);
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -64,6 +64,7 @@
   kOutOfStep,
   kOddEntries,
   kReleaseSeries,
+  kInPlaceUnborn,
 };
 
 /// A process of an instance, which may have been replaced since.
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -61,17 +61,16 @@
 }
 
 void SoakEngine::Register() {
-  const Json entry = {
-      {"service", "llm"},
-      {"addr", proxy_.address()},
-      {"zone", "a"},
-      {"version", release_},
-      {"slots", kSlots},
-      {"state", "ready"},
-      {"cold_left_ms", 0},
-      {"models", {{{"name", "m"}, {"version", weights_}, {"adapters", Json::array()}}}},
-      {"seq", orders_},
-      {"born", born_}};
+  Json entry = {{"service", "llm"},
+                {"addr", proxy_.address()},
+                {"zone", "a"},
+                {"version", release_},
+                {"slots", kSlots},
+                {"state", "ready"},
+                {"cold_left_ms", 0},
+                {"models", {{{"name", "m"}, {"version", weights_}, {"adapters", Json::array()}}}},
+                {"seq", orders_}};
+  if (tells_start_) entry["born"] = born_;
   table_.Put(platform::key::kBackendPrefix + id_, entry.dump());
 }
 
@@ -497,14 +496,14 @@
 }
 
 std::string SoakEngine::Report() const {
-  return Json{{"stage", "both"},
+  Json report{{"stage", "both"},
               {"models", {{{"name", "m"}, {"version", weights_}, {"adapters", Json::array()}}}},
               {"busy", busy_},
               {"seq", orders_},
-              {"born", born_},
               {"queued", queued_},
-              {"active", active_}}
-      .dump();
+              {"active", active_}};
+  if (tells_start_) report["born"] = born_;
+  return report.dump();
 }
 
 http::status SoakEngine::TakeOrder(const std::string& body) {
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -49,6 +49,8 @@
              ridgehold::test::MemoryTable& table, Random random);
 
   void Register();
+  /// Neither its registrations nor its reports tell its start.
+  void HideStart() { tells_start_ = false; }
   void SetRelease(std::string release) { release_ = next_release_ = std::move(release); }
   const std::string& release() const { return release_; }
   /// Whether it takes requests and goes on doing so.
@@ -127,6 +129,7 @@
   std::string next_release_ = "v1";  ///< of the next start
   std::string id_;                   ///< of this start
   std::int64_t born_ = 0;            ///< Unix ms of this start
+  bool tells_start_ = true;
   int kills_ = 0;
   std::optional<ProcessKill> kill_;  ///< that waits for its point
   std::set<std::shared_ptr<Run>> running_;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -70,9 +70,12 @@
     options_.instances = random_.Between(kLeastInstances, kMostInstances);
   }
   if (!options_.calm) faults_.Select(options_.faults);
-  if (faults_.Selected(FaultKind::kReleases) || faults_.Selected(FaultKind::kInPlace)) {
-    AddReleases();
+  const bool in_place =
+      faults_.Selected(FaultKind::kInPlace) || faults_.Selected(FaultKind::kInPlaceUnborn);
+  if (faults_.Selected(FaultKind::kInPlaceUnborn)) {
+    for (const auto& engine : engines_) engine->HideStart();
   }
+  if (faults_.Selected(FaultKind::kReleases) || in_place) AddReleases();
   if (faults_.Selected(FaultKind::kOutOfStep) || faults_.Selected(FaultKind::kReleaseSeries)) {
     AddRestingEngines();
   }
