Servers that tell no start: in doubt after their connections end

What callers saw: streams with events of two releases (ORDER) where a server is replaced at its id and address and nothing tells the start of its process.

Cause: what is registered was believed of whatever answers at the address, as IdentifyServer asks only servers that register a start.

Change: a refused connection, a broken exchange, or an idle connection closed early is evidence that the process has ended, unless another connection is open (ShowsProcessEnd). Connections opened since its last sign of life have a release of their own and carry no take-up, until another release is registered, or the registration is confirmed 1.5 s after the next process was first reached (ProcessContinuity). Why it works: a connection belongs to one process, and a process registers within a heartbeat of 1.2 s.

An instance without a connection to a server when it is killed sees no evidence.

--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -19,6 +19,7 @@
 #include "gateway/gateway_gossip.h"
 #include "gateway/inbound_request.h"
 #include "gateway/pushback_state.h"
+#include "incarnation/process_continuity.h"
 #include "incarnation/process_statement.h"
 #include "performance/engine_performance.h"
 #include "performance/known_performance.h"
@@ -67,9 +68,11 @@
   RegisteredProcess process;
   /// Start of the process that last told it on a connection to the address; 0: none has.
   StartStamp answering_start;
-  bool superseded = false;      ///< another incarnation at its address has replaced it
-  bool shares_address = false;  ///< others are registered at its address
-  bool active = false;          ///< listed in BackendDirectory::Active()
+  ProcessContinuity continuity;          ///< of a server that does not tell its start
+  std::uint32_t connections_in_use = 0;  ///< direct ones of this gateway, see ConnectionUse
+  bool superseded = false;               ///< another incarnation at its address has replaced it
+  bool shares_address = false;           ///< others are registered at its address
+  bool active = false;                   ///< listed in BackendDirectory::Active()
   /// Member of its service's interactive group, see UpdateEngineGroup().
   bool in_interactive_group = false;
 
@@ -119,8 +122,10 @@
 bool IsUsable(const Backend& backend, TimePoint now);
 
 /// Whether the process at its address may be the registered one. Another one, whose registration
-/// has not been read yet, may be of another release and has none of its memory.
-inline bool RunsAsRegistered(const Backend& backend) {
+/// has not been read yet, may be of another release and has none of its memory. Registrations are
+/// known as of `confirmed_at`.
+inline bool RunsAsRegistered(const Backend& backend, TimePoint confirmed_at) {
+  if (backend.entry.started == StartStamp()) return backend.continuity.IsRegistered(confirmed_at);
   const ProcessStatement last{true, backend.answering_start};
   return Match(backend.entry.started, last) != ProcessMatch::kOther;
 }
@@ -225,6 +230,8 @@
   std::size_t UnreachableCount() const;
 
   BackendPtr Find(const BackendId& id) const;
+  /// The backend servers registered at the address.
+  std::vector<BackendPtr> AtAddress(const std::string& address) const;
   BackendPtr FindByHash(BackendHash hash) const;
   const std::map<BackendId, BackendPtr>& all() const { return backends_; }
   /// The releases of the service's registered backend servers.
@@ -241,6 +248,12 @@
   /// one, others are preferred until its registration can have come.
   static void RecordProcess(Backend& backend, StartStamp started, TimePoint now);
 
+  /// Records the evidence of a connection, opened at `opened`, that the process which showed life
+  /// at `alive_at` has ended, see ProcessContinuity. Has the next process probed, and others
+  /// preferred until its registration can have come.
+  void RecordProcessEnd(const BackendPtr& backend, TimePoint opened, TimePoint alive_at,
+                        TimePoint now);
+
   /// Records that a probe reached the backend server.
   static void RecordReachable(Backend& backend);
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -14,6 +14,7 @@
 #include "gateway/backend_load.h"
 #include "gateway/backend_search.h"
 #include "gateway/caller_connection.h"
+#include "gateway/connection_use.h"
 #include "gateway/error_response.h"
 #include "gateway/event_relay.h"
 #include "gateway/exchange_plan.h"
@@ -73,6 +74,9 @@
   struct Attempt {
     BackendPtr backend;
     TimePoint sent{};
+    TimePoint opened{};              ///< the connection
+    TimePoint alive_at{};            ///< when the server's process was last known to live, before
+    bool broken = false;             ///< by the server, or on the way
     RegistrationNumber last_update;  ///< of the registrations, when it was sent
     /// Of the process that was last known to answer there.
     StartStamp answering_start;
@@ -339,7 +343,7 @@
                             record_.permit.verdict != PermitVerdict::kNotNeeded;
     const bool may_send =
         !Quarantined() && has_permit && MayStillSend(state_, plan_, inbound_, choice, now);
-    const ReleaseId release = ReleaseOnConnection(*attempt_.backend, *checkout.connection);
+    const ReleaseId release = ReleaseOnConnection(state_, *attempt_.backend, *checkout.connection);
     const bool may_go_on = !plan_.release || release == *plan_.release;
     const bool sendable = !caller_gone && !too_late && may_send && may_go_on;
     if (!sendable || !ConsumeRetry(now)) {
@@ -354,6 +358,8 @@
     directives.resume_after = relay_.last_event();
     WatchStart();
     attempt_.sent = now;
+    attempt_.opened = attempt_.connection->opened_at();
+    attempt_.alive_at = std::max(attempt_.opened, attempt_.connection->idle_since());
     attempt_.last_update = state_.directory().last_update();
     attempt_.answering_start = attempt_.backend->answering_start != StartStamp()
                                    ? attempt_.backend->answering_start
@@ -365,8 +371,16 @@
     record_.ends_with_connection = false;
     record_.end_verdict.reset();
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives));
+    const bool direct = record_.via_peer.empty();
+    std::optional<ConnectionUse> use;
+    if (direct) use.emplace(attempt_.backend);
     AttemptOutcome outcome = co_await ReadResponse();
+    use.reset();
     if (outcome == AttemptOutcome::kInterrupted) attempt_.connection->Cancel();
+    if (direct && attempt_.broken) {
+      state_.RecordBrokenExchange(attempt_.backend, attempt_.opened,
+                                  attempt_.begun.value_or(attempt_.alive_at));
+    }
     queued_ticket_.reset();
     unanswered_ticket_.reset();
     poison_ticket_.reset();
@@ -616,6 +630,7 @@
   }
 
   AttemptOutcome OutcomeOf(ExchangeFault fault) {
+    attempt_.broken = fault == ExchangeFault::kBroken;
     switch (fault) {
       case ExchangeFault::kNotSent:
         last_code_ = ResultCode::kBackendUnreachable;
@@ -656,6 +671,9 @@
     const bool answered = outcome == AttemptOutcome::kStreamed ||
                           (outcome == AttemptOutcome::kAnswered && IsSuccess(attempt_.head.status));
     if (answered) state_.directory().RecordAnswer(*attempt_.backend, attempt_.last_update);
+    if (answered && record_.via_peer.empty()) {
+      attempt_.backend->continuity.RecordAnswer(attempt_.opened, attempt_.sent);
+    }
     UpdatePoisonGuard(outcome, now);
     tried_.insert(attempt_.backend->entry.id);
     NextStep step = caller_->caller_gone() ? NextStep::kDone : DecideNext(retry_input_);
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -147,11 +147,13 @@
                                  TimePoint now);
 
 /// Whether the backend server's release is the one that began the request's stream, if any did.
-bool MayResumeAt(const ExchangePlan& plan, const Backend& backend);
+bool MayResumeAt(const GatewayState& state, const ExchangePlan& plan, const Backend& backend);
 
 /// The release of the process at the other end of the connection: that of the registration if the
-/// process has told on the connection that it is the registered one.
-ReleaseId ReleaseOnConnection(const Backend& backend, const OutboundConnection& connection);
+/// process has told on the connection that it is the registered one, or if it tells no start and
+/// nothing shows that another has taken its place.
+ReleaseId ReleaseOnConnection(const GatewayState& state, const Backend& backend,
+                              const OutboundConnection& connection);
 
 /// Number of gateways for each backend server of the service, as requests of all gateways reach
 /// each of them.
--- a/libs/gateway/src/backend_connection.cc
+++ b/libs/gateway/src/backend_connection.cc
@@ -10,8 +10,12 @@
 net::awaitable<Checkout> AcquireDirectly(GatewayState& state, BackendPtr backend,
                                          TimePoint deadline) {
   Checkout checkout = co_await state.pool().Acquire(backend->entry.address, deadline);
-  if (checkout.fresh && checkout.fault == ExchangeFault::kNone) state.RecordContact();
+  if (checkout.fresh && checkout.fault == ExchangeFault::kNone) {
+    state.RecordContact();
+    backend->continuity.RecordContact(checkout.connection->opened_at());
+  }
   if (checkout.fault == ExchangeFault::kNotSent) state.RecordLoss(backend);
+  if (checkout.refused) state.RecordRefusal(backend);
   co_return checkout;
 }
 
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -72,6 +72,8 @@
   backend->grace_until.reset();
   backend->removed = false;
   for (const auto& [model, weights] : entry.weights) AdvanceWeights(*backend, model, weights);
+  const bool next_release = !is_new && backend->entry.release != entry.release;
+  if (next_release) backend->continuity.RecordNextRegistration();
   // A registration without a start stamp belongs to the known process.
   const StartStamp started = std::max(entry.started, backend->entry.started);
   backend->entry = entry;
@@ -333,6 +335,14 @@
   return found == backends_.end() ? nullptr : found->second;
 }
 
+std::vector<BackendPtr> BackendDirectory::AtAddress(const std::string& address) const {
+  std::vector<BackendPtr> backends;
+  const auto [first, last] = by_address_.equal_range(address);
+  std::transform(first, last, std::back_inserter(backends),
+                 [](const auto& entry) { return entry.second; });
+  return backends;
+}
+
 BackendPtr BackendDirectory::FindByHash(BackendHash hash) const {
   const auto found = by_hash_.find(hash);
   return found == by_hash_.end() ? nullptr : found->second;
@@ -360,11 +370,20 @@
 
 void BackendDirectory::RecordProcess(Backend& backend, StartStamp started, TimePoint now) {
   const bool is_news = std::exchange(backend.answering_start, started) != started;
-  if (!is_news || RunsAsRegistered(backend)) return;
+  const ProcessStatement told{true, started};
+  if (!is_news || Match(backend.entry.started, told) != ProcessMatch::kOther) return;
   backend.cache.Clear();
   backend.avoid_until = std::max<TimePoint>(backend.avoid_until, now + kRegistrationDelay);
 }
 
+void BackendDirectory::RecordProcessEnd(const BackendPtr& backend, TimePoint opened,
+                                        TimePoint alive_at, TimePoint now) {
+  if (backend->entry.started != StartStamp()) return;
+  backend->continuity.RecordEnd(opened, alive_at, now);
+  backend->avoid_until = std::max<TimePoint>(backend->avoid_until, now + kRegistrationDelay);
+  RequestProbe(backend);
+}
+
 void BackendDirectory::RecordReachable(Backend& backend) {
   backend.needs_probe = false;
   backend.has_peer_path = false;
--- a/libs/gateway/src/backend_prober.cc
+++ b/libs/gateway/src/backend_prober.cc
@@ -142,11 +142,13 @@
   const bool refused = connection->connection_refused();
   if (reached) {
     state_.RecordContact();
+    backend->continuity.RecordContact(connection->opened_at());
   } else {
     state_.RecordLoss(backend);
     VerifyContact(Clock::now());
   }
   if (!MayBePartitioned(*backend)) RecordCrashIfRefused(backend, refused);
+  if (refused) state_.RecordRefusal(backend);
   if (reached == backend->reachable && !backend->needs_probe) co_return;
   const bool changed = reached != backend->reachable;
   if (reached) {
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -146,7 +146,7 @@
   std::vector<BackendPtr> usable;
   std::ranges::copy_if(state.directory().OfService(plan.service), std::back_inserter(usable),
                        [&](const BackendPtr& backend) {
-                         return IsUsable(*backend, now) && MayResumeAt(plan, *backend);
+                         return IsUsable(*backend, now) && MayResumeAt(state, plan, *backend);
                        });
   return usable;
 }
@@ -235,7 +235,7 @@
   if (tried.contains(backend.entry.id) || backend.notice_state.BlocksRequests(now)) return false;
   if (!state.pushback().HasRoom(backend, now)) return false;
   if (plan.avoid_rate_limited && backend.notice_state.limit()) return false;
-  if (!MayResumeAt(plan, backend)) return false;
+  if (!MayResumeAt(state, plan, backend)) return false;
   return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
 }
 
@@ -408,15 +408,20 @@
   return query;
 }
 
-bool MayResumeAt(const ExchangePlan& plan, const Backend& backend) {
+bool MayResumeAt(const GatewayState& state, const ExchangePlan& plan, const Backend& backend) {
   if (!plan.release) return true;
-  return RunsAsRegistered(backend) && backend.entry.release == *plan.release;
+  return RunsAsRegistered(backend, state.confirmed_at()) && backend.entry.release == *plan.release;
 }
 
-ReleaseId ReleaseOnConnection(const Backend& backend, const OutboundConnection& connection) {
+ReleaseId ReleaseOnConnection(const GatewayState& state, const Backend& backend,
+                              const OutboundConnection& connection) {
+  const BackendEntry& entry = backend.entry;
   const StartStamp told = connection.server_start().value_or(StartStamp());
-  if (IsRegistered(backend.entry.started, told)) return backend.entry.release;
-  return UnregisteredRelease(backend.entry.id, told);
+  if (!IsRegistered(entry.started, told)) return UnregisteredRelease(entry.id, told);
+  const TimePoint opened = connection.opened_at();
+  const bool known = entry.started != StartStamp() ||
+                     backend.continuity.IsRegistered(opened, state.confirmed_at());
+  return known ? entry.release : UnregisteredRelease(entry.id, opened);
 }
 
 double GatewaysPerBackend(const GatewayState& state, const ServiceId& service) {
@@ -429,14 +434,15 @@
   return std::ranges::any_of(
       state.directory().OfService(backend.entry.service), [&](const BackendPtr& other) {
         return other.get() != &backend && other->entry.release == backend.entry.release &&
-               RunsAsRegistered(*other) && IsUsable(*other, now);
+               RunsAsRegistered(*other, state.confirmed_at()) && IsUsable(*other, now);
       });
 }
 
 bool MayStillSend(const GatewayState& state, const ExchangePlan& plan,
                   const InboundRequest& request, const BackendChoice& choice, TimePoint now) {
   const Backend& backend = *choice.backend;
-  if (backend.removed || !IsUsable(backend, now) || !MayResumeAt(plan, backend)) return false;
+  if (backend.removed || !IsUsable(backend, now) || !MayResumeAt(state, plan, backend))
+    return false;
   const bool starts = !plan.release && plan.route->IsResumable();
   if (starts && !state.directory().MayStartAt(backend, now)) return false;
   if (now < backend.notice_state.backoff_until()) return false;
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <utility>
 
+#include "incarnation/connection_end.h"
 #include "log/log.h"
 
 namespace ridgehold {
@@ -308,6 +309,37 @@
   for (const BackendPtr& other : active) directory_.RequestProbe(other);
 }
 
+void GatewayState::RecordRefusal(const BackendPtr& backend) {
+  const TimePoint now = Clock::now();
+  // A partition may refuse new connections only. Of the connections in use, some may not have been
+  // seen to end yet.
+  if (IsIsolated(now) || pool_.HasOpenConnection(backend->entry.address)) return;
+  directory_.RecordProcessEnd(backend, now, now, now);
+}
+
+void GatewayState::RecordBrokenExchange(const BackendPtr& backend, TimePoint opened,
+                                        TimePoint alive_at) {
+  ConnectionEnd end;
+  end.amid_exchange = true;
+  // A server also resets new connections beyond its limit. Of the connections in use, some may not
+  // have been seen to end yet.
+  const bool nothing_came = alive_at == opened;
+  end.others_open =
+      nothing_came ? HasOpenConnection(*backend) : pool_.HasOpenConnection(backend->entry.address);
+  if (ShowsProcessEnd(end)) directory_.RecordProcessEnd(backend, opened, alive_at, Clock::now());
+}
+
+void GatewayState::RecordClosed(const std::string& address, const ClosedConnection& closed) {
+  for (const BackendPtr& backend : directory_.AtAddress(address)) {
+    ConnectionEnd end;
+    end.idle = std::chrono::duration_cast<Duration>(closed.closed_at - closed.idle_since);
+    end.idle_timeout = closed.keep_alive;
+    end.others_open = closed.others_open || backend->connections_in_use > 0;
+    if (!ShowsProcessEnd(end)) continue;
+    directory_.RecordProcessEnd(backend, closed.opened_at, closed.idle_since, Clock::now());
+  }
+}
+
 net::awaitable<PeerPath> GatewayState::OpenPeerPath(BackendPtr backend, TimePoint deadline) {
   PeerPath path;
   if (!open_peer_path_) co_return path;
--- a/libs/incarnation/include/incarnation/process_statement.h
+++ b/libs/incarnation/include/incarnation/process_statement.h
@@ -33,5 +33,7 @@
 /// its software version. Equals no registered release and that of no other process, so that no
 /// other process goes on with what it has begun.
 ReleaseId UnregisteredRelease(const BackendId& id, StartStamp started);
+/// The same for a process that does not tell its start: that on the connection opened at `opened`.
+ReleaseId UnregisteredRelease(const BackendId& id, TimePoint opened);
 
 }  // namespace ridgehold
--- /dev/null
+++ b/libs/incarnation/src/process_continuity.cc
@@ -0,0 +1,41 @@
+#include "incarnation/process_continuity.h"
+
+#include <algorithm>
+
+namespace ridgehold {
+
+void ProcessContinuity::RecordEnd(TimePoint opened, TimePoint alive_at, TimePoint now) {
+  const bool known = end_ && opened <= end_->alive_at;
+  // The connections of a process end together, but not all are seen at once.
+  if (known) return;
+  const bool pending = end_ && !end_->settled;
+  End end{alive_at, now, std::nullopt, false};
+  if (pending) end.alive_at = std::min(end.alive_at, end_->alive_at);
+  end_ = end;
+}
+
+void ProcessContinuity::RecordContact(TimePoint opened) {
+  if (end_ && !end_->contact && opened >= end_->seen_at) end_->contact = opened;
+}
+
+void ProcessContinuity::RecordAnswer(TimePoint opened, TimePoint sent) {
+  if (!end_ || sent <= end_->seen_at) return;
+  if (opened <= end_->alive_at) end_->settled = true;
+  end_->contact = std::min(end_->contact.value_or(opened), opened);
+}
+
+void ProcessContinuity::RecordNextRegistration() {
+  if (end_) end_->settled = true;
+}
+
+bool ProcessContinuity::IsRegistered(TimePoint confirmed_at) const {
+  if (!end_ || end_->settled) return true;
+  return end_->contact && confirmed_at >= *end_->contact + kRegistrationTime;
+}
+
+bool ProcessContinuity::IsRegistered(TimePoint opened, TimePoint confirmed_at) const {
+  if (IsRegistered(confirmed_at) || opened <= end_->alive_at) return true;
+  return confirmed_at >= opened + kRegistrationTime;
+}
+
+}  // namespace ridgehold
--- a/libs/incarnation/src/process_statement.cc
+++ b/libs/incarnation/src/process_statement.cc
@@ -17,4 +17,9 @@
   return ReleaseId("unregistered " + id.value() + " " + std::to_string(started.value()));
 }
 
+ReleaseId UnregisteredRelease(const BackendId& id, TimePoint opened) {
+  const std::string connection = std::to_string(opened.time_since_epoch().count());
+  return ReleaseId("unregistered " + id.value() + " at " + connection);
+}
+
 }  // namespace ridgehold
--- a/libs/net/include/net/connection_pool.h
+++ b/libs/net/include/net/connection_pool.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +23,15 @@
   bool refused = false;  ///< see OutboundConnection::connection_refused()
 };
 
+/// An idle connection that the server has closed.
+struct ClosedConnection {
+  TimePoint opened_at{};
+  TimePoint idle_since{};
+  TimePoint closed_at{};
+  std::optional<std::chrono::seconds> keep_alive;  ///< idle timeout stated by the server
+  bool others_open = false;                        ///< the pool has another to the address
+};
+
 /// Hands out idle connections, the most recently used first, and opens new ones. Not
 /// thread-safe: all calls must come from one executor.
 class ConnectionPool {
@@ -50,6 +60,10 @@
   /// servers through a forwarder of their own.
   void SetEgressAddress(const net::ip::address& address) { egress_address_ = address; }
 
+  /// Sets the function that is called when an idle connection turns out to be closed by the server.
+  using CloseListener = std::function<void(const std::string& address, const ClosedConnection&)>;
+  void SetCloseListener(CloseListener listener) { on_closed_ = std::move(listener); }
+
   /// The endpoint to which connections to the server at `address` are opened; its port is 0 if
   /// `address` is malformed.
   tcp::endpoint EndpointOf(const std::string& address) const;
@@ -81,12 +95,14 @@
   using Idle = std::deque<std::shared_ptr<OutboundConnection>>;
 
   bool Expired(const OutboundConnection& connection, TimePoint now) const;
+  void NotifyClosed(const std::string& address, OutboundConnection& connection, TimePoint now);
 
   net::any_io_executor executor_;
   Options options_;
   std::optional<net::ip::address> egress_address_;
   std::unordered_map<std::string, Idle> idle_;
   std::uint64_t opened_ = 0;
+  CloseListener on_closed_;
 };
 
 }  // namespace ridgehold
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -107,6 +107,9 @@
   /// Whether an idle connection is still open and has received no bytes.
   bool IdleAndOpen();
 
+  /// Of an idle connection that the server has closed: when it did so, as far as the kernel tells.
+  TimePoint ClosedAt(TimePoint now);
+
   /// When the connection was open; the epoch until then.
   TimePoint opened_at() const { return opened_at_; }
 
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -1,6 +1,7 @@
 #include "net/connection_pool.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace ridgehold {
 
@@ -16,7 +17,9 @@
   while (found != idle_.end() && !found->second.empty()) {
     auto connection = std::move(found->second.back());
     found->second.pop_back();
-    if (!Expired(*connection, now) && connection->IdleAndOpen()) return connection;
+    const bool open = connection->IdleAndOpen();
+    if (open && !Expired(*connection, now)) return connection;
+    if (!open) NotifyClosed(address, *connection, now);
   }
   return nullptr;
 }
@@ -53,9 +56,13 @@
 
 void ConnectionPool::CloseExpired(TimePoint now) {
   for (auto& [address, idle] : idle_) {
+    std::vector<std::shared_ptr<OutboundConnection>> closed;
     std::erase_if(idle, [&](const auto& connection) {
-      return Expired(*connection, now) || !connection->IdleAndOpen();
+      const bool open = connection->IdleAndOpen();
+      if (!open) closed.push_back(connection);
+      return !open || Expired(*connection, now);
     });
+    for (const auto& connection : closed) NotifyClosed(address, *connection, now);
   }
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
@@ -67,6 +74,18 @@
                              [](const auto& connection) { return connection->IdleAndOpen(); });
 }
 
+void ConnectionPool::NotifyClosed(const std::string& address, OutboundConnection& connection,
+                                  TimePoint now) {
+  if (!on_closed_) return;
+  ClosedConnection closed;
+  closed.opened_at = connection.opened_at();
+  closed.idle_since = connection.idle_since();
+  closed.closed_at = connection.ClosedAt(now);
+  closed.keep_alive = connection.keep_alive();
+  closed.others_open = HasOpenConnection(address);
+  on_closed_(address, closed);
+}
+
 bool ConnectionPool::Expired(const OutboundConnection& connection, TimePoint now) const {
   auto max_idle = options_.idle_timeout;
   if (const auto keep_alive = connection.keep_alive()) {
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -1,7 +1,10 @@
 #include "net/outbound_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -206,4 +209,13 @@
   return read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+TimePoint OutboundConnection::ClosedAt(TimePoint now) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const int failed = ::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  if (failed != 0) return now;
+  // The segment that ended the connection was the last that came.
+  return std::max<TimePoint>(idle_since_, now - std::chrono::milliseconds(info.tcpi_last_ack_recv));
+}
+
 }  // namespace ridgehold
