Soak: faults of what surrounds a process, and callers that pipeline and half-close

What callers saw: processes that ended or did not start, and requests without an answer, on real processes; the soak did not show it.

Cause: the soak's instances found ideal surroundings. No SIGHUP came near a start, all ports were free, their output was a file, descriptors were plenty, and callers sent one request at a time and kept their sending side open.

Change: five kinds that are played only when named, so that seeds that draw their kinds stay as they are: hangup, taken-port, unread-output, idle-flood, pipelined. A SIGHUP near a start is sent from the moment on at which the program blocks or handles it or has started a thread: loading cannot be covered by a program, all that follows can. A process that a signal other than SIGKILL ends after SIGTERM is a process that ended by itself, for all kinds. Readiness and an answer to new callers are required beside idle connections; readiness within the recovery time after a port is free. unread-output and idle-flood alone must not cost service, as odd-entries.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -5,6 +5,7 @@
 
 #include "bounds.h"
 #include "platform/names.h"
+#include "request_draw.h"
 
 namespace ridgehold::soak {
 namespace {
@@ -17,7 +18,6 @@
 constexpr std::chrono::milliseconds kPatience{1'000};
 constexpr double kNewConnectionPart = 0.05;  // after an answer
 constexpr double kLeavePart = 0.03;          // requests whose caller leaves early
-constexpr std::array kFolders = {"/safe/", "/unsafe/", "/stream/", "/resume/"};
 
 }  // namespace
 
@@ -46,23 +46,9 @@
 
 RequestRecord Caller::Draw() {
   if (auto stream = resumptions_.Take()) return Resume(std::move(*stream));
-  RequestRecord record;
-  record.id = record.stream = name_ + "-" + std::to_string(++sent_);
-  record.kind = static_cast<RequestKind>(random_.Between(0, 3));
-  record.key = operator_.PickKey(random_);
-  record.workspace = operator_.key(record.key).workspace;
-  record.process = instance_.serial();
+  const std::string id = name_ + "-" + std::to_string(++sent_);
+  RequestRecord record = DrawRequest(id, operator_, instance_.serial(), random_);
   RequestMessage& message = record.message;
-  message.method(http::verb::post);
-  message.target(kFolders[static_cast<std::size_t>(record.kind)] + record.id + "?q=1");
-  message.set(http::field::host, "h");
-  message.set(http::field::authorization, "Bearer " + record.key);
-  message.set(field::kRequestId, record.id);
-  message.set(field::kTimeLeftMs, std::to_string(kCallerDeadline.count()));
-  message.set(field::kModel, "m");
-  message.set(field::kTokenCounts, "900,10");
-  message.set(field::kPrefixHashes, "a" + std::to_string(random_.Between(1, 9)) + ":500,b2:400");
-  message.body() = std::string(static_cast<std::size_t>(random_.Between(0, 5'000)), 'p');
   if (const auto poison = poison_.Pick()) {
     record.kind = RequestKind::kResumable;
     message.target("/resume/" + poison->body);
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -6,8 +6,6 @@
 
 #include "bounds.h"
 #include "control/instance_records.h"
-#include "net/http_call.h"
-#include "platform/names.h"
 
 namespace ridgehold::soak {
 namespace {
@@ -46,9 +44,7 @@
 constexpr int kLongestLag = 100;        // ms, of the registration of a killed engine's next process
 constexpr int kLongestInPlaceLag = 700;    // ms
 constexpr int kLongestInPlacePause = 400;  // ms, between two engines
-// What the sheet of the largest fleet allows.
-constexpr std::chrono::seconds kRecoveryTime{18};
-constexpr double kSeriesPart = 0.4;  // of the faults, those followed at once
+constexpr double kSeriesPart = 0.4;        // of the faults, those followed at once
 
 ProcessKill DrawKill(Random& random) {
   ProcessKill kill;
@@ -96,7 +92,12 @@
       {"in-place", FaultKind::kInPlace},
       {"out-of-step", FaultKind::kOutOfStep},
       {"odd-entries", FaultKind::kOddEntries},
-      {"release-series", FaultKind::kReleaseSeries}};
+      {"release-series", FaultKind::kReleaseSeries},
+      {"hangup", FaultKind::kHangUp},
+      {"taken-port", FaultKind::kTakenPort},
+      {"unread-output", FaultKind::kUnreadOutput},
+      {"idle-flood", FaultKind::kIdleFlood},
+      {"pipelined", FaultKind::kPipelined}};
   return names;
 }
 
@@ -112,7 +113,7 @@
   Random reborn = Random(poison_part).Fork();
   Random server_kill = Random(reborn).Fork();
   for (const auto& [name, kind] : Names()) {
-    // These begin with engines of one release, unlike the other kinds.
+    // Played only when they are named.
     if (kind >= FaultKind::kOutOfStep) continue;
     Random& random = kind >= FaultKind::kServerKill   ? server_kill
                      : kind >= FaultKind::kReborn     ? reborn
@@ -211,6 +212,16 @@
       return WriteOddEntries(random);
     case FaultKind::kReleaseSeries:
       return ReplaceReleaseAndKill(random);
+    case FaultKind::kHangUp:
+      return HangUp(random);
+    case FaultKind::kTakenPort:
+      return StartAtTakenPort(random);
+    case FaultKind::kIdleFlood:
+      return FloodWithIdle(random);
+    case FaultKind::kPipelined:
+      return Stop(random);  // the callers of this kind matter beside stops
+    case FaultKind::kUnreadOutput:
+      return Sleep(0ms);  // lasts for the whole run
     case FaultKind::kReleases:
       return Pick(targets_.engines, random)
           .Replace(random.Chance(0.5) ? "v1" : "v2", random.Milliseconds(300, kLongestLeaving));
@@ -307,10 +318,18 @@
 net::awaitable<void> FaultScript::Terminate(Instance& instance) {
   const int pauses = instance.pauses;
   const bool paused = instance.paused > 0;
+  const bool takes_signals = instance.process->TakesSignals();
   instance.ending = true;
   instance.process->Signal(SIGTERM);
   co_await WaitForEnd(*instance.process, kShutdownLimit + kStopSlack);
-  if (!instance.process->Running()) co_return;
+  if (!instance.process->Running()) {
+    const std::string signal = instance.process->EndSignal();
+    if (takes_signals && !signal.empty()) {
+      targets_.verdict.Fail("process ends by itself", instance.process->place().name,
+                            signal + " after SIGTERM");
+    }
+    co_return;
+  }
   if (!paused && instance.pauses == pauses) {
     targets_.verdict.Fail("process outlives its grace time", instance.process->place().name, "");
   }
@@ -321,11 +340,7 @@
 net::awaitable<void> FaultScript::Stop(Random random) {
   Instance& instance = PickInstance(random);
   if (instance.ending) co_return;
-  const Calm::Token token = targets_.calm.Begin(FaultClass::kPlanned);
-  co_await Terminate(instance);
-  co_await Sleep(random.Milliseconds(0, 800));
-  instance.process->Start();
-  instance.ending = false;
+  co_await Restart(instance, random.Milliseconds(0, 800));
 }
 
 net::awaitable<void> FaultScript::Kill(Random random) {
@@ -386,37 +401,8 @@
     started.push_back({instance, instance->process->serial()});
   }
   // The fault is at work, for the other checks, until the fleet is back.
-  co_await AwaitReadiness(std::move(started));
-}
-
-net::awaitable<void> FaultScript::AwaitReadiness(std::vector<StartedProcess> started) {
-  constexpr unsigned kHttp11 = 11;
-  constexpr std::chrono::milliseconds kTimeout{300};
-  const auto executor = co_await net::this_coro::executor;
-  ConnectionPool pool(executor, ConnectionPool::Options{.connect_timeout = kTimeout});
-  const TimePoint limit = Clock::now() + kRecoveryTime;
-  while (!started.empty() && Clock::now() < limit) {
-    const Instance& next = *started.back().instance;
-    const std::string address = next.process->place().address + ":" + std::to_string(kReadyPort);
-    RequestMessage request(http::verb::get, platform::path::kReady, kHttp11);
-    request.set(http::field::host, address);
-    const CallResult result = co_await Call(pool, address, std::move(request), kTimeout);
-    const bool ready =
-        result.fault == ExchangeFault::kNone && result.response.result() == http::status::ok;
-    // A later blackout judges those that it stops.
-    const bool replaced = next.ending || next.process->serial() != started.back().serial;
-    if (ready || replaced) {
-      started.pop_back();
-    } else {
-      co_await Sleep(kLook);
-    }
-  }
-  // Other faults keep instances from being ready.
-  const std::set<FaultKind> harmless = {FaultKind::kKeys, FaultKind::kWeights,
-                                        FaultKind::kBlackout};
-  if (started.empty() || !std::ranges::includes(harmless, kinds_)) co_return;
-  targets_.verdict.Fail("instance is not ready in time after a loss of power of all",
-                        started.back().instance->process->place().name, "");
+  co_await AwaitReadiness(std::move(started), kRecoveryTime,
+                          "instance is not ready in time after a loss of power of all");
 }
 
 net::awaitable<void> FaultScript::Pause(Random random) {
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -64,6 +64,11 @@
   kOutOfStep,
   kOddEntries,
   kReleaseSeries,
+  kHangUp,
+  kTakenPort,
+  kUnreadOutput,
+  kIdleFlood,
+  kPipelined,
 };
 
 /// A process of an instance, which may have been replaced since.
@@ -72,6 +77,14 @@
   int serial = 0;
 };
 
+/// How often the surroundings of processes were faulty.
+struct SurroundingCounts {
+  int hang_ups = 0;
+  int starts_with_hang_ups = 0;  ///< that were followed by hangups at once
+  int taken_ports = 0;
+  int idle_connections = 0;
+};
+
 /// What the faults work on.
 struct FaultTargets {
   std::vector<std::unique_ptr<Instance>>& instances;
@@ -88,6 +101,9 @@
 /// Repeats faults of some kinds until an end.
 class FaultScript {
  public:
+  /// What the sheet of the largest fleet allows.
+  static constexpr std::chrono::seconds kRecoveryTime{18};
+
   FaultScript(FaultTargets targets, Random random) : targets_(targets), random_(random) {}
 
   /// Selects the faults named, or draws some if none is.
@@ -100,6 +116,8 @@
   /// Ends an instance's process in order; kills one that takes too long.
   net::awaitable<void> Terminate(Instance& instance);
 
+  const SurroundingCounts& counts() const { return counts_; }
+
   static const std::vector<std::pair<std::string, FaultKind>>& Names();
 
  private:
@@ -128,9 +146,20 @@
   net::awaitable<void> Herd(Random random);
   /// All instances lose power at once and start again together.
   net::awaitable<void> Blackout(Random random);
-  /// Waits until all are ready, or the time for that has passed; then fails unless other faults may
-  /// be the reason.
-  net::awaitable<void> AwaitReadiness(std::vector<StartedProcess> started);
+  /// Waits until all are ready, or `limit` has passed; then fails unless other faults may be the
+  /// reason.
+  net::awaitable<void> AwaitReadiness(std::vector<StartedProcess> started,
+                                      std::chrono::milliseconds limit, std::string promise);
+  /// Fails unless a new connection to the callers' port gets any answer within `limit`, or other
+  /// faults may be the reason.
+  net::awaitable<void> AwaitAnswer(StartedProcess process, std::chrono::milliseconds limit);
+  /// The status of the answer to a request on a new connection; 0 if there is none.
+  static net::awaitable<unsigned> StatusAt(const Instance& instance, int port,
+                                           std::chrono::milliseconds timeout);
+  /// Whether the process has been told to end, or another runs in its place.
+  static bool IsReplaced(const StartedProcess& process);
+  /// Whether no kind is played that keeps instances from being ready.
+  bool OnlyHarmless() const;
   net::awaitable<void> NameLimit(Random random);
   /// Some engines end and are back at their addresses under other ids; the old registrations lapse
   /// later.
@@ -163,6 +192,17 @@
   net::awaitable<void> WriteOddEntries(Random random);
   net::awaitable<void> KillInstance(Instance& instance, std::chrono::milliseconds down);
 
+  /// Ends an instance's process in order and starts the next.
+  net::awaitable<void> Restart(Instance& instance, std::chrono::milliseconds down);
+  /// Sends SIGHUP as soon as the program can take it.
+  net::awaitable<void> SendHangUp(Instance& instance);
+  /// A series of SIGHUPs, also right after a start and at one with blocked signals.
+  net::awaitable<void> HangUp(Random random);
+  /// An instance starts while another socket holds one of its ports.
+  net::awaitable<void> StartAtTakenPort(Random random);
+  /// Connections that send nothing use up the descriptors of an instance.
+  net::awaitable<void> FloodWithIdle(Random random);
+
   /// An instance; often the one that orders weights now.
   Instance& PickInstance(Random& random);
 
@@ -176,6 +216,8 @@
   std::set<FaultKind> kinds_;
   bool releasing_ = false;  ///< a release replaces another
   int releases_ = 0;        ///< that have joined
+  bool flooding_ = false;   ///< with idle connections
+  SurroundingCounts counts_;
 };
 
 }  // namespace ridgehold::soak
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -2,9 +2,11 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <csignal>
 #include <deque>
@@ -13,12 +15,16 @@
 
 #include "bounds.h"
 #include "platform/names.h"
+#include "process_status.h"
 #include "published_address.h"
 
 namespace ridgehold::soak {
 namespace {
 
 constexpr int kExecFailed = 127;
+// The smallest that the kernel allows, so that a few log lines fill it.
+constexpr int kUnreadPipeBytes = 4'096;
+constexpr int kMaxDescriptors = 1'000;
 
 int NextSerial() {
   static int last = 0;
@@ -34,6 +40,7 @@
 }
 
 InstanceProcess::~InstanceProcess() {
+  if (unread_output_ >= 0) ::close(unread_output_);
   if (!Running()) return;
   ::kill(pid_, SIGKILL);
   ::waitpid(pid_, &status_, 0);
@@ -41,40 +48,77 @@
 
 void InstanceProcess::Start() {
   const pid_t parent = ::getpid();
+  const int output = OpenOutput();
   const pid_t child = ::fork();
   if (child < 0) throw std::runtime_error("fork failed");
   if (child == 0) {
     // The instance must not outlive a soak that is killed.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::getppid() != parent) ::_exit(kExecFailed);
-    Become();
+    Become(output);
   }
+  ::close(output);
+  takes_signals_ = false;
   pid_ = child;
   serial_ = NextSerial();
 }
 
-void InstanceProcess::Become() const {
-  const int log = ::open(LogPath().c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-  ::dup2(log, STDOUT_FILENO);
-  ::dup2(log, STDERR_FILENO);
-  ::close_range(STDERR_FILENO + 1, ~0U, 0);
-  ::setenv(platform::kSettingsPathVariable, SettingsPath().c_str(), 1);
-  if (!place_.published.empty()) {
-    ::setenv(kPublishedAddressVariable, place_.published.c_str(), 1);
-    ::setenv(kBoundAddressVariable, place_.address.c_str(), 1);
+int InstanceProcess::OpenOutput() {
+  if (!place_.surroundings.unread_output) {
+    return ::open(LogPath().c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  }
+  std::array<int, 2> ends{-1, -1};
+  if (::pipe2(ends.data(), O_CLOEXEC) != 0) throw std::runtime_error("pipe failed");
+  ::fcntl(ends[1], F_SETPIPE_SZ, kUnreadPipeBytes);
+  if (unread_output_ >= 0) ::close(unread_output_);
+  unread_output_ = ends[0];
+  return ends[1];
+}
+
+void InstanceProcess::LimitSurroundings() const {
+  if (place_.surroundings.max_descriptors > 0) {
+    const auto most = static_cast<rlim_t>(place_.surroundings.max_descriptors);
+    const rlimit limit{most, most};
+    ::setrlimit(RLIMIT_NOFILE, &limit);
   }
-  // The signal that ends a suspension would end a program that does not handle it yet.
   sigset_t signals;
   ::sigemptyset(&signals);
+  // The signal that ends a suspension would end a program that does not handle it yet.
   ::sigaddset(&signals, SIGRTMIN);
+  if (signals_blocked_) {
+    ::sigaddset(&signals, SIGHUP);
+    ::sigaddset(&signals, SIGTERM);
+  }
   ::sigprocmask(SIG_BLOCK, &signals, nullptr);
-  const char* const name = program_.c_str();
-  if (place_.egress.empty()) {
-    ::execl(name, name, "--log-level", "info", nullptr);
-  } else {
-    ::execl(name, name, "--log-level", "info", "--network.egress-address", place_.egress.c_str(),
-            nullptr);
+}
+
+std::vector<std::string> InstanceProcess::Arguments() const {
+  std::vector<std::string> arguments = {program_.string(), "--log-level", "info"};
+  if (!place_.egress.empty()) {
+    arguments.insert(arguments.end(), {"--network.egress-address", place_.egress});
   }
+  if (place_.surroundings.metrics) {
+    arguments.insert(arguments.end(), {"--metrics-port", std::to_string(kMetricsPort)});
+  }
+  return arguments;
+}
+
+void InstanceProcess::Become(int output) const {
+  ::dup2(output, STDOUT_FILENO);
+  ::dup2(output, STDERR_FILENO);
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
+  ::setenv(platform::kSettingsPathVariable, SettingsPath().c_str(), 1);
+  if (!place_.published.empty()) {
+    ::setenv(kPublishedAddressVariable, place_.published.c_str(), 1);
+    ::setenv(kBoundAddressVariable, place_.address.c_str(), 1);
+  }
+  LimitSurroundings();
+  std::vector<std::string> arguments = Arguments();
+  std::vector<char*> pointers;
+  pointers.reserve(arguments.size() + 1);
+  for (std::string& argument : arguments) pointers.push_back(argument.data());
+  pointers.push_back(nullptr);
+  ::execv(program_.c_str(), pointers.data());
   ::_exit(kExecFailed);
 }
 
@@ -96,6 +140,19 @@
   return false;
 }
 
+bool InstanceProcess::TakesSignals() {
+  if (takes_signals_ || pid_ == 0) return takes_signals_;
+  const ProcessStatus status = ReadProcessStatus(pid_);
+  // No program starts a thread while it is loaded.
+  takes_signals_ = status.Catches(SIGHUP) || status.Blocks(SIGHUP) || status.threads > 1;
+  return takes_signals_;
+}
+
+std::string InstanceProcess::EndSignal() const {
+  const bool by_signal = WIFSIGNALED(status_) && WTERMSIG(status_) != SIGKILL;
+  return by_signal ? "signal " + std::to_string(WTERMSIG(status_)) : "";
+}
+
 std::string InstanceProcess::LastLogLines(std::size_t count) const {
   std::ifstream log(LogPath());
   std::deque<std::string> lines;
@@ -115,7 +172,9 @@
        << "\nlisten.front=" << listen(kCallerPort) << "\nlisten.ready=" << listen(kReadyPort)
        << "\nlisten.control=" << listen(kControlPort) << "\ninternal_ports=" << kPeerPort << ",7355"
        << "\nbootstrap=true\nseeds=" << place_.seeds << "\nplatform.addr=" << place_.store_address
-       << "\nplatform.ttl_min_ms=" << kLeastLeaseTtl.count() << "\nlimits.max_fds=1000"
+       << "\nplatform.ttl_min_ms=" << kLeastLeaseTtl.count() << "\nlimits.max_fds="
+       << (place_.surroundings.max_descriptors > 0 ? place_.surroundings.max_descriptors
+                                                   : kMaxDescriptors)
        << "\nbounds.revoke_strict=true\nbounds.revoke_ms=" << kRevocationLimit.count()
        << "\nbounds.lease_ms=" << kHolderSeparation.count()
        << "\nbounds.version_ms=" << kWeightsLimit.count() << "\nbounds.retry_ratio=" << kRetryRatio
--- a/soak/instance_process.h
+++ b/soak/instance_process.h
@@ -7,9 +7,17 @@
 #include <filesystem>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace ridgehold::soak {
 
+/// What surrounds an instance's processes.
+struct Surroundings {
+  bool unread_output = false;  ///< standard output and error are a small pipe that nobody reads
+  int max_descriptors = 0;     ///< 0: as many as the soak has
+  bool metrics = false;        ///< served at kMetricsPort
+};
+
 /// Where an instance listens, and where it finds the others.
 struct InstancePlace {
   std::string name;
@@ -18,6 +26,7 @@
   std::string seeds;          ///< ADDRESS:PORT,...
   std::string egress;         ///< address of its own ways to the engines; empty: none
   std::string published;      ///< where its peers find a proxy of it; empty: at `address`
+  Surroundings surroundings;
 };
 
 /// Starts the program and sends it signals; kills it at the end of its life.
@@ -30,6 +39,11 @@
   InstanceProcess& operator=(const InstanceProcess&) = delete;
 
   void Start();
+  /// The next starts find SIGHUP and SIGTERM blocked by their parent, or not.
+  void SetSignalsBlocked(bool blocked) { signals_blocked_ = blocked; }
+  /// Whether the program has had the chance to take or block signals: it does so, or its `main`
+  /// is at work already.
+  bool TakesSignals();
   void Signal(int signal) const;
   /// A signal that carries a value.
   void Queue(int signal, int value) const;
@@ -37,6 +51,8 @@
   bool Running();
   /// How the last process ended, as waitpid tells it.
   int status() const { return status_; }
+  /// The signal that ended the last process; empty if none did, or SIGKILL, which the faults send.
+  std::string EndSignal() const;
   /// Counts the starts of all instances; tells processes apart.
   int serial() const { return serial_; }
   const InstancePlace& place() const { return place_; }
@@ -47,7 +63,10 @@
     return place_.published.empty() ? place_.address : place_.published;
   }
   void WriteSettings() const;
-  [[noreturn]] void Become() const;
+  int OpenOutput();
+  void LimitSurroundings() const;
+  [[noreturn]] void Become(int output) const;
+  std::vector<std::string> Arguments() const;
   std::filesystem::path SettingsPath() const { return folder_ / (place_.name + ".conf"); }
   std::filesystem::path LogPath() const { return folder_ / (place_.name + ".log"); }
 
@@ -57,11 +76,15 @@
   pid_t pid_ = 0;
   int status_ = 0;
   int serial_ = 0;
+  bool signals_blocked_ = false;
+  bool takes_signals_ = false;
+  int unread_output_ = -1;  ///< reading end of the pipe; closed with the next start
 };
 
 inline constexpr int kCallerPort = 8'782;
 inline constexpr int kReadyPort = 8'789;
 inline constexpr int kControlPort = 8'783;
 inline constexpr int kPeerPort = 7'340;
+inline constexpr int kMetricsPort = 9'464;
 
 }  // namespace ridgehold::soak
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -19,12 +19,16 @@
 /// A sequence of its own: what seeds drew before there was poison stays as it was.
 constexpr std::uint64_t kPoisonSeed = 0x706f69736f6e;
 constexpr std::uint64_t kRestingSeed = 0x72657374;
+constexpr std::uint64_t kPipelinedSeed = 0x70697065;
 constexpr std::size_t kLogLines = 8;  // printed of each instance
 /// Time for what still runs when the faults have ended.
 constexpr std::chrono::milliseconds kSettle{4'500};
 constexpr int kTriesAfterHerd = 6;
-constexpr double kServedCalm =
-    0.95;  // least part that is served without faults, or with odd entries only
+/// Least part that is served without faults, or with kinds that must not cost service.
+constexpr double kServedCalm = 0.95;
+constexpr int kPipelinedCallersEach = 3;  // for each instance
+/// Of an instance's processes, where idle connections are to use them up.
+constexpr int kFewDescriptors = 300;
 
 std::string AddressOf(int instance) {
   constexpr int kFirst = 10;
@@ -159,7 +163,8 @@
                               .store_address = instance->store_proxy.address(),
                               .seeds = seeds,
                               .egress = cuts_paths ? EgressOf(i) : "",
-                              .published = cuts_peers ? PublishedOf(i) : ""};
+                              .published = cuts_peers ? PublishedOf(i) : "",
+                              .surroundings = SurroundingsOfAll()};
     if (cuts_peers) peers_.Add(place.published, place.address);
     if (cuts_paths) AddPaths(*instance, place.egress);
     instance->process = std::make_unique<InstanceProcess>(place, options_.program, options_.folder);
@@ -180,9 +185,30 @@
   }
 }
 
+void SoakRun::StartPipelinedCallers() {
+  // What other kinds draw stays as it is.
+  Random random(options_.seed ^ kPipelinedSeed);
+  for (const auto& instance : instances_) {
+    for (int i = 0; i < kPipelinedCallersEach; ++i) {
+      const std::string name = "p" + std::to_string(pipelined_callers_.size());
+      pipelined_callers_.push_back(std::make_shared<PipelinedCaller>(
+          name, *instance->process, ledger_, operator_, random.Fork()));
+      net::co_spawn(io_, pipelined_callers_.back()->Run(), net::detached);
+    }
+  }
+}
+
+Surroundings SoakRun::SurroundingsOfAll() const {
+  const bool floods = faults_.Selected(FaultKind::kIdleFlood);
+  return {.unread_output = faults_.Selected(FaultKind::kUnreadOutput),
+          .max_descriptors = floods ? kFewDescriptors : 0,
+          .metrics = floods};
+}
+
 bool SoakRun::Play() {
   StartInstances();
   StartCallers();
+  if (faults_.Selected(FaultKind::kPipelined)) StartPipelinedCallers();
   net::co_spawn(io_, WatchProcesses(), net::detached);
   net::co_spawn(io_, Script(), [this](const std::exception_ptr& error) {
     io_.stop();
@@ -199,21 +225,25 @@
                 0, static_cast<int>(std::chrono::milliseconds(options_.length).count()) * 3 / 4);
   if (!options_.calm) faults_.Start(io_.get_executor(), faults_end);
   while (!verdict_.first() && (Clock::now() < end || calm_.active())) co_await Sleep(kLook);
-  if (options_.calm && ledger_.served() < ledger_.sent() * kServedCalm) {
-    verdict_.Fail("too few are served", "all", std::to_string(ledger_.served()));
-  }
-  // Entries of others are no reason to refuse a call. Each caller may wait for one answer now.
-  const int at_work = static_cast<int>(callers_.size());
-  if (options_.faults == std::set{FaultKind::kOddEntries} &&
-      ledger_.served() < (ledger_.sent() - at_work) * kServedCalm) {
-    verdict_.Fail("too few are served", "all", std::to_string(ledger_.served()));
-  }
+  JudgeServed();
   path_check_.Judge();
   retry_check_.Judge();
   resumptions_.Judge();
   if (!verdict_.first()) co_await StopAll();
 }
 
+void SoakRun::JudgeServed() {
+  // Each caller may wait for one answer now.
+  const int at_work = options_.calm ? 0 : static_cast<int>(callers_.size());
+  // Entries of others, logs and idle connections are no reason to refuse a call.
+  const std::set<FaultKind> costless = {FaultKind::kOddEntries, FaultKind::kUnreadOutput,
+                                        FaultKind::kIdleFlood};
+  const bool judged = options_.calm || (!options_.faults.empty() &&
+                                        std::ranges::includes(costless, options_.faults));
+  if (!judged || ledger_.served() >= (ledger_.sent() - at_work) * kServedCalm) return;
+  verdict_.Fail("too few are served", "all", std::to_string(ledger_.served()));
+}
+
 net::awaitable<void> SoakRun::StopAll() {
   for (const auto& instance : instances_) {
     net::co_spawn(io_, faults_.Terminate(*instance), net::detached);
@@ -225,6 +255,7 @@
     co_await Sleep(kLook);
   }
   for (const auto& caller : callers_) caller->Stop();
+  for (const auto& caller : pipelined_callers_) caller->Stop();
 }
 
 net::awaitable<void> SoakRun::WatchProcesses() {
@@ -240,6 +271,14 @@
   }
 }
 
+std::string SoakRun::SurroundingText() const {
+  const SurroundingCounts& counts = faults_.counts();
+  return std::to_string(counts.hang_ups) + " hangups (" +
+         std::to_string(counts.starts_with_hang_ups) + " starts with some), " +
+         std::to_string(counts.taken_ports) + " taken ports, " +
+         std::to_string(counts.idle_connections) + " idle connections, ";
+}
+
 std::string SoakRun::Summary() {
   const auto length = std::chrono::duration_cast<std::chrono::seconds>(Clock::now() - started_);
   std::string text =
@@ -256,7 +295,7 @@
       " messages between instances (" + std::to_string(peers_.lost()) + " lost), " +
       std::to_string(needs_.falls()) + " brittle engines fell, weights " +
       std::to_string(operator_.weights()) + " (" + std::to_string(orders_.handovers()) +
-      " handovers), " + std::to_string(length.count()) + " s";
+      " handovers), " + SurroundingText() + std::to_string(length.count()) + " s";
   const auto& violation = verdict_.first();
   if (!violation) return text + ", all promises kept\n";
   text += "\nBROKEN: " + violation->promise + ": " + violation->request + ": " + violation->detail +
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -10,6 +10,7 @@
 
 #include "caller.h"
 #include "fault_script.h"
+#include "pipelined_caller.h"
 
 namespace ridgehold::soak {
 
@@ -46,7 +47,12 @@
   void StartInstances();
   /// Gives an instance ways of its own to the engines.
   void AddPaths(Instance& instance, const std::string& egress);
+  Surroundings SurroundingsOfAll() const;
   void StartCallers();
+  void StartPipelinedCallers();
+  /// Fails if a kind that must not cost service did.
+  void JudgeServed();
+  std::string SurroundingText() const;
   net::awaitable<void> Script();
   net::awaitable<void> StopAll();
   net::awaitable<void> WatchProcesses();
@@ -71,6 +77,7 @@
   std::vector<std::unique_ptr<SoakEngine>> engines_;
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<std::shared_ptr<Caller>> callers_;
+  std::vector<std::shared_ptr<PipelinedCaller>> pipelined_callers_;
   FaultScript faults_;
 };
 
