Fix: a SIGHUP during the exit does not end the process (FAULT)

What callers saw: nothing; the process that had shut down in order ended by signal 1.

Cause: the signals' handlers are removed when the lifecycle returns; from then on, also while the last log lines are written, the default action held.

The signals are blocked again before the handlers go. Test: process_start/hangup_during_the_end_does_not_end_the_process.

--- a/libs/entry/include/entry/process_signals.h
+++ b/libs/entry/include/entry/process_signals.h
@@ -21,6 +21,11 @@
 
   /// Calls `handler` on the executor of `io` for each signal, pending ones included.
   ProcessSignals(net::io_context& io, Handler handler);
+  /// From here on signals stay pending: without a handler they would end a process that is ending
+  /// in order.
+  ~ProcessSignals();
+  ProcessSignals(const ProcessSignals&) = delete;
+  ProcessSignals& operator=(const ProcessSignals&) = delete;
 
  private:
   void Wait();
--- a/libs/entry/src/process_signals.cc
+++ b/libs/entry/src/process_signals.cc
@@ -28,6 +28,8 @@
   ::sigprocmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
+ProcessSignals::~ProcessSignals() { Block(); }
+
 void ProcessSignals::Wait() {
   signals_.async_wait([this](const ErrorCode& error, int signal) {
     if (error) return;
