--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/ids.h"
 #include "base/result.h"
@@ -63,9 +64,10 @@
   bool caller_gone() const { return caller_gone_; }
 
   /// Polls the socket for a disconnect, whose event may still be queued in a busy event loop. A
-  /// client that has ended only its sending side still gets its response: an interim response (100)
-  /// is sent, which a host answers with a reset if the client has closed both sides. Clients of
-  /// HTTP/1.0, which know no interim responses, count as gone.
+  /// client that has ended only its sending side still gets its response: bytes are sent, which a
+  /// host answers with a reset if the client has closed both sides. These are an interim response
+  /// (100), and in a stream a leading zero of the next chunk's size. Clients of HTTP/1.0, which know
+  /// neither, count as gone.
   bool PollCallerGone();
 
   /// Like PollCallerGone(); if the client has ended its sending side, waits long enough for a
@@ -142,7 +144,8 @@
   std::uint64_t limit_generation_ = 0;
   bool watching_ = false;
   std::optional<TimePoint> idle_since_;
-  bool response_begun_ = false;
+  /// What may be sent now to find out whether the client's host still takes bytes; empty: nothing.
+  std::string_view probe_;
   std::optional<TimePoint> sending_ended_at_;  ///< when the client's FIN was noticed
   TimePoint next_probe_at_{};
   int probes_ = 0;  ///< sent for the current request
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds kProbeInterval{300};
 constexpr int kMaxProbes = 4;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+// A chunk's size may have leading zeros.
+constexpr std::string_view kLeadingZero = "0";
 // Old clients send an empty line after a body; more than a few are no request.
 constexpr std::size_t kMaxEmptyLineBytes = 16;
 constexpr std::chrono::milliseconds kLingerTime{2'000};
@@ -100,7 +102,7 @@
   request_->message = parser.release();
   verdict.room.ShrinkTo(request_->message.body().size());
   request_->room = std::move(verdict.room);
-  response_begun_ = false;
+  probe_ = kContinue;
   probes_ = 0;
   next_probe_at_ = TimePoint();
   // Trailer fields must not be merged into the request's header fields.
@@ -270,19 +272,20 @@
 
 void CallerConnection::ProbeCaller() {
   const TimePoint now = Clock::now();
-  // Once the response has begun, its own bytes are the probe.
-  if (response_begun_ || probes_ >= kMaxProbes || now < next_probe_at_) return;
+  if (probe_.empty() || probes_ >= kMaxProbes || now < next_probe_at_) return;
   next_probe_at_ = now + kProbeInterval * (1 << probes_);
   ++probes_;
-  const auto sent = ::send(socket_.native_handle(), kContinue.data(), kContinue.size(),
+  const auto sent = ::send(socket_.native_handle(), probe_.data(), probe_.size(),
                            MSG_DONTWAIT | MSG_NOSIGNAL);
-  if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) caller_gone_ = true;
+  const bool none = sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  // Nothing can follow a part of a probe.
+  if (!none && sent != static_cast<ssize_t>(probe_.size())) caller_gone_ = true;
 }
 
 net::awaitable<bool> CallerConnection::ConfirmCallerGone() {
   auto self = shared_from_this();
   Timer timer(socket_.get_executor());
-  while (!PollCallerGone() && sending_ended_at_ && !response_begun_) {
+  while (!PollCallerGone() && sending_ended_at_ && !probe_.empty()) {
     const TimePoint decided = *sending_ended_at_ + kProbeReplyTime;
     if (Clock::now() >= decided) break;
     co_await WaitUntil(timer, std::min(decided, Clock::now() + kHalfClosedPollInterval / 5));
@@ -322,7 +325,7 @@
   close_after_ = close_after_ || close_after;
   answer.version(kHttp11);
   answer.keep_alive(!close_after_);
-  response_begun_ = true;
+  probe_ = {};
   if (head_.method() == http::verb::head) answer.body().clear();
   ErrorCode error;
   http::response_serializer<http::string_body> serializer(answer);
@@ -334,7 +337,7 @@
 net::awaitable<bool> CallerConnection::BeginStream(ResponseHead head, bool close_after) {
   auto self = shared_from_this();
   close_after_ = close_after_ || close_after;
-  response_begun_ = true;
+  probe_ = {};
   http::response<http::empty_body> answer(std::move(head));
   answer.version(kHttp11);
   answer.keep_alive(!close_after_);
@@ -345,22 +348,26 @@
   co_await http::async_write_header(socket_, serializer,
                                     net::redirect_error(net::use_awaitable, error));
   if (error) caller_gone_ = true;
+  probe_ = kLeadingZero;
   co_return !error;
 }
 
 net::awaitable<bool> CallerConnection::WriteChunk(std::string bytes) {
   auto self = shared_from_this();
   ErrorCode error;
+  probe_ = {};
   co_await net::async_write(socket_,
                             http::make_chunk(net::const_buffer(bytes.data(), bytes.size())),
                             net::redirect_error(net::use_awaitable, error));
   if (error) caller_gone_ = true;
+  probe_ = kLeadingZero;
   co_return !error;
 }
 
 net::awaitable<bool> CallerConnection::EndStream() {
   auto self = shared_from_this();
   StopWatching();
+  probe_ = {};
   ErrorCode error;
   co_await net::async_write(socket_, http::make_chunk_last(),
                             net::redirect_error(net::use_awaitable, error));
