--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -648,8 +648,10 @@
           [this] { rollout_lease_released_ = true; });
     co_await membership_.Release();
     co_await quota_.Release();
+    // What begins at the end of the lame-duck time needs time, too.
+    const auto lame_duck = std::min(tuning_.lame_duck, settings_.shutdown_timeout / 3);
     co_await WaitFor(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
-                                started + tuning_.lame_duck - Clock::now()));
+                                started + lame_duck - Clock::now()));
     server_.Stop();
     state_.RejectNewRequests();
     while (Clock::now() < deadline) {
