--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -66,8 +66,8 @@
   /// Polls the socket for a disconnect, whose event may still be queued in a busy event loop. A
   /// client that has ended only its sending side still gets its response: bytes are sent, which a
   /// host answers with a reset if the client has closed both sides. These are an interim response
-  /// (100), and in a stream a leading zero of the next chunk's size. Clients of HTTP/1.0, which know
-  /// neither, count as gone.
+  /// (100), and in a stream a leading zero of the next chunk's size. Clients of HTTP/1.0, which
+  /// know neither, count as gone.
   bool PollCallerGone();
 
   /// Like PollCallerGone(); if the client has ended its sending side, waits long enough for a
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -100,7 +100,7 @@
   /// The attempt that this one resumes, see InboundRequest; empty: a new stream.
   RequestId resumes;
   std::optional<OriginFinding> origin;  ///< the release of a resumed stream
-  bool half_closed = false;  ///< the caller had ended its sending side
+  bool half_closed = false;             ///< the caller had ended its sending side
   std::string fetched_from;
   std::optional<OlderWeightsUse> older_weights;
   std::optional<NoticeRecord> backend_notice;  ///< none if no notice is known here
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -275,8 +275,8 @@
   if (probe_.empty() || probes_ >= kMaxProbes || now < next_probe_at_) return;
   next_probe_at_ = now + kProbeInterval * (1 << probes_);
   ++probes_;
-  const auto sent = ::send(socket_.native_handle(), probe_.data(), probe_.size(),
-                           MSG_DONTWAIT | MSG_NOSIGNAL);
+  const auto sent =
+      ::send(socket_.native_handle(), probe_.data(), probe_.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
   const bool none = sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   // Nothing can follow a part of a probe.
   if (!none && sent != static_cast<ssize_t>(probe_.size())) caller_gone_ = true;
