--- a/libs/incarnation/include/incarnation/process_continuity.h
+++ b/libs/incarnation/include/incarnation/process_continuity.h
@@ -47,7 +47,7 @@
     TimePoint alive_at;  ///< connections opened until then belong to the process that has ended
     TimePoint seen_at;
     std::optional<TimePoint> contact;  ///< first connection to the next process
-    bool settled = false;  ///< the next process has registered, or none has taken its place
+    bool settled = false;              ///< the next process has registered
   };
 
   std::optional<End> end_;
--- a/libs/incarnation/src/process_continuity.cc
+++ b/libs/incarnation/src/process_continuity.cc
@@ -20,7 +20,8 @@
 
 void ProcessContinuity::RecordAnswer(TimePoint opened, TimePoint sent) {
   if (!end_ || sent <= end_->seen_at) return;
-  if (opened <= end_->alive_at) end_->settled = true;
+  // The evidence was wrong; what comes next is judged by itself.
+  if (opened <= end_->alive_at) return end_.reset();
   end_->contact = std::min(end_->contact.value_or(opened), opened);
 }
 
--- a/libs/incarnation/test/process_continuity-test.cc
+++ b/libs/incarnation/test/process_continuity-test.cc
@@ -87,6 +87,16 @@
   BOOST_TEST(process.IsRegistered(At(1'200ms)));
 }
 
+// Guards against an end that is not noticed because earlier evidence was wrong.
+BOOST_AUTO_TEST_CASE(end_after_wrong_evidence_is_noticed) {
+  ProcessContinuity process = Ended();
+  process.RecordAnswer(At(500ms), At(2'000ms));
+  BOOST_TEST(process.IsRegistered(At(2'100ms)));
+  process.RecordEnd(At(500ms), At(3'000ms), At(3'100ms));
+  BOOST_TEST(!process.IsRegistered(At(3'050ms)));
+  BOOST_TEST(!process.IsRegistered(At(3'200ms), At(3'050ms)));
+}
+
 // Guards against doubt that lasts as long as no new connection is needed.
 BOOST_AUTO_TEST_CASE(response_counts_as_contact_since_its_connection_was_opened) {
   ProcessContinuity process = Ended();
