Fix: patience for settings counts from the first bad read; a relay search that throws ends

After 3 s of waiting for a port, one read of a half-written settings file ended the process (FAULT). An exception in the search of a relay left an instance waiting for a copy of the store for good.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -460,7 +460,9 @@
     co_return size;
   }
 
-  void SearchRelay() { Spawn(executor_, "relay search", discovery_.Search()); }
+  void SearchRelay() {
+    Spawn(executor_, "relay search", discovery_.Search(), [this] { discovery_.GiveUp(); });
+  }
 
   /// Returns this instance's place in the tree of relays if the members at these addresses are left
   /// out.
--- a/libs/entry/include/entry/entry_lifecycle.h
+++ b/libs/entry/include/entry/entry_lifecycle.h
@@ -70,15 +70,19 @@
 
   /// Tries to start until that succeeds, cannot succeed, or the process is told to end.
   net::awaitable<void> Start() {
-    const TimePoint began = Clock::now();
+    std::optional<TimePoint> invalid_since;
     std::optional<TimePoint> logged_at;
     while (!stopping_) {
       failure_ = TryStart();
       if (!failure_) co_return OnStarted();
       const TimePoint now = Clock::now();
-      const bool may_pass =
-          failure_->code == ResultCode::kAddressUnavailable || now - began < kSettingsPatience;
-      if (!may_pass) break;
+      if (failure_->code == ResultCode::kAddressUnavailable) {
+        invalid_since.reset();
+      } else if (now - invalid_since.value_or(now) >= kSettingsPatience) {
+        break;
+      } else {
+        invalid_since = invalid_since.value_or(now);
+      }
       if (!logged_at || now - *logged_at >= kStartLogInterval) {
         logged_at = now;
         Log(LogLevel::kWarn, "waiting to start", {{"detail", failure_->detail}});
--- a/libs/entry/include/entry/peer_discovery.h
+++ b/libs/entry/include/entry/peer_discovery.h
@@ -80,6 +80,9 @@
     LogResult();
   }
 
+  /// Ends a search that cannot go on.
+  void GiveUp() { finished_ = true; }
+
   /// Whether to wait for a peer's copy instead of listing a large store. Search() must have been
   /// spawned.
   bool AwaitsCopy(TimePoint now) {
