Fix: HEAD of a stream, a stream broken off after a probe, a second failure of a request

A request that failed unexpectedly after its response had been sent got a second one, and if that failed, stayed counted as in progress. After an unreadable head, the refusal was framed for the request before.

--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -146,6 +146,7 @@
   std::optional<TimePoint> idle_since_;
   /// What may be sent now to find out whether the client's host still takes bytes; empty: nothing.
   std::string_view probe_;
+  bool chunk_begun_ = false;                   ///< a leading zero has been sent and no chunk since
   std::optional<TimePoint> sending_ended_at_;  ///< when the client's FIN was noticed
   TimePoint next_probe_at_{};
   int probes_ = 0;  ///< sent for the current request
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -53,7 +53,13 @@
     } catch (...) {
       error = std::current_exception();
     }
-    if (error) co_await FailUnexpectedly(error);
+    if (error) {
+      try {
+        co_await FailUnexpectedly(error);
+      } catch (...) {
+        caller_->Abort();
+      }
+    }
     state_.OnRequestFinished();
     record_.half_closed = caller_->half_closed();
     RecordPunctuality();
@@ -141,7 +147,7 @@
     if (attempt_.connection) attempt_.connection->Cancel();
     load_.reset();
     last_code_ = ResultCode::kInternal;
-    co_await Finish(response_started_ ? NextStep::kAbortStream : NextStep::kFail);
+    co_await Finish(response_started_ || response_sent_ ? NextStep::kAbortStream : NextStep::kFail);
   }
 
   /// Determines the release at which a resumed stream goes on. Returns false if it is not known.
@@ -477,7 +483,8 @@
       unanswered_ticket_.reset();
     }
     const bool streams = plan_.route->kind == RouteKind::kStream && attempt_.head.event_stream &&
-                         IsSuccess(attempt_.head.status);
+                         IsSuccess(attempt_.head.status) &&
+                         caller_->head().method() != http::verb::head;
     if (streams) co_return co_await RelayStream();
     ReserveBody();
     const auto may_hold = [this](std::size_t bytes) { return MayBuffer(bytes); };
@@ -766,6 +773,7 @@
     } else if (!attempt_.stated_length.empty() && response.result() != http::status::no_content) {
       response.set(http::field::content_length, attempt_.stated_length);
     }
+    response_sent_ = true;
     co_await caller_->Send(std::move(response), EndsConnection());
   }
 
@@ -782,6 +790,7 @@
     ResponseMessage response = MakeErrorResponse(failure, inbound_.id, retry_after);
     record_.status = static_cast<int>(response.result_int());
     record_.detail = failure.detail;
+    response_sent_ = true;
     co_await caller_->Send(std::move(response), EndsConnection());
   }
 
@@ -811,7 +820,8 @@
   std::set<BackendId> tried_;
   ResultCode last_code_ = ResultCode::kNoBackend;
   RequestRecord record_;
-  bool response_started_ = false;
+  bool response_started_ = false;  ///< of a stream
+  bool response_sent_ = false;     ///< of anything else
   bool is_trial_ = false;  ///< the next attempt is permitted although the request is quarantined
   BackendSearch search_;
 };
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -150,6 +150,7 @@
 
 net::awaitable<ErrorCode> CallerConnection::ReadHead(Parser& parser, CallerLimits limits) {
   ErrorCode error;
+  head_ = {};
   ArmLimit(limits.header_timeout);
   co_await http::async_read_header(socket_, buffer_, parser,
                                    net::redirect_error(net::use_awaitable, error));
@@ -280,6 +281,7 @@
   const bool none = sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   // Nothing can follow a part of a probe.
   if (!none && sent != static_cast<ssize_t>(probe_.size())) caller_gone_ = true;
+  if (sent > 0 && probe_ == kLeadingZero) chunk_begun_ = true;
 }
 
 net::awaitable<bool> CallerConnection::ConfirmCallerGone() {
@@ -356,6 +358,7 @@
   auto self = shared_from_this();
   ErrorCode error;
   probe_ = {};
+  chunk_begun_ = false;
   co_await net::async_write(socket_,
                             http::make_chunk(net::const_buffer(bytes.data(), bytes.size())),
                             net::redirect_error(net::use_awaitable, error));
@@ -368,6 +371,7 @@
   auto self = shared_from_this();
   StopWatching();
   probe_ = {};
+  chunk_begun_ = false;
   ErrorCode error;
   co_await net::async_write(socket_, http::make_chunk_last(),
                             net::redirect_error(net::use_awaitable, error));
@@ -377,6 +381,12 @@
 
 void CallerConnection::Abort() {
   StopWatching();
+  // Some clients take a lone zero at the end of the connection for the last chunk.
+  constexpr std::string_view kChunkOfOne = "1\r\n";
+  if (std::exchange(chunk_begun_, false)) {
+    ::send(socket_.native_handle(), kChunkOfOne.data(), kChunkOfOne.size(),
+           MSG_DONTWAIT | MSG_NOSIGNAL);
+  }
   Close();
 }
 
