--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -23,8 +23,8 @@
 constexpr std::chrono::milliseconds kHalfClosedPollInterval{25};
 // Round trip within which a host answers a probe with a reset.
 constexpr std::chrono::milliseconds kProbeReplyTime{50};
-// The interval doubles with each probe. Some clients fail after five interim responses.
-constexpr std::chrono::milliseconds kProbeInterval{300};
+// The interval grows fourfold with each probe. Some clients fail after five interim responses.
+constexpr std::chrono::milliseconds kProbeInterval{75};
 constexpr int kMaxProbes = 4;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 // A chunk's size may have leading zeros.
@@ -52,6 +52,13 @@
   return field != head.end() && boost::beast::iequals(field->value(), "100-continue");
 }
 
+/// Whether the peer has reset the connection. Unread bytes hide a reset.
+bool PeerHasReset(int descriptor) {
+  char byte = 0;
+  const auto read = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return read < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
 /// The events among POLLRDHUP (the peer has ended its sending side, even if unread bytes precede
 /// that), POLLERR and POLLHUP (the connection was reset, or both sides have ended).
 int CloseEvents(int descriptor) {
@@ -262,7 +269,8 @@
   if (caller_gone_) return true;
   const int events = CloseEvents(socket_.native_handle());
   const bool knows_interim = head_.version() >= kHttp11;
-  if ((events & (POLLERR | POLLHUP | POLLNVAL)) != 0 || (events != 0 && !knows_interim)) {
+  const bool ended = (events & (POLLERR | POLLHUP | POLLNVAL)) != 0;
+  if (ended || (events != 0 && (!knows_interim || PeerHasReset(socket_.native_handle())))) {
     caller_gone_ = true;
   } else if (events != 0) {
     if (!sending_ended_at_) sending_ended_at_ = Clock::now();
@@ -274,7 +282,7 @@
 void CallerConnection::ProbeCaller() {
   const TimePoint now = Clock::now();
   if (probe_.empty() || probes_ >= kMaxProbes || now < next_probe_at_) return;
-  next_probe_at_ = now + kProbeInterval * (1 << probes_);
+  next_probe_at_ = now + kProbeInterval * (1 << 2 * probes_);
   ++probes_;
   const auto sent =
       ::send(socket_.native_handle(), probe_.data(), probe_.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
