--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -384,7 +384,10 @@
     if (direct) use.emplace(attempt_.backend);
     AttemptOutcome outcome = co_await ReadResponse();
     use.reset();
-    if (outcome == AttemptOutcome::kInterrupted) attempt_.connection->Cancel();
+    // A regular close would leave the server at work until it writes next.
+    const bool abandoned =
+        outcome == AttemptOutcome::kCallerGone && plan_.route->kind != RouteKind::kUnsafe;
+    if (abandoned || outcome == AttemptOutcome::kInterrupted) attempt_.connection->Cancel();
     if (direct && attempt_.broken) {
       state_.RecordBrokenExchange(attempt_.backend, attempt_.opened,
                                   attempt_.begun.value_or(attempt_.alive_at));
