Fix: a server that breaks a stream off is not taken for a new process (LOST)

Take-ups were refused for 1.5 s after a server had broken a stream off and had no other connection open here: stream_release/client_resumes_at_the_version_that_began_the_stream, 3 of 20 resumed (20 are required, and were before).

A broken exchange tells of the request as often as of the process, so it is no evidence any more. Refused connections and idle ones that are closed early are; a process that is killed closes its idle connections, too.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -82,8 +82,6 @@
     BackendPtr backend;
     TimePoint sent{};
     TimePoint opened{};              ///< the connection
-    TimePoint alive_at{};            ///< when the server's process was last known to live, before
-    bool broken = false;             ///< by the server, or on the way
     RegistrationNumber last_update;  ///< of the registrations, when it was sent
     /// Of the process that was last known to answer there.
     StartStamp answering_start;
@@ -366,7 +364,6 @@
     WatchStart();
     attempt_.sent = now;
     attempt_.opened = attempt_.connection->opened_at();
-    attempt_.alive_at = std::max(attempt_.opened, attempt_.connection->idle_since());
     attempt_.last_update = state_.directory().last_update();
     attempt_.answering_start = attempt_.backend->answering_start != StartStamp()
                                    ? attempt_.backend->answering_start
@@ -388,10 +385,6 @@
     const bool abandoned =
         outcome == AttemptOutcome::kCallerGone && plan_.route->kind != RouteKind::kUnsafe;
     if (abandoned || outcome == AttemptOutcome::kInterrupted) attempt_.connection->Cancel();
-    if (direct && attempt_.broken) {
-      state_.RecordBrokenExchange(attempt_.backend, attempt_.opened,
-                                  attempt_.begun.value_or(attempt_.alive_at));
-    }
     queued_ticket_.reset();
     unanswered_ticket_.reset();
     poison_ticket_.reset();
@@ -654,7 +647,6 @@
   }
 
   AttemptOutcome OutcomeOf(ExchangeFault fault) {
-    attempt_.broken = fault == ExchangeFault::kBroken;
     switch (fault) {
       case ExchangeFault::kNotSent:
         last_code_ = ResultCode::kBackendUnreachable;
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -317,18 +317,6 @@
   directory_.RecordProcessEnd(backend, now, now, now);
 }
 
-void GatewayState::RecordBrokenExchange(const BackendPtr& backend, TimePoint opened,
-                                        TimePoint alive_at) {
-  ConnectionEnd end;
-  end.amid_exchange = true;
-  // A server also resets new connections beyond its limit. Of the connections in use, some may not
-  // have been seen to end yet.
-  const bool nothing_came = alive_at == opened;
-  end.others_open =
-      nothing_came ? HasOpenConnection(*backend) : pool_.HasOpenConnection(backend->entry.address);
-  if (ShowsProcessEnd(end)) directory_.RecordProcessEnd(backend, opened, alive_at, Clock::now());
-}
-
 void GatewayState::RecordClosed(const std::string& address, const ClosedConnection& closed) {
   for (const BackendPtr& backend : directory_.AtAddress(address)) {
     ConnectionEnd end;
