--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -19,6 +19,7 @@
 #include "gateway/gateway_gossip.h"
 #include "gateway/inbound_request.h"
 #include "gateway/pushback_state.h"
+#include "incarnation/connection_ends.h"
 #include "incarnation/process_continuity.h"
 #include "incarnation/process_statement.h"
 #include "performance/engine_performance.h"
@@ -69,6 +70,7 @@
   /// Start of the process that last told it on a connection to the address; 0: none has.
   StartStamp answering_start;
   ProcessContinuity continuity;          ///< of a server that does not tell its start
+  ConnectionEnds connection_ends;        ///< of direct ones of this gateway
   std::uint32_t connections_in_use = 0;  ///< direct ones of this gateway, see ConnectionUse
   bool superseded = false;               ///< another incarnation at its address has replaced it
   bool shares_address = false;           ///< others are registered at its address
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -82,6 +82,8 @@
     BackendPtr backend;
     TimePoint sent{};
     TimePoint opened{};              ///< the connection
+    TimePoint alive_at{};            ///< when the server last showed life on it, before
+    bool broken = false;             ///< by the server, or on the way
     RegistrationNumber last_update;  ///< of the registrations, when it was sent
     /// Of the process that was last known to answer there.
     StartStamp answering_start;
@@ -364,6 +366,7 @@
     WatchStart();
     attempt_.sent = now;
     attempt_.opened = attempt_.connection->opened_at();
+    attempt_.alive_at = std::max(attempt_.opened, attempt_.connection->idle_since());
     attempt_.last_update = state_.directory().last_update();
     attempt_.answering_start = attempt_.backend->answering_start != StartStamp()
                                    ? attempt_.backend->answering_start
@@ -381,6 +384,10 @@
     if (direct) use.emplace(attempt_.backend);
     AttemptOutcome outcome = co_await ReadResponse();
     use.reset();
+    if (direct && attempt_.broken) {
+      state_.RecordBrokenExchange(attempt_.backend, attempt_.opened,
+                                  attempt_.begun.value_or(attempt_.alive_at));
+    }
     // A regular close would leave the server at work until it writes next.
     const bool abandoned =
         outcome == AttemptOutcome::kCallerGone && plan_.route->kind != RouteKind::kUnsafe;
@@ -647,6 +654,7 @@
   }
 
   AttemptOutcome OutcomeOf(ExchangeFault fault) {
+    attempt_.broken = fault == ExchangeFault::kBroken;
     switch (fault) {
       case ExchangeFault::kNotSent:
         last_code_ = ResultCode::kBackendUnreachable;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -372,6 +372,9 @@
   void RecordLoss(const BackendPtr& backend);
   /// Records that the backend server has refused a connection.
   void RecordRefusal(const BackendPtr& backend);
+  /// Records that the backend server has broken off an exchange on a direct connection that was
+  /// opened at `opened`; the server last showed life on it at `alive_at`.
+  void RecordBrokenExchange(const BackendPtr& backend, TimePoint opened, TimePoint alive_at);
   /// Whether this gateway has probably lost its paths to all backend servers.
   bool IsIsolated(TimePoint now) const { return contacts_.IsIsolated(now); }
   /// Whether other backend servers should be probed to find out, see ContactMonitor.
@@ -427,6 +430,7 @@
  private:
   /// Records that the server at the address has closed an idle connection.
   void RecordClosed(const std::string& address, const ClosedConnection& closed);
+  void RecordConnectionEnd(const BackendPtr& backend, const ConnectionEnd& end);
   /// KV cache capacity of the service's engines in tokens; 0: unknown.
   std::uint64_t CacheTokensOf(const ServiceId& service) const;
   void NoteTransfers(const PlacementUpdate& placed, TimePoint now);
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -317,17 +317,35 @@
   directory_.RecordProcessEnd(backend, now, now, now);
 }
 
+void GatewayState::RecordBrokenExchange(const BackendPtr& backend, TimePoint opened,
+                                        TimePoint alive_at) {
+  ConnectionEnd end;
+  end.opened = opened;
+  end.alive_at = alive_at;
+  end.amid_exchange = true;
+  end.others_open =
+      backend->connections_in_use > 0 || pool_.HasOpenConnection(backend->entry.address);
+  RecordConnectionEnd(backend, end);
+}
+
 void GatewayState::RecordClosed(const std::string& address, const ClosedConnection& closed) {
   for (const BackendPtr& backend : directory_.AtAddress(address)) {
     ConnectionEnd end;
+    end.opened = closed.opened_at;
+    end.alive_at = closed.idle_since;
     end.idle = std::chrono::duration_cast<Duration>(closed.closed_at - closed.idle_since);
     end.idle_timeout = closed.keep_alive;
     end.others_open = closed.others_open || backend->connections_in_use > 0;
-    if (!ShowsProcessEnd(end)) continue;
-    directory_.RecordProcessEnd(backend, closed.opened_at, closed.idle_since, Clock::now());
+    RecordConnectionEnd(backend, end);
   }
 }
 
+void GatewayState::RecordConnectionEnd(const BackendPtr& backend, const ConnectionEnd& end) {
+  const TimePoint now = Clock::now();
+  const auto process = backend->connection_ends.Record(end, now);
+  if (process) directory_.RecordProcessEnd(backend, process->opened, process->alive_at, now);
+}
+
 net::awaitable<PeerPath> GatewayState::OpenPeerPath(BackendPtr backend, TimePoint deadline) {
   PeerPath path;
   if (!open_peer_path_) co_return path;
--- a/libs/incarnation/include/incarnation/process_continuity.h
+++ b/libs/incarnation/include/incarnation/process_continuity.h
@@ -24,6 +24,10 @@
   /// life at `alive_at`; seen at `now`.
   void RecordEnd(TimePoint opened, TimePoint alive_at, TimePoint now);
 
+  /// Records evidence of another gateway that the process has ended, which last showed life at
+  /// `alive_at`; received at `now`.
+  void RecordReportedEnd(TimePoint alive_at, TimePoint now);
+
   /// Records that a connection was opened.
   void RecordContact(TimePoint opened);
 
@@ -42,7 +46,13 @@
   /// Whether the connection opened at `opened` leads to the registered process.
   bool IsRegistered(TimePoint opened, TimePoint confirmed_at) const;
 
+  /// When the process that has ended last showed life, as long as its next is in doubt.
+  std::optional<TimePoint> PendingEnd(TimePoint confirmed_at) const;
+
  private:
+  /// Within which several gateways see the same end, and tell of it.
+  static constexpr std::chrono::milliseconds kMaxReportDelay{500};
+
   struct End {
     TimePoint alive_at;  ///< connections opened until then belong to the process that has ended
     TimePoint seen_at;
--- a/libs/incarnation/src/process_continuity.cc
+++ b/libs/incarnation/src/process_continuity.cc
@@ -14,6 +14,11 @@
   end_ = end;
 }
 
+void ProcessContinuity::RecordReportedEnd(TimePoint alive_at, TimePoint now) {
+  const bool known = end_ && alive_at <= end_->seen_at + kMaxReportDelay;
+  if (!known) RecordEnd(alive_at, alive_at, now);
+}
+
 void ProcessContinuity::RecordContact(TimePoint opened) {
   if (end_ && !end_->contact && opened >= end_->seen_at) end_->contact = opened;
 }
@@ -39,4 +44,9 @@
   return confirmed_at >= opened + kRegistrationTime;
 }
 
+std::optional<TimePoint> ProcessContinuity::PendingEnd(TimePoint confirmed_at) const {
+  if (IsRegistered(confirmed_at)) return std::nullopt;
+  return end_->alive_at;
+}
+
 }  // namespace ridgehold
