--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -252,10 +252,15 @@
 
   /// Records the evidence of a connection, opened at `opened`, that the process which showed life
   /// at `alive_at` has ended, see ProcessContinuity. Has the next process probed, and others
-  /// preferred until its registration can have come.
-  void RecordProcessEnd(const BackendPtr& backend, TimePoint opened, TimePoint alive_at,
+  /// preferred until its registration can have come. Returns false if the end is known, or does not
+  /// matter since the server tells its start.
+  bool RecordProcessEnd(const BackendPtr& backend, TimePoint opened, TimePoint alive_at,
                         TimePoint now);
 
+  /// Records that another gateway has seen the end of the process which last showed life at
+  /// `alive_at`.
+  void RecordReportedEnd(const BackendPtr& backend, TimePoint alive_at, TimePoint now);
+
   /// Records that a probe reached the backend server.
   static void RecordReachable(Backend& backend);
 
--- a/libs/gateway/include/gateway/gateway_gossip.h
+++ b/libs/gateway/include/gateway/gateway_gossip.h
@@ -60,6 +60,12 @@
   WeightsNumber number;
 };
 
+/// The process at the backend server's address has ended and last showed life `age` ago.
+struct ProcessEndUpdate {
+  BackendHash backend = 0;
+  std::chrono::milliseconds age{0};
+};
+
 /// The operator announced these weights at least `age` ago.
 struct AnnouncementUpdate {
   ModelId model;
@@ -73,11 +79,13 @@
   std::vector<HoldUpdate> holds;
   std::vector<WeightsUpdate> weights;
   std::vector<BackendHash> unreachable;  ///< cannot be reached by the sender; receivers probe them
+  std::vector<ProcessEndUpdate> ended;   ///< seen by the sender itself
   /// Sent with a message that is due anyway, so not counted by empty().
   std::vector<PerformanceUpdate> performance;
 
   bool empty() const {
-    return placed.empty() && holds.empty() && weights.empty() && unreachable.empty();
+    return placed.empty() && holds.empty() && weights.empty() && unreachable.empty() &&
+           ended.empty();
   }
 };
 
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -431,6 +431,9 @@
   /// Records that the server at the address has closed an idle connection.
   void RecordClosed(const std::string& address, const ClosedConnection& closed);
   void RecordConnectionEnd(const BackendPtr& backend, const ConnectionEnd& end);
+  /// Records the end of the server's process, and tells peers of it.
+  void RecordProcessEnd(const BackendPtr& backend, const ConnectionEnds::ProcessEnd& end,
+                        TimePoint now);
   /// KV cache capacity of the service's engines in tokens; 0: unknown.
   std::uint64_t CacheTokensOf(const ServiceId& service) const;
   void NoteTransfers(const PlacementUpdate& placed, TimePoint now);
--- a/libs/gateway/include/gateway/load_report.h
+++ b/libs/gateway/include/gateway/load_report.h
@@ -46,6 +46,8 @@
   Duration link_wait{0};                  ///< time until its link is free
   bool reachable = true;                  ///< as seen by the reporting gateway
   PerformanceReport performance{};
+  /// Since the process that has ended at its address last showed life, while the next is not known.
+  std::optional<std::chrono::milliseconds> ended;
 };
 
 /// The state of a KV cache store.
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -376,12 +376,20 @@
   backend.avoid_until = std::max<TimePoint>(backend.avoid_until, now + kRegistrationDelay);
 }
 
-void BackendDirectory::RecordProcessEnd(const BackendPtr& backend, TimePoint opened,
+bool BackendDirectory::RecordProcessEnd(const BackendPtr& backend, TimePoint opened,
                                         TimePoint alive_at, TimePoint now) {
-  if (backend->entry.started != StartStamp()) return;
-  backend->continuity.RecordEnd(opened, alive_at, now);
+  if (backend->entry.started != StartStamp()) return false;
+  const bool is_news = backend->continuity.RecordEnd(opened, alive_at, now);
   backend->avoid_until = std::max<TimePoint>(backend->avoid_until, now + kRegistrationDelay);
   RequestProbe(backend);
+  return is_news;
+}
+
+void BackendDirectory::RecordReportedEnd(const BackendPtr& backend, TimePoint alive_at,
+                                         TimePoint now) {
+  if (backend->entry.started != StartStamp()) return;
+  // The first contact with the next process tells when its registration is due.
+  if (backend->continuity.RecordReportedEnd(alive_at, now)) RequestProbe(backend);
 }
 
 void BackendDirectory::RecordReachable(Backend& backend) {
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -91,6 +91,7 @@
   std::swap(taken.holds, pending_updates_.holds);
   std::swap(taken.weights, pending_updates_.weights);
   std::swap(taken.unreachable, pending_updates_.unreachable);
+  std::swap(taken.ended, pending_updates_.ended);
   taken.performance = pending_performance_.Take();
   const auto end =
       pending_updates_.placed.begin() +
@@ -243,6 +244,7 @@
   backend->hold_until = now + report.hold;
   backend->reported_performance.Update(report.performance, now);
   if (!report.reachable) directory_.RequestProbe(backend);
+  if (report.ended) directory_.RecordReportedEnd(backend, now - *report.ended, now);
   if (report.weights != WeightsNumber()) {
     BackendDirectory::RecordWeights(*backend, question.model, report.weights);
   }
@@ -267,6 +269,9 @@
   report.link_wait = links_.QueueDelay(LinkOf(backend.entry.address), now);
   report.reachable = backend.reachable;
   report.performance = backend.performance.Report();
+  if (const auto alive_at = backend.continuity.PendingEnd(confirmed_at())) {
+    report.ended = std::chrono::duration_cast<std::chrono::milliseconds>(now - *alive_at);
+  }
   return report;
 }
 
@@ -314,7 +319,7 @@
   // A partition may refuse new connections only. Of the connections in use, some may not have been
   // seen to end yet.
   if (IsIsolated(now) || pool_.HasOpenConnection(backend->entry.address)) return;
-  directory_.RecordProcessEnd(backend, now, now, now);
+  RecordProcessEnd(backend, {now, now}, now);
 }
 
 void GatewayState::RecordBrokenExchange(const BackendPtr& backend, TimePoint opened,
@@ -343,7 +348,15 @@
 void GatewayState::RecordConnectionEnd(const BackendPtr& backend, const ConnectionEnd& end) {
   const TimePoint now = Clock::now();
   const auto process = backend->connection_ends.Record(end, now);
-  if (process) directory_.RecordProcessEnd(backend, process->opened, process->alive_at, now);
+  if (process) RecordProcessEnd(backend, *process, now);
+}
+
+void GatewayState::RecordProcessEnd(const BackendPtr& backend,
+                                    const ConnectionEnds::ProcessEnd& end, TimePoint now) {
+  if (!directory_.RecordProcessEnd(backend, end.opened, end.alive_at, now)) return;
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - end.alive_at);
+  pending_updates_.ended.push_back({HashOf(*backend), age});
+  NotifyLoadChanged();
 }
 
 net::awaitable<PeerPath> GatewayState::OpenPeerPath(BackendPtr backend, TimePoint deadline) {
--- a/libs/incarnation/include/incarnation/process_continuity.h
+++ b/libs/incarnation/include/incarnation/process_continuity.h
@@ -21,12 +21,12 @@
   static constexpr std::chrono::milliseconds kRegistrationTime{1'500};
 
   /// Records the evidence of a connection, opened at `opened`, on which the process last showed
-  /// life at `alive_at`; seen at `now`.
-  void RecordEnd(TimePoint opened, TimePoint alive_at, TimePoint now);
+  /// life at `alive_at`; seen at `now`. Returns false if that end is known.
+  bool RecordEnd(TimePoint opened, TimePoint alive_at, TimePoint now);
 
   /// Records evidence of another gateway that the process has ended, which last showed life at
-  /// `alive_at`; received at `now`.
-  void RecordReportedEnd(TimePoint alive_at, TimePoint now);
+  /// `alive_at`; received at `now`. Returns false if that end is known.
+  bool RecordReportedEnd(TimePoint alive_at, TimePoint now);
 
   /// Records that a connection was opened.
   void RecordContact(TimePoint opened);
--- a/libs/incarnation/src/process_continuity.cc
+++ b/libs/incarnation/src/process_continuity.cc
@@ -4,19 +4,22 @@
 
 namespace ridgehold {
 
-void ProcessContinuity::RecordEnd(TimePoint opened, TimePoint alive_at, TimePoint now) {
+bool ProcessContinuity::RecordEnd(TimePoint opened, TimePoint alive_at, TimePoint now) {
   const bool known = end_ && opened <= end_->alive_at;
   // The connections of a process end together, but not all are seen at once.
-  if (known) return;
+  if (known) return false;
   const bool pending = end_ && !end_->settled;
+  // Connections are refused for as long as no process listens.
+  const bool same_downtime = pending && !end_->contact;
   End end{alive_at, now, std::nullopt, false};
   if (pending) end.alive_at = std::min(end.alive_at, end_->alive_at);
   end_ = end;
+  return !same_downtime;
 }
 
-void ProcessContinuity::RecordReportedEnd(TimePoint alive_at, TimePoint now) {
+bool ProcessContinuity::RecordReportedEnd(TimePoint alive_at, TimePoint now) {
   const bool known = end_ && alive_at <= end_->seen_at + kMaxReportDelay;
-  if (!known) RecordEnd(alive_at, alive_at, now);
+  return !known && RecordEnd(alive_at, alive_at, now);
 }
 
 void ProcessContinuity::RecordContact(TimePoint opened) {
--- a/libs/incarnation/test/process_continuity-test.cc
+++ b/libs/incarnation/test/process_continuity-test.cc
@@ -56,6 +56,15 @@
   BOOST_TEST(process.IsRegistered(At(1'050ms), At(1'050ms) + kWait));
 }
 
+// Guards against a message to other gateways for each connection that is refused.
+BOOST_AUTO_TEST_CASE(refused_connections_are_one_end) {
+  ProcessContinuity process;
+  BOOST_TEST(process.RecordEnd(At(1'000ms), At(1'000ms), At(1'000ms)));
+  BOOST_TEST(!process.RecordEnd(At(1'200ms), At(1'200ms), At(1'200ms)));
+  process.RecordContact(At(1'300ms));
+  BOOST_TEST(process.RecordEnd(At(1'400ms), At(1'400ms), At(1'400ms)));
+}
+
 // Guards against a second restart that is taken for the first.
 BOOST_AUTO_TEST_CASE(next_process_may_end_as_well) {
   ProcessContinuity process = Ended();
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -33,6 +33,11 @@
     entry.set_for_ms(static_cast<std::uint32_t>(hold.duration.count()));
   }
   for (const BackendHash backend : items.unreachable) message.add_unreachable(backend);
+  for (const ProcessEndUpdate& end : items.ended) {
+    wire::ProcessEnd& entry = *message.add_ended();
+    entry.set_backend(end.backend);
+    entry.set_age_ms(static_cast<std::uint32_t>(end.age.count()));
+  }
   for (const WeightsUpdate& weights : items.weights) {
     wire::GatewayWeights& entry = *message.add_weights();
     entry.set_backend(weights.backend);
@@ -77,6 +82,9 @@
     items.holds.push_back({entry.backend(), std::chrono::milliseconds(entry.for_ms())});
   }
   items.unreachable.assign(message.unreachable().begin(), message.unreachable().end());
+  for (const wire::ProcessEnd& entry : message.ended()) {
+    items.ended.push_back({entry.backend(), std::chrono::milliseconds(entry.age_ms())});
+  }
   for (const wire::GatewayWeights& entry : message.weights()) {
     items.weights.push_back(
         {entry.backend(), ModelId(entry.model()), WeightsNumber(entry.number())});
@@ -125,6 +133,7 @@
   entry.set_unreachable(!report.reachable);
   entry.set_slowness(report.performance.slowness);
   entry.set_home_weight(report.performance.home_weight);
+  if (report.ended) entry.set_ended_ms(static_cast<std::uint32_t>(report.ended->count()));
 }
 
 BackendReport DecodeReport(const wire::BackendReport& entry) {
@@ -138,6 +147,7 @@
   report.link_wait = Duration(entry.link_us());
   report.reachable = !entry.unreachable();
   report.performance = {entry.slowness(), entry.home_weight()};
+  if (entry.has_ended_ms()) report.ended = std::chrono::milliseconds(entry.ended_ms());
   return report;
 }
 
--- a/libs/peers/src/peer_loads.cc
+++ b/libs/peers/src/peer_loads.cc
@@ -71,6 +71,11 @@
       state_.directory().RequestProbe(backend);
     }
   }
+  for (const ProcessEndUpdate& end : items.ended) {
+    if (const BackendPtr backend = state_.directory().FindByHash(end.backend)) {
+      state_.directory().RecordReportedEnd(backend, now - end.age, now);
+    }
+  }
   for (const WeightsUpdate& weights : items.weights) {
     if (const BackendPtr backend = state_.directory().FindByHash(weights.backend)) {
       BackendDirectory::RecordWeights(*backend, weights.model, weights.number);
--- a/libs/peers/src/tracked_news.cc
+++ b/libs/peers/src/tracked_news.cc
@@ -26,6 +26,9 @@
     for (auto* to : ReceiversFor(backend, trackers, now, news))
       to->items.unreachable.push_back(backend);
   }
+  for (const ProcessEndUpdate& end : items.ended) {
+    for (auto* to : ReceiversFor(end.backend, trackers, now, news)) to->items.ended.push_back(end);
+  }
   for (const PerformanceUpdate& update : items.performance) {
     for (auto* to : ReceiversFor(update.backend, trackers, now, news))
       performance_[to->tracker.address].Add(update);
--- a/libs/peers/test/tracked_news-test.cc
+++ b/libs/peers/test/tracked_news-test.cc
@@ -3,6 +3,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "peers/news_codec.h"
+#include "peers/peer_loads.h"
+
 using namespace ridgehold;
 using namespace std::chrono_literals;
 
@@ -57,4 +60,24 @@
   }
 }
 
+// Guards against an end of a process that only the gateway knows which saw it.
+BOOST_AUTO_TEST_CASE(end_of_a_process_is_told_to_its_trackers_and_by_them) {
+  GossipItems items;
+  items.ended.push_back({engine, 40ms});
+  BOOST_TEST(news.Collect({}, items, trackers, kStart).size() == 2U);
+  GossipMessage message;
+  message.daemon = DaemonId("d1");
+  message.sequence = 1;
+  message.items = items;
+  PeerLoads(state).Apply(*DecodeNews(EncodeNews(message)), kStart);
+  const BackendPtr backend = state.directory().FindByHash(engine);
+  BOOST_TEST(backend->needs_probe);
+  BOOST_TEST(!RunsAsRegistered(*backend, kStart));
+  LoadAnswerMessage answer;
+  answer.daemon = DaemonId("d2");
+  answer.backends.push_back(state.ReportOn(*backend, LoadQuestion(), kStart + 10ms));
+  const auto decoded = std::get<LoadAnswerMessage>(*DecodePeerMessage(Encode(answer)));
+  BOOST_TEST((decoded.backends[0].ended == 50ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
