Fix: a connection to a server that is not kept is closed at once

An instance kept the descriptor of a connection that cannot be used again (Connection: close, no length, extra bytes, too many idle) until the deadline of its last request: the handler of the deadline timer owns the connection. A server's connections were held as long, and the idle time of a connection that was taken and not used began anew, so that it outlived the server's idle timeout.

The pool closes what it does not keep, once the request has been sent, and marks a connection idle only after it was used.

--- a/libs/net/include/net/connection_pool.h
+++ b/libs/net/include/net/connection_pool.h
@@ -86,7 +86,7 @@
   bool HasOpenConnection(const std::string& address);
 
   /// Closes all idle connections to `address`.
-  void CloseIdle(const std::string& address) { idle_.erase(address); }
+  void CloseIdle(const std::string& address);
 
   /// Number of connections opened so far, failed attempts included.
   std::uint64_t opened() const { return opened_; }
@@ -94,6 +94,7 @@
  private:
   using Idle = std::deque<std::shared_ptr<OutboundConnection>>;
 
+  void CloseEnded(const std::string& address, Idle& idle, TimePoint now);
   bool Expired(const OutboundConnection& connection, TimePoint now) const;
   void NotifyClosed(const std::string& address, OutboundConnection& connection, TimePoint now);
 
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -96,6 +96,9 @@
   /// Closes the connection. Its deadline timer would otherwise keep it open until it expires.
   void Close();
 
+  /// Closes the connection once the request, if any, has been sent.
+  void Discard();
+
   /// Cancels the running operation, which then returns kCancelled.
   void Cancel();
 
@@ -118,7 +121,8 @@
   TimePoint opened_at() const { return opened_at_; }
 
   TimePoint idle_since() const { return idle_since_; }
-  void MarkIdle(TimePoint now) { idle_since_ = now; }
+  /// An idle connection that was taken and not used has been idle all the time.
+  void MarkIdle(TimePoint now);
 
   /// The idle timeout from the last Keep-Alive header field, if the server sent one.
   std::optional<std::chrono::seconds> keep_alive() const { return keep_alive_; }
@@ -144,6 +148,7 @@
   bool write_done_ = true;
   bool expects_no_body_ = false;  ///< the request is HEAD
   bool write_failed_ = false;
+  bool close_when_sent_ = false;
   bool timed_out_ = false;
   bool cancelled_ = false;
   bool broken_ = false;
@@ -151,6 +156,7 @@
   std::uint64_t deadline_generation_ = 0;
   TimePoint opened_at_{};
   TimePoint idle_since_{};
+  bool used_ = true;  ///< since it was last marked idle
   std::optional<std::chrono::seconds> keep_alive_;
   std::optional<StartStamp> server_start_;
 };
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -20,6 +20,7 @@
     const bool open = connection->IdleAndOpen();
     if (open && !Expired(*connection, now)) return connection;
     if (!open) NotifyClosed(address, *connection, now);
+    connection->Discard();
   }
   return nullptr;
 }
@@ -47,26 +48,43 @@
 
 void ConnectionPool::Release(const std::string& address,
                              std::shared_ptr<OutboundConnection> connection) {
-  if (!connection || !connection->Reusable()) return;
+  if (!connection) return;
+  if (!connection->Reusable()) return connection->Discard();
   Idle& idle = idle_[address];
-  if (idle.size() >= options_.max_idle_per_address) return;
+  if (idle.size() >= options_.max_idle_per_address) return connection->Discard();
   connection->MarkIdle(Clock::now());
   idle.push_back(std::move(connection));
 }
 
 void ConnectionPool::CloseExpired(TimePoint now) {
   for (auto& [address, idle] : idle_) {
-    std::vector<std::shared_ptr<OutboundConnection>> closed;
+    CloseEnded(address, idle, now);
     std::erase_if(idle, [&](const auto& connection) {
-      const bool open = connection->IdleAndOpen();
-      if (!open) closed.push_back(connection);
-      return !open || Expired(*connection, now);
+      const bool expired = Expired(*connection, now);
+      if (expired) connection->Discard();
+      return expired;
     });
-    for (const auto& connection : closed) NotifyClosed(address, *connection, now);
   }
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+void ConnectionPool::CloseEnded(const std::string& address, Idle& idle, TimePoint now) {
+  const auto ended = std::ranges::stable_partition(
+      idle, [](const auto& connection) { return connection->IdleAndOpen(); });
+  const std::vector<std::shared_ptr<OutboundConnection>> closed(ended.begin(), ended.end());
+  idle.erase(ended.begin(), ended.end());
+  for (const auto& connection : closed) {
+    NotifyClosed(address, *connection, now);
+    connection->Discard();
+  }
+}
+
+void ConnectionPool::CloseIdle(const std::string& address) {
+  const auto idle = idle_.extract(address);
+  if (idle.empty()) return;
+  for (const auto& connection : idle.mapped()) connection->Discard();
+}
+
 bool ConnectionPool::HasOpenConnection(const std::string& address) {
   const auto found = idle_.find(address);
   if (found == idle_.end()) return false;
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <charconv>
 #include <sstream>
+#include <utility>
 
 #include "net/tcp_liveness.h"
 
@@ -103,6 +104,7 @@
   outgoing_body_ = std::move(body);
   written_ = 0;
   write_done_ = false;
+  used_ = true;
   expects_no_body_ = head.method() == http::verb::head;
   parser_.reset();
   const auto on_written = [self = shared_from_this()](const ErrorCode& error, std::size_t bytes) {
@@ -122,7 +124,7 @@
   std::string().swap(outgoing_);
   outgoing_body_.reset();
   // Otherwise a pending read would wait for a server that has received no request.
-  if (write_failed_ && bytes == 0) Close();
+  if (close_when_sent_ || (write_failed_ && bytes == 0)) Close();
 }
 
 net::awaitable<ExchangeFault> OutboundConnection::ReadHead(TimePoint deadline) {
@@ -210,6 +212,15 @@
   deadline_timer_.cancel();
 }
 
+void OutboundConnection::Discard() {
+  close_when_sent_ = true;
+  if (write_done_) Close();
+}
+
+void OutboundConnection::MarkIdle(TimePoint now) {
+  if (std::exchange(used_, false)) idle_since_ = now;
+}
+
 bool OutboundConnection::Reusable() const {
   const bool whole = socket_.is_open() && write_done_ && !write_failed_ && parser_.has_value() &&
                      parser_->is_done() && !broken_;
--- a/libs/peers/test/tracked_news-test.cc
+++ b/libs/peers/test/tracked_news-test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "peers/load_messages.h"
 #include "peers/news_codec.h"
 #include "peers/peer_loads.h"
 
