Fix: a server that lives is not taken for one that has ended (LOST)

Take-ups were refused, and streams began without a release that others know, after a server that lives had closed or reset an idle connection or sent bytes on it: all of these counted as the end of its process. A server that states no idle timeout may have one below a second, and one that does so again and again was never believed.

Only a close counts, before a stated idle timeout, or of several connections together, one of them with an exchange. Whether others are open is asked of the connections in use themselves (poll for the end of the stream) instead of counting exchanges, which may wait for their clients. An exchange that breaks has the idle connections looked at at once.

--- a/libs/gateway/include/gateway/backend_directory.h
+++ b/libs/gateway/include/gateway/backend_directory.h
@@ -29,6 +29,8 @@
 
 namespace ridgehold {
 
+class OutboundConnection;
+
 /// A backend server's registration. A restarted process may register under its previous id;
 /// `started` then distinguishes the two.
 struct BackendEntry {
@@ -69,12 +71,13 @@
   RegisteredProcess process;
   /// Start of the process that last told it on a connection to the address; 0: none has.
   StartStamp answering_start;
-  ProcessContinuity continuity;          ///< of a server that does not tell its start
-  ConnectionEnds connection_ends;        ///< of direct ones of this gateway
-  std::uint32_t connections_in_use = 0;  ///< direct ones of this gateway, see ConnectionUse
-  bool superseded = false;               ///< another incarnation at its address has replaced it
-  bool shares_address = false;           ///< others are registered at its address
-  bool active = false;                   ///< listed in BackendDirectory::Active()
+  ProcessContinuity continuity;    ///< of a server that does not tell its start
+  ConnectionEnds connection_ends;  ///< of direct ones of this gateway
+  /// Direct ones of this gateway, see ConnectionUse.
+  std::vector<OutboundConnection*> connections_in_use;
+  bool superseded = false;      ///< another incarnation at its address has replaced it
+  bool shares_address = false;  ///< others are registered at its address
+  bool active = false;          ///< listed in BackendDirectory::Active()
   /// Member of its service's interactive group, see UpdateEngineGroup().
   bool in_interactive_group = false;
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -83,7 +83,7 @@
     TimePoint sent{};
     TimePoint opened{};              ///< the connection
     TimePoint alive_at{};            ///< when the server last showed life on it, before
-    bool broken = false;             ///< by the server, or on the way
+    bool broken = false;             ///< see ExchangeFault::kBroken
     RegistrationNumber last_update;  ///< of the registrations, when it was sent
     /// Of the process that was last known to answer there.
     StartStamp answering_start;
@@ -380,11 +380,10 @@
     attempt_.connection->StartRequest(Wire::MakeAttempt(caller_->request(), directives),
                                       caller_->body());
     const bool direct = record_.via_peer.empty();
-    std::optional<ConnectionUse> use;
-    if (direct) use.emplace(attempt_.backend);
-    AttemptOutcome outcome = co_await ReadResponse();
-    use.reset();
-    if (direct && attempt_.broken) {
+    if (direct) use_.emplace(attempt_.backend, attempt_.connection);
+    const AttemptOutcome outcome = co_await ReadResponse();
+    use_.reset();
+    if (direct && attempt_.broken && attempt_.connection->EndedByServer()) {
       state_.RecordBrokenExchange(attempt_.backend, attempt_.opened,
                                   attempt_.begun.value_or(attempt_.alive_at));
     }
@@ -501,6 +500,7 @@
   /// Whether the server's process has ended the response, and not its kernel when it was killed.
   /// Only the end of a response that ends with its connection waits for this.
   net::awaitable<bool> ConfirmEnd() {
+    use_.reset();
     if (!record_.ends_with_connection || StatesNotRun()) co_return true;
     // Longer than a sound server may be silent.
     constexpr std::chrono::milliseconds kTimeout{2'000};
@@ -817,6 +817,7 @@
   TimePoint retry_reserved_at_{};
   Attempt attempt_;
   std::optional<BackendLoad> load_;
+  std::optional<ConnectionUse> use_;  ///< until the response has ended
   std::optional<QueuedAttempts::Ticket> queued_ticket_;
   std::optional<UnansweredAttempts::Ticket> unanswered_ticket_;
   std::optional<PoisonGuard::Ticket> poison_ticket_;
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -430,6 +430,8 @@
  private:
   /// Records that the server at the address has closed an idle connection.
   void RecordClosed(const std::string& address, const ClosedConnection& closed);
+  /// Whether a direct connection of this gateway to the backend server is open.
+  bool HasOpenConnection(const Backend& backend);
   void RecordConnectionEnd(const BackendPtr& backend, const ConnectionEnd& end);
   /// Records the end of the server's process, and tells peers of it.
   void RecordProcessEnd(const BackendPtr& backend, const ConnectionEnds::ProcessEnd& end,
--- a/libs/gateway/src/gateway_state.cc
+++ b/libs/gateway/src/gateway_state.cc
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <utility>
 
+#include "gateway/connection_use.h"
 #include "incarnation/connection_end.h"
 #include "log/log.h"
 
@@ -316,9 +317,8 @@
 
 void GatewayState::RecordRefusal(const BackendPtr& backend) {
   const TimePoint now = Clock::now();
-  // A partition may refuse new connections only. Of the connections in use, some may not have been
-  // seen to end yet.
-  if (IsIsolated(now) || pool_.HasOpenConnection(backend->entry.address)) return;
+  // A partition may refuse new connections only.
+  if (IsIsolated(now) || HasOpenConnection(*backend)) return;
   RecordProcessEnd(backend, {now, now}, now);
 }
 
@@ -328,9 +328,9 @@
   end.opened = opened;
   end.alive_at = alive_at;
   end.amid_exchange = true;
-  end.others_open =
-      backend->connections_in_use > 0 || pool_.HasOpenConnection(backend->entry.address);
+  end.others_open = HasOpenConnection(*backend);
   RecordConnectionEnd(backend, end);
+  pool_.CloseEnded(backend->entry.address);
 }
 
 void GatewayState::RecordClosed(const std::string& address, const ClosedConnection& closed) {
@@ -340,11 +340,15 @@
     end.alive_at = closed.idle_since;
     end.idle = std::chrono::duration_cast<Duration>(closed.closed_at - closed.idle_since);
     end.idle_timeout = closed.keep_alive;
-    end.others_open = closed.others_open || backend->connections_in_use > 0;
+    end.others_open = closed.others_open || HasOpenUse(*backend);
     RecordConnectionEnd(backend, end);
   }
 }
 
+bool GatewayState::HasOpenConnection(const Backend& backend) {
+  return HasOpenUse(backend) || pool_.HasOpenConnection(backend.entry.address);
+}
+
 void GatewayState::RecordConnectionEnd(const BackendPtr& backend, const ConnectionEnd& end) {
   const TimePoint now = Clock::now();
   const auto process = backend->connection_ends.Record(end, now);
--- a/libs/incarnation/include/incarnation/connection_end.h
+++ b/libs/incarnation/include/incarnation/connection_end.h
@@ -9,7 +9,8 @@
 
 namespace ridgehold {
 
-/// The end of a connection by the server, which had not announced it.
+/// The end of a connection by the server, which had not announced it. One that was idle was closed
+/// and not reset.
 struct ConnectionEnd {
   TimePoint opened{};
   TimePoint alive_at{};        ///< when the server last showed life on it
--- a/libs/incarnation/include/incarnation/connection_ends.h
+++ b/libs/incarnation/include/incarnation/connection_ends.h
@@ -12,9 +12,8 @@
 
 struct ConnectionEnd;
 
-/// The connections of a process end together. A server also closes connections that have been idle
-/// for long, and a single broken exchange tells of its request as often as of the process. Takes
-/// the time as a parameter.
+/// The connections of a process end together. A server that lives closes connections that have been
+/// idle for long, and breaks single exchanges off. Takes the time as a parameter.
 class ConnectionEnds {
  public:
   /// Time within which the ends of all connections of a process are seen.
@@ -34,9 +33,10 @@
   /// Ends that were seen together while other connections were open.
   struct Group {
     ProcessEnd process;
-    TimePoint seen_at{};
+    TimePoint seen_at{};  ///< the first of them
     std::size_t ends = 0;
-    bool closed_early = false;  ///< an idle connection, too early for an idle timeout
+    bool closed_early = false;   ///< an idle connection, before its stated timeout
+    bool broken_in_use = false;  ///< a connection with an exchange
   };
 
   Group group_;
--- a/libs/net/include/net/connection_pool.h
+++ b/libs/net/include/net/connection_pool.h
@@ -82,6 +82,9 @@
   /// Closes connections whose idle timeout has passed or that the server has closed.
   void CloseExpired(TimePoint now);
 
+  /// Closes idle connections to `address` that the server has closed.
+  void CloseEnded(const std::string& address);
+
   /// Whether an idle connection to `address` is still open on the server's side.
   bool HasOpenConnection(const std::string& address);
 
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -12,6 +12,7 @@
 
 #include "base/ids.h"
 #include "net/beast.h"
+#include "net/idle_state.h"
 #include "net/response_stream.h"
 #include "net/timer.h"
 
@@ -111,8 +112,14 @@
   /// read completely, no extra bytes followed, and the server keeps the connection open.
   bool Reusable() const;
 
+  /// What has become of an idle connection.
+  IdleState CheckIdle();
+
   /// Whether an idle connection is still open and has received no bytes.
-  bool IdleAndOpen();
+  bool IdleAndOpen() { return CheckIdle() == IdleState::kOpen; }
+
+  /// Whether the server has closed or reset the connection, also if unread bytes precede that.
+  bool EndedByServer();
 
   /// Of an idle connection that the server has closed: when it did so, as far as the kernel tells.
   TimePoint ClosedAt(TimePoint now);
@@ -157,6 +164,7 @@
   TimePoint opened_at_{};
   TimePoint idle_since_{};
   bool used_ = true;  ///< since it was last marked idle
+  IdleState idle_state_ = IdleState::kOpen;
   std::optional<std::chrono::seconds> keep_alive_;
   std::optional<StartStamp> server_start_;
 };
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -68,6 +68,11 @@
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+void ConnectionPool::CloseEnded(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found != idle_.end()) CloseEnded(address, found->second, Clock::now());
+}
+
 void ConnectionPool::CloseEnded(const std::string& address, Idle& idle, TimePoint now) {
   const auto ended = std::ranges::stable_partition(
       idle, [](const auto& connection) { return connection->IdleAndOpen(); });
@@ -94,7 +99,8 @@
 
 void ConnectionPool::NotifyClosed(const std::string& address, OutboundConnection& connection,
                                   TimePoint now) {
-  if (!on_closed_) return;
+  // A server that lives may reset a connection, or send bytes that no request asked for.
+  if (!on_closed_ || connection.CheckIdle() != IdleState::kClosed) return;
   ClosedConnection closed;
   closed.opened_at = connection.opened_at();
   closed.idle_since = connection.idle_since();
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -227,11 +228,24 @@
   return whole && parser_->keep_alive() && buffer_.size() == 0;
 }
 
-bool OutboundConnection::IdleAndOpen() {
-  if (!socket_.is_open()) return false;
+IdleState OutboundConnection::CheckIdle() {
+  if (!socket_.is_open()) idle_state_ = IdleState::kBroken;
+  // Reading takes the error of a reset; after that the connection looks closed.
+  if (idle_state_ != IdleState::kOpen) return idle_state_;
   char byte = 0;
   const auto read = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (read == 0) {
+    idle_state_ = IdleState::kClosed;
+  } else if (read > 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
+    idle_state_ = IdleState::kBroken;
+  }
+  return idle_state_;
+}
+
+bool OutboundConnection::EndedByServer() {
+  if (!socket_.is_open()) return true;
+  pollfd poll_request{socket_.native_handle(), POLLRDHUP, 0};
+  return ::poll(&poll_request, 1, 0) > 0 && poll_request.revents != 0;
 }
 
 TimePoint OutboundConnection::ClosedAt(TimePoint now) {
