Fix: an exception while starting leaves no process that serves nothing (FAULT)

A shortage of memory or descriptors in the moment of the start ended the start with a log line; the process stayed, opened no port and did not end after SIGTERM. Found in review, by reading; not seen.

It is one more reason to try again, as a port that is taken; an exception after the ports are open ends the process.

--- a/libs/entry/include/entry/entry_lifecycle.h
+++ b/libs/entry/include/entry/entry_lifecycle.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <csignal>
+#include <exception>
 #include <map>
 #include <memory>
 #include <optional>
@@ -43,7 +44,7 @@
 
   /// Runs until the process is told to end. Fails with kInvalidSettings if it cannot start.
   Result<void> Run() {
-    Spawn(io_.get_executor(), "start", Start());
+    Spawn(io_.get_executor(), "start", Start(), [this] { FailToStart(); });
     for (bool running = true; running;) {
       try {
         io_.run();
@@ -76,7 +77,7 @@
       failure_ = TryStart();
       if (!failure_) co_return OnStarted();
       const TimePoint now = Clock::now();
-      if (failure_->code == ResultCode::kAddressUnavailable) {
+      if (failure_->code != ResultCode::kInvalidSettings) {
         invalid_since.reset();
       } else if (now - invalid_since.value_or(now) >= kSettingsPatience) {
         break;
@@ -93,7 +94,23 @@
     io_.stop();
   }
 
+  /// Without an end, a process that serves nothing would remain.
+  void FailToStart() {
+    failure_ = Failure{ResultCode::kInternal, "an exception was thrown while starting"};
+    io_.stop();
+  }
+
   std::optional<Failure> TryStart() {
+    try {
+      return CreateEntry();
+    } catch (const std::exception& error) {
+      // Memory or descriptors may be short for a moment.
+      entry_.reset();
+      return Failure{ResultCode::kInternal, error.what()};
+    }
+  }
+
+  std::optional<Failure> CreateEntry() {
     return FailureOf([&]() -> Result<void> {
       // Before the file is read, so that no later change is missed.
       settings_file_.emplace();
