Fix: the peers' port logs one line a second at most

Each malformed datagram, from whoever can reach the port, was a line of the log, and a read that fails was tried again at once: the same trust in what surrounds the process as at the TCP ports. Found in review, by reading.

All are counted (ridgehold_peer_messages_malformed); a line comes once a second, and a failed read is followed by a pause.

--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -92,6 +92,9 @@
   /// Above this number, placed requests are reported in the next message: larger datagrams are
   /// fragmented, and lost if any fragment is.
   static constexpr std::size_t kMaxPlacedPerMessage = 24;
+  static constexpr std::chrono::milliseconds kReceivePause{50};
+  /// Anyone can send datagrams; each is counted.
+  static constexpr std::chrono::milliseconds kMalformedLogInterval{1'000};
 
   PeerLink(GatewayState& state, Options options, const InstanceRecords& members,
            std::vector<std::string> seeds, net::ip::udp::socket socket);
@@ -131,6 +134,8 @@
   PoisonGossip poison_gossip_;
   BackendGossip backend_gossip_;
   Timer gossip_timer_;
+  Timer receive_timer_;
+  TimePoint malformed_logged_at_{};
   QuotaListener quota_listener_;
   OriginListener origin_listener_;
   std::vector<net::ip::address> peers_;  ///< all gateways but this one
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -45,6 +45,7 @@
                       SendTo(gateway.ip, bytes);
                     }),
       gossip_timer_(state.executor()),
+      receive_timer_(state.executor()),
       incarnation_(std::random_device{}()) {}
 
 net::awaitable<void> PeerLink::Send() {
@@ -223,7 +224,12 @@
     const std::size_t bytes = co_await socket_.async_receive_from(
         net::buffer(buffer_), sender, net::redirect_error(net::use_awaitable, error));
     if (error == net::error::operation_aborted) co_return;
-    if (!error) HandleDatagram(bytes, sender);
+    if (error) {
+      // While memory is short, reading fails at once on each call.
+      co_await WaitFor(receive_timer_, kReceivePause);
+      continue;
+    }
+    HandleDatagram(bytes, sender);
   }
 }
 
@@ -238,6 +244,9 @@
       },
       [&](const Failure& failure) {
         state_.metrics().GetCounter("ridgehold_peer_messages_malformed").Add();
+        const TimePoint now = Clock::now();
+        if (now - malformed_logged_at_ < kMalformedLogInterval) return;
+        malformed_logged_at_ = now;
         Log(LogLevel::kWarn, "malformed peer message",
             {{"bytes", std::to_string(bytes)}, {"detail", failure.detail}});
       });
@@ -288,6 +297,7 @@
   socket_.close(ignored);
   timer_.cancel();
   gossip_timer_.cancel();
+  receive_timer_.cancel();
 }
 
 }  // namespace ridgehold
