--- a/libs/buffering/src/body_gate.cc
+++ b/libs/buffering/src/body_gate.cc
@@ -16,13 +16,13 @@
 
 net::awaitable<std::optional<BodyRoom>> BodyGate::Acquire(std::size_t bytes, TimePoint deadline) {
   auto self = shared_from_this();
-  if (queue_.Take(bytes)) co_return BodyRoom(std::move(self), bytes);
+  if (queue_.Take(bytes)) co_return BodyRoom(self, bytes);
   const ByteQueue::Ticket ticket = queue_.Enqueue(bytes);
   auto waiter = std::make_shared<Waiter>(Waiter{Timer(executor_)});
   waiters_[ticket] = waiter;
   while (!waiter->granted && Clock::now() < deadline) co_await WaitUntil(waiter->timer, deadline);
   waiters_.erase(ticket);
-  if (waiter->granted) co_return BodyRoom(std::move(self), bytes);
+  if (waiter->granted) co_return BodyRoom(self, bytes);
   Wake(queue_.Leave(ticket));
   co_return std::nullopt;
 }
--- a/libs/net/src/connection_pool.cc
+++ b/libs/net/src/connection_pool.cc
@@ -74,10 +74,10 @@
 }
 
 void ConnectionPool::CloseEnded(const std::string& address, Idle& idle, TimePoint now) {
-  const auto ended = std::ranges::stable_partition(
-      idle, [](const auto& connection) { return connection->IdleAndOpen(); });
-  const std::vector<std::shared_ptr<OutboundConnection>> closed(ended.begin(), ended.end());
-  idle.erase(ended.begin(), ended.end());
+  const auto ended = std::stable_partition(
+      idle.begin(), idle.end(), [](const auto& connection) { return connection->IdleAndOpen(); });
+  const std::vector<std::shared_ptr<OutboundConnection>> closed(ended, idle.end());
+  idle.erase(ended, idle.end());
   for (const auto& connection : closed) {
     NotifyClosed(address, *connection, now);
     connection->Discard();
