Metrics: bytes that all connections have received and not parsed

Resident memory far over the limit while the gauges of held bodies are low could have many causes. The buffers that HTTP parsers read into now count their memory in one budget for each event loop, shown as ridgehold_unparsed_bytes. Nothing is limited by it yet.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -33,6 +33,7 @@
 #include "log/log.h"
 #include "metrics/metrics.h"
 #include "net/listen.h"
+#include "net/read_budget.h"
 #include "net/wait.h"
 #include "peers/origin_codec.h"
 #include "peers/peer_link.h"
@@ -546,6 +547,8 @@
                      static_cast<double>(state_.body_gate()->queue().used()));
     metrics.SetGauge("ridgehold_waiting_bodies", "",
                      static_cast<double>(state_.body_gate()->queue().waiting()));
+    metrics.SetGauge("ridgehold_unparsed_bytes", "",
+                     static_cast<double>(ReadBudget::Of(executor_).used()));
     metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"readiness\"",
                      static_cast<double>(admin_->replaced_connections()));
     metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"peers\"",
--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -2,9 +2,9 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include "net/listen.h"
+#include "net/read_buffer.h"
 #include "task/spawn.h"
 
 namespace ridgehold {
@@ -40,7 +40,7 @@
 }
 
 net::awaitable<void> AdminServer::Serve(std::shared_ptr<PortSession> session) {
-  boost::beast::flat_buffer buffer;
+  ReadBuffer buffer(listener_.get_executor());
   ErrorCode error;
   while (!error) {
     http::request_parser<http::string_body> parser;
--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -2,7 +2,6 @@
 
 #pragma once
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,6 +15,7 @@
 #include "gateway/routing_snapshot.h"
 #include "gateway/wire_format.h"
 #include "net/beast.h"
+#include "net/read_buffer.h"
 #include "net/timer.h"
 
 namespace ridgehold {
@@ -135,7 +135,7 @@
   tcp::socket socket_;
   Timer limit_timer_;
   Timer watch_timer_;
-  boost::beast::flat_buffer buffer_;
+  ReadBuffer buffer_;
   RequestHead head_;
   std::shared_ptr<HeldRequest> request_;
   TimePoint received_at_{};
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -70,7 +70,8 @@
 CallerConnection::CallerConnection(tcp::socket socket)
     : socket_(std::move(socket)),
       limit_timer_(socket_.get_executor()),
-      watch_timer_(socket_.get_executor()) {}
+      watch_timer_(socket_.get_executor()),
+      buffer_(socket_.get_executor()) {}
 
 net::awaitable<ReadOutcome> CallerConnection::Read(CallerLimits limits, const AdmitBody& admit) {
   auto self = shared_from_this();
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <concepts>
 #include <cstddef>
 #include <memory>
@@ -13,6 +12,7 @@
 #include "base/ids.h"
 #include "net/beast.h"
 #include "net/idle_state.h"
+#include "net/read_buffer.h"
 #include "net/response_stream.h"
 #include "net/timer.h"
 
@@ -147,7 +147,7 @@
   tcp::socket socket_;
   ResponseStream stream_;
   Timer deadline_timer_;
-  boost::beast::flat_buffer buffer_;
+  ReadBuffer buffer_;
   std::optional<Parser> parser_;
   std::string outgoing_;                              ///< until it is sent
   std::shared_ptr<const std::string> outgoing_body_;  ///< follows `outgoing_`; null: none
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -72,7 +72,8 @@
 OutboundConnection::OutboundConnection(tcp::socket socket, StreamFraming framing)
     : socket_(std::move(socket)),
       stream_(socket_, framing),
-      deadline_timer_(socket_.get_executor()) {}
+      deadline_timer_(socket_.get_executor()),
+      buffer_(socket_.get_executor()) {}
 
 net::awaitable<ExchangeFault> OutboundConnection::Connect(
     tcp::endpoint endpoint, TimePoint deadline, std::chrono::milliseconds tcp_user_timeout) {
--- a/libs/tunnel/src/tunnel_dialer.cc
+++ b/libs/tunnel/src/tunnel_dialer.cc
@@ -2,9 +2,9 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <utility>
 
+#include "net/read_buffer.h"
 #include "net/timer.h"
 #include "tunnel/tunnel_framing.h"
 
@@ -49,7 +49,7 @@
   request.set(kTunnelFramingField, kRecordFraming);
   co_await http::async_write(dialing->socket, request,
                              net::redirect_error(net::use_awaitable, error));
-  boost::beast::flat_buffer buffer;
+  ReadBuffer buffer(executor);
   http::response_parser<http::empty_body> parser;
   parser.skip(true);
   if (!error) {
