Fix: what is received and not parsed is bounded (FAULT, LOST)

Callers saw an instance end, and their requests with it, because one client or one backend server sent the framing of a chunked body without end: the size of a chunk, its extension or trailers. No key was needed.

Cause: the parser limits heads and bodies. What frames a chunked body is neither, and it must stand whole in the buffer before it is parsed; the buffers had no maximum. Class: bytes that are read but not yet understood count against nothing.

Change: the buffers of HTTP parsers have a type that needs a maximum, and take their memory from one budget for each event loop, a tenth of the memory. A buffer that may not grow fails the read: clients get 400, or 503 when the sum was the reason, and a server's response counts as broken, as other malformed ones do. What follows a refused request is discarded up to 16 MB instead of without limit, and unreadable requests are logged once a second.

It works for whatever is parsed from these buffers, since what does not become a head, a chunk or a trailer can't exceed the maximum.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -201,6 +201,9 @@
     state_.SetPeerPathOpener([this](BackendPtr backend, TimePoint deadline) {
       return OpenPeerPath(std::move(backend), deadline);
     });
+    if (settings_.memory_bytes) {
+      ReadBudget::Of(executor).SetCapacity(MemoryShares::Of(*settings_.memory_bytes).unparsed);
+    }
     ErrorCode error;
     const auto egress = net::ip::make_address(tuning_.egress_address, error);
     if (!error) state_.pool().SetEgressAddress(egress);
@@ -549,6 +552,8 @@
                      static_cast<double>(state_.body_gate()->queue().waiting()));
     metrics.SetGauge("ridgehold_unparsed_bytes", "",
                      static_cast<double>(ReadBudget::Of(executor_).used()));
+    metrics.SetGauge("ridgehold_unparsed_bytes_refused", "",
+                     static_cast<double>(ReadBudget::Of(executor_).refused()));
     metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"readiness\"",
                      static_cast<double>(admin_->replaced_connections()));
     metrics.SetGauge("ridgehold_port_connections_replaced", "port=\"peers\"",
--- a/libs/entry/include/entry/memory_shares.h
+++ b/libs/entry/include/entry/memory_shares.h
@@ -14,11 +14,13 @@
 struct MemoryShares {
   std::size_t request_bodies = 0;
   std::size_t response_bodies = 0;
+  std::size_t unparsed = 0;  ///< received bytes, see ReadBudget
 
   /// Divides `memory` bytes. Each share holds a few bodies, however small the number.
   static MemoryShares Of(std::uint64_t memory) {
     constexpr std::uint64_t kMinBytes = std::uint64_t{8} << 20;
-    return {std::max(memory / 5, kMinBytes), std::max(memory / 4, kMinBytes)};
+    return {std::max(memory / 5, kMinBytes), std::max(memory / 4, kMinBytes),
+            std::max(memory / 10, kMinBytes / 2)};
   }
 };
 
--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -12,6 +12,7 @@
 
 // Requests to these ports have no body to speak of.
 constexpr std::size_t kMaxBodyBytes = std::size_t{16} << 10;
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{16} << 10;
 
 }  // namespace
 
@@ -40,7 +41,7 @@
 }
 
 net::awaitable<void> AdminServer::Serve(std::shared_ptr<PortSession> session) {
-  ReadBuffer buffer(listener_.get_executor());
+  ReadBuffer buffer(listener_.get_executor(), kMaxUnparsedBytes);
   ErrorCode error;
   while (!error) {
     http::request_parser<http::string_body> parser;
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -119,18 +119,31 @@
         .GetCounter("ridgehold_requests",
                     "code=\"" + std::string(Describe(failure.code).name) + "\"")
         .Add();
-    Log(LogLevel::kWarn, "reading client request failed",
-        {{"code", std::string(Describe(failure.code).name)},
-         {"request", outcome.request.value()},
-         {"detail", failure.detail}});
+    if (MayLogUnread(outcome)) {
+      Log(LogLevel::kWarn, "reading client request failed",
+          {{"code", std::string(Describe(failure.code).name)},
+           {"request", outcome.request.value()},
+           {"detail", failure.detail}});
+    }
     ResponseMessage answer = MakeErrorResponse(failure, outcome.request);
     co_await connection->Send(std::move(answer), true);
   }
 
+  /// Requests that were decoded are always logged. Anyone can send others.
+  bool MayLogUnread(const ReadOutcome& outcome) {
+    constexpr std::chrono::milliseconds kInterval{1'000};
+    if (!outcome.request.value().empty()) return true;
+    const TimePoint now = Clock::now();
+    if (now - unread_logged_at_ < kInterval) return false;
+    unread_logged_at_ = now;
+    return true;
+  }
+
   GatewayState& state_;
   ConnectionListener listener_;
   std::size_t max_connections_;
   CallerConnection::AdmitBody admit_;
+  TimePoint unread_logged_at_{};  ///< when an unreadable request was logged last
   std::map<ConnectionPtr, ExchangePtr> connections_;  ///< with the exchange in progress, if any
 };
 
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -32,6 +32,8 @@
 // Old clients send an empty line after a body; more than a few are no request.
 constexpr std::size_t kMaxEmptyLineBytes = 16;
 constexpr std::chrono::milliseconds kLingerTime{2'000};
+constexpr std::size_t kMaxLingerBytes = std::size_t{16} << 20;
+constexpr std::size_t kReadBytes = std::size_t{4} << 10;
 
 ReadOutcome Refused(ResultCode code, std::string detail = "") {
   return {ReadOutcome::Kind::kRefused, {code, std::move(detail)}, RequestId()};
@@ -71,7 +73,7 @@
     : socket_(std::move(socket)),
       limit_timer_(socket_.get_executor()),
       watch_timer_(socket_.get_executor()),
-      buffer_(socket_.get_executor()) {}
+      buffer_(socket_.get_executor(), kReadBytes) {}
 
 net::awaitable<ReadOutcome> CallerConnection::Read(CallerLimits limits, const AdmitBody& admit) {
   auto self = shared_from_this();
@@ -80,6 +82,9 @@
   idle_since_.reset();
   ReadOutcome outcome;
   if (!arrived) co_return outcome;
+  // Also bounds what frames a chunked body, which the parser's limits don't count. What has been
+  // received of later requests stays.
+  buffer_.max_size(std::max<std::size_t>(limits.max_header_bytes, buffer_.size()) + kReadBytes);
   Parser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
@@ -96,6 +101,9 @@
   DisarmLimit();
   if (timed_out_) outcome = Refused(ResultCode::kRequestTooSlow);
   if (!timed_out_ && error) outcome = OutcomeOf(error);
+  if (!timed_out_ && error == http::error::buffer_overflow && !buffer_.Full()) {
+    outcome = Refused(ResultCode::kOverloaded, "no room for received bytes");
+  }
   if (timed_out_ || error) co_return outcome;
   // The client's time limit goes on while its body waits for room.
   received_at_ = Clock::now() - verdict.waited;
@@ -130,14 +138,13 @@
 }
 
 net::awaitable<ErrorCode> CallerConnection::ReadBytes() {
-  constexpr std::size_t kChunkBytes = 4'096;
   ErrorCode error;
   // No buffer is held while the connection is idle.
   co_await socket_.async_wait(tcp::socket::wait_read,
                               net::redirect_error(net::use_awaitable, error));
   if (error) co_return error;
   const std::size_t bytes = co_await socket_.async_read_some(
-      buffer_.prepare(kChunkBytes), net::redirect_error(net::use_awaitable, error));
+      buffer_.prepare(kReadBytes), net::redirect_error(net::use_awaitable, error));
   buffer_.commit(bytes);
   co_return error;
 }
@@ -307,7 +314,9 @@
   ErrorCode error;
   socket_.shutdown(tcp::socket::shutdown_send, error);
   ArmLimit(kLingerTime);
-  while (!error && !timed_out_) {
+  std::size_t discarded = 0;
+  while (!error && !timed_out_ && discarded < kMaxLingerBytes) {
+    discarded += buffer_.size();
     buffer_.consume(buffer_.size());
     error = co_await ReadBytes();
   }
--- a/libs/net/include/net/read_allocator.h
+++ b/libs/net/include/net/read_allocator.h
@@ -4,12 +4,14 @@
 
 #include <cstddef>
 #include <memory>
+#include <stdexcept>
 
 #include "net/read_budget.h"
 
 namespace ridgehold {
 
-/// Counts what it allocates in a budget, which must outlive it.
+/// Takes what it allocates from a budget, which must outlive it. Throws std::length_error if there
+/// is no room, which Beast reports as http::error::buffer_overflow.
 template <class T>
 class ReadAllocator {
  public:
@@ -21,9 +23,13 @@
   ReadAllocator(const ReadAllocator<U>& other) : budget_(other.budget()) {}
 
   T* allocate(std::size_t count) {
-    T* memory = std::allocator<T>().allocate(count);
-    budget_->Add(count * sizeof(T));
-    return memory;
+    if (!budget_->Take(count * sizeof(T))) throw std::length_error("no room for received bytes");
+    try {
+      return std::allocator<T>().allocate(count);
+    } catch (...) {
+      budget_->Return(count * sizeof(T));
+      throw;
+    }
   }
 
   void deallocate(T* memory, std::size_t count) {
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -23,6 +23,7 @@
 constexpr std::size_t kReadChunkBytes = std::size_t{16} << 10;
 // Far above the size of the response heads that backend servers send.
 constexpr std::uint32_t kMaxResponseHeadBytes = 64 << 10;
+constexpr std::size_t kMaxUnparsedBytes = kMaxResponseHeadBytes + (4 << 10);
 // Copying less is cheaper than a second buffer, and lets the caller's copy go.
 constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} << 10;
 constexpr int kFirstFinalStatus = 200;
@@ -73,7 +74,7 @@
     : socket_(std::move(socket)),
       stream_(socket_, framing),
       deadline_timer_(socket_.get_executor()),
-      buffer_(socket_.get_executor()) {}
+      buffer_(socket_.get_executor(), kMaxUnparsedBytes) {}
 
 net::awaitable<ExchangeFault> OutboundConnection::Connect(
     tcp::endpoint endpoint, TimePoint deadline, std::chrono::milliseconds tcp_user_timeout) {
--- a/libs/tunnel/src/tunnel_dialer.cc
+++ b/libs/tunnel/src/tunnel_dialer.cc
@@ -11,6 +11,8 @@
 namespace ridgehold {
 namespace {
 
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{16} << 10;
+
 /// A connection to a peer until the tunnel is open. Shared with the deadline's handler.
 struct Dialing {
   explicit Dialing(const net::any_io_executor& executor) : socket(executor), timer(executor) {}
@@ -49,7 +51,7 @@
   request.set(kTunnelFramingField, kRecordFraming);
   co_await http::async_write(dialing->socket, request,
                              net::redirect_error(net::use_awaitable, error));
-  ReadBuffer buffer(executor);
+  ReadBuffer buffer(executor, kMaxUnparsedBytes);
   http::response_parser<http::empty_body> parser;
   parser.skip(true);
   if (!error) {
