Fix: an attempt is given up only for another one that may start

Callers of safe routes got 504 after three objectives although their server was at work and answered later, once the retry budget was spent or no other server was there.

Cause: a read deadline ended the attempt; whether another one may start was asked afterwards. Class: something is given up before it is known that its replacement may start.

Change: at the end of its patience an attempt asks whether another server takes the request and reserves a retry. It is given up when both are granted, asks again every 250 ms, and goes on otherwise, up to the request's time limit. `replacement` `none` in the request's line tells of it.

A service that is slow for all is not asked twice by all: the budget limits that as before.

--- a/libs/gateway/include/gateway/attempt_policy.h
+++ b/libs/gateway/include/gateway/attempt_policy.h
@@ -50,6 +50,9 @@
 /// Additional sends beyond a route's execution limit: a rejected request was not executed.
 inline constexpr std::uint32_t kMaxExtraSends = 3;
 
+/// Returns whether the route permits another execution beside the current attempt's.
+bool MayRunAgain(const RetryDecisionInput& facts);
+
 /// Returns whether the attempt proves that the request was not executed.
 bool ProvesNotExecuted(const RetryDecisionInput& facts);
 
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -73,6 +73,8 @@
   }
 
  private:
+  /// Until then another attempt that may not start now is not considered again.
+  static constexpr std::chrono::milliseconds kReplacementInterval{250};
   /// A crashed backend server returns, and gateways that were cut off are reached again, within
   /// seconds or not at all.
   static constexpr std::chrono::milliseconds kResumptionRetryAfter{1'000};
@@ -97,6 +99,7 @@
     std::optional<TimePoint> begun;           ///< when its first event arrived
     bool survived = false;                    ///< the engine has lived on since, see PoisonGuard
     std::optional<ResultCode> cancel_reason;  ///< reason, if it was cancelled by this gateway
+    bool replaced = false;                    ///< cancelled, as it took too long, for another one
   };
 
   Exchange(GatewayState& state, std::shared_ptr<CallerConnection> caller)
@@ -105,6 +108,7 @@
         caller_(std::move(caller)),
         relay_(std::nullopt),
         buffered_(state.response_budget()),
+        patience_timer_(state.executor()),
         search_(state, {plan_, inbound_, tried_, record_,
                         [this] { return caller_->caller_gone() || Quarantined(); },
                         [this] { return WaitLimit(); }}) {}
@@ -145,6 +149,7 @@
   net::awaitable<void> FailUnexpectedly(std::exception_ptr error) {
     LogException("request " + record_.request.value(), error);
     if (attempt_.connection) attempt_.connection->Cancel();
+    EndPatience();
     load_.reset();
     last_code_ = ResultCode::kInternal;
     co_await Finish(response_started_ || response_sent_ ? NextStep::kAbortStream : NextStep::kFail);
@@ -382,6 +387,7 @@
     const bool direct = record_.via_peer.empty();
     if (direct) use_.emplace(attempt_.backend, attempt_.connection);
     const AttemptOutcome outcome = co_await ReadResponse();
+    EndPatience();
     use_.reset();
     if (direct && attempt_.broken && attempt_.connection->EndedByServer()) {
       state_.RecordBrokenExchange(attempt_.backend, attempt_.opened,
@@ -422,7 +428,7 @@
   void WatchStart() {
     WatchQuarantine();
     const bool direct = record_.via_peer.empty();
-    if (direct && retry_input_.may_repeat && retry_input_.runs + 1 < retry_input_.max_runs) {
+    if (direct && MayRunAgain(retry_input_)) {
       state_.unanswered_attempts().Add(unanswered_ticket_, attempt_.backend->entry.id,
                                        [this] { CancelAttempt(ResultCode::kBackendUnreachable); });
     }
@@ -447,14 +453,73 @@
     attempt_.connection->Cancel();
   }
 
+  /// From `end` on, the attempt is given up as soon as another one may start.
+  void SetPatience(TimePoint end) {
+    patience_end_ = end;
+    if (end == TimePoint::max()) return;
+    // Each event of a stream moves the end; the timer follows when it expires.
+    if (!patience_pending_ || end < patience_timer_.expiry()) ArmPatience();
+  }
+
+  /// While the backend server is not waited for.
+  void PausePatience() { SetPatience(TimePoint::max()); }
+
+  /// The timer would keep the exchange alive.
+  void EndPatience() {
+    PausePatience();
+    patience_timer_.cancel();
+    patience_pending_ = false;
+  }
+
+  void ArmPatience() {
+    patience_timer_.expires_at(patience_end_);
+    patience_pending_ = true;
+    patience_timer_.async_wait([self = this->shared_from_this()](const ErrorCode& error) {
+      if (error) return;
+      self->patience_pending_ = false;
+      if (self->patience_end_ == TimePoint::max()) return;
+      if (Clock::now() < self->patience_end_) return self->ArmPatience();
+      Spawn(self->state_.executor(), "attempt replacement", self->ReplaceAttempt());
+    });
+  }
+
+  /// Cancels the attempt if another one may start; it goes on otherwise. Without a replacement, to
+  /// give up would only lose what the backend server is working on.
+  net::awaitable<void> ReplaceAttempt() {
+    auto self = this->shared_from_this();
+    const std::uint32_t attempt = retry_input_.sends;
+    const auto is_waiting = [&] {
+      return retry_input_.sends == attempt && attempt_.connection && Clock::now() >= patience_end_;
+    };
+    if (!is_waiting()) co_return;
+    std::optional<RetryReservation> retry;
+    const bool in_time = WaitLimit() - Clock::now() > state_.limits().min_attempt_time;
+    if (in_time && MayReplace(state_, plan_, inbound_, tried_, attempt_.backend->entry.id)) {
+      retry = co_await state_.ReserveRetry(plan_.service, WaitLimit());
+    }
+    if (!is_waiting()) co_return;
+    if (!retry) {
+      if (!std::exchange(record_.outlasted_patience, true)) {
+        state_.metrics().GetCounter("ridgehold_attempts_without_replacement").Add();
+      }
+      SetPatience(Clock::now() + kReplacementInterval);
+      co_return;
+    }
+    retry_ = std::move(retry);
+    retry_reserved_at_ = Clock::now();
+    attempt_.replaced = true;
+    attempt_.connection->Cancel();
+  }
+
   /// Reads response heads until one belongs to this request; responses to other requests are
   /// skipped.
   net::awaitable<AttemptOutcome> ReadResponse() {
     relay_.StartAttempt();
     timing_.StartAttempt();
     for (int foreign = 0; foreign <= OutboundConnection::kMaxStaleResponses; ++foreign) {
-      const TimePoint limit = HeadDeadline(state_, plan_, retry_input_, Clock::now());
-      ExchangeFault fault = co_await attempt_.connection->ReadHead(limit);
+      SetPatience(HeadPatience(state_, plan_, retry_input_, Clock::now()));
+      ExchangeFault fault = co_await attempt_.connection->ReadHead(plan_.answer_by);
+      PausePatience();
       if (fault != ExchangeFault::kNone) co_return OutcomeOf(fault);
       attempt_.head = Wire::ReadAnswerHead(attempt_.connection->head());
       if (attempt_.head.request == inbound_.id) co_return co_await ReadOwnResponse();
@@ -542,10 +607,13 @@
 
   net::awaitable<AttemptOutcome> RelayStream() {
     std::string bytes;
-    TimePoint limit = EventDeadline(plan_, retry_input_, relay_.any_forwarded(), Clock::now());
+    TimePoint patience =
+        relay_.any_forwarded() ? EventPatience(retry_input_, Clock::now()) : TimePoint::max();
     while (!attempt_.connection->BodyDone()) {
       bytes.clear();
-      const ExchangeFault fault = co_await attempt_.connection->ReadBody(bytes, limit);
+      SetPatience(patience);
+      const ExchangeFault fault = co_await attempt_.connection->ReadBody(bytes, plan_.answer_by);
+      PausePatience();
       const std::string events = relay_.Feed(bytes);
       if (!events.empty()) {
         RecordEvents(Clock::now());
@@ -556,7 +624,7 @@
         timing_.RecordDelivery(Clock::now());
         if (!forwarded) co_return AttemptOutcome::kCallerGone;
         // Bytes that make no event do not count.
-        limit = EventDeadline(plan_, retry_input_, relay_.any_forwarded(), Clock::now());
+        patience = EventPatience(retry_input_, Clock::now());
       }
       // Checked once the events are forwarded: the next attempt resumes after them.
       if (relay_.failed() || !MayBuffer(relay_.buffered_bytes())) {
@@ -664,6 +732,10 @@
         return AttemptOutcome::kTimedOut;
       case ExchangeFault::kCancelled:
         if (caller_->caller_gone()) return AttemptOutcome::kCallerGone;
+        if (attempt_.replaced) {
+          last_code_ = ResultCode::kBackendTimeout;
+          return AttemptOutcome::kTimedOut;
+        }
         if (attempt_.cancel_reason) {
           last_code_ = *attempt_.cancel_reason;
           return AttemptOutcome::kCancelled;
@@ -704,8 +776,9 @@
     if (step == NextStep::kRetry && Quarantined()) step = StepWhenQuarantined();
     const bool arrived = outcome != AttemptOutcome::kNotSent && outcome != AttemptOutcome::kSkipped;
     bool in_budget = !record_.retry_budget_exhausted;
-    if (step == NextStep::kRetry && arrived) in_budget = co_await ReserveRetry();
+    if (step == NextStep::kRetry && arrived && !retry_) in_budget = co_await ReserveRetry();
     if (step == NextStep::kRetry && !in_budget) step = StepWithoutRetry(retry_input_);
+    if (step != NextStep::kRetry) retry_.reset();
     if (step != NextStep::kDone && step != NextStep::kDeliver) {
       LogAttempt(state_, record_, *attempt_.backend, retry_input_, last_code_, step);
     }
@@ -815,6 +888,9 @@
   RetryDecisionInput retry_input_;
   std::optional<RetryReservation> retry_;  ///< of an attempt that is not sent yet
   TimePoint retry_reserved_at_{};
+  Timer patience_timer_;
+  TimePoint patience_end_ = TimePoint::max();  ///< of the current attempt
+  bool patience_pending_ = false;              ///< the timer runs
   Attempt attempt_;
   std::optional<BackendLoad> load_;
   std::optional<ConnectionUse> use_;  ///< until the response has ended
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -176,13 +176,18 @@
                                               const InboundRequest& request,
                                               std::optional<WeightsNumber> weights, TimePoint now);
 
-/// Deadline for the head of the answer.
-TimePoint HeadDeadline(const GatewayState& state, const ExchangePlan& plan,
+/// When an attempt without the head of an answer is better replaced by another one, if that may
+/// start; TimePoint::max() if the request may not be executed again.
+TimePoint HeadPatience(const GatewayState& state, const ExchangePlan& plan,
                        const RetryDecisionInput& facts, TimePoint now);
 
-/// Deadline for the next bytes of a stream.
-TimePoint EventDeadline(const ExchangePlan& plan, const RetryDecisionInput& facts,
-                        bool any_forwarded, TimePoint now);
+/// The same for an attempt whose stream has begun and is silent from now on.
+TimePoint EventPatience(const RetryDecisionInput& facts, TimePoint now);
+
+/// Whether another backend server and the retry budget permit an attempt that replaces the one at
+/// `current`.
+bool MayReplace(GatewayState& state, const ExchangePlan& plan, const InboundRequest& request,
+                std::set<BackendId> tried, const BackendId& current);
 
 bool IsSuccess(int status);
 
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -112,7 +112,8 @@
   int status = 0;                     ///< HTTP status sent to the caller
   ResultCode code = ResultCode::kOk;
   bool retry_budget_exhausted = false;
-  Duration retry_delay{0};  ///< longest time from the grant of a retry to its send
+  bool outlasted_patience = false;  ///< an attempt was not given up as no other could start
+  Duration retry_delay{0};          ///< longest time from the grant of a retry to its send
   std::string detail;
 };
 
--- a/libs/gateway/src/attempt_policy.cc
+++ b/libs/gateway/src/attempt_policy.cc
@@ -33,6 +33,11 @@
 
 }  // namespace
 
+bool MayRunAgain(const RetryDecisionInput& facts) {
+  return facts.may_repeat && facts.runs + 1 < facts.max_runs &&
+         facts.sends < facts.max_runs + kMaxExtraSends;
+}
+
 bool ProvesNotExecuted(const RetryDecisionInput& facts) {
   if (facts.outcome == AttemptOutcome::kNotSent || facts.outcome == AttemptOutcome::kSkipped)
     return true;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -481,23 +481,27 @@
   return use;
 }
 
-TimePoint HeadDeadline(const GatewayState& state, const ExchangePlan& plan,
+TimePoint HeadPatience(const GatewayState& state, const ExchangePlan& plan,
                        const RetryDecisionInput& facts, TimePoint now) {
-  const bool another_run = facts.may_repeat && facts.runs + 1 < facts.max_runs;
-  if (!another_run) return plan.answer_by;
+  if (!MayRunAgain(facts)) return TimePoint::max();
   const bool stream = plan.route->kind == RouteKind::kStream;
   const double objectives = stream ? state.limits().stream_timeout_objectives
                                    : state.limits().response_timeout_objectives;
   const auto patience = std::chrono::milliseconds(static_cast<std::int64_t>(
       static_cast<double>(plan.route->latency_objective.count()) * objectives));
-  return std::min<TimePoint>(plan.answer_by, now + patience);
+  return now + patience;
 }
 
-TimePoint EventDeadline(const ExchangePlan& plan, const RetryDecisionInput& facts,
-                        bool any_forwarded, TimePoint now) {
-  const bool another_run = facts.may_repeat && facts.runs + 1 < facts.max_runs;
-  if (!another_run || !any_forwarded) return plan.answer_by;
-  return std::min<TimePoint>(plan.answer_by, now + kMaxStreamSilence);
+TimePoint EventPatience(const RetryDecisionInput& facts, TimePoint now) {
+  return MayRunAgain(facts) ? now + kMaxStreamSilence : TimePoint::max();
+}
+
+bool MayReplace(GatewayState& state, const ExchangePlan& plan, const InboundRequest& request,
+                std::set<BackendId> tried, const BackendId& current) {
+  const TimePoint now = Clock::now();
+  if (state.RetriesLeft(plan.service, now) < 1) return false;
+  tried.insert(current);
+  return ChooseFor(state, plan, request, tried, now).has_value();
 }
 
 bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -282,6 +282,7 @@
   AppendProcess(record, fields);
   AppendNotice(record, fields);
   if (record.retry_budget_exhausted) fields.push_back({"retry_budget", "spent"});
+  if (record.outlasted_patience) fields.push_back({"replacement", "none"});
   if (record.retry_delay > Duration::zero()) {
     fields.push_back({"retry_delay_ms", MillisecondsText(record.retry_delay)});
   }
