Fix: requests that would outlast a planned shutdown are refused as not run (LOST)

Callers whose requests came late in a planned stop, and may not be repeated, got 504 with their execution unknown: the requests were passed on to servers that answered after the instance had given up. On a kept connection on which a stream had ended, the next request met a closed connection.

Cause: the shutdown took requests by when they arrived, 2.6 s long, and not by whether they fit into its rest.

Change: the last 64 times of each route are kept. While the instance shuts down, a request that no server has got yet is refused at once unless it will be answered in time, by the longest of these times if it may not be repeated, by nine tenths of them if it may, or by its own time limit. Without known times only what may be repeated is passed on. Checked when the request is read, while it waits and right before it is sent. A connection whose end no response has announced stays open for a second after its last response, so that the next request gets 503 and Connection: close.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -665,7 +665,7 @@
     server_.Stop();
     state_.RejectNewRequests();
     while (Clock::now() < deadline) {
-      server_.CloseIdle();
+      server_.CloseIdle(tuning_.final_request_time);
       if (Clock::now() >= state_.response_deadline()) server_.FailPending();
       const bool drained = state_.in_flight() == 0 && server_.open_connections() == 0 &&
                            tunnel_server_.open_tunnels() == 0;
--- a/libs/entry/include/entry/entry_tuning.h
+++ b/libs/entry/include/entry/entry_tuning.h
@@ -101,6 +101,9 @@
   /// a gateway on a throttled core is stalled for up to 100 ms, the deadline is checked every
   /// 100 ms, and the response takes a few ms to reach the caller.
   std::chrono::milliseconds final_response_margin{300};
+  /// How long a connection stays open during a shutdown after a response that did not announce its
+  /// end: a client may be sending its next request, which is then refused as not run.
+  std::chrono::milliseconds final_request_time{1'000};
   /// Time between the end of the shutdown and the moment when the process is killed.
   std::chrono::milliseconds shutdown_margin{700};
   /// Requests stop starting on older weights this long before the limit: closing a connection takes
--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -91,8 +91,9 @@
   /// Closes immediately; a partly sent stream is seen as truncated by the client.
   void Abort();
 
-  /// Closes if no request is being read or processed. Returns whether it has closed.
-  bool CloseIfIdle();
+  /// Closes if no request has been read or processed for `idle_time`. Returns whether it has
+  /// closed.
+  bool CloseIfIdle(std::chrono::milliseconds idle_time = std::chrono::milliseconds(0));
 
   /// Since when the open connection has been idle; nullopt while it is not.
   const std::optional<TimePoint>& idle_since() const { return idle_since_; }
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -36,10 +36,10 @@
   /// Stops accepting connections.
   void Stop() { listener_.Close(); }
 
-  /// Closes idle connections.
-  void CloseIdle() {
+  /// Closes connections that have been idle for `idle_time`.
+  void CloseIdle(std::chrono::milliseconds idle_time) {
     const auto open = connections_;
-    for (const auto& [connection, exchange] : open) connection->CloseIfIdle();
+    for (const auto& [connection, exchange] : open) connection->CloseIfIdle(idle_time);
   }
 
   /// Fails requests without a response; call when the state's response deadline has passed.
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -63,6 +63,7 @@
     state_.OnRequestFinished();
     record_.half_closed = caller_->half_closed();
     RecordPunctuality();
+    RecordServiceTime();
     LogRequest(state_, record_);
   }
 
@@ -109,9 +110,10 @@
         relay_(std::nullopt),
         buffered_(state.response_budget()),
         patience_timer_(state.executor()),
-        search_(state, {plan_, inbound_, tried_, record_,
-                        [this] { return caller_->caller_gone() || Quarantined(); },
-                        [this] { return WaitLimit(); }}) {}
+        search_(state,
+                {plan_, inbound_, tried_, record_,
+                 [this] { return caller_->caller_gone() || Quarantined() || LeavesTooSoon(); },
+                 [this] { return WaitLimit(); }}) {}
 
   net::awaitable<void> Respond() {
     std::optional<Failure> failure = Decode();
@@ -231,6 +233,10 @@
   /// Makes one attempt and decides the next step.
   net::awaitable<NextStep> TryOnce() {
     if (Quarantined()) co_return StepWhenQuarantined();
+    if (LeavesTooSoon()) {
+      last_code_ = ResultCode::kShuttingDown;
+      co_return StepWithoutRetry(retry_input_);
+    }
     co_await AwaitCrashProof();
     const std::optional<BackendChoice> choice = co_await search_.Find(response_started_);
     if (caller_->caller_gone()) co_return NextStep::kDone;
@@ -256,6 +262,13 @@
     co_return step;
   }
 
+  /// Whether the instance shuts down before a backend server that gets the request now will have
+  /// answered. What may have run already, and may be repeated, is tried to the end.
+  bool LeavesTooSoon() const {
+    return !retry_input_.may_have_run && !response_started_ &&
+           !FitsBeforeShutdown(state_, plan_, Clock::now());
+  }
+
   /// Whether this request is quarantined, which may happen at any time because of copies at other
   /// gateways.
   bool Quarantined() const {
@@ -357,12 +370,14 @@
         !Quarantined() && has_permit && MayStillSend(state_, plan_, inbound_, choice, now);
     const ReleaseId release = ReleaseOnConnection(state_, *attempt_.backend, *checkout.connection);
     const bool may_go_on = !plan_.release || release == *plan_.release;
-    const bool sendable = !caller_gone && !too_late && may_send && may_go_on;
+    const bool leaves = LeavesTooSoon();
+    const bool sendable = !caller_gone && !too_late && may_send && may_go_on && !leaves;
     if (!sendable || !ConsumeRetry(now)) {
       ReleaseConnection(state_, *attempt_.backend, record_.via_peer,
                         std::move(checkout.connection));
       if (caller_gone) co_return AttemptOutcome::kCallerGone;
       if (!sendable) last_code_ = may_go_on ? ResultCode::kNoBackend : ResultCode::kReleaseGone;
+      if (leaves) last_code_ = ResultCode::kShuttingDown;
       co_return AttemptOutcome::kSkipped;
     }
     attempt_.connection = std::move(checkout.connection);
@@ -661,6 +676,14 @@
                                         record_.longest_pause, plan_.route->pause_objective);
   }
 
+  /// A time-out tells that the route's requests take that long at least.
+  void RecordServiceTime() {
+    const bool answered = record_.code == ResultCode::kOk && IsSuccess(record_.status);
+    if (!answered && record_.code != ResultCode::kBackendTimeout) return;
+    const Duration time = std::chrono::duration_cast<Duration>(Clock::now() - record_.received);
+    state_.service_times().Record(plan_.route->id, time);
+  }
+
   net::awaitable<bool> Forward(std::string events) {
     OnPrefilled();
     const bool started = co_await BeginResponse();
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -85,6 +85,10 @@
                                        const InboundRequest& request,
                                        const std::set<BackendId>& tried, TimePoint now);
 
+/// Whether a request that no backend server has got yet will be answered before a shutdown ends;
+/// true while none is in progress.
+bool FitsBeforeShutdown(const GatewayState& state, const ExchangePlan& plan, TimePoint now);
+
 /// Whether a usable backend server may get the request.
 bool MayGetRequest(const GatewayState& state, const ExchangePlan& plan,
                    const InboundRequest& request, const std::set<BackendId>& tried,
--- a/libs/gateway/include/gateway/gateway_state.h
+++ b/libs/gateway/include/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 
 #include "base/ids.h"
 #include "buffering/body_gate.h"
+#include "drain/service_times.h"
 #include "gateway/admission.h"
 #include "gateway/backend_directory.h"
 #include "gateway/deferred_requests.h"
@@ -403,6 +404,9 @@
   void SetResponseDeadline(TimePoint moment) { response_deadline_ = moment; }
   TimePoint response_deadline() const { return response_deadline_; }
 
+  ServiceTimes& service_times() { return service_times_; }
+  const ServiceTimes& service_times() const { return service_times_; }
+
   std::uint32_t in_flight() const { return in_flight_; }
   void OnRequestStarted() { ++in_flight_; }
   void OnRequestFinished() { --in_flight_; }
@@ -487,6 +491,7 @@
   std::function<void()> on_placement_;
   std::function<void()> on_load_change_;
   LoadAsker query_loads_;
+  ServiceTimes service_times_;
   std::uint32_t in_flight_ = 0;
   std::uint64_t sequence_ = 0;
   TimePoint response_deadline_ = TimePoint::max();
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -400,8 +400,10 @@
   Close();
 }
 
-bool CallerConnection::CloseIfIdle() {
-  if (!idle_since_ || buffer_.size() > 0 || !socket_.is_open()) return false;
+bool CallerConnection::CloseIfIdle(std::chrono::milliseconds idle_time) {
+  if (!idle_since_ || Clock::now() - *idle_since_ < idle_time || buffer_.size() > 0 ||
+      !socket_.is_open())
+    return false;
   char byte = 0;
   const auto read = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // A request that has just arrived is still processed.
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <iterator>
 
+#include "drain/shutdown_admission.h"
 #include "gateway/request_ordering.h"
 
 namespace ridgehold {
@@ -209,6 +210,9 @@
   plan.service = PickTarget(*plan.route, request.id);
   plan.received = request.received;
   plan.answer_by = request.received + EffectiveTimeout(*plan.route, request);
+  if (!FitsBeforeShutdown(state, plan, now)) {
+    return Fail(ResultCode::kShuttingDown, "would take longer than the shutdown");
+  }
   const bool has_workspace_priority =
       plan.workspace != nullptr && plan.workspace->priority.has_value();
   plan.priority =
@@ -229,6 +233,12 @@
   return plan;
 }
 
+bool FitsBeforeShutdown(const GatewayState& state, const ExchangePlan& plan, TimePoint now) {
+  if (!state.shutting_down()) return true;
+  const PendingRequest request = {plan.route->id, plan.route->MayRepeat(), plan.answer_by};
+  return FitsBefore(state.response_deadline(), request, state.service_times(), now);
+}
+
 bool MayGetRequest(const GatewayState& state, const ExchangePlan& plan,
                    const InboundRequest& request, const std::set<BackendId>& tried,
                    const Backend& backend, TimePoint now) {
