Fix: responses to an instance's own calls have limits of their own (FAULT)

Up to 16 MB were read of whatever a server answered to a status query or an order, many of them at once, and a peer's copy of the store could grow to 64 MB when inflated, more than an instance has.

Copies inflate to 24 MB, three times that of 20,000 servers. A connection whose response was broken off is closed at once instead of at the deadline of its call. Found by reading; not shown to end a process.

--- a/libs/net/include/net/http_call.h
+++ b/libs/net/include/net/http_call.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -21,10 +22,15 @@
 /// Checked right before a request is sent: it may have become invalid while connecting.
 using MaySend = std::function<bool()>;
 
-/// Sends `request` to `address` once, without retries, and reads the complete response.
-/// `timeout` covers connecting, sending and reading. If `may_send` returns false, sends nothing
-/// and returns kNotSent.
+struct CallLimits {
+  std::chrono::milliseconds timeout;  ///< for connecting, sending and reading
+  /// Of the response's body; a larger one is kBroken.
+  std::size_t max_response_bytes = std::size_t{1} << 20;
+};
+
+/// Sends `request` to `address` once, without retries, and reads the complete response. If
+/// `may_send` returns false, sends nothing and returns kNotSent.
 net::awaitable<CallResult> Call(ConnectionPool& pool, std::string address, RequestMessage request,
-                                std::chrono::milliseconds timeout, MaySend may_send = {});
+                                CallLimits limits, MaySend may_send = {});
 
 }  // namespace ridgehold
--- a/libs/net/src/http_call.cc
+++ b/libs/net/src/http_call.cc
@@ -1,16 +1,10 @@
 #include "net/http_call.h"
 
 namespace ridgehold {
-namespace {
-
-// Far above the size of any response of the store or of the control API.
-constexpr std::size_t kMaxResponseBytes = std::size_t{16} << 20;
-
-}  // namespace
 
 net::awaitable<CallResult> Call(ConnectionPool& pool, std::string address, RequestMessage request,
-                                std::chrono::milliseconds timeout, MaySend may_send) {
-  const TimePoint deadline = Clock::now() + timeout;
+                                CallLimits limits, MaySend may_send) {
+  const TimePoint deadline = Clock::now() + limits.timeout;
   Checkout checkout = co_await pool.Acquire(address, deadline);
   CallResult outcome;
   outcome.fault = checkout.fault;
@@ -25,11 +19,18 @@
   if (may_send) connection->ResetOnClose(true);
   connection->StartRequest(request);
   outcome.fault = co_await connection->ReadHead(deadline);
-  if (outcome.fault != ExchangeFault::kNone) co_return outcome;
+  if (outcome.fault != ExchangeFault::kNone) {
+    connection->Close();
+    co_return outcome;
+  }
   outcome.response.base() = connection->head();
-  const auto may_hold = [](std::size_t bytes) { return bytes <= kMaxResponseBytes; };
+  const auto may_hold = [&](std::size_t bytes) { return bytes <= limits.max_response_bytes; };
   outcome.fault = co_await connection->ReadWholeBody(outcome.response.body(), may_hold, deadline);
-  if (outcome.fault != ExchangeFault::kNone) co_return outcome;
+  if (outcome.fault != ExchangeFault::kNone) {
+    // It would stay open until the deadline.
+    connection->Close();
+    co_return outcome;
+  }
   if (may_send) connection->ResetOnClose(false);
   pool.Release(address, std::move(connection));
   co_return outcome;
--- a/libs/peers/include/peers/store_copy.h
+++ b/libs/peers/include/peers/store_copy.h
@@ -16,6 +16,8 @@
 
 /// Path at which gateways serve their copy to each other; the query is a StoreCopyRequest.
 inline constexpr char kStoreCopyPath[] = "/store-copy";
+/// Of a copy as it is sent, in part deflated.
+inline constexpr std::size_t kMaxStoreCopyBytes = std::size_t{16} << 20;
 
 /// What the reader already has, and how long the answer may wait for more.
 struct StoreCopyRequest {
--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -208,8 +208,9 @@
     request.set(http::field::host, peer);
     const std::string address = peer + ":" + std::to_string(options_.port);
     const bool wants_all = wanted.revision == StoreRevision();
-    const auto timeout = hold + (wants_all ? options_.copy_timeout : options_.timeout);
-    const CallResult outcome = co_await Call(state_.pool(), address, std::move(request), timeout);
+    const CallLimits limits{hold + (wants_all ? options_.copy_timeout : options_.timeout),
+                            kMaxStoreCopyBytes};
+    const CallResult outcome = co_await Call(state_.pool(), address, std::move(request), limits);
     peer_is_starting_ = outcome.fault == ExchangeFault::kNone &&
                         outcome.response.result() == http::status::service_unavailable;
     if (outcome.fault != ExchangeFault::kNone || outcome.response.result() != http::status::ok) {
--- a/libs/peers/src/store_copy.cc
+++ b/libs/peers/src/store_copy.cc
@@ -14,8 +14,9 @@
 constexpr std::string_view kWaitField = "wait=";
 constexpr std::string_view kAgeField = "age=";
 constexpr std::string_view kDeflateField = "deflate";
-/// A copy of 20,000 backend servers takes some 8 MB.
-constexpr std::size_t kMaxInflatedBytes = std::size_t{64} << 20;
+/// A copy of 20,000 backend servers takes some 8 MB. It is held beside the records that are decoded
+/// from it.
+constexpr std::size_t kMaxInflatedBytes = std::size_t{24} << 20;
 
 void EncodeChange(const StoreEvent& change, wire::StoredItem& entry) {
   entry.set_key(change.key);
--- a/soak/readiness_checks.cc
+++ b/soak/readiness_checks.cc
@@ -19,7 +19,8 @@
   const std::string address = instance.process->place().address + ":" + std::to_string(port);
   RequestMessage request(http::verb::get, platform::path::kReady, kHttp11);
   request.set(http::field::host, address);
-  const CallResult result = co_await Call(pool, address, std::move(request), timeout);
+  const CallLimits limits{timeout};
+  const CallResult result = co_await Call(pool, address, std::move(request), limits);
   co_return result.fault == ExchangeFault::kNone ? result.response.result_int() : 0;
 }
 
