Fix: events are read in linear time

A server that sends empty events, or one long event in small parts, used up the processor: the reader searched its whole buffer for both forms of a blank line, for each event and after each read.

--- a/libs/sse/include/sse/sse.h
+++ b/libs/sse/include/sse/sse.h
@@ -37,8 +37,13 @@
   bool has_partial_event() const { return position_ < buffer_.size(); }
 
  private:
+  /// Returns the length of the first event of the unread bytes, including its terminating blank
+  /// line; npos if the event is incomplete.
+  std::size_t FindEnd();
+
   std::string buffer_;
   std::size_t position_ = 0;
+  std::size_t searched_ = 0;  ///< no event ends before this position
   bool failed_ = false;
 };
 
--- a/libs/sse/src/sse.cc
+++ b/libs/sse/src/sse.cc
@@ -23,21 +23,33 @@
   event.data += value;
 }
 
-/// Returns the length of the first event in `text`, including its terminating blank line, or
-/// npos if the event is incomplete.
-std::size_t EndOfEvent(std::string_view text) {
-  const std::size_t lf = text.find(kBlankLine);
-  const std::size_t crlf = text.find(kBlankLineCrLf);
-  if (lf == std::string_view::npos && crlf == std::string_view::npos) return lf;
-  return lf < crlf ? lf + kBlankLine.size() : crlf + kBlankLineCrLf.size();
-}
-
 }  // namespace
 
+std::size_t SseReader::FindEnd() {
+  const std::string_view text = buffer_;
+  // A blank line may have begun in the bytes before.
+  const std::size_t overlap = std::min(searched_ - position_, kBlankLineCrLf.size() - 1);
+  const std::size_t from = searched_ - overlap;
+  const std::size_t lf = text.find(kBlankLine, from);
+  // Each byte is searched once: of many short events only the first is looked at here.
+  const std::size_t limit = lf == std::string_view::npos ? text.size() : lf + 1;
+  const std::size_t crlf = text.substr(0, limit).find(kBlankLineCrLf, from);
+  searched_ = text.size();
+  if (crlf != std::string_view::npos) {
+    searched_ = crlf + kBlankLineCrLf.size();
+  } else if (lf != std::string_view::npos) {
+    searched_ = lf + kBlankLine.size();
+  } else {
+    return std::string_view::npos;
+  }
+  return searched_ - position_;
+}
+
 void SseReader::Append(std::string_view bytes) {
   if (failed_) return;
   if (position_ > 0) {
     buffer_.erase(0, position_);
+    searched_ -= position_;
     position_ = 0;
   }
   buffer_ += bytes;
@@ -46,7 +58,7 @@
 std::optional<SseEvent> SseReader::Next() {
   std::string_view text = buffer_;
   text.remove_prefix(position_);
-  const std::size_t end = EndOfEvent(text);
+  const std::size_t end = FindEnd();
   const bool complete = end != std::string_view::npos;
   failed_ = failed_ || (complete ? end : text.size()) > kMaxEventBytes;
   if (failed_ || !complete) return std::nullopt;
