Soak: clients and engines that send framing without end

The kind `endless`: 2 to 12 clients of one port, and often an engine, send a part of a chunked body's framing without end. The check is that the instance stays within limits.memory_mb, is ready and answers new callers meanwhile.

--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -98,7 +98,8 @@
       {"taken-port", FaultKind::kTakenPort},
       {"unread-output", FaultKind::kUnreadOutput},
       {"idle-flood", FaultKind::kIdleFlood},
-      {"pipelined", FaultKind::kPipelined}};
+      {"pipelined", FaultKind::kPipelined},
+      {"endless", FaultKind::kEndless}};
   return names;
 }
 
@@ -220,6 +221,8 @@
       return StartAtTakenPort(random);
     case FaultKind::kIdleFlood:
       return FloodWithIdle(random);
+    case FaultKind::kEndless:
+      return SendEndless(random);
     case FaultKind::kPipelined:
       return Stop(random);  // the callers of this kind matter beside stops
     case FaultKind::kUnreadOutput:
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -70,6 +70,7 @@
   kUnreadOutput,
   kIdleFlood,
   kPipelined,
+  kEndless,
 };
 
 /// A process of an instance, which may have been replaced since.
@@ -84,6 +85,7 @@
   int starts_with_hang_ups = 0;  ///< that were followed by hangups at once
   int taken_ports = 0;
   int idle_connections = 0;
+  int endless_senders = 0;
 };
 
 /// What the faults work on.
@@ -203,6 +205,8 @@
   net::awaitable<void> StartAtTakenPort(Random random);
   /// Connections that send nothing use up the descriptors of an instance.
   net::awaitable<void> FloodWithIdle(Random random);
+  /// Clients and an engine send framing without end.
+  net::awaitable<void> SendEndless(Random random);
 
   /// An instance; often the one that orders weights now.
   Instance& PickInstance(Random& random);
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -148,6 +148,13 @@
   return takes_signals_;
 }
 
+bool InstanceProcess::ExceedsMemory() const {
+  constexpr std::size_t kMegabyte = std::size_t{1} << 20;
+  if (place_.surroundings.memory_mb == 0 || pid_ == 0) return false;
+  const auto most = static_cast<std::size_t>(place_.surroundings.memory_mb) * kMegabyte;
+  return ReadProcessStatus(pid_).peak_resident_bytes > most;
+}
+
 std::string InstanceProcess::EndSignal() const {
   const bool by_signal = WIFSIGNALED(status_) && WTERMSIG(status_) != SIGKILL;
   return by_signal ? "signal " + std::to_string(WTERMSIG(status_)) : "";
@@ -181,6 +188,9 @@
        << "\nbounds.retry_window_s=" << kRetryWindow.count()
        << "\nbounds.retry_slack=" << kRetrySlack
        << "\nbounds.grace_s=" << kShutdownLimit.count() / 1'000 << "\n";
+  if (place_.surroundings.memory_mb > 0) {
+    file << "limits.memory_mb=" << place_.surroundings.memory_mb << "\n";
+  }
 }
 
 }  // namespace ridgehold::soak
--- a/soak/instance_process.h
+++ b/soak/instance_process.h
@@ -16,6 +16,7 @@
   bool unread_output = false;  ///< standard output and error are a small pipe that nobody reads
   int max_descriptors = 0;     ///< 0: as many as the soak has
   bool metrics = false;        ///< served at kMetricsPort
+  int memory_mb = 0;           ///< the process may use; 0: not stated
 };
 
 /// Where an instance listens, and where it finds the others.
@@ -49,6 +50,8 @@
   void Queue(int signal, int value) const;
   /// Looks whether the process has ended since.
   bool Running();
+  /// Whether the process has used more memory than it may.
+  bool ExceedsMemory() const;
   /// How the last process ended, as waitpid tells it.
   int status() const { return status_; }
   /// The signal that ended the last process; empty if none did, or SIGKILL, which the faults send.
--- a/soak/process_status.h
+++ b/soak/process_status.h
@@ -4,15 +4,17 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace ridgehold::soak {
 
-/// Signals of a process, and its threads.
+/// Signals of a process, its threads and memory.
 struct ProcessStatus {
   std::uint64_t blocked = 0;  ///< a bit for each signal, the lowest for signal 1
   std::uint64_t caught = 0;
   int threads = 0;
+  std::size_t peak_resident_bytes = 0;
 
   bool Blocks(int signal) const { return (blocked >> (signal - 1) & 1) != 0; }
   bool Catches(int signal) const { return (caught >> (signal - 1) & 1) != 0; }
--- a/soak/readiness_checks.cc
+++ b/soak/readiness_checks.cc
@@ -31,10 +31,10 @@
 
 bool FaultScript::OnlyHarmless() const {
   // Other faults keep instances from being ready.
-  const std::set<FaultKind> harmless = {FaultKind::kKeys,      FaultKind::kWeights,
-                                        FaultKind::kBlackout,  FaultKind::kHangUp,
-                                        FaultKind::kTakenPort, FaultKind::kUnreadOutput,
-                                        FaultKind::kIdleFlood, FaultKind::kPipelined};
+  const std::set<FaultKind> harmless = {
+      FaultKind::kKeys,      FaultKind::kWeights,   FaultKind::kBlackout,
+      FaultKind::kHangUp,    FaultKind::kTakenPort, FaultKind::kUnreadOutput,
+      FaultKind::kIdleFlood, FaultKind::kPipelined, FaultKind::kEndless};
   return std::ranges::includes(harmless, kinds_);
 }
 
@@ -67,7 +67,7 @@
     if (status == 0) co_await Sleep(kLook);
   }
   if (status != 0 || IsReplaced(process) || !OnlyHarmless()) co_return;
-  targets_.verdict.Fail("new callers are not served beside idle connections",
+  targets_.verdict.Fail("new callers are not served beside idle or endless connections",
                         process.instance->process->place().name, "");
 }
 
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -27,6 +27,9 @@
 constexpr int kQueuePlacesWhenBrittle = 2;
 constexpr std::chrono::milliseconds kLook{5};  // how often a waiting request looks again
 
+constexpr char kChunkedField[] = "Transfer-Encoding: chunked\r\n";
+constexpr char kEventStreamField[] = "Content-Type: text/event-stream\r\n";
+
 std::string HeadLine(http::status status) {
   return "HTTP/1.1 " + std::to_string(static_cast<int>(status)) + " " +
          std::string(http::obsolete_reason(status)) + "\r\n";
@@ -193,6 +196,10 @@
   run.broke_off = breaks;
   if (breaks && random_.Chance(kNoAnswerPart)) co_return false;
   run.status = random_.Chance(mood_.error_part) ? 500 : 200;
+  if (mood_.endless) {
+    run.broke_off = true;
+    co_return co_await WriteEndless(socket, Head(run, request, kChunkedField), *mood_.endless);
+  }
   const std::string body = BodyOf(run.signature);
   // The end of a connection cannot tell that such an answer was cut off.
   const bool unframed = (mood_.unframed || (kill_ && kill_->unframed)) && !breaks;
@@ -223,6 +230,17 @@
   co_return written && !breaks;
 }
 
+net::awaitable<bool> SoakEngine::WriteEndless(tcp::socket& socket, std::string head,
+                                              EndlessPart part) {
+  // An instance that reads on for ever must not keep the soak from ending.
+  constexpr std::size_t kMostBlocks = 4'096;
+  bool written = co_await Write(socket, head + part.begin);
+  for (std::size_t i = 0; i < kMostBlocks && written; ++i) {
+    written = co_await Write(socket, part.block);
+  }
+  co_return false;
+}
+
 net::awaitable<bool> SoakEngine::WriteInParts(tcp::socket& socket, std::string answer) {
   constexpr std::size_t kParts = 3;
   const std::size_t size = answer.size() / kParts + 1;
@@ -245,6 +263,11 @@
   const int taken_up_after = resumed ? Number(request[field::kLastEventId]) : 0;
   const int break_at = breaks ? random_.Between(taken_up_after, count) : count + 1;
   run.status = 200;
+  if (mood_.endless) {
+    run.broke_off = true;
+    const std::string fields = std::string(kEventStreamField) + kChunkedField;
+    co_return co_await WriteEndless(socket, Head(run, request, fields), *mood_.endless);
+  }
   const bool unframed = mood_.unframed || (kill_ && kill_->unframed);
   const std::string framing = unframed ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n";
   co_await Sleep(random_.Milliseconds(2, 60));
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "calm.h"
+#include "endless_part.h"
 #include "fakes.h"
 #include "fault_proxy.h"
 #include "instance_path.h"
@@ -30,6 +31,7 @@
   double break_part = 0;               ///< part of the answers that end early
   double error_part = 0;               ///< part of the answers that are failures
   bool unframed = false;               ///< answers have neither a length nor chunks
+  std::optional<EndlessPart> endless;  ///< answers have framing without end
   Need need;
 };
 
@@ -90,6 +92,8 @@
   net::awaitable<bool> Plain(tcp::socket& socket, const RequestMessage& request, Run& run);
   net::awaitable<bool> Events(tcp::socket& socket, const RequestMessage& request, Run& run);
   net::awaitable<bool> Write(tcp::socket& socket, std::string bytes);
+  /// Writes framing until the connection ends.
+  net::awaitable<bool> WriteEndless(tcp::socket& socket, std::string head, EndlessPart part);
   /// Writes with pauses, and ends the connection.
   net::awaitable<bool> WriteInParts(tcp::socket& socket, std::string answer);
   /// Writes an answer; is killed after `size` bytes of it if a kill waits for that point.
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -29,6 +29,8 @@
 constexpr int kPipelinedCallersEach = 3;  // for each instance
 /// Of an instance's processes, where idle connections are to use them up.
 constexpr int kFewDescriptors = 300;
+/// Of an instance's process, as on a usual deployment.
+constexpr int kMemoryMb = 110;
 
 std::string AddressOf(int instance) {
   constexpr int kFirst = 10;
@@ -203,9 +205,11 @@
 
 Surroundings SoakRun::SurroundingsOfAll() const {
   const bool floods = faults_.Selected(FaultKind::kIdleFlood);
+  const bool endless = faults_.Selected(FaultKind::kEndless);
   return {.unread_output = faults_.Selected(FaultKind::kUnreadOutput),
           .max_descriptors = floods ? kFewDescriptors : 0,
-          .metrics = floods};
+          .metrics = floods || endless,
+          .memory_mb = endless ? kMemoryMb : 0};
 }
 
 bool SoakRun::Play() {
@@ -264,6 +268,9 @@
 net::awaitable<void> SoakRun::WatchProcesses() {
   for (;;) {
     for (const auto& instance : instances_) {
+      if (instance->process->ExceedsMemory()) {
+        verdict_.Fail("process exceeds its memory", instance->process->place().name, "");
+      }
       if (instance->ending || instance->process->Running()) continue;
       const int status = instance->process->status();
       verdict_.Fail("process ends by itself", instance->process->place().name,
@@ -279,7 +286,8 @@
   return std::to_string(counts.hang_ups) + " hangups (" +
          std::to_string(counts.starts_with_hang_ups) + " starts with some), " +
          std::to_string(counts.taken_ports) + " taken ports, " +
-         std::to_string(counts.idle_connections) + " idle connections, ";
+         std::to_string(counts.idle_connections) + " idle connections, " +
+         std::to_string(counts.endless_senders) + " endless requests, ";
 }
 
 std::string SoakRun::Summary() {
--- a/soak/surrounding_faults.cc
+++ b/soak/surrounding_faults.cc
@@ -2,6 +2,10 @@
 
 #include <csignal>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "endless_sender.h"
 #include "fault_script.h"
 #include "idle_connections.h"
 #include "port_holder.h"
@@ -29,6 +33,9 @@
 constexpr int kLongestFlood = 4'000;   // ms
 constexpr std::chrono::milliseconds kFloodBegins{300};
 constexpr std::chrono::milliseconds kServedBesideFlood{2'000};
+constexpr int kLeastEndless = 2;  // connections
+constexpr int kMostEndless = 12;
+constexpr double kEndlessServerPart = 0.5;  // of the faults, those with an engine that does so, too
 
 struct Port {
   std::uint16_t number;
@@ -121,4 +128,32 @@
   flooding_ = false;
 }
 
+net::awaitable<void> FaultScript::SendEndless(Random random) {
+  if (flooding_) co_return;
+  flooding_ = true;
+  const auto executor = co_await net::this_coro::executor;
+  const Instance& instance = PickInstance(random);
+  const std::uint16_t port =
+      kFloodedPorts.at(static_cast<std::size_t>(random.Between(0, kFloodedPorts.size() - 1)));
+  const TimePoint end = Clock::now() + random.Milliseconds(kShortestFlood, kLongestFlood);
+  const int count = random.Between(kLeastEndless, kMostEndless);
+  for (int i = 0; i < count; ++i) {
+    const auto sender = EndlessSender::Create(executor, instance.process->place().address, port,
+                                              EndlessPart::Draw(random));
+    net::co_spawn(executor, sender->Run(end), net::detached);
+  }
+  counts_.endless_senders += count;
+  SoakEngine& engine = Pick(targets_.engines, random);
+  if (random.Chance(kEndlessServerPart)) engine.SetMood({.endless = EndlessPart::Draw(random)});
+  co_await Sleep(kFloodBegins);
+  const StartedProcess process{&instance, instance.process->serial()};
+  const std::vector<StartedProcess> processes = {process};
+  co_await AwaitReadiness(processes, kServedBesideFlood,
+                          "instance is not ready beside endless requests");
+  co_await AwaitAnswer(process, kServedBesideFlood);
+  while (Clock::now() < end) co_await Sleep(10ms);
+  engine.SetMood({});
+  flooding_ = false;
+}
+
 }  // namespace ridgehold::soak
