--- a/libs/gateway/include/gateway/pushback_state.h
+++ b/libs/gateway/include/gateway/pushback_state.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -58,6 +59,10 @@
   TimePoint blocked_until() const;
   bool BlocksRequests(TimePoint now) const { return leaving_ || now < blocked_until(); }
 
+  /// Takes over a back-off that was requested under the same id. Which process has asked for it is
+  /// not known: registrations arrive later than responses.
+  void KeepBackoff(TimePoint until) { backoff_until_ = std::max(backoff_until_, until); }
+
   /// Blocks the server until `until` because no permit is available before.
   void BlockUntilPermit(TimePoint until);
 
--- a/libs/gateway/src/backend_directory.cc
+++ b/libs/gateway/src/backend_directory.cc
@@ -62,7 +62,11 @@
 }
 
 void BackendDirectory::Store(const BackendEntry& entry, Registration registration) {
-  if (registration == Registration::kRestarted) Drop(entry.id);
+  TimePoint backoff_until{};
+  if (registration == Registration::kRestarted) {
+    backoff_until = Find(entry.id)->notice_state.backoff_until();
+    Drop(entry.id);
+  }
   const RegistrationNumber registered = Remember(entry, registration);
   BackendPtr& backend = backends_[entry.id];
   const bool is_new = !backend;
@@ -82,6 +86,7 @@
   backend->process.registered = registered;
   AddToIndexes(backend);
   if (is_new) RestoreNotice(*backend);
+  backend->notice_state.KeepBackoff(backoff_until);
   if (former_address != entry.address) UpdateAddress(former_address);
   UpdateAddress(entry.address);
 }
--- a/libs/gateway/src/pushback_registry.cc
+++ b/libs/gateway/src/pushback_registry.cc
@@ -40,6 +40,11 @@
          {"rest_ms", std::to_string(pushback.backoff->count())}});
   }
   const bool changed = backend.notice_state.ApplyPushback(pushback, sent, now);
+  if (backend.removed && pushback.backoff) {
+    // Another registration was read after the request was sent.
+    const BackendPtr current = directory_.Find(backend.entry.id);
+    if (current) current->notice_state.KeepBackoff(backend.notice_state.backoff_until());
+  }
   if (pushback.rejection_limit) RecordFragility(backend, *pushback.rejection_limit, now);
   if (pushback.limit) quota_needed_until_ = now + kQuotaRetention;
   if (changed) {
--- a/libs/gateway/test/backend_directory-test.cc
+++ b/libs/gateway/test/backend_directory-test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "gateway/pushback_registry.h"
+
 using namespace ridgehold;
 using namespace std::chrono_literals;
 
@@ -188,6 +190,33 @@
   BOOST_TEST(directory.Usable(kService, kStart).size() == 1U);
 }
 
+// Guards against requests to a server that has asked for rest: the registration of the process
+// before it is read after its answer, and looks like a restart.
+BOOST_AUTO_TEST_CASE(requested_rest_outlasts_a_registration_that_is_read_later) {
+  BackendDirectory directory;
+  directory.Put(Started("b", 5));
+  BackendPushback rest;
+  rest.backoff = 2s;
+  directory.Find(BackendId("b"))->notice_state.ApplyPushback(rest, kStart, kStart);
+  BOOST_TEST((directory.Put(Started("b", 6)) == Registration::kRestarted));
+  const BackendPtr after = directory.Find(BackendId("b"));
+  BOOST_TEST(after->notice_state.BlocksRequests(kStart + 1'900ms));
+  BOOST_TEST(!after->notice_state.BlocksRequests(kStart + 2s));
+}
+
+// The same for a response to a request that was sent before the registration was read.
+BOOST_AUTO_TEST_CASE(rest_requested_in_a_late_response_holds_for_the_registered_server) {
+  BackendDirectory directory;
+  PushbackRegistry registry(directory);
+  directory.Put(Started("b", 5));
+  const BackendPtr before = directory.Find(BackendId("b"));
+  directory.Put(Started("b", 6));
+  BackendPushback rest;
+  rest.backoff = 2s;
+  registry.ApplyPushback(*before, rest, kStart, kStart);
+  BOOST_TEST(directory.Find(BackendId("b"))->notice_state.BlocksRequests(kStart + 1s));
+}
+
 BOOST_AUTO_TEST_CASE(late_registration_of_an_earlier_start_is_ignored) {
   BackendDirectory directory;
   directory.Put(Started("b", 6));
