Fix: a short silence of a server ends no attempt that cannot be replaced

A sound server may be silent for a second or so and go on.

Such an attempt is replaced at once if another one may start, as before. If not, it goes on for 1.2 s more, longer if the server is reached again, and is given up then.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -76,6 +76,9 @@
  private:
   /// Until then another attempt that may not start now is not considered again.
   static constexpr std::chrono::milliseconds kReplacementInterval{250};
+  /// A sound backend server may be silent for a second or two. After that, one that is still
+  /// unreachable is given up, also without a replacement.
+  static constexpr std::chrono::milliseconds kMaxUnreachableTime{1'200};
   /// A crashed backend server returns, and gateways that were cut off are reached again, within
   /// seconds or not at all.
   static constexpr std::chrono::milliseconds kResumptionRetryAfter{1'000};
@@ -101,6 +104,7 @@
     bool survived = false;                    ///< the engine has lived on since, see PoisonGuard
     std::optional<ResultCode> cancel_reason;  ///< reason, if it was cancelled by this gateway
     bool replaced = false;                    ///< cancelled, as it took too long, for another one
+    std::optional<TimePoint> unreachable_since;  ///< its backend server, as probes found
   };
 
   Exchange(GatewayState& state, std::shared_ptr<CallerConnection> caller)
@@ -445,7 +449,7 @@
     const bool direct = record_.via_peer.empty();
     if (direct && MayRunAgain(retry_input_)) {
       state_.unanswered_attempts().Add(unanswered_ticket_, attempt_.backend->entry.id,
-                                       [this] { CancelAttempt(ResultCode::kBackendUnreachable); });
+                                       [this] { OnUnreachable(); });
     }
     if (!inbound_.generation || !attempt_.expected_weights) return;
     const RequiredWeights required{inbound_.generation->model, *attempt_.expected_weights};
@@ -476,6 +480,11 @@
     if (!patience_pending_ || end < patience_timer_.expiry()) ArmPatience();
   }
 
+  void OnUnreachable() {
+    attempt_.unreachable_since = Clock::now();
+    SetPatience(Clock::now());
+  }
+
   /// While the backend server is not waited for.
   void PausePatience() { SetPatience(TimePoint::max()); }
 
@@ -513,6 +522,13 @@
       retry = co_await state_.ReserveRetry(plan_.service, WaitLimit());
     }
     if (!is_waiting()) co_return;
+    if (attempt_.backend->reachable) attempt_.unreachable_since.reset();
+    const auto& since = attempt_.unreachable_since;
+    if (since && (retry || Clock::now() - *since >= kMaxUnreachableTime)) {
+      KeepRetry(std::move(retry));
+      CancelAttempt(ResultCode::kBackendUnreachable);
+      co_return;
+    }
     if (!retry) {
       if (!std::exchange(record_.outlasted_patience, true)) {
         state_.metrics().GetCounter("ridgehold_attempts_without_replacement").Add();
@@ -520,12 +536,16 @@
       SetPatience(Clock::now() + kReplacementInterval);
       co_return;
     }
-    retry_ = std::move(retry);
-    retry_reserved_at_ = Clock::now();
+    KeepRetry(std::move(retry));
     attempt_.replaced = true;
     attempt_.connection->Cancel();
   }
 
+  void KeepRetry(std::optional<RetryReservation> retry) {
+    retry_ = std::move(retry);
+    retry_reserved_at_ = Clock::now();
+  }
+
   /// Reads response heads until one belongs to this request; responses to other requests are
   /// skipped.
   net::awaitable<AttemptOutcome> ReadResponse() {
