Fix: heads of many short fields are bounded as parsed (FAULT, LOST)

A head within its limit of bytes may consist of thousands of short fields. Parsed, each takes 64 bytes and more, and a request's head was kept twice, also by idle connections: a client without a key could end an instance with a few hundred connections that send no body.

Callers' heads take room from the budget for received bytes until the request is answered; without room it is refused as not run. Idle connections keep neither heads nor buffers, callers' and servers' alike.

--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -16,6 +16,7 @@
 #include "gateway/wire_format.h"
 #include "net/beast.h"
 #include "net/read_buffer.h"
+#include "net/read_share.h"
 #include "net/timer.h"
 
 namespace ridgehold {
@@ -138,6 +139,8 @@
   Timer limit_timer_;
   Timer watch_timer_;
   ReadBuffer buffer_;
+  ReadShare head_share_;  ///< of `head_` and its copy in the request
+  bool head_fits_ = true;
   RequestHead head_;
   std::shared_ptr<HeldRequest> request_;
   TimePoint received_at_{};
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <cerrno>
 
+#include "net/head_size.h"
 #include "net/wait.h"
 
 namespace ridgehold {
@@ -73,7 +74,8 @@
     : socket_(std::move(socket)),
       limit_timer_(socket_.get_executor()),
       watch_timer_(socket_.get_executor()),
-      buffer_(socket_.get_executor(), kReadBytes) {}
+      buffer_(socket_.get_executor(), kReadBytes),
+      head_share_(ReadBudget::Of(socket_.get_executor())) {}
 
 net::awaitable<ReadOutcome> CallerConnection::Read(CallerLimits limits, const AdmitBody& admit) {
   auto self = shared_from_this();
@@ -101,7 +103,8 @@
   DisarmLimit();
   if (timed_out_) outcome = Refused(ResultCode::kRequestTooSlow);
   if (!timed_out_ && error) outcome = OutcomeOf(error);
-  if (!timed_out_ && error == http::error::buffer_overflow && !buffer_.Full()) {
+  const bool no_room = !head_fits_ || !buffer_.Full();
+  if (!timed_out_ && error == http::error::buffer_overflow && no_room) {
     outcome = Refused(ResultCode::kOverloaded, "no room for received bytes");
   }
   if (timed_out_ || error) co_return outcome;
@@ -163,6 +166,11 @@
   co_await http::async_read_header(socket_, buffer_, parser,
                                    net::redirect_error(net::use_awaitable, error));
   if (error) co_return error;
+  const HeadSize size = MeasureHead(parser.get());
+  if (size.Excessive()) co_return http::error::header_limit;
+  constexpr std::size_t kCopies = 2;
+  head_fits_ = head_share_.Resize(kCopies * size.bytes);
+  if (!head_fits_) co_return http::error::buffer_overflow;
   head_ = parser.get().base();
   if (parser.chunked()) error = co_await BeginChunkedBody(parser, limits);
   co_return error;
@@ -208,9 +216,10 @@
 
 void CallerConnection::ReleaseRequest() {
   request_.reset();
-  // Reading a large body leaves a buffer of 64 KiB.
-  constexpr std::size_t kMaxKeptBytes = 8'192;
-  if (buffer_.size() == 0 && buffer_.capacity() > kMaxKeptBytes) buffer_.shrink_to_fit();
+  head_ = {};
+  head_share_.Resize(0);
+  // Idle connections must not use up the memory for heads of others.
+  if (buffer_.size() == 0) buffer_.shrink_to_fit();
 }
 
 net::awaitable<ErrorCode> CallerConnection::SendContinue() {
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -15,6 +15,7 @@
 #include <sstream>
 #include <utility>
 
+#include "net/head_size.h"
 #include "net/tcp_liveness.h"
 
 namespace ridgehold {
@@ -147,6 +148,10 @@
                                      net::redirect_error(net::use_awaitable, error));
     ++deadline_generation_;
     if (error || timed_out_ || cancelled_) co_return CurrentFault(error);
+    if (MeasureHead(parser_->get()).Excessive()) {
+      broken_ = true;
+      co_return ExchangeFault::kBroken;
+    }
     if (static_cast<int>(parser_->get().result_int()) >= kFirstFinalStatus) break;
   }
   ParseHeadFields();
@@ -221,7 +226,11 @@
 }
 
 void OutboundConnection::MarkIdle(TimePoint now) {
-  if (std::exchange(used_, false)) idle_since_ = now;
+  if (!std::exchange(used_, false)) return;
+  idle_since_ = now;
+  // Idle connections must not use up the memory for responses on others.
+  if (buffer_.size() == 0) buffer_.shrink_to_fit();
+  if (parser_) parser_->get().clear();
 }
 
 bool OutboundConnection::Reusable() const {
