Fix: an attempt is replaced only by one that is sure to start

The other server has to be reachable, with room, not avoided after failures and without a rate limit; in a shutdown the second attempt has to fit. This is asked again after the retry is reserved. A server that is reached again leaves the attempt its usual patience, and is watched again.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -100,10 +100,11 @@
     std::string stated_length;  ///< the head's Content-Length; empty if it has none
     std::string body;
     bool prefilled = false;
-    std::optional<TimePoint> begun;           ///< when its first event arrived
-    bool survived = false;                    ///< the engine has lived on since, see PoisonGuard
-    std::optional<ResultCode> cancel_reason;  ///< reason, if it was cancelled by this gateway
-    bool replaced = false;                    ///< cancelled, as it took too long, for another one
+    std::optional<TimePoint> begun;             ///< when its first event arrived
+    bool survived = false;                      ///< the engine has lived on since, see PoisonGuard
+    std::optional<ResultCode> cancel_reason;    ///< reason, if it was cancelled by this gateway
+    bool replaced = false;                      ///< cancelled, as it took too long, for another one
+    TimePoint patience_end = TimePoint::max();  ///< without a head
     std::optional<TimePoint> unreachable_since;  ///< its backend server, as probes found
   };
 
@@ -447,10 +448,7 @@
   void WatchStart() {
     WatchQuarantine();
     const bool direct = record_.via_peer.empty();
-    if (direct && MayRunAgain(retry_input_)) {
-      state_.unanswered_attempts().Add(unanswered_ticket_, attempt_.backend->entry.id,
-                                       [this] { OnUnreachable(); });
-    }
+    if (direct && MayRunAgain(retry_input_)) WatchReachability();
     if (!inbound_.generation || !attempt_.expected_weights) return;
     const RequiredWeights required{inbound_.generation->model, *attempt_.expected_weights};
     state_.queued_attempts().Add(queued_ticket_, required,
@@ -474,10 +472,31 @@
 
   /// From `end` on, the attempt is given up as soon as another one may start.
   void SetPatience(TimePoint end) {
-    patience_end_ = end;
+    patience_end_ = std::max(end, replacement_denied_until_);
     if (end == TimePoint::max()) return;
     // Each event of a stream moves the end; the timer follows when it expires.
-    if (!patience_pending_ || end < patience_timer_.expiry()) ArmPatience();
+    if (!patience_pending_ || patience_end_ < patience_timer_.expiry()) ArmPatience();
+  }
+
+  /// Whether another attempt would find a backend server and end in time.
+  bool MayReplaceNow() {
+    const TimePoint now = Clock::now();
+    return WaitLimit() - now > state_.limits().min_attempt_time &&
+           FitsBeforeShutdown(state_, plan_, now) &&
+           HasReplacement(state_, plan_, inbound_, tried_, attempt_.backend->entry.id);
+  }
+
+  /// The attempt has its usual patience again.
+  void OnReachable() {
+    attempt_.unreachable_since.reset();
+    WatchReachability();
+    SetPatience(attempt_.patience_end);
+  }
+
+  void WatchReachability() {
+    unanswered_ticket_.reset();
+    state_.unanswered_attempts().Add(unanswered_ticket_, attempt_.backend->entry.id,
+                                     [this] { OnUnreachable(); });
   }
 
   void OnUnreachable() {
@@ -503,26 +522,27 @@
       self->patience_pending_ = false;
       if (self->patience_end_ == TimePoint::max()) return;
       if (Clock::now() < self->patience_end_) return self->ArmPatience();
-      Spawn(self->state_.executor(), "attempt replacement", self->ReplaceAttempt());
+      Spawn(self->state_.executor(), "attempt replacement", self->ReplaceAttempt(self));
     });
   }
 
   /// Cancels the attempt if another one may start; it goes on otherwise. Without a replacement, to
   /// give up would only lose what the backend server is working on.
-  net::awaitable<void> ReplaceAttempt() {
-    auto self = this->shared_from_this();
+  net::awaitable<void> ReplaceAttempt(std::shared_ptr<Exchange> /*self*/) {
     const std::uint32_t attempt = retry_input_.sends;
     const auto is_waiting = [&] {
       return retry_input_.sends == attempt && attempt_.connection && Clock::now() >= patience_end_;
     };
     if (!is_waiting()) co_return;
+    if (attempt_.unreachable_since && attempt_.backend->reachable) OnReachable();
+    if (!is_waiting()) co_return;
     std::optional<RetryReservation> retry;
-    const bool in_time = WaitLimit() - Clock::now() > state_.limits().min_attempt_time;
-    if (in_time && MayReplace(state_, plan_, inbound_, tried_, attempt_.backend->entry.id)) {
+    if (MayReplaceNow() && state_.RetriesLeft(plan_.service, Clock::now()) >= 1) {
       retry = co_await state_.ReserveRetry(plan_.service, WaitLimit());
     }
     if (!is_waiting()) co_return;
-    if (attempt_.backend->reachable) attempt_.unreachable_since.reset();
+    // Reserving may take a while.
+    if (retry && !MayReplaceNow()) retry.reset();
     const auto& since = attempt_.unreachable_since;
     if (since && (retry || Clock::now() - *since >= kMaxUnreachableTime)) {
       KeepRetry(std::move(retry));
@@ -533,7 +553,8 @@
       if (!std::exchange(record_.outlasted_patience, true)) {
         state_.metrics().GetCounter("ridgehold_attempts_without_replacement").Add();
       }
-      SetPatience(Clock::now() + kReplacementInterval);
+      replacement_denied_until_ = Clock::now() + kReplacementInterval;
+      SetPatience(replacement_denied_until_);
       co_return;
     }
     KeepRetry(std::move(retry));
@@ -552,7 +573,8 @@
     relay_.StartAttempt();
     timing_.StartAttempt();
     for (int foreign = 0; foreign <= OutboundConnection::kMaxStaleResponses; ++foreign) {
-      SetPatience(HeadPatience(state_, plan_, retry_input_, Clock::now()));
+      attempt_.patience_end = HeadPatience(state_, plan_, retry_input_, Clock::now());
+      SetPatience(attempt_.patience_end);
       ExchangeFault fault = co_await attempt_.connection->ReadHead(plan_.answer_by);
       PausePatience();
       if (fault != ExchangeFault::kNone) co_return OutcomeOf(fault);
@@ -933,7 +955,8 @@
   TimePoint retry_reserved_at_{};
   Timer patience_timer_;
   TimePoint patience_end_ = TimePoint::max();  ///< of the current attempt
-  bool patience_pending_ = false;              ///< the timer runs
+  TimePoint replacement_denied_until_{};
+  bool patience_pending_ = false;  ///< the timer runs
   Attempt attempt_;
   std::optional<BackendLoad> load_;
   std::optional<ConnectionUse> use_;  ///< until the response has ended
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -188,10 +188,9 @@
 /// The same for an attempt whose stream has begun and is silent from now on.
 TimePoint EventPatience(const RetryDecisionInput& facts, TimePoint now);
 
-/// Whether another backend server and the retry budget permit an attempt that replaces the one at
-/// `current`.
-bool MayReplace(GatewayState& state, const ExchangePlan& plan, const InboundRequest& request,
-                std::set<BackendId> tried, const BackendId& current);
+/// Whether another backend server than `current` can be reached and takes the request now.
+bool HasReplacement(GatewayState& state, const ExchangePlan& plan, const InboundRequest& request,
+                    std::set<BackendId> tried, const BackendId& current);
 
 bool IsSuccess(int status);
 
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -506,12 +506,16 @@
   return MayRunAgain(facts) ? now + kMaxStreamSilence : TimePoint::max();
 }
 
-bool MayReplace(GatewayState& state, const ExchangePlan& plan, const InboundRequest& request,
-                std::set<BackendId> tried, const BackendId& current) {
+bool HasReplacement(GatewayState& state, const ExchangePlan& plan, const InboundRequest& request,
+                    std::set<BackendId> tried, const BackendId& current) {
   const TimePoint now = Clock::now();
-  if (state.RetriesLeft(plan.service, now) < 1) return false;
   tried.insert(current);
-  return ChooseFor(state, plan, request, tried, now).has_value();
+  const std::optional<BackendChoice> choice = ChooseFor(state, plan, request, tried, now);
+  if (!choice || !choice->fits) return false;
+  const Backend& backend = *choice->backend;
+  // A permit for a server with a rate limit may be denied.
+  if (!backend.reachable || now < backend.avoid_until || backend.notice_state.limit()) return false;
+  return !plan.chain || IsAdmitted(state, plan, *choice, now);
 }
 
 bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
