--- a/libs/drain/src/service_times.cc
+++ b/libs/drain/src/service_times.cc
@@ -1,6 +1,7 @@
 #include "drain/service_times.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace ridgehold {
@@ -18,8 +19,7 @@
   const std::size_t count = std::min(samples.recorded, kSamples);
   std::vector<Duration> times(samples.times.begin(),
                               samples.times.begin() + static_cast<std::ptrdiff_t>(count));
-  const auto rank = static_cast<std::ptrdiff_t>(
-      std::clamp(quantile, 0.0, 1.0) * static_cast<double>(count - 1) + 0.5);
+  const auto rank = std::lround(std::clamp(quantile, 0.0, 1.0) * static_cast<double>(count - 1));
   std::nth_element(times.begin(), times.begin() + rank, times.end());
   return times[static_cast<std::size_t>(rank)];
 }
--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -718,10 +718,9 @@
                                         record_.longest_pause, plan_.route->pause_objective);
   }
 
-  /// A time-out tells that the route's requests take that long at least.
+  /// Time-outs tell of the callers' limits.
   void RecordServiceTime() {
-    const bool answered = record_.code == ResultCode::kOk && IsSuccess(record_.status);
-    if (!answered && record_.code != ResultCode::kBackendTimeout) return;
+    if (record_.code != ResultCode::kOk || !IsSuccess(record_.status)) return;
     const Duration time = std::chrono::duration_cast<Duration>(Clock::now() - record_.received);
     state_.service_times().Record(plan_.route->id, time);
   }
