--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -84,9 +84,9 @@
   net::awaitable<bool> WriteChunk(std::string bytes);
   net::awaitable<bool> EndStream();
 
-  /// Ends the sending side and discards what the client still sends, for a limited time and up
-  /// to a limited number of bytes. A close
-  /// with unread bytes would reset the connection and could destroy the last response on its way.
+  /// Ends the sending side and discards what the client still sends, for a limited time and up to a
+  /// limited number of bytes. A close with unread bytes would reset the connection and could
+  /// destroy the last response on its way.
   net::awaitable<void> Linger();
 
   /// Closes immediately; a partly sent stream is seen as truncated by the client.
