Tell of connections that are closed without a response

A caller's connection that the instance closes at its idle limit, to make room or in a shutdown left no trace, so that hypotheses on a lost request could not be told apart. Each close is counted by its reason and by whether received bytes were lost; a close that loses bytes writes a line. No change of what is closed.

--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -33,6 +33,12 @@
   RequestId request;  ///< of a refused request, if its head was decoded
 };
 
+/// A connection that this side closed without a response, while the client could send a request.
+struct SilentClose {
+  std::size_t unread_bytes = 0;  ///< received from the client and lost
+  Duration idle{};               ///< since the connection began to wait for a request
+};
+
 /// Transport of one connection, independent of routing. All calls must come from one executor.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
@@ -92,9 +98,13 @@
   /// Closes immediately; a partly sent stream is seen as truncated by the client.
   void Abort();
 
-  /// Closes if no request has been read or processed for `idle_time`. Returns whether it has
+  /// Closes if no request has been read or processed for `idle_time`. Returns nullopt if it has not
   /// closed.
-  bool CloseIfIdle(std::chrono::milliseconds idle_time = std::chrono::milliseconds(0));
+  std::optional<SilentClose> CloseIfIdle(
+      std::chrono::milliseconds idle_time = std::chrono::milliseconds(0));
+
+  /// Set once Read() has closed the connection at its idle limit.
+  const std::optional<SilentClose>& closed_at_limit() const { return closed_at_limit_; }
 
   /// Since when the open connection has been idle; nullopt while it is not.
   const std::optional<TimePoint>& idle_since() const { return idle_since_; }
@@ -134,6 +144,7 @@
   void OnReadable(const ErrorCode& error, std::uint64_t watch);
   void WatchAgainLater(std::uint64_t watch);
   void Close();
+  SilentClose CloseSilently();
 
   tcp::socket socket_;
   Timer limit_timer_;
@@ -149,6 +160,7 @@
   std::uint64_t limit_generation_ = 0;
   bool watching_ = false;
   std::optional<TimePoint> idle_since_;
+  std::optional<SilentClose> closed_at_limit_;
   /// What may be sent now to find out whether the client's host still takes bytes; empty: nothing.
   std::string_view probe_;
   bool chunk_begun_ = false;                   ///< a leading zero has been sent and no chunk since
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -2,8 +2,11 @@
 
 #pragma once
 
+#include <fmt/format.h>
+
 #include <map>
 #include <memory>
+#include <string>
 
 #include "gateway/body_admission.h"
 #include "gateway/caller_connection.h"
@@ -12,6 +15,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/wire_format.h"
 #include "listener/connection_listener.h"
+#include "log/duration_text.h"
 #include "log/log.h"
 #include "task/spawn.h"
 
@@ -39,7 +43,11 @@
   /// Closes connections that have been idle for `idle_time`.
   void CloseIdle(std::chrono::milliseconds idle_time) {
     const auto open = connections_;
-    for (const auto& [connection, exchange] : open) connection->CloseIfIdle(idle_time);
+    for (const auto& [connection, exchange] : open) {
+      if (const auto closed = connection->CloseIfIdle(idle_time)) {
+        RecordSilentClose("shutdown", *closed);
+      }
+    }
   }
 
   /// Fails requests without a response; call when the state's response deadline has passed.
@@ -76,11 +84,27 @@
       const auto& since = connection->idle_since();
       if (since && (!longest || *since < *longest->idle_since())) longest = connection;
     }
-    if (!longest || !longest->CloseIfIdle()) return false;
+    if (!longest) return false;
+    const auto closed = longest->CloseIfIdle();
+    if (!closed) return false;
+    RecordSilentClose("room_for_others", *closed);
     state_.metrics().GetCounter("ridgehold_idle_connections_replaced").Add();
     return true;
   }
 
+  void RecordSilentClose(const char* reason, const SilentClose& closed) {
+    state_.metrics()
+        .GetCounter("ridgehold_connections_closed_silently",
+                    fmt::format("reason=\"{}\",unread=\"{}\"", reason,
+                                closed.unread_bytes > 0 ? "yes" : "no"))
+        .Add();
+    if (closed.unread_bytes == 0) return;
+    Log(LogLevel::kWarn, "connection closed with unread bytes",
+        {{"reason", reason},
+         {"unread_bytes", std::to_string(closed.unread_bytes)},
+         {"idle_ms", MillisecondsText(closed.idle)}});
+  }
+
   /// Removes the connection whatever happens while it is served; a request that ends with an
   /// exception would otherwise count as in progress.
   net::awaitable<void> Serve(ConnectionPtr connection) {
@@ -100,7 +124,12 @@
     while (connection->CanServeAnother()) {
       const CallerLimits limits = state_.snapshot() ? state_.snapshot()->limits() : CallerLimits{};
       const ReadOutcome outcome = co_await connection->Read(limits, admit_);
-      if (outcome.kind == ReadOutcome::Kind::kClosed) break;
+      if (outcome.kind == ReadOutcome::Kind::kClosed) {
+        if (const auto& closed = connection->closed_at_limit()) {
+          RecordSilentClose("idle_limit", *closed);
+        }
+        break;
+      }
       if (outcome.kind == ReadOutcome::Kind::kRefused) {
         co_await RefuseUnread(connection, outcome);
         break;
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -136,7 +136,7 @@
     error = co_await ReadBytes();
     DisarmLimit();
   }
-  if (timed_out_) Close();
+  if (timed_out_) closed_at_limit_ = CloseSilently();
   co_return !error && !timed_out_ && socket_.is_open();
 }
 
@@ -409,16 +409,26 @@
   Close();
 }
 
-bool CallerConnection::CloseIfIdle(std::chrono::milliseconds idle_time) {
+std::optional<SilentClose> CallerConnection::CloseIfIdle(std::chrono::milliseconds idle_time) {
   if (!idle_since_ || Clock::now() - *idle_since_ < idle_time || buffer_.size() > 0 ||
       !socket_.is_open())
-    return false;
+    return std::nullopt;
   char byte = 0;
   const auto read = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // A request that has just arrived is still processed.
-  if (read > 0) return false;
+  if (read > 0) return std::nullopt;
+  return CloseSilently();
+}
+
+SilentClose CallerConnection::CloseSilently() {
+  SilentClose closed;
+  ErrorCode ignored;
+  closed.unread_bytes = buffer_.size() + socket_.available(ignored);
+  if (idle_since_) {
+    closed.idle = std::chrono::duration_cast<Duration>(Clock::now() - *idle_since_);
+  }
   Close();
-  return true;
+  return closed;
 }
 
 void CallerConnection::Close() {
