Fix: a request that has arrived outlasts the idle limit of its connection (LOST)

Callers saw a kept connection closed without an answer or a refusal for a whole request, mostly beside changes of large configurations. While the event loop stands still (it applies a configuration, or the process is stopped), the connection's idle limit and a request become due in one turn. The bytes were read, the timer set its flag, and the connection was closed with the request in its buffer: no log line, no counter, no answer.

The limits on idle connections, heads and bodies now take effect only while nothing is left to read (IoDeadline). A read of bytes is synchronous once they are there: an asynchronous one held them, so that a connection looked idle with nothing to read to what closes idle connections.

IoDeadline keeps its callback in its handlers alone, as a member would have been a cycle of ownership.

--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -15,6 +15,7 @@
 #include "gateway/routing_snapshot.h"
 #include "gateway/wire_format.h"
 #include "net/beast.h"
+#include "net/io_deadline.h"
 #include "net/read_buffer.h"
 #include "net/read_share.h"
 #include "net/timer.h"
@@ -139,15 +140,15 @@
   net::awaitable<ErrorCode> BeginChunkedBody(Parser& parser, CallerLimits limits);
   net::awaitable<ErrorCode> ReadBody(Parser& parser, CallerLimits limits);
   net::awaitable<ErrorCode> SendContinue();
-  void ArmLimit(std::chrono::milliseconds limit);
-  void DisarmLimit();
+  void ArmLimit(TimePoint moment);
+  void ArmLimit(std::chrono::milliseconds limit) { ArmLimit(Clock::now() + limit); }
   void OnReadable(const ErrorCode& error, std::uint64_t watch);
   void WatchAgainLater(std::uint64_t watch);
   void Close();
   SilentClose CloseSilently();
 
   tcp::socket socket_;
-  Timer limit_timer_;
+  IoDeadline limit_;
   Timer watch_timer_;
   ReadBuffer buffer_;
   ReadShare head_share_;  ///< of `head_` and its copy in the request
@@ -157,7 +158,6 @@
   TimePoint received_at_{};
   std::function<void()> on_gone_;
   std::uint64_t watch_ = 0;
-  std::uint64_t limit_generation_ = 0;
   bool watching_ = false;
   std::optional<TimePoint> idle_since_;
   std::optional<SilentClose> closed_at_limit_;
@@ -167,7 +167,6 @@
   std::optional<TimePoint> sending_ended_at_;  ///< when the client's FIN was noticed
   TimePoint next_probe_at_{};
   int probes_ = 0;  ///< sent for the current request
-  bool timed_out_ = false;
   bool caller_gone_ = false;
   bool close_after_ = false;
 };
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -67,12 +67,13 @@
 std::shared_ptr<CallerConnection> CallerConnection::Create(tcp::socket socket) {
   ErrorCode ignored;
   socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
   return std::shared_ptr<CallerConnection>(new CallerConnection(std::move(socket)));
 }
 
 CallerConnection::CallerConnection(tcp::socket socket)
     : socket_(std::move(socket)),
-      limit_timer_(socket_.get_executor()),
+      limit_(socket_),
       watch_timer_(socket_.get_executor()),
       buffer_(socket_.get_executor(), kReadBytes),
       head_share_(ReadBudget::Of(socket_.get_executor())) {}
@@ -99,15 +100,16 @@
     outcome.request = std::move(verdict.request);
     co_return outcome;
   }
-  if (!error && !timed_out_) error = co_await ReadBody(parser, limits);
-  DisarmLimit();
-  if (timed_out_) outcome = Refused(ResultCode::kRequestTooSlow);
-  if (!timed_out_ && error) outcome = OutcomeOf(error);
+  if (!error) error = co_await ReadBody(parser, limits);
+  limit_.Disarm();
+  const bool too_slow = error && limit_.expired();
+  if (too_slow) outcome = Refused(ResultCode::kRequestTooSlow);
+  if (!too_slow && error) outcome = OutcomeOf(error);
   const bool no_room = !head_fits_ || !buffer_.Full();
-  if (!timed_out_ && error == http::error::buffer_overflow && no_room) {
+  if (!too_slow && error == http::error::buffer_overflow && no_room) {
     outcome = Refused(ResultCode::kOverloaded, "no room for received bytes");
   }
-  if (timed_out_ || error) co_return outcome;
+  if (error) co_return outcome;
   // The client's time limit goes on while its body waits for room.
   received_at_ = Clock::now() - verdict.waited;
   request_ = std::make_shared<HeldRequest>();
@@ -128,16 +130,15 @@
 net::awaitable<bool> CallerConnection::WaitForRequest(std::chrono::milliseconds idle_timeout) {
   ErrorCode error;
   std::size_t skipped = 0;
-  timed_out_ = false;
   for (;;) {
     if (skipped < kMaxEmptyLineBytes) skipped += SkipEmptyLines();
-    if (buffer_.size() > 0 || error || timed_out_) break;
+    if (buffer_.size() > 0 || error) break;
     ArmLimit(idle_timeout);
     error = co_await ReadBytes();
-    DisarmLimit();
+    limit_.Disarm();
   }
-  if (timed_out_) closed_at_limit_ = CloseSilently();
-  co_return !error && !timed_out_ && socket_.is_open();
+  if (buffer_.size() == 0 && limit_.expired()) closed_at_limit_ = CloseSilently();
+  co_return !error && socket_.is_open();
 }
 
 net::awaitable<ErrorCode> CallerConnection::ReadBytes() {
@@ -146,9 +147,11 @@
   co_await socket_.async_wait(tcp::socket::wait_read,
                               net::redirect_error(net::use_awaitable, error));
   if (error) co_return error;
-  const std::size_t bytes = co_await socket_.async_read_some(
-      buffer_.prepare(kReadBytes), net::redirect_error(net::use_awaitable, error));
+  // An asynchronous read would hold the bytes until its handler runs: the connection would look
+  // idle with nothing to read.
+  const std::size_t bytes = socket_.read_some(buffer_.prepare(kReadBytes), error);
   buffer_.commit(bytes);
+  if (error == net::error::would_block) error = {};
   co_return error;
 }
 
@@ -183,7 +186,7 @@
   const std::size_t bytes =
       parser.chunked() ? limits.max_body_bytes : parser.content_length().value_or(0);
   if (parser.is_done() || bytes <= kSmallBodyBytes) co_return std::move(verdict);
-  DisarmLimit();
+  limit_.Disarm();
   const TimePoint asked_at = Clock::now();
   verdict = co_await admit(head_, bytes);
   verdict.waited = std::chrono::duration_cast<Duration>(Clock::now() - asked_at);
@@ -229,24 +232,14 @@
   co_return error;
 }
 
-void CallerConnection::ArmLimit(std::chrono::milliseconds limit) {
-  const std::uint64_t generation = ++limit_generation_;
-  timed_out_ = false;
-  limit_timer_.expires_after(limit);
-  limit_timer_.async_wait([self = shared_from_this(), generation](const ErrorCode& error) {
-    if (error || generation != self->limit_generation_) return;
-    self->timed_out_ = true;
-    // Cancels pending reads only, so that the error response can still be sent.
+void CallerConnection::ArmLimit(TimePoint moment) {
+  // Cancels pending reads only, so that the error response can still be sent.
+  limit_.Arm(moment, IoDeadline::Event::kReadable, [self = shared_from_this()] {
     ErrorCode ignored;
     self->socket_.cancel(ignored);
   });
 }
 
-void CallerConnection::DisarmLimit() {
-  ++limit_generation_;
-  limit_timer_.cancel();
-}
-
 void CallerConnection::WatchCaller(std::function<void()> on_gone) {
   on_gone_ = std::move(on_gone);
   watching_ = true;
@@ -324,12 +317,12 @@
   socket_.shutdown(tcp::socket::shutdown_send, error);
   ArmLimit(kLingerTime);
   std::size_t discarded = 0;
-  while (!error && !timed_out_ && discarded < kMaxLingerBytes) {
+  while (!error && discarded < kMaxLingerBytes) {
     discarded += buffer_.size();
     buffer_.consume(buffer_.size());
     error = co_await ReadBytes();
   }
-  DisarmLimit();
+  limit_.Disarm();
 }
 
 void CallerConnection::StopWatching() {
@@ -436,7 +429,7 @@
   ErrorCode ignored;
   socket_.shutdown(tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
-  limit_timer_.cancel();
+  limit_.Disarm();
 }
 
 }  // namespace ridgehold
--- a/libs/net/include/net/io_deadline.h
+++ b/libs/net/include/net/io_deadline.h
@@ -39,14 +39,15 @@
   bool expired() const { return expired_; }
 
  private:
-  void Expire(std::uint64_t generation);
-  void Yield(std::uint64_t generation, int turns, int quiet_turns);
+  using Callback = std::function<void()>;
+
+  void Yield(std::uint64_t generation, int turns, int quiet_turns, Callback on_expired);
+  void Expire(std::uint64_t generation, Callback on_expired);
   bool HasEvent() const;
 
   tcp::socket& socket_;
   Timer timer_;
   Event event_ = Event::kReadable;
-  std::function<void()> on_expired_;
   std::uint64_t generation_ = 0;
   bool expired_ = false;
 };
--- a/libs/net/src/io_deadline.cc
+++ b/libs/net/src/io_deadline.cc
@@ -17,37 +17,41 @@
   const std::uint64_t generation = ++generation_;
   event_ = event;
   expired_ = false;
-  on_expired_ = std::move(on_expired);
   timer_.expires_at(deadline);
-  // The callback keeps the owner alive, and with it this object.
-  timer_.async_wait([this, generation, owner = on_expired_](const ErrorCode& error) {
-    if (!error && generation == generation_) Yield(generation, 0, 0);
-  });
+  // The callback is kept in the handlers alone: a member would be a cycle of ownership.
+  timer_.async_wait(
+      [this, generation, on_expired = std::move(on_expired)](const ErrorCode& error) mutable {
+        if (!error && generation == generation_) Yield(generation, 0, 0, std::move(on_expired));
+      });
 }
 
 void IoDeadline::Disarm() {
   ++generation_;
-  on_expired_ = nullptr;
   timer_.cancel();
 }
 
-void IoDeadline::Yield(std::uint64_t generation, int turns, int quiet_turns) {
+void IoDeadline::Yield(std::uint64_t generation, int turns, int quiet_turns, Callback on_expired) {
   quiet_turns = HasEvent() ? 0 : quiet_turns + 1;
-  if (turns >= kMaxTurns || quiet_turns > kQuietTurns) return Expire(generation);
-  net::post(socket_.get_executor(), [this, generation, turns, quiet_turns, owner = on_expired_] {
-    if (generation == generation_) Yield(generation, turns + 1, quiet_turns);
-  });
+  if (turns >= kMaxTurns || quiet_turns > kQuietTurns) {
+    return Expire(generation, std::move(on_expired));
+  }
+  net::post(socket_.get_executor(),
+            [this, generation, turns, quiet_turns, on_expired = std::move(on_expired)]() mutable {
+              if (generation == generation_) {
+                Yield(generation, turns + 1, quiet_turns, std::move(on_expired));
+              }
+            });
 }
 
-void IoDeadline::Expire(std::uint64_t generation) {
+void IoDeadline::Expire(std::uint64_t generation, Callback on_expired) {
   expired_ = true;
-  const auto on_expired = on_expired_;
   on_expired();
   if (generation != generation_) return;
   timer_.expires_after(kRepeatInterval);
-  timer_.async_wait([this, generation, on_expired](const ErrorCode& error) {
-    if (!error && generation == generation_) Expire(generation);
-  });
+  timer_.async_wait(
+      [this, generation, on_expired = std::move(on_expired)](const ErrorCode& error) mutable {
+        if (!error && generation == generation_) Expire(generation, std::move(on_expired));
+      });
 }
 
 bool IoDeadline::HasEvent() const {
