Fix: a raised idle limit holds for connections that wait already

Callers keep a connection for four fifths of the idle limit in force. The limit is now read again when it is up; the longer of the two holds, as callers may not know a lowered one yet. The limits on a request's head and body are those in force when it comes.

--- a/libs/gateway/include/gateway/caller_connection.h
+++ b/libs/gateway/include/gateway/caller_connection.h
@@ -52,9 +52,14 @@
   /// megabytes of them.
   static constexpr std::size_t kSmallBodyBytes = std::size_t{8} << 10;
 
+  /// Returns the limits in force: they may change while the connection waits for a request.
+  using LimitsSource = std::function<CallerLimits()>;
+
   /// Reads the next request with its whole body into `request()`. `head()` has its header fields
-  /// without trailers. `admit` must live until the request is read.
-  net::awaitable<ReadOutcome> Read(CallerLimits limits, const AdmitBody& admit);
+  /// without trailers. An idle connection is closed after the idle limit that was in force when it
+  /// became idle, or the current one if that is longer. `limits` and `admit` must live until the
+  /// request is read.
+  net::awaitable<ReadOutcome> Read(const LimitsSource& limits, const AdmitBody& admit);
 
   const RequestHead& head() const { return head_; }
   /// When `request()` arrived, as if its body had not had to wait for room.
@@ -128,7 +133,7 @@
 
   explicit CallerConnection(tcp::socket socket);
 
-  net::awaitable<bool> WaitForRequest(std::chrono::milliseconds idle_timeout);
+  net::awaitable<bool> WaitForRequest(const LimitsSource& limits);
   net::awaitable<ErrorCode> ReadBytes();
   /// Returns the number of bytes skipped.
   std::size_t SkipEmptyLines();
--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -31,6 +31,8 @@
       : state_(state),
         listener_(std::move(acceptor), "callers"),
         max_connections_(max_connections),
+        limits_(
+            [&state] { return state.snapshot() ? state.snapshot()->limits() : CallerLimits(); }),
         admit_(BodyAdmission<Wire>(state)) {}
 
   void Start() {
@@ -122,8 +124,7 @@
   net::awaitable<void> ServeRequests(ConnectionPtr connection) {
     ExchangePtr& exchange = connections_[connection];
     while (connection->CanServeAnother()) {
-      const CallerLimits limits = state_.snapshot() ? state_.snapshot()->limits() : CallerLimits{};
-      const ReadOutcome outcome = co_await connection->Read(limits, admit_);
+      const ReadOutcome outcome = co_await connection->Read(limits_, admit_);
       if (outcome.kind == ReadOutcome::Kind::kClosed) {
         if (const auto& closed = connection->closed_at_limit()) {
           RecordSilentClose("idle_limit", *closed);
@@ -171,6 +172,7 @@
   GatewayState& state_;
   ConnectionListener listener_;
   std::size_t max_connections_;
+  CallerConnection::LimitsSource limits_;
   CallerConnection::AdmitBody admit_;
   TimePoint unread_logged_at_{};  ///< when an unreadable request was logged last
   std::map<ConnectionPtr, ExchangePtr> connections_;  ///< with the exchange in progress, if any
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -78,13 +78,15 @@
       buffer_(socket_.get_executor(), kReadBytes),
       head_share_(ReadBudget::Of(socket_.get_executor())) {}
 
-net::awaitable<ReadOutcome> CallerConnection::Read(CallerLimits limits, const AdmitBody& admit) {
+net::awaitable<ReadOutcome> CallerConnection::Read(const LimitsSource& current_limits,
+                                                   const AdmitBody& admit) {
   auto self = shared_from_this();
   idle_since_ = Clock::now();
-  const bool arrived = co_await WaitForRequest(limits.idle_timeout);
+  const bool arrived = co_await WaitForRequest(current_limits);
   idle_since_.reset();
   ReadOutcome outcome;
   if (!arrived) co_return outcome;
+  const CallerLimits limits = current_limits();
   // Also bounds what frames a chunked body, which the parser's limits don't count. What has been
   // received of later requests stays.
   buffer_.max_size(std::max<std::size_t>(limits.max_header_bytes, buffer_.size()) + kReadBytes);
@@ -127,15 +129,27 @@
   co_return outcome;
 }
 
-net::awaitable<bool> CallerConnection::WaitForRequest(std::chrono::milliseconds idle_timeout) {
+net::awaitable<bool> CallerConnection::WaitForRequest(const LimitsSource& limits) {
   ErrorCode error;
   std::size_t skipped = 0;
+  TimePoint since = Clock::now();
+  TimePoint close_at = since + limits().idle_timeout;
   for (;;) {
     if (skipped < kMaxEmptyLineBytes) skipped += SkipEmptyLines();
     if (buffer_.size() > 0 || error) break;
-    ArmLimit(idle_timeout);
+    ArmLimit(close_at);
     error = co_await ReadBytes();
     limit_.Disarm();
+    if (!limit_.expired()) {
+      since = Clock::now();
+      close_at = since + limits().idle_timeout;
+    } else if (since + limits().idle_timeout > close_at) {
+      // The limit was raised meanwhile, and the client may rely on that.
+      close_at = since + limits().idle_timeout;
+      if (error == net::error::operation_aborted) error = {};
+    } else {
+      break;
+    }
   }
   if (buffer_.size() == 0 && limit_.expired()) closed_at_limit_ = CloseSilently();
   co_return !error && socket_.is_open();
