Fix: answers and connections that came in time outlast the deadline of their wait

The same class on the way to servers, the store, peers and tunnels: a response, or a connection that was established, and its deadline were due in one turn of a loop that had been held up; the connection was closed and the attempt counted as timed out, a probe's server as unreachable. These waits now use IoDeadline.

--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -12,9 +12,9 @@
 #include "base/ids.h"
 #include "net/beast.h"
 #include "net/idle_state.h"
+#include "net/io_deadline.h"
 #include "net/read_buffer.h"
 #include "net/response_stream.h"
-#include "net/timer.h"
 
 namespace ridgehold {
 
@@ -118,6 +118,9 @@
   /// Whether an idle connection is still open and has received no bytes.
   bool IdleAndOpen() { return CheckIdle() == IdleState::kOpen; }
 
+  /// Whether bytes of the server, or the end of the connection, have arrived and were not read.
+  bool HasUnreadInput();
+
   /// Whether the server has closed or reset the connection, also if unread bytes precede that.
   bool EndedByServer();
 
@@ -139,14 +142,14 @@
 
   OutboundConnection(tcp::socket socket, StreamFraming framing);
 
-  void ArmDeadline(TimePoint deadline);
+  void ArmDeadline(TimePoint deadline, IoDeadline::Event event);
   void OnWritten(const ErrorCode& error, std::size_t bytes);
   ExchangeFault CurrentFault(const ErrorCode& error) const;
   void ParseHeadFields();
 
   tcp::socket socket_;
   ResponseStream stream_;
-  Timer deadline_timer_;
+  IoDeadline deadline_;
   ReadBuffer buffer_;
   std::optional<Parser> parser_;
   std::string outgoing_;                              ///< until it is sent
@@ -156,11 +159,9 @@
   bool expects_no_body_ = false;  ///< the request is HEAD
   bool write_failed_ = false;
   bool close_when_sent_ = false;
-  bool timed_out_ = false;
   bool cancelled_ = false;
   bool broken_ = false;
   bool connection_refused_ = false;
-  std::uint64_t deadline_generation_ = 0;
   TimePoint opened_at_{};
   TimePoint idle_since_{};
   bool used_ = true;  ///< since it was last marked idle
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -74,7 +74,7 @@
 OutboundConnection::OutboundConnection(tcp::socket socket, StreamFraming framing)
     : socket_(std::move(socket)),
       stream_(socket_, framing),
-      deadline_timer_(socket_.get_executor()),
+      deadline_(socket_),
       buffer_(socket_.get_executor(), kMaxUnparsedBytes) {}
 
 net::awaitable<ExchangeFault> OutboundConnection::Connect(
@@ -83,11 +83,11 @@
   ErrorCode error;
   socket_.open(endpoint.protocol(), error);
   if (error) co_return ExchangeFault::kNotSent;
-  ArmDeadline(deadline);
+  ArmDeadline(deadline, IoDeadline::Event::kWritable);
   co_await socket_.async_connect(endpoint, net::redirect_error(net::use_awaitable, error));
-  ++deadline_generation_;
+  deadline_.Disarm();
   connection_refused_ = error == net::error::connection_refused;
-  if (error || timed_out_ || cancelled_) {
+  if (error || cancelled_) {
     Close();
     co_return cancelled_ ? ExchangeFault::kCancelled : ExchangeFault::kNotSent;
   }
@@ -143,11 +143,11 @@
     parser_->body_limit(boost::none);
     parser_->skip(expects_no_body_);
     ErrorCode error;
-    ArmDeadline(deadline);
+    ArmDeadline(deadline, IoDeadline::Event::kReadable);
     co_await http::async_read_header(stream_, buffer_, *parser_,
                                      net::redirect_error(net::use_awaitable, error));
-    ++deadline_generation_;
-    if (error || timed_out_ || cancelled_) co_return CurrentFault(error);
+    deadline_.Disarm();
+    if (error || cancelled_) co_return CurrentFault(error);
     if (MeasureHead(parser_->get()).Excessive()) {
       broken_ = true;
       co_return ExchangeFault::kBroken;
@@ -174,23 +174,19 @@
     body.size = chunk.size();
     body.more = true;
     ErrorCode error;
-    ArmDeadline(deadline);
+    ArmDeadline(deadline, IoDeadline::Event::kReadable);
     co_await http::async_read_some(stream_, buffer_, *parser_,
                                    net::redirect_error(net::use_awaitable, error));
-    ++deadline_generation_;
+    deadline_.Disarm();
     out.append(chunk.data(), chunk.size() - body.size);
     if (error == http::error::need_buffer) error = {};
-    if (error || timed_out_ || cancelled_) co_return CurrentFault(error);
+    if (error || cancelled_) co_return CurrentFault(error);
   }
   co_return ExchangeFault::kNone;
 }
 
-void OutboundConnection::ArmDeadline(TimePoint deadline) {
-  const std::uint64_t generation = ++deadline_generation_;
-  deadline_timer_.expires_at(deadline);
-  deadline_timer_.async_wait([self = shared_from_this(), generation](const ErrorCode& error) {
-    if (error || generation != self->deadline_generation_) return;
-    self->timed_out_ = true;
+void OutboundConnection::ArmDeadline(TimePoint deadline, IoDeadline::Event event) {
+  deadline_.Arm(deadline, event, [self = shared_from_this()] {
     self->ResetOnClose(true);
     self->Close();
   });
@@ -199,7 +195,7 @@
 ExchangeFault OutboundConnection::CurrentFault(const ErrorCode& /*error*/) const {
   if (write_done_ && write_failed_ && written_ == 0) return ExchangeFault::kNotSent;
   if (cancelled_) return ExchangeFault::kCancelled;
-  if (timed_out_) return ExchangeFault::kTimedOut;
+  if (deadline_.expired()) return ExchangeFault::kTimedOut;
   return ExchangeFault::kBroken;
 }
 
@@ -217,7 +213,7 @@
 void OutboundConnection::Close() {
   ErrorCode ignored;
   socket_.close(ignored);
-  deadline_timer_.cancel();
+  deadline_.Disarm();
 }
 
 void OutboundConnection::Discard() {
@@ -253,6 +249,11 @@
   return idle_state_;
 }
 
+bool OutboundConnection::HasUnreadInput() {
+  pollfd poll_request{socket_.native_handle(), POLLIN, 0};
+  return ::poll(&poll_request, 1, 0) > 0;
+}
+
 bool OutboundConnection::EndedByServer() {
   if (!socket_.is_open()) return true;
   pollfd poll_request{socket_.native_handle(), POLLRDHUP, 0};
--- a/libs/tunnel/src/tunnel_dialer.cc
+++ b/libs/tunnel/src/tunnel_dialer.cc
@@ -4,8 +4,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "net/io_deadline.h"
 #include "net/read_buffer.h"
-#include "net/timer.h"
 #include "tunnel/tunnel_framing.h"
 
 namespace ridgehold {
@@ -15,12 +15,20 @@
 
 /// A connection to a peer until the tunnel is open. Shared with the deadline's handler.
 struct Dialing {
-  explicit Dialing(const net::any_io_executor& executor) : socket(executor), timer(executor) {}
+  explicit Dialing(const net::any_io_executor& executor) : socket(executor), limit(socket) {}
 
   tcp::socket socket;
-  Timer timer;
+  IoDeadline limit;
 };
 
+void ArmLimit(const std::shared_ptr<Dialing>& dialing, TimePoint deadline,
+              IoDeadline::Event event) {
+  dialing->limit.Arm(deadline, event, [dialing] {
+    ErrorCode ignored;
+    dialing->socket.close(ignored);
+  });
+}
+
 TunnelResult ResultOf(const ResponseHead& head) {
   const auto field = head.find(kTunnelResultField);
   if (field == head.end()) return TunnelResult::kPeerFailed;
@@ -33,18 +41,15 @@
                                           BackendId backend, TcpLiveness liveness,
                                           TimePoint deadline) {
   const auto dialing = std::make_shared<Dialing>(executor);
-  dialing->timer.expires_at(deadline);
-  dialing->timer.async_wait([dialing](const ErrorCode& error) {
-    ErrorCode ignored;
-    if (!error) dialing->socket.close(ignored);
-  });
+  ArmLimit(dialing, deadline, IoDeadline::Event::kWritable);
   TunnelCheckout checkout;
   ErrorCode error;
   co_await dialing->socket.async_connect(peer, net::redirect_error(net::use_awaitable, error));
   if (error) {
-    dialing->timer.cancel();
+    dialing->limit.Disarm();
     co_return checkout;
   }
+  ArmLimit(dialing, deadline, IoDeadline::Event::kReadable);
   Apply(liveness, dialing->socket);
   http::request<http::empty_body> request(http::verb::connect, backend.value(), 11);
   request.set(http::field::host, backend.value());
@@ -58,9 +63,8 @@
     co_await http::async_read_header(dialing->socket, buffer, parser,
                                      net::redirect_error(net::use_awaitable, error));
   }
-  // The timer may have expired without its handler having run.
-  const bool in_time = dialing->timer.cancel() > 0 && dialing->socket.is_open();
-  if (error || !in_time) co_return checkout;
+  dialing->limit.Disarm();
+  if (error || !dialing->socket.is_open()) co_return checkout;
   checkout.result = ResultOf(parser.get().base());
   // A backend server sends nothing before it has received a request.
   if (checkout.result == TunnelResult::kOpen && buffer.size() > 0) {
--- a/libs/tunnel/src/tunnel_server.cc
+++ b/libs/tunnel/src/tunnel_server.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "log/log.h"
-#include "net/timer.h"
+#include "net/io_deadline.h"
 #include "tunnel/tunnel_framing.h"
 #include "tunnel/tunnel_session.h"
 
@@ -45,18 +45,19 @@
 }
 
 net::awaitable<TunnelResult> TunnelServer::Connect(tcp::socket& backend, tcp::endpoint endpoint) {
-  Timer timer(backend.get_executor());
-  timer.expires_after(options_.connect_timeout);
-  timer.async_wait([&backend](const ErrorCode& error) {
-    ErrorCode ignored;
-    if (!error) backend.close(ignored);
-  });
+  // Shared, since the handler of a deadline that is disarmed runs later than this coroutine.
+  const auto limit = std::make_shared<IoDeadline>(backend);
+  limit->Arm(Clock::now() + options_.connect_timeout, IoDeadline::Event::kWritable,
+             [&backend, limit] {
+               ErrorCode ignored;
+               backend.close(ignored);
+             });
   ErrorCode error;
   ++connecting_;
   co_await backend.async_connect(endpoint, net::redirect_error(net::use_awaitable, error));
   --connecting_;
-  const bool in_time = timer.cancel() > 0;
-  co_return in_time ? ResultOf(error) : TunnelResult::kUnreachable;
+  limit->Disarm();
+  co_return backend.is_open() ? ResultOf(error) : TunnelResult::kUnreachable;
 }
 
 net::awaitable<void> TunnelServer::Serve(tcp::socket socket, RequestMessage request) {
