Fix: a question that has arrived outlasts the limits of its port

Connections of the readiness check, the metrics and of peers that had used up their time, or that had waited longest at a full port, were closed without a look at what had arrived: two lost readiness checks take an instance out. Such a connection is kept, and one whose request has begun to arrive is no longer the one that has waited longest. port_sessions/sessions_with_unread_bytes_*.

--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -46,6 +46,13 @@
   while (!error) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(kMaxBodyBytes);
+    if (buffer.size() == 0) {
+      co_await session->socket().async_wait(tcp::socket::wait_read,
+                                            net::redirect_error(net::use_awaitable, error));
+      // A request that has begun to arrive is no longer the one that has been waited for longest.
+      session->AwaitClient(Clock::now());
+    }
+    if (error) break;
     co_await http::async_read(session->socket(), buffer, parser,
                               net::redirect_error(net::use_awaitable, error));
     if (error) break;
--- a/libs/listener/include/listener/port_session.h
+++ b/libs/listener/include/listener/port_session.h
@@ -24,6 +24,12 @@
   /// Since when the session has waited for its client; nullopt while a response is being made.
   const std::optional<TimePoint>& waiting_since() const { return waiting_; }
 
+  /// Whether bytes of the client have arrived and have not been read.
+  bool HasUnreadBytes() const {
+    ErrorCode ignored;
+    return socket_.available(ignored) > 0;
+  }
+
   /// Cancels what the session waits for.
   void Close() {
     ErrorCode ignored;
--- a/libs/listener/include/listener/port_sessions.h
+++ b/libs/listener/include/listener/port_sessions.h
@@ -21,13 +21,14 @@
 };
 
 /// Neither idle connections nor slow clients can use up the port: at its limit, a new connection
-/// replaces the one that has waited longest for its client. Not thread-safe.
+/// replaces the one that has waited longest for its client. A session whose client has sent bytes
+/// that have not been read yet is not closed. Not thread-safe.
 class PortSessions {
  public:
   explicit PortSessions(PortLimits limits) : limits_(limits) {}
 
-  /// Returns the session of a new connection. Returns null if the limit is reached and a response
-  /// is being made on all others.
+  /// Returns the session of a new connection. Returns null if the limit is reached and none of the
+  /// others waits for its client.
   std::shared_ptr<PortSession> Add(tcp::socket socket, TimePoint now);
 
   /// Closes sessions whose client has exceeded its time.
--- a/libs/listener/src/port_sessions.cc
+++ b/libs/listener/src/port_sessions.cc
@@ -14,7 +14,9 @@
   for (const auto& weak : sessions_) {
     const auto session = weak.lock();
     if (!session || !session->waiting_since()) continue;
-    if (now - *session->waiting_since() >= limits_.client_timeout) session->Close();
+    const bool expired = now - *session->waiting_since() >= limits_.client_timeout;
+    // What has arrived is handled first, also if the event loop is late.
+    if (expired && !session->HasUnreadBytes()) session->Close();
   }
   RemoveClosed();
 }
@@ -35,7 +37,7 @@
   std::shared_ptr<PortSession> longest;
   for (const auto& weak : sessions_) {
     auto session = weak.lock();
-    if (!session || !session->waiting_since()) continue;
+    if (!session || !session->waiting_since() || session->HasUnreadBytes()) continue;
     if (!longest || *session->waiting_since() < *longest->waiting_since()) {
       longest = std::move(session);
     }
--- a/libs/listener/test/port_sessions-test.cc
+++ b/libs/listener/test/port_sessions-test.cc
@@ -3,7 +3,9 @@
 #include "listener/port_sessions.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <string>
 
 using namespace ridgehold;
 using namespace std::chrono_literals;
@@ -60,6 +62,26 @@
   BOOST_TEST(active->open());
 }
 
+// Guards against questions that are lost because the time of their connection is up, or because it
+// is the one that has waited longest, by the time that they are noticed.
+BOOST_AUTO_TEST_CASE(sessions_with_unread_bytes_are_kept) {
+  tcp::acceptor acceptor(io, {net::ip::address_v4::loopback(), 0});
+  tcp::socket client(io);
+  client.connect(acceptor.local_endpoint());
+  const auto asked = sessions.Add(acceptor.accept(), start);
+  net::write(client, net::buffer(std::string("GET /readyz HTTP/1.1")));
+  asked->socket().wait(tcp::socket::wait_read);
+  const auto idle = Add(start + 1s);
+  sessions.CloseExpired(start + 60s);
+  BOOST_TEST(asked->open());
+  BOOST_TEST(!idle->open());
+  const auto second = Add(start + 60s);
+  const auto third = Add(start + 61s);
+  BOOST_TEST(asked->open());
+  BOOST_TEST(!second->open());
+  BOOST_TEST(third->open());
+}
+
 BOOST_AUTO_TEST_CASE(ended_sessions_leave_room) {
   for (int i = 0; i < 5; ++i) BOOST_TEST(Add(start) != nullptr);
   BOOST_TEST(sessions.open_sessions() == 0U);
