Fix: an attempt is not given up for another one once its response has begun to arrive

Patience, unreachability and limits of weights cancelled an attempt whose response lay in the socket of a loop that had been held up: callers of routes that may not be repeated would get 504 for an answer that was there.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -76,6 +76,8 @@
  private:
   /// Until then another attempt that may not start now is not considered again.
   static constexpr std::chrono::milliseconds kReplacementInterval{250};
+  /// Reading a response that has arrived takes less.
+  static constexpr std::chrono::milliseconds kArrivalTime{10};
   /// A sound backend server may be silent for a second or two. After that, one that is still
   /// unreachable is given up, also without a replacement.
   static constexpr std::chrono::milliseconds kMaxUnreachableTime{1'200};
@@ -465,7 +467,10 @@
     });
   }
 
+  /// Does nothing if the response has begun to arrive: an event loop that was held up gets to the
+  /// reason for the cancellation first.
   void CancelAttempt(ResultCode reason) {
+    if (attempt_.connection->HasUnreadInput()) return;
     attempt_.cancel_reason = reason;
     attempt_.connection->Cancel();
   }
@@ -541,6 +546,10 @@
       retry = co_await state_.ReserveRetry(plan_.service, WaitLimit());
     }
     if (!is_waiting()) co_return;
+    if (attempt_.connection->HasUnreadInput()) {
+      SetPatience(Clock::now() + kArrivalTime);
+      co_return;
+    }
     // Reserving may take a while.
     if (retry && !MayReplaceNow()) retry.reset();
     const auto& since = attempt_.unreachable_since;
