Relays send large changes compressed

Instances of a large fleet read the store through a few relays. A relay sent a changed configuration plain to each of its followers: 0.75 MB for 3,000 routes, 0.6 s of a link of 10 Mbit/s each, beside callers' answers. Values above 16 KB are now deflated, once for each revision, for readers that say that they take it; removals and other changes stay as they are, in the order of their revisions. Instances of earlier builds get plain changes.

--- a/libs/entry/include/entry/store_copy_server.h
+++ b/libs/entry/include/entry/store_copy_server.h
@@ -61,6 +61,12 @@
     std::string items;
   };
 
+  /// Compressed large items, made for several readers.
+  struct PackedChanges {
+    std::map<std::string, StoreRevision> revisions;  ///< by key
+    std::string items;
+  };
+
   bool HasNews(const StoreCopyRequest& request) const {
     if (!follower_.ready()) return false;
     if (request.revision < follower_.revision()) return true;
@@ -80,6 +86,7 @@
     copy.is_snapshot = !changes.has_value();
     if (changes) {
       copy.changes = std::move(*changes);
+      if (request.accepts_deflated_changes) PackLargeChanges(copy);
     } else if (request.accepts_deflate) {
       AddPacked(copy);
     } else {
@@ -90,6 +97,24 @@
     return copy;
   }
 
+  /// Moves large items from the changes into the packed ones. A relay sends a changed configuration
+  /// to each of its followers, whose responses share its link with those of callers.
+  void PackLargeChanges(StoreCopy& copy) {
+    std::map<std::string, StoreItem> large;
+    std::erase_if(copy.changes, [&](StoreEvent& change) {
+      if (!change.item || change.item->value.size() < kMinPackedBytes) return false;
+      large[change.key] = std::move(*change.item);
+      return true;
+    });
+    if (large.empty()) return;
+    std::map<std::string, StoreRevision> revisions;
+    for (const auto& [key, item] : large) revisions[key] = item.revision;
+    if (revisions != packed_changes_.revisions) {
+      packed_changes_ = {std::move(revisions), PackItems(large)};
+    }
+    copy.packed_items = packed_changes_.items;
+  }
+
   /// Adds a packed copy that may be slightly older, and the changes since.
   void AddPacked(StoreCopy& copy) {
     const TimePoint now = Clock::now();
@@ -114,11 +139,14 @@
   static constexpr std::chrono::milliseconds kMinAgeGain{200};
   /// Compressing the copy of a large fleet takes an instance with an eighth of a core 0.2 s.
   static constexpr std::chrono::milliseconds kMaxPackedAge{2'000};
+  /// Compressing smaller values saves less than it takes.
+  static constexpr std::size_t kMinPackedBytes = std::size_t{16} << 10;
 
   GatewayState& state_;
   const Follower& follower_;
   UpdateSignal updated_;
   PackedCopy packed_;
+  PackedChanges packed_changes_;
 };
 
 }  // namespace ridgehold
--- a/libs/entry/test/store_copy_server-test.cc
+++ b/libs/entry/test/store_copy_server-test.cc
@@ -144,6 +144,41 @@
   BOOST_TEST((ValuesOf(copy) == expected));
 }
 
+// Guards against changes of one key that fill the links of small relays with a whole configuration
+// for each follower.
+BOOST_AUTO_TEST_CASE(large_changes_are_compressed_beside_the_others) {
+  std::string config;
+  while (config.size() < 200'000) config += "route " + std::to_string(config.size()) + ",";
+  source.Put("server", "1");
+  source.Put("config", config);
+  source.Remove("gone");
+  source.Put("other", "1");
+  const StoreCopyRequest request{
+      .revision = StoreRevision(10), .accepts_deflate = true, .accepts_deflated_changes = true};
+  Ask(request);
+  BOOST_TEST(page->body.size() < config.size() / 3);
+  const StoreCopy copy = Answer();
+  BOOST_TEST(!copy.is_snapshot);
+  std::vector<std::string> keys;
+  for (const StoreEvent& change : copy.changes) keys.push_back(change.key);
+  BOOST_TEST((keys == std::vector<std::string>{"server", "config", "gone", "other"}));
+  BOOST_TEST(copy.changes[1].item->value == config);
+  BOOST_TEST(!copy.changes[2].item.has_value());
+  config += "changed";
+  source.Put("config", config);
+  Ask(request);
+  BOOST_TEST(Answer().changes.back().item->value == config);
+}
+
+// Instances of earlier builds take packed items for a snapshot, without removals.
+BOOST_AUTO_TEST_CASE(reader_of_an_earlier_build_gets_plain_changes) {
+  const std::string config(200'000, 'c');
+  source.Put("config", config);
+  Ask({.revision = StoreRevision(10), .accepts_deflate = true});
+  BOOST_TEST(page->body.size() > config.size());
+  BOOST_TEST(Answer().changes.front().item->value == config);
+}
+
 BOOST_AUTO_TEST_CASE(reader_without_decompression_gets_plain_items) {
   source.Put("a", "1");
   Ask({.revision = StoreRevision()});
--- a/libs/peers/include/peers/store_copy.h
+++ b/libs/peers/include/peers/store_copy.h
@@ -25,7 +25,8 @@
   std::chrono::milliseconds wait{0};  ///< maximum time to wait for news; 0: answer at once
   /// Since the reader's copy was known to be the newest; empty: unknown.
   std::optional<std::chrono::milliseconds> age;
-  bool accepts_deflate = false;
+  bool accepts_deflate = false;           ///< of a snapshot
+  bool accepts_deflated_changes = false;  ///< of large items among changes
 
   /// The request as a URL query. Gateways that know only the revision ignore the rest.
   std::string ToQuery() const;
@@ -38,8 +39,8 @@
   std::chrono::milliseconds age{0};  ///< since this was known to be the newest revision
   bool is_snapshot = false;          ///< `changes` is a snapshot, not a delta
   std::vector<StoreEvent> changes;   ///< since the requested revision
-  /// From PackItems(): a snapshot to which `changes` are applied; empty in a decoded copy, where
-  /// `changes` has the result.
+  /// From PackItems(): a snapshot to which `changes` are applied, or, without a snapshot, items
+  /// that have changed besides `changes`. Empty in a decoded copy, where `changes` has the result.
   std::string packed_items;
   std::chrono::milliseconds grace{0};  ///< missing registrations are ignored for this long
   bool store_unreachable = false;      ///< the sender's calls to the store fail
--- a/libs/peers/include/peers/store_copy_reader.h
+++ b/libs/peers/include/peers/store_copy_reader.h
@@ -233,6 +233,7 @@
     request.revision = follower_.revision();
     request.wait = hold;
     request.accepts_deflate = true;
+    request.accepts_deflated_changes = true;
     if (state_.confirmed_at() != TimePoint()) {
       request.age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
                                                                           state_.confirmed_at());
--- a/libs/peers/src/store_copy.cc
+++ b/libs/peers/src/store_copy.cc
@@ -14,6 +14,7 @@
 constexpr std::string_view kWaitField = "wait=";
 constexpr std::string_view kAgeField = "age=";
 constexpr std::string_view kDeflateField = "deflate";
+constexpr std::string_view kDeflatedChangesField = "deflated-changes";
 /// A copy of 20,000 backend servers takes some 8 MB. It is held beside the records that are decoded
 /// from it.
 constexpr std::size_t kMaxInflatedBytes = std::size_t{24} << 20;
@@ -38,21 +39,23 @@
   return change;
 }
 
-/// Replaces `changes` by the packed items after these changes.
-Result<void> ApplyToPackedItems(const std::string& packed, std::vector<StoreEvent>& changes) {
+Result<wire::StoredItems> Unpack(const std::string& packed) {
   const auto bytes = Inflate(packed, kMaxInflatedBytes);
   wire::StoredItems message;
   if (!bytes || !message.ParseFromString(*bytes)) {
     return Fail(ResultCode::kMalformedPeerMessage, "items of a store copy cannot be unpacked");
   }
+  return message;
+}
+
+/// Adds those packed items to `changes` that are not among them.
+void AddUnchanged(const wire::StoredItems& packed, std::vector<StoreEvent>& changes) {
   std::unordered_set<std::string> changed;
   for (const StoreEvent& change : changes) changed.insert(change.key);
-  std::erase_if(changes, [](const StoreEvent& change) { return !change.item; });
-  changes.reserve(changes.size() + static_cast<std::size_t>(message.items_size()));
-  for (const wire::StoredItem& entry : message.items()) {
+  changes.reserve(changes.size() + static_cast<std::size_t>(packed.items_size()));
+  for (const wire::StoredItem& entry : packed.items()) {
     if (!changed.contains(entry.key())) changes.push_back(DecodeChange(entry));
   }
-  return {};
 }
 
 /// Returns 0 if `text` does not begin with a number.
@@ -69,6 +72,7 @@
   if (wait.count() > 0) query += "&" + std::string(kWaitField) + std::to_string(wait.count());
   if (age) query += "&" + std::string(kAgeField) + std::to_string(age->count());
   if (accepts_deflate) query += "&" + std::string(kDeflateField);
+  if (accepts_deflated_changes) query += "&" + std::string(kDeflatedChangesField);
   return query;
 }
 
@@ -84,6 +88,8 @@
       request.age = std::chrono::milliseconds(ParseNumber(field.substr(kAgeField.size())));
     } else if (field == kDeflateField) {
       request.accepts_deflate = true;
+    } else if (field == kDeflatedChangesField) {
+      request.accepts_deflated_changes = true;
     }
   }
   return request;
@@ -118,7 +124,14 @@
     copy.changes.push_back(DecodeChange(entry));
   }
   if (!message.deflated_items().empty()) {
-    BOOST_LEAF_CHECK(ApplyToPackedItems(message.deflated_items(), copy.changes));
+    BOOST_LEAF_AUTO(packed, Unpack(message.deflated_items()));
+    AddUnchanged(packed, copy.changes);
+  }
+  if (copy.is_snapshot) {
+    // A snapshot has no removals.
+    std::erase_if(copy.changes, [](const StoreEvent& change) { return !change.item; });
+  } else {
+    std::ranges::stable_sort(copy.changes, {}, &StoreEvent::revision);
   }
   return copy;
 }
--- a/libs/peers/test/store_copy-test.cc
+++ b/libs/peers/test/store_copy-test.cc
@@ -12,17 +12,19 @@
 BOOST_AUTO_TEST_SUITE(store_copy)
 
 BOOST_AUTO_TEST_CASE(request_survives_its_query) {
-  const StoreCopyRequest request{StoreRevision(7), 400ms, 35ms, true};
+  const StoreCopyRequest request{StoreRevision(7), 400ms, 35ms, true, true};
   const StoreCopyRequest read = StoreCopyRequest::FromQuery(request.ToQuery());
   BOOST_TEST((read.revision == request.revision));
   BOOST_TEST((read.wait == request.wait));
   BOOST_TEST((read.age == request.age));
   BOOST_TEST(read.accepts_deflate);
+  BOOST_TEST(read.accepts_deflated_changes);
   const StoreCopyRequest minimal = StoreCopyRequest::FromQuery("12");
   BOOST_TEST((minimal.revision == StoreRevision(12)));
   BOOST_TEST((minimal.wait == 0ms));
   BOOST_TEST(!minimal.age.has_value());
   BOOST_TEST(!minimal.accepts_deflate);
+  BOOST_TEST(!minimal.accepts_deflated_changes);
 }
 
 RC_BOOST_PROP(any_query_is_read, (const std::string& query)) { StoreCopyRequest::FromQuery(query); }
