Soak: instances that stand still beside changes of the configuration

No kind of fault had callers that use the idle limit, nor stops beside changes of a large configuration.

`stall` stops instances for 0.1 to 3 s in series that overlap, while a configuration with 500 to 2,000 more routes, keys taken away one by one and other idle limits come in quick succession. Callers let their connections idle for up to four fifths of the limits that may be in force (the configuration's bound and the time of contact decide), and a request on a connection that is open when it is sent must not end with a close and without a byte, unless the process was killed. The kernel tells how long a connection was idle, so that a busy soak judges nothing that came late. Seeds that draw their kinds do not draw it.

--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -99,7 +99,8 @@
       {"unread-output", FaultKind::kUnreadOutput},
       {"idle-flood", FaultKind::kIdleFlood},
       {"pipelined", FaultKind::kPipelined},
-      {"endless", FaultKind::kEndless}};
+      {"endless", FaultKind::kEndless},
+      {"stall", FaultKind::kStall}};
   return names;
 }
 
@@ -223,6 +224,8 @@
       return FloodWithIdle(random);
     case FaultKind::kEndless:
       return SendEndless(random);
+    case FaultKind::kStall:
+      return Stall(random);
     case FaultKind::kPipelined:
       return Stop(random);  // the callers of this kind matter beside stops
     case FaultKind::kUnreadOutput:
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -71,6 +71,7 @@
   kIdleFlood,
   kPipelined,
   kEndless,
+  kStall,
 };
 
 /// A process of an instance, which may have been replaced since.
@@ -86,6 +87,8 @@
   int taken_ports = 0;
   int idle_connections = 0;
   int endless_senders = 0;
+  int stalls = 0;
+  int configurations = 0;  ///< that came beside stalls
 };
 
 /// What the faults work on.
@@ -207,6 +210,15 @@
   net::awaitable<void> FloodWithIdle(Random random);
   /// Clients and an engine send framing without end.
   net::awaitable<void> SendEndless(Random random);
+  /// Instances are stopped for a while, in series that overlap, beside changes of the
+  /// configuration.
+  net::awaitable<void> Stall(Random random);
+  /// Stops an instance's process after `begin`, and lets it go on after `length`.
+  net::awaitable<void> HoldUp(Instance& instance, std::chrono::milliseconds begin,
+                              std::chrono::milliseconds length);
+  /// A configuration with many routes; then keys are taken away one by one, and the idle limit is
+  /// raised and lowered.
+  net::awaitable<void> ChangeConfigurations(Random random);
 
   /// An instance; often the one that orders weights now.
   Instance& PickInstance(Random& random);
@@ -222,6 +234,7 @@
   bool releasing_ = false;  ///< a release replaces another
   int releases_ = 0;        ///< that have joined
   bool flooding_ = false;   ///< with idle connections
+  bool changing_ = false;   ///< configurations come in quick succession
   SurroundingCounts counts_;
 };
 
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -59,6 +59,8 @@
   }
   ::close(output);
   takes_signals_ = false;
+  stopped_ = false;
+  undisturbed_since_ = Clock::now();
   pid_ = child;
   serial_ = NextSerial();
 }
@@ -122,7 +124,13 @@
   ::_exit(kExecFailed);
 }
 
-void InstanceProcess::Signal(int signal) const {
+void InstanceProcess::Signal(int signal) {
+  if (signal == SIGSTOP) stopped_ = true;
+  if (signal == SIGCONT) {
+    stopped_ = false;
+    undisturbed_since_ = Clock::now();
+  }
+  if (signal == SIGKILL) killed_.insert(serial_);
   if (pid_ > 0) ::kill(pid_, signal);
 }
 
--- a/soak/instance_process.h
+++ b/soak/instance_process.h
@@ -6,9 +6,12 @@
 
 #include <filesystem>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "sleep.h"
+
 namespace ridgehold::soak {
 
 /// What surrounds an instance's processes.
@@ -45,9 +48,15 @@
   /// Whether the program has had the chance to take or block signals: it does so, or its `main`
   /// is at work already.
   bool TakesSignals();
-  void Signal(int signal) const;
+  void Signal(int signal);
   /// A signal that carries a value.
   void Queue(int signal, int value) const;
+  /// Whether the process has been sent SIGSTOP and no SIGCONT since.
+  bool stopped() const { return stopped_; }
+  /// When the process was started or last continued.
+  TimePoint undisturbed_since() const { return undisturbed_since_; }
+  /// Whether the process with this serial number has been sent SIGKILL.
+  bool WasKilled(int serial) const { return killed_.contains(serial); }
   /// Looks whether the process has ended since.
   bool Running();
   /// Whether the process has used more memory than it may.
@@ -79,6 +88,9 @@
   pid_t pid_ = 0;
   int status_ = 0;
   int serial_ = 0;
+  bool stopped_ = false;
+  TimePoint undisturbed_since_{};
+  std::set<int> killed_;  ///< serial numbers
   bool signals_blocked_ = false;
   bool takes_signals_ = false;
   int unread_output_ = -1;  ///< reading end of the pipe; closed with the next start
--- /dev/null
+++ b/soak/kept_check.cc
@@ -0,0 +1,28 @@
+#include "kept_check.h"
+
+namespace ridgehold::soak {
+namespace {
+
+// From the rules: eight or more requests, and over a quarter, without an answer after their limit.
+constexpr int kTooManyUnanswered = 8;
+constexpr int kUnansweredPart = 4;
+
+}  // namespace
+
+void KeptCheck::Ended(const KeptRequest& request) {
+  if (!request.within_limits || request.killed) return;
+  ++judged_;
+  if (request.unanswered) ++unanswered_;
+  if (!request.closed) return;
+  verdict_.Fail("request on an open connection is lost", request.id,
+                "sent after " + std::to_string(request.idle.count()) + " ms of idling, closed " +
+                    std::to_string(request.taken.count()) + " ms later");
+}
+
+void KeptCheck::Judge() {
+  if (unanswered_ < kTooManyUnanswered || unanswered_ * kUnansweredPart <= judged_) return;
+  verdict_.Fail("requests on open connections are unanswered", "all",
+                std::to_string(unanswered_) + " of " + std::to_string(judged_));
+}
+
+}  // namespace ridgehold::soak
--- a/soak/operator_log.cc
+++ b/soak/operator_log.cc
@@ -63,6 +63,36 @@
   }
 }
 
+void OperatorLog::AddRoutes(int count, int spare_keys) {
+  ++version_;
+  added_routes_ = count;
+  for (int i = 0; i < spare_keys; ++i) {
+    const std::string key = "key" + std::to_string(keys_.size());
+    keys_[key] = {.workspace = "w1", .granted = version_};
+    order_.push_back(key);
+    spare_keys_.push_back(key);
+  }
+  WriteConfig();
+}
+
+bool OperatorLog::TakeSpareKey() {
+  // Some may have been taken away with all keys of their workspace.
+  std::erase_if(spare_keys_, [this](const std::string& key) { return keys_[key].revoked != 0; });
+  if (spare_keys_.empty()) return false;
+  KeyRecord& record = keys_[spare_keys_.front()];
+  spare_keys_.erase(spare_keys_.begin());
+  record.revoked = ++version_;
+  WriteConfig();
+  record.revoked_at = Clock::now();
+  return true;
+}
+
+void OperatorLog::SetIdleLimit(std::chrono::milliseconds limit) {
+  ++version_;
+  idle_limit_ = limit;
+  WriteConfig();
+}
+
 void OperatorLog::NameWeights() {
   named_.push_back(Clock::now());
   table_.Put(std::string(platform::key::kWeightsPrefix) + "m",
@@ -92,18 +122,22 @@
   for (const auto& [name, list] : keys) {
     workspaces.push_back({{"name", name}, {"api_keys", list}, {"priority", 1}});
   }
+  Json routes = {Route("safe", "safe", false), Route("unsafe", "unsafe", false),
+                 Route("stream", "stream", false), Route("resume", "stream", true)};
+  for (int i = 0; i < added_routes_; ++i) {
+    routes.push_back(Route(("added" + std::to_string(i)).c_str(), "unsafe", false));
+  }
   const Json config = {{"version", version_},
-                       {"routes",
-                        {Route("safe", "safe", false), Route("unsafe", "unsafe", false),
-                         Route("stream", "stream", false), Route("resume", "stream", true)}},
+                       {"routes", std::move(routes)},
                        {"services", {Service()}},
                        {"limits",
                         {{"max_header_bytes", 16'384},
                          {"max_body_bytes", 100'000},
                          {"header_timeout_ms", 1'000},
-                         {"idle_timeout_ms", 5'000}}},
+                         {"idle_timeout_ms", idle_limit_.count()}}},
                        {"tenants", workspaces}};
   table_.Put(platform::key::kConfig, config.dump());
+  idle_limits_.Add(idle_limit_, Clock::now());
 }
 
 }  // namespace ridgehold::soak
--- a/soak/operator_log.h
+++ b/soak/operator_log.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "fakes.h"
+#include "idle_limits.h"
 #include "random.h"
 #include "sleep.h"
 
@@ -28,10 +29,16 @@
   /// Gives a workspace a new key, and takes the old one away if told so.
   void ChangeKey(Random& random);
   void NameWeights();
+  /// Replaces the routes added before by `count` others, and gives a workspace spare keys.
+  void AddRoutes(int count, int spare_keys);
+  /// Takes the oldest spare key away; returns whether there was one.
+  bool TakeSpareKey();
+  void SetIdleLimit(std::chrono::milliseconds limit);
 
   const KeyRecord& key(const std::string& key) const { return keys_.at(key); }
   /// A key to send: mostly a valid one, sometimes one taken away.
   std::string PickKey(Random& random) const;
+  const IdleLimits& idle_limits() const { return idle_limits_; }
   int weights() const { return static_cast<int>(named_.size()); }
   /// When weights newer than `number` were first acknowledged.
   TimePoint NewerThan(int number) const { return named_.at(static_cast<std::size_t>(number)); }
@@ -44,6 +51,10 @@
   std::map<std::string, KeyRecord> keys_;
   std::vector<std::string> order_;  // keys as they were granted
   std::vector<TimePoint> named_;    // acknowledgement of weights 1, 2, ...
+  std::vector<std::string> spare_keys_;
+  int added_routes_ = 0;
+  std::chrono::milliseconds idle_limit_{5'000};
+  IdleLimits idle_limits_;
 };
 
 }  // namespace ridgehold::soak
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -20,6 +20,7 @@
 constexpr std::uint64_t kPoisonSeed = 0x706f69736f6e;
 constexpr std::uint64_t kRestingSeed = 0x72657374;
 constexpr std::uint64_t kPipelinedSeed = 0x70697065;
+constexpr std::uint64_t kKeptSeed = 0x6b657074;
 constexpr std::size_t kLogLines = 8;  // printed of each instance
 /// Time for what still runs when the faults have ended.
 constexpr std::chrono::milliseconds kSettle{4'500};
@@ -27,6 +28,7 @@
 /// Least part that is served without faults, or with kinds that must not cost service.
 constexpr double kServedCalm = 0.95;
 constexpr int kPipelinedCallersEach = 3;  // for each instance
+constexpr int kKeptCallersEach = 12;      // for each instance
 /// Of an instance's processes, where idle connections are to use them up.
 constexpr int kFewDescriptors = 300;
 /// Of an instance's process, as on a usual deployment.
@@ -60,6 +62,7 @@
       poison_(verdict_, Random(options_.seed ^ kPoisonSeed)),
       path_check_(verdict_, calm_),
       retry_check_(verdict_),
+      kept_check_(verdict_),
       peers_(io_.get_executor()),
       resumptions_(verdict_),
       needs_(verdict_),
@@ -203,6 +206,19 @@
   }
 }
 
+void SoakRun::StartKeptCallers() {
+  // What other kinds draw stays as it is.
+  Random random(options_.seed ^ kKeptSeed);
+  for (const auto& instance : instances_) {
+    for (int i = 0; i < kKeptCallersEach; ++i) {
+      const std::string name = "k" + std::to_string(kept_callers_.size());
+      kept_callers_.push_back(std::make_shared<KeptCaller>(name, *instance->process, ledger_,
+                                                           operator_, kept_check_, random.Fork()));
+      net::co_spawn(io_, kept_callers_.back()->Run(), net::detached);
+    }
+  }
+}
+
 Surroundings SoakRun::SurroundingsOfAll() const {
   const bool floods = faults_.Selected(FaultKind::kIdleFlood);
   const bool endless = faults_.Selected(FaultKind::kEndless);
@@ -216,6 +232,7 @@
   StartInstances();
   StartCallers();
   if (faults_.Selected(FaultKind::kPipelined)) StartPipelinedCallers();
+  if (faults_.Selected(FaultKind::kStall)) StartKeptCallers();
   net::co_spawn(io_, WatchProcesses(), net::detached);
   net::co_spawn(io_, Script(), [this](const std::exception_ptr& error) {
     io_.stop();
@@ -236,6 +253,7 @@
   path_check_.Judge();
   retry_check_.Judge();
   resumptions_.Judge();
+  kept_check_.Judge();
   if (!verdict_.first()) co_await StopAll();
 }
 
@@ -263,6 +281,7 @@
   }
   for (const auto& caller : callers_) caller->Stop();
   for (const auto& caller : pipelined_callers_) caller->Stop();
+  for (const auto& caller : kept_callers_) caller->Stop();
 }
 
 net::awaitable<void> SoakRun::WatchProcesses() {
@@ -287,7 +306,11 @@
          std::to_string(counts.starts_with_hang_ups) + " starts with some), " +
          std::to_string(counts.taken_ports) + " taken ports, " +
          std::to_string(counts.idle_connections) + " idle connections, " +
-         std::to_string(counts.endless_senders) + " endless requests, ";
+         std::to_string(counts.endless_senders) + " endless requests, " +
+         std::to_string(counts.stalls) + " stalls beside " + std::to_string(counts.configurations) +
+         " configurations, " + std::to_string(kept_check_.judged()) +
+         " requests on kept connections (" + std::to_string(kept_check_.unanswered()) +
+         " unanswered, " + std::to_string(kept_check_.closed_while_idle()) + " found closed), ";
 }
 
 std::string SoakRun::Summary() {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -10,6 +10,7 @@
 
 #include "caller.h"
 #include "fault_script.h"
+#include "kept_caller.h"
 #include "pipelined_caller.h"
 
 namespace ridgehold::soak {
@@ -50,6 +51,7 @@
   Surroundings SurroundingsOfAll() const;
   void StartCallers();
   void StartPipelinedCallers();
+  void StartKeptCallers();
   /// Fails if a kind that must not cost service did.
   void JudgeServed();
   std::string SurroundingText() const;
@@ -71,6 +73,7 @@
   Poison poison_;
   PathCheck path_check_;
   RetryCheck retry_check_;
+  KeptCheck kept_check_;
   PeerNetwork peers_;
   Resumptions resumptions_;
   Needs needs_;
@@ -78,6 +81,7 @@
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<std::shared_ptr<Caller>> callers_;
   std::vector<std::shared_ptr<PipelinedCaller>> pipelined_callers_;
+  std::vector<std::shared_ptr<KeptCaller>> kept_callers_;
   FaultScript faults_;
 };
 
