Soak: requests that cross the close of a process that ends in order

The check excuses these after a SIGTERM only; all others stay lost. A lost request now tells whether the connection was reset, and whether it had run.

--- a/soak/bounds.h
+++ b/soak/bounds.h
@@ -15,6 +15,7 @@
 // As on a usual deployment.
 inline constexpr std::chrono::milliseconds kContact{3'000};
 inline constexpr std::chrono::milliseconds kConfigLimit{2'000};
+inline constexpr std::chrono::milliseconds kLossSlack{200};
 inline constexpr std::chrono::milliseconds kDrainLimit{2'000};
 inline constexpr std::chrono::milliseconds kThaw{300};
 inline constexpr std::chrono::milliseconds kDowngradeLimit{250};
--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -131,6 +131,7 @@
     undisturbed_since_ = Clock::now();
   }
   if (signal == SIGKILL) killed_.insert(serial_);
+  if (signal == SIGTERM) told_to_end_.insert(serial_);
   if (pid_ > 0) ::kill(pid_, signal);
 }
 
--- a/soak/instance_process.h
+++ b/soak/instance_process.h
@@ -57,6 +57,8 @@
   TimePoint undisturbed_since() const { return undisturbed_since_; }
   /// Whether the process with this serial number has been sent SIGKILL.
   bool WasKilled(int serial) const { return killed_.contains(serial); }
+  /// Whether the process with this serial number has been sent SIGTERM.
+  bool WasToldToEnd(int serial) const { return told_to_end_.contains(serial); }
   /// Looks whether the process has ended since.
   bool Running();
   /// Whether the process has used more memory than it may.
@@ -90,7 +92,8 @@
   int serial_ = 0;
   bool stopped_ = false;
   TimePoint undisturbed_since_{};
-  std::set<int> killed_;  ///< serial numbers
+  std::set<int> killed_;       ///< serial numbers
+  std::set<int> told_to_end_;  ///< serial numbers
   bool signals_blocked_ = false;
   bool takes_signals_ = false;
   int unread_output_ = -1;  ///< reading end of the pipe; closed with the next start
--- a/soak/kept_caller.cc
+++ b/soak/kept_caller.cc
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <limits>
 #include <sstream>
+#include <utility>
 
 #include "bounds.h"
 #include "platform/names.h"
@@ -73,7 +74,8 @@
 struct KeptCaller::Connection {
   std::shared_ptr<tcp::socket> socket;
   boost::beast::flat_buffer buffer;
-  int process = 0;  ///< serial number
+  int process = 0;    ///< serial number
+  bool used = false;  ///< a request was sent on it
 };
 
 net::awaitable<void> KeptCaller::Run() {
@@ -121,6 +123,7 @@
     co_return false;
   }
   const TimePoint idle_since = LastReceived(*connection.socket);
+  request.first = !std::exchange(connection.used, true);
   record.sent = Clock::now();
   ledger_.Sent(std::move(record));
   ErrorCode error;
@@ -158,6 +161,9 @@
   const bool nothing = !parser->got_some() && connection.buffer.size() == 0;
   request.taken = ToMilliseconds(Clock::now() - sent);
   request.killed = instance_.WasKilled(connection.process);
+  request.told_to_end = instance_.WasToldToEnd(connection.process);
+  request.ran = ledger_.HasRun(request.id);
+  request.reset = error == net::error::connection_reset;
   request.unanswered = limit->expired && !parser->is_header_done();
   request.closed = error && nothing && !limit->expired;
   check_.Ended(request);
--- a/soak/kept_check.cc
+++ b/soak/kept_check.cc
@@ -1,5 +1,7 @@
 #include "kept_check.h"
 
+#include "bounds.h"
+
 namespace ridgehold::soak {
 namespace {
 
@@ -9,14 +11,21 @@
 
 }  // namespace
 
+bool KeptCheck::CrossedClose(const KeptRequest& request) {
+  if (!request.told_to_end || request.ran) return false;
+  return request.taken <= kLossSlack || (request.first && request.reset);
+}
+
 void KeptCheck::Ended(const KeptRequest& request) {
   if (!request.within_limits || request.killed) return;
   ++judged_;
   if (request.unanswered) ++unanswered_;
-  if (!request.closed) return;
+  if (!request.closed || CrossedClose(request)) return;
   verdict_.Fail("request on an open connection is lost", request.id,
-                "sent after " + std::to_string(request.idle.count()) + " ms of idling, closed " +
-                    std::to_string(request.taken.count()) + " ms later");
+                "sent after " + std::to_string(request.idle.count()) + " ms of idling, " +
+                    (request.reset ? "reset " : "closed ") + std::to_string(request.taken.count()) +
+                    " ms later" + (request.ran ? ", has run" : "") +
+                    (request.told_to_end ? ", at a process that was told to end" : ""));
 }
 
 void KeptCheck::Judge() {
--- a/soak/kept_check.h
+++ b/soak/kept_check.h
@@ -17,7 +17,11 @@
   std::chrono::milliseconds taken{0};  ///< from sending until the end
   bool within_limits = false;          ///< the idle limits allowed to send it
   bool killed = false;                 ///< the process that the connection led to
+  bool told_to_end = false;            ///< the process, in order
+  bool first = false;                  ///< on its connection
+  bool ran = false;                    ///< an engine has begun to work on it
   bool closed = false;                 ///< without a byte of an answer
+  bool reset = false;                  ///< closed with what was sent unread
   bool unanswered = false;             ///< in time
 };
 
@@ -38,6 +42,11 @@
   int unanswered() const { return unanswered_; }
 
  private:
+  /// Whether the request crossed the close of a process that ends in order. The rules count neither
+  /// a close within their slack of a request that was not passed on, nor a request that was not
+  /// read: a new connection may still wait to be accepted.
+  static bool CrossedClose(const KeptRequest& request);
+
   Verdict& verdict_;
   int judged_ = 0;
   int closed_while_idle_ = 0;
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -38,6 +38,8 @@
   void Ended(const std::string& id, const CallerView& view);
   /// Null for a request that nobody sent.
   const RequestRecord* Find(const std::string& id) const;
+  /// Whether an engine has begun to work on the request.
+  bool HasRun(const std::string& id) const { return !requests_.at(id).runs.empty(); }
 
   int sent() const { return static_cast<int>(requests_.size()); }
   int served() const { return served_; }
