Soak: a process past its grace time counts as killed

The soak kills 0.5 s later than the platform for busy machines; what ends in between is not judged as lost.

--- a/soak/instance_process.cc
+++ b/soak/instance_process.cc
@@ -131,10 +131,16 @@
     undisturbed_since_ = Clock::now();
   }
   if (signal == SIGKILL) killed_.insert(serial_);
-  if (signal == SIGTERM) told_to_end_.insert(serial_);
+  if (signal == SIGTERM) told_to_end_.try_emplace(serial_, Clock::now());
   if (pid_ > 0) ::kill(pid_, signal);
 }
 
+bool InstanceProcess::WasKilled(int serial) const {
+  if (killed_.contains(serial)) return true;
+  const auto told = told_to_end_.find(serial);
+  return told != told_to_end_.end() && Clock::now() > told->second + kShutdownLimit;
+}
+
 void InstanceProcess::Queue(int signal, int value) const {
   sigval carried{};
   carried.sival_int = value;
--- a/soak/instance_process.h
+++ b/soak/instance_process.h
@@ -5,6 +5,7 @@
 #include <sys/types.h>
 
 #include <filesystem>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -55,8 +56,9 @@
   bool stopped() const { return stopped_; }
   /// When the process was started or last continued.
   TimePoint undisturbed_since() const { return undisturbed_since_; }
-  /// Whether the process with this serial number has been sent SIGKILL.
-  bool WasKilled(int serial) const { return killed_.contains(serial); }
+  /// Whether the process with this serial number has been sent SIGKILL, or is past its grace time,
+  /// when the platform would send it.
+  bool WasKilled(int serial) const;
   /// Whether the process with this serial number has been sent SIGTERM.
   bool WasToldToEnd(int serial) const { return told_to_end_.contains(serial); }
   /// Looks whether the process has ended since.
@@ -92,8 +94,8 @@
   int serial_ = 0;
   bool stopped_ = false;
   TimePoint undisturbed_since_{};
-  std::set<int> killed_;       ///< serial numbers
-  std::set<int> told_to_end_;  ///< serial numbers
+  std::set<int> killed_;                  ///< serial numbers
+  std::map<int, TimePoint> told_to_end_;  ///< by serial number, when first
   bool signals_blocked_ = false;
   bool takes_signals_ = false;
   int unread_output_ = -1;  ///< reading end of the pipe; closed with the next start
