Fix: a shutdown that was held up handles what has arrived before it ends

Callers of an instance that was stopped during its shutdown, and went on within its grace time, saw connections closed without a byte, also for requests that had run. ShutDown looked at its deadline, 700 ms before the end of the grace time, as soon as the loop went on, and ended the process with requests in flight unanswered. The port was likewise closed at the end of the lame-duck time before connections that had come were accepted.

Both moments now leave one interval of 100 ms to what has arrived; requests that still wait are then failed as before. The margin of 700 ms covers it. An ordinary shutdown takes up to 100 ms longer.

--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -662,9 +662,12 @@
     const auto lame_duck = std::min(tuning_.lame_duck, settings_.shutdown_timeout / 3);
     co_await WaitFor(timer, std::chrono::duration_cast<std::chrono::milliseconds>(
                                 started + lame_duck - Clock::now()));
+    // A loop that was held up handles what has arrived before it is told that time is over.
+    co_await WaitFor(timer, tuning_.housekeeping_interval / 5);
     server_.Stop();
     state_.RejectNewRequests();
-    while (Clock::now() < deadline) {
+    for (bool over = false; !over;) {
+      over = Clock::now() >= deadline;
       server_.CloseIdle(tuning_.final_request_time);
       if (Clock::now() >= state_.response_deadline()) server_.FailPending();
       const bool drained = state_.in_flight() == 0 && server_.open_connections() == 0 &&
