--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -65,7 +65,7 @@
       co_return co_await connect_handler_(std::move(socket), std::move(request));
     }
     ResponseMessage response = co_await Respond(request);
-    session->AwaitClient(Clock::now());
+    session->AwaitDelivery(Clock::now());
     http::response_serializer<http::string_body> serializer(response);
     co_await http::async_write(session->socket(), serializer,
                                net::redirect_error(net::use_awaitable, error));
--- a/libs/listener/include/listener/port_session.h
+++ b/libs/listener/include/listener/port_session.h
@@ -17,17 +17,26 @@
   tcp::socket& socket() { return socket_; }
   bool open() const { return socket_.is_open(); }
 
-  /// Marks that the session waits for its client: for a request, or for it to read a response.
-  void AwaitClient(TimePoint now) { waiting_ = now; }
+  /// Marks that the session waits for a request of its client.
+  void AwaitClient(TimePoint now) {
+    waiting_ = now;
+    sends_ = false;
+  }
+  /// Marks that the session waits for its client to read a response.
+  void AwaitDelivery(TimePoint now) {
+    waiting_ = now;
+    sends_ = true;
+  }
   /// Marks that a response is being made.
   void BeginResponse() { waiting_.reset(); }
   /// Since when the session has waited for its client; nullopt while a response is being made.
   const std::optional<TimePoint>& waiting_since() const { return waiting_; }
 
-  /// Whether bytes of the client have arrived and have not been read.
-  bool HasUnreadBytes() const {
+  /// Whether bytes of an awaited request have arrived and have not been read. Those that a client
+  /// sends while it leaves a response unread don't count: it could hold its connection for ever.
+  bool HasUnreadRequest() const {
     ErrorCode ignored;
-    return socket_.available(ignored) > 0;
+    return !sends_ && socket_.available(ignored) > 0;
   }
 
   /// Cancels what the session waits for.
@@ -39,6 +48,7 @@
  private:
   tcp::socket socket_;
   std::optional<TimePoint> waiting_;
+  bool sends_ = false;  ///< a response
 };
 
 }  // namespace ridgehold
--- a/libs/listener/include/listener/port_sessions.h
+++ b/libs/listener/include/listener/port_sessions.h
@@ -21,8 +21,8 @@
 };
 
 /// Neither idle connections nor slow clients can use up the port: at its limit, a new connection
-/// replaces the one that has waited longest for its client. A session whose client has sent bytes
-/// that have not been read yet is not closed. Not thread-safe.
+/// replaces the one that has waited longest for its client. A session that waits for a
+/// request, bytes of which have arrived and have not been read yet, is not closed. Not thread-safe.
 class PortSessions {
  public:
   explicit PortSessions(PortLimits limits) : limits_(limits) {}
--- a/libs/listener/src/port_sessions.cc
+++ b/libs/listener/src/port_sessions.cc
@@ -16,7 +16,7 @@
     if (!session || !session->waiting_since()) continue;
     const bool expired = now - *session->waiting_since() >= limits_.client_timeout;
     // What has arrived is handled first, also if the event loop is late.
-    if (expired && !session->HasUnreadBytes()) session->Close();
+    if (expired && !session->HasUnreadRequest()) session->Close();
   }
   RemoveClosed();
 }
@@ -37,7 +37,7 @@
   std::shared_ptr<PortSession> longest;
   for (const auto& weak : sessions_) {
     auto session = weak.lock();
-    if (!session || !session->waiting_since() || session->HasUnreadBytes()) continue;
+    if (!session || !session->waiting_since() || session->HasUnreadRequest()) continue;
     if (!longest || *session->waiting_since() < *longest->waiting_since()) {
       longest = std::move(session);
     }
--- a/libs/listener/test/port_sessions-test.cc
+++ b/libs/listener/test/port_sessions-test.cc
@@ -82,6 +82,30 @@
   BOOST_TEST(third->open());
 }
 
+// Guards against clients that send further requests, read no response and so use up the port.
+BOOST_AUTO_TEST_CASE(sessions_whose_client_reads_no_response_are_closed) {
+  tcp::acceptor acceptor(io, {net::ip::address_v4::loopback(), 0});
+  tcp::socket client(io);
+  client.connect(acceptor.local_endpoint());
+  const auto first = sessions.Add(acceptor.accept(), start);
+  net::write(client, net::buffer(std::string("GET /readyz HTTP/1.1")));
+  first->socket().wait(tcp::socket::wait_read);
+  first->AwaitDelivery(start);
+  const auto second = Add(start + 1s);
+  const auto third = Add(start + 2s);
+  BOOST_TEST(!first->open());
+  BOOST_TEST(second->open());
+  client.close();
+  client.connect(acceptor.local_endpoint());
+  PortSessions others{PortLimits{.max_connections = 2, .client_timeout = 30s}};
+  const auto last = others.Add(acceptor.accept(), start);
+  net::write(client, net::buffer(std::string("GET /readyz HTTP/1.1")));
+  last->socket().wait(tcp::socket::wait_read);
+  last->AwaitDelivery(start);
+  others.CloseExpired(start + 30s);
+  BOOST_TEST(!last->open());
+}
+
 BOOST_AUTO_TEST_CASE(ended_sessions_leave_room) {
   for (int i = 0; i < 5; ++i) BOOST_TEST(Add(start) != nullptr);
   BOOST_TEST(sessions.open_sessions() == 0U);
