Fix: a response that has begun to arrive outlasts the end of a shutdown's patience

Callers of routes that may not be repeated would get a failure for an answer that lay in the socket when pending requests were failed. A stream's attempt is cancelled for weights past their limit, a quarantine or an unreachable server as before the change of CancelAttempt: its first bytes don't show that the engine has begun, and a cancellation that is passed over is not repeated. Found by the review, by reading.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -68,9 +68,10 @@
   }
 
   /// Fails a request without a response once the response deadline has passed. A response in
-  /// progress continues.
+  /// progress, or one that has begun to arrive, continues.
   void FailIfPending() {
-    if (!response_started_ && attempt_.connection) attempt_.connection->Cancel();
+    const bool pending = !response_started_ && attempt_.connection;
+    if (pending && !attempt_.connection->HasUnreadInput()) attempt_.connection->Cancel();
   }
 
  private:
@@ -467,10 +468,12 @@
     });
   }
 
-  /// Does nothing if the response has begun to arrive: an event loop that was held up gets to the
-  /// reason for the cancellation first.
+  /// Does nothing if a whole response is arriving: an event loop that was held up gets to the
+  /// reason for the cancellation first. A stream's head and first bytes say nothing about its
+  /// start.
   void CancelAttempt(ResultCode reason) {
-    if (attempt_.connection->HasUnreadInput()) return;
+    const bool is_stream = plan_.route->kind == RouteKind::kStream;
+    if (!is_stream && attempt_.connection->HasUnreadInput()) return;
     attempt_.cancel_reason = reason;
     attempt_.connection->Cancel();
   }
@@ -542,7 +545,8 @@
     if (attempt_.unreachable_since && attempt_.backend->reachable) OnReachable();
     if (!is_waiting()) co_return;
     std::optional<RetryReservation> retry;
-    if (MayReplaceNow() && state_.RetriesLeft(plan_.service, Clock::now()) >= 1) {
+    const bool arrives = attempt_.connection->HasUnreadInput();
+    if (!arrives && MayReplaceNow() && state_.RetriesLeft(plan_.service, Clock::now()) >= 1) {
       retry = co_await state_.ReserveRetry(plan_.service, WaitLimit());
     }
     if (!is_waiting()) co_return;
