Fix: room for a new connection is looked for at more than one idle connection

At the maximum of connections only the one that had been idle longest was tried. If its request had just arrived, the new connection was closed without an answer, though others were idle.

--- a/libs/gateway/include/gateway/caller_server.h
+++ b/libs/gateway/include/gateway/caller_server.h
@@ -4,9 +4,12 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "gateway/body_admission.h"
 #include "gateway/caller_connection.h"
@@ -79,19 +82,23 @@
     }
   }
 
-  /// Returns whether it has closed a connection.
+  /// Closes the connection that has been idle longest and has received no request. Returns whether
+  /// there is one.
   bool CloseLongestIdle() {
-    ConnectionPtr longest;
+    std::vector<std::pair<TimePoint, ConnectionPtr>> idle;
     for (const auto& [connection, exchange] : connections_) {
       const auto& since = connection->idle_since();
-      if (since && (!longest || *since < *longest->idle_since())) longest = connection;
+      if (since) idle.emplace_back(*since, connection);
     }
-    if (!longest) return false;
-    const auto closed = longest->CloseIfIdle();
-    if (!closed) return false;
-    RecordSilentClose("room_for_others", *closed);
-    state_.metrics().GetCounter("ridgehold_idle_connections_replaced").Add();
-    return true;
+    std::ranges::sort(idle);
+    for (const auto& [since, connection] : idle) {
+      const auto closed = connection->CloseIfIdle();
+      if (!closed) continue;
+      RecordSilentClose("room_for_others", *closed);
+      state_.metrics().GetCounter("ridgehold_idle_connections_replaced").Add();
+      return true;
+    }
+    return false;
   }
 
   void RecordSilentClose(const char* reason, const SilentClose& closed) {
