Fix: answers of peers that have arrived count, also after a stall

A query of loads or quotas that was due took answers that lay in the socket for missing, and blamed the peers that had sent them. Queued handlers run first.

--- a/libs/net/include/net/wait.h
+++ b/libs/net/include/net/wait.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -23,4 +24,11 @@
   co_await WaitUntil(timer, Clock::now() + time);
 }
 
+/// Lets handlers run whose events have arrived: an event loop that was held up finds them and the
+/// end of a wait due together. Takes less than a millisecond where there are none.
+inline net::awaitable<void> HandleArrivals(net::any_io_executor executor) {
+  constexpr int kTurns = 8;
+  for (int i = 0; i < kTurns; ++i) co_await net::post(executor, net::use_awaitable);
+}
+
 }  // namespace ridgehold
--- a/libs/peers/src/load_query_service.cc
+++ b/libs/peers/src/load_query_service.cc
@@ -26,6 +26,7 @@
   if (!pending->waiting.empty()) {
     pending_[id] = pending;
     co_await WaitUntil(pending->timer, limit);
+    if (!pending->waiting.empty()) co_await HandleArrivals(state_.executor());
     pending_.erase(id);
   }
   RecordUnanswered(*pending, Clock::now());
--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -271,11 +271,13 @@
   if (const auto* words = std::get_if<PushbackUpdateList>(&message)) {
     return HandleBackendNotices(*words, sender.address(), now);
   }
+  // Its query is still open.
+  if (const auto* answer = std::get_if<LoadAnswerMessage>(&message)) {
+    return load_queries_.HandleAnswer(*answer, sender.address().to_string());
+  }
   if (now < stale_until_) return;
   if (const auto* question = std::get_if<LoadQuestionMessage>(&message)) {
     SendTo(sender.address(), Encode(load_queries_.Answer(*question, now)));
-  } else if (const auto* answer = std::get_if<LoadAnswerMessage>(&message)) {
-    load_queries_.HandleAnswer(*answer, sender.address().to_string());
   } else if (const auto& news = std::get<GossipMessage>(message); news.daemon != options_.self) {
     loads_.Apply(news, now);
     ApplyNamings(state_.named_weights(), news.namings, now);
--- a/libs/peers/src/quota_link.cc
+++ b/libs/peers/src/quota_link.cc
@@ -51,7 +51,11 @@
   Dispatch(std::move(outbox));
   std::optional<QuotaOutcome> outcome = client_.TakeOutcome(acquisition_id);
   while (!outcome) {
-    co_await WaitUntil(timer, client_.NextTick(acquisition_id));
+    const TimePoint tick = client_.NextTick(acquisition_id);
+    co_await WaitUntil(timer, tick);
+    if (Clock::now() >= tick) co_await HandleArrivals(executor_);
+    outcome = client_.TakeOutcome(acquisition_id);
+    if (outcome) break;
     UpdateHolders(demand.subject);
     Dispatch(client_.Tick(acquisition_id, Clock::now()));
     outcome = client_.TakeOutcome(acquisition_id);
