--- a/libs/peers/src/store_copy.cc
+++ b/libs/peers/src/store_copy.cc
@@ -126,12 +126,12 @@
   if (!message.deflated_items().empty()) {
     BOOST_LEAF_AUTO(packed, Unpack(message.deflated_items()));
     AddUnchanged(packed, copy.changes);
-  }
-  if (copy.is_snapshot) {
-    // A snapshot has no removals.
-    std::erase_if(copy.changes, [](const StoreEvent& change) { return !change.item; });
-  } else {
-    std::ranges::stable_sort(copy.changes, {}, &StoreEvent::revision);
+    if (copy.is_snapshot) {
+      // The result of the changes has no removals.
+      std::erase_if(copy.changes, [](const StoreEvent& change) { return !change.item; });
+    } else {
+      std::ranges::stable_sort(copy.changes, {}, &StoreEvent::revision);
+    }
   }
   return copy;
 }
