Fix: time limits are not put off by many turns of a busy loop

In a loop with much to do, a turn takes as long as all queued handlers: eight turns without an event put each time-out off by as much. Two turns are enough for a handler that is queued, and a limit is put off for 50 ms at most unless those two take longer.

--- a/libs/net/include/net/io_deadline.h
+++ b/libs/net/include/net/io_deadline.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 
@@ -20,10 +21,12 @@
   /// Which event of the socket the operation waits for.
   enum class Event : std::uint8_t { kReadable, kWritable };
 
-  /// A peer that sends without end cannot put the limit off by more turns of the event loop.
+  /// A peer that sends without end cannot put the limit off by more turns of the event loop, nor
+  /// for longer. In a busy loop a turn takes as long as all queued handlers.
   static constexpr int kMaxTurns = 64;
-  /// Turns after the last event, for handlers of a composed operation that are already queued.
-  static constexpr int kQuietTurns = 8;
+  static constexpr std::chrono::milliseconds kMaxDelay{50};
+  /// Turns after the last event, for a handler that is already queued.
+  static constexpr int kQuietTurns = 2;
 
   explicit IoDeadline(tcp::socket& socket) : socket_(socket), timer_(socket.get_executor()) {}
 
@@ -41,7 +44,15 @@
  private:
   using Callback = std::function<void()>;
 
-  void Yield(std::uint64_t generation, int turns, int quiet_turns, Callback on_expired);
+  /// How far the operation has been let go on after its limit.
+  struct Extension {
+    TimePoint since;
+    int turns = 0;
+    int quiet_turns = 0;
+  };
+
+  void Yield(std::uint64_t generation, Extension extension, Callback on_expired);
+  static bool IsOver(const Extension& extension);
   void Expire(std::uint64_t generation, Callback on_expired);
   bool HasEvent() const;
 
--- a/libs/net/include/net/wait.h
+++ b/libs/net/include/net/wait.h
@@ -25,9 +25,9 @@
 }
 
 /// Lets handlers run whose events have arrived: an event loop that was held up finds them and the
-/// end of a wait due together. Takes less than a millisecond where there are none.
+/// end of a wait due together. Takes two turns of the loop.
 inline net::awaitable<void> HandleArrivals(net::any_io_executor executor) {
-  constexpr int kTurns = 8;
+  constexpr int kTurns = 2;
   for (int i = 0; i < kTurns; ++i) co_await net::post(executor, net::use_awaitable);
 }
 
--- a/libs/net/src/io_deadline.cc
+++ b/libs/net/src/io_deadline.cc
@@ -21,7 +21,8 @@
   // The callback is kept in the handlers alone: a member would be a cycle of ownership.
   timer_.async_wait(
       [this, generation, on_expired = std::move(on_expired)](const ErrorCode& error) mutable {
-        if (!error && generation == generation_) Yield(generation, 0, 0, std::move(on_expired));
+        if (error || generation != generation_) return;
+        Yield(generation, {Clock::now()}, std::move(on_expired));
       });
 }
 
@@ -30,19 +31,22 @@
   timer_.cancel();
 }
 
-void IoDeadline::Yield(std::uint64_t generation, int turns, int quiet_turns, Callback on_expired) {
-  quiet_turns = HasEvent() ? 0 : quiet_turns + 1;
-  if (turns >= kMaxTurns || quiet_turns > kQuietTurns) {
-    return Expire(generation, std::move(on_expired));
-  }
+void IoDeadline::Yield(std::uint64_t generation, Extension extension, Callback on_expired) {
+  extension.quiet_turns = HasEvent() ? 0 : extension.quiet_turns + 1;
+  if (IsOver(extension)) return Expire(generation, std::move(on_expired));
+  ++extension.turns;
   net::post(socket_.get_executor(),
-            [this, generation, turns, quiet_turns, on_expired = std::move(on_expired)]() mutable {
-              if (generation == generation_) {
-                Yield(generation, turns + 1, quiet_turns, std::move(on_expired));
-              }
+            [this, generation, extension, on_expired = std::move(on_expired)]() mutable {
+              if (generation == generation_) Yield(generation, extension, std::move(on_expired));
             });
 }
 
+bool IoDeadline::IsOver(const Extension& extension) {
+  const bool quiet = extension.quiet_turns > kQuietTurns;
+  const bool too_long = extension.turns >= kMaxTurns || Clock::now() - extension.since >= kMaxDelay;
+  return quiet || (too_long && extension.turns > kQuietTurns);
+}
+
 void IoDeadline::Expire(std::uint64_t generation, Callback on_expired) {
   expired_ = true;
   on_expired();
