--- a/libs/entry/test/store_copy_server-test.cc
+++ b/libs/entry/test/store_copy_server-test.cc
@@ -59,6 +59,12 @@
                   [this](std::exception_ptr, AdminPage got) { page = std::move(got); });
     Run(5ms);
   }
+  /// The answer takes a while to be made.
+  void AskLarge(const StoreCopyRequest& request) {
+    Ask(request);
+    Run(5s);
+    BOOST_REQUIRE(page.has_value());
+  }
   void Run(std::chrono::milliseconds time) {
     io.restart();
     io.run_for(time);
@@ -155,7 +161,7 @@
   source.Put("other", "1");
   const StoreCopyRequest request{
       .revision = StoreRevision(10), .accepts_deflate = true, .accepts_deflated_changes = true};
-  Ask(request);
+  AskLarge(request);
   BOOST_TEST(page->body.size() < config.size() / 3);
   const StoreCopy copy = Answer();
   BOOST_TEST(!copy.is_snapshot);
@@ -166,7 +172,7 @@
   BOOST_TEST(!copy.changes[2].item.has_value());
   config += "changed";
   source.Put("config", config);
-  Ask(request);
+  AskLarge(request);
   BOOST_TEST(Answer().changes.back().item->value == config);
 }
 
@@ -174,7 +180,7 @@
 BOOST_AUTO_TEST_CASE(reader_of_an_earlier_build_gets_plain_changes) {
   const std::string config(200'000, 'c');
   source.Put("config", config);
-  Ask({.revision = StoreRevision(10), .accepts_deflate = true});
+  AskLarge({.revision = StoreRevision(10), .accepts_deflate = true});
   BOOST_TEST(page->body.size() > config.size());
   BOOST_TEST(Answer().changes.front().item->value == config);
 }
