Fix: a request whose length cannot be determined is refused

Cause: for such a head Beast reports "no chunks, no length" and leaves it to its caller to refuse it; the caller took the absence of both for a request without a body.

Ruled out: the forwarding side. HttpWireFormat drops Transfer-Encoding and sets a length, so the server got two sound requests; both were cut from the client's bytes by CallerConnection.

Change: libs/net reads all Transfer-Encoding fields as one list (TransferCodingOf) and decides from the head alone whether a request can be taken (FramingFailure), before anything is admitted, counted or a `100 Continue` is sent. Anything but `chunked` alone is refused with 400 and the connection ends; `chunked` after other codings has a known length but a body that the server could not decode: 501, new result code 1013. HTTP/1.0 has no chunks. Empty list elements are ignored, as RFC 9110 asks. Elsewhere: the admin port, which also opens peers' tunnels and serves their copies, had the same reader and asks the same now. ridgeholdd's parser refuses all but a request that also asks for another protocol (Upgrade), which its server now refuses.

--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -38,6 +38,7 @@
   kRequestTooSlow = 1010,
   kOverBurst = 1011,
   kPromptTooLarge = 1012,
+  kUnsupportedCoding = 1013,
   // 2xxx: rejected by admission control; nothing was sent to a backend server.
   kOverloaded = 2001,
   kWorkspaceLimit = 2002,
--- a/libs/base/src/result_code.cc
+++ b/libs/base/src/result_code.cc
@@ -34,6 +34,8 @@
      "The request is larger than the burst of its workspace's quota, so it can never fit."},
     {ResultCode::kPromptTooLarge, "prompt_too_large", 503, kNotRun, kNever,
      "The prompt with its longest output is larger than an engine's memory, so none can run it."},
+    {ResultCode::kUnsupportedCoding, "unsupported_coding", 501, kNotRun, kNever,
+     "The request's Transfer-Encoding names a coding other than chunked."},
     {ResultCode::kOverloaded, "overloaded", 503, kNotRun, kLater,
      "The entry instance has no room for another request."},
     {ResultCode::kWorkspaceLimit, "workspace_limit", 429, kNotRun, kLater,
--- a/libs/entry/include/entry/admin_server.h
+++ b/libs/entry/include/entry/admin_server.h
@@ -62,6 +62,7 @@
 
   net::awaitable<void> Accept();
   net::awaitable<void> Serve(std::shared_ptr<PortSession> session);
+  static net::awaitable<void> Refuse(PortSession& session, const Failure& failure);
   net::awaitable<ResponseMessage> Respond(const RequestMessage& request) const;
   net::awaitable<AdminPage> MakePage(std::string path, std::string query) const;
 
--- a/libs/entry/src/admin_server.cc
+++ b/libs/entry/src/admin_server.cc
@@ -5,6 +5,7 @@
 
 #include "net/listen.h"
 #include "net/read_buffer.h"
+#include "net/request_framing.h"
 #include "task/spawn.h"
 
 namespace ridgehold {
@@ -12,6 +13,7 @@
 
 // Requests to these ports have no body to speak of.
 constexpr std::size_t kMaxBodyBytes = std::size_t{16} << 10;
+constexpr unsigned kHttp11 = 11;
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{16} << 10;
 
 }  // namespace
@@ -53,8 +55,17 @@
       session->AwaitClient(Clock::now());
     }
     if (error) break;
-    co_await http::async_read(session->socket(), buffer, parser,
-                              net::redirect_error(net::use_awaitable, error));
+    co_await http::async_read_header(session->socket(), buffer, parser,
+                                     net::redirect_error(net::use_awaitable, error));
+    if (error) break;
+    if (const auto failure = FramingFailure(parser.get(), parser.chunked())) {
+      co_await Refuse(*session, *failure);
+      break;
+    }
+    if (!parser.is_done()) {
+      co_await http::async_read(session->socket(), buffer, parser,
+                                net::redirect_error(net::use_awaitable, error));
+    }
     if (error) break;
     session->BeginResponse();
     RequestMessage request = parser.release();
@@ -74,6 +85,20 @@
   }
 }
 
+net::awaitable<void> AdminServer::Refuse(PortSession& session, const Failure& failure) {
+  session.BeginResponse();
+  session.AwaitDelivery(Clock::now());
+  ResponseMessage response(static_cast<http::status>(Describe(failure.code).http_status), kHttp11);
+  response.set(http::field::content_type, "text/plain");
+  response.keep_alive(false);
+  response.body() = failure.detail + "\n";
+  response.prepare_payload();
+  ErrorCode ignored;
+  http::response_serializer<http::string_body> serializer(response);
+  co_await http::async_write(session.socket(), serializer,
+                             net::redirect_error(net::use_awaitable, ignored));
+}
+
 net::awaitable<AdminPage> AdminServer::MakePage(std::string path, std::string query) const {
   if (const auto page = pages_.find(path); page != pages_.end()) co_return page->second(query);
   const auto delayed = delayed_pages_.find(path);
--- a/libs/gateway/src/caller_connection.cc
+++ b/libs/gateway/src/caller_connection.cc
@@ -11,6 +11,7 @@
 #include <cerrno>
 
 #include "net/head_size.h"
+#include "net/request_framing.h"
 #include "net/wait.h"
 
 namespace ridgehold {
@@ -94,6 +95,14 @@
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   ErrorCode error = co_await ReadHead(parser, limits);
+  if (!error) {
+    if (auto failure = FramingFailure(head_, parser.chunked())) {
+      limit_.Disarm();
+      outcome = Refused(failure->code, std::move(failure->detail));
+      co_return outcome;
+    }
+  }
+  if (!error && parser.chunked()) error = co_await BeginChunkedBody(parser, limits);
   BodyVerdict verdict;
   if (!error) verdict = co_await AdmitLargeBody(parser, limits, admit);
   if (verdict.refusal) {
@@ -192,7 +201,6 @@
   head_fits_ = head_share_.Resize(kCopies * size.bytes);
   if (!head_fits_) co_return http::error::buffer_overflow;
   head_ = parser.get().base();
-  if (parser.chunked()) error = co_await BeginChunkedBody(parser, limits);
   co_return error;
 }
 
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <optional>
@@ -19,6 +20,7 @@
 
 constexpr std::size_t kMaxUrlBytes = std::size_t{16} << 10;
 constexpr std::size_t kMaxHeaderFields = 100;
+constexpr int kBadRequest = 400;
 
 /// Refuses connections beyond a number. RESTinio's own limiter is not used: it
 /// is destroyed before the connections that still report to it.
@@ -68,6 +70,15 @@
   }
 }
 
+/// Whether the end of the body is known (RFC 9112, section 6.3). The parser refuses most other
+/// requests, but not one that asks for another protocol: it takes that for one without a body.
+bool IsDelimited(const HttpRequest& request) {
+  return std::ranges::all_of(request.headers.fields(), [](const HeaderField& field) {
+    return !SameHeaderName(field.name, "Transfer-Encoding") ||
+           SameHeaderName(field.value, "chunked");
+  });
+}
+
 HttpRequest Convert(const restinio::request_t& raw) {
   HttpRequest request;
   const auto& header = raw.header();
@@ -181,6 +192,10 @@
   auto impl = std::make_unique<Impl>();
   auto on_request = [handler = std::move(handler), flag = impl->close_after_answer,
                      open = impl->open_answers](restinio::request_handle_t raw) {
+    HttpRequest request = Convert(*raw);
+    if (!IsDelimited(request)) {
+      return raw->create_response(StatusLine(kBadRequest)).connection_close().done();
+    }
     auto answer = std::make_shared<Responder::Impl>();
     answer->close_after_answer = flag;
     answer->open_answers = open;
@@ -188,7 +203,6 @@
       const std::lock_guard lock(open->mutex);
       open->answers.insert(answer.get());
     }
-    HttpRequest request = Convert(*raw);
     answer->connection.emplace(Responder::Impl::Connection{std::move(raw), std::nullopt});
     handler(std::move(request), Responder(std::move(answer)));
     return restinio::request_accepted();
