Fix: an empty list of workspaces lets no API key pass

Cause: whether requests need a key was told from the number of workspaces.

Ruled out: a configuration that was not applied or fell back to an older one: the log shows version 2 applied, and a request with an unknown key was refused under version 1. `configuration applied` now has `workspaces` and `requires_keys`, which tell the two cases apart.

--- a/libs/control/src/store_item_applier.cc
+++ b/libs/control/src/store_item_applier.cc
@@ -27,6 +27,8 @@
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(snapshot, RoutingSnapshot::Create(std::move(parts)));
         const std::size_t routes = snapshot->routes().size();
+        const std::size_t workspaces = snapshot->workspaces().size();
+        const bool requires_keys = snapshot->requires_keys();
         std::set<ServiceId> services;
         for (const ServiceRule& service : snapshot->services()) services.insert(service.id);
         const bool applied = state_.TakeSnapshot(std::move(snapshot));
@@ -34,6 +36,8 @@
         Log(LogLevel::kInfo, applied ? "configuration applied" : "configuration ignored: not newer",
             {{"config", version},
              {"routes", std::to_string(routes)},
+             {"workspaces", std::to_string(workspaces)},
+             {"requires_keys", requires_keys ? "yes" : "no"},
              {"store_revision", RevisionText(item.revision)}});
         return {};
       },
--- a/libs/entry/test/state_dump-test.cc
+++ b/libs/entry/test/state_dump-test.cc
@@ -32,7 +32,8 @@
   GatewayState state(io.get_executor(), ZoneId("a"), GatewayLimits{}, PlacementCosts{}, metrics);
   RoutingConfig parts;
   parts.version = ConfigVersion(1);
-  parts.workspaces = {{.id = WorkspaceId("seen")}, {.id = WorkspaceId("unseen")}};
+  parts.workspaces =
+      std::vector<WorkspaceRule>{{.id = WorkspaceId("seen")}, {.id = WorkspaceId("unseen")}};
   state.TakeSnapshot(*RoutingSnapshot::Create(std::move(parts)));
   const TimePoint now = Clock::now();
   state.priority().shares.RecordSample(WorkspaceHashOf(WorkspaceId("seen")), 1, {1, 4}, now);
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -106,7 +106,8 @@
   ConfigVersion version;
   std::vector<RouteRule> routes;
   std::vector<ServiceRule> services;
-  std::vector<WorkspaceRule> workspaces;
+  /// None: requests need no API key. An empty list lets no API key pass.
+  std::optional<std::vector<WorkspaceRule>> workspaces;
   CallerLimits limits;
 };
 
@@ -143,8 +144,13 @@
   const CallerLimits& limits() const { return parts_.limits; }
   const std::vector<ServiceRule>& services() const { return parts_.services; }
   const std::vector<RouteRule>& routes() const { return parts_.routes; }
-  std::span<const WorkspaceRule> workspaces() const { return parts_.workspaces; }
-  bool has_workspaces() const { return !parts_.workspaces.empty(); }
+  std::span<const WorkspaceRule> workspaces() const {
+    return parts_.workspaces ? std::span<const WorkspaceRule>(*parts_.workspaces)
+                             : std::span<const WorkspaceRule>();
+  }
+  /// Whether requests need an API key, except on public routes. They do if the configuration lists
+  /// workspaces, even if the list is empty.
+  bool requires_keys() const { return parts_.workspaces.has_value(); }
   /// The workspace's weight in shares of the load: the rate of its quota, or 1 if any workspace has
   /// no quota or quotas have different units.
   double ShareWeightOf(const WorkspaceRule& workspace) const;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -44,7 +44,7 @@
 Result<const WorkspaceRule*> Authorize(const GatewayState& state, const RoutingSnapshot& snapshot,
                                        const RouteRule& route, const InboundRequest& request,
                                        TimePoint now) {
-  if (route.is_public || !snapshot.has_workspaces()) return nullptr;
+  if (route.is_public || !snapshot.requires_keys()) return nullptr;
   if (!state.MayTrustKeys(now)) return Fail(ResultCode::kConfigStale, "");
   const WorkspaceRule* workspace = snapshot.FindWorkspace(request.key);
   if (workspace == nullptr) return Fail(ResultCode::kUnauthorized, "");
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -28,12 +28,12 @@
 
 Result<void> RoutingSnapshot::Index() {
   for (std::size_t i = 0; i < parts_.services.size(); ++i) services_[parts_.services[i].id] = i;
-  for (std::size_t i = 0; i < parts_.workspaces.size(); ++i) {
-    for (const std::string& key : parts_.workspaces[i].keys) keys_[key] = i;
-    const auto& quota = parts_.workspaces[i].quota;
+  for (std::size_t i = 0; i < workspaces().size(); ++i) {
+    for (const std::string& key : workspaces()[i].keys) keys_[key] = i;
+    const auto& quota = workspaces()[i].quota;
     has_quotas_ = has_quotas_ || quota.has_value();
     comparable_quotas_ = comparable_quotas_ && quota && quota->rate > 0 &&
-                         quota->unit == parts_.workspaces.front().quota->unit;
+                         quota->unit == workspaces().front().quota->unit;
   }
   for (std::size_t i = 0; i < parts_.routes.size(); ++i) {
     const RouteRule& route = parts_.routes[i];
@@ -69,7 +69,7 @@
 
 const WorkspaceRule* RoutingSnapshot::FindWorkspace(const std::string& key) const {
   const auto found = keys_.find(key);
-  return found == keys_.end() ? nullptr : &parts_.workspaces[found->second];
+  return found == keys_.end() ? nullptr : &workspaces()[found->second];
 }
 
 const ServiceRule* RoutingSnapshot::FindService(const ServiceId& id) const {
--- a/libs/gateway/test/request_ordering-test.cc
+++ b/libs/gateway/test/request_ordering-test.cc
@@ -42,7 +42,7 @@
     parts.version = ConfigVersion(1);
     parts.services.push_back({.id = kEngines, .engine = EngineProfile{.slots = 64}});
     parts.routes = {Route("/short/", 250ms, 15s), Route("/long/", 1'000ms, 5s)};
-    parts.workspaces.push_back({.id = WorkspaceId("w"), .keys = {"key"}});
+    parts.workspaces.emplace().push_back({.id = WorkspaceId("w"), .keys = {"key"}});
     state.TakeSnapshot(*RoutingSnapshot::Create(std::move(parts)));
     BackendEntry entry;
     entry.id = BackendId("e");
