Fix: a request without a key does not match an empty API key

What callers would see: with an empty text among a workspace's `api_keys`, requests without any key run as that workspace's. Found by asking where a default is chosen for a missing value; not seen on a deployment.

Cause: a request without `Authorization` has an empty key, which was looked up like any other.

Measured: emptied_workspaces/empty_key_lets_no_request_pass failed before (the request without a key got 200), and passes now.

--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -121,7 +121,8 @@
   /// Returns the route of `host` with the longest prefix that matches `path`, or null.
   const RouteRule* FindRoute(std::string_view host, std::string_view path) const;
 
-  /// Returns the workspace that has the API key, or null.
+  /// Returns the workspace that has the API key, or null. No workspace has an empty one, which
+  /// stands for a request without a key.
   const WorkspaceRule* FindWorkspace(const std::string& key) const;
 
   const ServiceRule* FindService(const ServiceId& id) const;
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -35,6 +35,7 @@
     comparable_quotas_ = comparable_quotas_ && quota && quota->rate > 0 &&
                          quota->unit == workspaces().front().quota->unit;
   }
+  keys_.erase("");
   for (std::size_t i = 0; i < parts_.routes.size(); ++i) {
     const RouteRule& route = parts_.routes[i];
     if (route.targets.empty()) {
