Fix: cache that a workspace shared is not used once it is isolated

A workspace that was isolated also used what others had made, if its request had been planned before and was sent again after the change.

Cause: the scope of all workspaces that are not isolated had a constant name. Its members changed and its name did not, so nothing separated what a member had made from those that stayed. The scope was also fixed when a request was planned, whatever was in force when it was sent.

Ruled out: that the isolated workspace kept its old salt: its own requests came under a scope of its own after the change.

Weighed: 1. a scope that is named after the set of isolated workspaces of the configuration in force when the request is sent. It needs no memory and no agreement, holds right after a restart and with versions skipped; a change of the set makes the shared parts cold. 2. a number in the store, raised when a workspace leaves: parts stay warm when a workspace is created isolated, but it has to be written before it is used, by one of several instances, also while the store is away. 1 was taken: a wall must not depend on a write.

What a workspace makes while it is not isolated lies in scopes that are not named after it, and in use while it is isolated is only one that is. Each attempt takes the scope of the configuration now in force, and its expectations of caches with it. Of two configurations, a request that was taken while its workspace was isolated keeps the workspace's own scope.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -246,6 +246,7 @@
       co_return StepWithoutRetry(retry_input_);
     }
     co_await AwaitCrashProof();
+    RefreshCacheScope(state_, inbound_, plan_);
     const std::optional<BackendChoice> choice = co_await search_.Find(response_started_);
     if (caller_->caller_gone()) co_return NextStep::kDone;
     if (Quarantined()) co_return StepWhenQuarantined();
--- a/libs/gateway/include/gateway/exchange_plan.h
+++ b/libs/gateway/include/gateway/exchange_plan.h
@@ -36,7 +36,7 @@
   TimePoint answer_by{};  ///< the earlier of the caller's and the route's time limit
   std::optional<int> priority;
   /// Identifies the requests that may share cache entries if they run on the same weights.
-  std::string cache_scope;
+  std::string cache_scope;  ///< see RefreshCacheScope()
   std::optional<PromptChain> chain;
   /// Set for generation requests where GatewayState::HasStrictPauses().
   std::optional<RequestGroup> group;
@@ -79,6 +79,11 @@
 Result<ExchangePlan> PlanExchange(const GatewayState& state, const InboundRequest& request,
                                   TimePoint now);
 
+/// Brings the scope of the request's KV cache, and what is expected of caches, to the configuration
+/// now in force; call before each attempt.
+void RefreshCacheScope(const GatewayState& state, const InboundRequest& request,
+                       ExchangePlan& plan);
+
 /// Chooses a backend server, excluding those in `tried`. Returns nothing if none can take the
 /// request.
 std::optional<BackendChoice> ChooseFor(GatewayState& state, const ExchangePlan& plan,
--- a/libs/gateway/include/gateway/routing_snapshot.h
+++ b/libs/gateway/include/gateway/routing_snapshot.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "base/ids.h"
@@ -127,6 +128,9 @@
 
   const ServiceRule* FindService(const ServiceId& id) const;
 
+  /// The scope within which requests of this workspace share KV cache; null: of a public route.
+  std::string CacheScopeOf(const WorkspaceRule* workspace) const;
+
   /// Returns the store for the KV cache of the prompt parts with this hash, or null if there is no
   /// store. All gateways of a region pick the same store of that region by rendezvous hashing, so
   /// adding or removing a store moves only that store's share. Without a store in the region of
@@ -176,6 +180,8 @@
   /// Keyed by host, newline and prefix.
   std::unordered_map<std::string, std::size_t> routes_;
   std::unordered_map<std::string, std::size_t> keys_;
+  std::string shared_scope_;  ///< see SharedCacheScope()
+  std::unordered_set<WorkspaceId> isolated_;
   bool has_quotas_ = false;
   bool comparable_quotas_ = true;  ///< all workspaces have a quota, in the same unit
   std::unordered_map<ServiceId, std::size_t> services_;
--- a/libs/gateway/src/exchange_plan.cc
+++ b/libs/gateway/src/exchange_plan.cc
@@ -56,9 +56,8 @@
       std::chrono::duration<double, std::milli>(milliseconds));
 }
 
-std::string ScopeOf(const WorkspaceRule* workspace) {
-  const bool isolated = workspace != nullptr && workspace->isolated;
-  return isolated ? "w:" + workspace->id.value() : "shared";
+PromptChain ChainOf(const GenerationRequest& request, const std::string& cache_scope) {
+  return PromptChain::Of(request, cache_scope + ":" + request.model.value());
 }
 
 std::optional<WeightsNumber> WeightsOf(const Backend& backend, const ModelId& model) {
@@ -218,11 +217,10 @@
   plan.priority =
       std::clamp(has_workspace_priority ? *plan.workspace->priority : plan.route->priority, 0,
                  kMaxQueuePriority);
-  plan.cache_scope = ScopeOf(plan.workspace);
+  plan.cache_scope = plan.snapshot->CacheScopeOf(plan.workspace);
   plan.quota = QuotaDemandOf(state, plan, request);
   if (request.generation) {
-    plan.chain = PromptChain::Of(*request.generation,
-                                 plan.cache_scope + ":" + request.generation->model.value());
+    plan.chain = ChainOf(*request.generation, plan.cache_scope);
     if (state.HasStrictPauses(plan.service)) {
       plan.group = Classify(plan.chain->prompt_tokens, state.TokensPerMs(plan.service),
                             plan.snapshot->ShortestPause(plan.service));
@@ -233,6 +231,15 @@
   return plan;
 }
 
+void RefreshCacheScope(const GatewayState& state, const InboundRequest& request,
+                       ExchangePlan& plan) {
+  if (!plan.chain) return;
+  std::string scope = state.snapshot()->CacheScopeOf(plan.workspace);
+  if (scope == plan.cache_scope) return;
+  plan.cache_scope = std::move(scope);
+  plan.chain = ChainOf(*request.generation, plan.cache_scope);
+}
+
 bool FitsBeforeShutdown(const GatewayState& state, const ExchangePlan& plan, TimePoint now) {
   if (!state.shutting_down()) return true;
   const PendingRequest request = {plan.route->id, plan.route->MayRepeat(), plan.answer_by};
@@ -460,7 +467,7 @@
   return !request.generation || MayStartOnWeights(state, backend, request.generation->model, now);
 }
 
-AttemptDirectives DirectivesFor(const GatewayState& /*state*/, const ExchangePlan& plan,
+AttemptDirectives DirectivesFor(const GatewayState& state, const ExchangePlan& plan,
                                 const BackendChoice& choice, TimePoint now) {
   AttemptDirectives directives;
   directives.expected_backend = choice.backend->entry.id;
@@ -473,7 +480,9 @@
   const WeightsNumber number = choice.weights.value_or(WeightsNumber(0));
   directives.fetch_cache_from = choice.fetch_from;
   directives.save_cache_to = choice.save_to;
-  directives.cache_salt = plan.cache_scope + ":" + std::to_string(number.value());
+  // The configuration may have changed since the backend server was chosen.
+  const std::string scope = state.snapshot()->CacheScopeOf(plan.workspace);
+  directives.cache_salt = scope + ":" + std::to_string(number.value());
   return directives;
 }
 
--- a/libs/gateway/src/routing_snapshot.cc
+++ b/libs/gateway/src/routing_snapshot.cc
@@ -8,6 +8,8 @@
 #include <numeric>
 #include <utility>
 
+#include "isolation/cache_scope.h"
+
 namespace ridgehold {
 namespace {
 
@@ -30,12 +32,14 @@
   for (std::size_t i = 0; i < parts_.services.size(); ++i) services_[parts_.services[i].id] = i;
   for (std::size_t i = 0; i < workspaces().size(); ++i) {
     for (const std::string& key : workspaces()[i].keys) keys_[key] = i;
+    if (workspaces()[i].isolated) isolated_.insert(workspaces()[i].id);
     const auto& quota = workspaces()[i].quota;
     has_quotas_ = has_quotas_ || quota.has_value();
     comparable_quotas_ = comparable_quotas_ && quota && quota->rate > 0 &&
                          quota->unit == workspaces().front().quota->unit;
   }
   keys_.erase("");
+  shared_scope_ = SharedCacheScope({isolated_.begin(), isolated_.end()});
   for (std::size_t i = 0; i < parts_.routes.size(); ++i) {
     const RouteRule& route = parts_.routes[i];
     if (route.targets.empty()) {
@@ -73,6 +77,13 @@
   return found == keys_.end() ? nullptr : &workspaces()[found->second];
 }
 
+std::string RoutingSnapshot::CacheScopeOf(const WorkspaceRule* workspace) const {
+  if (workspace == nullptr) return shared_scope_;
+  // One that this configuration no longer lists keeps the isolation that it had.
+  const bool isolated = workspace->isolated || isolated_.contains(workspace->id);
+  return isolated ? OwnCacheScope(workspace->id) : shared_scope_;
+}
+
 const ServiceRule* RoutingSnapshot::FindService(const ServiceId& id) const {
   const auto found = services_.find(id);
   return found == services_.end() ? nullptr : &parts_.services[found->second];
