Fix: a response that a reset cuts while its request is sent is not whole

Cause: the kernel reports the error of a reset once. The pending write takes it (ECONNRESET), and the reads after it see the end of the connection, which ends a response without a length.

Change: WriteState (libs/net) knows the write that is pending while a socket is read. At the end of input, a connection that only the peer's FIN has ended is in order at once; one that has ended both ways waits for the write's error, which is EPIPE after a FIN and ECONNRESET or a time-out otherwise. OutboundConnection asks it where only the connection ends a response, so servers, the store, peers' copies and orders are covered by one place.

Why it works: between the FIN of an answer in order and a reset the kernel goes through CLOSE_WAIT, where a reset is reported as EPIPE. A write that is still possible means that no reset has come.

--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -15,6 +15,7 @@
 #include "net/io_deadline.h"
 #include "net/read_buffer.h"
 #include "net/response_stream.h"
+#include "net/write_state.h"
 
 namespace ridgehold {
 
@@ -155,9 +156,8 @@
   std::string outgoing_;                              ///< until it is sent
   std::shared_ptr<const std::string> outgoing_body_;  ///< follows `outgoing_`; null: none
   std::size_t written_ = 0;
-  bool write_done_ = true;
+  WriteState write_;
   bool expects_no_body_ = false;  ///< the request is HEAD
-  bool write_failed_ = false;
   bool close_when_sent_ = false;
   bool cancelled_ = false;
   bool broken_ = false;
--- a/libs/net/include/net/response_stream.h
+++ b/libs/net/include/net/response_stream.h
@@ -31,6 +31,7 @@
   ResponseStream(tcp::socket& socket, StreamFraming framing) : socket_(socket), framing_(framing) {}
 
   executor_type get_executor() { return socket_.get_executor(); }
+  StreamFraming framing() const { return framing_; }
 
   template <class Buffers, class Token>
   auto async_read_some(const Buffers& buffers, Token&& token) {
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -75,6 +75,7 @@
     : socket_(std::move(socket)),
       stream_(socket_, framing),
       deadline_(socket_),
+      write_(socket_.get_executor()),
       buffer_(socket_.get_executor(), kMaxUnparsedBytes) {}
 
 net::awaitable<ExchangeFault> OutboundConnection::Connect(
@@ -107,7 +108,7 @@
   }
   outgoing_body_ = std::move(body);
   written_ = 0;
-  write_done_ = false;
+  write_.Begin();
   used_ = true;
   expects_no_body_ = head.method() == http::verb::head;
   parser_.reset();
@@ -122,13 +123,12 @@
 
 void OutboundConnection::OnWritten(const ErrorCode& error, std::size_t bytes) {
   written_ = bytes;
-  write_done_ = true;
-  write_failed_ = static_cast<bool>(error);
+  write_.End(error);
   // The connection may be idle for a long time before its next request.
   std::string().swap(outgoing_);
   outgoing_body_.reset();
   // Otherwise a pending read would wait for a server that has received no request.
-  if (close_when_sent_ || (write_failed_ && bytes == 0)) Close();
+  if (close_when_sent_ || (error && bytes == 0)) Close();
 }
 
 net::awaitable<ExchangeFault> OutboundConnection::ReadHead(TimePoint deadline) {
@@ -181,6 +181,13 @@
     out.append(chunk.data(), chunk.size() - body.size);
     if (error == http::error::need_buffer) error = {};
     if (error || cancelled_) co_return CurrentFault(error);
+    // The final record of a tunnel tells the end by itself.
+    const bool at_end = parser_->is_done() && parser_->need_eof();
+    if (!at_end || stream_.framing() != StreamFraming::kNone) continue;
+    const bool in_order = co_await write_.InputEndedInOrder(socket_, deadline);
+    if (in_order) continue;
+    broken_ = true;
+    co_return ExchangeFault::kBroken;
   }
   co_return ExchangeFault::kNone;
 }
@@ -193,7 +200,7 @@
 }
 
 ExchangeFault OutboundConnection::CurrentFault(const ErrorCode& /*error*/) const {
-  if (write_done_ && write_failed_ && written_ == 0) return ExchangeFault::kNotSent;
+  if (!write_.pending() && write_.failed() && written_ == 0) return ExchangeFault::kNotSent;
   if (cancelled_) return ExchangeFault::kCancelled;
   if (deadline_.expired()) return ExchangeFault::kTimedOut;
   return ExchangeFault::kBroken;
@@ -218,7 +225,7 @@
 
 void OutboundConnection::Discard() {
   close_when_sent_ = true;
-  if (write_done_) Close();
+  if (!write_.pending()) Close();
 }
 
 void OutboundConnection::MarkIdle(TimePoint now) {
@@ -230,8 +237,8 @@
 }
 
 bool OutboundConnection::Reusable() const {
-  const bool whole = socket_.is_open() && write_done_ && !write_failed_ && parser_.has_value() &&
-                     parser_->is_done() && !broken_;
+  const bool whole = socket_.is_open() && !write_.pending() && !write_.failed() &&
+                     parser_.has_value() && parser_->is_done() && !broken_;
   return whole && parser_->keep_alive() && buffer_.size() == 0;
 }
 
