Fix: bytes of a server that are no response end the attempt

What callers saw: an answer with status 000, 042 or 099 counted as an interim one; if its body held the text of a response, the client got that text with its signature, 200, and else the request waited for its whole time limit. 101 was waited out, too. 600 and 999, and a body with `Transfer-Encoding: gzip` or `identity`, went to the client as they were, without the field. A folded line was joined to the line before it, here to the signature (MIXED).

Cause: what the code did not know fell to a default: any status below 200 was interim, any coding but `chunked` was no coding, and the parser joins folded lines and leaves status and coding to its caller.

Change: one reader in libs/net for all that is read as a client (servers, status reports, the store, peers). HeadScanner checks the lines as they come, before the parser: no folded lines, no lone LF, no bytes that begin no HTTP/1 response, and none of these is waited for. A parsed head is a response only with a status from 100 to 599 (RFC 9110, section 15: others are invalid, so 600 and above count as no response either), not 101, which nobody asked for, no interim response with a length or a coding, and no coding but `chunked` alone. Anything else is a broken response, with what that has always cost: an attempt that may have run, a retry where the request may be repeated, 502 otherwise. Interim responses that are sound are skipped as before.

Sound answers (interim responses, chunk extensions, trailers, HTTP/1.0, empty values) reach the client as before.

--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -56,7 +56,9 @@
   void StartRequest(const RequestMessage& head, std::shared_ptr<const std::string> body);
 
   /// Reads the head of the next response; skips interim (1xx) responses, up to
-  /// kMaxInterimResponses.
+  /// kMaxInterimResponses. Returns kBroken for bytes that begin no response: a status below 100 or
+  /// above 599, a protocol switched without a request for it (101), an interim response with a
+  /// body, a folded line, or a body in a coding other than `chunked`.
   net::awaitable<ExchangeFault> ReadHead(TimePoint deadline);
 
   /// The head that the last `ReadHead` read.
@@ -146,6 +148,12 @@
   void ArmDeadline(TimePoint deadline, IoDeadline::Event event);
   void OnWritten(const ErrorCode& error, std::size_t bytes);
   ExchangeFault CurrentFault(const ErrorCode& error) const;
+  /// Receives a head and parses it.
+  net::awaitable<ErrorCode> ReceiveHead();
+  /// Receives more bytes into the buffer.
+  net::awaitable<ErrorCode> ReceiveMore();
+  /// Whether the parsed head is one that a server may send.
+  bool IsSoundHead() const;
   void ParseHeadFields();
 
   tcp::socket socket_;
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -10,13 +10,18 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <cerrno>
 #include <charconv>
 #include <sstream>
+#include <stdexcept>
+#include <string_view>
 #include <utility>
 
+#include "net/head_scanner.h"
 #include "net/head_size.h"
 #include "net/tcp_liveness.h"
+#include "net/transfer_coding.h"
 
 namespace ridgehold {
 namespace {
@@ -27,7 +32,10 @@
 constexpr std::size_t kMaxUnparsedBytes = kMaxResponseHeadBytes + (4 << 10);
 // Copying less is cheaper than a second buffer, and lets the caller's copy go.
 constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} << 10;
-constexpr int kFirstFinalStatus = 200;
+constexpr unsigned kHttp11 = 11;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 /// Parses `timeout=SECONDS` in a Keep-Alive field value.
 std::optional<std::chrono::seconds> ParseKeepAlive(std::string_view field) {
@@ -142,22 +150,68 @@
     parser_->header_limit(kMaxResponseHeadBytes);
     parser_->body_limit(boost::none);
     parser_->skip(expects_no_body_);
-    ErrorCode error;
     ArmDeadline(deadline, IoDeadline::Event::kReadable);
-    co_await http::async_read_header(stream_, buffer_, *parser_,
-                                     net::redirect_error(net::use_awaitable, error));
+    const ErrorCode error = co_await ReceiveHead();
     deadline_.Disarm();
     if (error || cancelled_) co_return CurrentFault(error);
-    if (MeasureHead(parser_->get()).Excessive()) {
+    if (!IsSoundHead()) {
       broken_ = true;
       co_return ExchangeFault::kBroken;
     }
-    if (static_cast<int>(parser_->get().result_int()) >= kFirstFinalStatus) break;
+    if (parser_->get().result_int() >= kFirstFinalStatus) break;
   }
   ParseHeadFields();
   co_return ExchangeFault::kNone;
 }
 
+net::awaitable<ErrorCode> OutboundConnection::ReceiveHead() {
+  HeadScanner scanner;
+  for (;;) {
+    const std::string_view received(static_cast<const char*>(buffer_.data().data()),
+                                    buffer_.size());
+    const HeadScanner::Verdict verdict = scanner.Scan(received);
+    if (verdict == HeadScanner::Verdict::kMalformed) co_return http::error::bad_field;
+    if (verdict == HeadScanner::Verdict::kComplete) break;
+    const ErrorCode error = co_await ReceiveMore();
+    if (error) co_return error;
+  }
+  ErrorCode error;
+  const std::size_t parsed = parser_->put(buffer_.data(), error);
+  buffer_.consume(parsed);
+  co_return error;
+}
+
+net::awaitable<ErrorCode> OutboundConnection::ReceiveMore() {
+  ErrorCode error = http::error::buffer_overflow;
+  std::optional<ReadBuffer::mutable_buffers_type> space;
+  try {
+    const std::size_t room = boost::beast::read_size(buffer_, kMaxResponseHeadBytes);
+    if (room > 0) space = buffer_.prepare(room);
+  } catch (const std::length_error&) {
+    co_return error;
+  }
+  if (!space) co_return error;
+  const std::size_t bytes =
+      co_await stream_.async_read_some(*space, net::redirect_error(net::use_awaitable, error));
+  buffer_.commit(bytes);
+  co_return error;
+}
+
+bool OutboundConnection::IsSoundHead() const {
+  const auto& message = parser_->get();
+  const unsigned status = message.result_int();
+  if (MeasureHead(message).Excessive()) return false;
+  if (status < kFirstStatus || status > kLastStatus) return false;
+  const TransferCoding coding = TransferCodingOf(message);
+  if (status < kFirstFinalStatus) {
+    // What follows such a head is the next response (RFC 9110, section 15.2).
+    const bool has_body = message.has_content_length() || coding != TransferCoding::kNone;
+    return status != static_cast<unsigned>(http::status::switching_protocols) && !has_body;
+  }
+  if (coding == TransferCoding::kNone) return true;
+  return coding == TransferCoding::kChunked && parser_->chunked() && message.version() >= kHttp11;
+}
+
 void OutboundConnection::ParseHeadFields() {
   const auto field = head().find(http::field::keep_alive);
   if (field == head().end()) return;
