Fix: ridgeholdd's client takes only heads that a server may send

What callers would see at ridgeholdd: a response with status 042, 099, 600 or 999, with the text of another response after an interim head, or with a folded or nameless field counted as complete. Found by asking the same of the other reader of responses.

Cause: libcurl passes such heads on, and its caller took each status from 200 on for a final one and each line without a colon for none.

Change: the transfer ends as broken at the first line whose name is no token, at a status outside 100 to 599, at 101, and at an interim response with a length or a coding. Trailers are no longer added to the head.

--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -44,6 +44,16 @@
   return false;
 }
 
+/// Whether `name` can be the name of a header field (RFC 9110, section 5.6.2). The first byte of a
+/// folded line is a blank.
+bool IsToken(std::string_view name) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  const auto is_token = [&](unsigned char c) {
+    return (c < 0x80 && std::isalnum(c) != 0) || kMarks.find(static_cast<char>(c)) != kMarks.npos;
+  };
+  return !name.empty() && std::ranges::all_of(name, is_token);
+}
+
 class CurlTransfer;
 
 /// What other threads ask of the loop.
@@ -207,8 +217,10 @@
   }
 
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* self) {
-    static_cast<CurlTransfer*>(self)->TakeHeaderLine({data, size * count});
-    return size * count;
+    auto* transfer = static_cast<CurlTransfer*>(self);
+    transfer->TakeHeaderLine({data, size * count});
+    // Any other number ends the transfer.
+    return transfer->malformed_ ? 0 : size * count;
   }
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* self) {
@@ -220,6 +232,8 @@
 
   void TakeHeaderLine(std::string_view line) {
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
+    // What libcurl passes on after the head are trailers.
+    if (head_complete_) return;
     if (line.starts_with("HTTP/")) {
       headers_ = {};
       return;
@@ -229,17 +243,36 @@
       return;
     }
     const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos) return;
+    if (!IsToken(line.substr(0, colon)) || colon == std::string_view::npos) {
+      malformed_ = true;
+      return;
+    }
     std::string_view value = line.substr(colon + 1);
     while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
     headers_.Add(std::string(line.substr(0, colon)), std::string(value));
   }
 
+  /// Whether another response follows such a head. None does after a protocol was switched, and an
+  /// interim response has no body.
+  bool IsInterimHead(long status) const {
+    constexpr long kFirstStatus = 100;
+    constexpr long kSwitchingProtocols = 101;
+    const auto has = [this](const char* name) { return !headers_.Get(name).empty(); };
+    return status >= kFirstStatus && status != kSwitchingProtocols && !has("Content-Length") &&
+           !has("Transfer-Encoding");
+  }
+
   void ReportHead() {
     constexpr long kFirstFinalStatus = 200;
+    constexpr long kLastStatus = 599;
     long status = 0;
     curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
-    if (status < kFirstFinalStatus) return;
+    if (status < kFirstFinalStatus) {
+      malformed_ = malformed_ || !IsInterimHead(status);
+      return;
+    }
+    malformed_ = malformed_ || status > kLastStatus;
+    if (malformed_) return;
     head_complete_ = true;
     chunked_ = HasChunks(headers_);
     if (!callbacks_.on_head) return;
@@ -253,6 +286,7 @@
   curl_slist* header_list_ = nullptr;
   Headers headers_;
   bool head_complete_ = false;  ///< the blank line that ends the final head has come
+  bool malformed_ = false;      ///< a head that no server may send, which libcurl accepts
   bool chunked_ = false;
   bool finished_ = false;
 };
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -145,6 +145,30 @@
   }
 }
 
+// Guards against bytes that are no response, or that hold the text of another one, and are taken
+// for a complete response.
+BOOST_AUTO_TEST_CASE(responses_with_an_odd_status_or_field_are_broken) {
+  const std::string whole = std::string(kStatusLine) + kLength + "body";
+  const std::string around = "Content-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + whole;
+  std::vector<std::string> odd;
+  for (const std::string status : {"000", "001", "042", "099", "101", "600", "999"}) {
+    odd.push_back("HTTP/1.1 " + status + " Text\r\n" + kLength + "body");
+    odd.push_back("HTTP/1.1 " + status + " Text\r\n" + around);
+  }
+  odd.push_back("HTTP/1.1 199 Text\r\n" + around);
+  for (const std::string field : {"X-A: 1\r\n 2", "X-A: 1\r\n\t2", "X A: 1", "X\tA: 1", "X-A : 1",
+                                  "X\x01-A: 1", "X\x7f-A: 1", "X-A", ": 1"}) {
+    odd.push_back(std::string(kStatusLine) + field + "\r\n" + kLength + "body");
+  }
+  for (const std::string& text : odd) {
+    BOOST_TEST_CONTEXT(text) {
+      answer = text;
+      BOOST_TEST((OutcomeOf(MakeCall()) == TransferOutcome::kBroken));
+      BOOST_TEST(!FetchStatus(MakeCall()).has_value());
+    }
+  }
+}
+
 // Guards against a request that was read by a server and counts as not sent, so that a call which
 // must run at most once is sent again.
 BOOST_AUTO_TEST_CASE(response_without_a_status_line_is_broken) {
