Log why a response counts as broken, and the scope of a request's cache

`attempt` lines have `response_fault` (invalid status, malformed line in the head, reset while the request was sent, and others), which tells a server that sends no response from a connection that ended. `request` lines of generations have `cache_scope`, the scope under which the last attempt was planned: with the configuration's version it tells which workspaces shared it.

--- a/libs/gateway/include/gateway/exchange.h
+++ b/libs/gateway/include/gateway/exchange.h
@@ -355,6 +355,7 @@
     if (plan_.memory) record_.memory = MemoryRecord{choice.memory_held, choice.fits};
     if (!choice.fits) state_.metrics().GetCounter("ridgehold_placed_without_room").Add();
     record_.fetched_from = choice.fetch_from.value_or("");
+    if (plan_.chain) record_.cache_scope = plan_.cache_scope;
     const TimePoint now = Clock::now();
     record_.older_weights = OlderWeightsAt(state_, inbound_, choice.weights, now);
     record_.backend_notice = NoticeRecordOf(backend, now);
@@ -411,6 +412,7 @@
     const bool direct = record_.via_peer.empty();
     if (direct) use_.emplace(attempt_.backend, attempt_.connection);
     const AttemptOutcome outcome = co_await ReadResponse();
+    record_.response_fault = attempt_.connection->fault_reason();
     EndPatience();
     use_.reset();
     if (direct && attempt_.broken && attempt_.connection->EndedByServer()) {
--- a/libs/gateway/include/gateway/request_log.h
+++ b/libs/gateway/include/gateway/request_log.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/ids.h"
@@ -97,6 +98,9 @@
   StartStamp server_start;            ///< as the process has told on the connection
   bool ends_with_connection = false;  ///< the last attempt's response has no length and no chunks
   std::optional<EndVerdict> end_verdict;  ///< on that response
+  /// Why that response counts as broken, see OutboundConnection::fault_reason().
+  std::string_view response_fault;
+  std::string cache_scope;  ///< of a generation's last attempt
   /// The attempt that this one resumes, see InboundRequest; empty: a new stream.
   RequestId resumes;
   std::optional<OriginFinding> origin;  ///< the release of a resumed stream
--- a/libs/gateway/src/request_log.cc
+++ b/libs/gateway/src/request_log.cc
@@ -277,6 +277,7 @@
     constexpr std::size_t kMaxLoggedId = 64;  // bytes; clients may send any
     fields.push_back({"resumes", record.resumes.value().substr(0, kMaxLoggedId)});
   }
+  if (!record.cache_scope.empty()) fields.push_back({"cache_scope", record.cache_scope});
   if (!record.fetched_from.empty()) fields.push_back({"fetch", record.fetched_from});
   if (record.older_weights) AppendOlderWeights(state, *record.older_weights, fields);
   AppendProcess(record, fields);
@@ -316,6 +317,9 @@
                       {"retry_sharers", std::to_string(state.retries().Sharers(now))},
                       {"next", std::string(NameOf(step))}};
   if (!record.part_ids.empty()) fields.push_back({"parts", ListOf(record.part_ids)});
+  if (!record.response_fault.empty()) {
+    fields.push_back({"response_fault", std::string(record.response_fault)});
+  }
   if (!record.via_peer.empty()) fields.push_back({"via", record.via_peer});
   AppendProcess(record, fields);
   AppendNotice(record, fields);
--- a/libs/net/include/net/outbound_connection.h
+++ b/libs/net/include/net/outbound_connection.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/ids.h"
 #include "net/beast.h"
@@ -97,6 +98,10 @@
   const std::optional<StartStamp>& server_start() const { return server_start_; }
   void SetServerStart(StartStamp start) { server_start_ = start; }
 
+  /// Why what the server sent counts as broken, for logs; empty if it does not, or if the
+  /// connection just ended.
+  std::string_view fault_reason() const { return fault_reason_; }
+
   /// Closes the connection. Its deadline timer would otherwise keep it open until it expires.
   void Close();
 
@@ -152,8 +157,9 @@
   net::awaitable<ErrorCode> ReceiveHead();
   /// Receives more bytes into the buffer.
   net::awaitable<ErrorCode> ReceiveMore();
-  /// Whether the parsed head is one that a server may send.
-  bool IsSoundHead() const;
+  /// Why the parsed head is none that a server may send; empty: it is one.
+  std::string_view HeadFault() const;
+  ExchangeFault Break(std::string_view reason);
   void ParseHeadFields();
 
   tcp::socket socket_;
@@ -169,6 +175,7 @@
   bool close_when_sent_ = false;
   bool cancelled_ = false;
   bool broken_ = false;
+  std::string_view fault_reason_;  ///< a literal
   bool connection_refused_ = false;
   TimePoint opened_at_{};
   TimePoint idle_since_{};
--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -142,10 +142,7 @@
 net::awaitable<ExchangeFault> OutboundConnection::ReadHead(TimePoint deadline) {
   auto self = shared_from_this();
   for (int interim = 0;; ++interim) {
-    if (interim > kMaxInterimResponses) {
-      broken_ = true;
-      co_return ExchangeFault::kBroken;
-    }
+    if (interim > kMaxInterimResponses) co_return Break("too many interim responses");
     parser_.emplace();
     parser_->header_limit(kMaxResponseHeadBytes);
     parser_->body_limit(boost::none);
@@ -154,10 +151,8 @@
     const ErrorCode error = co_await ReceiveHead();
     deadline_.Disarm();
     if (error || cancelled_) co_return CurrentFault(error);
-    if (!IsSoundHead()) {
-      broken_ = true;
-      co_return ExchangeFault::kBroken;
-    }
+    const std::string_view head_fault = HeadFault();
+    if (!head_fault.empty()) co_return Break(head_fault);
     if (parser_->get().result_int() >= kFirstFinalStatus) break;
   }
   ParseHeadFields();
@@ -170,7 +165,10 @@
     const std::string_view received(static_cast<const char*>(buffer_.data().data()),
                                     buffer_.size());
     const HeadScanner::Verdict verdict = scanner.Scan(received);
-    if (verdict == HeadScanner::Verdict::kMalformed) co_return http::error::bad_field;
+    if (verdict == HeadScanner::Verdict::kMalformed) {
+      Break("malformed line in the head");
+      co_return http::error::bad_field;
+    }
     if (verdict == HeadScanner::Verdict::kComplete) break;
     const ErrorCode error = co_await ReceiveMore();
     if (error) co_return error;
@@ -178,6 +176,7 @@
   ErrorCode error;
   const std::size_t parsed = parser_->put(buffer_.data(), error);
   buffer_.consume(parsed);
+  if (error) Break("malformed head");
   co_return error;
 }
 
@@ -197,19 +196,30 @@
   co_return error;
 }
 
-bool OutboundConnection::IsSoundHead() const {
+ExchangeFault OutboundConnection::Break(std::string_view reason) {
+  broken_ = true;
+  fault_reason_ = reason;
+  return ExchangeFault::kBroken;
+}
+
+std::string_view OutboundConnection::HeadFault() const {
   const auto& message = parser_->get();
   const unsigned status = message.result_int();
-  if (MeasureHead(message).Excessive()) return false;
-  if (status < kFirstStatus || status > kLastStatus) return false;
+  if (MeasureHead(message).Excessive()) return "too many fields";
+  if (status < kFirstStatus || status > kLastStatus) return "invalid status";
   const TransferCoding coding = TransferCodingOf(message);
   if (status < kFirstFinalStatus) {
     // What follows such a head is the next response (RFC 9110, section 15.2).
+    if (status == static_cast<unsigned>(http::status::switching_protocols)) {
+      return "protocol switched unasked";
+    }
     const bool has_body = message.has_content_length() || coding != TransferCoding::kNone;
-    return status != static_cast<unsigned>(http::status::switching_protocols) && !has_body;
+    return has_body ? "interim response with a body" : "";
   }
-  if (coding == TransferCoding::kNone) return true;
-  return coding == TransferCoding::kChunked && parser_->chunked() && message.version() >= kHttp11;
+  if (coding == TransferCoding::kNone) return "";
+  const bool chunked =
+      coding == TransferCoding::kChunked && parser_->chunked() && message.version() >= kHttp11;
+  return chunked ? "" : "coding other than chunked";
 }
 
 void OutboundConnection::ParseHeadFields() {
@@ -239,9 +249,7 @@
     const bool at_end = parser_->is_done() && parser_->need_eof();
     if (!at_end || stream_.framing() != StreamFraming::kNone) continue;
     const bool in_order = co_await write_.InputEndedInOrder(socket_, deadline);
-    if (in_order) continue;
-    broken_ = true;
-    co_return ExchangeFault::kBroken;
+    if (!in_order) co_return Break("reset while the request was sent");
   }
   co_return ExchangeFault::kNone;
 }
