Soak: odd answers and requests, workspaces in and out of isolation

Three kinds of faults, played when named: `odd-answers` (engines send what is no response, and respond to uploads of up to 3 MB before they have read them, cut by a reset or whole), `odd-requests` (callers send requests without a known length, with another request in the body, after a whole one on the connection) and `workspaces` (the list of workspaces empties and returns with new keys, isolated workspaces change). WallCheck takes what one engine keeps under a salt as usable everywhere, for ever. The proxies between instances and engines tell a reset from an end in order as tunnels do; they turned one into the other before.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -6,9 +6,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
+#include "net/write_state.h"
+
 namespace ridgehold::soak {
 namespace {
 
+constexpr std::chrono::milliseconds kWriteEndLimit{1'000};
 constexpr std::size_t kPiece = 8'192;              // bytes read at once
 constexpr std::chrono::milliseconds kHoldLook{5};  // how often a held link is looked at
 
@@ -30,7 +33,11 @@
 
 struct FaultProxy::Link {
   Link(tcp::socket accepted, std::shared_ptr<const LinkState> link_state)
-      : client(std::move(accepted)), server(client.get_executor()), state(std::move(link_state)) {}
+      : client(std::move(accepted)),
+        server(client.get_executor()),
+        client_writes(client.get_executor()),
+        server_writes(client.get_executor()),
+        state(std::move(link_state)) {}
 
   void Reset() {
     ResetSocket(client);
@@ -39,6 +46,8 @@
 
   tcp::socket client;
   tcp::socket server;
+  WriteState client_writes;
+  WriteState server_writes;
   std::shared_ptr<const LinkState> state;
   bool connected = false;  // to the server
 };
@@ -159,6 +168,9 @@
 net::awaitable<void> FaultProxy::Pump(Sockets link, tcp::socket& from, tcp::socket& to,
                                       bool LinkState::*held, std::shared_ptr<SharedLink> shared) {
   std::array<char, kPiece> piece;
+  const bool from_client = &from == &link->client;
+  WriteState& from_writes = from_client ? link->client_writes : link->server_writes;
+  WriteState& to_writes = from_client ? link->server_writes : link->client_writes;
   for (;;) {
     ErrorCode read_error;
     const std::size_t size = co_await from.async_read_some(
@@ -167,7 +179,9 @@
     while ((*link->state).*held) co_await Sleep(kHoldLook);
     ErrorCode error;
     if (read_error == net::error::eof) {
-      to.shutdown(tcp::socket::shutdown_send, error);
+      const bool in_order =
+          co_await from_writes.InputEndedInOrder(from, ridgehold::Clock::now() + kWriteEndLimit);
+      in_order ? void(to.shutdown(tcp::socket::shutdown_send, error)) : link->Reset();
       co_return;
     }
     if (!read_error && shared) {
@@ -175,8 +189,10 @@
       co_await Sleep(std::chrono::ceil<std::chrono::milliseconds>(wait));
     }
     if (!read_error) {
+      to_writes.Begin();
       co_await net::async_write(to, net::buffer(piece.data(), size),
                                 net::redirect_error(net::use_awaitable, error));
+      to_writes.End(error);
     }
     if (read_error || error) {
       link->Reset();
--- a/soak/fault_script.cc
+++ b/soak/fault_script.cc
@@ -44,6 +44,10 @@
 constexpr int kLongestLag = 100;        // ms, of the registration of a killed engine's next process
 constexpr int kLongestInPlaceLag = 700;    // ms
 constexpr int kLongestInPlacePause = 400;  // ms, between two engines
+constexpr double kOddPart = 0.4;           // of the answers of an engine in trouble
+constexpr double kEmptiedPart = 0.3;       // of the changes of workspaces
+constexpr int kShortestEmpty = 100;        // ms, of the list of workspaces
+constexpr int kLongestEmpty = 4'500;       // ms; longer than keys that were taken away may be used
 constexpr double kSeriesPart = 0.4;        // of the faults, those followed at once
 
 ProcessKill DrawKill(Random& random) {
@@ -100,7 +104,10 @@
       {"idle-flood", FaultKind::kIdleFlood},
       {"pipelined", FaultKind::kPipelined},
       {"endless", FaultKind::kEndless},
-      {"stall", FaultKind::kStall}};
+      {"stall", FaultKind::kStall},
+      {"odd-answers", FaultKind::kOddAnswers},
+      {"odd-requests", FaultKind::kOddRequests},
+      {"workspaces", FaultKind::kWorkspaces}};
   return names;
 }
 
@@ -226,6 +233,12 @@
       return SendEndless(random);
     case FaultKind::kStall:
       return Stall(random);
+    case FaultKind::kOddAnswers:
+      return ChangeMood({.odd_part = kOddPart}, random);
+    case FaultKind::kOddRequests:
+      return Sleep(0ms);  // their callers send them all the time
+    case FaultKind::kWorkspaces:
+      return ChangeWorkspaces(random);
     case FaultKind::kPipelined:
       return Stop(random);  // the callers of this kind matter beside stops
     case FaultKind::kUnreadOutput:
@@ -257,6 +270,17 @@
   }
 }
 
+net::awaitable<void> FaultScript::ChangeWorkspaces(Random random) {
+  OperatorLog& log = targets_.operator_log;
+  log.ChangeIsolated(random);
+  if (emptied_ || !random.Chance(kEmptiedPart)) co_return;
+  emptied_ = true;
+  log.ToggleWorkspaces();
+  co_await Sleep(random.Milliseconds(kShortestEmpty, kLongestEmpty));
+  log.ToggleWorkspaces();
+  emptied_ = false;
+}
+
 net::awaitable<void> FaultScript::Reboot(Random random) {
   const double part = random.Between(3, 10) / 10.0;
   const auto lapse = random.Milliseconds(500, kLongestLapse);
--- a/soak/fault_script.h
+++ b/soak/fault_script.h
@@ -72,6 +72,9 @@
   kPipelined,
   kEndless,
   kStall,
+  kOddAnswers,
+  kOddRequests,
+  kWorkspaces,
 };
 
 /// A process of an instance, which may have been replaced since.
@@ -170,6 +173,8 @@
   /// Some engines end and are back at their addresses under other ids; the old registrations lapse
   /// later.
   net::awaitable<void> Reboot(Random random);
+  /// Other workspaces are isolated; for a while there may be none at all.
+  net::awaitable<void> ChangeWorkspaces(Random random);
   /// An engine's process is killed; the next has its address and id.
   net::awaitable<void> KillServer(Random random);
   /// Engines become processes of the other release one after the other, at their addresses and ids;
@@ -234,6 +239,7 @@
   bool releasing_ = false;  ///< a release replaces another
   int releases_ = 0;        ///< that have joined
   bool flooding_ = false;   ///< with idle connections
+  bool emptied_ = false;    ///< the list of workspaces is empty
   bool changing_ = false;   ///< configurations come in quick succession
   SurroundingCounts counts_;
 };
--- a/soak/operator_log.cc
+++ b/soak/operator_log.cc
@@ -1,5 +1,6 @@
 #include "operator_log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "bounds.h"
@@ -11,7 +12,8 @@
 using Json = nlohmann::json;
 
 constexpr int kWorkspaces = 3;
-constexpr double kOldKeyPart = 0.15;  // requests with the key that was taken away last
+constexpr double kIsolatedPart = 0.4;  // of the workspaces, by one change
+constexpr double kOldKeyPart = 0.15;   // requests with the key that was taken away last
 
 Json Route(const char* name, const char* type, bool resumable) {
   return {{"name", name},
@@ -87,6 +89,52 @@
   return true;
 }
 
+void OperatorLog::ToggleWorkspaces() {
+  ++version_;
+  const bool has_some =
+      std::ranges::any_of(keys_, [](const auto& entry) { return entry.second.revoked == 0; });
+  if (has_some) {
+    for (auto& [key, record] : keys_) {
+      if (record.revoked == 0) record.revoked = version_;
+    }
+  } else {
+    for (int i = 0; i < kWorkspaces; ++i) {
+      const std::string key = "key" + std::to_string(keys_.size());
+      keys_[key] = {.workspace = "w" + std::to_string(i), .granted = version_};
+      order_.push_back(key);
+    }
+  }
+  WriteConfig();
+  for (auto& [key, record] : keys_) {
+    if (record.revoked == version_) record.revoked_at = Clock::now();
+  }
+}
+
+void OperatorLog::ChangeIsolated(Random& random) {
+  ++version_;
+  std::map<std::string, TimePoint> isolated;
+  for (int i = 0; i < kWorkspaces; ++i) {
+    const std::string workspace = "w" + std::to_string(i);
+    const auto before = isolated_.find(workspace);
+    if (!random.Chance(kIsolatedPart)) continue;
+    isolated[workspace] = before == isolated_.end() ? TimePoint::max() : before->second;
+  }
+  isolated_ = std::move(isolated);
+  WriteConfig();
+  for (auto& [workspace, since] : isolated_) since = std::min(since, Clock::now());
+}
+
+void OperatorLog::SetMaxBody(std::size_t bytes) {
+  ++version_;
+  max_body_ = bytes;
+  WriteConfig();
+}
+
+std::optional<TimePoint> OperatorLog::IsolatedSince(const std::string& workspace) const {
+  const auto found = isolated_.find(workspace);
+  return found == isolated_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void OperatorLog::SetIdleLimit(std::chrono::milliseconds limit) {
   ++version_;
   idle_limit_ = limit;
@@ -110,6 +158,7 @@
     }
   }
   if (!newest_revoked.empty() && random.Chance(kOldKeyPart)) return newest_revoked;
+  if (valid.empty()) return newest_revoked;
   return valid[static_cast<std::size_t>(random.Between(0, static_cast<int>(valid.size()) - 1))];
 }
 
@@ -121,6 +170,7 @@
   Json workspaces = Json::array();
   for (const auto& [name, list] : keys) {
     workspaces.push_back({{"name", name}, {"api_keys", list}, {"priority", 1}});
+    if (isolated_.contains(name)) workspaces.back()["isolated"] = true;
   }
   Json routes = {Route("safe", "safe", false), Route("unsafe", "unsafe", false),
                  Route("stream", "stream", false), Route("resume", "stream", true)};
@@ -132,7 +182,7 @@
                        {"services", {Service()}},
                        {"limits",
                         {{"max_header_bytes", 16'384},
-                         {"max_body_bytes", 100'000},
+                         {"max_body_bytes", max_body_},
                          {"header_timeout_ms", 1'000},
                          {"idle_timeout_ms", idle_limit_.count()}}},
                        {"tenants", workspaces}};
--- a/soak/operator_log.h
+++ b/soak/operator_log.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,14 @@
   /// Takes the oldest spare key away; returns whether there was one.
   bool TakeSpareKey();
   void SetIdleLimit(std::chrono::milliseconds limit);
+  /// Takes all workspaces away, so that their list is empty, or brings them back with new keys.
+  void ToggleWorkspaces();
+  /// Isolates some workspaces; those isolated before no longer are, unless they are chosen again.
+  void ChangeIsolated(Random& random);
+  void SetMaxBody(std::size_t bytes);
+
+  /// When the store acknowledged that the workspace is isolated; nullopt while it is not.
+  std::optional<TimePoint> IsolatedSince(const std::string& workspace) const;
 
   const KeyRecord& key(const std::string& key) const { return keys_.at(key); }
   /// A key to send: mostly a valid one, sometimes one taken away.
@@ -52,7 +61,9 @@
   std::vector<std::string> order_;  // keys as they were granted
   std::vector<TimePoint> named_;    // acknowledgement of weights 1, 2, ...
   std::vector<std::string> spare_keys_;
+  std::map<std::string, TimePoint> isolated_;  // since when
   int added_routes_ = 0;
+  std::size_t max_body_ = 100'000;
   std::chrono::milliseconds idle_limit_{5'000};
   IdleLimits idle_limits_;
 };
--- a/soak/soak_engine.cc
+++ b/soak/soak_engine.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bounds.h"
+#include "odd_answer.h"
 #include "platform/names.h"
 
 namespace ridgehold::soak {
@@ -18,10 +19,13 @@
 namespace field = platform::field;
 using namespace std::chrono_literals;
 
-constexpr double kReadLatePart = 0.5;  // requests that a silent engine has not begun
-constexpr double kNoAnswerPart = 0.4;  // of the answers that end early
-constexpr double kChunkedPart = 0.3;   // of the answers that are no stream
-constexpr double kSlowLoadPart = 0.2;  // of the loads of weights
+constexpr double kReadLatePart = 0.5;         // requests that a silent engine has not begun
+constexpr double kNoAnswerPart = 0.4;         // of the answers that end early
+constexpr double kChunkedPart = 0.3;          // of the answers that are no stream
+constexpr double kInOrderPart = 0.3;          // of the early answers
+constexpr double kResetPart = 0.8;            // of the connections with an early answer
+constexpr std::size_t kLargeBytes = 100'000;  // more than callers usually send
+constexpr double kSlowLoadPart = 0.2;         // of the loads of weights
 constexpr int kSlots = 8;
 constexpr int kQueuePlaces = 16;
 constexpr int kQueuePlacesWhenBrittle = 2;
@@ -93,15 +97,55 @@
 net::awaitable<void> SoakEngine::Serve(std::shared_ptr<tcp::socket> socket) {
   boost::beast::flat_buffer buffer;
   for (bool kept = true; kept;) {
-    RequestMessage request;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
     ErrorCode error;
-    co_await http::async_read(*socket, buffer, request,
-                              net::redirect_error(net::use_awaitable, error));
+    co_await http::async_read_header(*socket, buffer, parser,
+                                     net::redirect_error(net::use_awaitable, error));
     if (error) co_return;
+    const bool is_large = parser.content_length().value_or(0) >= kLargeBytes;
+    if (mood_.odd_part > 0 && is_large) {
+      co_await AnswerEarly(*socket, parser.get());
+      co_return;
+    }
+    if (!parser.is_done()) {
+      co_await http::async_read(*socket, buffer, parser,
+                                net::redirect_error(net::use_awaitable, error));
+    }
+    if (error) co_return;
+    const RequestMessage request = parser.release();
     kept = co_await Answer(*socket, request);
   }
 }
 
+net::awaitable<void> SoakEngine::AnswerEarly(tcp::socket& socket,
+                                             const http::request_header<>& head) {
+  const RequestRecord* record = judges_.ledger.Find(std::string(head[field::kRequestId]));
+  if (record == nullptr || busy_ || std::string(head[field::kExpectedBackend]) != id_) co_return;
+  RequestMessage request(head);
+  // What comes is not compared.
+  request.body() = record->message.body();
+  const auto run = judges_.ledger.Begin(request, weights_, release_);
+  if (!run) co_return;
+  const bool in_order = random_.Chance(kInOrderPart);
+  run->broke_off = true;
+  run->status = in_order ? 200 : 0;
+  Run written = *run;
+  written.status = 200;
+  std::string answer = Head(written, request, "Connection: close\r\n");
+  const std::string body = BodyOf(run->signature);
+  const auto size = static_cast<std::size_t>(random_.Between(0, static_cast<int>(body.size()) - 1));
+  answer += in_order ? body : body.substr(0, size);
+  co_await Write(socket, std::move(answer));
+  ErrorCode ignored;
+  if (in_order) socket.shutdown(tcp::socket::shutdown_send, ignored);
+  co_await Sleep(random_.Milliseconds(0, 120));
+  if (random_.Chance(kResetPart)) {
+    socket.set_option(net::socket_base::linger(true, 0), ignored);
+  }
+  socket.close(ignored);
+}
+
 net::awaitable<bool> SoakEngine::Answer(tcp::socket& socket, const RequestMessage& request) {
   const std::string target(request.target());
   const bool read_late = random_.Chance(kReadLatePart);  // falls silent before or after it runs
@@ -165,6 +209,10 @@
   }
   const auto run = judges_.ledger.Begin(request, weights_, release_);
   if (!run) co_return false;
+  if (record != nullptr) {
+    judges_.wall.Used(record->id, std::string(request[field::kCacheSalt]), record->workspace,
+                      record->sent);
+  }
   if (Poison::Is(request.body())) {
     judges_.poison.Began(request.body(), std::string(request[field::kWorkspace]),
                          std::string(request[field::kPrefixHashes]));
@@ -195,6 +243,13 @@
   const bool breaks = random_.Chance(mood_.break_part);
   run.broke_off = breaks;
   if (breaks && random_.Chance(kNoAnswerPart)) co_return false;
+  if (mood_.odd_part > 0 && random_.Chance(mood_.odd_part)) {
+    run.broke_off = true;
+    const std::string id(request[field::kRequestId]);
+    std::string odd = DrawOddAnswer(id, run, random_);
+    co_await Write(socket, std::move(odd));
+    co_return false;
+  }
   run.status = random_.Chance(mood_.error_part) ? 500 : 200;
   if (mood_.endless) {
     run.broke_off = true;
--- a/soak/soak_engine.h
+++ b/soak/soak_engine.h
@@ -21,6 +21,7 @@
 #include "process_kill.h"
 #include "random.h"
 #include "retry_check.h"
+#include "wall_check.h"
 
 namespace ridgehold::soak {
 
@@ -30,6 +31,7 @@
   std::chrono::milliseconds queue{0};  ///< how long requests wait before they run
   double break_part = 0;               ///< part of the answers that end early
   double error_part = 0;               ///< part of the answers that are failures
+  double odd_part = 0;                 ///< part of the answers that are none, or early and cut
   bool unframed = false;               ///< answers have neither a length nor chunks
   std::optional<EndlessPart> endless;  ///< answers have framing without end
   Need need;
@@ -45,6 +47,7 @@
     Calm& calm;
     Needs& needs;
     RetryCheck& retries;
+    WallCheck& wall;
   };
 
   SoakEngine(net::any_io_executor executor, std::string id, Judges judges,
@@ -92,6 +95,8 @@
   net::awaitable<bool> Plain(tcp::socket& socket, const RequestMessage& request, Run& run);
   net::awaitable<bool> Events(tcp::socket& socket, const RequestMessage& request, Run& run);
   net::awaitable<bool> Write(tcp::socket& socket, std::string bytes);
+  /// Responds before the body has come; then ends the connection, often by a reset.
+  net::awaitable<void> AnswerEarly(tcp::socket& socket, const http::request_header<>& head);
   /// Writes framing until the connection ends.
   net::awaitable<bool> WriteEndless(tcp::socket& socket, std::string head, EndlessPart part);
   /// Writes with pauses, and ends the connection.
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -21,6 +21,9 @@
 constexpr std::uint64_t kRestingSeed = 0x72657374;
 constexpr std::uint64_t kPipelinedSeed = 0x70697065;
 constexpr std::uint64_t kKeptSeed = 0x6b657074;
+constexpr std::uint64_t kOddSeed = 0x6f6464;
+constexpr std::size_t kLargeBody = std::size_t{4} << 20;
+constexpr int kOddCallersEach = 3;    // for each instance
 constexpr std::size_t kLogLines = 8;  // printed of each instance
 /// Time for what still runs when the faults have ended.
 constexpr std::chrono::milliseconds kSettle{4'500};
@@ -63,6 +66,7 @@
       path_check_(verdict_, calm_),
       retry_check_(verdict_),
       kept_check_(verdict_),
+      wall_check_(verdict_, operator_),
       peers_(io_.get_executor()),
       resumptions_(verdict_),
       needs_(verdict_),
@@ -89,13 +93,14 @@
     AddRestingEngines();
   }
   if (faults_.Selected(FaultKind::kBlackout)) FillStore();
+  if (faults_.Selected(FaultKind::kOddAnswers)) operator_.SetMaxBody(kLargeBody);
 }
 
 void SoakRun::AddEngine(Random random) {
   engines_.push_back(std::make_unique<SoakEngine>(
       io_.get_executor(), "e" + std::to_string(engines_.size()),
-      SoakEngine::Judges{ledger_, orders_, poison_, calm_, needs_, retry_check_}, store_.table(),
-      random));
+      SoakEngine::Judges{ledger_, orders_, poison_, calm_, needs_, retry_check_, wall_check_},
+      store_.table(), random));
 }
 
 void SoakRun::AddRestingEngines() {
@@ -219,6 +224,22 @@
   }
 }
 
+void SoakRun::StartOddCallers() {
+  const OddRequests requests{.unframed = faults_.Selected(FaultKind::kOddRequests),
+                             .large = faults_.Selected(FaultKind::kOddAnswers)};
+  if (!requests.unframed && !requests.large) return;
+  // What other kinds draw stays as it is.
+  Random random(options_.seed ^ kOddSeed);
+  for (const auto& instance : instances_) {
+    for (int i = 0; i < kOddCallersEach; ++i) {
+      const std::string name = "o" + std::to_string(odd_callers_.size());
+      odd_callers_.push_back(std::make_shared<OddCaller>(
+          name, *instance->process, requests, ledger_, operator_, verdict_, random.Fork()));
+      net::co_spawn(io_, odd_callers_.back()->Run(), net::detached);
+    }
+  }
+}
+
 Surroundings SoakRun::SurroundingsOfAll() const {
   const bool floods = faults_.Selected(FaultKind::kIdleFlood);
   const bool endless = faults_.Selected(FaultKind::kEndless);
@@ -233,6 +254,7 @@
   StartCallers();
   if (faults_.Selected(FaultKind::kPipelined)) StartPipelinedCallers();
   if (faults_.Selected(FaultKind::kStall)) StartKeptCallers();
+  StartOddCallers();
   net::co_spawn(io_, WatchProcesses(), net::detached);
   net::co_spawn(io_, Script(), [this](const std::exception_ptr& error) {
     io_.stop();
@@ -282,6 +304,7 @@
   for (const auto& caller : callers_) caller->Stop();
   for (const auto& caller : pipelined_callers_) caller->Stop();
   for (const auto& caller : kept_callers_) caller->Stop();
+  for (const auto& caller : odd_callers_) caller->Stop();
 }
 
 net::awaitable<void> SoakRun::WatchProcesses() {
@@ -302,6 +325,8 @@
 
 std::string SoakRun::SurroundingText() const {
   const SurroundingCounts& counts = faults_.counts();
+  int refused = 0;
+  for (const auto& caller : odd_callers_) refused += caller->refused();
   return std::to_string(counts.hang_ups) + " hangups (" +
          std::to_string(counts.starts_with_hang_ups) + " starts with some), " +
          std::to_string(counts.taken_ports) + " taken ports, " +
@@ -310,7 +335,9 @@
          std::to_string(counts.stalls) + " stalls beside " + std::to_string(counts.configurations) +
          " configurations, " + std::to_string(kept_check_.judged()) +
          " requests on kept connections (" + std::to_string(kept_check_.unanswered()) +
-         " unanswered, " + std::to_string(kept_check_.closed_while_idle()) + " found closed), ";
+         " unanswered, " + std::to_string(kept_check_.closed_while_idle()) + " found closed), " +
+         std::to_string(refused) + " requests without a known length refused, " +
+         std::to_string(wall_check_.shared()) + " uses of cache of others, ";
 }
 
 std::string SoakRun::Summary() {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -11,6 +11,7 @@
 #include "caller.h"
 #include "fault_script.h"
 #include "kept_caller.h"
+#include "odd_caller.h"
 #include "pipelined_caller.h"
 
 namespace ridgehold::soak {
@@ -52,6 +53,7 @@
   void StartCallers();
   void StartPipelinedCallers();
   void StartKeptCallers();
+  void StartOddCallers();
   /// Fails if a kind that must not cost service did.
   void JudgeServed();
   std::string SurroundingText() const;
@@ -74,6 +76,7 @@
   PathCheck path_check_;
   RetryCheck retry_check_;
   KeptCheck kept_check_;
+  WallCheck wall_check_;
   PeerNetwork peers_;
   Resumptions resumptions_;
   Needs needs_;
@@ -82,6 +85,7 @@
   std::vector<std::shared_ptr<Caller>> callers_;
   std::vector<std::shared_ptr<PipelinedCaller>> pipelined_callers_;
   std::vector<std::shared_ptr<KeptCaller>> kept_callers_;
+  std::vector<std::shared_ptr<OddCaller>> odd_callers_;
   FaultScript faults_;
 };
 
