--- a/libs/isolation/src/cache_scope.cc
+++ b/libs/isolation/src/cache_scope.cc
@@ -14,8 +14,7 @@
 std::string SharedCacheScope(std::vector<WorkspaceId> isolated) {
   if (isolated.empty()) return "shared";
   std::ranges::sort(isolated);
-  const auto repeated = std::ranges::unique(isolated);
-  isolated.erase(repeated.begin(), repeated.end());
+  isolated.erase(std::unique(isolated.begin(), isolated.end()), isolated.end());
   std::string names;
   for (const WorkspaceId& workspace : isolated) {
     // With their lengths, since names may hold any separator.
--- a/soak/wall_check.cc
+++ b/soak/wall_check.cc
@@ -13,8 +13,9 @@
     for (const std::string& workspace : {maker, user}) {
       const auto since = operator_.IsolatedSince(workspace);
       if (!since || sent <= *since + kConfigLimit) continue;
-      verdict_.Fail("cache is used across a wall", request,
-                    user + " uses what " + maker + " made under " + salt);
+      std::string detail = user;
+      detail.append(" uses what ").append(maker).append(" made under ").append(salt);
+      verdict_.Fail("cache is used across a wall", request, detail);
     }
   }
   makers.insert(user);
