Soak: one reader of answers for the callers that handle their own connections

OddCaller and PipelinedCaller had the same loop over interim responses and filled a CallerView alike. ReceiveAnswer() is that code, moved; the checks on what it returns are unchanged.

--- a/soak/odd_caller.cc
+++ b/soak/odd_caller.cc
@@ -2,11 +2,10 @@
 
 #include <array>
 #include <boost/asio/write.hpp>
-#include <limits>
 #include <sstream>
 
 #include "bounds.h"
-#include "platform/names.h"
+#include "received_answer.h"
 #include "request_draw.h"
 
 namespace ridgehold::soak {
@@ -16,7 +15,6 @@
 constexpr std::chrono::milliseconds kPause{40};
 /// How long after a request's deadline its caller still reads.
 constexpr std::chrono::milliseconds kPatience{1'000};
-constexpr int kFirstFinalStatus = 200;
 constexpr int kFewestBytes = 200'000;
 constexpr int kMostBytes = 3'000'000;
 constexpr std::array kFramings = {"gzip",
@@ -86,17 +84,18 @@
   co_await net::async_write(stream, net::buffer(text),
                             net::redirect_error(net::use_awaitable, error));
   boost::beast::flat_buffer buffer;
-  const CallerView answer = co_await ReadResponse(stream, buffer);
-  ledger_.Ended(first_id, answer);
-  if (!answer.whole) co_return;
-  const CallerView refusal = co_await ReadResponse(stream, buffer);
-  if (refusal.status == 0) co_return;
-  if (refusal.status == 400 || refusal.status == 501) {
+  const ReceivedAnswer first_answer = co_await ReceiveAnswer(stream, buffer);
+  ledger_.Ended(first_id, first_answer.view);
+  if (!first_answer.view.whole) co_return;
+  const ReceivedAnswer refusal = co_await ReceiveAnswer(stream, buffer);
+  const int status = refusal.view.status;
+  if (status == 0) co_return;
+  if (status == 400 || status == 501) {
     ++refused_;
     co_return;
   }
   verdict_.Fail("request without a known length is not refused", name_ + "-o" + number,
-                std::to_string(refusal.status));
+                std::to_string(status));
 }
 
 net::awaitable<void> OddCaller::Upload(boost::beast::tcp_stream& stream) {
@@ -116,28 +115,9 @@
   co_await net::async_write(stream, net::buffer(text),
                             net::redirect_error(net::use_awaitable, error));
   boost::beast::flat_buffer buffer;
-  CallerView view = co_await ReadResponse(stream, buffer);
-  view.bytes_after = buffer.size();
-  ledger_.Ended(id, view);
-}
-
-net::awaitable<CallerView> OddCaller::ReadResponse(boost::beast::tcp_stream& stream,
-                                                   boost::beast::flat_buffer& buffer) {
-  ErrorCode error;
-  std::optional<http::response_parser<http::string_body>> parser;
-  do {
-    parser.emplace();
-    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    co_await http::async_read(stream, buffer, *parser,
-                              net::redirect_error(net::use_awaitable, error));
-  } while (!error && parser->get().result_int() < kFirstFinalStatus);
-  CallerView view;
-  if (parser->is_header_done()) view.status = static_cast<int>(parser->get().result_int());
-  view.whole = parser->is_done();
-  view.gave_up = error == boost::beast::error::timeout;
-  view.signature = std::string(parser->get()[platform::field::kSignature]);
-  view.body = parser->get().body();
-  co_return view;
+  ReceivedAnswer answer = co_await ReceiveAnswer(stream, buffer);
+  answer.view.bytes_after = buffer.size();
+  ledger_.Ended(id, answer.view);
 }
 
 }  // namespace ridgehold::soak
--- a/soak/odd_caller.h
+++ b/soak/odd_caller.h
@@ -2,7 +2,6 @@
 
 #pragma once
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <memory>
 #include <string>
@@ -44,9 +43,6 @@
   net::awaitable<void> UseConnection();
   net::awaitable<void> SendUnframed(boost::beast::tcp_stream& stream);
   net::awaitable<void> Upload(boost::beast::tcp_stream& stream);
-  /// Reads one response; its status is 0 if there is none.
-  net::awaitable<CallerView> ReadResponse(boost::beast::tcp_stream& stream,
-                                          boost::beast::flat_buffer& buffer);
 
   std::string name_;
   const InstanceProcess& instance_;
--- a/soak/pipelined_caller.cc
+++ b/soak/pipelined_caller.cc
@@ -1,11 +1,10 @@
 #include "pipelined_caller.h"
 
 #include <boost/asio/write.hpp>
-#include <limits>
 #include <sstream>
 
 #include "bounds.h"
-#include "platform/names.h"
+#include "received_answer.h"
 #include "request_draw.h"
 
 namespace ridgehold::soak {
@@ -17,7 +16,6 @@
 constexpr std::chrono::milliseconds kPatience{1'000};
 constexpr int kMostInSeries = 6;
 constexpr double kHalfClosedPart = 0.3;  // of the series
-constexpr int kFirstFinalStatus = 200;
 
 }  // namespace
 
@@ -84,24 +82,11 @@
                                                  bool is_last) {
   // The time of a request counts from when the one before was answered.
   stream.expires_after(kCallerDeadline + kPatience);
-  ErrorCode error;
-  std::optional<http::response_parser<http::string_body>> parser;
-  do {
-    parser.emplace();
-    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    co_await http::async_read(stream, buffer, *parser,
-                              net::redirect_error(net::use_awaitable, error));
-    // Interim responses precede the answer.
-  } while (!error && parser->get().result_int() < kFirstFinalStatus);
-  CallerView view;
-  if (parser->is_header_done()) view.status = static_cast<int>(parser->get().result_int());
-  view.whole = parser->is_done();
-  view.gave_up = gave_up_ = error == boost::beast::error::timeout;
-  view.signature = std::string(parser->get()[platform::field::kSignature]);
-  view.body = parser->get().body();
-  if (is_last) view.bytes_after = buffer.size();
-  ledger_.Ended(id, view);
-  co_return !error && parser->get().keep_alive() && !parser->need_eof();
+  ReceivedAnswer answer = co_await ReceiveAnswer(stream, buffer);
+  gave_up_ = answer.view.gave_up;
+  if (is_last) answer.view.bytes_after = buffer.size();
+  ledger_.Ended(id, answer.view);
+  co_return answer.kept;
 }
 
 }  // namespace ridgehold::soak
