Fix: announcements of weights are in the messages that are sent

Requests began on older weights although another instance knew of newer ones and was in touch.

Cause: PeerLink built each message, put the announcements into it every heartbeat and noted that as done, and only then decided whether to send it. A message with the same loads and no items is dropped until the heartbeat is due, so the announcements went with it. Once a placement has moved the heartbeats away from the announcements, both keep their distance and the announcements are never sent.

Change: announcements are put in after the decision to send. They are at most a heartbeat late, and no message more is sent.

--- a/libs/peers/src/peer_link.cc
+++ b/libs/peers/src/peer_link.cc
@@ -156,6 +156,10 @@
   const bool due = now - last_sent_ >= options_.heartbeat;
   if (news.items.empty() && news.loads == last_broadcast_loads_ && !due) return;
   last_sent_ = now;
+  if (now - last_namings_ >= options_.heartbeat) {
+    last_namings_ = now;
+    news.namings = RecentNamings(state_.named_weights(), now);
+  }
   const std::string datagram = EncodeNews(news);
   for (const net::ip::address& peer : peers_) SendTo(peer, datagram);
   last_broadcast_loads_ = std::move(news.loads);
@@ -196,11 +200,6 @@
   GossipMessage news = MakeHeader();
   news.loads = OwnLoads();
   news.items = state_.TakePendingUpdates(kMaxPlacedPerMessage);
-  const TimePoint now = Clock::now();
-  if (now - last_namings_ >= options_.heartbeat) {
-    last_namings_ = now;
-    news.namings = RecentNamings(state_.named_weights(), now);
-  }
   return news;
 }
 
--- a/test/peer_link-test.cc
+++ b/test/peer_link-test.cc
@@ -24,7 +24,8 @@
   std::unique_ptr<PeerLink> link;
 
   Gateway(net::io_context& io, const std::string& address, const std::string& peer,
-          std::size_t most_told = 32)
+          std::size_t most_told = 32, std::chrono::milliseconds period = 5s,
+          std::chrono::milliseconds heartbeat = 60s)
       : state(io.get_executor(), ZoneId("a"), GatewayLimits{}, PlacementCosts{}, metrics) {
     BackendEntry entry;
     entry.id = BackendId("b");
@@ -33,9 +34,9 @@
     options.self = DaemonId(address);
     options.address = address;
     options.port = 23'451;
-    // So long that only what is told at once can arrive within the test.
-    options.period = 5s;
-    options.heartbeat = 60s;
+    // By default so long that only what is told at once can arrive within the test.
+    options.period = period;
+    options.heartbeat = heartbeat;
     options.max_broadcast_gateways = most_told;
     for (const std::string& member : {address, peer}) {
       StoreItem item;
@@ -91,6 +92,24 @@
   BOOST_TEST(!Within(200ms, [&] { return second.backend().peers.running == 0; }));
 }
 
+struct HeartbeatFixture {
+  net::io_context io;
+  Gateway first{io, kFirst, kSecond, 32, 20ms, 100ms};
+  Gateway second{io, kSecond, kFirst, 32, 20ms, 100ms};
+};
+
+// Guards against announcements of weights that are put only into messages which are then not sent,
+// since nothing else in them is new.
+BOOST_FIXTURE_TEST_CASE(named_weights_are_told_whenever_other_messages_are_sent, HeartbeatFixture) {
+  const ModelId model("m");
+  io.run_for(50ms);
+  first.Place(7);
+  io.run_for(50ms);
+  first.state.named_weights().Record(model, WeightsNumber(3), Clock::now());
+  io.run_for(1s);
+  BOOST_TEST((second.state.named_weights().Newest(model) == WeightsNumber(3)));
+}
+
 /// Two gateways of a fleet in which those that track are told and asked.
 struct TrackedFixture {
   net::io_context io;
