Fix: weights whose naming time is assumed are told to other gateways

Cause: RecentNamings() left out what has an assumed time, so that a gateway that starts could not hear of weights that the others had read after an outage and that the store no longer held. The times were withheld because receivers would have taken them for known ones, and the numbers with them.

Change: such announcements go in a field of their own, which older builds skip. A receiver takes them only for a number that it does not know, as assumed; its own times stay. The log line "weights named" has the source.

--- a/libs/control/src/store_item_applier.cc
+++ b/libs/control/src/store_item_applier.cc
@@ -52,7 +52,8 @@
       {{"model", order.model.value()},
        {"weights", std::to_string(order.number.value())},
        {"age_ms", MillisecondsText(age)},
-       {"age_is", written.assumed ? "assumed" : "known"}});
+       {"age_is", written.assumed ? "assumed" : "known"},
+       {"source", "store"}});
 }
 
 void StoreItemApplier::ApplyRelease(const StoreItem& item, const ReleaseOrder& order) {
--- a/libs/gateway/include/gateway/gateway_gossip.h
+++ b/libs/gateway/include/gateway/gateway_gossip.h
@@ -71,6 +71,7 @@
   ModelId model;
   WeightsNumber number;
   std::chrono::milliseconds age{0};
+  bool assumed = false;  ///< the sender does not know the time; `age` is the maximum
 };
 
 /// The events since the last message.
--- a/libs/gateway/include/gateway/weights_history.h
+++ b/libs/gateway/include/gateway/weights_history.h
@@ -33,6 +33,9 @@
   /// known ones.
   bool Record(const ModelId& model, WeightsNumber number, TimePoint at, bool assumed = false);
 
+  /// Whether `number` is among the announced versions.
+  bool Contains(const ModelId& model, WeightsNumber number) const;
+
   /// Called after each Record that changed something.
   void SetListener(std::function<void()> listener) { on_change_ = std::move(listener); }
 
--- a/libs/gateway/src/weights_history.cc
+++ b/libs/gateway/src/weights_history.cc
@@ -22,6 +22,13 @@
   return newest;
 }
 
+bool WeightsHistory::Contains(const ModelId& model, WeightsNumber number) const {
+  const auto found = announcements_.find(model);
+  if (found == announcements_.end()) return false;
+  const auto place = std::ranges::lower_bound(found->second, number, {}, &Announcement::number);
+  return place != found->second.end() && place->number == number;
+}
+
 std::optional<WeightsNumber> WeightsHistory::Newest(const ModelId& model) const {
   const auto found = announcements_.find(model);
   if (found == announcements_.end() || found->second.empty()) return std::nullopt;
--- a/libs/peers/include/peers/recent_namings.h
+++ b/libs/peers/include/peers/recent_namings.h
@@ -9,11 +9,12 @@
 
 namespace ridgehold {
 
-/// Returns the latest announcements for each model. Announcements whose time is only assumed are
-/// omitted, since they would override the times known to other gateways.
+/// Returns the latest announcements for each model, also those whose time is only assumed: the store
+/// may not hold their numbers any more.
 std::vector<AnnouncementUpdate> RecentNamings(const WeightsHistory& named, TimePoint now);
 
-/// Applies the announcements of another gateway.
+/// Applies the announcements of another gateway. A time that it assumes counts only for a number
+/// that is not known here.
 void ApplyNamings(WeightsHistory& named, const std::vector<AnnouncementUpdate>& namings,
                   TimePoint now);
 
--- a/libs/peers/src/news_codec.cc
+++ b/libs/peers/src/news_codec.cc
@@ -97,7 +97,8 @@
 
 void EncodeNamings(const std::vector<AnnouncementUpdate>& namings, wire::GatewayNews& message) {
   for (const AnnouncementUpdate& naming : namings) {
-    wire::GatewayNaming& entry = *message.add_namings();
+    wire::GatewayNaming& entry =
+        naming.assumed ? *message.add_assumed_namings() : *message.add_namings();
     entry.set_model(naming.model.value());
     entry.set_number(naming.number.value());
     entry.set_age_ms(static_cast<std::uint32_t>(naming.age.count()));
@@ -106,10 +107,12 @@
 
 std::vector<AnnouncementUpdate> DecodeNamings(const wire::GatewayNews& message) {
   std::vector<AnnouncementUpdate> namings;
-  for (const wire::GatewayNaming& entry : message.namings()) {
+  const auto decode = [&namings](const wire::GatewayNaming& entry, bool assumed) {
     namings.push_back({ModelId(entry.model()), WeightsNumber(entry.number()),
-                       std::chrono::milliseconds(entry.age_ms())});
-  }
+                       std::chrono::milliseconds(entry.age_ms()), assumed});
+  };
+  for (const wire::GatewayNaming& entry : message.namings()) decode(entry, false);
+  for (const wire::GatewayNaming& entry : message.assumed_namings()) decode(entry, true);
   return namings;
 }
 
--- a/libs/peers/test/peers-test.cc
+++ b/libs/peers/test/peers-test.cc
@@ -152,7 +152,7 @@
     news.items.placed.push_back({any, 5, 4, {{any, 7}, {any + 1, 8}}});
     news.items.holds.push_back({any, 5ms});
     news.items.weights.push_back({any, kModel, WeightsNumber(any)});
-    news.namings.push_back({kModel, WeightsNumber(any), 7ms});
+    news.namings.push_back({kModel, WeightsNumber(any), 7ms, any % 2 == 0});
     news.items.performance.push_back({any, {50, 61.5}});
   }
   const auto decoded = DecodeNews(EncodeNews(news));
@@ -183,7 +183,7 @@
         {backend, {1, 2, 3, 4}, 20ms, WeightsNumber(5), {60, 50, 7}, 8ms, false, {1'700, 500}});
   }
   answer.store = StoreReport{9, 100, 3ms};
-  answer.namings = {{kModel, WeightsNumber(5), 7ms}};
+  answer.namings = {{kModel, WeightsNumber(5), 7ms}, {kModel, WeightsNumber(6), 2ms, true}};
   answer.workspace_sample = {3, 7};
   answer.demand = DemandSample{2.5, 100, 0};
   const auto answered = DecodePeerMessage(Encode(answer));
