--- a/libs/peers/include/peers/recent_namings.h
+++ b/libs/peers/include/peers/recent_namings.h
@@ -9,8 +9,8 @@
 
 namespace ridgehold {
 
-/// Returns the latest announcements for each model, also those whose time is only assumed: the store
-/// may not hold their numbers any more.
+/// Returns the latest announcements for each model, also those whose time is only assumed: the
+/// store may not hold their numbers any more.
 std::vector<AnnouncementUpdate> RecentNamings(const WeightsHistory& named, TimePoint now);
 
 /// Applies the announcements of another gateway. A time that it assumes counts only for a number
