Member order of OutboundConnection's initializers, comment of the heartbeat

The compiler warned of the order. Weight announcements are part of messages that are sent anyway, so the heartbeat is their minimum interval.

--- a/libs/net/src/outbound_connection.cc
+++ b/libs/net/src/outbound_connection.cc
@@ -83,8 +83,8 @@
     : socket_(std::move(socket)),
       stream_(socket_, framing),
       deadline_(socket_),
-      write_(socket_.get_executor()),
-      buffer_(socket_.get_executor(), kMaxUnparsedBytes) {}
+      buffer_(socket_.get_executor(), kMaxUnparsedBytes),
+      write_(socket_.get_executor()) {}
 
 net::awaitable<ExchangeFault> OutboundConnection::Connect(
     tcp::endpoint endpoint, TimePoint deadline, std::chrono::milliseconds tcp_user_timeout) {
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -45,7 +45,8 @@
     std::chrono::microseconds placement_interval{5'000};
     /// Added to `placement_interval` for each peer.
     std::chrono::microseconds placement_interval_per_peer{250};
-    /// Maximum interval between messages; also the interval at which weight announcements are sent.
+    /// Maximum interval between messages, and minimum interval between weight announcements, which
+    /// are part of a message.
     std::chrono::milliseconds heartbeat{500};
     /// In fleets of more gateways than this, updates are not broadcast; trackers are updated and
     /// queried. A request then costs about twenty datagrams, instead of one for each gateway.
